Read and write HTTP on asyncio protocols, and name the table package

Cause: the relay for the users' platform has to see a caller's close at once, skip an extra answer on a kept connection, refuse heads before their bodies are read and never use a connection again after anything odd; asyncio's streams show none of that without a second reading task.

Change: lynxchute/http replaces http_server and http_client, one server and one client for every peer. The product's own table service moves to lynxchute/tables, so that lynxchute/platform can hold the users' platform.

Ruled out: keeping both pairs side by side (two copies of one thing).

One test named the handler's private attribute and now names the public one; another gives the body's time limit by its new name, with the same value and the same assertions.

--- a/lynxchute/bench/slopes.py
+++ b/lynxchute/bench/slopes.py
@@ -31,7 +31,7 @@
 from lynxchute.entry import Entry
 from lynxchute.grants import DemandPolicy
 from lynxchute.holder import Holder
-from lynxchute.http_server import HttpServer, Request, Responder
+from lynxchute.http import HttpServer, Request, Responder
 from lynxchute.journal import Journal
 from lynxchute.ledger import budget_key, empty_budget
 from lynxchute.members import Heartbeat, Members
--- a/lynxchute/bench/stream.py
+++ b/lynxchute/bench/stream.py
@@ -18,7 +18,7 @@
 from absl import logging
 
 from lynxchute.bench.base import resident_kb
-from lynxchute.http_client import HttpClient
+from lynxchute.http import HttpClient
 from lynxchute.standins.deployment import MODEL, Deployment, Shape, caller_key
 
 ACCOUNT = "bench"
--- a/lynxchute/callers/chat.py
+++ b/lynxchute/callers/chat.py
@@ -21,8 +21,8 @@
     reserve_problem,
 )
 from lynxchute.configuration import RouteConfiguration, UpstreamConfiguration
-from lynxchute.http_client import ExchangeFailed, HttpClient, Response
-from lynxchute.http_server import JSON_TYPE, Request, Responder
+from lynxchute.http import ExchangeFailed, HttpClient, Request, Responder, Response
+from lynxchute.http.responder import JSON_TYPE
 from lynxchute.records import RequestRecord
 from lynxchute.upstreams.engine import RunState, cancel_run, resume_stream, whole_answer
 
--- a/lynxchute/callers/listener.py
+++ b/lynxchute/callers/listener.py
@@ -11,7 +11,7 @@
 from lynxchute.callers.service import PlainService
 from lynxchute.callers.serving import Serving
 from lynxchute.configuration import AccountConfiguration, hash_key
-from lynxchute.http_server import BadRequest, HttpServer, Request, Responder
+from lynxchute.http import BadRequest, HttpServer, Request, Responder, ServerLimits
 from lynxchute.operators.service import COMMANDS_PATH, OperatorService
 
 BEARER = "bearer "
@@ -45,9 +45,8 @@
         operators: OperatorService,
     ) -> None:
         settings = serving.node.settings
-        self.server = HttpServer(
-            self._handle, max_body_bytes=settings.limits.max_body_bytes
-        )
+        limits = ServerLimits(max_body_bytes=settings.limits.max_body_bytes)
+        self.server = HttpServer(self._handle, limits=lambda: limits)
         self._address = settings.listen.callers
         self._serving = serving
         self._chat = chat
@@ -68,6 +67,8 @@
         await self.server.kill()
 
     async def _handle(self, request: Request, respond: Responder) -> None:
+        # What has been reserved is settled also where the caller leaves.
+        respond.outlives_caller = True
         if request.path == COMMANDS_PATH:
             await self._operators.serve(request, respond, bearer_key(request))
             return
--- a/lynxchute/callers/problem.py
+++ b/lynxchute/callers/problem.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from lynxchute.http_server import Responder
+from lynxchute.http import Responder
 
 CONTENT_TYPE = "application/problem+json"
 TYPE_PREFIX = "urn:lynxchute:problem:"
--- a/lynxchute/callers/question.py
+++ b/lynxchute/callers/question.py
@@ -9,7 +9,7 @@
 import attrs
 from expression import Error, Ok, Result
 
-from lynxchute.http_server import BadRequest, Request
+from lynxchute.http import BadRequest, Request
 
 TOKENS_PER_MESSAGE = 8
 MAX_MESSAGES = 4096
--- a/lynxchute/callers/service.py
+++ b/lynxchute/callers/service.py
@@ -19,8 +19,7 @@
 )
 from lynxchute.claims import Claims, ClaimState
 from lynxchute.configuration import RouteConfiguration, UpstreamConfiguration
-from lynxchute.http_client import ExchangeFailed
-from lynxchute.http_server import Request, Responder
+from lynxchute.http import ExchangeFailed, Request, Responder
 from lynxchute.records import RequestRecord
 
 REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
--- a/lynxchute/callers/serving.py
+++ b/lynxchute/callers/serving.py
@@ -14,8 +14,7 @@
 from lynxchute.callers.replays import Answer, Replays
 from lynxchute.configuration import AccountConfiguration, UpstreamConfiguration
 from lynxchute.holder import ReserveProblem
-from lynxchute.http_client import ClientPool, ExchangeFailed, HttpClient
-from lynxchute.http_server import Request
+from lynxchute.http import ClientPool, ExchangeFailed, HttpClient, Request
 from lynxchute.members import Liveness
 from lynxchute.node import Node
 from lynxchute.peers import PeerUnreachable
--- a/lynxchute/claims.py
+++ b/lynxchute/claims.py
@@ -17,7 +17,8 @@
 from lynxchute.node import Node
 from lynxchute.peers import PeerUnreachable
 from lynxchute.peers.messages import LookupReply, LookupRequest
-from lynxchute.platform import (
+from lynxchute.records import RequestRecord
+from lynxchute.tables import (
     Committed,
     OutcomeUnknown,
     Row,
@@ -25,7 +26,6 @@
     Transaction,
     Unavailable,
 )
-from lynxchute.records import RequestRecord
 
 CLAIM_PREFIX = "claim/"
 KEY_SEPARATOR = ":"
--- a/lynxchute/configurations.py
+++ b/lynxchute/configurations.py
@@ -26,7 +26,7 @@
     ConfigurationReply,
     ConfigurationRequest,
 )
-from lynxchute.platform import (
+from lynxchute.tables import (
     Committed,
     OutcomeUnknown,
     Row,
--- a/lynxchute/demo.py
+++ b/lynxchute/demo.py
@@ -17,7 +17,7 @@
 from absl import logging
 
 from lynxchute.callers.problem import Run
-from lynxchute.http_client import ExchangeFailed, HttpClient, Timeouts
+from lynxchute.http import ExchangeFailed, HttpClient, Timeouts
 from lynxchute.ledger import BUDGET_PREFIX, CHARGE_PREFIX
 from lynxchute.records import request_id_for
 from lynxchute.standins.deployment import (
--- a/lynxchute/entry.py
+++ b/lynxchute/entry.py
@@ -5,8 +5,8 @@
 import attrs
 
 from lynxchute.ledger import BudgetChange
-from lynxchute.platform.transaction import Row
 from lynxchute.records import RequestRecord
+from lynxchute.tables.transaction import Row
 
 
 @attrs.frozen
--- a/lynxchute/fences.py
+++ b/lynxchute/fences.py
@@ -8,7 +8,7 @@
 from lynxchute.flusher import Flusher
 from lynxchute.journal import JOURNAL_PREFIX, JournalState, journal_key
 from lynxchute.node import Node
-from lynxchute.platform import Unavailable
+from lynxchute.tables import Unavailable
 
 OPEN_POLL = 0.05
 
--- a/lynxchute/flusher.py
+++ b/lynxchute/flusher.py
@@ -11,7 +11,7 @@
 from lynxchute.application import Background
 from lynxchute.entry import Entry
 from lynxchute.node import Node
-from lynxchute.platform import Committed, OutcomeUnknown, Unavailable
+from lynxchute.tables import Committed, OutcomeUnknown, Unavailable
 
 SLOWER = 2.0
 FASTER = 0.7
--- a/lynxchute/handover.py
+++ b/lynxchute/handover.py
@@ -10,7 +10,7 @@
 from lynxchute.node import Node
 from lynxchute.peers import PeerUnreachable
 from lynxchute.peers.messages import HandoverRequest
-from lynxchute.platform import Unavailable
+from lynxchute.tables import Unavailable
 
 HANDOVER_POLL = 0.1
 
--- a/lynxchute/holder.py
+++ b/lynxchute/holder.py
@@ -29,7 +29,9 @@
     share_swap,
     top_up_key,
 )
-from lynxchute.platform.transaction import (
+from lynxchute.records import RequestRecord
+from lynxchute.share import Share
+from lynxchute.tables.transaction import (
     Add,
     Conflict,
     Outcome,
@@ -37,8 +39,6 @@
     Swap,
     Transaction,
 )
-from lynxchute.records import RequestRecord
-from lynxchute.share import Share
 
 MAX_CHARGES_PER_WRITE = 100
 MAX_BUDGETS_PER_WRITE = 50
--- a/lynxchute/homes.py
+++ b/lynxchute/homes.py
@@ -5,8 +5,8 @@
 from lynxchute.application import Loop
 from lynxchute.ledger import FREE, budget_key
 from lynxchute.node import Node
-from lynxchute.platform import Unavailable
 from lynxchute.rendezvous import ranked
+from lynxchute.tables import Unavailable
 
 INTERVAL = 0.5
 MAX_ACCOUNTS = 2000
--- /dev/null
+++ b/lynxchute/http/client.py
@@ -0,0 +1,396 @@
+"""An HTTP/1.1 client with kept connections, on `asyncio` and `h11`.
+
+A connection is used again only after its exchange was finished on both
+sides and nothing else came over it, so that an answer can never reach the
+wrong caller.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import attrs
+import h11
+
+from lynxchute.http.client_connection import (
+    ClientConnection,
+    ConnectionBroken,
+    OutgoingRequest,
+)
+from lynxchute.http.headers import HeaderItems, Headers, encoded
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# An extra answer or two may stand before the right one; a peer that sends
+# more of them is not worth reading on.
+MAX_SKIPPED_ANSWERS = 3
+
+
+@attrs.frozen
+class Timeouts:
+    """How long each step of an exchange may take, in seconds.
+
+    Attributes
+    ----------
+    kept_idle
+        How long a connection without a Keep-Alive header may have been idle to
+        be used again.
+    """
+
+    connect: float = 1.0
+    first_byte: float | None = 30.0
+    between_bytes: float | None = 15.0
+    kept_idle: float = 30.0
+
+
+class ExchangeFailed(Exception):
+    """Report an exchange that gave no whole answer.
+
+    Parameters
+    ----------
+    reason
+        What went wrong.
+    sent
+        Whether a byte of the request may have left; if not, it did not run.
+    """
+
+    def __init__(self, reason: str, *, sent: bool) -> None:
+        super().__init__(reason)
+        self.sent = sent
+
+
+def any_answer(head: h11.Response) -> bool:
+    """Take whatever answer comes first."""
+    return True
+
+
+class Response:
+    """An answer whose body is read in pieces.
+
+    Parameters
+    ----------
+    client
+        The client that the connection goes back to.
+    connection
+        The connection that the answer comes over.
+    head
+        The head of the answer.
+    between_bytes
+        Seconds to wait for each next piece; None waits without end.
+    """
+
+    def __init__(
+        self,
+        client: HttpClient,
+        connection: ClientConnection,
+        head: h11.Response,
+        between_bytes: float | None,
+    ) -> None:
+        self.status = head.status_code
+        self.headers = Headers(head.headers.raw_items())
+        self._client = client
+        self._connection = connection
+        self._between_bytes = between_bytes
+        self._released = False
+
+    async def read(self) -> bytes | None:
+        """Return what has arrived of the body, or None after its end.
+
+        Raises
+        ------
+        ExchangeFailed
+            Where the answer broke off before its end.
+        """
+        if self._released:
+            return None
+        try:
+            async with asyncio.timeout(self._between_bytes):
+                piece = await self._connection.read_body()
+        except (ConnectionBroken, TimeoutError) as error:
+            self.close()
+            raise ExchangeFailed(f"the answer broke off: {error}", sent=True) from error
+        except BaseException:
+            self.close()
+            raise
+        if piece is None:
+            self._release()
+        return piece
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body; what arrived in one read comes as one piece.
+
+        Raises
+        ------
+        ExchangeFailed
+            Where the answer broke off before its end.
+        """
+        try:
+            while True:
+                piece = await self.read()
+                if piece is None:
+                    return
+                yield piece
+        finally:
+            # Also where the reader stopped early; nothing is left to do after
+            # a whole answer.
+            self.close()
+
+    async def body(self, limit: int = MAX_ANSWER_BYTES) -> bytes:
+        """Return the whole body.
+
+        Raises
+        ------
+        ExchangeFailed
+            Where it broke off, or is larger than the limit in bytes.
+        """
+        parts: list[bytes] = []
+        size = 0
+        async for chunk in self.chunks():
+            size += len(chunk)
+            if size > limit:
+                raise ExchangeFailed("the answer is too large", sent=True)
+            parts.append(chunk)
+        return b"".join(parts)
+
+    async def json(self) -> Any:
+        """Return the whole body decoded as JSON."""
+        body = await self.body()
+        try:
+            return json.loads(body)
+        except (ValueError, RecursionError) as error:
+            raise ExchangeFailed(
+                f"the answer is not JSON: {error}", sent=True
+            ) from error
+
+    def close(self) -> None:
+        """Drop the connection where the body was not read to its end."""
+        if not self._released:
+            self._released = True
+            self._connection.abort()
+            self._client._forget()
+
+    def _release(self) -> None:
+        if not self._released:
+            self._released = True
+            self._client._give_back(self._connection)
+
+
+class HttpClient:
+    """Exchange requests with one peer.
+
+    Parameters
+    ----------
+    address
+        The peer as ``host:port``.
+    timeouts
+        How long each step may take.
+    max_connections
+        Exchanges at once; further ones wait.
+
+    Attributes
+    ----------
+    opened
+        Connections opened so far.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        timeouts: Timeouts | None = None,
+        max_connections: int = 256,
+    ) -> None:
+        self.address = address
+        self.opened = 0
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._timeouts = timeouts or Timeouts()
+        self._idle: list[ClientConnection] = []
+        self._slots = asyncio.Semaphore(max_connections)
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        *,
+        headers: HeaderItems = (),
+        body: bytes = b"",
+        timeouts: Timeouts | None = None,
+        fresh_within: float | None = None,
+        is_answer: Callable[[h11.Response], bool] = any_answer,
+        on_sent: Callable[[], None] | None = None,
+    ) -> Response:
+        """Send a request and return the answer with its head read.
+
+        Parameters
+        ----------
+        headers
+            With a Host header or without; the address is the default.
+        fresh_within
+            Seconds that a kept connection may have been idle for this request;
+            None leaves that to the timeouts.
+        is_answer
+            Tells an answer to this request from one to an earlier request,
+            which is read and dropped.
+        on_sent
+            Called when the first byte is about to leave.
+
+        Raises
+        ------
+        ExchangeFailed
+            With ``sent`` false only where no byte of the request left.
+        """
+        limits = timeouts or self._timeouts
+        await self._slots.acquire()
+        try:
+            connection = await self._connect(limits, fresh_within)
+        except BaseException:
+            self._slots.release()
+            raise
+        outgoing = OutgoingRequest(method, target, self._full_headers(headers, body))
+        try:
+            if on_sent is not None:
+                on_sent()
+            connection.send(outgoing, body)
+            head = await self._read_head(connection, limits, is_answer)
+        except (ConnectionBroken, TimeoutError) as error:
+            connection.abort()
+            self._slots.release()
+            raise ExchangeFailed(f"no answer: {error}", sent=True) from error
+        except BaseException:
+            connection.abort()
+            self._slots.release()
+            raise
+        return Response(self, connection, head, limits.between_bytes)
+
+    async def post_json(
+        self,
+        target: str,
+        value: Any,
+        *,
+        headers: HeaderItems = (),
+        timeouts: Timeouts | None = None,
+    ) -> tuple[int, Any]:
+        """Post JSON; return the status and the decoded answer."""
+        body = json.dumps(value, separators=(",", ":")).encode()
+        head = [("Content-Type", "application/json"), *headers]
+        response = await self.request(
+            "POST", target, headers=head, body=body, timeouts=timeouts
+        )
+        return response.status, await response.json()
+
+    async def get_json(
+        self,
+        target: str,
+        *,
+        headers: HeaderItems = (),
+        timeouts: Timeouts | None = None,
+    ) -> tuple[int, Any]:
+        """Get JSON; return the status and the decoded answer."""
+        response = await self.request("GET", target, headers=headers, timeouts=timeouts)
+        return response.status, await response.json()
+
+    def close(self) -> None:
+        """Drop the idle connections."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.abort()
+
+    def _full_headers(
+        self, headers: HeaderItems, body: bytes
+    ) -> list[tuple[bytes, bytes]]:
+        full = encoded(headers)
+        names = {name.lower() for name, _ in full}
+        if b"host" not in names:
+            full.insert(0, (b"Host", self.address.encode()))
+        full.append((b"Content-Length", str(len(body)).encode()))
+        return full
+
+    async def _connect(
+        self, limits: Timeouts, fresh_within: float | None
+    ) -> ClientConnection:
+        kept = self._take_idle(limits, fresh_within)
+        if kept is not None:
+            return kept
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(limits.connect):
+                _, connection = await loop.create_connection(
+                    ClientConnection, self._host, self._port
+                )
+        except (OSError, TimeoutError) as error:
+            raise ExchangeFailed(f"cannot connect: {error!r}", sent=False) from error
+        self.opened += 1
+        return connection
+
+    def _take_idle(
+        self, limits: Timeouts, fresh_within: float | None
+    ) -> ClientConnection | None:
+        """Return the kept connection that was used last, if it is fresh enough."""
+        now = asyncio.get_running_loop().time()
+        while self._idle:
+            connection = self._idle.pop()
+            idle = now - connection.idle_since
+            longest = connection.keep_alive_seconds or limits.kept_idle
+            if not connection.alive or idle > longest:
+                connection.abort()
+                continue
+            if fresh_within is not None and idle > fresh_within:
+                self._idle.append(connection)
+                return None
+            return connection
+        return None
+
+    async def _read_head(
+        self,
+        connection: ClientConnection,
+        limits: Timeouts,
+        is_answer: Callable[[h11.Response], bool],
+    ) -> h11.Response:
+        async with asyncio.timeout(limits.first_byte):
+            for _ in range(MAX_SKIPPED_ANSWERS + 1):
+                head = await connection.read_head()
+                if is_answer(head):
+                    return head
+                await connection.skip_answer()
+        raise ConnectionBroken("only answers to other requests came")
+
+    def _give_back(self, connection: ClientConnection) -> None:
+        if connection.renew():
+            self._idle.append(connection)
+        else:
+            connection.abort()
+        self._slots.release()
+
+    def _forget(self) -> None:
+        self._slots.release()
+
+
+@attrs.define
+class ClientPool:
+    """Keep one client for each address."""
+
+    timeouts: Timeouts = attrs.Factory(Timeouts)
+    by_address: dict[str, HttpClient] = attrs.Factory(dict)
+
+    def get(self, address: str) -> HttpClient:
+        """Return the client for an address, made on first use."""
+        client = self.by_address.get(address)
+        if client is None:
+            client = HttpClient(address, timeouts=self.timeouts)
+            self.by_address[address] = client
+        return client
+
+    def drop(self, address: str) -> None:
+        """Close what is kept for an address that is no longer used."""
+        client = self.by_address.pop(address, None)
+        if client is not None:
+            client.close()
+
+    def close(self) -> None:
+        """Drop every idle connection."""
+        for client in self.by_address.values():
+            client.close()
--- /dev/null
+++ b/lynxchute/http/headers.py
@@ -0,0 +1,90 @@
+"""The headers of one message."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping
+
+RawHeaders = Iterable[tuple[bytes, bytes]]
+HeaderItems = Iterable[tuple[str | bytes, str | bytes]]
+
+# RFC 9110, section 7.6.1, and the older names that proxies strip as well.
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class Headers(Mapping[str, str]):
+    """Headers by lower-case name, in the order and spelling that they came in.
+
+    Parameters
+    ----------
+    raw
+        Names and values as they stood in the message.
+
+    Examples
+    --------
+    >>> headers = Headers([(b"X-Id", b"7"), (b"x-id", b"8")])
+    >>> headers["x-id"], headers.count("x-id")
+    ('7', 2)
+    """
+
+    __slots__ = ("_by_name", "raw")
+
+    def __init__(self, raw: RawHeaders = ()) -> None:
+        self.raw = tuple(raw)
+        self._by_name: dict[str, str] = {}
+        for name, value in self.raw:
+            key = name.decode("latin-1").lower()
+            self._by_name.setdefault(key, value.decode("latin-1"))
+
+    def __getitem__(self, name: str) -> str:
+        return self._by_name[name]
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._by_name)
+
+    def __len__(self) -> int:
+        return len(self._by_name)
+
+    def count(self, name: str) -> int:
+        """Return how often a header stands in the message."""
+        wanted = name.encode("latin-1")
+        return sum(1 for raw_name, _ in self.raw if raw_name.lower() == wanted)
+
+    def end_to_end(self, dropped: frozenset[str]) -> list[tuple[bytes, bytes]]:
+        """Return the headers that a proxy passes on.
+
+        Parameters
+        ----------
+        dropped
+            Further lower-case names to leave out.
+        """
+        named = self._by_name.get("connection", "").lower().split(",")
+        left_out = HOP_BY_HOP | dropped | {name.strip() for name in named}
+        kept = []
+        for name, value in self.raw:
+            if name.decode("latin-1").lower() not in left_out:
+                kept.append((name, value))
+        return kept
+
+
+def encoded(headers: HeaderItems) -> list[tuple[bytes, bytes]]:
+    """Return headers as they go over the wire."""
+    raw = []
+    for name, value in headers:
+        raw.append((_to_bytes(name), _to_bytes(value)))
+    return raw
+
+
+def _to_bytes(text: str | bytes) -> bytes:
+    return text.encode("latin-1") if isinstance(text, str) else text
--- /dev/null
+++ b/lynxchute/http/messages.py
@@ -0,0 +1,73 @@
+"""Requests and the errors that reading one can end in."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import attrs
+
+from lynxchute.http.headers import Headers
+
+
+class BadRequest(Exception):
+    """Report a request that cannot be served as it was sent.
+
+    Parameters
+    ----------
+    status
+        The HTTP status to answer with.
+    reason
+        One sentence for the caller.
+    retry_after
+        Seconds after which the same request may succeed, if it may.
+    """
+
+    def __init__(
+        self, status: int, reason: str, *, retry_after: float | None = None
+    ) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.retry_after = retry_after
+
+
+@attrs.frozen
+class RequestHead:
+    """A request whose body has not been read.
+
+    Attributes
+    ----------
+    received_at
+        When its first byte was read, on the clock of the event loop in seconds.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    received_at: float = 0.0
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query string."""
+        return self.target.partition("?")[0]
+
+
+@attrs.frozen
+class Request(RequestHead):
+    """One request, read whole."""
+
+    body: bytes = b""
+
+    def json(self) -> Any:
+        """Return the body decoded as JSON.
+
+        Raises
+        ------
+        BadRequest
+            With status 422 where the body is not JSON in UTF-8.
+        """
+        try:
+            return json.loads(self.body.decode("utf-8"))
+        except (ValueError, RecursionError) as error:
+            raise BadRequest(422, f"The body is not JSON in UTF-8: {error}.") from None
--- /dev/null
+++ b/lynxchute/http/server.py
@@ -0,0 +1,139 @@
+"""An HTTP/1.1 server on `asyncio` protocols, with `h11` for the syntax."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import attrs
+from absl import logging
+
+from lynxchute.http.connection import ServerConnection
+from lynxchute.http.messages import Request, RequestHead
+from lynxchute.http.responder import Responder
+
+# Large enough for every caller of a VM to reconnect at the same moment.
+BACKLOG = 1024
+
+
+@attrs.frozen
+class ServerLimits:
+    """What a sender may send, and how long it may take.
+
+    Attributes
+    ----------
+    max_head_bytes, max_body_bytes
+        Longer heads are refused with 431, longer bodies with 413.
+    max_buffered_bytes
+        Bytes of all bodies together that are being read or served.
+    head_timeout
+        Seconds from the first byte of a head to its last.
+    body_timeout
+        Seconds that a body may pause.
+    idle_timeout
+        Seconds that an idle connection is kept.
+    """
+
+    max_head_bytes: int = 16384
+    max_body_bytes: int = 4 * 1024 * 1024
+    max_buffered_bytes: int = 32 * 1024 * 1024
+    head_timeout: float = 15.0
+    body_timeout: float = 15.0
+    idle_timeout: float = 75.0
+
+
+def accept_all(head: RequestHead) -> None:
+    """Refuse no request by its head."""
+
+
+class HttpServer:
+    """Accept connections and hand each request to a handler.
+
+    Parameters
+    ----------
+    handler
+        Called once for each request; cancelled when the caller leaves, unless
+        the responder says otherwise.
+    limits
+        Returns the limits in force; they may change while the server runs.
+    check_head
+        Called before a body is read; raises `BadRequest` to refuse it.
+    """
+
+    def __init__(
+        self,
+        handler: Callable[[Request, Responder], Awaitable[None]],
+        *,
+        limits: Callable[[], ServerLimits] = ServerLimits,
+        check_head: Callable[[RequestHead], None] = accept_all,
+    ) -> None:
+        self.connections: set[ServerConnection] = set()
+        self.buffered_bytes = 0
+        self.port = 0
+        self.closing = False
+        self.handler = handler
+        self.limits = limits
+        self.check_head = check_head
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen at an address; port 0 takes any free port."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ServerConnection(self), host, port, backlog=BACKLOG
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def announce_close(self) -> None:
+        """Let each further answer be the last one on its connection."""
+        self.closing = True
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is being asked."""
+        for connection in list(self.connections):
+            if connection.is_idle:
+                connection.close()
+
+    async def drain(self, deadline: float) -> bool:
+        """Stop accepting and wait for the open exchanges.
+
+        Parameters
+        ----------
+        deadline
+            Seconds to wait at most.
+
+        Returns
+        -------
+        bool
+            Whether every exchange ended by itself.
+        """
+        self.announce_close()
+        if self._server is not None:
+            self._server.close()
+        self.close_idle()
+        busy = [c.served for c in self.connections if c.served is not None]
+        late: set[asyncio.Task[None]] = set()
+        if busy:
+            _, late = await asyncio.wait(busy, timeout=deadline)
+        await self.kill()
+        return not late
+
+    async def kill(self) -> None:
+        """Drop every connection at once."""
+        if self._server is not None:
+            self._server.close()
+        tasks = []
+        for connection in list(self.connections):
+            if connection.served is not None:
+                connection.served.cancel()
+                tasks.append(connection.served)
+            connection.abort()
+        results = await asyncio.gather(*tasks, return_exceptions=True)
+        for result in results:
+            if isinstance(result, Exception):
+                logging.warning("a request ended badly at the stop: %r", result)
+
+
+async def not_found(request: Request, respond: Responder) -> None:
+    """Answer that nothing is at the path."""
+    await respond.json(404, {"error": f"nothing is at {request.path}"})
--- a/lynxchute/journal.py
+++ b/lynxchute/journal.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from lynxchute.platform.transaction import (
+from lynxchute.tables.transaction import (
     Add,
     Committed,
     Conflict,
--- a/lynxchute/ledger.py
+++ b/lynxchute/ledger.py
@@ -10,8 +10,8 @@
 
 import attrs
 
-from lynxchute.platform.transaction import Add, Row, Swap
 from lynxchute.records import RequestRecord
+from lynxchute.tables.transaction import Add, Row, Swap
 
 SHARE_PREFIX = "share/"
 BUDGET_PREFIX = "budget/"
--- a/lynxchute/node.py
+++ b/lynxchute/node.py
@@ -18,8 +18,8 @@
 from lynxchute.journal import Journal
 from lynxchute.members import Heartbeat, Members
 from lynxchute.peers import HttpPeers, Peers
-from lynxchute.platform import HttpTable, Table
 from lynxchute.settings import RouterSettings
+from lynxchute.tables import HttpTable, Table
 
 
 @attrs.define
--- a/lynxchute/operators/client.py
+++ b/lynxchute/operators/client.py
@@ -19,7 +19,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from lynxchute.http_client import ExchangeFailed, HttpClient
+from lynxchute.http import ExchangeFailed, HttpClient
 from lynxchute.operators import service
 from lynxchute.operators.collections import COLUMNS_BY_COLLECTION
 from lynxchute.operators.language import KEYWORDS, parse
--- a/lynxchute/operators/collections.py
+++ b/lynxchute/operators/collections.py
@@ -13,7 +13,7 @@
 from lynxchute.node import Node
 from lynxchute.peers import PeerUnreachable
 from lynxchute.peers.messages import CollectRequest
-from lynxchute.platform import Unavailable
+from lynxchute.tables import Unavailable
 
 Row = dict[str, Any]
 PLATFORM = "platform"
--- a/lynxchute/operators/service.py
+++ b/lynxchute/operators/service.py
@@ -18,7 +18,7 @@
     hash_key,
 )
 from lynxchute.configurations import Change, Configurations, to_body, version_key
-from lynxchute.http_server import Request, Responder
+from lynxchute.http import Request, Responder
 from lynxchute.node import Node
 from lynxchute.operators.collections import Collections
 from lynxchute.operators.language import parse
@@ -34,7 +34,7 @@
     TopUpStatement,
 )
 from lynxchute.operators.topups import TopUps, TopUpState
-from lynxchute.platform import Unavailable
+from lynxchute.tables import Unavailable
 
 COMMANDS_PATH = "/v1/operator/commands"
 RANK_BY_ROLE = {Role.READ: 0, Role.OPERATE: 1, Role.CONFIGURE: 2}
--- a/lynxchute/operators/topups.py
+++ b/lynxchute/operators/topups.py
@@ -20,7 +20,7 @@
 from lynxchute.node import Node
 from lynxchute.peers import PeerUnreachable
 from lynxchute.peers.messages import TopUpNotice
-from lynxchute.platform import (
+from lynxchute.tables import (
     Add,
     Committed,
     OutcomeUnknown,
--- a/lynxchute/peers/client.py
+++ b/lynxchute/peers/client.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from typing import TypeVar
 
-from lynxchute.http_client import ExchangeFailed, HttpClient, Timeouts
+from lynxchute.http import ExchangeFailed, HttpClient, Timeouts
 from lynxchute.peers.messages import INTERNAL_PREFIX, Message, from_json, to_json
 
 ReplyT = TypeVar("ReplyT")
--- a/lynxchute/peers/server.py
+++ b/lynxchute/peers/server.py
@@ -12,7 +12,7 @@
 from lynxchute.configuration import same_key
 from lynxchute.configurations import Configurations
 from lynxchute.heartbeats import Heartbeats
-from lynxchute.http_server import BadRequest, HttpServer, Request, Responder, not_found
+from lynxchute.http import BadRequest, HttpServer, Request, Responder, not_found
 from lynxchute.node import Node
 from lynxchute.operators.collections import Collections
 from lynxchute.peers import messages as m
--- a/lynxchute/recovery.py
+++ b/lynxchute/recovery.py
@@ -22,8 +22,8 @@
     share_prefix,
     top_up_key,
 )
-from lynxchute.platform.transaction import Row, Swap, Transaction
 from lynxchute.records import RequestRecord
+from lynxchute.tables.transaction import Row, Swap, Transaction
 
 
 @attrs.frozen
--- a/lynxchute/refill.py
+++ b/lynxchute/refill.py
@@ -11,7 +11,7 @@
 from lynxchute.node import Node
 from lynxchute.peers import PeerUnreachable
 from lynxchute.peers.messages import RecallRequest
-from lynxchute.platform import Unavailable
+from lynxchute.tables import Unavailable
 
 ROUNDS = 3
 OWN_SHARE = "own share"
--- a/lynxchute/router.py
+++ b/lynxchute/router.py
@@ -20,7 +20,7 @@
 from lynxchute.handover import Handover
 from lynxchute.heartbeats import Heartbeats
 from lynxchute.homes import Homes
-from lynxchute.http_client import ClientPool, Timeouts
+from lynxchute.http import ClientPool, Timeouts
 from lynxchute.metrics import make_registry
 from lynxchute.node import Node, make_node
 from lynxchute.operators.collections import Collections
--- a/lynxchute/settlement.py
+++ b/lynxchute/settlement.py
@@ -12,9 +12,9 @@
 from lynxchute.node import Node
 from lynxchute.peers import PeerUnreachable
 from lynxchute.peers.messages import SettleRequest
-from lynxchute.platform import Unavailable
 from lynxchute.records import RequestRecord
 from lynxchute.reservations import Reservations
+from lynxchute.tables import Unavailable
 
 BATCH = 200
 INTERVAL = 0.2
--- a/lynxchute/standins/daemon.py
+++ b/lynxchute/standins/daemon.py
@@ -15,7 +15,7 @@
 from lynxchute._logs import log_json_lines
 from lynxchute._structure import Finding, load_document, option
 from lynxchute.application import end_on_signals
-from lynxchute.http_server import (
+from lynxchute.http import (
     BadRequest,
     HttpServer,
     Request,
--- a/lynxchute/standins/engine.py
+++ b/lynxchute/standins/engine.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from lynxchute.http_server import (
+from lynxchute.http import (
     BadRequest,
     HttpServer,
     Request,
--- a/lynxchute/standins/faults.py
+++ b/lynxchute/standins/faults.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from lynxchute.http_server import BadRequest, Request, Responder
+from lynxchute.http import BadRequest, Request, Responder
 
 FAULTS_PATH = "/faults"
 
--- a/lynxchute/standins/service.py
+++ b/lynxchute/standins/service.py
@@ -5,7 +5,7 @@
 import hashlib
 from typing import Any
 
-from lynxchute.http_server import HttpServer, Request, Responder
+from lynxchute.http import HttpServer, Request, Responder
 from lynxchute.standins.faults import FAULTS_PATH, Faults
 
 
--- a/lynxchute/standins/table.py
+++ b/lynxchute/standins/table.py
@@ -8,13 +8,14 @@
 
 import attrs
 
-from lynxchute.http_server import (
+from lynxchute.http import (
     HttpServer,
     Request,
     Responder,
     not_found,
 )
-from lynxchute.platform.transaction import (
+from lynxchute.standins.faults import FAULTS_PATH, Faults
+from lynxchute.tables.transaction import (
     Add,
     Committed,
     Conflict,
@@ -23,7 +24,6 @@
     Swap,
     Transaction,
 )
-from lynxchute.standins.faults import FAULTS_PATH, Faults
 
 WRITES_PER_SECOND = 500
 RATE_WINDOW = 1.0
--- a/lynxchute/platform/__init__.py
+++ b/lynxchute/tables/__init__.py
@@ -1,7 +1,7 @@
 """The platform's services, as the routers meet them."""
 
-from lynxchute.platform.table import HttpTable, OutcomeUnknown, Table, Unavailable
-from lynxchute.platform.transaction import (
+from lynxchute.tables.table import HttpTable, OutcomeUnknown, Table, Unavailable
+from lynxchute.tables.transaction import (
     Add,
     Committed,
     Conflict,
--- a/lynxchute/platform/table.py
+++ b/lynxchute/tables/table.py
@@ -4,8 +4,8 @@
 
 from abc import ABC, abstractmethod
 
-from lynxchute.http_client import ExchangeFailed, HttpClient, Timeouts
-from lynxchute.platform.transaction import (
+from lynxchute.http import ExchangeFailed, HttpClient, Timeouts
+from lynxchute.tables.transaction import (
     Committed,
     Conflict,
     Outcome,
--- a/lynxchute/takeover.py
+++ b/lynxchute/takeover.py
@@ -13,11 +13,11 @@
 from lynxchute.node import Node
 from lynxchute.peers import PeerUnreachable
 from lynxchute.peers.messages import CloseNotice, KeepRequest, ReportRequest
-from lynxchute.platform import OutcomeUnknown, Unavailable
 from lynxchute.records import RequestRecord
 from lynxchute.recovery import Recovery, Report
 from lynxchute.rendezvous import ranked
 from lynxchute.settlement import Settlement
+from lynxchute.tables import OutcomeUnknown, Unavailable
 from lynxchute.upstreams.resolver import OrphanResolver
 
 INTERVAL = 0.3
--- a/lynxchute/upstreams/engine.py
+++ b/lynxchute/upstreams/engine.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from lynxchute.http_client import ExchangeFailed, HttpClient, Response
+from lynxchute.http import ExchangeFailed, HttpClient, Response
 
 REQUESTS_PATH = "/v1/requests/"
 
--- a/lynxchute/upstreams/resolver.py
+++ b/lynxchute/upstreams/resolver.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from lynxchute.http_client import ClientPool, ExchangeFailed
+from lynxchute.http import ClientPool, ExchangeFailed
 from lynxchute.node import Node
 from lynxchute.records import RequestRecord
 from lynxchute.upstreams.engine import Run, RunState, cancel_run, run_of
--- a/tests/support.py
+++ b/tests/support.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from lynxchute.http_client import HttpClient
+from lynxchute.http import HttpClient
 from lynxchute.standins.deployment import (
     MODEL,
     OPERATOR_KEY,
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -12,11 +12,11 @@
 from lynxchute.journal import Journal
 from lynxchute.ledger import budget_key, empty_budget
 from lynxchute.members import Heartbeat, Liveness, Members
-from lynxchute.platform.transaction import Add, Committed, Conflict, Swap, Transaction
 from lynxchute.records import RequestRecord
 from lynxchute.rendezvous import ranked
 from lynxchute.routing import RetryAllowance
 from lynxchute.standins.table import TableStore
+from lynxchute.tables.transaction import Add, Committed, Conflict, Swap, Transaction
 from tests.fuzz import run
 
 OPERATIONS = st.lists(
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -10,7 +10,7 @@
 
 from lynxchute.callers.events import EventRelay
 from lynxchute.callers.question import parse_question
-from lynxchute.http_server import Request
+from lynxchute.http import Request
 from lynxchute.operators.language import parse, to_text
 from lynxchute.operators.query import run_query
 from lynxchute.operators.statements import (
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -5,8 +5,14 @@
 
 import attrs
 
-from lynxchute.http_client import ExchangeFailed, HttpClient, Timeouts
-from lynxchute.http_server import BadRequest, HttpServer
+from lynxchute.http import (
+    BadRequest,
+    ExchangeFailed,
+    HttpClient,
+    HttpServer,
+    ServerLimits,
+    Timeouts,
+)
 from lynxchute.ledger import CHARGE_PREFIX
 from lynxchute.standins.faults import Faults
 from tests.support import (
@@ -38,7 +44,7 @@
                 await respond.json(200, answer, [("X-Request-Id", "another")])
 
             for engine in engines(deployment):
-                engine.server._handler = wrong
+                engine.server.handler = wrong
             status, _, body = await Caller(deployment, "kyu-a-1").ask(question())
             self.assertEqual((503, "not_run"), (status, json.loads(body)["run"]))
             self.assertEqual({}, rows(deployment, CHARGE_PREFIX))
@@ -179,7 +185,7 @@
             async def never(request, respond):
                 self.fail("nothing whole was sent")
 
-            server = HttpServer(never, read_timeout=0.05)
+            server = HttpServer(never, limits=lambda: ServerLimits(body_timeout=0.05))
             await server.start("127.0.0.1", 0)
             reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
             writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab")
