--- /dev/null
+++ b/lynxchute/budgets/ledger.py
@@ -0,0 +1,396 @@
+"""What a router may spend, what it has promised, and what it writes of that."""
+
+from __future__ import annotations
+
+import enum
+from collections import OrderedDict
+from collections.abc import Iterable
+
+import attrs
+
+from lynxchute.budgets.line import Line
+from lynxchute.budgets.policy import GrantPolicy, ShareView
+from lynxchute.budgets.rows import (
+    HolderRow,
+    Totals,
+    holder_id,
+    totals_id,
+)
+from lynxchute.budgets.share import Share, Terms
+from lynxchute.store import (
+    Committed,
+    Conflict,
+    Expected,
+    Outcome,
+    Put,
+    Row,
+    RowId,
+    Write,
+)
+
+# Milliseconds that a line grows after it was written: longer than the longest
+# outage that the fleet is meant to serve through, twelve seconds.
+HORIZON_MS = 15_000
+# Budgets whose division one write may change; a write takes 100 entries.
+MAX_GRANTS_PER_WRITE = 40
+# Ended requests and loans that are remembered, so that a message which arrives
+# late or twice changes nothing: some minutes at full load.
+REMEMBERED = 20_000
+
+
+class ReserveProblem(enum.Enum):
+    """Why tokens were not reserved."""
+
+    SHORT = "short"
+    CLOSED = "closed"
+
+
+@attrs.frozen
+class OpenReservation:
+    """Tokens that are set aside for a request."""
+
+    account: str
+    tokens: int
+
+
+@attrs.frozen
+class Plan:
+    """A write and what it would make true.
+
+    Attributes
+    ----------
+    row
+        The router's own row as it would be.
+    totals_by_account
+        The divisions that it would change.
+    """
+
+    write: Write
+    row: HolderRow
+    totals_by_account: dict[str, Totals]
+
+
+@attrs.frozen
+class KnownTotals:
+    """A division as it last stood in the store; version 0 where there is none."""
+
+    totals: Totals
+    version: int
+
+
+class Ledger:
+    """Reserve, settle, lend and borrow for one run of a router's process.
+
+    Times are milliseconds on the store's clock, never later than it shows, and
+    seconds on the own steady clock for the demand.
+
+    Parameters
+    ----------
+    vm
+        The router's VM.
+    incarnation
+        Names the run.
+    policy
+        Sizes grants and lines.
+    parts
+        Data centres that share the budgets.
+
+    Attributes
+    ----------
+    is_open
+        Whether the store has the router's row as this run wrote it.
+    fenced
+        Whether another run of the same VM has taken the row.
+    """
+
+    def __init__(
+        self, vm: str, incarnation: str, policy: GrantPolicy, *, parts: int
+    ) -> None:
+        self.vm = vm
+        self.incarnation = incarnation
+        self.is_open = False
+        self.is_closing = False
+        self.fenced = False
+        self.shares_by_account: dict[str, Share] = {}
+        self.open_by_request: dict[str, OpenReservation] = {}
+        self.totals_by_account: dict[str, KnownTotals] = {}
+        self.prepaid_by_account: dict[str, int] = {}
+        self.pending: Plan | None = None
+        self._policy = policy
+        self._parts = max(parts, 1)
+        self._row_version = 0
+        self._sequence = 0
+        self._lent_by_id = _Recent()
+        self._ended_by_request = _Recent()
+
+    # Taking over.
+
+    def take_over(self, row: Row | None, now_ms: int) -> None:
+        """Begin where an earlier run of this VM's process has ended.
+
+        Parameters
+        ----------
+        row
+            The row that it left; None where there is none.
+        now_ms
+            A time that the store told after the earlier run had ended.
+        """
+        self.shares_by_account = {}
+        self._row_version = row.version if row is not None else 0
+        if row is None:
+            return
+        for account, terms in HolderRow.decode(row.value).terms_by_account.items():
+            # All that the line allowed may have been used.
+            used = terms.limit(now_ms)
+            flat = Line(used, 0, now_ms, HORIZON_MS)
+            share = Share(Terms(terms.granted, flat), settled=used)
+            self.shares_by_account[account] = share
+
+    def learn_totals(self, rows: Iterable[Row]) -> None:
+        """Take divisions of budgets as they stand in the store."""
+        for row in rows:
+            known = self.totals_by_account.get(row.id.key)
+            if known is not None and known.version >= row.version:
+                continue
+            totals = Totals() if row.deleted else Totals.decode(row.value)
+            self.totals_by_account[row.id.key] = KnownTotals(totals, row.version)
+
+    # Spending.
+
+    def available(self, account: str, now_ms: int) -> int:
+        """Return the tokens of a budget that can be reserved."""
+        share = self.shares_by_account.get(account)
+        if share is None or not self.is_open or self.fenced:
+            return 0
+        return share.available(now_ms)
+
+    def reserve(
+        self, request_id: str, account: str, tokens: int, *, now_ms: int
+    ) -> ReserveProblem | None:
+        """Set tokens aside for a request, once however often it is asked."""
+        if request_id in self.open_by_request:
+            return None
+        if self.fenced or self.is_closing or not self.is_open:
+            return ReserveProblem.CLOSED
+        if request_id in self._ended_by_request:
+            return ReserveProblem.CLOSED
+        share = self.share(account)
+        if tokens > share.available(now_ms):
+            return ReserveProblem.SHORT
+        share.reserved += tokens
+        self.open_by_request[request_id] = OpenReservation(account, tokens)
+        return None
+
+    def settle(self, request_id: str, used: int) -> None:
+        """Take what a request has used; the rest can be reserved again."""
+        self._ended_by_request.add(request_id, used)
+        reservation = self.open_by_request.pop(request_id, None)
+        if reservation is None:
+            return
+        share = self.share(reservation.account)
+        share.reserved -= reservation.tokens
+        share.settled += used
+
+    def lend(self, loan_id: str, account: str, wanted: int, *, now_ms: int) -> int:
+        """Give tokens to another router; return how many.
+
+        They count as used here from now on. The same loan is given once.
+        """
+        if loan_id in self._lent_by_id:
+            return self._lent_by_id.get(loan_id)
+        share = self.shares_by_account.get(account)
+        if share is None or not self.is_open or self.fenced:
+            return 0
+        tokens = min(max(share.available(now_ms), 0), wanted)
+        if tokens <= 0:
+            return 0
+        share.settled += tokens
+        self._lent_by_id.add(loan_id, tokens)
+        return tokens
+
+    def borrow(self, account: str, tokens: int) -> None:
+        """Take tokens that another router has lent."""
+        self.share(account).borrowed += tokens
+
+    def unused(self, account: str) -> int:
+        """Return what of a grant is neither used nor, at present, reserved."""
+        share = self.shares_by_account.get(account)
+        if share is None:
+            return 0
+        return max(share.terms.granted + share.borrowed - share.settled, 0)
+
+    def share(self, account: str) -> Share:
+        """Return the share of a budget, empty on first use."""
+        share = self.shares_by_account.get(account)
+        if share is None:
+            share = Share(Terms(0, Line(0, 0, 0, HORIZON_MS)))
+            self.shares_by_account[account] = share
+        return share
+
+    def free(self, account: str) -> int:
+        """Return what of a budget nobody has been granted, as last known."""
+        known = self.totals_by_account.get(account)
+        granted = known.totals.granted if known is not None else 0
+        return self.prepaid_by_account.get(account, 0) - granted
+
+    # Writing.
+
+    def plan(self, *, now_ms: int, now: float) -> Plan:
+        """Return the next write: new lines everywhere, and grants where due."""
+        self._sequence += 1
+        terms_by_account: dict[str, Terms] = {}
+        totals_by_account: dict[str, Totals] = {}
+        for account, share in self.shares_by_account.items():
+            granted = share.terms.granted
+            if len(totals_by_account) < MAX_GRANTS_PER_WRITE:
+                granted = self._granted(account, share, now)
+            if granted != share.terms.granted:
+                known = self.totals_by_account.get(account)
+                totals = known.totals if known is not None else Totals()
+                totals_by_account[account] = totals.with_grant(self.vm, granted)
+            terms_by_account[account] = self._terms(
+                account, share, granted, now_ms, now
+            )
+        row = HolderRow(self.incarnation, self._sequence, terms_by_account)
+        self.pending = Plan(self._write(row, totals_by_account), row, totals_by_account)
+        for account, terms in terms_by_account.items():
+            # From now on the store may say either; both must be kept to.
+            self.shares_by_account[account].uncertain.append(terms)
+        return self.pending
+
+    def learn(self, outcome: Outcome, *, now_ms: int) -> bool:
+        """Take the outcome of the pending write; return whether it is in force."""
+        plan = self.pending
+        assert plan is not None
+        self.pending = None
+        if isinstance(outcome, Committed):
+            self._adopt(plan.row, outcome.version)
+            for account, totals in plan.totals_by_account.items():
+                known = KnownTotals(totals, outcome.version)
+                self.totals_by_account[account] = known
+            self.is_open = True
+            return True
+        self._learn_conflict(plan, outcome, now_ms)
+        return False
+
+    def lost(self) -> None:
+        """Note that the pending write had no effect and never will."""
+        plan = self.pending
+        assert plan is not None
+        self.pending = None
+        self._withdraw(plan)
+
+    def unsure(self) -> None:
+        """Note that nobody knows whether the pending write had an effect.
+
+        The next one expects the same version of the row: one of the two is in
+        vain, and the outcome of the next tells which.
+        """
+        self.pending = None
+
+    def _granted(self, account: str, share: Share, now: float) -> int:
+        if account not in self.prepaid_by_account:
+            return share.terms.granted
+        view = self._view(account, share, share.terms.granted, now)
+        if self.is_closing:
+            return view.used
+        return self._policy.grant(view)
+
+    def _terms(
+        self, account: str, share: Share, granted: int, now_ms: int, now: float
+    ) -> Terms:
+        view = self._view(account, share, granted, now)
+        burst = 0 if self.is_closing else self._policy.burst(view)
+        rate = 0 if self.is_closing else self._policy.rate(view)
+        line = Line(share.own_use + burst, rate, now_ms, HORIZON_MS)
+        return Terms(granted, line)
+
+    def _view(self, account: str, share: Share, granted: int, now: float) -> ShareView:
+        return ShareView(
+            granted=granted,
+            used=share.own_use,
+            free=self.free(account),
+            prepaid=self.prepaid_by_account.get(account, 0),
+            demand=share.demand.rate(now),
+            largest=share.demand.largest(now),
+            waiting=share.waiting,
+            is_home=share.is_home,
+            parts=self._parts,
+        )
+
+    def _write(self, row: HolderRow, totals_by_account: dict[str, Totals]) -> Write:
+        own = holder_id(self.vm)
+        expected = [Expected(own, self._row_version)]
+        puts = [Put(own, row.encode())]
+        for account, totals in totals_by_account.items():
+            known = self.totals_by_account.get(account)
+            version = known.version if known is not None else 0
+            expected.append(Expected(totals_id(account), version))
+            puts.append(Put(totals_id(account), totals.encode()))
+        return Write(tuple(expected), tuple(puts))
+
+    def _adopt(self, row: HolderRow, version: int) -> None:
+        """Take the own row as it stands in the store."""
+        self._row_version = version
+        for account, share in self.shares_by_account.items():
+            share.uncertain.clear()
+            terms = row.terms_by_account.get(account)
+            if terms is not None:
+                share.terms = terms
+
+    def _learn_conflict(self, plan: Plan, conflict: Conflict, now_ms: int) -> None:
+        own_id = holder_id(self.vm)
+        totals = []
+        for row_id, row in conflict.rows_by_id.items():
+            if row_id == own_id:
+                self._learn_own(plan, row, now_ms)
+            elif row is None:
+                self._forget_totals(row_id)
+            else:
+                totals.append(row)
+        self.learn_totals(totals)
+
+    def _learn_own(self, plan: Plan, row: Row | None, now_ms: int) -> None:
+        if row is None or row.version == self._row_version:
+            # Only another row was in the way: the own one is as it was. An
+            # earlier write of unknown outcome may still change it.
+            self._withdraw(plan)
+            return
+        found = HolderRow.decode(row.value)
+        if found.incarnation == self.incarnation:
+            # An earlier write that gave no answer, or another router's trim.
+            self._adopt(found, row.version)
+            self.is_open = True
+            return
+        if self.is_open:
+            self.fenced = True
+            return
+        # A late write of the run before.
+        self.take_over(row, now_ms)
+
+    def _withdraw(self, plan: Plan) -> None:
+        for account, terms in plan.row.terms_by_account.items():
+            self.shares_by_account[account].uncertain.remove(terms)
+
+    def _forget_totals(self, row_id: RowId) -> None:
+        self.totals_by_account.pop(row_id.key, None)
+
+
+class _Recent:
+    """Remember a bounded number of ids with an amount each."""
+
+    def __init__(self) -> None:
+        self._amounts_by_id: OrderedDict[str, int] = OrderedDict()
+
+    def add(self, item: str, amount: int) -> None:
+        """Remember an id; the oldest is forgotten where there are too many."""
+        self._amounts_by_id[item] = amount
+        if len(self._amounts_by_id) > REMEMBERED:
+            self._amounts_by_id.popitem(last=False)
+
+    def get(self, item: str) -> int:
+        """Return the amount of a remembered id."""
+        return self._amounts_by_id[item]
+
+    def __contains__(self, item: str) -> bool:
+        return item in self._amounts_by_id
--- /dev/null
+++ b/lynxchute/budgets/policy.py
@@ -0,0 +1,121 @@
+"""Decide how much of a budget a router holds, and how fast it may use it."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+
+import attrs
+
+
+@attrs.frozen
+class ShareView:
+    """What a policy goes by; amounts in tokens.
+
+    Attributes
+    ----------
+    granted, used
+        The router's grant, and what counts as used of it.
+    free
+        What of the budget nobody has been granted.
+    prepaid
+        What has been paid.
+    demand
+        Tokens a second that are asked for here.
+    largest
+        The largest request of late.
+    waiting
+        What requests are waiting for.
+    is_home
+        Whether requests of the account go to this router.
+    parts
+        Data centres that hold a part each.
+    """
+
+    granted: int
+    used: int
+    free: int
+    prepaid: int
+    demand: float
+    largest: float
+    waiting: int
+    is_home: bool
+    parts: int
+
+
+class GrantPolicy(ABC):
+    """Size grants and lines."""
+
+    @abstractmethod
+    def grant(self, view: ShareView) -> int:
+        """Return the tokens that the router should be granted.
+
+        At least what is used, at most the present grant and all that is free.
+        """
+
+    @abstractmethod
+    def burst(self, view: ShareView) -> int:
+        """Return how far the line starts above what is used, in tokens."""
+
+    @abstractmethod
+    def rate(self, view: ShareView) -> int:
+        """Return by how many tokens a second the line grows."""
+
+
+@attrs.frozen
+class DemandPolicy(GrantPolicy):
+    """Hold what an outage of the store would use, and a stake from the start.
+
+    Attributes
+    ----------
+    reserve_seconds
+        Seconds of demand that a grant should last: all routers can be cut off
+        from the store for up to nine seconds, some for twelve.
+    stake
+        Share of what is paid that the homes of all data centres together take
+        at once: what lies free at the store cannot be had in an outage.
+    drain_seconds
+        Seconds in which the line lets all that is granted be used: shorter
+        serves more in an outage, longer loses less with a dead router.
+    burst_seconds
+        Seconds of demand that the line starts above use.
+    """
+
+    reserve_seconds: float = 15.0
+    stake: float = 0.85
+    drain_seconds: float = 12.0
+    burst_seconds: float = 0.5
+
+    def grant(self, view: ShareView) -> int:
+        """Return the tokens that the router should be granted."""
+        if view.free < 0:
+            return max(view.used, view.granted + view.free)
+        headroom = view.granted - view.used
+        wanted = int(view.demand * self.reserve_seconds + 2 * view.largest)
+        if not view.is_home:
+            wanted = int(view.demand * self.reserve_seconds)
+        wanted = max(wanted, view.waiting)
+        if view.is_home:
+            stake = int(view.prepaid * self.stake / view.parts)
+            wanted = max(wanted, stake - view.used)
+        if headroom >= wanted:
+            return self._give_back(view, headroom, wanted)
+        missing = wanted - headroom
+        fair = view.free // max(view.parts, 1)
+        return view.granted + min(missing, max(fair, view.waiting), view.free)
+
+    def burst(self, view: ShareView) -> int:
+        """Return how far the line starts above what is used, in tokens."""
+        headroom = max(view.granted - view.used, 0)
+        burst = int(view.demand * self.burst_seconds + 0.5 * view.largest)
+        return min(max(burst, view.waiting), headroom)
+
+    def rate(self, view: ShareView) -> int:
+        """Return by how many tokens a second the line grows."""
+        headroom = max(view.granted - view.used, 0)
+        return int(max(headroom / self.drain_seconds, 3.0 * view.demand))
+
+    def _give_back(self, view: ShareView, headroom: int, wanted: int) -> int:
+        """Give back what a router that is no home will not need."""
+        if view.is_home or headroom <= 2 * wanted + view.waiting:
+            return view.granted
+        return view.used + wanted
--- /dev/null
+++ b/lynxchute/config/__init__.py
@@ -0,0 +1,23 @@
+"""The fleet's configuration as a router uses it."""
+
+from lynxchute.config.configuration import (
+    ClientAccount,
+    Configuration,
+    EngineTraits,
+    Limits,
+    RequestKind,
+    Route,
+    Service,
+    Target,
+)
+
+__all__ = [
+    "ClientAccount",
+    "Configuration",
+    "EngineTraits",
+    "Limits",
+    "RequestKind",
+    "Route",
+    "Service",
+    "Target",
+]
--- /dev/null
+++ b/lynxchute/edge/configurations.py
@@ -0,0 +1,99 @@
+"""Keep the newest configuration in force."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from lynxchute.application import Component
+from lynxchute.config import Configuration
+from lynxchute.edge.platform import Platform
+from lynxchute.relay.admission import ConfigurationSource
+from lynxchute.store import Row, TableFeed
+from lynxchute.store.feed import FeedTimes
+from lynxchute.telemetry import log_event
+
+# A held question is answered as soon as the configuration changes; its length
+# bounds how long a silent connection goes unnoticed.
+FEED_TIMES = FeedTimes(wait=2.0)
+
+
+class Configurations(ConfigurationSource, Component):
+    """Follow the operator's configuration; its version only grows.
+
+    Parameters
+    ----------
+    platform
+        Where it stands.
+
+    Attributes
+    ----------
+    listeners
+        Called with each new version after it is in force.
+    """
+
+    def __init__(self, platform: Platform) -> None:
+        self.listeners: list[Callable[[Configuration], None]] = []
+        self.feed = TableFeed(
+            platform.store,
+            platform.configuration_table,
+            times=FEED_TIMES,
+            on_change=self._take,
+        )
+        self._key = platform.configuration_key
+        self._decode = platform.decode_configuration
+        self._current: Configuration | None = None
+
+    @property
+    def current(self) -> Configuration | None:
+        """Return the newest known version; None where there is none yet."""
+        return self._current
+
+    def unconfirmed_for(self) -> float:
+        """Return the seconds since the store last confirmed the version."""
+        return self.feed.silent_for(time.monotonic())
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        await self.feed.start()
+
+    async def stop(self) -> None:
+        """Stop following."""
+        await self.feed.stop()
+
+    def _take(self, rows: list[Row]) -> None:
+        for row in rows:
+            if row.id.key != self._key or row.deleted:
+                continue
+            self._apply(row)
+
+    def _apply(self, row: Row) -> None:
+        result = self._decode(row.value)
+        if result.is_error():
+            log_event(
+                "configuration not understood",
+                row_version=row.version,
+                problem=result.error,
+                kept=self._current.version if self._current else None,
+            )
+            return
+        configuration = result.ok
+        before = self._current.version if self._current else 0
+        if configuration.version <= before:
+            log_event(
+                "older configuration ignored",
+                version=configuration.version,
+                kept=before,
+            )
+            return
+        self._current = configuration
+        log_event(
+            "configuration in force",
+            version=configuration.version,
+            before=before,
+            row_version=row.version,
+            routes=len(configuration.routes),
+            accounts=len(configuration.accounts_by_name),
+        )
+        for listener in self.listeners:
+            listener(configuration)
--- /dev/null
+++ b/lynxchute/edge/platform.py
@@ -0,0 +1,35 @@
+"""What a router is given by the platform that it runs on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+from expression import Result
+
+from lynxchute.config import Configuration
+from lynxchute.relay.dialect import Dialect
+from lynxchute.store import Row, Store
+from lynxchute.upstreams.upstream import Upstream
+
+
+@attrs.frozen
+class Platform:
+    """The services of a platform, and how to read what stands there.
+
+    Attributes
+    ----------
+    configuration_table, configuration_key
+        Where the operator keeps the newest configuration.
+    upstream_table
+        Where upstreams tell of themselves, a row each.
+    """
+
+    store: Store
+    dialect: Dialect
+    configuration_table: str
+    configuration_key: str
+    decode_configuration: Callable[[bytes], Result[Configuration, str]]
+    upstream_table: str
+    decode_upstream: Callable[[Row], Result[Upstream, str]]
+    readiness_path: str
--- /dev/null
+++ b/lynxchute/edge/settings.py
@@ -0,0 +1,63 @@
+"""What a router is told at its start."""
+
+from __future__ import annotations
+
+import attrs
+
+from lynxchute.settings import Address
+
+
+@attrs.frozen
+class Bounds:
+    """The figures that the deployment promises to keep.
+
+    Attributes
+    ----------
+    stop
+        Seconds from the signal to stop until the process is killed.
+    drain
+        Seconds after which an upstream that leaves gets nothing new.
+    configuration
+        Seconds until a new version must be in force.
+    retry_share, retry_extra, retry_window
+        In any window of that many seconds, all routers together may send a
+        service this share of its requests, and this number on top, again.
+    """
+
+    stop: float = 8.0
+    drain: float = 2.0
+    configuration: float = 2.0
+    retry_share: float = 0.2
+    retry_extra: float = 20.0
+    retry_window: float = 10.0
+
+
+@attrs.frozen
+class EdgeSettings:
+    """The settings of one router.
+
+    Attributes
+    ----------
+    data_centres
+        Names of all data centres.
+    callers, readiness, peers
+        Where it listens for callers, for questions whether it is ready, and
+        for the fleet's other routers.
+    store
+        The store as ``IP:port``.
+    memory_mb
+        Memory of the process, in MB; it is killed beyond.
+    is_first_start
+        Whether the whole fleet starts for the first time.
+    """
+
+    vm: str
+    data_centre: str
+    data_centres: tuple[str, ...]
+    callers: Address
+    readiness: Address
+    peers: Address
+    store: str
+    memory_mb: float
+    is_first_start: bool = False
+    bounds: Bounds = Bounds()
--- /dev/null
+++ b/lynxchute/edge/upstreams.py
@@ -0,0 +1,89 @@
+"""Keep the directory of upstreams in step with the store."""
+
+from __future__ import annotations
+
+import time
+
+from lynxchute.application import Component
+from lynxchute.edge.platform import Platform
+from lynxchute.http import ClientPool
+from lynxchute.store import Row, TableFeed
+from lynxchute.store.feed import FeedTimes
+from lynxchute.telemetry import log_event
+from lynxchute.upstreams.directory import Directory
+
+# Upstreams write their entry every second or so. Changes are fetched together
+# at this interval, in seconds; a leaving upstream must be known in less than
+# the drain bound of two seconds.
+FEED_TIMES = FeedTimes(wait=2.0, pause=0.4)
+# An upstream that vanished is remembered while requests may still end there.
+FORGET_AFTER = 30.0
+
+
+class UpstreamWatcher(Component):
+    """Follow what upstreams write about themselves.
+
+    Parameters
+    ----------
+    platform
+        Where they write it.
+    directory
+        What is kept in step.
+    clients
+        Connections to them; those of forgotten ones are closed.
+    """
+
+    def __init__(
+        self, platform: Platform, directory: Directory, clients: ClientPool
+    ) -> None:
+        self.feed = TableFeed(
+            platform.store,
+            platform.upstream_table,
+            times=FEED_TIMES,
+            on_change=self._take,
+        )
+        self._decode = platform.decode_upstream
+        self._directory = directory
+        self._clients = clients
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        await self.feed.start()
+
+    async def stop(self) -> None:
+        """Stop following."""
+        await self.feed.stop()
+
+    def _take(self, rows: list[Row]) -> None:
+        now = time.monotonic()
+        changed = False
+        for row in rows:
+            changed = self._take_row(row, now) or changed
+        for upstream in self._directory.forget(now - FORGET_AFTER):
+            self._clients.drop(upstream.address)
+        if changed:
+            self._directory.changed()
+
+    def _take_row(self, row: Row, now: float) -> bool:
+        if row.deleted:
+            removed = self._directory.remove(row.id.key, now)
+            if removed:
+                log_event("upstream gone", upstream=row.id.key, version=row.version)
+            return removed
+        result = self._decode(row)
+        if result.is_error():
+            log_event("upstream not understood", problem=result.error)
+            return False
+        upstream = result.ok
+        entry = self._directory.entries_by_id.get(upstream.id)
+        was_leaving = entry is not None and entry.upstream.is_leaving
+        is_news = self._directory.put(upstream)
+        if entry is None or upstream.is_leaving != was_leaving:
+            log_event(
+                "upstream leaving" if upstream.is_leaving else "upstream known",
+                upstream=upstream.id,
+                service=upstream.service,
+                address=upstream.address,
+                version=row.version,
+            )
+        return is_news
--- /dev/null
+++ b/lynxchute/fleet/members.py
@@ -0,0 +1,137 @@
+"""The routers of the fleet, and which of them can be reached."""
+
+from __future__ import annotations
+
+import json
+
+import attrs
+from expression import Error, Ok, Result
+
+from lynxchute.rendezvous import ranked
+
+# Seconds until a router that gave no answer is tried again, doubled each time
+# it gives none.
+FIRST_PAUSE = 0.5
+MAX_PAUSE = 4.0
+
+
+@attrs.frozen
+class Member:
+    """A router as it registered itself.
+
+    Attributes
+    ----------
+    incarnation
+        Names the run of its process.
+    address
+        Where it listens for other routers.
+    is_leaving
+        Whether it takes nothing new.
+    """
+
+    vm: str
+    data_centre: str
+    incarnation: str
+    address: str
+    is_leaving: bool = False
+
+    def encode(self) -> bytes:
+        """Return the value of the router's row."""
+        return json.dumps(attrs.asdict(self), separators=(",", ":")).encode()
+
+    @classmethod
+    def decode(cls, value: bytes) -> Result[Member, str]:
+        """Return the router of a row, or what is wrong with the row."""
+        try:
+            return Ok(cls(**json.loads(value)))
+        except (ValueError, TypeError) as error:
+            return Error(f"a router's row cannot be read: {error}")
+
+
+@attrs.define
+class Reach:
+    """Whether a router can be reached, as far as this one has tried.
+
+    Attributes
+    ----------
+    failures
+        Questions in a row that gave no answer.
+    retry_at
+        When it is tried again, in seconds.
+    """
+
+    failures: int = 0
+    retry_at: float = 0.0
+
+
+class Members:
+    """The registered routers by VM.
+
+    Parameters
+    ----------
+    own
+        This router.
+    """
+
+    def __init__(self, own: Member) -> None:
+        self.own = own
+        self.by_vm: dict[str, Member] = {own.vm: own}
+        self._reach_by_vm: dict[str, Reach] = {}
+
+    def put(self, member: Member) -> None:
+        """Take what a router says of itself."""
+        if member.vm == self.own.vm:
+            return
+        known = self.by_vm.get(member.vm)
+        if known is None or known.incarnation != member.incarnation:
+            self._reach_by_vm.pop(member.vm, None)
+        self.by_vm[member.vm] = member
+
+    def remove(self, vm: str) -> None:
+        """Drop a router that is registered no more."""
+        if vm != self.own.vm:
+            self.by_vm.pop(vm, None)
+            self._reach_by_vm.pop(vm, None)
+
+    @property
+    def count(self) -> int:
+        """Return how many routers are registered and stay."""
+        return sum(1 for member in self.by_vm.values() if not member.is_leaving)
+
+    def is_reachable(self, vm: str) -> bool:
+        """Return whether a router has answered the last question, if any."""
+        return vm not in self._reach_by_vm
+
+    def to_try_again(self, now: float) -> list[str]:
+        """Return the routers that gave no answer and are due to be tried."""
+        found = []
+        for vm, reach in self._reach_by_vm.items():
+            if now >= reach.retry_at:
+                found.append(vm)
+        return found
+
+    def note_answer(self, vm: str) -> None:
+        """Note that a router answered."""
+        self._reach_by_vm.pop(vm, None)
+
+    def note_silence(self, vm: str, now: float) -> bool:
+        """Note that a router gave no answer; return whether that is news."""
+        reach = self._reach_by_vm.setdefault(vm, Reach())
+        reach.failures += 1
+        pause = FIRST_PAUSE * 2 ** min(reach.failures - 1, 8)
+        reach.retry_at = now + min(pause, MAX_PAUSE)
+        return reach.failures == 1
+
+    def homes(self, account: str) -> list[str]:
+        """Return the VMs of this data centre to ask for an account's tokens.
+
+        The first one is the account's home here; the next ones stand in for
+        it. Routers that leave or cannot be reached are left out.
+        """
+        vms = []
+        for member in self.by_vm.values():
+            if member.data_centre != self.own.data_centre or member.is_leaving:
+                continue
+            if self.is_reachable(member.vm):
+                vms.append(member.vm)
+        return ranked(account, vms)
--- /dev/null
+++ b/lynxchute/fleet/messages.py
@@ -0,0 +1,147 @@
+"""What the routers ask one another, as JSON."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any, ClassVar, Generic, TypeVar
+
+import attrs
+import cattrs
+
+PREFIX = "/fleet/"
+
+ReplyT = TypeVar("ReplyT")
+
+
+class Message(Generic[ReplyT]):
+    """A question of one router to another.
+
+    Attributes
+    ----------
+    NAME
+        The path that it is sent to.
+    REPLY
+        The class of the answer.
+    """
+
+    NAME: ClassVar[str]
+    REPLY: ClassVar[type[Any]]
+
+
+class ReserveOutcome(enum.Enum):
+    """What came of a reservation."""
+
+    RESERVED = "reserved"
+    EXHAUSTED = "exhausted"
+    UNREACHABLE = "unreachable"
+    CLOSED = "closed"
+
+
+@attrs.frozen
+class ReserveReply:
+    """The answer to a reservation, and what it rests on."""
+
+    outcome: ReserveOutcome
+    detail: str = ""
+
+
+@attrs.frozen
+class ReserveRequest(Message[ReserveReply]):
+    """Set tokens aside for a request."""
+
+    NAME = "reserve"
+    REPLY = ReserveReply
+
+    request_id: str
+    account: str
+    tokens: int
+
+
+@attrs.frozen
+class Settlement:
+    """What a request has used, in tokens."""
+
+    request_id: str
+    used: int
+
+
+@attrs.frozen
+class Done:
+    """Say that a message was taken."""
+
+
+@attrs.frozen
+class SettleRequest(Message[Done]):
+    """Take what requests have used."""
+
+    NAME = "settle"
+    REPLY = Done
+
+    settlements: tuple[Settlement, ...]
+
+
+@attrs.frozen
+class LendReply:
+    """The answer to a loan.
+
+    Attributes
+    ----------
+    lent
+        Tokens that are the borrower's from now on.
+    unused
+        What the lender still has of the budget, with what is set aside for
+        open requests.
+    """
+
+    lent: int
+    unused: int
+
+
+@attrs.frozen
+class LendRequest(Message[LendReply]):
+    """Lend tokens, as many as can be spared up to an amount."""
+
+    NAME = "lend"
+    REPLY = LendReply
+
+    loan_id: str
+    account: str
+    wanted: int
+
+
+@attrs.frozen
+class PingRequest(Message[Done]):
+    """Ask whether a router answers again."""
+
+    NAME = "ping"
+    REPLY = Done
+
+
+MESSAGES_BY_NAME: dict[str, type[Message[Any]]] = {
+    cls.NAME: cls for cls in (ReserveRequest, SettleRequest, LendRequest, PingRequest)
+}
+
+_CONVERTER = cattrs.Converter(forbid_extra_keys=False)
+
+
+class MessageUnreadable(ValueError):
+    """Report a message that is not of its class."""
+
+
+def to_json(message: Any) -> Any:
+    """Return a message as JSON values."""
+    return _CONVERTER.unstructure(message)
+
+
+def from_json(value: Any, cls: type[Any]) -> Any:
+    """Return the message of a class.
+
+    Raises
+    ------
+    MessageUnreadable
+        Where the values are not of that class.
+    """
+    try:
+        return _CONVERTER.structure(value, cls)
+    except Exception as error:
+        raise MessageUnreadable(f"no {cls.__name__}: {error!r}") from error
--- /dev/null
+++ b/lynxchute/platform/configuration.py
@@ -0,0 +1,126 @@
+"""Decode the operator's configuration row."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from lynxchute.config import (
+    ClientAccount,
+    Configuration,
+    EngineTraits,
+    Limits,
+    RequestKind,
+    Route,
+    Service,
+    Target,
+)
+
+KINDS_BY_NAME = {
+    "safe": RequestKind.IDEMPOTENT,
+    "unsafe": RequestKind.AT_MOST_ONCE,
+    "streaming": RequestKind.STREAM,
+}
+
+
+def decode_configuration(value: bytes) -> Result[Configuration, str]:
+    """Return the configuration in a row, or what is wrong with it."""
+    try:
+        return Ok(_configuration(json.loads(value)))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return Error(f"the configuration cannot be read: {error!r}")
+
+
+def _configuration(document: dict[str, Any]) -> Configuration:
+    services = [_service(item) for item in document["services"]]
+    accounts_by_name: dict[str, ClientAccount] = {}
+    accounts_by_key: dict[str, ClientAccount] = {}
+    for item in document.get("tenants") or ():
+        account = _account(item)
+        accounts_by_name[account.name] = account
+        for key in item.get("api_keys") or ():
+            accounts_by_key[key] = account
+    return Configuration(
+        version=int(document["version"]),
+        routes=tuple(_route(item) for item in document["routes"]),
+        services_by_name={service.name: service for service in services},
+        accounts_by_name=accounts_by_name,
+        accounts_by_key=accounts_by_key,
+        limits=_limits(document.get("limits") or {}),
+    )
+
+
+def _route(item: dict[str, Any]) -> Route:
+    timeout = float(item["timeout_ms"]) / 1000.0
+    return Route(
+        name=item["name"],
+        host=item["host"].lower(),
+        prefix=item["prefix"],
+        kind=KINDS_BY_NAME[item["kind"]],
+        targets=_targets(item),
+        timeout=timeout,
+        latency_objective=float(item.get("target_latency_ms") or 0) / 1000.0 or timeout,
+        priority=int(item.get("priority") or 0),
+        max_attempts=int(item.get("max_attempts") or 1),
+        is_public=bool(item.get("public")),
+        # The name speaks of sessions; what it marks is routes whose requests
+        # say their model, token counts and the parts of their prompt.
+        is_generation=bool(item.get("sticky_sessions")),
+        is_resumable=bool(item.get("stream_resume")),
+        max_pause=float(item.get("gap_aim_ms") or 1000.0) / 1000.0,
+    )
+
+
+def _targets(item: dict[str, Any]) -> tuple[Target, ...]:
+    split = item.get("traffic_split")
+    if not split:
+        return (Target(item["service"], 1.0),)
+    return tuple(Target(part["service"], float(part["weight"])) for part in split)
+
+
+def _service(item: dict[str, Any]) -> Service:
+    engine = item.get("engine")
+    return Service(
+        name=item["name"],
+        health_path=item.get("health_path") or "/health",
+        max_connections=int(item.get("max_connections") or 100),
+        engine=_engine(engine) if engine else None,
+    )
+
+
+def _engine(item: dict[str, Any]) -> EngineTraits:
+    return EngineTraits(
+        slots=int(item["slots"]),
+        # Tokens that fit into the engine's memory, running and cached.
+        cache_tokens=int(item["kv_tokens"]),
+        # Output tokens in one event of a stream.
+        tokens_per_event=max(int(item.get("stride") or 1), 1),
+        # How many waiting questions for cache events an engine keeps.
+        max_waiting_questions=int(item.get("most") or 0),
+    )
+
+
+def _account(item: dict[str, Any]) -> ClientAccount:
+    priority = item.get("priority")
+    prepaid = item.get("prepaid")
+    return ClientAccount(
+        name=item["name"],
+        priority=None if priority is None else int(priority),
+        prepaid=None if prepaid is None else int(prepaid),
+    )
+
+
+def _limits(item: dict[str, Any]) -> Limits:
+    usual = Limits()
+    return Limits(
+        max_header_bytes=int(item.get("max_header_bytes") or usual.max_header_bytes),
+        max_body_bytes=int(item.get("max_body_bytes") or usual.max_body_bytes),
+        header_timeout=_seconds(item.get("header_timeout_ms"), usual.header_timeout),
+        idle_timeout=_seconds(item.get("idle_timeout_ms"), usual.idle_timeout),
+    )
+
+
+def _seconds(milliseconds: Any, usual: float) -> float:
+    return float(milliseconds) / 1000.0 if milliseconds else usual
--- /dev/null
+++ b/lynxchute/platform/daemon.py
@@ -0,0 +1,74 @@
+"""Run a router on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from pathlib import Path
+
+from lynxchute.application import Ending, end_on_signals
+from lynxchute.edge.application import EdgeApplication
+from lynxchute.edge.platform import Platform
+from lynxchute.edge.settings import EdgeSettings
+from lynxchute.platform import names
+from lynxchute.platform.configuration import decode_configuration
+from lynxchute.platform.dialect import PlatformDialect
+from lynxchute.platform.settings import SETTINGS_VARIABLE, decode_settings
+from lynxchute.platform.store import PlatformStore
+from lynxchute.platform.upstreams import decode_upstream
+from lynxchute.telemetry import log_event, log_to_stdout
+
+EXIT_SETTINGS = 2
+EXIT_KILLED = 3
+
+
+def read_settings(path: Path) -> EdgeSettings:
+    """Return the settings in a file, or end the process with all findings."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        sys.exit(f"{path}: cannot be read: {error}. Set {SETTINGS_VARIABLE}.")
+    result = decode_settings(text)
+    if result.is_ok():
+        return result.ok
+    for finding in result.error:
+        print(f"{path}: {finding}", file=sys.stderr)
+    sys.exit(EXIT_SETTINGS)
+
+
+def make_platform(settings: EdgeSettings) -> Platform:
+    """Return the platform's services."""
+    return Platform(
+        store=PlatformStore(settings.store),
+        dialect=PlatformDialect(),
+        configuration_table=names.OPERATOR_TABLE,
+        configuration_key=names.CONFIGURATION_KEY,
+        decode_configuration=decode_configuration,
+        upstream_table=names.UPSTREAM_TABLE,
+        decode_upstream=decode_upstream,
+        readiness_path=names.READY_PATH,
+    )
+
+
+async def serve(settings: EdgeSettings) -> None:
+    """Run until told to stop."""
+    application = EdgeApplication(settings, make_platform(settings))
+    end_on_signals(
+        lambda: application.end(Ending.STOPPED), lambda: os._exit(EXIT_KILLED)
+    )
+    await application.run()
+
+
+def main() -> None:
+    """Run a router from the settings file that the environment names."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    settings = read_settings(path)
+    log_to_stdout(vm=settings.vm)
+    log_event("started", data_centre=settings.data_centre, pid=os.getpid())
+    asyncio.run(serve(settings))
+    log_event("ended")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lynxchute/platform/dialect.py
@@ -0,0 +1,145 @@
+"""The platform's headers, towards callers and towards upstreams."""
+
+from __future__ import annotations
+
+import re
+
+import h11
+
+from lynxchute.http import BadRequest, Headers, Request
+from lynxchute.platform import names
+from lynxchute.relay.call import Call
+from lynxchute.relay.dialect import Dialect, Dispatch, Verdict
+from lynxchute.upstreams.generation import Generation, PromptPart
+
+SINGLE = (
+    names.REQUEST_ID,
+    names.DEADLINE,
+    names.KEY,
+    names.MODEL,
+    names.TOKENS,
+    names.PROMPT_PARTS,
+    names.LAST_EVENT,
+)
+MAX_PARTS = 64
+# The lengths are given on their own, or would break the framing here.
+NOT_FORWARDED = names.ROUTER_ONLY | {"content-length", "expect"}
+NOT_RETURNED = frozenset({"content-length"})
+MAX_PRIORITY = 9
+
+# Short enough that no number can be larger than any real one.
+NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,6})?", re.ASCII)
+TOKEN_COUNTS = re.compile(r"\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*", re.ASCII)
+PROMPT_PART = re.compile(r"\s*([0-9A-Za-z_-]{1,64}):([0-9]{1,9})\s*", re.ASCII)
+
+
+class PlatformDialect(Dialect):
+    """Decode and encode what stands in the platform's headers."""
+
+    def read(self, request: Request) -> Call:
+        """Return what a request asks for."""
+        headers = request.headers
+        for name in SINGLE:
+            if headers.count(name.lower()) > 1:
+                raise BadRequest(400, f"The header {name} stands twice.")
+        request_id = headers.get(names.REQUEST_ID.lower(), "")
+        if not request_id:
+            raise BadRequest(400, f"Send a {names.REQUEST_ID} with each request.")
+        return Call(
+            request=request,
+            request_id=request_id,
+            host=_host_name(headers.get("host", "")),
+            key=headers.get(names.KEY.lower(), ""),
+            patience=_patience(headers),
+            resumes_after=headers.get(names.LAST_EVENT.lower(), ""),
+            generation=_generation(headers),
+        )
+
+    def upstream_headers(
+        self, call: Call, dispatch: Dispatch
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers of a send, without the body's length."""
+        dropped = NOT_FORWARDED
+        if dispatch.resumes_after:
+            dropped = dropped | {names.LAST_EVENT.lower()}
+        headers = call.request.headers.end_to_end(dropped)
+        left_ms = max(int(dispatch.time_left * 1000), 1)
+        own = [
+            (names.DEADLINE, str(left_ms)),
+            (names.EXPECTED_UPSTREAM, dispatch.upstream.id),
+        ]
+        if dispatch.account:
+            own.append((names.ACCOUNT, dispatch.account))
+        if call.generation is not None:
+            own.append((names.PRIORITY, str(min(dispatch.priority, MAX_PRIORITY))))
+        if dispatch.resumes_after:
+            own.append((names.LAST_EVENT, dispatch.resumes_after))
+        headers.extend((name.encode(), value.encode("latin-1")) for name, value in own)
+        return headers
+
+    def is_answer(self, call: Call, head: h11.Response) -> bool:
+        """Return whether an answer is one to this call."""
+        wanted = call.request_id.encode("latin-1")
+        name = names.REQUEST_ID.lower().encode()
+        for header, value in head.headers:
+            if header == name:
+                return bool(value == wanted)
+        # A refusal before the id was read bears none.
+        return True
+
+    def verdict(self, status: int, headers: Headers) -> Verdict:
+        """Return what the head of an answer says."""
+        if status == 421:
+            return Verdict.MOVED
+        if names.NOT_RUN.lower() in headers:
+            return Verdict.NOT_RUN
+        if names.SIGNATURE.lower() not in headers:
+            return Verdict.INVALID
+        if "content-encoding" in headers:
+            return Verdict.INVALID
+        return Verdict.ANSWERED
+
+    def caller_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
+        """Return the headers of an upstream's answer that the caller gets."""
+        return headers.end_to_end(NOT_RETURNED)
+
+
+def _host_name(value: str) -> str:
+    return value.partition(":")[0].lower()
+
+
+def _patience(headers: Headers) -> float | None:
+    value = headers.get(names.DEADLINE.lower())
+    if value is None:
+        return None
+    if not NUMBER.fullmatch(value):
+        raise BadRequest(400, f"{names.DEADLINE} is no number.")
+    return float(value) / 1000.0
+
+
+def _generation(headers: Headers) -> Generation | None:
+    counts = headers.get(names.TOKENS.lower())
+    if counts is None:
+        return None
+    # Tokens of the prompt, then the most that the answer may have.
+    found = TOKEN_COUNTS.fullmatch(counts)
+    if found is None:
+        raise BadRequest(400, f"{names.TOKENS} is not two numbers.")
+    hint = headers.get(names.LENGTH_HINT.lower(), "")
+    return Generation(
+        model=headers.get(names.MODEL.lower(), ""),
+        prompt_tokens=int(found[1]),
+        max_output_tokens=int(found[2]),
+        parts=_parts(headers.get(names.PROMPT_PARTS.lower(), "")),
+        expected_output_tokens=int(float(hint)) if NUMBER.fullmatch(hint) else None,
+    )
+
+
+def _parts(value: str) -> tuple[PromptPart, ...]:
+    parts: list[PromptPart] = []
+    for item in value.split(",") if value else ():
+        found = PROMPT_PART.fullmatch(item)
+        if found is None or len(parts) == MAX_PARTS:
+            raise BadRequest(400, f"{names.PROMPT_PARTS} cannot be read.")
+        parts.append(PromptPart(found[1], int(found[2])))
+    return tuple(parts)
--- /dev/null
+++ b/lynxchute/platform/names.py
@@ -0,0 +1,48 @@
+"""Names of the platform's headers and calls."""
+
+REQUEST_ID = "X-Request-Id"
+DEADLINE = "X-Deadline-Ms"
+KEY = "X-Credential"
+ACCOUNT = "X-Tenant"
+EXPECTED_UPSTREAM = "X-Expect-Instance"
+UPSTREAM_ID = "X-Instance-Id"
+SIGNATURE = "X-Response-Stamp"
+NOT_RUN = "X-Not-Run"
+MODEL = "X-Model"
+TOKENS = "X-Token-Counts"
+PROMPT_PARTS = "X-Prompt-Prefix"
+LENGTH_HINT = "X-Length-Hint"
+PRIORITY = "X-Request-Priority"
+LAST_EVENT = "Last-Event-Id"
+RETRY_AFTER = "Retry-After"
+
+# Only the router may set these towards an upstream: a caller that sends one
+# could take another account's place, rank or memory.
+ROUTER_ONLY = frozenset(
+    {
+        DEADLINE.lower(),
+        KEY.lower(),
+        ACCOUNT.lower(),
+        EXPECTED_UPSTREAM.lower(),
+        PRIORITY.lower(),
+        "x-expect-version",
+        "x-pin-ms",
+        "x-cache-hold",
+        "x-kv-backup",
+        "kv-fetch",
+        "kv-from",
+    }
+)
+
+READY_PATH = "/lynxchute/readyz"
+REPORT_PATH = "/lynxchute/report"
+
+ROWS_WRITE = "/lynxchute/rows-tx"
+ROWS_READ = "/lynxchute/rows-get"
+ROWS_FEED = "/lynxchute/rows-feed"
+
+# Tables that the operator and the upstreams write, and the key of the
+# newest configuration in the first of them.
+OPERATOR_TABLE = "op"
+CONFIGURATION_KEY = "config"
+UPSTREAM_TABLE = "servers"
--- /dev/null
+++ b/lynxchute/platform/store.py
@@ -0,0 +1,168 @@
+"""The platform's metadata store, as a `Store` of the product."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from typing import Any
+from urllib.parse import urlencode
+
+from lynxchute.http import ExchangeFailed, HttpClient, Timeouts
+from lynxchute.platform.names import ROWS_FEED, ROWS_READ, ROWS_WRITE
+from lynxchute.store import (
+    Changes,
+    Committed,
+    Conflict,
+    HistoryLost,
+    Outcome,
+    OutcomeUnknown,
+    Row,
+    RowId,
+    Snapshot,
+    Store,
+    StoreClock,
+    StoreRefused,
+    StoreUnavailable,
+    Write,
+)
+
+# The store answers in 4 ms, and in 240 ms where it is sixty times slower.
+ANSWER_TIMEOUT = 1.0
+CONNECT_TIMEOUT = 0.5
+# Rows of one answer, at most; the store's own limit.
+PAGE = 500
+MAX_CONNECTIONS = 8
+
+
+class PlatformStore(Store):
+    """Speak to the platform's store over HTTP with JSON.
+
+    Parameters
+    ----------
+    address
+        The store as ``IP:port``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.clock = StoreClock()
+        self.calls = 0
+        self._client = HttpClient(address, max_connections=MAX_CONNECTIONS)
+
+    async def write(self, write: Write) -> Outcome:
+        """Apply a write."""
+        body = _encode_write(write)
+        self.calls += 1
+        try:
+            status, answer = await self._client.post_json(
+                ROWS_WRITE, body, timeouts=_timeouts(0.0)
+            )
+        except ExchangeFailed as error:
+            if error.sent:
+                raise OutcomeUnknown(str(error)) from error
+            raise StoreUnavailable(str(error)) from error
+        if status in (429, 503):
+            raise StoreUnavailable(f"the store answered {status}")
+        self._note_time(answer)
+        if status == 200:
+            return Committed(int(answer["ver"]))
+        if status == 412:
+            return _decode_conflict(write, answer)
+        if 400 <= status < 500:
+            raise StoreRefused(f"the store answered {status}: {answer}")
+        raise OutcomeUnknown(f"the store answered {status}")
+
+    async def scan(self, table: str, *, part: str = "") -> Snapshot:
+        """Return all rows of a part of a table."""
+        rows: list[Row] = []
+        version: int | None = None
+        first = ""
+        while True:
+            question = {"table": table, "part": part, "limit": PAGE}
+            if first:
+                question["from"] = first
+            answer = await self._ask(ROWS_READ, question, wait=0.0)
+            page = _decode_rows(answer, table)
+            rows.extend(page)
+            version = int(answer["ver"]) if version is None else version
+            if not answer.get("has_more") or not page:
+                return Snapshot(tuple(rows), version)
+            # The lowest key after the last one that came.
+            first = page[-1].id.key + "\0"
+
+    async def changes(self, table: str, *, after: int, wait: float) -> Changes:
+        """Return what changed in a table after a version."""
+        question = {
+            "table": table,
+            "after_revision": after,
+            "wait_ms": int(wait * 1000),
+        }
+        answer = await self._ask(ROWS_FEED, question, wait=wait)
+        return Changes(tuple(_decode_rows(answer, table)), int(answer["ver"]))
+
+    def close(self) -> None:
+        """Drop the idle connections."""
+        self._client.close()
+
+    async def _ask(
+        self, path: str, question: dict[str, Any], *, wait: float
+    ) -> dict[str, Any]:
+        self.calls += 1
+        try:
+            status, answer = await self._client.get_json(
+                f"{path}?{urlencode(question)}", timeouts=_timeouts(wait)
+            )
+        except ExchangeFailed as error:
+            raise StoreUnavailable(str(error)) from error
+        if status == 410:
+            raise HistoryLost
+        if status in (429, 503):
+            raise StoreUnavailable(f"the store answered {status}")
+        if status != 200 or not isinstance(answer, dict):
+            raise StoreRefused(f"the store answered {status}: {answer}")
+        self._note_time(answer)
+        return answer
+
+    def _note_time(self, answer: Any) -> None:
+        if isinstance(answer, dict) and "now_ms" in answer:
+            now = asyncio.get_running_loop().time()
+            self.clock.observe(told_ms=int(answer["now_ms"]), now=now)
+
+
+def _timeouts(wait: float) -> Timeouts:
+    limit = wait + ANSWER_TIMEOUT
+    return Timeouts(connect=CONNECT_TIMEOUT, first_byte=limit, between_bytes=limit)
+
+
+def _encode_write(write: Write) -> dict[str, Any]:
+    expected = []
+    for item in write.expected:
+        expected.append({**_encode_id(item.id), "ver": item.version})
+    puts = []
+    for put in write.puts:
+        value = base64.b64encode(put.value).decode("ascii")
+        puts.append({**_encode_id(put.id), "value": value})
+    deletes = [_encode_id(row_id) for row_id in write.deletes]
+    return {"expected_revision": expected, "puts": puts, "deletes": deletes}
+
+
+def _encode_id(row_id: RowId) -> dict[str, Any]:
+    return {"table": row_id.table, "part": row_id.part, "key": row_id.key}
+
+
+def _decode_conflict(write: Write, answer: dict[str, Any]) -> Conflict:
+    rows_by_id: dict[RowId, Row | None] = {item.id: None for item in write.expected}
+    for row in _decode_rows(answer, ""):
+        if not row.deleted:
+            rows_by_id[row.id] = row
+    return Conflict(rows_by_id)
+
+
+def _decode_rows(answer: dict[str, Any], table: str) -> list[Row]:
+    rows = []
+    for item in answer.get("rows", ()):
+        row_id = RowId(item.get("table", table), item["key"], item.get("part", ""))
+        value = base64.b64decode(item.get("value") or "")
+        # A row with version 0 says that there is none.
+        deleted = bool(item.get("deleted")) or not item.get("ver")
+        rows.append(Row(row_id, value, int(item.get("ver", 0)), deleted))
+    return rows
--- /dev/null
+++ b/lynxchute/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Pass requests to upstreams and their answers back."""
--- /dev/null
+++ b/lynxchute/relay/admission.py
@@ -0,0 +1,108 @@
+"""Decide which requests are served, on which route and for whom."""
+
+from __future__ import annotations
+
+import random
+from abc import ABC, abstractmethod
+
+from lynxchute.config import ClientAccount, Configuration, Route
+from lynxchute.http import Responder
+from lynxchute.relay.call import Call
+from lynxchute.relay.exchange import Exchange, end_of
+from lynxchute.relay.refusal import Reason, Refusal
+
+# A configuration that the store has not confirmed for this long may lack a
+# route or key that is there by now: feeds hear from the store every two
+# seconds at least.
+STALE_AFTER = 3.5
+RETRY_UNCONFIGURED = 0.5
+RETRY_STALE = 1.0
+
+
+class ConfigurationSource(ABC):
+    """Where the configuration in force comes from."""
+
+    @property
+    @abstractmethod
+    def current(self) -> Configuration | None:
+        """Return the newest known version; None where there is none yet."""
+
+    @abstractmethod
+    def unconfirmed_for(self) -> float:
+        """Return the seconds since the store last confirmed the version."""
+
+
+class Admission:
+    """Find the route and the client account of each call.
+
+    Parameters
+    ----------
+    source
+        Where the configuration comes from.
+    rng
+        Splits the requests of a route over its services.
+    """
+
+    def __init__(self, source: ConfigurationSource, rng: random.Random) -> None:
+        self.stopping = False
+        self._source = source
+        self._random = rng
+
+    def admit(self, call: Call, respond: Responder) -> Exchange:
+        """Return the exchange for a call.
+
+        Raises
+        ------
+        Refusal
+            Where it is not served.
+        """
+        if self.stopping:
+            title = "This router is stopping. Send the request again."
+            raise Refusal(Reason.STOPPING, title, retry_after=RETRY_UNCONFIGURED)
+        configuration = self._source.current
+        if configuration is None:
+            title = "This router has no configuration yet. Send it again soon."
+            raise Refusal(Reason.NOT_CONFIGURED, title, retry_after=RETRY_UNCONFIGURED)
+        route = self._route(configuration, call)
+        account = self._account(configuration, route, call)
+        return Exchange(
+            call=call,
+            configuration=configuration,
+            route=route,
+            account=account,
+            service=self._service(route),
+            respond=respond,
+            ends_at=end_of(call, route),
+        )
+
+    def _route(self, configuration: Configuration, call: Call) -> Route:
+        route = configuration.find_route(call.host, call.request.path)
+        if route is not None:
+            return route
+        self._refuse_if_stale()
+        title = f"No route leads to {call.host}{call.request.path}."
+        raise Refusal(Reason.NO_ROUTE, title)
+
+    def _account(
+        self, configuration: Configuration, route: Route, call: Call
+    ) -> ClientAccount | None:
+        if route.is_public or not configuration.checks_keys:
+            return None
+        account = configuration.accounts_by_key.get(call.key)
+        if account is not None:
+            return account
+        self._refuse_if_stale()
+        raise Refusal(Reason.BAD_KEY, "No client account has this API key.")
+
+    def _refuse_if_stale(self) -> None:
+        """Refuse to judge by a configuration that may be out of date."""
+        if self._source.unconfirmed_for() < STALE_AFTER:
+            return
+        title = "This router has not heard from the store for a while."
+        raise Refusal(Reason.STALE, title, retry_after=RETRY_STALE)
+
+    def _service(self, route: Route) -> str:
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        weights = [target.weight for target in route.targets]
+        return self._random.choices(route.targets, weights)[0].service
--- /dev/null
+++ b/lynxchute/relay/exchange.py
@@ -0,0 +1,105 @@
+"""The state of one request while it is served."""
+
+from __future__ import annotations
+
+import attrs
+
+from lynxchute.config import ClientAccount, Configuration, Route
+from lynxchute.http import Responder
+from lynxchute.relay.call import Call
+from lynxchute.relay.refusal import Reason, Refusal, Run
+
+# An answer sent this many seconds before the caller gives up still reaches it.
+DELIVERY_MARGIN = 0.02
+# Callers come back after at most a third of the time that they have left; a
+# tenth leaves them time for the request itself.
+RETRY_SHARE = 0.1
+MIN_RETRY_AFTER = 0.05
+MAX_RETRY_AFTER = 1.0
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """A request that has been admitted.
+
+    Attributes
+    ----------
+    configuration
+        The version that it was admitted under.
+    account
+        Who pays; None on public routes.
+    service
+        The service that the route's split gave it to.
+    ends_at
+        When it gets its final answer, on the loop's clock in seconds.
+    sends
+        How often it was sent to an upstream.
+    run
+        Whether it has run, as far as is known.
+    tried
+        The upstreams that are not tried again for it.
+    events, last_event
+        Events delivered, and the id of the last of them.
+    """
+
+    call: Call
+    configuration: Configuration
+    route: Route
+    account: ClientAccount | None
+    service: str
+    respond: Responder
+    ends_at: float
+    sends: int = 0
+    run: Run = Run.NOT_RUN
+    tried: set[str] = attrs.Factory(set)
+    upstreams: list[str] = attrs.Factory(list)
+    events: int = 0
+    last_event: str = ""
+    first_byte_at: float = 0.0
+    is_ended: bool = False
+
+    @property
+    def received_at(self) -> float:
+        """Return when the request began to arrive, in seconds."""
+        return self.call.request.received_at
+
+    @property
+    def priority(self) -> int:
+        """Return the request's rank; 0 comes first."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+    @property
+    def may_be_sent_again(self) -> bool:
+        """Return whether what the request is allows one more send."""
+        if self.sends >= self.route.max_attempts:
+            return False
+        return self.run is Run.NOT_RUN or self.route.is_repeatable
+
+    def retry_after(self, now: float) -> float:
+        """Return the seconds after which the caller should come back."""
+        patience = self.call.patience or self.route.timeout
+        left = self.received_at + patience - now
+        return min(max(left * RETRY_SHARE, MIN_RETRY_AFTER), MAX_RETRY_AFTER)
+
+    def refuse(self, reason: Reason, title: str, now: float) -> Refusal:
+        """Return the final answer where no upstream gives one.
+
+        A request that may have run is never said to be not run.
+        """
+        if self.run is Run.NOT_RUN:
+            if reason in (Reason.BROKEN, Reason.TIMEOUT):
+                reason = Reason.NO_UPSTREAM
+            return Refusal(reason, title, retry_after=self.retry_after(now))
+        if reason is not Reason.TIMEOUT:
+            reason = Reason.BROKEN
+        return Refusal(reason, title, run=Run.UNKNOWN)
+
+
+def end_of(call: Call, route: Route) -> float:
+    """Return when a call must have its final answer, in seconds."""
+    limit = route.timeout
+    if call.patience is not None:
+        limit = min(limit, max(call.patience - DELIVERY_MARGIN, 0.0))
+    return call.request.received_at + limit
--- /dev/null
+++ b/lynxchute/relay/relay.py
@@ -0,0 +1,277 @@
+"""Serve callers: admit, reserve, send, pass the answer on, settle."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from lynxchute.http import ExchangeFailed, Request, Responder
+from lynxchute.relay.admission import Admission
+from lynxchute.relay.budgets import (
+    BudgetExhausted,
+    Budgets,
+    BudgetUnreachable,
+    NothingReserved,
+    Reservation,
+)
+from lynxchute.relay.dialect import Dialect
+from lynxchute.relay.events import EventSplitter
+from lynxchute.relay.exchange import Exchange
+from lynxchute.relay.refusal import Reason, Refusal, Run
+from lynxchute.relay.sender import Answer, Sender
+from lynxchute.telemetry import log_event
+from lynxchute.upstreams.health import Fate
+
+# Larger answers are passed on as they come.
+MAX_HELD_BYTES = 1_048_576
+SERVER_ERROR = 500
+EVENT_STREAM = "text/event-stream"
+
+
+class Relay:
+    """Serve the requests of callers.
+
+    Parameters
+    ----------
+    dialect
+        How callers and upstreams write.
+    admission
+        Decides which requests are served.
+    budgets
+        Sets tokens aside.
+    sender
+        Sends requests to upstreams.
+    clock
+        Seconds on the loop's clock.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        admission: Admission,
+        budgets: Budgets,
+        sender: Sender,
+        clock: Callable[[], float],
+    ) -> None:
+        self.open_requests = 0
+        self._dialect = dialect
+        self._admission = admission
+        self._budgets = budgets
+        self._sender = sender
+        self._clock = clock
+
+    async def handle(self, request: Request, respond: Responder) -> None:
+        """Serve one request."""
+        call = self._dialect.read(request)
+        try:
+            exchange = self._admission.admit(call, respond)
+        except Refusal as refusal:
+            self._log_refusal(call.request_id, refusal)
+            await refusal.send(respond)
+            return
+        self.open_requests += 1
+        outcome = "left"
+        try:
+            outcome = await self._serve(exchange)
+        finally:
+            self.open_requests -= 1
+            self._log_end(exchange, outcome)
+
+    async def _serve(self, exchange: Exchange) -> str:
+        """Serve an admitted request; return the outcome in a word."""
+        try:
+            async with asyncio.timeout_at(exchange.ends_at):
+                await self._reserve_and_send(exchange)
+        except Refusal as refusal:
+            return await self._end_refused(exchange, refusal)
+        except TimeoutError:
+            title = "The time for this request is over."
+            late = exchange.refuse(Reason.TIMEOUT, title, self._clock())
+            return await self._end_refused(exchange, late)
+        return "served"
+
+    async def _end_refused(self, exchange: Exchange, refusal: Refusal) -> str:
+        if exchange.respond.started:
+            # What the caller has of the answer must not look whole.
+            exchange.respond.abort()
+            return f"broken off: {refusal.reason.value}"
+        await refusal.send(exchange.respond)
+        return f"refused: {refusal.reason.value}"
+
+    async def _reserve_and_send(self, exchange: Exchange) -> None:
+        reservation = await self._reserve(exchange)
+        try:
+            if not exchange.route.is_repeatable:
+                exchange.respond.outlives_caller = True
+            await self._send(exchange)
+        finally:
+            reservation.settle(used_tokens(exchange))
+
+    async def _reserve(self, exchange: Exchange) -> Reservation:
+        account = exchange.account
+        generation = exchange.call.generation
+        if account is None or account.prepaid is None or generation is None:
+            return NothingReserved()
+        try:
+            return await self._budgets.reserve(
+                exchange.call.request_id, account, generation.most_tokens
+            )
+        except BudgetExhausted as error:
+            raise Refusal(Reason.BUDGET_EXHAUSTED, str(error)) from error
+        except BudgetUnreachable as error:
+            raise exchange.refuse(
+                Reason.BUDGET_UNREACHABLE, str(error), self._clock()
+            ) from error
+
+    async def _send(self, exchange: Exchange) -> None:
+        """Send a request until an answer can be passed on."""
+        answer = await self._sender.send(exchange)
+        while not _is_stream(answer):
+            body = await self._read_whole(exchange, answer)
+            is_good = body is not None and answer.response.status < SERVER_ERROR
+            if is_good or not self._sender.may_send_again(exchange):
+                await self._forward(exchange, answer, body)
+                return
+            exchange.tried.add(answer.entry.upstream.id)
+            try:
+                answer = await self._sender.send(exchange)
+            except Refusal:
+                if body is None:
+                    raise
+                # The first answer is an answer, if a bad one.
+                await self._forward(exchange, answer, body)
+                return
+        await self._stream(exchange, answer)
+
+    # Answers that are passed on whole.
+
+    async def _forward(
+        self, exchange: Exchange, answer: Answer, body: bytes | None
+    ) -> None:
+        if body is None:
+            title = "The upstream's answer broke off; the request may have run."
+            raise exchange.refuse(Reason.BROKEN, title, self._clock())
+        headers = self._dialect.caller_headers(answer.response.headers)
+        exchange.first_byte_at = self._clock()
+        await exchange.respond.forward(answer.response.status, headers, body)
+
+    async def _read_whole(self, exchange: Exchange, answer: Answer) -> bytes | None:
+        """Return an answer's body, or None where it broke off."""
+        fate = Fate.BROKEN
+        try:
+            body = await answer.response.body(MAX_HELD_BYTES)
+            failed = answer.response.status >= SERVER_ERROR
+            fate = Fate.FAILED if failed else Fate.SERVED
+        except ExchangeFailed as error:
+            log_event(
+                "an answer broke off",
+                request_id=exchange.call.request_id,
+                upstream=answer.entry.upstream.id,
+                reason=str(error),
+            )
+            return None
+        finally:
+            self._sender.release(answer, fate)
+        return body
+
+    # Streams.
+
+    async def _stream(self, exchange: Exchange, answer: Answer) -> None:
+        while not await self._pass_events(exchange, answer):
+            exchange.tried.add(answer.entry.upstream.id)
+            if not self._sender.may_send_again(exchange):
+                title = "The stream broke off and cannot go on elsewhere."
+                raise exchange.refuse(Reason.BROKEN, title, self._clock())
+            answer = await self._sender.send(exchange)
+            if not _is_stream(answer):
+                answer.response.close()
+                self._sender.release(answer, Fate.FAILED)
+                title = "The stream broke off and did not go on elsewhere."
+                raise exchange.refuse(Reason.BROKEN, title, self._clock())
+        await exchange.respond.finish()
+
+    async def _pass_events(self, exchange: Exchange, answer: Answer) -> bool:
+        """Pass events on; return whether the stream came to its end."""
+        splitter = EventSplitter()
+        fate = Fate.BROKEN
+        try:
+            while True:
+                data = await answer.response.read()
+                if data is None:
+                    break
+                events = splitter.feed(data)
+                if events is None:
+                    continue
+                if not exchange.respond.started:
+                    await self._start_stream(exchange, answer)
+                exchange.events += events.count
+                exchange.last_event = events.last_id
+                await exchange.respond.send(events.data)
+            if splitter.rest:
+                return False
+            fate = Fate.SERVED
+        except ExchangeFailed as error:
+            log_event(
+                "a stream broke off",
+                request_id=exchange.call.request_id,
+                upstream=answer.entry.upstream.id,
+                last_event=exchange.last_event,
+                reason=str(error),
+            )
+            return False
+        finally:
+            answer.response.close()
+            self._sender.release(answer, fate)
+        return True
+
+    async def _start_stream(self, exchange: Exchange, answer: Answer) -> None:
+        headers = self._dialect.caller_headers(answer.response.headers)
+        exchange.first_byte_at = self._clock()
+        await exchange.respond.start(answer.response.status, headers)
+
+    # Logs.
+
+    def _log_refusal(self, request_id: str, refusal: Refusal) -> None:
+        log_event(
+            "request refused",
+            request_id=request_id,
+            reason=refusal.reason.value,
+            status=refusal.status,
+        )
+
+    def _log_end(self, exchange: Exchange, outcome: str) -> None:
+        now = self._clock()
+        account = exchange.account
+        log_event(
+            "request ended",
+            request_id=exchange.call.request_id,
+            outcome=outcome,
+            status=exchange.respond.status,
+            run=exchange.run.value,
+            route=exchange.route.name,
+            account=account.name if account else "",
+            configuration=exchange.configuration.version,
+            upstreams=exchange.upstreams,
+            sends=exchange.sends,
+            events=exchange.events,
+            seconds=round(now - exchange.received_at, 4),
+            first_byte=round(max(exchange.first_byte_at - exchange.received_at, 0), 4),
+        )
+
+
+def _is_stream(answer: Answer) -> bool:
+    content_type = answer.response.headers.get("content-type", "")
+    return answer.response.status == 200 and content_type.startswith(EVENT_STREAM)
+
+
+def used_tokens(exchange: Exchange) -> int:
+    """Return what a request has used of its budget, at most."""
+    generation = exchange.call.generation
+    if generation is None or exchange.run is Run.NOT_RUN:
+        return 0
+    service = exchange.configuration.services_by_name.get(exchange.service)
+    engine = service.engine if service is not None else None
+    if engine is None:
+        return generation.most_tokens
+    delivered = exchange.events * engine.tokens_per_event
+    return generation.prompt_tokens + min(delivered, generation.max_output_tokens)
--- /dev/null
+++ b/lynxchute/relay/sender.py
@@ -0,0 +1,239 @@
+"""Send a request to upstreams until one of them answers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from lynxchute.http import ClientPool, ExchangeFailed, Response, Timeouts
+from lynxchute.relay.dialect import Dialect, Dispatch, Verdict
+from lynxchute.relay.exchange import Exchange
+from lynxchute.relay.refusal import Reason, Refusal, Run
+from lynxchute.telemetry import log_event
+from lynxchute.upstreams.directory import Directory, Entry
+from lynxchute.upstreams.health import Fate
+from lynxchute.upstreams.placement import Placement
+from lynxchute.upstreams.retry_budget import RetryBudget
+
+# A connection within a region comes about in a few ms; a SYN that is lost is
+# repeated only after a second, so that another try is worth more.
+CONNECT_TIMEOUT = 0.3
+# A kept connection that was idle for longer may have been dropped by the
+# upstream; the outcome of a request that meets its reset is unknown, which
+# only a request that may run again can afford.
+FRESH_WITHIN = 0.25
+# Share of the latency objective that a request waits for an upstream: a
+# refusal that comes within a quarter of it can still be made good.
+WAIT_SHARE = 0.2
+UPSTREAM_TIMEOUTS = Timeouts(
+    connect=CONNECT_TIMEOUT, first_byte=None, between_bytes=None, kept_idle=4.0
+)
+
+
+@attrs.frozen
+class Answer:
+    """An upstream's answer whose body is still to be read."""
+
+    response: Response
+    entry: Entry
+    cost: int
+
+
+class Sender:
+    """Choose upstreams for exchanges and send them there.
+
+    Parameters
+    ----------
+    directory
+        The upstreams.
+    dialect
+        How to write a send and read an answer.
+    clients
+        Connections to the upstreams.
+    retries
+        How often requests may be sent again.
+    generations, plain
+        Choose among model engines, and among other upstreams.
+    clock
+        Seconds on the loop's clock.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        dialect: Dialect,
+        clients: ClientPool,
+        retries: RetryBudget,
+        generations: Placement,
+        plain: Placement,
+        clock: Callable[[], float],
+    ) -> None:
+        self._directory = directory
+        self._dialect = dialect
+        self._clients = clients
+        self._retries = retries
+        self._generations = generations
+        self._plain = plain
+        self._clock = clock
+        self._changed = asyncio.Event()
+        directory.listeners.append(self._note_change)
+
+    async def send(self, exchange: Exchange) -> Answer:
+        """Return the first answer of an upstream to an exchange.
+
+        Raises
+        ------
+        Refusal
+            Where there is none to be had.
+        """
+        if not exchange.sends:
+            self._retries.note_request(exchange.service, self._clock())
+        while True:
+            entry = await self._choose(exchange)
+            answer = await self._try(exchange, entry)
+            if answer is not None:
+                return answer
+            exchange.tried.add(entry.upstream.id)
+            if exchange.sends and not self.may_send_again(exchange):
+                raise self._give_up(exchange)
+
+    def may_send_again(self, exchange: Exchange) -> bool:
+        """Return whether an exchange may be sent once more, and count it."""
+        if not exchange.may_be_sent_again:
+            return False
+        return self._retries.take(exchange.service, self._clock())
+
+    def release(self, answer: Answer, fate: Fate) -> None:
+        """Note that an upstream no longer works on a request."""
+        entry = answer.entry
+        entry.open_requests -= 1
+        entry.open_tokens -= answer.cost
+        entry.health.note(fate, self._clock())
+
+    async def _choose(self, exchange: Exchange) -> Entry:
+        patience = exchange.route.latency_objective * WAIT_SHARE
+        until = min(self._clock() + patience, exchange.ends_at)
+        while True:
+            entry = self._find(exchange)
+            if entry is not None:
+                return entry
+            self._changed.clear()
+            try:
+                async with asyncio.timeout_at(until):
+                    await self._changed.wait()
+            except TimeoutError:
+                raise self._give_up(exchange) from None
+
+    def _find(self, exchange: Exchange) -> Entry | None:
+        now = self._clock()
+        known = [
+            entry
+            for entry in self._directory.of_services([exchange.service])
+            if entry.upstream.id not in exchange.tried
+        ]
+        if not known:
+            return None
+        awake = [entry for entry in known if not entry.health.is_paused(now)]
+        # Where all are paused, the one that fails for the shortest time yet is
+        # worth more than a refusal.
+        candidates = awake or [min(known, key=lambda e: e.health.paused_until)]
+        generation = exchange.call.generation
+        placement = self._generations if generation is not None else self._plain
+        return placement.choose(generation, candidates)
+
+    async def _try(self, exchange: Exchange, entry: Entry) -> Answer | None:
+        """Send once; return None where there was no answer to pass on."""
+        generation = exchange.call.generation
+        cost = generation.most_tokens if generation is not None else 0
+        entry.open_requests += 1
+        entry.open_tokens += cost
+        sends_before = exchange.sends
+        try:
+            response = await self._exchange_heads(exchange, entry)
+        except ExchangeFailed as error:
+            fate = Fate.BROKEN if error.sent else Fate.UNREACHED
+            self._failed(exchange, entry, cost, fate, str(error))
+            return None
+        except BaseException:
+            entry.open_requests -= 1
+            entry.open_tokens -= cost
+            raise
+        verdict = self._dialect.verdict(response.status, response.headers)
+        answer = Answer(response, entry, cost)
+        if verdict is Verdict.ANSWERED:
+            exchange.run = Run.RAN
+            return answer
+        reason = f"{verdict.value}, status {response.status}"
+        if verdict in (Verdict.NOT_RUN, Verdict.MOVED):
+            await self._discard(response)
+            if sends_before == 0:
+                exchange.run = Run.NOT_RUN
+            self._failed(exchange, entry, cost, Fate.DECLINED, reason)
+            return None
+        response.close()
+        self._failed(exchange, entry, cost, Fate.BROKEN, reason)
+        return None
+
+    async def _exchange_heads(self, exchange: Exchange, entry: Entry) -> Response:
+        call = exchange.call
+        dispatch = Dispatch(
+            upstream=entry.upstream,
+            time_left=max(exchange.ends_at - self._clock(), 0.0),
+            account=exchange.account.name if exchange.account else "",
+            priority=exchange.priority,
+            resumes_after=exchange.last_event or call.resumes_after,
+        )
+
+        def note_sent() -> None:
+            exchange.sends += 1
+            exchange.run = Run.UNKNOWN
+            exchange.upstreams.append(entry.upstream.id)
+
+        fresh_within = None if exchange.route.is_repeatable else FRESH_WITHIN
+        return await self._clients.get(entry.upstream.address).request(
+            call.request.method,
+            call.request.target,
+            headers=self._dialect.upstream_headers(call, dispatch),
+            body=call.request.body,
+            timeouts=UPSTREAM_TIMEOUTS,
+            fresh_within=fresh_within,
+            is_answer=lambda head: self._dialect.is_answer(call, head),
+            on_sent=note_sent,
+        )
+
+    async def _discard(self, response: Response) -> None:
+        """Read a refusal to its end, so that its connection can be kept."""
+        try:
+            await response.body()
+        except ExchangeFailed as error:
+            log_event("a refusal broke off", reason=str(error))
+
+    def _failed(
+        self, exchange: Exchange, entry: Entry, cost: int, fate: Fate, reason: str
+    ) -> None:
+        entry.open_requests -= 1
+        entry.open_tokens -= cost
+        entry.health.note(fate, self._clock())
+        log_event(
+            "a send gave no answer",
+            request_id=exchange.call.request_id,
+            upstream=entry.upstream.id,
+            send=exchange.sends,
+            fate=fate.value,
+            reason=reason,
+            bad_in_row=entry.health.bad_in_row,
+        )
+
+    def _give_up(self, exchange: Exchange) -> Refusal:
+        now = self._clock()
+        if exchange.run is Run.NOT_RUN:
+            reason = Reason.DECLINED if exchange.sends else Reason.NO_UPSTREAM
+            title = "No upstream could take the request. Send it again."
+            return exchange.refuse(reason, title, now)
+        title = "The upstream gave no whole answer; the request may have run."
+        return exchange.refuse(Reason.BROKEN, title, now)
+
+    def _note_change(self) -> None:
+        self._changed.set()
--- /dev/null
+++ b/lynxchute/spending/__init__.py
@@ -0,0 +1,1 @@
+"""Spend from budgets: the store's writes and the routers' messages."""
--- /dev/null
+++ b/lynxchute/spending/keeper.py
@@ -0,0 +1,265 @@
+"""Keep this router's grants and lines in step with the store."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from lynxchute.application import Background
+from lynxchute.budgets import Ledger
+from lynxchute.budgets.rows import HOLDERS_TABLE, TOTALS_TABLE
+from lynxchute.config import Configuration
+from lynxchute.store import OutcomeUnknown, Store, StoreUnavailable
+from lynxchute.telemetry import log_event
+
+# Seconds between two writes while requests come in: it bounds what the death
+# of this router loses, at a small part of a percent of what it serves.
+REFRESH_SECONDS = 0.5
+# Seconds until the next try after the store did not answer.
+RETRY_SECONDS = 0.2
+# A store that is cut off answers nothing for seconds; requests do not wait for
+# it but look for tokens elsewhere.
+FAILURES_UNTIL_AWAY = 1
+# Seconds between two looks at what is free of the budgets.
+LOOK_SECONDS = 0.25
+
+
+class Keeper(Background):
+    """Write the ledger's plans, one at a time.
+
+    Parameters
+    ----------
+    ledger
+        What is planned and learned.
+    store
+        Where it is written.
+    homes
+        Returns the VMs that hold an account's tokens, the home first.
+    settled
+        Set once it is known who the other routers are.
+    """
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        store: Store,
+        homes: Callable[[str], list[str]],
+        *,
+        settled: asyncio.Event,
+    ) -> None:
+        super().__init__()
+        self.ledger = ledger
+        self._store = store
+        self._homes = homes
+        self._settled = settled
+        self._stirred = asyncio.Event()
+        self._wanted = asyncio.Event()
+        self._waiters: set[asyncio.Future[None]] = set()
+        self._failures = 0
+        self._looked_at = 0.0
+
+    @property
+    def store_answers(self) -> bool:
+        """Return whether the last calls to the store were answered."""
+        return self._failures < FAILURES_UNTIL_AWAY
+
+    def now_ms(self) -> int:
+        """Return a time that the store's clock has reached, in milliseconds."""
+        return self._store.clock.earliest_ms(time.monotonic())
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take what has been paid from a new version of the configuration."""
+        ledger = self.ledger
+        for account in configuration.accounts_by_name.values():
+            if account.prepaid is None:
+                continue
+            if ledger.prepaid_by_account.get(account.name) != account.prepaid:
+                ledger.prepaid_by_account[account.name] = account.prepaid
+                self.want()
+
+    def touch(self) -> None:
+        """Note that tokens were used, so that the lines are to be renewed."""
+        self._stirred.set()
+
+    def want(self) -> None:
+        """Have the ledger written without delay."""
+        self._wanted.set()
+        self._stirred.set()
+
+    def settle_homes(self) -> None:
+        """Take who is home of what, after routers have come or gone."""
+        for account in self.ledger.prepaid_by_account:
+            is_home = self._homes(account)[:1] == [self.ledger.vm]
+            if not is_home and account not in self.ledger.shares_by_account:
+                continue
+            share = self.ledger.share(account)
+            if share.is_home != is_home:
+                share.is_home = is_home
+                self.want()
+
+    async def cover(self, account: str, tokens: int, until: float) -> bool:
+        """Wait until tokens can be reserved; return whether they can.
+
+        Parameters
+        ----------
+        until
+            When to give up, on the steady clock in seconds.
+        """
+        share = self.ledger.share(account)
+        share.waiting += tokens
+        try:
+            while self.ledger.available(account, self.now_ms()) < tokens:
+                if not await self._next_outcome(until):
+                    return False
+                if not self.store_answers:
+                    return False
+                if self._is_hopeless(account, tokens):
+                    return False
+            return True
+        finally:
+            share.waiting -= tokens
+
+    async def close(self, until: float) -> None:
+        """Give back what is not used, as far as the store can be reached."""
+        ledger = self.ledger
+        ledger.is_closing = True
+        while not ledger.fenced and any(
+            share.headroom for share in ledger.shares_by_account.values()
+        ):
+            if not await self._next_outcome(until) or not self.store_answers:
+                log_event("budgets not given back", store_answers=self.store_answers)
+                return
+        log_event("budgets given back", accounts=len(ledger.shares_by_account))
+
+    async def _next_outcome(self, until: float) -> bool:
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.add(waiter)
+        self.want()
+        try:
+            async with asyncio.timeout(max(until - time.monotonic(), 0.0)):
+                await waiter
+        except TimeoutError:
+            return False
+        finally:
+            self._waiters.discard(waiter)
+        return True
+
+    def _is_hopeless(self, account: str, tokens: int) -> bool:
+        """Return whether a write can no longer bring the tokens."""
+        share = self.ledger.share(account)
+        return share.headroom + self.ledger.free(account) < tokens
+
+    async def _run(self) -> None:
+        while not await self._open():
+            await asyncio.sleep(RETRY_SECONDS)
+        await self._settled.wait()
+        while True:
+            await self._wait()
+            if self.ledger.prepaid_by_account:
+                self.settle_homes()
+                await self._write()
+            if self._failures:
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _wait(self) -> None:
+        """Wait for use to be written down, or for something that cannot wait."""
+        await self._stirred.wait()
+        try:
+            async with asyncio.timeout(REFRESH_SECONDS):
+                await self._wanted.wait()
+        except TimeoutError:
+            # The usual case: some use, and nothing that waits for it.
+            pass
+        self._stirred.clear()
+        self._wanted.clear()
+
+    async def _open(self) -> bool:
+        """Take over what an earlier run on this VM has left."""
+        try:
+            totals = await self._store.scan(TOTALS_TABLE)
+            holders = await self._store.scan(HOLDERS_TABLE)
+        except StoreUnavailable as error:
+            log_event("budgets not read yet", reason=str(error))
+            return False
+        own = None
+        for row in holders.rows:
+            if row.id.key == self.ledger.vm:
+                own = row
+        self.ledger.learn_totals(totals.rows)
+        self.ledger.take_over(own, self.now_ms())
+        log_event(
+            "budgets read",
+            accounts=len(totals.rows),
+            holders=len(holders.rows),
+            own_version=own.version if own is not None else 0,
+        )
+        return True
+
+    async def _write(self) -> None:
+        ledger = self.ledger
+        if ledger.fenced:
+            return
+        await self._look()
+        plan = ledger.plan(now_ms=self.now_ms(), now=time.monotonic())
+        try:
+            outcome = await self._store.write(plan.write)
+        except StoreUnavailable as error:
+            ledger.lost()
+            self._note_failure(error)
+        except OutcomeUnknown as error:
+            ledger.unsure()
+            self._note_failure(error)
+        except BaseException:
+            ledger.unsure()
+            raise
+        else:
+            self._note_answer()
+            if not ledger.learn(outcome, now_ms=self.now_ms()):
+                # Another router's write came first; what it changed is known
+                # now.
+                self.want()
+            elif plan.totals_by_account:
+                log_event(
+                    "grants changed",
+                    sequence=plan.row.sequence,
+                    granted_by_account={
+                        account: plan.row.terms_by_account[account].granted
+                        for account in plan.totals_by_account
+                    },
+                )
+        if ledger.fenced:
+            log_event("fenced: another process of this VM holds the budgets")
+        self._wake()
+
+    async def _look(self) -> None:
+        """Read the divisions again where a request needs more than is known."""
+        short = False
+        for account, share in self.ledger.shares_by_account.items():
+            if share.waiting and self._is_hopeless(account, share.waiting):
+                short = True
+        now = time.monotonic()
+        if not short or now - self._looked_at < LOOK_SECONDS:
+            return
+        self._looked_at = now
+        try:
+            totals = await self._store.scan(TOTALS_TABLE)
+        except StoreUnavailable as error:
+            self._note_failure(error)
+            return
+        self.ledger.learn_totals(totals.rows)
+
+    def _wake(self) -> None:
+        for waiter in self._waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    def _note_failure(self, error: Exception) -> None:
+        self._failures += 1
+        if self._failures == 1:
+            log_event("budgets not written", reason=str(error))
+
+    def _note_answer(self) -> None:
+        if self._failures:
+            log_event("budgets written again", failures=self._failures)
+        self._failures = 0
--- /dev/null
+++ b/lynxchute/store/clock.py
@@ -0,0 +1,57 @@
+"""What is known of the store's clock."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.define
+class StoreClock:
+    """Bound the store's time from below, by the answers that told it.
+
+    The store tells its time in its answers. By the time that an answer has
+    arrived the store's clock has gone on, so that the told time plus what the
+    own steady clock has counted since is never ahead of the store's. Both
+    clocks are steady; over the seconds between two answers they do not drift
+    apart by more than the margin.
+
+    Examples
+    --------
+    >>> clock = StoreClock()
+    >>> clock.observe(told_ms=1000, now=50.0)
+    >>> clock.earliest_ms(50.5)
+    1499
+    """
+
+    # Steady clocks of two computers differ by some 50 ppm; this is 20 times it.
+    DRIFT = 0.001
+
+    _offset_ms: float | None = None
+    _observed_at: float = 0.0
+
+    @property
+    def known(self) -> bool:
+        """Return whether the store has ever told its time."""
+        return self._offset_ms is not None
+
+    def observe(self, *, told_ms: int, now: float) -> None:
+        """Take the time that an answer told.
+
+        Parameters
+        ----------
+        told_ms
+            Milliseconds on the store's clock.
+        now
+            Seconds on the own steady clock, when the answer had arrived.
+        """
+        if self._offset_ms is not None and told_ms < self.earliest_ms(now):
+            return
+        self._offset_ms = told_ms - now * 1000.0
+        self._observed_at = now
+
+    def earliest_ms(self, now: float) -> int:
+        """Return a time that the store's clock has reached for certain."""
+        if self._offset_ms is None:
+            return 0
+        drift = (now - self._observed_at) * 1000.0 * self.DRIFT
+        return int(now * 1000.0 + self._offset_ms - drift)
--- /dev/null
+++ b/lynxchute/store/feed.py
@@ -0,0 +1,183 @@
+"""Keep a copy of a table in step with the store."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import attrs
+from absl import logging
+
+from lynxchute.application import Background
+from lynxchute.store.rows import Row
+from lynxchute.store.store import HistoryLost, Store, StoreUnavailable
+
+
+@attrs.frozen
+class FeedTimes:
+    """How a feed asks.
+
+    Attributes
+    ----------
+    wait
+        Seconds that the store may hold a question while nothing changes.
+    pause
+        Seconds between two questions, so that several changes come in one
+        answer.
+    retry
+        Seconds until the next question after a failure.
+    """
+
+    wait: float = 2.0
+    pause: float = 0.0
+    retry: float = 0.2
+
+
+class TableFeed(Background):
+    """Copy a table of the store and follow its changes.
+
+    Versions of a row only grow here, whatever order answers come in.
+
+    Parameters
+    ----------
+    store
+        Where the table stands.
+    table
+        Its name.
+    times
+        How to ask.
+    on_change
+        Called after rows have changed, with those that did.
+
+    Attributes
+    ----------
+    rows_by_key
+        The table as far as it is known.
+    version
+        The version of the store up to which changes are known.
+    heard_at
+        When the store last answered, on the steady clock in seconds.
+    lost_at
+        When it stopped answering; None while it answers.
+    regained_at
+        When it began to answer again.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        table: str,
+        *,
+        times: FeedTimes,
+        on_change: Callable[[list[Row]], None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        super().__init__()
+        self.table = table
+        self.rows_by_key: dict[str, Row] = {}
+        self.version = 0
+        self.heard_at: float | None = None
+        self.lost_at: float | None = None
+        self.regained_at = 0.0
+        self.synced = asyncio.Event()
+        self._store = store
+        self._times = times
+        self._on_change = on_change
+        self._clock = clock
+        self._listed = False
+
+    def silent_for(self, now: float) -> float:
+        """Return the seconds since the store last answered this feed."""
+        return float("inf") if self.heard_at is None else now - self.heard_at
+
+    def take(self, rows: tuple[Row, ...]) -> None:
+        """Take rows that the store had, however they came here."""
+        changed = []
+        for row in rows:
+            known = self.rows_by_key.get(row.id.key)
+            if known is not None and known.version >= row.version:
+                continue
+            self.rows_by_key[row.id.key] = row
+            changed.append(row)
+        if changed:
+            self._on_change(changed)
+
+    def live_rows(self) -> list[Row]:
+        """Return the rows that have not been dropped."""
+        return [row for row in self.rows_by_key.values() if not row.deleted]
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._step()
+            except StoreUnavailable as error:
+                self._note_lost(error)
+                await asyncio.sleep(self._times.retry)
+            except HistoryLost:
+                logging.info(
+                    "the store forgot changes; the table is listed again",
+                    extra={"fields": {"table": self.table, "version": self.version}},
+                )
+                self._listed = False
+            except Exception:
+                logging.exception("the feed of table %s failed once", self.table)
+                await asyncio.sleep(self._times.retry)
+
+    async def _step(self) -> None:
+        if not self._listed:
+            await self._list()
+        changes = await self._store.changes(
+            self.table, after=self.version, wait=self._times.wait
+        )
+        self._note_heard()
+        self.version = max(self.version, changes.version)
+        self.take(changes.rows)
+        if self._times.pause and changes.rows:
+            await asyncio.sleep(self._times.pause)
+
+    async def _list(self) -> None:
+        snapshot = await self._store.scan(self.table)
+        self._note_heard()
+        if snapshot.version < self.version:
+            raise StoreUnavailable("the store answered with an older state")
+        self._drop_missing(snapshot.rows, snapshot.version)
+        self.version = snapshot.version
+        self._listed = True
+        self.take(snapshot.rows)
+        self.synced.set()
+
+    def _drop_missing(self, rows: tuple[Row, ...], version: int) -> None:
+        """Take rows that a list no longer has as dropped."""
+        present = {row.id.key for row in rows}
+        dropped = []
+        for key, row in self.rows_by_key.items():
+            if key in present or row.deleted or row.version > version:
+                continue
+            dropped.append(attrs.evolve(row, version=version, deleted=True))
+        for row in dropped:
+            self.rows_by_key[row.id.key] = row
+        if dropped:
+            self._on_change(dropped)
+
+    def _note_heard(self) -> None:
+        now = self._clock()
+        self.heard_at = now
+        if self.lost_at is None:
+            return
+        silent = round(now - self.lost_at, 3)
+        self.lost_at = None
+        self.regained_at = now
+        logging.info(
+            "the store answers again",
+            extra={"fields": {"table": self.table, "silent_s": silent}},
+        )
+
+    def _note_lost(self, error: Exception) -> None:
+        if self.lost_at is not None:
+            return
+        self.lost_at = self._clock()
+        logging.warning(
+            "the store does not answer",
+            extra={"fields": {"table": self.table, "reason": str(error)}},
+        )
--- /dev/null
+++ b/lynxchute/upstreams/health.py
@@ -0,0 +1,85 @@
+"""Judge upstreams by how the own requests to them fare."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class Fate(enum.Enum):
+    """How a send ended.
+
+    Attributes
+    ----------
+    SERVED
+        With a whole answer.
+    FAILED
+        With an answer that says that the upstream failed.
+    DECLINED
+        Not run, on the upstream's own word.
+    BROKEN
+        Without a whole answer.
+    UNREACHED
+        No connection came about.
+    """
+
+    SERVED = "served"
+    FAILED = "failed"
+    DECLINED = "declined"
+    BROKEN = "broken"
+    UNREACHED = "unreached"
+
+
+# Seconds for which an upstream is passed over after one bad end, doubled with
+# each further one in a row. A connection fails within a few ms where a
+# process has ended, and a restart takes seconds; a full upstream has room
+# again within tens of ms.
+PAUSES_BY_FATE = {
+    Fate.UNREACHED: 0.5,
+    Fate.BROKEN: 0.25,
+    Fate.DECLINED: 0.05,
+    Fate.FAILED: 0.0,
+}
+MAX_PAUSE = 3.0
+
+# Weight of the newest outcome in the running share of bad ends.
+NEWEST_WEIGHT = 0.15
+
+
+@attrs.define
+class Health:
+    """What this router knows of one upstream's health.
+
+    Attributes
+    ----------
+    bad_in_row
+        Bad ends since the last whole answer.
+    bad_share
+        Running share of sends that ended badly.
+    paused_until
+        Time before which it is passed over, in seconds.
+    """
+
+    bad_in_row: int = 0
+    bad_share: float = 0.0
+    paused_until: float = 0.0
+
+    def note(self, fate: Fate, now: float) -> None:
+        """Take the end of a send."""
+        bad = fate is not Fate.SERVED
+        self.bad_share += NEWEST_WEIGHT * (float(bad) - self.bad_share)
+        if not bad:
+            self.bad_in_row = 0
+            self.paused_until = 0.0
+            return
+        pause = PAUSES_BY_FATE[fate]
+        if not pause:
+            return
+        self.bad_in_row += 1
+        pause *= 2 ** min(self.bad_in_row - 1, 8)
+        self.paused_until = now + min(pause, MAX_PAUSE)
+
+    def is_paused(self, now: float) -> bool:
+        """Return whether it is passed over at the moment."""
+        return now < self.paused_until
--- /dev/null
+++ b/lynxchute/upstreams/upstream.py
@@ -0,0 +1,30 @@
+"""One upstream: a model engine or an instance of a plain service."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class Upstream:
+    """An upstream as it last told of itself.
+
+    Attributes
+    ----------
+    id
+        Names one start of its process; an address may pass to another one.
+    is_leaving
+        Whether it takes no new work.
+    slots
+        Requests that it serves at once.
+    warm_up
+        Seconds that it stays slow after its start.
+    """
+
+    id: str
+    service: str
+    address: str
+    data_centre: str
+    is_leaving: bool = False
+    slots: int = 1
+    warm_up: float = 0.0
