Let lines of use grow slowly at first, and plan nothing for a store that is away

Their lines began at what was used plus half a second of demand, and each try of a write while the store was away bound the ledger to a line that began anew.

Change: a line grows slowly for 2.5 s and then fast; it starts an eighth of the unused grant above use; after a failure the keeper reads before it plans; loans are taken two seconds of demand ahead.

--- a/lynxchute/budgets/ledger.py
+++ b/lynxchute/budgets/ledger.py
@@ -28,9 +28,6 @@
     Write,
 )
 
-# Milliseconds that a line grows after it was written: longer than the longest
-# outage that the fleet is meant to serve through, twelve seconds.
-HORIZON_MS = 15_000
 # Budgets whose division one write may change; a write takes 100 entries.
 MAX_GRANTS_PER_WRITE = 40
 # Ended requests and loans that are remembered, so that a message which arrives
@@ -142,8 +139,7 @@
         for account, terms in HolderRow.decode(row.value).terms_by_account.items():
             # All that the line allowed may have been used.
             used = terms.limit(now_ms)
-            flat = Line(used, 0, now_ms, HORIZON_MS)
-            share = Share(Terms(terms.granted, flat), settled=used)
+            share = Share(Terms(terms.granted, Line.flat(used)), settled=used)
             self.shares_by_account[account] = share
 
     def learn_totals(self, rows: Iterable[Row]) -> None:
@@ -191,17 +187,22 @@
         share.reserved -= reservation.tokens
         share.settled += used
 
-    def lend(self, loan_id: str, account: str, wanted: int, *, now_ms: int) -> int:
+    def lend(
+        self, loan_id: str, account: str, *, needed: int, wanted: int, now_ms: int
+    ) -> int:
         """Give tokens to another router; return how many.
 
-        They count as used here from now on. The same loan is given once.
+        They count as used here from now on. The same loan is given once. All
+        that there is goes for what a request needs, half of it for what the
+        borrower would like.
         """
         if loan_id in self._lent_by_id:
             return self._lent_by_id.get(loan_id)
         share = self.shares_by_account.get(account)
         if share is None or not self.is_open or self.fenced:
             return 0
-        tokens = min(max(share.available(now_ms), 0), wanted)
+        available = max(share.available(now_ms), 0)
+        tokens = max(min(needed, available), min(wanted, available // 2))
         if tokens <= 0:
             return 0
         share.settled += tokens
@@ -223,7 +224,7 @@
         """Return the share of a budget, empty on first use."""
         share = self.shares_by_account.get(account)
         if share is None:
-            share = Share(Terms(0, Line(0, 0, 0, HORIZON_MS)))
+            share = Share(Terms(0, Line.flat(0)))
             self.shares_by_account[account] = share
         return share
 
@@ -300,9 +301,14 @@
         self, account: str, share: Share, granted: int, now_ms: int, now: float
     ) -> Terms:
         view = self._view(account, share, granted, now)
-        burst = 0 if self.is_closing else self._policy.burst(view)
-        rate = 0 if self.is_closing else self._policy.rate(view)
-        line = Line(share.own_use + burst, rate, now_ms, HORIZON_MS)
+        if self.is_closing:
+            return Terms(granted, Line.flat(share.own_use))
+        line = Line(
+            base=share.own_use + self._policy.burst(view),
+            rate=self._policy.rate(view),
+            late_rate=self._policy.late_rate(view),
+            start_ms=now_ms,
+        )
         return Terms(granted, line)
 
     def _view(self, account: str, share: Share, granted: int, now: float) -> ShareView:
--- a/lynxchute/budgets/line.py
+++ b/lynxchute/budgets/line.py
@@ -4,45 +4,53 @@
 
 import attrs
 
+# Milliseconds that a line grows after it was written: longer than the longest
+# outage that the fleet is meant to serve through, twelve seconds.
+HORIZON_MS = 15_000
+# Milliseconds for which it grows slowly. While the store answers, lines are
+# written anew every half second, so that a router which dies and is back
+# within two seconds has not come past this; a router that has is cut off.
+SLOW_MS = 2_500
+
 
 @attrs.frozen
 class Line:
     """Say what a router has used at most, at each moment of the store's time.
 
     A fixed bound would have to be large to outlast an outage of the store,
-    and all of it would be lost with its router. This one grows: a router that
-    dies soon after it wrote the line loses little, and one that is cut off
-    may go on spending at the line's rate.
+    and all of it would be lost with its router. This one grows, slowly at
+    first: a router that dies soon after it wrote the line loses little, and
+    one that is cut off may spend all that it was granted.
 
     Attributes
     ----------
     base
         Tokens at the start.
-    rate
-        Tokens a second by which the bound grows.
+    rate, late_rate
+        Tokens a second by which the bound grows, at first and then.
     start_ms
         Where it starts, on the store's clock.
-    horizon_ms
-        How long it grows.
 
     Examples
     --------
-    >>> line = Line(base=100, rate=10, start_ms=1000, horizon_ms=5000)
-    >>> line.at(500), line.at(3000), line.at(60_000)
-    (100, 120, 150)
+    >>> line = Line(base=100, rate=10, late_rate=100, start_ms=1000)
+    >>> line.at(500), line.at(3000), line.at(4500), line.at(60_000)
+    (100, 120, 225, 1375)
     """
 
     base: int
     rate: int
+    late_rate: int
     start_ms: int
-    horizon_ms: int
 
     def at(self, now_ms: int) -> int:
         """Return the bound at a moment."""
-        grown_ms = min(max(now_ms - self.start_ms, 0), self.horizon_ms)
-        return self.base + self.rate * grown_ms // 1000
-
-    @property
-    def most(self) -> int:
-        """Return what the bound never passes."""
-        return self.base + self.rate * self.horizon_ms // 1000
+        age_ms = min(max(now_ms - self.start_ms, 0), HORIZON_MS)
+        slow_ms = min(age_ms, SLOW_MS)
+        grown = self.rate * slow_ms + self.late_rate * (age_ms - slow_ms)
+        return self.base + grown // 1000
+
+    @classmethod
+    def flat(cls, base: int) -> Line:
+        """Return a bound that does not grow."""
+        return cls(base, 0, 0, 0)
--- a/lynxchute/budgets/policy.py
+++ b/lynxchute/budgets/policy.py
@@ -58,7 +58,11 @@
 
     @abstractmethod
     def rate(self, view: ShareView) -> int:
-        """Return by how many tokens a second the line grows."""
+        """Return by how many tokens a second the line grows at first."""
+
+    @abstractmethod
+    def late_rate(self, view: ShareView) -> int:
+        """Return by how many tokens a second it grows in an outage."""
 
 
 @attrs.frozen
@@ -73,17 +77,22 @@
     stake
         Share of what is paid that the homes of all data centres together take
         at once: what lies free at the store cannot be had in an outage.
+    burst_seconds, burst_share
+        Seconds of demand, and share of what is granted and not used, that the
+        line starts above use: more serves more in the first seconds of an
+        outage, less loses less with a dead router.
+    rate_factor
+        Growth of the line at first, as a multiple of the demand.
     drain_seconds
-        Seconds in which the line lets all that is granted be used: shorter
-        serves more in an outage, longer loses less with a dead router.
-    burst_seconds
-        Seconds of demand that the line starts above use.
+        Seconds of an outage in which all that is granted may be used.
     """
 
     reserve_seconds: float = 15.0
     stake: float = 0.85
-    drain_seconds: float = 12.0
-    burst_seconds: float = 0.5
+    burst_seconds: float = 1.0
+    burst_share: float = 0.12
+    rate_factor: float = 2.0
+    drain_seconds: float = 3.0
 
     def grant(self, view: ShareView) -> int:
         """Return the tokens that the router should be granted."""
@@ -94,25 +103,29 @@
         if not view.is_home:
             wanted = int(view.demand * self.reserve_seconds)
         wanted = max(wanted, view.waiting)
-        if view.is_home:
-            stake = int(view.prepaid * self.stake / view.parts)
-            wanted = max(wanted, stake - view.used)
-        if headroom >= wanted:
+        stake = int(view.prepaid * self.stake / view.parts) if view.is_home else 0
+        if headroom >= wanted and view.granted >= stake:
             return self._give_back(view, headroom, wanted)
-        missing = wanted - headroom
-        fair = view.free // max(view.parts, 1)
-        return view.granted + min(missing, max(fair, view.waiting), view.free)
+        missing = max(wanted - headroom, stake - view.granted)
+        # Beyond the stake, leave the other data centres their part.
+        fair = max(view.free // view.parts, view.waiting, stake - view.granted)
+        return view.granted + min(missing, fair, view.free)
 
     def burst(self, view: ShareView) -> int:
         """Return how far the line starts above what is used, in tokens."""
         headroom = max(view.granted - view.used, 0)
         burst = int(view.demand * self.burst_seconds + 0.5 * view.largest)
-        return min(max(burst, view.waiting), headroom)
+        burst = max(burst, int(headroom * self.burst_share), view.waiting)
+        return min(burst, headroom)
 
     def rate(self, view: ShareView) -> int:
-        """Return by how many tokens a second the line grows."""
+        """Return by how many tokens a second the line grows at first."""
+        return int(view.demand * self.rate_factor)
+
+    def late_rate(self, view: ShareView) -> int:
+        """Return by how many tokens a second it grows in an outage."""
         headroom = max(view.granted - view.used, 0)
-        return int(max(headroom / self.drain_seconds, 3.0 * view.demand))
+        return int(headroom / self.drain_seconds)
 
     def _give_back(self, view: ShareView, headroom: int, wanted: int) -> int:
         """Give back what a router that is no home will not need."""
--- a/lynxchute/budgets/rows.py
+++ b/lynxchute/budgets/rows.py
@@ -78,17 +78,20 @@
 
     def encode(self) -> bytes:
         """Return the value of the row."""
-        start_ms, horizon_ms = 0, 0
         shares = {}
         for account, terms in self.terms_by_account.items():
             line = terms.line
-            start_ms, horizon_ms = line.start_ms, line.horizon_ms
-            shares[account] = [terms.granted, line.base, line.rate]
+            # By position: the row is written some times a second.
+            shares[account] = [
+                terms.granted,
+                line.base,
+                line.rate,
+                line.late_rate,
+                line.start_ms,
+            ]
         row = {
             "incarnation": self.incarnation,
             "sequence": self.sequence,
-            "start_ms": start_ms,
-            "horizon_ms": horizon_ms,
             "shares": shares,
         }
         return json.dumps(row, separators=(",", ":")).encode()
@@ -104,11 +107,12 @@
         """
         try:
             row = json.loads(value)
-            start_ms, horizon_ms = int(row["start_ms"]), int(row["horizon_ms"])
             terms_by_account = {}
-            for account, (granted, base, rate) in row["shares"].items():
-                line = Line(int(base), int(rate), start_ms, horizon_ms)
-                terms_by_account[account] = Terms(int(granted), line)
+            for account, (granted, *line) in row["shares"].items():
+                base, rate, late_rate, start_ms = (int(value) for value in line)
+                terms_by_account[account] = Terms(
+                    int(granted), Line(base, rate, late_rate, start_ms)
+                )
             return cls(row["incarnation"], int(row["sequence"]), terms_by_account)
         except (ValueError, TypeError, KeyError, AttributeError) as error:
             raise RowUnreadable(f"no holder: {error!r}") from error
--- a/lynxchute/fleet/client.py
+++ b/lynxchute/fleet/client.py
@@ -22,7 +22,7 @@
 
 # An answer within a region takes a few ms; a router that took five times as
 # long as usual for its work would still be in time.
-TIMEOUTS = Timeouts(connect=0.12, first_byte=0.4, between_bytes=0.4, kept_idle=20.0)
+TIMEOUTS = Timeouts(connect=0.12, first_byte=0.6, between_bytes=0.6, kept_idle=20.0)
 
 
 class PeerUnreachable(Exception):
--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -99,13 +99,22 @@
 
 @attrs.frozen
 class LendRequest(Message[LendReply]):
-    """Lend tokens, as many as can be spared up to an amount."""
+    """Lend tokens.
+
+    Attributes
+    ----------
+    needed
+        What a request lacks.
+    wanted
+        What the borrower would like, to ask less often.
+    """
 
     NAME = "lend"
     REPLY = LendReply
 
     loan_id: str
     account: str
+    needed: int
     wanted: int
 
 
--- a/lynxchute/spending/keeper.py
+++ b/lynxchute/spending/keeper.py
@@ -8,9 +8,10 @@
 
 from lynxchute.application import Background
 from lynxchute.budgets import Ledger
+from lynxchute.budgets.ledger import Plan
 from lynxchute.budgets.rows import HOLDERS_TABLE, TOTALS_TABLE
 from lynxchute.config import Configuration
-from lynxchute.store import OutcomeUnknown, Store, StoreUnavailable
+from lynxchute.store import Outcome, OutcomeUnknown, Store, StoreUnavailable
 from lynxchute.telemetry import log_event
 
 # Seconds between two writes while requests come in: it bounds what the death
@@ -18,9 +19,9 @@
 REFRESH_SECONDS = 0.5
 # Seconds until the next try after the store did not answer.
 RETRY_SECONDS = 0.2
-# A store that is cut off answers nothing for seconds; requests do not wait for
-# it but look for tokens elsewhere.
-FAILURES_UNTIL_AWAY = 1
+# A store that has not answered a write for this many seconds may be cut off;
+# requests do not wait for it then but look for tokens elsewhere.
+SLOW_WRITE_SECONDS = 0.12
 # Seconds between two looks at what is free of the budgets.
 LOOK_SECONDS = 0.25
 
@@ -58,11 +59,16 @@
         self._waiters: set[asyncio.Future[None]] = set()
         self._failures = 0
         self._looked_at = 0.0
+        self._writing_since: float | None = None
 
     @property
     def store_answers(self) -> bool:
-        """Return whether the last calls to the store were answered."""
-        return self._failures < FAILURES_UNTIL_AWAY
+        """Return whether the store answers, as far as is known."""
+        if self._failures:
+            return False
+        if self._writing_since is None:
+            return True
+        return time.monotonic() - self._writing_since < SLOW_WRITE_SECONDS
 
     def now_ms(self) -> int:
         """Return a time that the store's clock has reached, in milliseconds."""
@@ -200,8 +206,10 @@
         ledger = self.ledger
         if ledger.fenced:
             return
-        await self._look()
+        if not await self._look():
+            return
         plan = ledger.plan(now_ms=self.now_ms(), now=time.monotonic())
+        self._writing_since = time.monotonic()
         try:
             outcome = await self._store.write(plan.write)
         except StoreUnavailable as error:
@@ -214,40 +222,60 @@
             ledger.unsure()
             raise
         else:
-            self._note_answer()
-            if not ledger.learn(outcome, now_ms=self.now_ms()):
-                # Another router's write came first; what it changed is known
-                # now.
-                self.want()
-            elif plan.totals_by_account:
-                log_event(
-                    "grants changed",
-                    sequence=plan.row.sequence,
-                    granted_by_account={
-                        account: plan.row.terms_by_account[account].granted
-                        for account in plan.totals_by_account
-                    },
-                )
+            self._learn(plan, outcome)
+        finally:
+            self._writing_since = None
+            self._wake()
+
+    def _learn(self, plan: Plan, outcome: Outcome) -> None:
+        ledger = self.ledger
+        self._note_answer()
+        if not ledger.learn(outcome, now_ms=self.now_ms()):
+            # Another router's write came first; what it changed is known now.
+            self.want()
+        elif plan.totals_by_account:
+            log_event(
+                "grants changed",
+                sequence=plan.row.sequence,
+                granted_by_account={
+                    account: plan.row.terms_by_account[account].granted
+                    for account in plan.totals_by_account
+                },
+            )
         if ledger.fenced:
             log_event("fenced: another process of this VM holds the budgets")
-        self._wake()
 
-    async def _look(self) -> None:
-        """Read the divisions again where a request needs more than is known."""
-        short = False
-        for account, share in self.ledger.shares_by_account.items():
-            if share.waiting and self._is_hopeless(account, share.waiting):
-                short = True
+    async def _look(self) -> bool:
+        """Read the divisions again where that is due.
+
+        It is where a request needs more than is known to be free, and after
+        the store gave no answer: what is planned for a store that is away only
+        binds the ledger closer.
+
+        Returns
+        -------
+        bool
+            Whether the store is there.
+        """
         now = time.monotonic()
-        if not short or now - self._looked_at < LOOK_SECONDS:
-            return
+        is_due = self._is_short() and now - self._looked_at >= LOOK_SECONDS
+        if not is_due and not self._failures:
+            return True
         self._looked_at = now
         try:
             totals = await self._store.scan(TOTALS_TABLE)
         except StoreUnavailable as error:
             self._note_failure(error)
-            return
+            self._wake()
+            return False
         self.ledger.learn_totals(totals.rows)
+        return True
+
+    def _is_short(self) -> bool:
+        for account, share in self.ledger.shares_by_account.items():
+            if share.waiting and self._is_hopeless(account, share.waiting):
+                return True
+        return False
 
     def _wake(self) -> None:
         for waiter in self._waiters:
--- a/lynxchute/spending/reservations.py
+++ b/lynxchute/spending/reservations.py
@@ -36,9 +36,12 @@
 
 # Seconds that a request waits for the store to cover it: some writes of 5 ms,
 # or one of a store that is slow.
-COVER_SECONDS = 0.3
+COVER_SECONDS = 0.2
 # Seconds that a lender waits for the store, less than its asker waits for it.
-LEND_SECONDS = 0.15
+LEND_SECONDS = 0.1
+# Seconds of its demand that a router borrows ahead, so that not every request
+# has to ask.
+BORROW_AHEAD_SECONDS = 2.0
 # How many homes are tried in turn.
 MAX_HOMES = 3
 
@@ -139,6 +142,7 @@
     async def _borrow_and_reserve(self, request: ReserveRequest) -> ReserveReply:
         """Borrow what lacks from the other routers that hold a part."""
         account = request.account
+        share = self._ledger.share(account)
         left_elsewhere = 0
         silent = []
         for vm in self._lenders(account):
@@ -146,7 +150,8 @@
             missing = request.tokens - available
             if missing <= 0:
                 break
-            loan = LendRequest(secrets.token_hex(8), account, missing)
+            ahead = int(share.demand.rate(time.monotonic()) * BORROW_AHEAD_SECONDS)
+            loan = LendRequest(secrets.token_hex(8), account, missing, missing + ahead)
             try:
                 reply = await self._peers.ask(vm, loan)
             except PeerUnreachable:
@@ -208,12 +213,13 @@
         share = self._ledger.shares_by_account.get(account)
         if share is not None and self._keeper.store_answers:
             # The line may be all that stands against it.
-            wanted = min(request.wanted, share.headroom)
-            await self._keeper.cover(account, wanted, time.monotonic() + LEND_SECONDS)
+            needed = min(request.needed, share.headroom)
+            await self._keeper.cover(account, needed, time.monotonic() + LEND_SECONDS)
         lent = self._ledger.lend(
             request.loan_id,
             account,
-            request.wanted,
+            needed=request.needed,
+            wanted=request.wanted,
             now_ms=self._keeper.now_ms(),
         )
         self._keeper.touch()
--- a/lynxchute/store/feed.py
+++ b/lynxchute/store/feed.py
@@ -127,9 +127,9 @@
     async def _step(self) -> None:
         if not self._listed:
             await self._list()
-        changes = await self._store.changes(
-            self.table, after=self.version, wait=self._times.wait
-        )
+        # After a silence, hear at once that the store is back.
+        wait = self._times.wait if self.lost_at is None else 0.0
+        changes = await self._store.changes(self.table, after=self.version, wait=wait)
         self._note_heard()
         self.version = max(self.version, changes.version)
         self.take(changes.rows)
