--- a/lynxchute/budgets/ledger.py
+++ b/lynxchute/budgets/ledger.py
@@ -220,6 +220,19 @@
             return 0
         return max(share.terms.granted + share.borrowed - share.settled, 0)
 
+    def is_wanting(self, now: float) -> bool:
+        """Return whether a part is smaller than the policy would have it."""
+        if not self.is_open or self.is_closing:
+            return False
+        for account, share in self.shares_by_account.items():
+            if account not in self.prepaid_by_account:
+                continue
+            view = self._view(account, share, share.terms.granted, now)
+            plenty = attrs.evolve(view, free=max(view.prepaid, 0))
+            if self._policy.grant(plenty) > share.terms.granted:
+                return True
+        return False
+
     def share(self, account: str) -> Share:
         """Return the share of a budget, empty on first use."""
         share = self.shares_by_account.get(account)
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -6,13 +6,15 @@
 import random
 import secrets
 import time
+from collections.abc import Callable
 
-import attrs
+from prometheus_client import CONTENT_TYPE_LATEST
 
 from lynxchute.application import Application, Component
 from lynxchute.budgets import DemandPolicy, Ledger
 from lynxchute.edge.configurations import Configurations
 from lynxchute.edge.platform import Platform
+from lynxchute.edge.reload import Reader, SettingsWatcher
 from lynxchute.edge.settings import EdgeSettings
 from lynxchute.edge.upstreams import UpstreamWatcher
 from lynxchute.fleet.client import HttpPeers
@@ -35,13 +37,21 @@
 from lynxchute.spending.keeper import Keeper
 from lynxchute.spending.reservations import FleetBudgets
 from lynxchute.spending.settlements import Settlements
-from lynxchute.telemetry import log_event
+from lynxchute.telemetry import Metrics, log_event
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.placement import LeastOpen, PromptAffinity
 from lynxchute.upstreams.retry_budget import RetryBudget
 
+METRICS_PATH = "/metrics"
 # Seconds that a stopping router takes to give its grants back.
 CLOSE_SECONDS = 0.5
+# Seconds after the signal to stop in which requests are still served: the
+# platform asks for readiness every second and gives up after two refusals.
+STILL_SERVING_SECONDS = 2.5
+# Seconds before the platform kills the process by which open requests are
+# given up, so that grants can still be given back.
+STOP_MARGIN_SECONDS = 1.2
+DRAIN_STEP_SECONDS = 0.05
 # The part of the process's memory that bodies of requests may take.
 BODY_SHARE = 0.15
 
@@ -86,6 +96,7 @@
         super().__init__(settings.bounds.stop)
         self.settings = settings
         self.platform = platform
+        self.metrics = Metrics()
         self.configurations = Configurations(platform)
         self.directory = Directory()
         self.clients = ClientPool(UPSTREAM_TIMEOUTS)
@@ -132,15 +143,22 @@
             self.retries,
             PromptAffinity(plain),
             plain,
+            self.metrics,
             time.monotonic,
         )
         self.relay = Relay(
-            platform.dialect, self.admission, budgets, sender, time.monotonic
+            platform.dialect,
+            self.admission,
+            budgets,
+            sender,
+            self.metrics,
+            time.monotonic,
         )
         self.callers = HttpServer(
             self.relay.handle, limits=self._limits, check_head=self._check_head
         )
         self.readiness = HttpServer(self._answer_readiness)
+        self.exposition = HttpServer(self._answer_metrics)
         self.components = [
             self.configurations,
             self.upstreams,
@@ -151,19 +169,33 @@
             Listener(self.readiness, settings.readiness),
             Listener(self.callers, settings.callers),
         ]
+        if settings.metrics is not None:
+            self.components.append(Listener(self.exposition, settings.metrics))
+
+    def watch_settings(self, read: Reader, stamp: Callable[[], object]) -> None:
+        """Take changed settings while the router runs."""
+        watcher = SettingsWatcher(self.settings, read, stamp, self._reload)
+        self.components.append(watcher)
 
     async def drain(self) -> None:
-        """Take nothing new and let what is open end."""
-        self.admission.stopping = True
-        self.members.own = attrs.evolve(self.members.own, is_leaving=True)
-        await self.registry.announce(self.members.own)
-        deadline = self._stop_deadline - 1.5
-        self.callers.announce_close()
+        """Take nothing new and let what is open end.
+
+        Callers are sent elsewhere only once the platform has seen twice that
+        this router is not ready; until then their requests are served.
+        """
+        started = time.monotonic()
         log_event("stopping", open_requests=self.relay.open_requests)
-        end = time.monotonic() + deadline
-        while self.relay.open_requests and time.monotonic() < end:
-            await asyncio.sleep(0.05)
-        self.callers.close_idle()
+        self.callers.announce_close()
+        await self.registry.announce(self.members.leave())
+        serve_until = started + STILL_SERVING_SECONDS
+        end = started + self.settings.bounds.stop - STOP_MARGIN_SECONDS
+        while time.monotonic() < end:
+            if time.monotonic() >= serve_until:
+                self.admission.stopping = True
+                self.callers.close_idle()
+                if not self.relay.open_requests:
+                    break
+            await asyncio.sleep(DRAIN_STEP_SECONDS)
         await self.settlements.flush()
         await self.keeper.close(time.monotonic() + CLOSE_SECONDS)
         log_event("stopped", open_requests=self.relay.open_requests)
@@ -181,10 +213,39 @@
         ready = self.is_ready()
         await respond.json(200 if ready else 503, {"ready": ready})
 
+    def _reload(self, settings: EdgeSettings) -> None:
+        """Take what can change while the router runs."""
+        before, self.settings = self.settings, settings
+        bounds = settings.bounds
+        self.retries.change(
+            share=bounds.retry_share,
+            extra=bounds.retry_extra,
+            window=bounds.retry_window,
+        )
+        if settings.store != before.store:
+            self.platform.store.move(settings.store)
+        for name in ("vm", "data_centre", "callers", "readiness", "peers", "metrics"):
+            if getattr(settings, name) != getattr(before, name):
+                log_event("settings need a restart", setting=name)
+
     def _note_members(self) -> None:
         self.retries.routers = self.members.count
         self.keeper.want()
 
+    async def _answer_metrics(self, request: Request, respond: Responder) -> None:
+        if request.path != METRICS_PATH:
+            await not_found(request, respond)
+            return
+        metrics = self.metrics
+        current = self.configurations.current
+        metrics.open_requests.set(self.relay.open_requests)
+        metrics.configuration_version.set(current.version if current else 0)
+        metrics.upstreams.set(self.directory.count())
+        metrics.store_answers.set(self.keeper.store_answers)
+        metrics.routers.set(self.members.count)
+        body = metrics.exposition()
+        await respond.whole(200, body, CONTENT_TYPE_LATEST)
+
     def _limits(self) -> ServerLimits:
         configuration = self.configurations.current
         if configuration is None:
--- a/lynxchute/edge/settings.py
+++ b/lynxchute/edge/settings.py
@@ -45,6 +45,8 @@
         for the fleet's other routers.
     store
         The store as ``IP:port``.
+    metrics
+        Where the metrics are served; None where they are not.
     memory_mb
         Memory of the process, in MB; it is killed beyond.
     is_first_start
@@ -59,5 +61,6 @@
     peers: Address
     store: str
     memory_mb: float
+    metrics: Address | None = None
     is_first_start: bool = False
     bounds: Bounds = Bounds()
--- a/lynxchute/fleet/members.py
+++ b/lynxchute/fleet/members.py
@@ -78,6 +78,12 @@
         self.by_vm: dict[str, Member] = {own.vm: own}
         self._reach_by_vm: dict[str, Reach] = {}
 
+    def leave(self) -> Member:
+        """Note that this router takes nothing new; return what it says now."""
+        self.own = attrs.evolve(self.own, is_leaving=True)
+        self.by_vm[self.own.vm] = self.own
+        return self.own
+
     def put(self, member: Member) -> None:
         """Take what a router says of itself."""
         if member.vm == self.own.vm:
@@ -128,10 +134,21 @@
         The first one is the account's home here; the next ones stand in for
         it. Routers that leave or cannot be reached are left out.
         """
+        return ranked(account, self._asked_in(self.own.data_centre))
+
+    def homes_elsewhere(self, account: str) -> list[str]:
+        """Return the account's home in each other data centre."""
+        found = []
+        data_centres = {member.data_centre for member in self.by_vm.values()}
+        for data_centre in sorted(data_centres - {self.own.data_centre}):
+            found.extend(ranked(account, self._asked_in(data_centre))[:1])
+        return found
+
+    def _asked_in(self, data_centre: str) -> list[str]:
         vms = []
         for member in self.by_vm.values():
-            if member.data_centre != self.own.data_centre or member.is_leaving:
+            if member.data_centre != data_centre or member.is_leaving:
                 continue
             if self.is_reachable(member.vm):
                 vms.append(member.vm)
-        return ranked(account, vms)
+        return vms
--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -287,10 +287,11 @@
         self._protocol.start_next_cycle()
         self._phase = _Phase.IDLE
         self._responder = None
-        if self._waiting_bytes:
-            self._waiting_bytes = 0
-            if self._transport is not None:
-                self._transport.resume_reading()
+        waiting, _ = self._protocol.trailing_data
+        if self._waiting_bytes and self._transport is not None:
+            self._transport.resume_reading()
+        self._waiting_bytes = 0
+        if waiting:
             self._phase = _Phase.HEAD
             self._received_at = self._loop.time()
             self._set_timer(self._limits.head_timeout)
--- /dev/null
+++ b/lynxchute/platform/__main__.py
@@ -0,0 +1,14 @@
+"""Start a router: `python -m lynxchute.platform`."""
+
+import signal
+
+
+def main() -> None:
+    """Run a router, deaf to SIGHUP until it has loaded what answers it."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from lynxchute.platform.daemon import main as run
+
+    run()
+
+
+main()
--- a/lynxchute/platform/daemon.py
+++ b/lynxchute/platform/daemon.py
@@ -7,6 +7,8 @@
 import sys
 from pathlib import Path
 
+from expression import Error, Result
+
 from lynxchute.application import Ending, end_on_signals
 from lynxchute.edge.application import EdgeApplication
 from lynxchute.edge.platform import Platform
@@ -23,18 +25,22 @@
 EXIT_KILLED = 3
 
 
-def read_settings(path: Path) -> EdgeSettings:
-    """Return the settings in a file, or end the process with all findings."""
+def read_settings(path: Path) -> Result[EdgeSettings, tuple[str, ...]]:
+    """Return the settings in a file, or everything that is wrong with them."""
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        sys.exit(f"{path}: cannot be read: {error}. Set {SETTINGS_VARIABLE}.")
-    result = decode_settings(text)
-    if result.is_ok():
-        return result.ok
-    for finding in result.error:
-        print(f"{path}: {finding}", file=sys.stderr)
-    sys.exit(EXIT_SETTINGS)
+        return Error((f"cannot be read: {error}. Set {SETTINGS_VARIABLE}.",))
+    return decode_settings(text, os.environ)
+
+
+def _stamp(path: Path) -> object:
+    """Return what tells one state of a file from the next."""
+    try:
+        status = path.stat()
+    except OSError as error:
+        return str(error)
+    return (status.st_mtime_ns, status.st_size, status.st_ino)
 
 
 def make_platform(settings: EdgeSettings) -> Platform:
@@ -51,9 +57,10 @@
     )
 
 
-async def serve(settings: EdgeSettings) -> None:
+async def serve(settings: EdgeSettings, path: Path) -> None:
     """Run until told to stop."""
     application = EdgeApplication(settings, make_platform(settings))
+    application.watch_settings(lambda: read_settings(path), lambda: _stamp(path))
     end_on_signals(
         lambda: application.end(Ending.STOPPED), lambda: os._exit(EXIT_KILLED)
     )
@@ -63,12 +70,13 @@
 def main() -> None:
     """Run a router from the settings file that the environment names."""
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    settings = read_settings(path)
+    result = read_settings(path)
+    if result.is_error():
+        for finding in result.error:
+            print(f"{path}: {finding}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    settings = result.ok
     log_to_stdout(vm=settings.vm)
     log_event("started", data_centre=settings.data_centre, pid=os.getpid())
-    asyncio.run(serve(settings))
+    asyncio.run(serve(settings, path))
     log_event("ended")
-
-
-if __name__ == "__main__":
-    main()
--- a/lynxchute/platform/settings.py
+++ b/lynxchute/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 
 import yaml
@@ -11,14 +12,26 @@
 from lynxchute.settings import Address
 
 SETTINGS_VARIABLE = "LYNXCHUTE_SETTINGS"
+# The port for metrics stands in the deploy file only, which hands it on here.
+METRICS_VARIABLE = "LYNXCHUTE_METRICS_PORT"
 
 # Which of the ports for traffic between the VMs the routers use; counted from
 # the first one.
 PEER_PORT_OFFSET = 0
 
 
-def decode_settings(text: str) -> Result[EdgeSettings, tuple[str, ...]]:
-    """Return the settings in a file, or everything that is wrong with them."""
+def decode_settings(
+    text: str, environment: Mapping[str, str]
+) -> Result[EdgeSettings, tuple[str, ...]]:
+    """Return the settings of a process, or everything that is wrong with them.
+
+    Parameters
+    ----------
+    text
+        The settings file.
+    environment
+        The variables of the process.
+    """
     try:
         document = yaml.load(text, Loader=getattr(yaml, "CSafeLoader", yaml.SafeLoader))
     except yaml.YAMLError as error:
@@ -36,6 +49,7 @@
         peers=Address(reader.text("ip"), reader.first_port() + PEER_PORT_OFFSET),
         store=str(reader.address("platform", "address")),
         memory_mb=reader.number("limits", "memory_mb"),
+        metrics=_metrics(reader, environment),
         is_first_start=bool(document.get("bootstrap")),
         bounds=_bounds(reader),
     )
@@ -44,19 +58,31 @@
     return Ok(settings)
 
 
+def _metrics(reader: _Reader, environment: Mapping[str, str]) -> Address | None:
+    port = environment.get(METRICS_VARIABLE, "")
+    if not port:
+        return None
+    if not port.isdigit():
+        reader.findings.append(f"the variable {METRICS_VARIABLE} is no port")
+        return None
+    return Address(reader.text("ip"), int(port))
+
+
 def _bounds(reader: _Reader) -> Bounds:
+    usual = Bounds()
     return Bounds(
         # Seconds that a process may take between SIGTERM and SIGKILL.
-        stop=reader.number("bounds", "grace_s"),
+        stop=reader.bound("grace_s", usual.stop),
         # Seconds after which a leaving upstream must get nothing new.
-        drain=reader.number("bounds", "drain_timeout_ms") / 1000.0,
+        drain=reader.bound("drain_timeout_ms", usual.drain * 1000) / 1000.0,
         # Seconds until a new configuration must be in force.
-        configuration=reader.number("bounds", "config_apply_ms") / 1000.0,
+        configuration=reader.bound("config_apply_ms", usual.configuration * 1000)
+        / 1000.0,
         # Second sends that the whole fleet may make in a window: a share of
         # the requests, and a number on top.
-        retry_share=reader.number("bounds", "retry_budget_ratio"),
-        retry_extra=reader.number("bounds", "retry_budget_extra"),
-        retry_window=reader.number("bounds", "budget_window_s"),
+        retry_share=reader.bound("retry_budget_ratio", usual.retry_share),
+        retry_extra=reader.bound("retry_budget_extra", usual.retry_extra),
+        retry_window=reader.bound("budget_window_s", usual.retry_window),
     )
 
 
@@ -95,6 +121,13 @@
             self.findings.append(f"{'.'.join(path)} is no number")
         return 0.0
 
+    def bound(self, name: str, usual: float) -> float:
+        """Return a figure of the deployment, or the usual one where it has none."""
+        bounds = self._document.get("bounds")
+        if not isinstance(bounds, dict) or bounds.get(name) is None:
+            return usual
+        return self.number("bounds", name)
+
     def address(self, *path: str) -> Address:
         """Return an address."""
         found = self.value(*path)
--- a/lynxchute/platform/store.py
+++ b/lynxchute/platform/store.py
@@ -99,6 +99,11 @@
         answer = await self._ask(ROWS_FEED, question, wait=wait)
         return Changes(tuple(_decode_rows(answer, table)), int(answer["ver"]))
 
+    def move(self, address: str) -> None:
+        """Go on with the same store at another address."""
+        self._client.close()
+        self._client = HttpClient(address, max_connections=MAX_CONNECTIONS)
+
     def close(self) -> None:
         """Drop the idle connections."""
         self._client.close()
--- a/lynxchute/relay/events.py
+++ b/lynxchute/relay/events.py
@@ -32,6 +32,47 @@
     last_id: str
 
 
+class EventsOutOfOrder(Exception):
+    """Report events that do not follow on those before."""
+
+
+@attrs.define
+class EventOrder:
+    """See that the numbered events of a stream come without gap or repetition.
+
+    Attributes
+    ----------
+    last
+        The number of the last event; None before the first one, and where
+        events are not numbered.
+
+    Examples
+    --------
+    >>> order = EventOrder(last=4)
+    >>> order.check(Events(b"", count=2, first_id="5", last_id="6"))
+    >>> order.last
+    6
+    """
+
+    last: int | None = None
+
+    def check(self, events: Events) -> None:
+        """Take the next events.
+
+        Raises
+        ------
+        EventsOutOfOrder
+            Where they are not the next ones.
+        """
+        if not (events.first_id.isdecimal() and events.last_id.isdecimal()):
+            return
+        first, last = int(events.first_id), int(events.last_id)
+        follows = self.last is None or first == self.last + 1
+        if not follows or last - first + 1 != events.count:
+            raise EventsOutOfOrder(f"{first} to {last} came after {self.last}")
+        self.last = last
+
+
 @attrs.define
 class EventSplitter:
     r"""Cut a stream into whole events.
--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -7,6 +7,7 @@
 from lynxchute.config import ClientAccount, Configuration, Route
 from lynxchute.http import Responder
 from lynxchute.relay.call import Call
+from lynxchute.relay.events import EventOrder
 from lynxchute.relay.refusal import Reason, Refusal, Run
 
 # An answer sent this many seconds before the caller gives up still reaches it.
@@ -40,6 +41,8 @@
         The upstreams that are not tried again for it.
     events, last_event
         Events delivered, and the id of the last of them.
+    order
+        Sees that they follow on one another.
     """
 
     call: Call
@@ -55,6 +58,7 @@
     upstreams: list[str] = attrs.Factory(list)
     events: int = 0
     last_event: str = ""
+    order: EventOrder = attrs.Factory(EventOrder)
     first_byte_at: float = 0.0
     is_ended: bool = False
 
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -15,11 +15,11 @@
     Reservation,
 )
 from lynxchute.relay.dialect import Dialect
-from lynxchute.relay.events import EventSplitter
+from lynxchute.relay.events import EventsOutOfOrder, EventSplitter
 from lynxchute.relay.exchange import Exchange
 from lynxchute.relay.refusal import Reason, Refusal, Run
 from lynxchute.relay.sender import Answer, Sender
-from lynxchute.telemetry import log_event
+from lynxchute.telemetry import Metrics, log_event
 from lynxchute.upstreams.health import Fate
 
 # Larger answers are passed on as they come.
@@ -41,6 +41,8 @@
         Sets tokens aside.
     sender
         Sends requests to upstreams.
+    metrics
+        Where ends are counted.
     clock
         Seconds on the loop's clock.
     """
@@ -51,6 +53,7 @@
         admission: Admission,
         budgets: Budgets,
         sender: Sender,
+        metrics: Metrics,
         clock: Callable[[], float],
     ) -> None:
         self.open_requests = 0
@@ -58,6 +61,7 @@
         self._admission = admission
         self._budgets = budgets
         self._sender = sender
+        self._metrics = metrics
         self._clock = clock
 
     async def handle(self, request: Request, respond: Responder) -> None:
@@ -66,7 +70,7 @@
         try:
             exchange = self._admission.admit(call, respond)
         except Refusal as refusal:
-            self._log_refusal(call.request_id, refusal)
+            self._note_refusal(call.request_id, refusal)
             await refusal.send(respond)
             return
         self.open_requests += 1
@@ -75,7 +79,7 @@
             outcome = await self._serve(exchange)
         finally:
             self.open_requests -= 1
-            self._log_end(exchange, outcome)
+            self._note_end(exchange, outcome)
 
     async def _serve(self, exchange: Exchange) -> str:
         """Serve an admitted request; return the outcome in a word."""
@@ -91,6 +95,7 @@
         return "served"
 
     async def _end_refused(self, exchange: Exchange, refusal: Refusal) -> str:
+        self._metrics.refusals.labels(refusal.reason.value).inc()
         if exchange.respond.started:
             # What the caller has of the answer must not look whole.
             exchange.respond.abort()
@@ -113,9 +118,10 @@
         if account is None or account.prepaid is None or generation is None:
             return NothingReserved()
         try:
-            return await self._budgets.reserve(
-                exchange.call.request_id, account, generation.most_tokens
-            )
+            with self._metrics.reserve_seconds.time():
+                return await self._budgets.reserve(
+                    exchange.call.request_id, account, generation.most_tokens
+                )
         except BudgetExhausted as error:
             raise Refusal(Reason.BUDGET_EXHAUSTED, str(error)) from error
         except BudgetUnreachable as error:
@@ -202,6 +208,7 @@
                 events = splitter.feed(data)
                 if events is None:
                     continue
+                exchange.order.check(events)
                 if not exchange.respond.started:
                     await self._start_stream(exchange, answer)
                 exchange.events += events.count
@@ -210,7 +217,7 @@
             if splitter.rest:
                 return False
             fate = Fate.SERVED
-        except ExchangeFailed as error:
+        except (ExchangeFailed, EventsOutOfOrder) as error:
             log_event(
                 "a stream broke off",
                 request_id=exchange.call.request_id,
@@ -229,9 +236,11 @@
         exchange.first_byte_at = self._clock()
         await exchange.respond.start(answer.response.status, headers)
 
-    # Logs.
+    # Logs and metrics.
 
-    def _log_refusal(self, request_id: str, refusal: Refusal) -> None:
+    def _note_refusal(self, request_id: str, refusal: Refusal) -> None:
+        self._metrics.requests.labels("not admitted").inc()
+        self._metrics.refusals.labels(refusal.reason.value).inc()
         log_event(
             "request refused",
             request_id=request_id,
@@ -239,8 +248,13 @@
             status=refusal.status,
         )
 
-    def _log_end(self, exchange: Exchange, outcome: str) -> None:
-        now = self._clock()
+    def _note_end(self, exchange: Exchange, outcome: str) -> None:
+        seconds = self._clock() - exchange.received_at
+        first_byte = max(exchange.first_byte_at - exchange.received_at, 0.0)
+        self._metrics.requests.labels(outcome.partition(":")[0]).inc()
+        self._metrics.request_seconds.observe(seconds)
+        if first_byte:
+            self._metrics.first_byte_seconds.observe(first_byte)
         account = exchange.account
         log_event(
             "request ended",
@@ -254,8 +268,8 @@
             upstreams=exchange.upstreams,
             sends=exchange.sends,
             events=exchange.events,
-            seconds=round(now - exchange.received_at, 4),
-            first_byte=round(max(exchange.first_byte_at - exchange.received_at, 0), 4),
+            seconds=round(seconds, 4),
+            first_byte=round(first_byte, 4),
         )
 
 
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -11,7 +11,7 @@
 from lynxchute.relay.dialect import Dialect, Dispatch, Verdict
 from lynxchute.relay.exchange import Exchange
 from lynxchute.relay.refusal import Reason, Refusal, Run
-from lynxchute.telemetry import log_event
+from lynxchute.telemetry import Metrics, log_event
 from lynxchute.upstreams.directory import Directory, Entry
 from lynxchute.upstreams.health import Fate
 from lynxchute.upstreams.placement import Placement
@@ -56,6 +56,8 @@
         How often requests may be sent again.
     generations, plain
         Choose among model engines, and among other upstreams.
+    metrics
+        Where the ends of sends are counted.
     clock
         Seconds on the loop's clock.
     """
@@ -68,6 +70,7 @@
         retries: RetryBudget,
         generations: Placement,
         plain: Placement,
+        metrics: Metrics,
         clock: Callable[[], float],
     ) -> None:
         self._directory = directory
@@ -76,6 +79,7 @@
         self._retries = retries
         self._generations = generations
         self._plain = plain
+        self._metrics = metrics
         self._clock = clock
         self._changed = asyncio.Event()
         directory.listeners.append(self._note_change)
@@ -107,10 +111,7 @@
 
     def release(self, answer: Answer, fate: Fate) -> None:
         """Note that an upstream no longer works on a request."""
-        entry = answer.entry
-        entry.open_requests -= 1
-        entry.open_tokens -= answer.cost
-        entry.health.note(fate, self._clock())
+        self._note_fate(answer.entry, answer.cost, fate)
 
     async def _choose(self, exchange: Exchange) -> Entry:
         patience = exchange.route.latency_objective * WAIT_SHARE
@@ -149,7 +150,7 @@
         cost = generation.most_tokens if generation is not None else 0
         entry.open_requests += 1
         entry.open_tokens += cost
-        sends_before = exchange.sends
+        run_before = exchange.run
         try:
             response = await self._exchange_heads(exchange, entry)
         except ExchangeFailed as error:
@@ -168,8 +169,7 @@
         reason = f"{verdict.value}, status {response.status}"
         if verdict in (Verdict.NOT_RUN, Verdict.MOVED):
             await self._discard(response)
-            if sends_before == 0:
-                exchange.run = Run.NOT_RUN
+            exchange.run = run_before
             self._failed(exchange, entry, cost, Fate.DECLINED, reason)
             return None
         response.close()
@@ -213,9 +213,7 @@
     def _failed(
         self, exchange: Exchange, entry: Entry, cost: int, fate: Fate, reason: str
     ) -> None:
-        entry.open_requests -= 1
-        entry.open_tokens -= cost
-        entry.health.note(fate, self._clock())
+        self._note_fate(entry, cost, fate)
         log_event(
             "a send gave no answer",
             request_id=exchange.call.request_id,
@@ -226,6 +224,12 @@
             bad_in_row=entry.health.bad_in_row,
         )
 
+    def _note_fate(self, entry: Entry, cost: int, fate: Fate) -> None:
+        entry.open_requests -= 1
+        entry.open_tokens -= cost
+        entry.health.note(fate, self._clock())
+        self._metrics.sends.labels(fate.value).inc()
+
     def _give_up(self, exchange: Exchange) -> Refusal:
         now = self._clock()
         if exchange.run is Run.NOT_RUN:
--- a/lynxchute/spending/keeper.py
+++ b/lynxchute/spending/keeper.py
@@ -24,6 +24,9 @@
 SLOW_WRITE_SECONDS = 0.12
 # Seconds between two looks at what is free of the budgets.
 LOOK_SECONDS = 0.25
+# Seconds until a router that holds less than it should looks whether others
+# have given something back.
+TEND_SECONDS = 2.0
 
 
 class Keeper(Background):
@@ -59,6 +62,7 @@
         self._waiters: set[asyncio.Future[None]] = set()
         self._failures = 0
         self._looked_at = 0.0
+        self._is_look_due = False
         self._writing_since: float | None = None
 
     @property
@@ -161,16 +165,30 @@
             await asyncio.sleep(RETRY_SECONDS)
         await self._settled.wait()
         while True:
-            await self._wait()
+            if not await self._wait():
+                continue
             if self.ledger.prepaid_by_account:
                 self.settle_homes()
                 await self._write()
             if self._failures:
                 await asyncio.sleep(RETRY_SECONDS)
 
-    async def _wait(self) -> None:
-        """Wait for use to be written down, or for something that cannot wait."""
-        await self._stirred.wait()
+    async def _wait(self) -> bool:
+        """Wait for use to be written down, or for something that cannot wait.
+
+        Returns
+        -------
+        bool
+            Whether there is something to write.
+        """
+        try:
+            async with asyncio.timeout(TEND_SECONDS):
+                await self._stirred.wait()
+        except TimeoutError:
+            if not self.ledger.is_wanting(time.monotonic()):
+                return False
+            self._is_look_due = True
+            return True
         try:
             async with asyncio.timeout(REFRESH_SECONDS):
                 await self._wanted.wait()
@@ -179,6 +197,7 @@
             pass
         self._stirred.clear()
         self._wanted.clear()
+        return True
 
     async def _open(self) -> bool:
         """Take over what an earlier run on this VM has left."""
@@ -259,8 +278,9 @@
         """
         now = time.monotonic()
         is_due = self._is_short() and now - self._looked_at >= LOOK_SECONDS
-        if not is_due and not self._failures:
+        if not (is_due or self._is_look_due or self._failures):
             return True
+        self._is_look_due = False
         self._looked_at = now
         try:
             totals = await self._store.scan(TOTALS_TABLE)
--- a/lynxchute/spending/reservations.py
+++ b/lynxchute/spending/reservations.py
@@ -171,14 +171,17 @@
         return ReserveReply(ReserveOutcome.UNREACHABLE, detail)
 
     def _lenders(self, account: str) -> list[str]:
-        """Return the routers that hold a part of a budget, near ones first."""
+        """Return the routers that may hold a part of a budget.
+
+        Those that the store is known to have granted one come first, near ones
+        before far ones; then the other data centres' homes, which may have
+        been granted theirs since.
+        """
         known = self._ledger.totals_by_account.get(account)
-        if known is None:
-            return []
         own = self._members.own
         near: list[str] = []
         far: list[str] = []
-        for vm in known.totals.granted_by_vm:
+        for vm in known.totals.granted_by_vm if known is not None else ():
             member = self._members.by_vm.get(vm)
             if vm == own.vm or member is None:
                 continue
@@ -186,7 +189,8 @@
                 continue
             near_by = member.data_centre == own.data_centre
             (near if near_by else far).append(vm)
-        return near + far
+        homes = self._members.homes_elsewhere(account)
+        return [*dict.fromkeys([*near, *far, *homes])]
 
     async def _ask(self, vm: str, request: ReserveRequest) -> ReserveReply:
         try:
--- /dev/null
+++ b/lynxchute/standins/platform_store.py
@@ -0,0 +1,283 @@
+"""The platform's metadata store, at its published protocol, with its faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import enum
+import random
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
+
+import attrs
+
+from lynxchute.http import HttpServer, Request, Responder, not_found
+from lynxchute.platform.names import (
+    OPERATOR_TABLE,
+    ROWS_FEED,
+    ROWS_READ,
+    ROWS_WRITE,
+    UPSTREAM_TABLE,
+)
+
+MAX_ROWS = 500
+MAX_ENTRIES = 100
+MAX_WAIT_MS = 30_000
+# Tables that only the operator and the upstreams write.
+FOREIGN_TABLES = frozenset({OPERATOR_TABLE, UPSTREAM_TABLE})
+
+RowKey = tuple[str, str, str]
+
+
+class Outage(enum.Enum):
+    """How the store fails one of its callers, or all of them."""
+
+    NONE = "none"
+    BUSY = "busy"
+    MANY = "many"
+    RESET = "reset"
+    SILENT = "silent"
+
+
+@attrs.define
+class StoreFaults:
+    """What goes wrong at one address of the store.
+
+    Attributes
+    ----------
+    lost_share
+        Share of the writes that are done and not answered.
+    late_share, late_seconds
+        Share of the writes that give no answer and are done so much later, if
+        what they expect still holds.
+    delay
+        Seconds before each answer.
+    """
+
+    outage: Outage = Outage.NONE
+    lost_share: float = 0.0
+    late_share: float = 0.0
+    late_seconds: float = 0.5
+    delay: float = 0.0
+
+
+@attrs.frozen
+class StoredRow:
+    """A row as the stand-in keeps it; a value of None marks a dropped one."""
+
+    key: RowKey
+    value: str | None
+    version: int
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the row as it goes over the wire."""
+        table, part, key = self.key
+        row: dict[str, Any] = {"table": table, "part": part, "key": key}
+        row["ver"] = self.version
+        if self.value is None:
+            row["deleted"] = True
+        else:
+            row["value"] = self.value
+        return row
+
+
+class PlatformStoreStandin:
+    """Keep rows in memory and serve them at one address for each caller.
+
+    Parameters
+    ----------
+    seed
+        Of the faults.
+
+    Attributes
+    ----------
+    rows
+        What stands now.
+    faults_by_port
+        What goes wrong for whom.
+    calls
+        Calls taken so far.
+    """
+
+    def __init__(self, *, seed: int = 1) -> None:
+        self.rows: dict[RowKey, StoredRow] = {}
+        self.version = 0
+        self.calls = 0
+        self.faults_by_port: dict[int, StoreFaults] = {}
+        self._history: list[StoredRow] = []
+        self._forgotten = 0
+        self._random = random.Random(seed)
+        self._changed = asyncio.Condition()
+        self._servers: list[HttpServer] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def open_port(self) -> int:
+        """Listen at one more address, with faults of its own; return its port."""
+        faults = StoreFaults()
+
+        async def handle(request: Request, respond: Responder) -> None:
+            await self._handle(faults, request, respond)
+
+        server = HttpServer(handle)
+        await server.start("127.0.0.1", 0)
+        self._servers.append(server)
+        self.faults_by_port[server.port] = faults
+        return server.port
+
+    async def close(self) -> None:
+        """Stop listening."""
+        for task in list(self._tasks):
+            task.cancel()
+        for server in self._servers:
+            await server.kill()
+
+    async def put(self, table: str, key: str, value: bytes) -> int:
+        """Write a row as the operator or an upstream; return its version."""
+        text = base64.b64encode(value).decode("ascii")
+        return await self._apply({(table, "", key): text})
+
+    async def drop(self, table: str, key: str) -> int:
+        """Drop a row as the operator or an upstream."""
+        return await self._apply({(table, "", key): None})
+
+    def value(self, table: str, key: str) -> bytes | None:
+        """Return a row's value."""
+        row = self.rows.get((table, "", key))
+        return None if row is None else base64.b64decode(row.value or "")
+
+    def forget_history(self) -> None:
+        """Forget which changes were made so far."""
+        self._forgotten = self.version
+        self._history = []
+
+    async def _handle(
+        self, faults: StoreFaults, request: Request, respond: Responder
+    ) -> None:
+        self.calls += 1
+        if faults.outage is Outage.SILENT:
+            await asyncio.Event().wait()
+        if faults.outage is Outage.RESET:
+            respond.abort()
+            return
+        if faults.outage is not Outage.NONE:
+            status = 503 if faults.outage is Outage.BUSY else 429
+            await respond.json(status, {"error": faults.outage.value})
+            return
+        if faults.delay:
+            await asyncio.sleep(faults.delay)
+        if request.path == ROWS_WRITE:
+            await self._write(faults, request, respond)
+        elif request.path == ROWS_READ:
+            await self._read(request, respond)
+        elif request.path == ROWS_FEED:
+            await self._feed(request, respond)
+        else:
+            await not_found(request, respond)
+
+    async def _write(
+        self, faults: StoreFaults, request: Request, respond: Responder
+    ) -> None:
+        body = request.json()
+        puts, deletes = body.get("puts") or [], body.get("deletes") or []
+        expected = body.get("expected_revision") or []
+        if len(puts) + len(deletes) + len(expected) > MAX_ENTRIES:
+            await respond.json(400, {"error": "too many entries"})
+            return
+        if any(item["table"] in FOREIGN_TABLES for item in [*puts, *deletes]):
+            await respond.json(403, {"error": "not yours"})
+            return
+        if self._random.random() < faults.late_share:
+            task = asyncio.create_task(self._write_late(body, faults.late_seconds))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            respond.abort()
+            return
+        status, answer = await self._transact(body)
+        if self._random.random() < faults.lost_share:
+            respond.abort()
+            return
+        await respond.json(status, answer)
+
+    async def _write_late(self, body: dict[str, Any], seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        await self._transact(body)
+
+    async def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        current = []
+        holds = True
+        for item in body.get("expected_revision") or []:
+            row = self.rows.get(_key(item))
+            holds = holds and (row.version if row else 0) == item["ver"]
+            if row is not None:
+                current.append(row.to_json())
+        if not holds:
+            return 412, {"rows": current, **self._stamp()}
+        changes: dict[RowKey, str | None] = {}
+        for item in body.get("puts") or []:
+            changes[_key(item)] = item["value"]
+        for item in body.get("deletes") or []:
+            changes[_key(item)] = None
+        version = await self._apply(changes)
+        return 200, {**self._stamp(), "ver": version}
+
+    async def _read(self, request: Request, respond: Responder) -> None:
+        question = dict(parse_qsl(urlsplit(request.target).query))
+        first, end = question.get("from", ""), question.get("to")
+        limit = min(int(question.get("limit", MAX_ROWS)), MAX_ROWS)
+        found = []
+        for key in sorted(self.rows):
+            table, part, name = key
+            if table != question["table"] or part != question.get("part", ""):
+                continue
+            if name < first or (end is not None and name >= end):
+                continue
+            found.append(self.rows[key].to_json())
+        answer = {"rows": found[:limit], "has_more": len(found) > limit}
+        await respond.json(200, {**answer, **self._stamp()})
+
+    async def _feed(self, request: Request, respond: Responder) -> None:
+        question = dict(parse_qsl(urlsplit(request.target).query))
+        after = int(question["after_revision"])
+        wait = min(int(question.get("wait_ms", 0)), MAX_WAIT_MS) / 1000.0
+        try:
+            async with asyncio.timeout(wait), self._changed:
+                await self._changed.wait_for(
+                    lambda: (
+                        after < self._forgotten
+                        or bool(self._since(question["table"], after))
+                    )
+                )
+        except TimeoutError:
+            # Nothing has changed; the answer says so.
+            pass
+        if after < self._forgotten:
+            await respond.json(410, {"error": "the history is gone"})
+            return
+        rows = [row.to_json() for row in self._since(question["table"], after)]
+        await respond.json(200, {"rows": rows, **self._stamp()})
+
+    def _since(self, table: str, after: int) -> list[StoredRow]:
+        return [
+            row for row in self._history if row.version > after and row.key[0] == table
+        ]
+
+    async def _apply(self, changes: dict[RowKey, str | None]) -> int:
+        self.version += 1
+        for key, value in changes.items():
+            row = StoredRow(key, value, self.version)
+            self._history.append(row)
+            if value is None:
+                self.rows.pop(key, None)
+            else:
+                self.rows[key] = row
+        async with self._changed:
+            self._changed.notify_all()
+        return self.version
+
+    def _stamp(self) -> dict[str, Any]:
+        now_ms = int(asyncio.get_running_loop().time() * 1000)
+        return {"ver": self.version, "now_ms": now_ms}
+
+
+def _key(item: dict[str, Any]) -> RowKey:
+    return (item["table"], item.get("part", ""), item["key"])
--- a/lynxchute/store/store.py
+++ b/lynxchute/store/store.py
@@ -76,5 +76,8 @@
             Where the store has forgotten changes since that version.
         """
 
+    def move(self, address: str) -> None:
+        """Go on with the same store at another address."""
+
     def close(self) -> None:
         """Let go of what the store holds open."""
--- /dev/null
+++ b/lynxchute/telemetry/metrics.py
@@ -0,0 +1,72 @@
+"""Counters and histograms of a router, for Prometheus."""
+
+from __future__ import annotations
+
+import prometheus_client
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+PREFIX = "lynxchute_"
+
+# From a plain answer within a data centre to the longest deadline, in seconds.
+SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+
+
+class Metrics:
+    """The instruments of one router.
+
+    Attributes
+    ----------
+    registry
+        What is exposed.
+    requests
+        Requests by how they ended.
+    refusals
+        Final answers of the router's own, by reason.
+    sends
+        Sends to upstreams by how they ended.
+    request_seconds, first_byte_seconds
+        From a request's first byte to the end of its answer, and to the first
+        byte of it.
+    reserve_seconds
+        How long tokens took to be set aside.
+    store_calls
+        Calls to the store by how they ended.
+    log_lines_dropped
+        Log lines that nobody read in time.
+    """
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = self._counter("requests", "Requests ended.", "outcome")
+        self.refusals = self._counter("refusals", "Own final answers.", "reason")
+        self.sends = self._counter("sends", "Sends to upstreams.", "fate")
+        self.request_seconds = self._histogram("request", "Whole requests.")
+        self.first_byte_seconds = self._histogram("first_byte", "First bytes.")
+        self.reserve_seconds = self._histogram("reserve", "Reservations of tokens.")
+        self.store_calls = self._counter("store_calls", "Calls to the store.", "end")
+        self.open_requests = self._gauge("open_requests", "Requests being served.")
+        self.configuration_version = self._gauge(
+            "configuration_version", "The version in force."
+        )
+        self.upstreams = self._gauge("upstreams", "Upstreams that take work.")
+        self.store_answers = self._gauge("store_answers", "1 while the store answers.")
+        self.routers = self._gauge("routers", "Registered routers.")
+        self.log_lines_dropped = self._gauge("log_lines_dropped", "Lines dropped.")
+
+    def exposition(self) -> bytes:
+        """Return everything in Prometheus' text format."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def _counter(self, name: str, text: str, label: str) -> Counter:
+        return Counter(PREFIX + name, text, [label], registry=self.registry)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(PREFIX + name, text, registry=self.registry)
+
+    def _histogram(self, name: str, text: str) -> Histogram:
+        return Histogram(
+            f"{PREFIX}{name}_seconds",
+            f"{text} In seconds.",
+            registry=self.registry,
+            buckets=SECONDS,
+        )
--- a/lynxchute/upstreams/directory.py
+++ b/lynxchute/upstreams/directory.py
@@ -82,6 +82,10 @@
             dropped.append(self.entries_by_id.pop(upstream_id).upstream)
         return dropped
 
+    def count(self) -> int:
+        """Return how many upstreams take work."""
+        return sum(1 for entry in self.entries_by_id.values() if entry.takes_work)
+
     def of_services(self, services: Iterable[str]) -> Iterator[Entry]:
         """Yield the upstreams of some services that take work."""
         wanted = set(services)
--- a/lynxchute/upstreams/retry_budget.py
+++ b/lynxchute/upstreams/retry_budget.py
@@ -54,6 +54,12 @@
         self._window = window
         self._windows_by_service: dict[str, _Window] = {}
 
+    def change(self, *, share: float, extra: float, window: float) -> None:
+        """Take other figures from now on."""
+        self._share = share
+        self._extra = extra
+        self._window = window
+
     def note_request(self, service: str, now: float) -> None:
         """Count a request for a service."""
         window = self._windows_by_service.setdefault(service, _Window())
--- /dev/null
+++ b/tests/ledger_fleet.py
@@ -0,0 +1,154 @@
+"""Ledgers of several routers on one small store, and the truth beside them."""
+
+import attrs
+
+from lynxchute.budgets import DemandPolicy, Ledger
+from lynxchute.budgets.rows import holder_id, totals_id
+from lynxchute.store import Committed, Conflict, Row
+
+ACCOUNTS = ("a", "b")
+
+
+class Overspent(AssertionError):
+    pass
+
+
+class SmallStore:
+    """Versioned rows with conditions; writes may be lost or come late."""
+
+    def __init__(self):
+        self.rows_by_id = {}
+        self.version = 0
+        self.late = []
+
+    def get(self, row_id):
+        return self.rows_by_id.get(row_id)
+
+    def write(self, write):
+        rows = {item.id: self.get(item.id) for item in write.expected}
+        for item in write.expected:
+            row = rows[item.id]
+            if (row.version if row else 0) != item.version:
+                return Conflict(rows)
+        self.version += 1
+        for put in write.puts:
+            self.rows_by_id[put.id] = Row(put.id, put.value, self.version)
+        return Committed(self.version)
+
+    def write_late(self):
+        for write in self.late:
+            self.write(write)
+        self.late = []
+
+
+@attrs.define(eq=False)
+class Router:
+    vm: str
+    ledger: Ledger
+    lag_ms: int = 0
+    runs: int = 1
+
+
+class LedgerFleet:
+    """What the fuzzing drives; `check` compares with the truth."""
+
+    def __init__(self, vms=("x", "y", "z"), prepaid=None):
+        self.store = SmallStore()
+        self.now_ms = 1_000
+        self.prepaid = dict(prepaid or {"a": 1_000, "b": 300})
+        self.used = dict.fromkeys(self.prepaid, 0)
+        self.open = {}
+        self.requests = 0
+        self.loans = 0
+        self.routers = [self._start(vm, 0) for vm in vms]
+
+    def _start(self, vm, runs):
+        ledger = Ledger(vm, f"{vm}{runs}", DemandPolicy(), parts=2)
+        ledger.prepaid_by_account.update(self.prepaid)
+        ledger.learn_totals(
+            row
+            for row in map(self.store.get, map(totals_id, self.prepaid))
+            if row is not None
+        )
+        ledger.take_over(self.store.get(holder_id(vm)), self.now_ms)
+        for account in self.prepaid:
+            ledger.share(account).is_home = True
+        return Router(vm, ledger, runs=runs + 1)
+
+    def time(self, router):
+        return max(self.now_ms - router.lag_ms, 0)
+
+    def seconds(self):
+        return self.now_ms / 1000
+
+    def write(self, router, fate):
+        ledger = router.ledger
+        if ledger.fenced or ledger.pending is not None:
+            return
+        plan = ledger.plan(now_ms=self.time(router), now=self.seconds())
+        if fate == "lost":
+            ledger.lost()
+            return
+        if fate == "late":
+            self.store.late.append(plan.write)
+            ledger.unsure()
+            return
+        outcome = self.store.write(plan.write)
+        if fate == "unanswered":
+            ledger.unsure()
+            return
+        ledger.learn(outcome, now_ms=self.now_ms)
+
+    def reserve(self, router, account, tokens):
+        self.requests += 1
+        request_id = f"r{self.requests}"
+        problem = router.ledger.reserve(
+            request_id, account, tokens, now_ms=self.time(router)
+        )
+        if problem is None:
+            self.open[request_id] = (router, router.runs, account, tokens)
+        return problem
+
+    def settle(self, number, used):
+        """End a request; its holder may have died meanwhile."""
+        if not self.open:
+            return
+        request_id = list(self.open)[number % len(self.open)]
+        router, runs, account, tokens = self.open.pop(request_id)
+        used = min(used, tokens)
+        self.used[account] += used
+        if router.runs == runs:
+            router.ledger.settle(request_id, used)
+
+    def lend(self, lender, borrower, account, needed, wanted, reply):
+        if lender is borrower or not borrower.ledger.is_open:
+            return
+        self.loans += 1
+        loan = f"l{self.loans}"
+        terms = {"needed": needed, "wanted": wanted, "now_ms": self.time(lender)}
+        lent = lender.ledger.lend(loan, account, **terms)
+        if reply == "twice":
+            lent = lender.ledger.lend(loan, account, **terms)
+        if reply != "lost":
+            borrower.ledger.borrow(account, lent)
+
+    def restart(self, number):
+        """End a router's process and start another on its VM."""
+        router = self.routers[number % len(self.routers)]
+        new = self._start(router.vm, router.runs)
+        router.ledger, router.runs = new.ledger, new.runs
+        router.lag_ms = 0
+
+    def raise_prepaid(self, account, tokens, knowing):
+        self.prepaid[account] += tokens
+        for router in self.routers[:knowing]:
+            router.ledger.prepaid_by_account[account] = self.prepaid[account]
+
+    def spent(self, account):
+        running = sum(t for _, _, a, t in self.open.values() if a == account)
+        return self.used[account] + running
+
+    def check(self):
+        for account, paid in self.prepaid.items():
+            if self.spent(account) > paid:
+                raise Overspent(f"overspend: {account} {self.spent(account)} of {paid}")
--- /dev/null
+++ b/tests/ledger_machine.py
@@ -0,0 +1,119 @@
+"""Stateful fuzzing of grants, lines and loans against the truth."""
+
+import hypothesis.strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from tests.ledger_fleet import ACCOUNTS, LedgerFleet
+
+NUMBERS = st.integers(0, 40)
+TOKENS = st.integers(1, 200)
+FATES = st.sampled_from(("answered",) * 4 + ("unanswered", "late", "lost"))
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    steps = 0
+    examples = 0
+
+    def __init__(self):
+        super().__init__()
+        type(self).examples += 1
+        self.fleet = LedgerFleet()
+        for router in self.fleet.routers:
+            self.fleet.write(router, "answered")
+            self.fleet.write(router, "answered")
+
+    def router(self, number):
+        return self.fleet.routers[number % len(self.fleet.routers)]
+
+    @rule(ms=st.sampled_from((5, 50, 400, 2_000, 6_000, 20_000)))
+    def wait(self, ms):
+        self.fleet.now_ms += ms
+
+    @rule(router=NUMBERS, lag_ms=st.integers(0, 300))
+    def lag(self, router, lag_ms):
+        self.router(router).lag_ms = lag_ms
+
+    @rule(router=NUMBERS, fate=FATES)
+    def write(self, router, fate):
+        self.fleet.write(self.router(router), fate)
+
+    @rule()
+    def late_writes_land(self):
+        self.fleet.store.write_late()
+
+    @rule(
+        router=NUMBERS,
+        account=st.sampled_from(ACCOUNTS),
+        tokens=TOKENS,
+        times=st.integers(1, 6),
+    )
+    def reserve(self, router, account, tokens, times):
+        for _ in range(times):
+            self.fleet.reserve(self.router(router), account, tokens)
+
+    @rule(router=NUMBERS, account=st.sampled_from(ACCOUNTS))
+    def reserve_all_there_is(self, router, account):
+        tokens = 256
+        while tokens:
+            if self.fleet.reserve(self.router(router), account, tokens) is not None:
+                tokens //= 2
+
+    @rule(router=NUMBERS, fate=FATES, account=st.sampled_from(ACCOUNTS))
+    def write_and_reserve_all(self, router, fate, account):
+        self.fleet.write(self.router(router), fate)
+        self.reserve_all_there_is(router, account)
+
+    @rule(number=NUMBERS, account=st.sampled_from(ACCOUNTS))
+    def restart_and_reserve_all(self, number, account):
+        self.fleet.restart(number)
+        self.fleet.write(self.router(number), "answered")
+        self.fleet.write(self.router(number), "answered")
+        self.reserve_all_there_is(number, account)
+
+    @rule(used=TOKENS)
+    def settle_all(self, used):
+        while self.fleet.open:
+            self.fleet.settle(0, used)
+
+    @rule(number=NUMBERS, used=TOKENS)
+    def settle(self, number, used):
+        self.fleet.settle(number, used)
+
+    @rule(
+        lender=NUMBERS,
+        borrower=NUMBERS,
+        account=st.sampled_from(ACCOUNTS),
+        needed=TOKENS,
+        more=TOKENS,
+        reply=st.sampled_from(("taken", "taken", "lost", "twice")),
+    )
+    def lend(self, lender, borrower, account, needed, more, reply):
+        self.fleet.lend(
+            self.router(lender),
+            self.router(borrower),
+            account,
+            needed,
+            needed + more,
+            reply,
+        )
+
+    @rule(number=NUMBERS)
+    def restart(self, number):
+        self.fleet.restart(number)
+
+    @rule(router=NUMBERS)
+    def begin_to_stop(self, router):
+        self.router(router).ledger.is_closing = True
+
+    @rule(
+        account=st.sampled_from(ACCOUNTS),
+        tokens=TOKENS,
+        knowing=st.integers(0, 3),
+    )
+    def top_up(self, account, tokens, knowing):
+        self.fleet.raise_prepaid(account, tokens, knowing)
+
+    @invariant()
+    def spends_no_more_than_was_paid(self):
+        type(self).steps += 1
+        self.fleet.check()
--- /dev/null
+++ b/tests/ledger_mutants.py
@@ -0,0 +1,203 @@
+"""Break the decisions on grants, lines and loans one by one."""
+
+from unittest import mock
+
+import attrs
+
+from lynxchute.budgets import Ledger, Line, Share
+from lynxchute.budgets.ledger import KnownTotals
+from lynxchute.budgets.rows import HolderRow, Totals
+from lynxchute.budgets.share import Terms
+
+
+def keep_only_confirmed_terms():
+    def available(self, now_ms):
+        return self.terms.limit(now_ms) + self.borrowed - self.used
+
+    return mock.patch.object(Share, "available", available)
+
+
+def forget_reservations():
+    used = property(lambda self: self.settled)
+    return mock.patch.object(Share, "used", used)
+
+
+def spend_beyond_the_line():
+    return mock.patch.object(Terms, "limit", lambda self, now_ms: self.granted)
+
+
+def take_over_without_growth():
+    take_over = Ledger.take_over
+    return mock.patch.object(
+        Ledger, "take_over", lambda self, row, now_ms: take_over(self, row, 0)
+    )
+
+
+def take_over_nothing_used():
+    take_over = Ledger.take_over
+
+    def take(self, row, now_ms):
+        take_over(self, row, now_ms)
+        for share in self.shares_by_account.values():
+            share.settled = 0
+
+    return mock.patch.object(Ledger, "take_over", take)
+
+
+def forget_unsure_writes():
+    def unsure(self):
+        self.lost()
+
+    return mock.patch.object(Ledger, "unsure", unsure)
+
+
+def drop_all_terms_at_a_conflict():
+    def withdraw(self, plan):
+        for share in self.shares_by_account.values():
+            share.uncertain.clear()
+
+    return mock.patch.object(Ledger, "_withdraw", withdraw)
+
+
+def lend_without_counting():
+    lend = Ledger.lend
+
+    def free_loan(self, loan_id, account, **terms):
+        lent = lend(self, loan_id, account, **terms)
+        if lent:
+            self.shares_by_account[account].settled -= lent
+        return lent
+
+    return mock.patch.object(Ledger, "lend", free_loan)
+
+
+def borrow_twice():
+    borrow = Ledger.borrow
+
+    def twice(self, account, tokens):
+        borrow(self, account, tokens)
+        borrow(self, account, tokens)
+
+    return mock.patch.object(Ledger, "borrow", twice)
+
+
+def expect_no_version_of_the_division():
+    write = Ledger._write
+
+    def unconditional(self, row, totals_by_account):
+        planned = write(self, row, totals_by_account)
+        return attrs.evolve(planned, expected=planned.expected[:1])
+
+    return mock.patch.object(Ledger, "_write", unconditional)
+
+
+def expect_no_version_of_the_own_row():
+    write = Ledger._write
+
+    def unconditional(self, row, totals_by_account):
+        planned = write(self, row, totals_by_account)
+        return attrs.evolve(planned, expected=planned.expected[1:])
+
+    return mock.patch.object(Ledger, "_write", unconditional)
+
+
+def forget_other_holders():
+    def with_grant(self, vm, granted):
+        return Totals({vm: granted})
+
+    return mock.patch.object(Totals, "with_grant", with_grant)
+
+
+def run_ahead_of_the_line():
+    at = Line.at
+
+    def ahead(self, now_ms):
+        return at(self, now_ms + 3_000)
+
+    return mock.patch.object(
+        Terms,
+        "limit",
+        lambda self, now_ms: (
+            min(self.granted, ahead(self.line, now_ms))
+            if self.line.rate
+            else self.granted
+        ),
+    )
+
+
+def settle_twice():
+    settle = Ledger.settle
+
+    def twice(self, request_id, used):
+        share = None
+        reservation = self.open_by_request.get(request_id)
+        if reservation is not None:
+            share = self.share(reservation.account)
+        settle(self, request_id, used)
+        if share is not None:
+            share.reserved -= reservation.tokens
+
+    return mock.patch.object(Ledger, "settle", twice)
+
+
+def believe_old_divisions():
+    def learn(self, rows):
+        for row in rows:
+            if row.id.key not in self.totals_by_account:
+                totals = Totals.decode(row.value)
+                self.totals_by_account[row.id.key] = KnownTotals(totals, row.version)
+
+    return Both(
+        mock.patch.object(Ledger, "learn_totals", learn),
+        expect_no_version_of_the_division(),
+    )
+
+
+def write_lines_below_use():
+    encode = HolderRow.encode
+
+    def low(self):
+        terms = {
+            account: attrs.evolve(
+                item, line=attrs.evolve(item.line, base=item.line.base // 2)
+            )
+            for account, item in self.terms_by_account.items()
+        }
+        return encode(attrs.evolve(self, terms_by_account=terms))
+
+    return mock.patch.object(HolderRow, "encode", low)
+
+
+class Both:
+    """Two patches as one."""
+
+    def __init__(self, *patches):
+        self._patches = patches
+
+    def __enter__(self):
+        for patch in self._patches:
+            patch.__enter__()
+
+    def __exit__(self, *details):
+        for patch in reversed(self._patches):
+            patch.__exit__(*details)
+
+
+MUTANTS = (
+    keep_only_confirmed_terms,
+    forget_reservations,
+    spend_beyond_the_line,
+    take_over_without_growth,
+    take_over_nothing_used,
+    forget_unsure_writes,
+    drop_all_terms_at_a_conflict,
+    lend_without_counting,
+    borrow_twice,
+    expect_no_version_of_the_division,
+    expect_no_version_of_the_own_row,
+    forget_other_holders,
+    run_ahead_of_the_line,
+    settle_twice,
+    believe_old_divisions,
+    write_lines_below_use,
+)
--- /dev/null
+++ b/tests/platform_support.py
@@ -0,0 +1,240 @@
+"""A small deployment of the platform's stand-ins with routers in one process."""
+
+import asyncio
+import contextlib
+import json
+
+from lynxchute.edge.application import EdgeApplication
+from lynxchute.edge.settings import Bounds, EdgeSettings
+from lynxchute.http import ExchangeFailed, HttpClient, Timeouts
+from lynxchute.platform.daemon import make_platform
+from lynxchute.platform.names import CONFIGURATION_KEY, OPERATOR_TABLE
+from lynxchute.settings import Address
+from lynxchute.standins.platform_store import PlatformStoreStandin
+from lynxchute.standins.platform_upstream import PlatformUpstreamStandin
+from tests.support import AsyncTestCase, until
+
+HOST = "app.example"
+KEY = "key-of-kanda"
+ACCOUNT = "kanda"
+DATA_CENTRES = ("a", "b")
+
+
+def route(name, prefix, service, kind, **more):
+    values = {
+        "name": name,
+        "host": HOST,
+        "prefix": prefix,
+        "service": service,
+        "kind": kind,
+        "timeout_ms": 3000,
+        "target_latency_ms": 400,
+        "priority": 1,
+        "max_attempts": 1 if kind == "unsafe" else 2,
+        "public": False,
+        "sticky_sessions": False,
+        "stream_resume": False,
+    }
+    return {**values, **more}
+
+
+def configuration(version=1, prepaid=1_000_000, **more):
+    generation = {"sticky_sessions": True, "gap_aim_ms": 400}
+    values = {
+        "version": version,
+        "routes": [
+            route("safe", "/safe/", "app", "safe"),
+            route("unsafe", "/unsafe/", "app", "unsafe"),
+            route("public", "/public/", "app", "safe", public=True),
+            route(
+                "stream",
+                "/stream/",
+                "pool",
+                "streaming",
+                stream_resume=True,
+                **generation,
+            ),
+            route(
+                "once",
+                "/once/",
+                "pool",
+                "streaming",
+                max_attempts=1,
+                **generation,
+            ),
+        ],
+        "services": [
+            {"name": "app", "health_path": "/health", "max_connections": 100},
+            {
+                "name": "pool",
+                "health_path": "/health",
+                "max_connections": 100,
+                "engine": {
+                    "slots": 64,
+                    "kv_tokens": 400_000,
+                    "kv_bytes": 1000,
+                    "stride": 3,
+                    "models": [{"name": "m"}],
+                },
+            },
+        ],
+        "limits": {
+            "max_header_bytes": 8192,
+            "max_body_bytes": 200_000,
+            "header_timeout_ms": 500,
+            "idle_timeout_ms": 3000,
+        },
+        "tenants": [
+            {"name": ACCOUNT, "api_keys": [KEY], "priority": 1, "prepaid": prepaid}
+        ],
+    }
+    return {**values, **more}
+
+
+class PlatformDeployment:
+    """Stand-ins of store and upstreams, and routers in this process."""
+
+    def __init__(self, routers=("a-1", "b-1"), engines=2, apps=2, events=6):
+        self.store = PlatformStoreStandin()
+        self.routers = {}
+        self.store_ports = {}
+        self.settings = {}
+        self._vms = routers
+        self.engines = [
+            PlatformUpstreamStandin("pool", DATA_CENTRES[n % 2], events=events)
+            for n in range(engines)
+        ]
+        self.apps = [
+            PlatformUpstreamStandin("app", DATA_CENTRES[n % 2]) for n in range(apps)
+        ]
+
+    @property
+    def upstreams(self):
+        return [*self.engines, *self.apps]
+
+    async def start(self):
+        for upstream in self.upstreams:
+            await upstream.start()
+            await upstream.register(self.store)
+        await self.configure()
+        for vm in self._vms:
+            await self.start_router(vm)
+        await until(lambda: all(self.is_settled(vm) for vm in self._vms))
+
+    async def configure(self, **more):
+        value = json.dumps(configuration(**more)).encode()
+        await self.store.put(OPERATOR_TABLE, CONFIGURATION_KEY, value)
+
+    async def start_router(self, vm):
+        if vm not in self.store_ports:
+            self.store_ports[vm] = await self.store.open_port()
+        settings = EdgeSettings(
+            vm=vm,
+            data_centre=vm[0],
+            data_centres=DATA_CENTRES,
+            callers=Address("127.0.0.1", free_port()),
+            readiness=Address("127.0.0.1", free_port()),
+            peers=Address("127.0.0.1", free_port()),
+            store=f"127.0.0.1:{self.store_ports[vm]}",
+            memory_mb=200,
+            bounds=Bounds(stop=4.0),
+        )
+        router = EdgeApplication(settings, make_platform(settings))
+        await router.start()
+        self.routers[vm] = router
+        self.settings[vm] = settings
+        return router
+
+    def faults(self, vm):
+        return self.store.faults_by_port[self.store_ports[vm]]
+
+    def is_settled(self, vm):
+        router = self.routers[vm]
+        ledger = router.keeper.ledger
+        return (
+            router.is_ready()
+            and ledger.is_open
+            and router.directory.count() == len(self.upstreams)
+            and router.members.count == len(self._vms)
+        )
+
+    async def stop(self):
+        for router in self.routers.values():
+            await router.kill()
+        for upstream in self.upstreams:
+            await upstream.stop()
+        await self.store.close()
+
+
+def free_port():
+    import socket
+
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class PlatformTestCase(AsyncTestCase):
+    def with_platform(self, scenario, **more):
+        async def work():
+            deployment = PlatformDeployment(**more)
+            try:
+                await deployment.start()
+                return await scenario(deployment)
+            finally:
+                await deployment.stop()
+
+        return self.run_async(work())
+
+
+class PlatformCaller:
+    """Send requests to one router as the platform's clients do."""
+
+    def __init__(self, deployment, vm="a-1", key=KEY):
+        address = deployment.settings[vm].callers
+        limits = Timeouts(first_byte=10.0, between_bytes=10.0)
+        self.client = HttpClient(str(address), timeouts=limits)
+        self.key = key
+        self.sent = 0
+
+    def headers(self, request_id, deadline_ms=3000, tokens=None, **more):
+        headers = [("Host", HOST), ("X-Request-Id", request_id)]
+        if deadline_ms is not None:
+            headers.append(("X-Deadline-Ms", str(deadline_ms)))
+        if self.key:
+            headers.append(("X-Credential", self.key))
+        if tokens is not None:
+            headers.append(("X-Token-Counts", f"{tokens[0]},{tokens[1]}"))
+            headers.append(("X-Model", "m"))
+            headers.append(("X-Prompt-Prefix", f"aa:{tokens[0]},b{request_id}:1"))
+        headers.extend(more.get("extra", ()))
+        return headers
+
+    async def send(self, method, path, body=b"", request_id=None, **more):
+        self.sent += 1
+        request_id = request_id or f"q{id(self) % 10_000}-{self.sent}"
+        response = await self.client.request(
+            method, path, headers=self.headers(request_id, **more), body=body
+        )
+        return response.status, response.headers, await response.body()
+
+    async def stream(self, path="/stream/x", tokens=(100, 60), **more):
+        return await self.send("POST", path, b"prompt", tokens=tokens, **more)
+
+    async def fails(self, *arguments, **more):
+        with contextlib.suppress(ExchangeFailed):
+            await self.send(*arguments, **more)
+            return False
+        return True
+
+
+def ids_of(body):
+    return [
+        int(line[4:]) for line in body.decode().split("\n") if line.startswith("id: ")
+    ]
+
+
+async def settled(ledger):
+    async with asyncio.timeout(5):
+        while ledger.open_by_request:
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/test_edge.py
@@ -0,0 +1,287 @@
+"""A router as a whole: its process, its stop, its settings, its peers."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+
+import yaml
+
+from lynxchute.fleet.members import Member, Members
+from lynxchute.http import HttpClient
+from lynxchute.standins.platform_store import Outage
+from lynxchute.store import Row, RowId
+from tests.platform_support import (
+    PlatformCaller,
+    PlatformDeployment,
+    PlatformTestCase,
+    free_port,
+    ids_of,
+)
+from tests.support import AsyncTestCase, until
+
+
+class ProcessDeployment(PlatformDeployment):
+    """Routers as processes, started from settings files."""
+
+    def __init__(self, path, **more):
+        super().__init__(routers=(), **more)
+        self.path = path
+        self.processes = {}
+        self.lines = {}
+
+    async def start_process(self, vm):
+        port = await self.store.open_port()
+        self.store_ports[vm] = port
+        ports = {name: free_port() for name in ("front", "ready", "peers", "metrics")}
+        settings = {
+            "node_name": vm,
+            "zone": vm[0],
+            "zones": {"a": "r", "b": "r"},
+            "ip": "127.0.0.1",
+            "listen": {
+                "front": f"127.0.0.1:{ports['front']}",
+                "ready": f"127.0.0.1:{ports['ready']}",
+            },
+            "internal_ports": [ports["peers"], ports["peers"] + 10],
+            "bootstrap": False,
+            "limits": {"memory_mb": 200},
+            "bounds": {"grace_s": 6},
+            "platform": {"address": f"127.0.0.1:{port}"},
+        }
+        file = self.path / f"{vm}.yaml"
+        file.write_text(yaml.safe_dump(settings))
+        environment = {
+            **os.environ,
+            "LYNXCHUTE_SETTINGS": str(file),
+            "LYNXCHUTE_METRICS_PORT": str(ports["metrics"]),
+        }
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "lynxchute.platform",
+            stdout=asyncio.subprocess.PIPE,
+            env=environment,
+        )
+        self.processes[vm] = process
+        self.lines[vm] = lines = []
+        self.reader = asyncio.create_task(read_lines(process.stdout, lines))
+        self.ports = ports
+        self.file = file
+
+    async def ready(self):
+        client = HttpClient(f"127.0.0.1:{self.ports['ready']}")
+        async with asyncio.timeout(20):
+            while True:
+                try:
+                    status, _ = await client.get_json("/lynxchute/readyz")
+                except Exception:
+                    status = 0
+                if status == 200:
+                    return
+                await asyncio.sleep(0.05)
+
+    def caller(self):
+        caller = PlatformCaller.__new__(PlatformCaller)
+        caller.client = HttpClient(f"127.0.0.1:{self.ports['front']}")
+        caller.key, caller.sent = "key-of-kanda", 0
+        return caller
+
+    def events(self, vm, name):
+        return [line for line in self.lines[vm] if line["event"] == name]
+
+    async def stop(self):
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        await super().stop()
+
+
+async def read_lines(stream, lines):
+    while line := await stream.readline():
+        lines.append(json.loads(line))
+
+
+class ProcessTest(AsyncTestCase):
+    def with_process(self, scenario, **more):
+        import pathlib
+        import tempfile
+
+        async def work():
+            with tempfile.TemporaryDirectory() as folder:
+                deployment = ProcessDeployment(pathlib.Path(folder), **more)
+                try:
+                    for upstream in deployment.upstreams:
+                        await upstream.start()
+                        await upstream.register(deployment.store)
+                    await deployment.configure()
+                    await deployment.start_process("a-1")
+                    await deployment.ready()
+                    await scenario(deployment)
+                finally:
+                    await deployment.stop()
+
+        self.run_async(work())
+
+    def test_it_serves_logs_and_counts_from_its_settings_file(self):
+        async def scenario(deployment):
+            caller = deployment.caller()
+            await until(lambda: deployment.events("a-1", "grants changed"))
+            status, _, body = await caller.stream()
+            self.assertEqual((200, [1, 2, 3, 4, 5, 6]), (status, ids_of(body)))
+            self.assertEqual(200, (await caller.send("POST", "/unsafe/x"))[0])
+            self.assertEqual(404, (await caller.send("GET", "/none/x"))[0])
+            await until(lambda: len(deployment.events("a-1", "request ended")) == 2)
+            (refused,) = deployment.events("a-1", "request refused")
+            self.assertEqual("no-route", refused["reason"])
+            ended = deployment.events("a-1", "request ended")[0]
+            self.assertEqual(
+                ("served", 6, 1),
+                tuple(ended[k] for k in ("outcome", "events", "sends")),
+            )
+            metrics = HttpClient(f"127.0.0.1:{deployment.ports['metrics']}")
+            response = await metrics.request("GET", "/metrics")
+            text = (await response.body()).decode()
+            self.assertIn('lynxchute_requests_total{outcome="served"} 2.0', text)
+            self.assertIn("lynxchute_request_seconds_bucket", text)
+
+        self.with_process(scenario)
+
+    def test_a_stop_cuts_nothing_and_gives_the_budget_back(self):
+        async def scenario(deployment):
+            for engine in deployment.engines:
+                engine.events, engine.event_delay = 40, 0.05
+            caller = deployment.caller()
+            await until(lambda: deployment.events("a-1", "grants changed"))
+            stream = asyncio.create_task(caller.stream(tokens=(100, 120)))
+            await until(lambda: any(e.runs for e in deployment.engines))
+            process = deployment.processes["a-1"]
+            process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.2)
+            late = await caller.send("POST", "/unsafe/x")
+            self.assertEqual(200, late[0])
+            self.assertEqual("close", late[1]["connection"])
+            status, _, body = await stream
+            self.assertEqual((200, 40), (status, len(ids_of(body))))
+            self.assertEqual(0, await process.wait())
+            self.assertTrue(deployment.events("a-1", "budgets given back"))
+            granted = json.loads(deployment.store.value("budget-totals", "kanda"))
+            self.assertEqual({"a-1": 220}, granted)
+
+        self.with_process(scenario)
+
+    def test_settings_are_read_again_at_sighup_and_without_it(self):
+        async def scenario(deployment):
+            process = deployment.processes["a-1"]
+            text = deployment.file.read_text()
+            deployment.file.write_text(text.replace("grace_s: 6", "grace_s: 5"))
+            process.send_signal(signal.SIGHUP)
+            await until(lambda: deployment.events("a-1", "settings read again"))
+            deployment.file.write_text(text.replace("grace_s: 6", "grace_s: 44"))
+            await until(
+                lambda: len(deployment.events("a-1", "settings read again")) == 2
+            )
+            deployment.file.write_text("nonsense")
+            process.send_signal(signal.SIGHUP)
+            await until(lambda: deployment.events("a-1", "settings not taken"))
+            status, _, _ = await deployment.caller().send("GET", "/safe/x")
+            self.assertEqual(200, status)
+
+        self.with_process(scenario)
+
+
+class ReadinessTest(PlatformTestCase):
+    def test_a_router_without_a_configuration_is_not_ready_and_says_so(self):
+        async def scenario(deployment):
+            vm = "a-2"
+            deployment.store_ports[vm] = await deployment.store.open_port()
+            deployment.faults(vm).outage = Outage.SILENT
+            router = await deployment.start_router(vm)
+            self.assertFalse(router.is_ready())
+            caller = PlatformCaller(deployment, vm)
+            status, headers, _ = await caller.send("GET", "/safe/x")
+            self.assertEqual(503, status)
+            self.assertIn("retry-after", headers)
+            deployment.faults(vm).outage = Outage.NONE
+            await until(router.is_ready)
+
+        self.with_platform(scenario)
+
+    def test_other_paths_of_the_readiness_port_lead_nowhere(self):
+        async def scenario(deployment):
+            address = deployment.settings["a-1"].readiness
+            client = HttpClient(str(address))
+            self.assertEqual(200, (await client.get_json("/lynxchute/readyz"))[0])
+            self.assertEqual(404, (await client.get_json("/"))[0])
+
+        self.with_platform(scenario)
+
+
+class DirectoryTest(PlatformTestCase):
+    def test_a_leaving_upstream_gets_nothing_new(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            leaving = deployment.apps[0]
+            leaving.state = "draining"
+            await leaving.register(deployment.store)
+            router = deployment.routers["a-1"]
+            entry = router.directory.entries_by_id[leaving.id]
+            await until(lambda: not entry.takes_work, timeout=1.0)
+            for _ in range(5):
+                self.assertEqual(200, (await caller.send("GET", "/safe/x"))[0])
+            self.assertEqual([], leaving.arrivals)
+
+        self.with_platform(scenario)
+
+    def test_a_stale_entry_does_not_bring_an_upstream_back(self):
+        async def scenario(deployment):
+            router = deployment.routers["a-1"]
+            gone = deployment.apps[0]
+            row = router.upstreams.feed.rows_by_key[gone.id]
+            await deployment.store.drop("servers", gone.id)
+            entry = router.directory.entries_by_id[gone.id]
+            await until(lambda: not entry.takes_work)
+            router.upstreams.feed.take((Row(row.id, row.value, row.version),))
+            self.assertFalse(entry.takes_work)
+
+        self.with_platform(scenario)
+
+
+class MembersTest(AsyncTestCase):
+    def member(self, vm, **more):
+        return Member(vm, vm[0], f"{vm}-run", "127.0.0.1:1", **more)
+
+    def test_homes_leave_out_who_leaves_or_is_silent(self):
+        members = Members(self.member("a-1"))
+        for vm in ("a-2", "a-3", "b-1"):
+            members.put(self.member(vm))
+        order = members.homes("kanda")
+        self.assertEqual({"a-1", "a-2", "a-3"}, set(order))
+        silent = next(vm for vm in order if vm != "a-1")
+        members.note_silence(silent, 10.0)
+        self.assertNotIn(silent, members.homes("kanda"))
+        self.assertEqual([], members.to_try_again(10.1))
+        self.assertEqual([silent], members.to_try_again(11.0))
+        members.note_answer(silent)
+        self.assertEqual(order, members.homes("kanda"))
+        members.put(self.member(silent, is_leaving=True))
+        self.assertNotIn(silent, members.homes("kanda"))
+        members.leave()
+        self.assertNotIn("a-1", members.homes("kanda"))
+
+    def test_a_new_run_of_a_silent_router_is_asked_at_once(self):
+        members = Members(self.member("a-1"))
+        members.put(self.member("a-2"))
+        members.note_silence("a-2", 10.0)
+        again = Member("a-2", "a", "another-run", "127.0.0.1:1")
+        members.put(again)
+        self.assertTrue(members.is_reachable("a-2"))
+
+    def test_rows_that_are_no_routers_are_told_apart(self):
+        self.assertTrue(Member.decode(b"[]").is_error())
+        self.assertTrue(Member.decode(b'{"vm": "x"}').is_error())
+        own = self.member("a-1")
+        self.assertEqual(own, Member.decode(own.encode()).ok)
+        self.assertEqual("x", Row(RowId("t", "x"), b"", 1).id.key)
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,404 @@
+"""The HTTP server and client against peers that misbehave."""
+
+import asyncio
+
+import hypothesis.strategies as st
+from hypothesis import given, settings
+
+from lynxchute.http import (
+    BadRequest,
+    ExchangeFailed,
+    HttpClient,
+    HttpServer,
+    ServerLimits,
+    Timeouts,
+)
+from tests.support import AsyncTestCase, until
+
+LIMITS = ServerLimits(
+    max_head_bytes=2000,
+    max_body_bytes=5000,
+    max_buffered_bytes=8000,
+    head_timeout=0.15,
+    body_timeout=0.15,
+    idle_timeout=0.4,
+)
+
+
+class Server:
+    """An echo server and what it was asked."""
+
+    def __init__(self, handler=None, check_head=lambda head: None, limits=LIMITS):
+        self.requests = []
+        self.cancelled = 0
+        self.handler = handler
+        self.server = HttpServer(
+            self.handle, limits=lambda: limits, check_head=check_head
+        )
+
+    async def handle(self, request, respond):
+        self.requests.append(request)
+        try:
+            if self.handler is not None:
+                await self.handler(request, respond)
+                return
+            await respond.whole(200, request.body, "text/plain")
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+    async def __aenter__(self):
+        await self.server.start("127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *details):
+        await self.server.kill()
+
+    async def raw(self, *pieces, read=True):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        for piece in pieces:
+            writer.write(piece)
+            await asyncio.sleep(0.01)
+        answer = b""
+        if read:
+            async with asyncio.timeout(2):
+                answer = await reader.read(100_000)
+        return answer, reader, writer
+
+
+async def peer_that(*answers):
+    """Return a server that reads each request's head and sends raw bytes."""
+    waiting = list(answers)
+
+    async def serve(reader, writer):
+        try:
+            while waiting:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(waiting.pop(0))
+                await writer.drain()
+            writer.close()
+        except (OSError, asyncio.IncompleteReadError):
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    return server, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+def answer(body, *headers):
+    lines = [b"HTTP/1.1 200 OK", *headers, b"Content-Length: %d" % len(body)]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+class ServerTest(AsyncTestCase):
+    def test_requests_on_one_connection_are_answered_in_order(self):
+        async def work():
+            async with Server() as server:
+                requests = b"".join(
+                    b"POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n%d"
+                    % (n, n)
+                    for n in range(5)
+                )
+                found, _, writer = await server.raw(requests)
+                bodies = [part[-1:] for part in found.split(b"HTTP/1.1 200")[1:]]
+                writer.close()
+                self.assertEqual([b"0", b"1", b"2", b"3", b"4"], bodies)
+
+        self.run_async(work())
+
+    def test_heads_and_bodies_that_are_too_large(self):
+        async def work():
+            async with Server() as server:
+                head = b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 3000 + b"\r\n\r\n"
+                self.assertIn(b" 431 ", (await server.raw(head))[0])
+                halves = (head[:1500], head[1500:2600])
+                self.assertIn(b" 431 ", (await server.raw(*halves))[0])
+                length = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\n"
+                self.assertIn(b" 413 ", (await server.raw(length))[0])
+                chunked = (
+                    b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                )
+                chunk = b"3e8\r\n" + b"x" * 1000 + b"\r\n"
+                found, _, _ = await server.raw(chunked, *[chunk] * 6)
+                self.assertIn(b" 413 ", found)
+                self.assertEqual([], server.requests)
+
+        self.run_async(work())
+
+    def test_bodies_of_all_connections_together_are_bounded(self):
+        async def work():
+            async with Server() as server:
+                head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4500\r\n\r\n"
+                first = await server.raw(head, b"x" * 4000, read=False)
+                found, _, _ = await server.raw(head)
+                self.assertIn(b" 503 ", found)
+                self.assertIn(b"Retry-After", found)
+                first[2].write(b"x" * 500)
+                whole = await first[1].readuntil(b"\r\n\r\n")
+                self.assertIn(b" 200 ", whole)
+                first[2].close()
+                await until(lambda: server.server.buffered_bytes == 0)
+
+        self.run_async(work())
+
+    def test_slow_senders_are_refused_and_idle_ones_let_go(self):
+        async def work():
+            async with Server() as server:
+                found, _, _ = await server.raw(b"GET / HTTP/1.1\r\nHo")
+                self.assertIn(b" 408 ", found)
+                self.assertIn(b"not_run", found)
+                found, _, _ = await server.raw(b"")
+                self.assertEqual(b"", found)
+                self.assertEqual([], server.requests)
+
+        self.run_async(work())
+
+    def test_shapes_that_hide_a_second_request_are_refused(self):
+        async def work():
+            shapes = (
+                b"Content-Length: 3\r\nContent-Length: 4\r\n",
+                b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+                b"Transfer-Encoding: gzip\r\n",
+                b"Content-Length: +3\r\n",
+                b"Content-Length: 3, 4\r\n",
+                b"X : y\r\n",
+                b"Host: b\r\n",
+            )
+            async with Server() as server:
+                for shape in shapes:
+                    head = b"POST / HTTP/1.1\r\nHost: a\r\n" + shape + b"\r\n"
+                    found, _, _ = await server.raw(head + b"abcGET / HTTP/1.1\r\n\r\n")
+                    refused = (b"HTTP/1.1 400", b"HTTP/1.1 501")
+                    self.assertTrue(found.startswith(refused), (shape, found))
+                    self.assertNotIn(b" 200 ", found)
+                self.assertEqual([], server.requests)
+
+        self.run_async(work())
+
+    def test_a_caller_that_leaves_ends_its_handler_at_once(self):
+        async def work():
+            async def forever(request, respond):
+                await asyncio.Event().wait()
+
+            async with Server(forever) as server:
+                request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+                _, _, writer = await server.raw(request, read=False)
+                await until(lambda: server.requests)
+                writer.close()
+                await until(lambda: server.cancelled, timeout=0.3)
+
+        self.run_async(work())
+
+    def test_what_outlives_its_caller_is_carried_to_its_end(self):
+        async def work():
+            ended = []
+
+            async def stays(request, respond):
+                respond.outlives_caller = True
+                await asyncio.sleep(0.1)
+                ended.append(request.target)
+                await respond.whole(200, b"", "text/plain")
+
+            async with Server(stays) as server:
+                request = b"GET /stays HTTP/1.1\r\nHost: a\r\n\r\n"
+                _, _, writer = await server.raw(request, read=False)
+                await until(lambda: server.requests)
+                writer.close()
+                await until(lambda: ended)
+                self.assertEqual((["/stays"], 0), (ended, server.cancelled))
+
+        self.run_async(work())
+
+    def test_an_answer_that_breaks_off_never_looks_whole(self):
+        async def work():
+            async def breaks(request, respond):
+                await respond.start(200, [("Transfer-Encoding", "chunked")])
+                await respond.send(b"half")
+
+            async with Server(breaks) as server:
+                client = HttpClient(f"127.0.0.1:{server.server.port}")
+                response = await client.request("GET", "/")
+                with self.assertRaises(ExchangeFailed):
+                    await response.body()
+
+        self.run_async(work())
+
+    def test_a_refused_head_is_answered_before_its_body(self):
+        async def work():
+            def refuse(head):
+                raise BadRequest(400, "not this one")
+
+            async with Server(check_head=refuse) as server:
+                head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4000\r\n\r\n"
+                found, _, _ = await server.raw(head + b"x" * 100)
+                self.assertIn(b" 400 ", found)
+                self.assertIn(b"not this one", found)
+
+        self.run_async(work())
+
+    @given(st.lists(st.binary(max_size=60), max_size=5))
+    @settings(max_examples=60)
+    def test_no_bytes_bring_the_server_down(self, pieces):
+        async def work():
+            async with Server() as server:
+                _, _, writer = await server.raw(*pieces, read=False)
+                writer.close()
+                request = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+                found, _, _ = await server.raw(request)
+                self.assertIn(b" 200 ", found)
+
+        self.run_async(work())
+
+
+class ClientTest(AsyncTestCase):
+    def exchange(self, *answers, **more):
+        """Return what each of two requests got, an error as its text."""
+
+        async def work():
+            server, address = await peer_that(*answers)
+            client = HttpClient(address, timeouts=Timeouts(1.0, 0.3, 0.3))
+            found = []
+            for turn in range(2):
+                try:
+                    response = await client.request("GET", f"/{turn}", **more)
+                    found.append(await response.body())
+                except ExchangeFailed as error:
+                    found.append(error.sent)
+            server.close()
+            return found, client.opened
+
+        return self.run_async(work())
+
+    def test_a_connection_is_kept_only_after_a_clean_end(self):
+        found, opened = self.exchange(answer(b"one"), answer(b"two"))
+        self.assertEqual(([b"one", b"two"], 1), (found, opened))
+        close = answer(b"one", b"Connection: close")
+        found, opened = self.exchange(close, answer(b"two"))
+        self.assertEqual(([b"one", b"two"], 2), (found, opened))
+        extra = answer(b"one") + answer(b"again")
+        found, opened = self.exchange(extra, answer(b"two"))
+        self.assertEqual(([b"one", b"two"], 2), (found, opened))
+
+    def test_an_answer_to_another_request_is_skipped_on_the_same_connection(self):
+        def is_own(head):
+            return (b"x-id", b"own") in list(head.headers)
+
+        strange = answer(b"strange", b"X-Id: other")
+        own = answer(b"own", b"X-Id: own")
+        found, opened = self.exchange(strange + own, own, is_answer=is_own)
+        self.assertEqual(([b"own", b"own"], 1), (found, opened))
+
+    def test_what_is_not_http_may_have_run(self):
+        for strange in (b"\x00\x00\r\n\r\n", b"HTTP/1.1 twohundred\r\n\r\n", b""):
+            found, _ = self.exchange(strange, answer(b"two"))
+            self.assertEqual([True, b"two"], found[:1] + found[1:], strange)
+
+    def test_a_cut_body_is_no_answer(self):
+        cut = b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\nhalf"
+        found, _ = self.exchange(cut)
+        self.assertEqual(True, found[0])
+
+    def test_a_reset_is_no_end_of_an_answer_without_a_length(self):
+        async def work():
+            async def serve(reader, writer):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                if end == "reset":
+                    import socket
+                    import struct
+
+                    sock = writer.transport.get_extra_info("socket")
+                    linger = struct.pack("ii", 1, 0)
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.close()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            client = HttpClient(f"127.0.0.1:{port}")
+            end = "close"
+            response = await client.request("GET", "/")
+            self.assertEqual(b"half", await response.body())
+            end = "reset"
+            response = await client.request("GET", "/")
+            with self.assertRaises(ExchangeFailed):
+                await response.body()
+            server.close()
+
+        self.run_async(work())
+
+    def test_what_arrived_before_a_break_is_handed_on_first(self):
+        async def work():
+            cut = b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\nhalf"
+            server, address = await peer_that(cut)
+            response = await HttpClient(address).request("GET", "/")
+            self.assertEqual(b"half", await response.read())
+            with self.assertRaises(ExchangeFailed):
+                await response.read()
+            server.close()
+
+        self.run_async(work())
+
+    def test_nothing_sent_is_said_only_where_no_connection_came_about(self):
+        async def work():
+            server, address = await peer_that()
+            server.close()
+            await server.wait_closed()
+            with self.assertRaises(ExchangeFailed) as caught:
+                await HttpClient(address).request("GET", "/")
+            self.assertFalse(caught.exception.sent)
+
+        self.run_async(work())
+
+    def test_a_kept_connection_that_was_idle_too_long_is_not_risked(self):
+        async def work():
+            server, address = await peer_that(*[answer(b"x")] * 4)
+            client = HttpClient(address)
+            for _ in range(2):
+                response = await client.request("GET", "/")
+                await response.body()
+            self.assertEqual(1, client.opened)
+            await asyncio.sleep(0.06)
+            response = await client.request("GET", "/", fresh_within=0.05)
+            await response.body()
+            self.assertEqual(2, client.opened)
+            client.close()
+            server.close()
+
+        self.run_async(work())
+
+    def test_keep_alive_is_heeded(self):
+        async def work():
+            limit = answer(b"x", b"Keep-Alive: timeout=1")
+            server, address = await peer_that(limit, limit)
+            client = HttpClient(address)
+            for _ in range(2):
+                response = await client.request("GET", "/")
+                await response.body()
+                await asyncio.sleep(0.55)
+            self.assertEqual(2, client.opened)
+            client.close()
+            server.close()
+
+        self.run_async(work())
+
+    def test_a_body_that_the_peer_has_not_read_ends_the_connection(self):
+        async def work():
+            async def serve(reader, writer):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(answer(b"early"))
+                await asyncio.sleep(0.3)
+                writer.close()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            client = HttpClient(f"127.0.0.1:{port}")
+            body = b"x" * 20_000_000
+            for _ in range(2):
+                response = await client.request("POST", "/", body=body)
+                self.assertEqual(b"early", await response.body())
+            self.assertEqual(2, client.opened)
+            client.close()
+            server.close()
+
+        self.run_async(work())
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,327 @@
+"""What the platform says, decoded, and its store through its faults."""
+
+import asyncio
+import json
+
+import hypothesis.strategies as st
+import testtools
+from hypothesis import given, settings
+
+from lynxchute.config import RequestKind
+from lynxchute.platform.configuration import decode_configuration
+from lynxchute.platform.settings import METRICS_VARIABLE, decode_settings
+from lynxchute.platform.store import PlatformStore
+from lynxchute.platform.upstreams import decode_upstream
+from lynxchute.standins.platform_store import Outage, PlatformStoreStandin
+from lynxchute.store import (
+    Committed,
+    Conflict,
+    Expected,
+    HistoryLost,
+    OutcomeUnknown,
+    Put,
+    Row,
+    RowId,
+    StoreRefused,
+    StoreUnavailable,
+    TableFeed,
+    Write,
+)
+from lynxchute.store.feed import FeedTimes
+from tests.platform_support import HOST, KEY, configuration, route
+from tests.support import AsyncTestCase, until
+
+SETTINGS = """
+node_name: "front-hall-a-1"
+zone: "hall-a"
+zones: {hall-a: "south", hall-b: "south"}
+listen: {front: "10.1.0.40:8227", ready: "10.1.0.40:8220"}
+ip: "10.1.0.40"
+internal_ports: [7340, 7355]
+bootstrap: true
+limits: {memory_mb: 150}
+bounds: {grace_s: 8, drain_timeout_ms: 2000, retry_budget_ratio: 0.2}
+platform: {address: "10.200.1.7:8223"}
+unheard_of: [1, 2]
+"""
+
+
+class SettingsTest(testtools.TestCase):
+    def test_fields_are_decoded_once(self):
+        found = decode_settings(SETTINGS, {METRICS_VARIABLE: "9464"}).ok
+        self.assertEqual("front-hall-a-1", found.vm)
+        self.assertEqual(("hall-a", "hall-b"), found.data_centres)
+        self.assertEqual("10.1.0.40:7340", str(found.peers))
+        self.assertEqual("10.1.0.40:9464", str(found.metrics))
+        self.assertEqual("10.200.1.7:8223", found.store)
+        self.assertEqual((8.0, 2.0), (found.bounds.stop, found.bounds.drain))
+        # What the file does not bound keeps its usual value.
+        self.assertEqual(10.0, found.bounds.retry_window)
+        self.assertTrue(found.is_first_start)
+
+    def test_all_findings_come_together(self):
+        text = "node_name: a\nlisten: {front: nowhere}\ninternal_ports: none\n"
+        findings = decode_settings(text, {METRICS_VARIABLE: "x"}).error
+        self.assertGreater(len(findings), 5)
+        self.assertTrue(any("listen.front" in finding for finding in findings))
+
+    @given(st.text(max_size=80))
+    @settings(max_examples=150)
+    def test_no_text_breaks_the_decoder(self, text):
+        self.assertTrue(decode_settings(text, {}).is_error())
+
+
+class ConfigurationTest(testtools.TestCase):
+    def decode(self, **more):
+        return decode_configuration(json.dumps(configuration(**more)).encode())
+
+    def test_routes_services_and_accounts(self):
+        found = self.decode(version=4).ok
+        self.assertEqual(4, found.version)
+        stream = found.find_route(HOST, "/stream/a")
+        self.assertEqual(RequestKind.STREAM, stream.kind)
+        self.assertTrue(stream.is_generation and stream.is_resumable)
+        self.assertEqual((3.0, 0.4), (stream.timeout, stream.latency_objective))
+        self.assertFalse(found.find_route(HOST, "/once/a").is_repeatable)
+        self.assertTrue(found.find_route(HOST, "/safe/a").is_repeatable)
+        self.assertFalse(found.find_route(HOST, "/unsafe/a").is_repeatable)
+        self.assertEqual(3, found.services_by_name["pool"].engine.tokens_per_event)
+        self.assertEqual(1_000_000, found.accounts_by_key[KEY].prepaid)
+        self.assertEqual(0.5, found.limits.header_timeout)
+
+    def test_the_longest_prefix_of_the_host_counts(self):
+        routes = [
+            route("short", "/a/", "app", "safe"),
+            route("long", "/a/b/", "app", "safe"),
+            route("other", "/a/b/c/", "app", "safe", host="other.example"),
+        ]
+        found = self.decode(routes=routes).ok
+        self.assertEqual("long", found.find_route(HOST, "/a/b/c/d").name)
+        self.assertEqual("short", found.find_route(HOST.upper(), "/a/bc").name)
+        self.assertIsNone(found.find_route(HOST, "/a"))
+        self.assertIsNone(found.find_route("no.example", "/a/b/"))
+
+    def test_a_split_names_its_services(self):
+        split = [{"service": "app", "weight": 90}, {"service": "pool", "weight": 10}]
+        plain = route("r", "/a/", "", "safe", traffic_split=split)
+        found = self.decode(routes=[plain]).ok
+        targets = [(t.service, t.weight) for t in found.routes[0].targets]
+        self.assertEqual([("app", 90.0), ("pool", 10.0)], targets)
+
+    @given(
+        st.recursive(
+            st.none() | st.integers() | st.text(max_size=5),
+            lambda inner: (
+                st.lists(inner, max_size=3)
+                | st.dictionaries(
+                    st.sampled_from(("version", "routes", "services", "tenants")),
+                    inner,
+                    max_size=4,
+                )
+            ),
+            max_leaves=8,
+        )
+    )
+    @settings(max_examples=150)
+    def test_no_document_breaks_the_decoder(self, document):
+        result = decode_configuration(json.dumps(document).encode())
+        self.assertTrue(result.is_ok() or result.error)
+
+    def test_upstreams_that_are_not_ready_are_leaving(self):
+        entry = {"service": "app", "address": "1.2.3.4:5", "zone": "a", "slots": 6}
+        for state, leaving in (("ready", False), ("draining", True), ("new", True)):
+            value = json.dumps({**entry, "state": state}).encode()
+            row = Row(RowId("servers", "i-1"), value, 3)
+            found = decode_upstream(row).ok
+            self.assertEqual(("i-1", leaving), (found.id, found.is_leaving))
+        broken = Row(RowId("servers", "i-1"), b"{}", 3)
+        self.assertTrue(decode_upstream(broken).is_error())
+
+
+OWN = RowId("own", "k")
+
+
+class StoreTest(AsyncTestCase):
+    def with_store(self, scenario):
+        async def work():
+            standin = PlatformStoreStandin()
+            port = await standin.open_port()
+            store = PlatformStore(f"127.0.0.1:{port}")
+            try:
+                await scenario(standin, store, standin.faults_by_port[port])
+            finally:
+                store.close()
+                await standin.close()
+
+        self.run_async(work())
+
+    def test_writes_hold_their_conditions(self):
+        async def scenario(standin, store, faults):
+            first = Write((Expected(OWN, 0),), (Put(OWN, b"one"),))
+            outcome = await store.write(first)
+            self.assertIsInstance(outcome, Committed)
+            again = await store.write(first)
+            self.assertIsInstance(again, Conflict)
+            self.assertEqual(b"one", again.rows_by_id[OWN].value)
+            other = RowId("own", "missing")
+            both = Write((Expected(OWN, 99), Expected(other, 0)), (Put(other, b""),))
+            found = (await store.write(both)).rows_by_id
+            self.assertEqual(
+                (outcome.version, None), (found[OWN].version, found[other])
+            )
+            deletion = Write((Expected(OWN, outcome.version),), deletes=(OWN,))
+            self.assertIsInstance(await store.write(deletion), Committed)
+            self.assertIsNone(standin.value("own", "k"))
+
+        self.with_store(scenario)
+
+    def test_each_way_to_fail_says_what_may_have_happened(self):
+        async def scenario(standin, store, faults):
+            write = Write(puts=(Put(OWN, b"x"),))
+            for outage in (Outage.BUSY, Outage.MANY):
+                faults.outage = outage
+                with self.assertRaises(StoreUnavailable):
+                    await store.write(write)
+                with self.assertRaises(StoreUnavailable):
+                    await store.scan("own")
+            faults.outage = Outage.RESET
+            with self.assertRaises(OutcomeUnknown):
+                await store.write(write)
+            faults.outage = Outage.NONE
+            self.assertIsNone(standin.value("own", "k"))
+            faults.lost_share = 1.0
+            with self.assertRaises(OutcomeUnknown):
+                await store.write(write)
+            self.assertEqual(b"x", standin.value("own", "k"))
+            faults.lost_share = 0.0
+            foreign = Write(puts=(Put(RowId("servers", "k"), b""),))
+            with self.assertRaises(StoreRefused):
+                await store.write(foreign)
+
+        self.with_store(scenario)
+
+    def test_a_store_that_is_not_there_did_nothing(self):
+        async def work():
+            store = PlatformStore("127.0.0.1:9")
+            with self.assertRaises(StoreUnavailable):
+                await store.write(Write(puts=(Put(OWN, b"x"),)))
+
+        self.run_async(work())
+
+    def test_a_late_write_lands_only_while_its_condition_holds(self):
+        async def scenario(standin, store, faults):
+            faults.late_share, faults.late_seconds = 1.0, 0.1
+            with self.assertRaises(OutcomeUnknown):
+                await store.write(Write((Expected(OWN, 0),), (Put(OWN, b"late"),)))
+            faults.late_share = 0.0
+            await store.write(Write((Expected(OWN, 0),), (Put(OWN, b"own"),)))
+            await asyncio.sleep(0.2)
+            self.assertEqual(b"own", standin.value("own", "k"))
+
+        self.with_store(scenario)
+
+    def test_long_tables_are_read_page_by_page(self):
+        async def scenario(standin, store, faults):
+            for number in range(1203):
+                await standin.put("own", f"{number:05}", b"x")
+            snapshot = await store.scan("own")
+            self.assertEqual(1203, len({row.id.key for row in snapshot.rows}))
+
+        self.with_store(scenario)
+
+    def test_changes_are_told_and_lost_history_is_said(self):
+        async def scenario(standin, store, faults):
+            before = await standin.put("own", "a", b"1")
+            asked = asyncio.create_task(store.changes("own", after=before, wait=2.0))
+            await asyncio.sleep(0.02)
+            await standin.put("other", "a", b"no")
+            await standin.drop("own", "a")
+            changes = await asked
+            self.assertEqual(
+                [("a", True)], [(r.id.key, r.deleted) for r in changes.rows]
+            )
+            nothing = await store.changes("own", after=changes.version, wait=0.0)
+            self.assertEqual((), nothing.rows)
+            standin.forget_history()
+            with self.assertRaises(HistoryLost):
+                await store.changes("own", after=before, wait=0.0)
+
+        self.with_store(scenario)
+
+    def test_the_stores_time_is_never_ahead(self):
+        async def scenario(standin, store, faults):
+            await store.scan("own")
+            loop = asyncio.get_running_loop()
+            for _ in range(20):
+                true_ms = loop.time() * 1000
+                self.assertLessEqual(store.clock.earliest_ms(loop.time()), true_ms + 1)
+                await asyncio.sleep(0.005)
+
+        self.with_store(scenario)
+
+
+class FeedTest(AsyncTestCase):
+    def with_feed(self, scenario):
+        async def work():
+            standin = PlatformStoreStandin()
+            port = await standin.open_port()
+            store = PlatformStore(f"127.0.0.1:{port}")
+            changes = []
+            feed = TableFeed(
+                store,
+                "own",
+                times=FeedTimes(wait=0.2, retry=0.02),
+                on_change=changes.extend,
+            )
+            await standin.put("own", "first", b"1")
+            await feed.start()
+            await feed.synced.wait()
+            try:
+                await scenario(standin, feed, standin.faults_by_port[port])
+            finally:
+                await feed.stop()
+                store.close()
+                await standin.close()
+
+        self.run_async(work())
+
+    def test_it_follows_puts_and_drops(self):
+        async def scenario(standin, feed, faults):
+            await standin.put("own", "second", b"2")
+            await standin.drop("own", "first")
+            await until(lambda: [r.id.key for r in feed.live_rows()] == ["second"])
+
+        self.with_feed(scenario)
+
+    def test_it_lists_again_what_it_missed(self):
+        async def scenario(standin, feed, faults):
+            faults.outage = Outage.BUSY
+            await until(lambda: feed.lost_at is not None)
+            await standin.drop("own", "first")
+            await standin.put("own", "second", b"2")
+            standin.forget_history()
+            faults.outage = Outage.NONE
+            await until(lambda: [r.id.key for r in feed.live_rows()] == ["second"])
+            self.assertIsNone(feed.lost_at)
+
+        self.with_feed(scenario)
+
+    def test_older_rows_change_nothing(self):
+        async def scenario(standin, feed, faults):
+            version = await standin.put("own", "first", b"new")
+            await until(lambda: feed.rows_by_key["first"].version == version)
+            feed.take((Row(RowId("own", "first"), b"old", version - 1),))
+            self.assertEqual(b"new", feed.rows_by_key["first"].value)
+
+        self.with_feed(scenario)
+
+    def test_an_older_list_is_not_taken(self):
+        async def scenario(standin, feed, faults):
+            await standin.put("own", "second", b"2")
+            await until(lambda: len(feed.live_rows()) == 2)
+            feed.version += 50
+            with self.assertRaises(StoreUnavailable):
+                await feed._list()
+            self.assertEqual(2, len(feed.live_rows()))
+
+        self.with_feed(scenario)
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,393 @@
+"""Requests through a router to the platform's stand-ins and back."""
+
+import asyncio
+import json
+
+from lynxchute.standins.platform_upstream import Fault
+from lynxchute.upstreams.health import Health
+from tests.platform_support import (
+    ACCOUNT,
+    KEY,
+    PlatformCaller,
+    PlatformTestCase,
+    ids_of,
+    settled,
+)
+from tests.support import until
+
+
+def faults(upstreams, *kinds):
+    for upstream in upstreams:
+        upstream.faults = list(kinds)
+
+
+def runs(upstreams):
+    return [run for upstream in upstreams for run in upstream.runs]
+
+
+def arrivals(upstreams):
+    return [arrival for upstream in upstreams for arrival in upstream.arrivals]
+
+
+def forget_health(deployment):
+    for router in deployment.routers.values():
+        for entry in router.directory.entries_by_id.values():
+            entry.health = Health()
+
+
+class PlainTest(PlatformTestCase):
+    def test_method_path_query_and_body_arrive_unchanged(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            body = bytes(range(256)) * 20
+            extra = [("X-Other", "kept"), ("X-Tenant", "forged"), ("Kv-From", "f")]
+            status, headers, answer = await caller.send(
+                "PUT", "/unsafe/a%20b/../c?x=1&y", body, "id-1", extra=extra
+            )
+            (run,) = runs(deployment.apps)
+            self.assertEqual((200, b"answer to id-1"), (status, answer))
+            self.assertEqual(
+                ("PUT", "/unsafe/a%20b/../c?x=1&y", body),
+                (run.method, run.target, run.body),
+            )
+            self.assertEqual("kept", run.headers["x-other"])
+            self.assertEqual(ACCOUNT, run.headers["x-tenant"])
+            self.assertNotIn("x-credential", run.headers)
+            self.assertNotIn("kv-from", run.headers)
+            self.assertIn("x-response-stamp", headers)
+            self.assertLessEqual(int(run.headers["x-deadline-ms"]), 3000)
+
+        self.with_platform(scenario)
+
+    def test_a_chunked_body_arrives_whole(self):
+        async def scenario(deployment):
+            address = deployment.settings["a-1"].callers
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+            head = (
+                "POST /safe/x HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: c1\r\n"
+                f"X-Credential: {KEY}\r\nTransfer-Encoding: chunked\r\n\r\n"
+            )
+            writer.write(head.encode() + b"3\r\nabc\r\n")
+            await asyncio.sleep(0.02)
+            writer.write(b"2\r\nde\r\n0\r\n\r\n")
+            answer = await reader.readuntil(b"answer to c1")
+            writer.close()
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"))
+            self.assertEqual([b"abcde"], [run.body for run in runs(deployment.apps)])
+
+        self.with_platform(scenario)
+
+    def test_a_failure_of_a_repeatable_call_is_made_good_elsewhere(self):
+        async def scenario(deployment):
+            for kind in (Fault.FAIL, Fault.LOSE, Fault.RESET, Fault.CUT, Fault.GARBLE):
+                faults(deployment.apps)
+                deployment.apps[0].faults = [kind]
+                deployment.apps[1].faults = []
+                for upstream in deployment.apps:
+                    upstream.runs.clear()
+                forget_health(deployment)
+                caller = PlatformCaller(deployment)
+                for turn in range(2):
+                    status, _, body = await caller.send("GET", f"/safe/{turn}")
+                    self.assertEqual(200, status, kind)
+                    self.assertTrue(body.startswith(b"answer to"))
+                self.assertGreater(len(runs(deployment.apps)), 2, kind)
+
+        self.with_platform(scenario)
+
+    def test_a_call_that_may_not_be_repeated_runs_once_whatever_happens(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            kinds = (
+                (Fault.FAIL, 500),
+                (Fault.LOSE, 502),
+                (Fault.RESET, 502),
+                (Fault.CUT, 502),
+                (Fault.GARBLE, 502),
+                (Fault.UNSIGNED, 502),
+            )
+            for kind, expected in kinds:
+                faults(deployment.apps, kind)
+                for upstream in deployment.apps:
+                    upstream.runs.clear()
+                    upstream.arrivals.clear()
+                status, headers, body = await caller.send("POST", "/unsafe/x", b"b")
+                self.assertEqual(expected, status, kind)
+                self.assertEqual(1, len(arrivals(deployment.apps)), kind)
+                if expected == 502:
+                    self.assertEqual("unknown", json.loads(body)["run"])
+                    self.assertNotIn("x-response-stamp", headers)
+                    self.assertNotIn("retry-after", headers)
+
+        self.with_platform(scenario)
+
+    def test_not_run_is_said_only_on_the_upstreams_word(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            for kind in (Fault.DECLINE, Fault.BUSY, Fault.MOVED, Fault.EARLY):
+                faults(deployment.apps, kind)
+                status, headers, body = await caller.send("POST", "/unsafe/x", b"b")
+                self.assertEqual(503, status, kind)
+                self.assertEqual("not_run", json.loads(body)["run"])
+                self.assertGreater(float(headers["retry-after"]), 0)
+            self.assertEqual([], runs(deployment.apps))
+
+        self.with_platform(scenario)
+
+    def test_answers_to_other_requests_are_skipped(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            faults(deployment.apps, Fault.LATE_EXTRA, Fault.LATE_EXTRA)
+            for turn in range(4):
+                answer = await caller.send("POST", "/unsafe/x", b"", f"own-{turn}")
+                self.assertEqual(200, answer[0])
+                self.assertEqual(f"answer to own-{turn}".encode(), answer[2])
+
+        self.with_platform(scenario)
+
+    def test_a_connection_with_an_extra_answer_is_not_used_again(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            faults(deployment.apps, Fault.EXTRA, Fault.EXTRA)
+            for turn in range(6):
+                answer = await caller.send("GET", "/safe/x", b"", f"own-{turn}")
+                self.assertEqual(f"answer to own-{turn}".encode(), answer[2])
+
+        self.with_platform(scenario)
+
+    def test_an_answer_without_a_length_ends_with_its_connection(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            faults(deployment.apps, Fault.UNFRAMED)
+            status, headers, body = await caller.send("POST", "/unsafe/x", b"", "u1")
+            self.assertEqual((200, b"answer to u1"), (status, body))
+            self.assertEqual(str(len(body)), headers["content-length"])
+
+        self.with_platform(scenario)
+
+    def test_a_silent_upstream_ends_in_a_timeout_at_the_routes_time(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            faults(deployment.apps, Fault.HANG)
+            started = asyncio.get_running_loop().time()
+            status, _, body = await caller.send("POST", "/unsafe/x", deadline_ms=300)
+            took = asyncio.get_running_loop().time() - started
+            self.assertEqual((504, "unknown"), (status, json.loads(body)["run"]))
+            self.assertLess(took, 0.45)
+
+        self.with_platform(scenario)
+
+    def test_without_upstreams_the_refusal_comes_early_and_says_when(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            for upstream in deployment.apps:
+                upstream.state = "draining"
+                await upstream.register(deployment.store)
+            router = deployment.routers["a-1"]
+            await until(lambda: router.directory.count() == len(deployment.engines))
+            started = asyncio.get_running_loop().time()
+            status, headers, _ = await caller.send("GET", "/safe/x")
+            took = asyncio.get_running_loop().time() - started
+            self.assertEqual(503, status)
+            self.assertLess(took, 0.2)
+            self.assertIn("retry-after", headers)
+            self.assertEqual([], arrivals(deployment.apps))
+
+        self.with_platform(scenario)
+
+    def test_an_upstream_that_is_down_is_passed_over(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            await deployment.apps[0].stop()
+            for _ in range(6):
+                status, _, _ = await caller.send("POST", "/unsafe/x")
+                self.assertEqual(200, status)
+            self.assertEqual(6, len(deployment.apps[1].runs))
+
+        self.with_platform(scenario)
+
+    def test_a_reused_address_never_runs_anothers_request(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            old = deployment.apps[0]
+            await old.stop()
+            port, old.id, old.state = old.port, "i-reused", "ready"
+            await old.start(port)
+            for _ in range(6):
+                status, _, _ = await caller.send("GET", "/safe/x")
+                self.assertEqual(200, status)
+            self.assertEqual([], old.runs)
+
+        self.with_platform(scenario)
+
+
+class AdmissionTest(PlatformTestCase):
+    def test_routes_and_keys(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            stranger = PlatformCaller(deployment, key="unknown")
+            nobody = PlatformCaller(deployment, key="")
+            self.assertEqual(404, (await caller.send("GET", "/none/x"))[0])
+            self.assertEqual(401, (await stranger.send("GET", "/safe/x"))[0])
+            self.assertEqual(401, (await nobody.send("GET", "/safe/x"))[0])
+            self.assertEqual(200, (await nobody.send("GET", "/public/x"))[0])
+            (run,) = runs(deployment.apps)
+            self.assertNotIn("x-tenant", run.headers)
+
+        self.with_platform(scenario)
+
+    def test_a_new_version_is_in_force_and_an_older_one_never_again(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            router = deployment.routers["a-1"]
+            tenants = [{"name": ACCOUNT, "api_keys": ["new"], "prepaid": 1_000_000}]
+            await deployment.configure(version=7, tenants=tenants)
+            await until(lambda: router.configurations.current.version == 7)
+            self.assertEqual(401, (await caller.send("GET", "/safe/x"))[0])
+            await deployment.configure(version=3)
+            await asyncio.sleep(0.1)
+            self.assertEqual(7, router.configurations.current.version)
+            await deployment.store.put("op", "config", b"not json")
+            await asyncio.sleep(0.1)
+            self.assertEqual(7, router.configurations.current.version)
+
+        self.with_platform(scenario)
+
+    def test_a_router_that_has_lost_the_store_does_not_deny(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            router = deployment.routers["a-1"]
+            router.configurations.unconfirmed_for = lambda: 9.0
+            self.assertEqual(503, (await caller.send("GET", "/none/x"))[0])
+            stranger = PlatformCaller(deployment, key="unknown")
+            self.assertEqual(503, (await stranger.send("GET", "/safe/x"))[0])
+            self.assertEqual(200, (await caller.send("GET", "/safe/x"))[0])
+
+        self.with_platform(scenario)
+
+    def test_bad_headers_are_refused_and_nothing_is_sent(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            bad = (
+                [("X-Request-Id", "twice")],
+                [("X-Credential", "twice")],
+                [("X-Token-Counts", "many")],
+                [("X-Token-Counts", "1,-5")],
+                [("X-Token-Counts", "5")],
+                [("X-Token-Counts", "1,2"), ("X-Prompt-Prefix", "a:b:c")],
+            )
+            for extra in bad:
+                status, _, _ = await caller.send("POST", "/stream/x", extra=extra)
+                self.assertEqual(400, status, extra)
+            late = await caller.send("GET", "/safe/x", deadline_ms="soon")
+            self.assertEqual(400, late[0])
+            nameless = await caller.client.request(
+                "GET", "/safe/x", headers=[("Host", "app.example")]
+            )
+            self.assertEqual(400, nameless.status)
+            nameless.close()
+            self.assertEqual([], arrivals(deployment.upstreams))
+
+        self.with_platform(scenario)
+
+
+class StreamTest(PlatformTestCase):
+    def test_events_come_whole_and_in_order(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            status, headers, body = await caller.stream()
+            self.assertEqual((200, [1, 2, 3, 4, 5, 6]), (status, ids_of(body)))
+            self.assertEqual("text/event-stream", headers["content-type"])
+            (run,) = runs(deployment.engines)
+            self.assertEqual("1", run.headers["x-request-priority"])
+
+        self.with_platform(scenario)
+
+    def test_a_broken_stream_goes_on_at_another_engine_without_a_gap(self):
+        async def scenario(deployment):
+            for kind in (Fault.CUT, Fault.RESET, Fault.LOSE, Fault.GARBLE):
+                for engine in deployment.engines:
+                    engine.runs.clear()
+                    engine.faults = []
+                forget_health(deployment)
+                first = _home(deployment, "aa")
+                first.faults = [kind]
+                status, _, body = await PlatformCaller(deployment).stream()
+                self.assertEqual((200, [1, 2, 3, 4, 5, 6]), (status, ids_of(body)))
+                self.assertEqual(2, len(runs(deployment.engines)), kind)
+
+        self.with_platform(scenario)
+
+    def test_a_stream_that_may_not_go_on_ends_visibly_broken(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            faults(deployment.engines, Fault.CUT)
+            broke = await caller.fails("POST", "/once/x", b"", tokens=(100, 60))
+            self.assertTrue(broke)
+            self.assertEqual(1, len(arrivals(deployment.engines)))
+            faults(deployment.engines, Fault.LOSE)
+            status, _, body = await caller.stream("/once/x")
+            self.assertEqual((502, "unknown"), (status, json.loads(body)["run"]))
+
+        self.with_platform(scenario)
+
+    def test_a_callers_resumption_goes_on_where_it_was(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            extra = [("Last-Event-Id", "4")]
+            _, _, body = await caller.stream(extra=extra)
+            self.assertEqual([5, 6], ids_of(body))
+
+        self.with_platform(scenario)
+
+    def test_a_caller_that_leaves_frees_its_engine_at_once(self):
+        async def scenario(deployment):
+            for engine in deployment.engines:
+                engine.events, engine.event_delay = 400, 0.01
+            caller = PlatformCaller(deployment)
+            task = asyncio.create_task(caller.stream())
+            await until(
+                lambda: any(r.events_sent > 3 for r in runs(deployment.engines))
+            )
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            (run,) = runs(deployment.engines)
+            await until(lambda: run.caller_left, timeout=0.5)
+
+        self.with_platform(scenario)
+
+    def test_what_is_counted_is_the_prompt_and_what_was_delivered(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            await caller.stream(tokens=(100, 60))
+            used = await _used(deployment)
+            self.assertEqual(100 + 6 * 3, used)
+
+        self.with_platform(scenario)
+
+    def test_a_declined_generation_costs_nothing(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            faults(deployment.engines, Fault.DECLINE, Fault.DECLINE)
+            status, _, _ = await caller.stream()
+            self.assertEqual(503, status)
+            self.assertEqual(0, await _used(deployment))
+
+        self.with_platform(scenario)
+
+
+def _home(deployment, part):
+    from lynxchute.rendezvous import ranked
+
+    by_id = {engine.id: engine for engine in deployment.engines}
+    return by_id[ranked(part, by_id)[0]]
+
+
+async def _used(deployment):
+    total = 0
+    for router in deployment.routers.values():
+        ledger = router.keeper.ledger
+        await settled(ledger)
+        for share in ledger.shares_by_account.values():
+            total += share.settled - share.borrowed
+    return total
--- /dev/null
+++ b/tests/test_spending.py
@@ -0,0 +1,223 @@
+"""Budgets over the store, between routers and through outages."""
+
+import asyncio
+import json
+
+from lynxchute.budgets.rows import HOLDERS_TABLE, TOTALS_TABLE
+from lynxchute.config import ClientAccount
+from lynxchute.relay.budgets import BudgetExhausted, BudgetUnreachable
+from lynxchute.standins.platform_store import Outage
+from tests.platform_support import ACCOUNT, PlatformCaller, PlatformTestCase, settled
+from tests.support import until
+
+ROUTERS = ("a-1", "a-2", "b-1")
+KANDA = ClientAccount(ACCOUNT, prepaid=1_000_000)
+
+
+def home_of(deployment, data_centre):
+    for vm, router in deployment.routers.items():
+        if vm[0] == data_centre:
+            return deployment.routers[router.members.homes(ACCOUNT)[0]]
+    raise AssertionError(data_centre)
+
+
+def others(deployment, *routers):
+    return [r for r in deployment.routers.values() if r not in routers]
+
+
+def granted(deployment):
+    value = deployment.store.value(TOTALS_TABLE, ACCOUNT)
+    return json.loads(value) if value else {}
+
+
+async def reserve(router, tokens, request_id):
+    return await router.relay._budgets.reserve(request_id, KANDA, tokens)
+
+
+class SpendingTest(PlatformTestCase):
+    def test_each_data_centres_home_holds_a_part(self):
+        async def scenario(deployment):
+            homes = {home_of(deployment, dc).settings.vm for dc in "ab"}
+            await until(lambda: set(granted(deployment)) >= homes)
+            await until(lambda: sum(granted(deployment).values()) > 800_000)
+            self.assertLessEqual(sum(granted(deployment).values()), 1_000_000)
+
+        self.with_platform(scenario, routers=ROUTERS)
+
+    def test_a_router_reserves_at_its_home_and_settles_there(self):
+        async def scenario(deployment):
+            home = home_of(deployment, "a")
+            (other,) = [
+                r for vm, r in deployment.routers.items() if vm[0] == "a" and r != home
+            ]
+            reservation = await reserve(other, 500, "r1")
+            self.assertIn("r1", home.keeper.ledger.open_by_request)
+            reservation.settle(200)
+            await until(lambda: not home.keeper.ledger.open_by_request)
+            self.assertEqual(200, home.keeper.ledger.share(ACCOUNT).settled)
+
+        self.with_platform(scenario, routers=ROUTERS)
+
+    def test_the_whole_budget_can_be_spent_and_no_more(self):
+        async def scenario(deployment):
+            taken = 0
+            refused = None
+            for number in range(40):
+                router = list(deployment.routers.values())[number % 3]
+                try:
+                    reservation = await reserve(router, 50_000, f"r{number}")
+                    taken += 50_000
+                    reservation.settle(50_000)
+                    for other in deployment.routers.values():
+                        await settled(other.keeper.ledger)
+                except BudgetExhausted as error:
+                    refused = error
+                    break
+            self.assertEqual(1_000_000, taken)
+            self.assertIsNotNone(refused)
+            await deployment.configure(version=2, prepaid=1_100_000)
+            router = deployment.routers["a-1"]
+            await until(lambda: router.configurations.current.version == 2)
+            await reserve(router, 50_000, "after the top-up")
+
+        self.with_platform(scenario, routers=ROUTERS)
+
+    def test_a_refusal_for_the_budget_is_a_402_and_not_run(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            status, _, body = await caller.stream(tokens=(2_000_000, 10))
+            self.assertEqual((402, "not_run"), (status, json.loads(body)["run"]))
+            self.assertEqual([], [r for e in deployment.engines for r in e.runs])
+
+        self.with_platform(scenario)
+
+    def test_routers_that_are_cut_off_go_on_with_what_they_hold(self):
+        async def scenario(deployment):
+            for vm in ROUTERS:
+                deployment.faults(vm).outage = Outage.SILENT
+            for number in range(30):
+                for router in deployment.routers.values():
+                    await reserve(router, 400, f"{router.settings.vm}.{number}")
+                await asyncio.sleep(0.1)
+            for vm in {home_of(deployment, dc).settings.vm for dc in "ab"}:
+                self.assertFalse(deployment.routers[vm].keeper.store_answers)
+
+        self.with_platform(scenario, routers=ROUTERS)
+
+    def test_a_home_that_is_cut_off_borrows_from_the_others(self):
+        async def scenario(deployment):
+            home, lender = home_of(deployment, "a"), home_of(deployment, "b")
+            await until(lambda: lender.keeper.ledger.unused(ACCOUNT) > 300_000)
+            own = home.keeper.ledger.share(ACCOUNT)
+            # All of the own part is in use.
+            own.settled = own.terms.granted
+            deployment.faults(home.settings.vm).outage = Outage.BUSY
+            await reserve(home, 3_000, "r1")
+            self.assertGreaterEqual(own.borrowed, 3_000)
+            self.assertGreaterEqual(lender.keeper.ledger.share(ACCOUNT).settled, 3_000)
+
+        self.with_platform(scenario, routers=ROUTERS)
+
+    def test_a_home_that_is_down_is_stood_in_for(self):
+        async def scenario(deployment):
+            home = home_of(deployment, "a")
+            (other,) = [
+                r for vm, r in deployment.routers.items() if vm[0] == "a" and r != home
+            ]
+            await home.kill()
+            await reserve(other, 3_000, "r1")
+            self.assertIn("r1", other.keeper.ledger.open_by_request)
+
+        self.with_platform(scenario, routers=ROUTERS)
+
+    def test_a_reservation_whose_answer_is_lost_is_taken_back(self):
+        async def scenario(deployment):
+            home = home_of(deployment, "a")
+            (other,) = [
+                r for vm, r in deployment.routers.items() if vm[0] == "a" and r != home
+            ]
+            budgets = home.relay._budgets
+            server = home.peer_server
+            answers = {**server.answers_by_class}
+
+            async def reserve_and_hang(request):
+                await budgets.reserve_here(request)
+                await asyncio.sleep(2)
+
+            for cls in answers:
+                if cls.NAME == "reserve":
+                    server.answers_by_class[cls] = reserve_and_hang
+            await reserve(other, 3_000, "r1")
+            self.assertIn("r1", other.keeper.ledger.open_by_request)
+            await until(lambda: not home.keeper.ledger.open_by_request, timeout=5)
+
+        self.with_platform(scenario, routers=ROUTERS)
+
+    def test_a_restarted_router_knows_what_was_spent_at_most(self):
+        async def scenario(deployment):
+            router = deployment.routers["a-1"]
+            for number in range(5):
+                await reserve(router, 10_000, f"r{number}")
+            await asyncio.sleep(0.7)
+            spent = router.keeper.ledger.share(ACCOUNT).used
+            await router.kill()
+            again = await deployment.start_router("a-1")
+            await until(lambda: again.keeper.ledger.is_open)
+            ledger = again.keeper.ledger
+            self.assertGreaterEqual(ledger.share(ACCOUNT).settled, spent)
+            await until(lambda: ledger.unused(ACCOUNT) > 100_000)
+            await reserve(again, 10_000, "r9")
+
+        self.with_platform(scenario, routers=("a-1",))
+
+    def test_a_stopping_router_gives_back_what_it_does_not_need(self):
+        async def scenario(deployment):
+            router = deployment.routers["a-1"]
+            await reserve(router, 10_000, "r1")
+            await router.keeper.close(asyncio.get_running_loop().time() + 2)
+            self.assertEqual({"a-1": 10_000}, granted(deployment))
+
+        self.with_platform(scenario, routers=("a-1",))
+
+    def test_lost_and_late_writes_cost_nothing(self):
+        async def scenario(deployment):
+            for vm in ROUTERS:
+                faults = deployment.faults(vm)
+                faults.lost_share, faults.late_share = 0.3, 0.2
+            taken = 0
+            number = 0
+            deadline = asyncio.get_running_loop().time() + 4
+            while asyncio.get_running_loop().time() < deadline:
+                number += 1
+                router = list(deployment.routers.values())[number % 3]
+                try:
+                    await reserve(router, 20_000, f"r{number}")
+                    taken += 20_000
+                except (BudgetExhausted, BudgetUnreachable):
+                    await asyncio.sleep(0.05)
+            self.assertLessEqual(taken, 1_000_000)
+            self.assertGreater(taken, 900_000)
+            lines = json.loads(deployment.store.value(HOLDERS_TABLE, "a-1") or b"{}")
+            self.assertIn(ACCOUNT, lines["shares"])
+
+        self.with_platform(scenario, routers=ROUTERS)
+
+    def test_a_stranger_gets_nothing_from_the_peers_port(self):
+        async def scenario(deployment):
+            from lynxchute.http import HttpClient
+
+            address = deployment.settings["a-1"].peers
+            client = HttpClient(str(address))
+            value = {"request_id": "x", "account": ACCOUNT, "tokens": 5}
+            for headers in ([], [("Lynxchute-Fleet", "guess")]):
+                status, _ = await client.post_json(
+                    "/fleet/reserve", value, headers=headers
+                )
+                self.assertEqual(401, status)
+            secret = [("Lynxchute-Fleet", deployment.routers["a-1"].registry.secret)]
+            status, _ = await client.post_json("/fleet/reserve", {}, headers=secret)
+            self.assertEqual(422, status)
+            status, _ = await client.post_json("/fleet/nothing", {}, headers=secret)
+            self.assertEqual(404, status)
+
+        self.with_platform(scenario)
