Write each reservation's line before it counts, and move unused tokens by the store

Change: a line starts little above use and each reservation waits for the write that covers it (5 ms); idle holders write once a second; holders give tokens back for others by the store, and lend only where it cannot be reached; homes that run low ask ahead; leftovers go to the home.

--- a/lynxchute/budgets/ledger.py
+++ b/lynxchute/budgets/ledger.py
@@ -16,7 +16,7 @@
     holder_id,
     totals_id,
 )
-from lynxchute.budgets.share import Share, Terms
+from lynxchute.budgets.share import RELEASE_PAUSE, Share, Terms
 from lynxchute.store import (
     Committed,
     Conflict,
@@ -28,6 +28,9 @@
     Write,
 )
 
+# Seconds of its own demand that a router keeps when another one would like
+# more; as many as the longest outages of the store last, but for a few.
+KEPT_SECONDS = 8.0
 # Budgets whose division one write may change; a write takes 100 entries.
 MAX_GRANTS_PER_WRITE = 40
 # Ended requests and loans that are remembered, so that a message which arrives
@@ -118,6 +121,7 @@
         self._row_version = 0
         self._sequence = 0
         self._lent_by_id = _Recent()
+        self._gifts_by_id = _Recent()
         self._ended_by_request = _Recent()
 
     # Taking over.
@@ -188,27 +192,77 @@
         share.settled += used
 
     def lend(
-        self, loan_id: str, account: str, *, needed: int, wanted: int, now_ms: int
+        self,
+        loan_id: str,
+        account: str,
+        *,
+        needed: int,
+        wanted: int,
+        now_ms: int,
+        now: float,
     ) -> int:
         """Give tokens to another router; return how many.
 
         They count as used here from now on. The same loan is given once. All
-        that there is goes for what a request needs, half of it for what the
-        borrower would like.
+        that there is goes for what a request needs; of what the borrower
+        would like, half of what the own demand leaves over.
         """
         if loan_id in self._lent_by_id:
             return self._lent_by_id.get(loan_id)
         share = self.shares_by_account.get(account)
         if share is None or not self.is_open or self.fenced:
             return 0
-        available = max(share.available(now_ms), 0)
-        tokens = max(min(needed, available), min(wanted, available // 2))
+        available = max(share.available(now_ms) - share.releasing, 0)
+        tokens = self._spare(share, available, needed, wanted, now)
         if tokens <= 0:
             return 0
         share.settled += tokens
         self._lent_by_id.add(loan_id, tokens)
         return tokens
 
+    def release(self, account: str, *, needed: int, wanted: int, now: float) -> int:
+        """Mark tokens to be given back with the next write; return how many.
+
+        All that is not used may go for what a request needs; of what the
+        other would like, half of what the own demand leaves over.
+        """
+        share = self.shares_by_account.get(account)
+        if share is None or not self.is_open or self.fenced:
+            return 0
+        unused = max(share.terms.granted - share.own_use - share.releasing, 0)
+        unused = max(unused - share.waiting, 0)
+        tokens = self._spare(share, unused, needed, wanted, now)
+        if tokens > 0:
+            share.releasing += tokens
+            share.released_at = now
+        return tokens
+
+    def _spare(
+        self, share: Share, unused: int, needed: int, wanted: int, now: float
+    ) -> int:
+        kept = int(share.demand.rate(now) * KEPT_SECONDS)
+        spare = max(unused - kept, 0) // 2
+        return max(min(needed, unused), min(wanted, spare))
+
+    def leftover(self, account: str, now_ms: int) -> int:
+        """Return the borrowed tokens that are at hand and not asked for here."""
+        share = self.shares_by_account[account]
+        if share.is_home or share.waiting:
+            return 0
+        unused = share.borrowed - share.used
+        return max(min(unused, share.available(now_ms)), 0)
+
+    def give(self, account: str, tokens: int) -> None:
+        """Count tokens as used that go to another router."""
+        self.share(account).settled += tokens
+
+    def take_gift(self, gift_id: str, account: str, tokens: int) -> None:
+        """Take tokens that another router has no use for, once."""
+        if gift_id in self._gifts_by_id:
+            return
+        self._gifts_by_id.add(gift_id, tokens)
+        self.borrow(account, tokens)
+
     def borrow(self, account: str, tokens: int) -> None:
         """Take tokens that another router has lent."""
         self.share(account).borrowed += tokens
@@ -220,6 +274,11 @@
             return 0
         return max(share.terms.granted + share.borrowed - share.settled, 0)
 
+    @property
+    def holds_anything(self) -> bool:
+        """Return whether there is something that a death would lose."""
+        return any(share.headroom for share in self.shares_by_account.values())
+
     def is_wanting(self, now: float) -> bool:
         """Return whether a part is smaller than the policy would have it."""
         if not self.is_open or self.is_closing:
@@ -308,7 +367,12 @@
         view = self._view(account, share, share.terms.granted, now)
         if self.is_closing:
             return view.used
-        return self._policy.grant(view)
+        if share.releasing:
+            return max(view.granted - share.releasing, view.used)
+        granted = self._policy.grant(view)
+        if now - share.released_at < RELEASE_PAUSE and not share.waiting:
+            granted = min(granted, view.granted)
+        return granted
 
     def _terms(
         self, account: str, share: Share, granted: int, now_ms: int, now: float
@@ -354,8 +418,11 @@
         for account, share in self.shares_by_account.items():
             share.uncertain.clear()
             terms = row.terms_by_account.get(account)
-            if terms is not None:
-                share.terms = terms
+            if terms is None:
+                continue
+            given_back = max(share.terms.granted - terms.granted, 0)
+            share.releasing = max(share.releasing - given_back, 0)
+            share.terms = terms
 
     def _learn_conflict(self, plan: Plan, conflict: Conflict, now_ms: int) -> None:
         own_id = holder_id(self.vm)
--- a/lynxchute/budgets/line.py
+++ b/lynxchute/budgets/line.py
@@ -8,9 +8,9 @@
 # outage that the fleet is meant to serve through, twelve seconds.
 HORIZON_MS = 15_000
 # Milliseconds for which it grows slowly. While the store answers, lines are
-# written anew every half second, so that a router which dies and is back
+# written anew with each reservation, so that a router which dies and is back
 # within two seconds has not come past this; a router that has is cut off.
-SLOW_MS = 2_500
+SLOW_MS = 2_200
 
 
 @attrs.frozen
--- a/lynxchute/budgets/policy.py
+++ b/lynxchute/budgets/policy.py
@@ -77,21 +77,22 @@
     stake
         Share of what is paid that the homes of all data centres together take
         at once: what lies free at the store cannot be had in an outage.
-    burst_seconds, burst_share
-        Seconds of demand, and share of what is granted and not used, that the
-        line starts above use: more serves more in the first seconds of an
-        outage, less loses less with a dead router.
-    rate_factor
-        Growth of the line at first, as a multiple of the demand.
+    burst_share
+        Share of what is granted and not used that the line starts above use:
+        more serves more in the first moments of an outage, less loses less
+        with a dead router.
+    rate_factor, rate_share
+        Growth of the line at first, as a multiple of the demand, and as a
+        share a second of what is granted and not used.
     drain_seconds
         Seconds of an outage in which all that is granted may be used.
     """
 
     reserve_seconds: float = 15.0
     stake: float = 0.85
-    burst_seconds: float = 1.0
-    burst_share: float = 0.12
-    rate_factor: float = 2.0
+    burst_share: float = 0.03
+    rate_factor: float = 1.2
+    rate_share: float = 0.02
     drain_seconds: float = 3.0
 
     def grant(self, view: ShareView) -> int:
@@ -114,13 +115,13 @@
     def burst(self, view: ShareView) -> int:
         """Return how far the line starts above what is used, in tokens."""
         headroom = max(view.granted - view.used, 0)
-        burst = int(view.demand * self.burst_seconds + 0.5 * view.largest)
-        burst = max(burst, int(headroom * self.burst_share), view.waiting)
+        burst = int(headroom * self.burst_share) + view.waiting
         return min(burst, headroom)
 
     def rate(self, view: ShareView) -> int:
         """Return by how many tokens a second the line grows at first."""
-        return int(view.demand * self.rate_factor)
+        headroom = max(view.granted - view.used, 0)
+        return int(view.demand * self.rate_factor + headroom * self.rate_share)
 
     def late_rate(self, view: ShareView) -> int:
         """Return by how many tokens a second it grows in an outage."""
--- a/lynxchute/budgets/share.py
+++ b/lynxchute/budgets/share.py
@@ -7,6 +7,10 @@
 from lynxchute.budgets.demand import Demand
 from lynxchute.budgets.line import Line
 
+# Seconds after tokens were given back in which none are taken again, so that
+# the router they were meant for finds them.
+RELEASE_PAUSE = 1.0
+
 
 @attrs.frozen
 class Terms:
@@ -46,6 +50,10 @@
         Tokens that other routers have lent and count as used themselves.
     waiting
         Tokens that requests are waiting for.
+    releasing
+        Tokens that the next write gives back for another router to take.
+    released_at
+        When the last of them were given back, in seconds.
     is_home
         Whether the router is the one of its data centre that requests of this
         account go to.
@@ -57,6 +65,8 @@
     reserved: int = 0
     borrowed: int = 0
     waiting: int = 0
+    releasing: int = 0
+    released_at: float = -RELEASE_PAUSE
     is_home: bool = False
     demand: Demand = attrs.Factory(Demand)
 
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -34,6 +34,7 @@
 from lynxchute.relay.admission import Admission
 from lynxchute.relay.relay import Relay
 from lynxchute.relay.sender import UPSTREAM_TIMEOUTS, Sender
+from lynxchute.spending.balance import Balance
 from lynxchute.spending.keeper import Keeper
 from lynxchute.spending.reservations import FleetBudgets
 from lynxchute.spending.settlements import Settlements
@@ -133,6 +134,7 @@
         self.settlements = Settlements(ledger, self.members, self.peers)
         budgets = FleetBudgets(self.keeper, self.members, self.peers, self.settlements)
         budgets.serve(self.peer_server)
+        balance = Balance(self.keeper, budgets, self.members, self.peers)
         rng = random.Random()
         self.admission = Admission(self.configurations, rng)
         plain = LeastOpen(settings.data_centre)
@@ -165,6 +167,7 @@
             self.registry,
             self.keeper,
             self.settlements,
+            balance.loop,
             Listener(self.peer_server.server, settings.peers),
             Listener(self.readiness, settings.readiness),
             Listener(self.callers, settings.callers),
--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -88,12 +88,15 @@
     ----------
     lent
         Tokens that are the borrower's from now on.
+    released
+        Tokens that the lender has given back to the store for it to take.
     unused
         What the lender still has of the budget, with what is set aside for
         open requests.
     """
 
     lent: int
+    released: int
     unused: int
 
 
@@ -107,6 +110,8 @@
         What a request lacks.
     wanted
         What the borrower would like, to ask less often.
+    by_store
+        Whether the borrower can take what is given back to the store.
     """
 
     NAME = "lend"
@@ -116,6 +121,25 @@
     account: str
     needed: int
     wanted: int
+    by_store: bool
+
+
+@attrs.frozen
+class GiveRequest(Message[Done]):
+    """Take tokens that the sender had borrowed and does not need.
+
+    Attributes
+    ----------
+    gift_id
+        Names the gift; it is taken once however often it is sent.
+    """
+
+    NAME = "give"
+    REPLY = Done
+
+    gift_id: str
+    account: str
+    tokens: int
 
 
 @attrs.frozen
@@ -127,7 +151,8 @@
 
 
 MESSAGES_BY_NAME: dict[str, type[Message[Any]]] = {
-    cls.NAME: cls for cls in (ReserveRequest, SettleRequest, LendRequest, PingRequest)
+    cls.NAME: cls
+    for cls in (ReserveRequest, SettleRequest, LendRequest, GiveRequest, PingRequest)
 }
 
 _CONVERTER = cattrs.Converter(forbid_extra_keys=False)
--- /dev/null
+++ b/lynxchute/spending/balance.py
@@ -0,0 +1,113 @@
+"""Move unused tokens to where they are asked for, before a request needs them."""
+
+from __future__ import annotations
+
+import secrets
+import time
+
+import attrs
+
+from lynxchute.application import Loop
+from lynxchute.fleet.client import Peers, PeerUnreachable
+from lynxchute.fleet.members import Members
+from lynxchute.fleet.messages import GiveRequest
+from lynxchute.spending.keeper import Keeper
+from lynxchute.spending.reservations import FleetBudgets
+from lynxchute.telemetry import log_event
+
+# Seconds between two looks.
+STEP_SECONDS = 1.0
+# A home that holds less than this many seconds of its demand asks the others:
+# a cut of its data centre lasts about six.
+LOW_SECONDS = 6.0
+FILL_SECONDS = 8.0
+
+
+@attrs.frozen
+class Gift:
+    """Tokens on their way to an account's home."""
+
+    gift_id: str
+    account: str
+    tokens: int
+
+
+class Balance:
+    """Fill a home that runs low, and pass on what a stand-in has left over.
+
+    Parameters
+    ----------
+    keeper
+        This router's own grants.
+    budgets
+        Asks the other holders.
+    members, peers
+        The other routers.
+    """
+
+    def __init__(
+        self, keeper: Keeper, budgets: FleetBudgets, members: Members, peers: Peers
+    ) -> None:
+        self.loop = Loop("balance", self._step, STEP_SECONDS)
+        self._keeper = keeper
+        self._ledger = keeper.ledger
+        self._budgets = budgets
+        self._members = members
+        self._peers = peers
+        self._gifts: list[Gift] = []
+
+    async def _step(self) -> None:
+        if not self._ledger.is_open or self._ledger.is_closing:
+            return
+        for account in list(self._ledger.shares_by_account):
+            share = self._ledger.shares_by_account[account]
+            if share.is_home:
+                await self._fill(account)
+                continue
+            self._pass_on(account)
+        for gift in list(self._gifts):
+            await self._send(gift)
+
+    async def _fill(self, account: str) -> None:
+        share = self._ledger.shares_by_account[account]
+        demand = share.demand.rate(time.monotonic())
+        at_hand = share.terms.granted + share.borrowed - share.used
+        if demand <= 0 or at_hand >= demand * LOW_SECONDS:
+            return
+        if self._ledger.free(account) > 0 and self._keeper.store_answers:
+            self._keeper.want()
+            return
+        wanted = int(demand * FILL_SECONDS) - at_hand
+        gathered = await self._budgets.fill(account, wanted)
+        if gathered.released:
+            self._keeper.look_soon()
+            self._keeper.want()
+
+    def _pass_on(self, account: str) -> None:
+        tokens = self._ledger.leftover(account, self._keeper.now_ms())
+        if tokens <= 0:
+            return
+        self._ledger.give(account, tokens)
+        self._gifts.append(Gift(secrets.token_hex(8), account, tokens))
+        log_event("leftover tokens passed on", account=account, tokens=tokens)
+
+    async def _send(self, gift: Gift) -> None:
+        self._gifts.remove(gift)
+        homes = self._members.homes(gift.account)
+        if not homes or homes[0] == self._members.own.vm:
+            # Nobody else to ask for it: it is spent here.
+            self._ledger.take_gift(gift.gift_id, gift.account, gift.tokens)
+            return
+        try:
+            await self._peers.ask(
+                homes[0], GiveRequest(gift.gift_id, gift.account, gift.tokens)
+            )
+        except PeerUnreachable as error:
+            # It may have been taken, so that nobody else may have it.
+            log_event(
+                "leftover tokens lost",
+                account=gift.account,
+                tokens=gift.tokens,
+                peer=homes[0],
+                reason=str(error),
+            )
--- a/lynxchute/spending/keeper.py
+++ b/lynxchute/spending/keeper.py
@@ -14,14 +14,18 @@
 from lynxchute.store import Outcome, OutcomeUnknown, Store, StoreUnavailable
 from lynxchute.telemetry import log_event
 
-# Seconds between two writes while requests come in: it bounds what the death
-# of this router loses, at a small part of a percent of what it serves.
+# Seconds until use that nothing waits for is written down, and the longest
+# between two writes of a router that holds anything: both bound what its
+# death loses, at a small part of a percent of what it serves.
 REFRESH_SECONDS = 0.5
+IDLE_SECONDS = 1.0
 # Seconds until the next try after the store did not answer.
 RETRY_SECONDS = 0.2
 # A store that has not answered a write for this many seconds may be cut off;
 # requests do not wait for it then but look for tokens elsewhere.
 SLOW_WRITE_SECONDS = 0.12
+# Seconds that a lender waits for the store, less than its asker waits for it.
+RELEASE_SECONDS = 0.15
 # Seconds between two looks at what is free of the budgets.
 LOOK_SECONDS = 0.25
 # Seconds until a router that holds less than it should looks whether others
@@ -97,6 +101,26 @@
         self._wanted.set()
         self._stirred.set()
 
+    def look_soon(self) -> None:
+        """Read the divisions again with the next write."""
+        self._is_look_due = True
+
+    async def release(self, account: str, needed: int, wanted: int) -> int:
+        """Give tokens back for another router; return how many the store has."""
+        until = time.monotonic() + RELEASE_SECONDS
+        tokens = self.ledger.release(
+            account,
+            needed=needed,
+            wanted=wanted,
+            now=time.monotonic(),
+        )
+        share = self.ledger.share(account)
+        while tokens and share.releasing:
+            if not await self._next_outcome(until) or not self.store_answers:
+                # Whether they went back is not known; they may yet.
+                return 0
+        return tokens
+
     def settle_homes(self) -> None:
         """Take who is home of what, after routers have come or gone."""
         for account in self.ledger.prepaid_by_account:
@@ -182,13 +206,13 @@
             Whether there is something to write.
         """
         try:
-            async with asyncio.timeout(TEND_SECONDS):
+            async with asyncio.timeout(IDLE_SECONDS):
                 await self._stirred.wait()
         except TimeoutError:
-            if not self.ledger.is_wanting(time.monotonic()):
-                return False
-            self._is_look_due = True
-            return True
+            now = time.monotonic()
+            if now - self._looked_at > TEND_SECONDS and self.ledger.is_wanting(now):
+                self._is_look_due = True
+            return self.ledger.holds_anything
         try:
             async with asyncio.timeout(REFRESH_SECONDS):
                 await self._wanted.wait()
--- a/lynxchute/spending/reservations.py
+++ b/lynxchute/spending/reservations.py
@@ -14,6 +14,7 @@
 from lynxchute.fleet.members import Members
 from lynxchute.fleet.messages import (
     Done,
+    GiveRequest,
     LendReply,
     LendRequest,
     PingRequest,
@@ -36,16 +37,36 @@
 
 # Seconds that a request waits for the store to cover it: some writes of 5 ms,
 # or one of a store that is slow.
-COVER_SECONDS = 0.2
-# Seconds that a lender waits for the store, less than its asker waits for it.
-LEND_SECONDS = 0.1
-# Seconds of its demand that a router borrows ahead, so that not every request
+COVER_SECONDS = 0.3
+# Seconds of its demand that a router asks for ahead, so that not every request
 # has to ask.
-BORROW_AHEAD_SECONDS = 2.0
+AHEAD_SECONDS = 2.0
 # How many homes are tried in turn.
 MAX_HOMES = 3
 
 
+@attrs.define
+class Gathered:
+    """What other routers have given, and what they still have.
+
+    Attributes
+    ----------
+    released
+        Tokens that lie free at the store now.
+    had
+        Those, and the tokens that were lent.
+    left_elsewhere
+        Tokens that they have not used yet.
+    silent
+        Those that gave no answer.
+    """
+
+    released: int = 0
+    had: int = 0
+    left_elsewhere: int = 0
+    silent: list[str] = attrs.Factory(list)
+
+
 @attrs.define(eq=False)
 class _HeldReservation(Reservation):
     """Tokens that a router, or this one, has set aside."""
@@ -86,6 +107,7 @@
         server.answers_by_class[ReserveRequest] = self._serve_reserve
         server.answers_by_class[SettleRequest] = self._serve_settle
         server.answers_by_class[LendRequest] = self._serve_lend
+        server.answers_by_class[GiveRequest] = self._serve_give
         server.answers_by_class[PingRequest] = self._serve_ping
 
     async def reserve(
@@ -140,36 +162,68 @@
         return problem
 
     async def _borrow_and_reserve(self, request: ReserveRequest) -> ReserveReply:
-        """Borrow what lacks from the other routers that hold a part."""
+        """Get what lacks from the other routers that hold a part."""
         account = request.account
-        share = self._ledger.share(account)
-        left_elsewhere = 0
-        silent = []
-        for vm in self._lenders(account):
-            available = self._ledger.available(account, self._keeper.now_ms())
-            missing = request.tokens - available
-            if missing <= 0:
-                break
-            ahead = int(share.demand.rate(time.monotonic()) * BORROW_AHEAD_SECONDS)
-            loan = LendRequest(secrets.token_hex(8), account, missing, missing + ahead)
-            try:
-                reply = await self._peers.ask(vm, loan)
-            except PeerUnreachable:
-                silent.append(vm)
-                continue
-            left_elsewhere += reply.unused
-            if reply.lent:
-                self._ledger.borrow(account, reply.lent)
-                log_event("tokens borrowed", account=account, lender=vm, **_of(reply))
+        gathered = await self.gather(account, request.tokens)
+        if gathered.released:
+            self._keeper.look_soon()
+            until = time.monotonic() + COVER_SECONDS
+            await self._keeper.cover(account, request.tokens, until)
         if self._try_here(request) is None:
             return ReserveReply(ReserveOutcome.RESERVED, "borrowed")
-        unused = self._ledger.unused(account) + left_elsewhere
+        unused = self._ledger.unused(account) + gathered.left_elsewhere
         unused += max(self._ledger.free(account), 0)
-        detail = f"unused={unused} silent={','.join(silent)}"
+        silent = ",".join(gathered.silent)
+        detail = f"unused={unused} silent={silent}"
         if unused < request.tokens and not silent and self._keeper.store_answers:
             return ReserveReply(ReserveOutcome.EXHAUSTED, detail)
         return ReserveReply(ReserveOutcome.UNREACHABLE, detail)
 
+    async def gather(self, account: str, tokens: int) -> Gathered:
+        """Ask the other holders until a number of tokens is in reach.
+
+        They give it back to the store for this router to take, or lend it
+        where the store cannot be reached.
+        """
+        gathered = Gathered()
+        share = self._ledger.share(account)
+        for vm in self._lenders(account):
+            available = self._ledger.available(account, self._keeper.now_ms())
+            missing = tokens - available - gathered.released
+            if missing <= 0:
+                break
+            ahead = int(share.demand.rate(time.monotonic()) * AHEAD_SECONDS)
+            await self._ask_for(gathered, vm, account, missing, missing + ahead)
+        return gathered
+
+    async def fill(self, account: str, wanted: int) -> Gathered:
+        """Ask the other holders for what they can spare."""
+        gathered = Gathered()
+        for vm in self._lenders(account):
+            if gathered.had >= wanted:
+                break
+            await self._ask_for(gathered, vm, account, 0, wanted - gathered.had)
+        return gathered
+
+    async def _ask_for(
+        self, gathered: Gathered, vm: str, account: str, needed: int, wanted: int
+    ) -> None:
+        loan = LendRequest(
+            secrets.token_hex(8), account, needed, wanted, self._keeper.store_answers
+        )
+        try:
+            reply = await self._peers.ask(vm, loan)
+        except PeerUnreachable:
+            gathered.silent.append(vm)
+            return
+        gathered.left_elsewhere += reply.unused
+        gathered.released += reply.released
+        gathered.had += reply.released + reply.lent
+        if reply.lent:
+            self._ledger.borrow(account, reply.lent)
+        if reply.lent or reply.released:
+            log_event("tokens had", account=account, lender=vm, **_of(reply))
+
     def _lenders(self, account: str) -> list[str]:
         """Return the routers that may hold a part of a budget.
 
@@ -214,20 +268,26 @@
 
     async def _serve_lend(self, request: LendRequest) -> LendReply:
         account = request.account
-        share = self._ledger.shares_by_account.get(account)
-        if share is not None and self._keeper.store_answers:
-            # The line may be all that stands against it.
-            needed = min(request.needed, share.headroom)
-            await self._keeper.cover(account, needed, time.monotonic() + LEND_SECONDS)
-        lent = self._ledger.lend(
-            request.loan_id,
-            account,
-            needed=request.needed,
-            wanted=request.wanted,
-            now_ms=self._keeper.now_ms(),
-        )
+        released, lent = 0, 0
+        if request.by_store and self._keeper.store_answers:
+            # What the store knows of is not lost with this router or the other.
+            needed, wanted = request.needed, request.wanted
+            released = await self._keeper.release(account, needed, wanted)
+        if not released:
+            lent = self._ledger.lend(
+                request.loan_id,
+                account,
+                needed=request.needed,
+                wanted=request.wanted,
+                now_ms=self._keeper.now_ms(),
+                now=time.monotonic(),
+            )
         self._keeper.touch()
-        return LendReply(lent, self._ledger.unused(request.account))
+        return LendReply(lent, released, self._ledger.unused(account))
+
+    async def _serve_give(self, request: GiveRequest) -> Done:
+        self._ledger.take_gift(request.gift_id, request.account, request.tokens)
+        return Done()
 
     async def _serve_ping(self, request: PingRequest) -> Done:
         return Done()
@@ -250,4 +310,4 @@
 
 
 def _of(reply: LendReply) -> dict[str, int]:
-    return {"lent": reply.lent, "unused": reply.unused}
+    return {"lent": reply.lent, "released": reply.released, "unused": reply.unused}
--- a/tests/ledger_fleet.py
+++ b/tests/ledger_fleet.py
@@ -3,7 +3,7 @@
 import attrs
 
 from lynxchute.budgets import DemandPolicy, Ledger
-from lynxchute.budgets.rows import holder_id, totals_id
+from lynxchute.budgets.rows import HolderRow, Totals, holder_id, totals_id
 from lynxchute.store import Committed, Conflict, Row
 
 ACCOUNTS = ("a", "b")
@@ -125,13 +125,30 @@
             return
         self.loans += 1
         loan = f"l{self.loans}"
-        terms = {"needed": needed, "wanted": wanted, "now_ms": self.time(lender)}
+        terms = {
+            "needed": needed,
+            "wanted": wanted,
+            "now_ms": self.time(lender),
+            "now": self.seconds(),
+        }
         lent = lender.ledger.lend(loan, account, **terms)
         if reply == "twice":
             lent = lender.ledger.lend(loan, account, **terms)
         if reply != "lost":
             borrower.ledger.borrow(account, lent)
 
+    def give(self, giver, taker, account, fate):
+        """Pass leftover borrowed tokens on, as the routers' messages do."""
+        if giver is taker or account not in giver.ledger.shares_by_account:
+            return
+        tokens = giver.ledger.leftover(account, self.time(giver))
+        if tokens <= 0:
+            return
+        self.loans += 1
+        giver.ledger.give(account, tokens)
+        for _ in range({"lost": 0, "taken": 1, "twice": 2}[fate]):
+            taker.ledger.take_gift(f"g{self.loans}", account, tokens)
+
     def restart(self, number):
         """End a router's process and start another on its VM."""
         router = self.routers[number % len(self.routers)]
@@ -152,3 +169,34 @@
         for account, paid in self.prepaid.items():
             if self.spent(account) > paid:
                 raise Overspent(f"overspend: {account} {self.spent(account)} of {paid}")
+            self._check_division(account, paid)
+        for router in self.routers:
+            self._check_row(router)
+
+    def _check_division(self, account, paid):
+        row = self.store.get(totals_id(account))
+        by_vm = Totals.decode(row.value).granted_by_vm if row else {}
+        if sum(by_vm.values()) > paid:
+            raise Overspent(f"granted: {account} {by_vm} of {paid}")
+        for router in self.routers:
+            row = self.store.get(holder_id(router.vm))
+            terms = HolderRow.decode(row.value).terms_by_account if row else {}
+            own = terms[account].granted if account in terms else 0
+            if own != by_vm.get(router.vm, 0):
+                raise Overspent(f"granted: {router.vm} {account} {own} in {by_vm}")
+
+    def _check_row(self, router):
+        """A process that started now must not count less than was used."""
+        row = self.store.get(holder_id(router.vm))
+        if row is None or not router.ledger.is_open:
+            return
+        found = HolderRow.decode(row.value)
+        if found.incarnation != router.ledger.incarnation:
+            return
+        for account, terms in found.terms_by_account.items():
+            own_use = router.ledger.share(account).own_use
+            if own_use > terms.limit(self.now_ms):
+                raise Overspent(
+                    f"beyond the line: {router.vm} {account} {own_use}"
+                    f" of {terms.limit(self.now_ms)}"
+                )
--- a/tests/ledger_machine.py
+++ b/tests/ledger_machine.py
@@ -7,6 +7,8 @@
 
 NUMBERS = st.integers(0, 40)
 TOKENS = st.integers(1, 200)
+# More than any budget here holds, so that a broken ledger ends as well.
+MAX_RESERVED = 40
 FATES = st.sampled_from(("answered",) * 4 + ("unanswered", "late", "lost"))
 
 
@@ -54,9 +56,11 @@
     @rule(router=NUMBERS, account=st.sampled_from(ACCOUNTS))
     def reserve_all_there_is(self, router, account):
         tokens = 256
-        while tokens:
+        for _ in range(MAX_RESERVED):
             if self.fleet.reserve(self.router(router), account, tokens) is not None:
                 tokens //= 2
+            if not tokens:
+                return
 
     @rule(router=NUMBERS, fate=FATES, account=st.sampled_from(ACCOUNTS))
     def write_and_reserve_all(self, router, fate, account):
@@ -70,6 +74,12 @@
         self.fleet.write(self.router(number), "answered")
         self.reserve_all_there_is(number, account)
 
+    @rule(account=st.sampled_from(ACCOUNTS))
+    def everybody_reserves_all(self, account):
+        for number in range(len(self.fleet.routers)):
+            self.fleet.write(self.router(number), "answered")
+            self.reserve_all_there_is(number, account)
+
     @rule(used=TOKENS)
     def settle_all(self, used):
         while self.fleet.open:
@@ -97,10 +107,53 @@
             reply,
         )
 
+    @rule(
+        giver=NUMBERS,
+        taker=NUMBERS,
+        account=st.sampled_from(ACCOUNTS),
+        fate=st.sampled_from(("lost", "taken", "twice")),
+    )
+    def give(self, giver, taker, account, fate):
+        self.router(giver).ledger.share(account).is_home = False
+        self.fleet.give(self.router(giver), self.router(taker), account, fate)
+
+    @rule(
+        lender=NUMBERS,
+        taker=NUMBERS,
+        account=st.sampled_from(ACCOUNTS),
+        needed=TOKENS,
+        fate=FATES,
+    )
+    def release_and_reserve_all(self, lender, taker, account, needed, fate):
+        self.router(lender).ledger.release(
+            account, needed=needed, wanted=needed, now=self.fleet.seconds()
+        )
+        self.fleet.write(self.router(lender), fate)
+        self.fleet.write(self.router(taker), "answered")
+        self.fleet.write(self.router(taker), "answered")
+        self.reserve_all_there_is(taker, account)
+        self.reserve_all_there_is(lender, account)
+
     @rule(number=NUMBERS)
     def restart(self, number):
         self.fleet.restart(number)
 
+    @rule(router=NUMBERS, account=st.sampled_from(ACCOUNTS), is_home=st.booleans())
+    def change_home(self, router, account, is_home):
+        self.router(router).ledger.share(account).is_home = is_home
+
+    @rule(number=NUMBERS, account=st.sampled_from(ACCOUNTS), fate=FATES)
+    def hand_over_and_reserve_all(self, number, account, fate):
+        """One router gives its part back, another takes it; both spend."""
+        old, new = self.router(number), self.router(number + 1)
+        old.ledger.share(account).is_home = False
+        new.ledger.share(account).is_home = True
+        self.fleet.write(old, fate)
+        self.fleet.write(new, "answered")
+        self.fleet.write(new, "answered")
+        self.reserve_all_there_is(number + 1, account)
+        self.reserve_all_there_is(number, account)
+
     @rule(router=NUMBERS)
     def begin_to_stop(self, router):
         self.router(router).ledger.is_closing = True
