--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -268,6 +268,7 @@
             upstreams=exchange.upstreams,
             sends=exchange.sends,
             events=exchange.events,
+            tokens=used_tokens(exchange),
             seconds=round(seconds, 4),
             first_byte=round(first_byte, 4),
         )
