--- a/lynxchute/budgets/ledger.py
+++ b/lynxchute/budgets/ledger.py
@@ -119,6 +119,7 @@
         self._policy = policy
         self._parts = max(parts, 1)
         self._row_version = 0
+        self._predecessor_ended_ms = 0
         self._sequence = 0
         self._lent_by_id = _Recent()
         self._gifts_by_id = _Recent()
@@ -126,23 +127,24 @@
 
     # Taking over.
 
-    def take_over(self, row: Row | None, now_ms: int) -> None:
+    def take_over(self, row: Row | None, ended_ms: int) -> None:
         """Begin where an earlier run of this VM's process has ended.
 
         Parameters
         ----------
         row
             The row that it left; None where there is none.
-        now_ms
-            A time that the store told after the earlier run had ended.
+        ended_ms
+            A time on the store's clock by which that run had ended.
         """
+        self._predecessor_ended_ms = ended_ms
         self.shares_by_account = {}
         self._row_version = row.version if row is not None else 0
         if row is None:
             return
         for account, terms in HolderRow.decode(row.value).terms_by_account.items():
             # All that the line allowed may have been used.
-            used = terms.limit(now_ms)
+            used = terms.limit(ended_ms)
             share = Share(Terms(terms.granted, Line.flat(used)), settled=used)
             self.shares_by_account[account] = share
 
@@ -331,7 +333,7 @@
             self.shares_by_account[account].uncertain.append(terms)
         return self.pending
 
-    def learn(self, outcome: Outcome, *, now_ms: int) -> bool:
+    def learn(self, outcome: Outcome) -> bool:
         """Take the outcome of the pending write; return whether it is in force."""
         plan = self.pending
         assert plan is not None
@@ -343,7 +345,7 @@
                 self.totals_by_account[account] = known
             self.is_open = True
             return True
-        self._learn_conflict(plan, outcome, now_ms)
+        self._learn_conflict(plan, outcome)
         return False
 
     def lost(self) -> None:
@@ -424,19 +426,19 @@
             share.releasing = max(share.releasing - given_back, 0)
             share.terms = terms
 
-    def _learn_conflict(self, plan: Plan, conflict: Conflict, now_ms: int) -> None:
+    def _learn_conflict(self, plan: Plan, conflict: Conflict) -> None:
         own_id = holder_id(self.vm)
         totals = []
         for row_id, row in conflict.rows_by_id.items():
             if row_id == own_id:
-                self._learn_own(plan, row, now_ms)
+                self._learn_own(plan, row)
             elif row is None:
                 self._forget_totals(row_id)
             else:
                 totals.append(row)
         self.learn_totals(totals)
 
-    def _learn_own(self, plan: Plan, row: Row | None, now_ms: int) -> None:
+    def _learn_own(self, plan: Plan, row: Row | None) -> None:
         if row is None or row.version == self._row_version:
             # Only another row was in the way: the own one is as it was. An
             # earlier write of unknown outcome may still change it.
@@ -452,7 +454,7 @@
             self.fenced = True
             return
         # A late write of the run before.
-        self.take_over(row, now_ms)
+        self.take_over(row, self._predecessor_ended_ms)
 
     def _withdraw(self, plan: Plan) -> None:
         for account, terms in plan.row.terms_by_account.items():
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -91,9 +91,18 @@
         What it is told at its start.
     platform
         The platform's services.
+    started_at
+        When the process began, on the steady clock in seconds; now, where it
+        is not told.
     """
 
-    def __init__(self, settings: EdgeSettings, platform: Platform) -> None:
+    def __init__(
+        self,
+        settings: EdgeSettings,
+        platform: Platform,
+        *,
+        started_at: float | None = None,
+    ) -> None:
         super().__init__(settings.bounds.stop)
         self.settings = settings
         self.platform = platform
@@ -129,6 +138,7 @@
             platform.store,
             self.members.homes,
             settled=self.registry.settled,
+            started_at=time.monotonic() if started_at is None else started_at,
         )
         self.configurations.listeners.append(self.keeper.configure)
         self.settlements = Settlements(ledger, self.members, self.peers)
--- a/lynxchute/platform/daemon.py
+++ b/lynxchute/platform/daemon.py
@@ -57,9 +57,10 @@
     )
 
 
-async def serve(settings: EdgeSettings, path: Path) -> None:
+async def serve(settings: EdgeSettings, path: Path, started_at: float) -> None:
     """Run until told to stop."""
-    application = EdgeApplication(settings, make_platform(settings))
+    platform = make_platform(settings)
+    application = EdgeApplication(settings, platform, started_at=started_at)
     application.watch_settings(lambda: read_settings(path), lambda: _stamp(path))
     end_on_signals(
         lambda: application.end(Ending.STOPPED), lambda: os._exit(EXIT_KILLED)
@@ -67,8 +68,14 @@
     await application.run()
 
 
-def main() -> None:
-    """Run a router from the settings file that the environment names."""
+def main(started_at: float) -> None:
+    """Run a router from the settings file that the environment names.
+
+    Parameters
+    ----------
+    started_at
+        When the process began, on the steady clock in seconds.
+    """
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     result = read_settings(path)
     if result.is_error():
@@ -78,5 +85,5 @@
     settings = result.ok
     log_to_stdout(vm=settings.vm)
     log_event("started", data_centre=settings.data_centre, pid=os.getpid())
-    asyncio.run(serve(settings, path))
+    asyncio.run(serve(settings, path, started_at))
     log_event("ended")
--- a/lynxchute/platform/store.py
+++ b/lynxchute/platform/store.py
@@ -52,6 +52,7 @@
         """Apply a write."""
         body = _encode_write(write)
         self.calls += 1
+        asked_at = asyncio.get_running_loop().time()
         try:
             status, answer = await self._client.post_json(
                 ROWS_WRITE, body, timeouts=_timeouts(0.0)
@@ -62,7 +63,7 @@
             raise StoreUnavailable(str(error)) from error
         if status in (429, 503):
             raise StoreUnavailable(f"the store answered {status}")
-        self._note_time(answer)
+        self._note_time(answer, asked_at)
         if status == 200:
             return Committed(int(answer["ver"]))
         if status == 412:
@@ -112,6 +113,7 @@
         self, path: str, question: dict[str, Any], *, wait: float
     ) -> dict[str, Any]:
         self.calls += 1
+        asked_at = asyncio.get_running_loop().time()
         try:
             status, answer = await self._client.get_json(
                 f"{path}?{urlencode(question)}", timeouts=_timeouts(wait)
@@ -124,13 +126,14 @@
             raise StoreUnavailable(f"the store answered {status}")
         if status != 200 or not isinstance(answer, dict):
             raise StoreRefused(f"the store answered {status}: {answer}")
-        self._note_time(answer)
+        self._note_time(answer, asked_at)
         return answer
 
-    def _note_time(self, answer: Any) -> None:
+    def _note_time(self, answer: Any, asked_at: float) -> None:
         if isinstance(answer, dict) and "now_ms" in answer:
             now = asyncio.get_running_loop().time()
-            self.clock.observe(told_ms=int(answer["now_ms"]), now=now)
+            told_ms = int(answer["now_ms"])
+            self.clock.observe(told_ms=told_ms, now=now, asked_at=asked_at)
 
 
 def _timeouts(wait: float) -> Timeouts:
--- a/lynxchute/spending/keeper.py
+++ b/lynxchute/spending/keeper.py
@@ -46,6 +46,9 @@
         Returns the VMs that hold an account's tokens, the home first.
     settled
         Set once it is known who the other routers are.
+    started_at
+        When this process began, on the steady clock in seconds; an earlier one
+        of this VM had ended by then.
     """
 
     def __init__(
@@ -55,12 +58,14 @@
         homes: Callable[[str], list[str]],
         *,
         settled: asyncio.Event,
+        started_at: float,
     ) -> None:
         super().__init__()
         self.ledger = ledger
         self._store = store
         self._homes = homes
         self._settled = settled
+        self._started_at = started_at
         self._stirred = asyncio.Event()
         self._wanted = asyncio.Event()
         self._waiters: set[asyncio.Future[None]] = set()
@@ -236,7 +241,8 @@
             if row.id.key == self.ledger.vm:
                 own = row
         self.ledger.learn_totals(totals.rows)
-        self.ledger.take_over(own, self.now_ms())
+        ended_ms = self._store.clock.latest_ms(self._started_at)
+        self.ledger.take_over(own, ended_ms)
         log_event(
             "budgets read",
             accounts=len(totals.rows),
@@ -273,7 +279,7 @@
     def _learn(self, plan: Plan, outcome: Outcome) -> None:
         ledger = self.ledger
         self._note_answer()
-        if not ledger.learn(outcome, now_ms=self.now_ms()):
+        if not ledger.learn(outcome):
             # Another router's write came first; what it changed is known now.
             self.want()
         elif plan.totals_by_account:
--- a/tests/ledger_fleet.py
+++ b/tests/ledger_fleet.py
@@ -2,11 +2,13 @@
 
 import attrs
 
-from lynxchute.budgets import DemandPolicy, Ledger
+from lynxchute.budgets import DemandPolicy, Ledger, Line
 from lynxchute.budgets.rows import HolderRow, Totals, holder_id, totals_id
 from lynxchute.store import Committed, Conflict, Row
 
 ACCOUNTS = ("a", "b")
+# As it is before any mutant changes it.
+LINE_AT = Line.at
 
 
 class Overspent(AssertionError):
@@ -97,7 +99,7 @@
         if fate == "unanswered":
             ledger.unsure()
             return
-        ledger.learn(outcome, now_ms=self.now_ms)
+        ledger.learn(outcome)
 
     def reserve(self, router, account, tokens):
         self.requests += 1
@@ -152,9 +154,14 @@
     def restart(self, number):
         """End a router's process and start another on its VM."""
         router = self.routers[number % len(self.routers)]
+        before = {a: router.ledger.share(a).own_use for a in self.prepaid}
+        was_open = router.ledger.is_open and not router.ledger.fenced
         new = self._start(router.vm, router.runs)
         router.ledger, router.runs = new.ledger, new.runs
         router.lag_ms = 0
+        for account, used in before.items():
+            if was_open and router.ledger.share(account).own_use < used:
+                raise Overspent(f"forgotten: {router.vm} {account} {used}")
 
     def raise_prepaid(self, account, tokens, knowing):
         self.prepaid[account] += tokens
@@ -169,6 +176,9 @@
         for account, paid in self.prepaid.items():
             if self.spent(account) > paid:
                 raise Overspent(f"overspend: {account} {self.spent(account)} of {paid}")
+            counted = sum(r.ledger.share(account).own_use for r in self.routers)
+            if counted < self.spent(account):
+                raise Overspent(f"uncounted: {account} {counted}")
             self._check_division(account, paid)
         for router in self.routers:
             self._check_row(router)
@@ -195,8 +205,8 @@
             return
         for account, terms in found.terms_by_account.items():
             own_use = router.ledger.share(account).own_use
-            if own_use > terms.limit(self.now_ms):
+            limit = min(terms.granted, LINE_AT(terms.line, self.now_ms))
+            if own_use > limit:
                 raise Overspent(
-                    f"beyond the line: {router.vm} {account} {own_use}"
-                    f" of {terms.limit(self.now_ms)}"
+                    f"beyond the line: {router.vm} {account} {own_use} of {limit}"
                 )
--- a/tests/ledger_machine.py
+++ b/tests/ledger_machine.py
@@ -134,6 +134,20 @@
         self.reserve_all_there_is(taker, account)
         self.reserve_all_there_is(lender, account)
 
+    @rule(number=NUMBERS, account=st.sampled_from(ACCOUNTS))
+    def a_late_write_lands_after_a_conflict(self, number, account):
+        router, other = self.router(number), self.router(number + 1)
+        self.fleet.write(router, "answered")
+        self.fleet.now_ms += 2_000
+        self.fleet.write(router, "late")
+        other.ledger.release(account, needed=9, wanted=9, now=self.fleet.seconds())
+        self.fleet.write(other, "answered")
+        router.ledger.share(account).waiting += 50
+        self.fleet.write(router, "answered")
+        router.ledger.share(account).waiting -= 50
+        self.reserve_all_there_is(number, account)
+        self.fleet.store.write_late()
+
     @rule(number=NUMBERS)
     def restart(self, number):
         self.fleet.restart(number)
