--- a/lynxchute/budgets/policy.py
+++ b/lynxchute/budgets/policy.py
@@ -90,9 +90,9 @@
 
     reserve_seconds: float = 15.0
     stake: float = 0.85
-    burst_share: float = 0.03
-    rate_factor: float = 1.2
-    rate_share: float = 0.02
+    burst_share: float = 0.01
+    rate_factor: float = 0.6
+    rate_share: float = 0.005
     drain_seconds: float = 3.0
 
     def grant(self, view: ShareView) -> int:
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -34,13 +34,14 @@
 from lynxchute.relay.admission import Admission
 from lynxchute.relay.relay import Relay
 from lynxchute.relay.sender import UPSTREAM_TIMEOUTS, Sender
+from lynxchute.scheduling.scheduler import USUAL_CAPACITY, Scheduler
 from lynxchute.spending.balance import Balance
 from lynxchute.spending.keeper import Keeper
 from lynxchute.spending.reservations import FleetBudgets
 from lynxchute.spending.settlements import Settlements
 from lynxchute.telemetry import Metrics, log_event
 from lynxchute.upstreams.directory import Directory
-from lynxchute.upstreams.placement import LeastOpen, PromptAffinity
+from lynxchute.upstreams.placement import LeastOpen
 from lynxchute.upstreams.retry_budget import RetryBudget
 
 METRICS_PATH = "/metrics"
@@ -148,12 +149,20 @@
         rng = random.Random()
         self.admission = Admission(self.configurations, rng)
         plain = LeastOpen(settings.data_centre)
+        scheduler = Scheduler(
+            self.members,
+            self.peers,
+            self.directory,
+            self._capacity_of,
+            time.monotonic,
+        )
+        scheduler.serve(self.peer_server)
         sender = Sender(
             self.directory,
             platform.dialect,
             self.clients,
             self.retries,
-            PromptAffinity(plain),
+            scheduler,
             plain,
             self.metrics,
             time.monotonic,
@@ -178,6 +187,7 @@
             self.keeper,
             self.settlements,
             balance.loop,
+            scheduler,
             Listener(self.peer_server.server, settings.peers),
             Listener(self.readiness, settings.readiness),
             Listener(self.callers, settings.callers),
@@ -259,6 +269,14 @@
         body = metrics.exposition()
         await respond.whole(200, body, CONTENT_TYPE_LATEST)
 
+    def _capacity_of(self, service: str) -> int:
+        """Return the tokens that an engine of a service holds in its memory."""
+        current = self.configurations.current
+        found = current.services_by_name.get(service) if current else None
+        if found is None or found.engine is None:
+            return USUAL_CAPACITY
+        return found.engine.cache_tokens
+
     def _limits(self) -> ServerLimits:
         configuration = self.configurations.current
         if configuration is None:
--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -142,6 +142,64 @@
     tokens: int
 
 
+@attrs.frozen
+class PlaceReply:
+    """The engine for a generation; empty where none is known."""
+
+    upstream: str
+
+
+@attrs.frozen
+class PlaceRequest(Message[PlaceReply]):
+    """Choose an engine for a generation.
+
+    Attributes
+    ----------
+    data_centre
+        Where the asking router is.
+    upstreams
+        The engines that it could send to.
+    parts
+        Ids and tokens of the prompt's parts.
+    """
+
+    NAME = "place"
+    REPLY = PlaceReply
+
+    run_id: str
+    data_centre: str
+    upstreams: tuple[str, ...]
+    prompt_tokens: int
+    output_tokens: int
+    parts: tuple[tuple[str, int], ...]
+
+
+class RunStage(enum.Enum):
+    """How far a run has come."""
+
+    BEGUN = "begun"
+    ENDED = "ended"
+
+
+@attrs.frozen
+class RunNews:
+    """What has become of a run on an engine."""
+
+    run_id: str
+    upstream: str
+    stage: RunStage
+
+
+@attrs.frozen
+class RunNewsRequest(Message[Done]):
+    """Take news of runs that were placed."""
+
+    NAME = "news"
+    REPLY = Done
+
+    news: tuple[RunNews, ...]
+
+
 @attrs.frozen
 class PingRequest(Message[Done]):
     """Ask whether a router answers again."""
@@ -152,7 +210,15 @@
 
 MESSAGES_BY_NAME: dict[str, type[Message[Any]]] = {
     cls.NAME: cls
-    for cls in (ReserveRequest, SettleRequest, LendRequest, GiveRequest, PingRequest)
+    for cls in (
+        ReserveRequest,
+        SettleRequest,
+        LendRequest,
+        GiveRequest,
+        PlaceRequest,
+        RunNewsRequest,
+        PingRequest,
+    )
 }
 
 _CONVERTER = cattrs.Converter(forbid_extra_keys=False)
--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -43,6 +43,9 @@
         Events delivered, and the id of the last of them.
     order
         Sees that they follow on one another.
+    last_event_at, longest_pause
+        When the last of them came, and the longest time between two, in
+        seconds.
     """
 
     call: Call
@@ -60,6 +63,8 @@
     last_event: str = ""
     order: EventOrder = attrs.Factory(EventOrder)
     first_byte_at: float = 0.0
+    last_event_at: float = 0.0
+    longest_pause: float = 0.0
     is_ended: bool = False
 
     @property
@@ -67,6 +72,11 @@
         """Return when the request began to arrive, in seconds."""
         return self.call.request.received_at
 
+    @property
+    def run_id(self) -> str:
+        """Return what names the next or present run of the request."""
+        return f"{self.call.request_id}.{len(self.tried)}"
+
     @property
     def priority(self) -> int:
         """Return the request's rank; 0 comes first."""
@@ -81,6 +91,15 @@
             return False
         return self.run is Run.NOT_RUN or self.route.is_repeatable
 
+    def note_events(self, count: int, last_event: str, now: float) -> None:
+        """Count events that go to the caller."""
+        if self.events:
+            pause = now - self.last_event_at
+            self.longest_pause = max(self.longest_pause, pause)
+        self.events += count
+        self.last_event = last_event
+        self.last_event_at = now
+
     def retry_after(self, now: float) -> float:
         """Return the seconds after which the caller should come back."""
         patience = self.call.patience or self.route.timeout
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -211,8 +211,7 @@
                 exchange.order.check(events)
                 if not exchange.respond.started:
                     await self._start_stream(exchange, answer)
-                exchange.events += events.count
-                exchange.last_event = events.last_id
+                exchange.note_events(events.count, events.last_id, self._clock())
                 await exchange.respond.send(events.data)
             if splitter.rest:
                 return False
@@ -234,6 +233,7 @@
     async def _start_stream(self, exchange: Exchange, answer: Answer) -> None:
         headers = self._dialect.caller_headers(answer.response.headers)
         exchange.first_byte_at = self._clock()
+        self._sender.note_begun(answer)
         await exchange.respond.start(answer.response.status, headers)
 
     # Logs and metrics.
@@ -271,6 +271,7 @@
             tokens=used_tokens(exchange),
             seconds=round(seconds, 4),
             first_byte=round(first_byte, 4),
+            longest_pause=round(exchange.longest_pause, 4),
         )
 
 
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -39,6 +39,7 @@
     response: Response
     entry: Entry
     cost: int
+    run_id: str
 
 
 class Sender:
@@ -112,12 +113,17 @@
     def release(self, answer: Answer, fate: Fate) -> None:
         """Note that an upstream no longer works on a request."""
         self._note_fate(answer.entry, answer.cost, fate)
+        self._generations.note_ended(answer.run_id, answer.entry.upstream.id)
+
+    def note_begun(self, answer: Answer) -> None:
+        """Note the first event of a stream."""
+        self._generations.note_begun(answer.run_id, answer.entry.upstream.id)
 
     async def _choose(self, exchange: Exchange) -> Entry:
         patience = exchange.route.latency_objective * WAIT_SHARE
         until = min(self._clock() + patience, exchange.ends_at)
         while True:
-            entry = self._find(exchange)
+            entry = await self._find(exchange)
             if entry is not None:
                 return entry
             self._changed.clear()
@@ -127,7 +133,7 @@
             except TimeoutError:
                 raise self._give_up(exchange) from None
 
-    def _find(self, exchange: Exchange) -> Entry | None:
+    async def _find(self, exchange: Exchange) -> Entry | None:
         now = self._clock()
         known = [
             entry
@@ -142,7 +148,7 @@
         candidates = awake or [min(known, key=lambda e: e.health.paused_until)]
         generation = exchange.call.generation
         placement = self._generations if generation is not None else self._plain
-        return placement.choose(generation, candidates)
+        return await placement.choose(exchange.run_id, generation, candidates)
 
     async def _try(self, exchange: Exchange, entry: Entry) -> Answer | None:
         """Send once; return None where there was no answer to pass on."""
@@ -160,9 +166,10 @@
         except BaseException:
             entry.open_requests -= 1
             entry.open_tokens -= cost
+            self._generations.note_ended(exchange.run_id, entry.upstream.id)
             raise
         verdict = self._dialect.verdict(response.status, response.headers)
-        answer = Answer(response, entry, cost)
+        answer = Answer(response, entry, cost, exchange.run_id)
         if verdict is Verdict.ANSWERED:
             exchange.run = Run.RAN
             return answer
@@ -214,6 +221,7 @@
         self, exchange: Exchange, entry: Entry, cost: int, fate: Fate, reason: str
     ) -> None:
         self._note_fate(entry, cost, fate)
+        self._generations.note_ended(exchange.run_id, entry.upstream.id)
         log_event(
             "a send gave no answer",
             request_id=exchange.call.request_id,
--- /dev/null
+++ b/lynxchute/scheduling/scheduler.py
@@ -0,0 +1,229 @@
+"""Ask the router that schedules a service's engines, or be that router."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from lynxchute.application import Background
+from lynxchute.fleet.client import Peers, PeerUnreachable
+from lynxchute.fleet.members import Members
+from lynxchute.fleet.messages import (
+    Done,
+    PlaceReply,
+    PlaceRequest,
+    RunNews,
+    RunNewsRequest,
+    RunStage,
+)
+from lynxchute.fleet.server import PeerServer
+from lynxchute.rendezvous import ranked
+from lynxchute.scheduling.board import Candidate, EngineBoard
+from lynxchute.telemetry import log_event
+from lynxchute.upstreams.directory import Directory, Entry
+from lynxchute.upstreams.generation import Generation, PromptPart
+from lynxchute.upstreams.placement import Placement
+
+# Seconds that a request waits for a place; a router within the region answers
+# in a few ms.
+ASK_SECONDS = 0.1
+# News of runs of this many seconds go out together.
+NEWS_SECONDS = 0.05
+TIDY_SECONDS = 5.0
+# Tokens of an engine's memory where its service does not say.
+USUAL_CAPACITY = 400_000
+
+
+class Scheduler(Background, Placement):
+    """Place generations with the load of the whole fleet in view.
+
+    One router of those that can be reached does it for all, named by
+    rendezvous hashing; where it does not answer, the own knowledge decides.
+
+    Parameters
+    ----------
+    members, peers
+        The other routers.
+    directory
+        The upstreams.
+    capacity_of
+        Returns the tokens that an engine of a service holds.
+    clock
+        Seconds on the steady clock.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        peers: Peers,
+        directory: Directory,
+        capacity_of: Callable[[str], int],
+        clock: Callable[[], float],
+    ) -> None:
+        super().__init__()
+        self.board = EngineBoard()
+        self._members = members
+        self._peers = peers
+        self._directory = directory
+        self._capacity_of = capacity_of
+        self._clock = clock
+        self._news_by_vm: dict[str, list[RunNews]] = {}
+        self._scheduler_by_run: dict[str, str] = {}
+        self._any_news = asyncio.Event()
+
+    def serve(self, server: PeerServer) -> None:
+        """Answer the questions of other routers."""
+        server.answers_by_class[PlaceRequest] = self._serve_place
+        server.answers_by_class[RunNewsRequest] = self._serve_news
+
+    async def choose(
+        self, run_id: str, generation: Generation | None, candidates: Sequence[Entry]
+    ) -> Entry:
+        """Return one of the candidates, of which there is at least one."""
+        assert generation is not None
+        by_id = {entry.upstream.id: entry for entry in candidates}
+        own = self._members.own.vm
+        vm = self._scheduling_vm(candidates[0].upstream.service)
+        chosen = ""
+        if vm != own:
+            chosen = await self._ask(vm, run_id, generation, by_id)
+        if chosen not in by_id:
+            vm = own
+            chosen = self._place_here(run_id, generation, candidates)
+        self._scheduler_by_run[run_id] = vm
+        return by_id[chosen]
+
+    def note_begun(self, run_id: str, upstream_id: str) -> None:
+        """Note the first event of a run."""
+        self._note(run_id, upstream_id, RunStage.BEGUN)
+
+    def note_ended(self, run_id: str, upstream_id: str) -> None:
+        """Note that an engine no longer works on a run."""
+        self._note(run_id, upstream_id, RunStage.ENDED)
+        self._scheduler_by_run.pop(run_id, None)
+
+    def _note(self, run_id: str, upstream_id: str, stage: RunStage) -> None:
+        vm = self._scheduler_by_run.get(run_id, self._members.own.vm)
+        news = RunNews(run_id, upstream_id, stage)
+        if vm == self._members.own.vm:
+            self._take(news)
+            return
+        self._news_by_vm.setdefault(vm, []).append(news)
+        self._any_news.set()
+
+    def _scheduling_vm(self, service: str) -> str:
+        vms = []
+        for member in self._members.by_vm.values():
+            if not member.is_leaving and self._members.is_reachable(member.vm):
+                vms.append(member.vm)
+        own = self._members.own.vm
+        return ranked(f"schedule {service}", vms)[0] if vms else own
+
+    async def _ask(
+        self,
+        vm: str,
+        run_id: str,
+        generation: Generation,
+        by_id: dict[str, Entry],
+    ) -> str:
+        request = PlaceRequest(
+            run_id=run_id,
+            data_centre=self._members.own.data_centre,
+            upstreams=tuple(by_id),
+            prompt_tokens=generation.prompt_tokens,
+            output_tokens=generation.max_output_tokens,
+            parts=tuple((part.id, part.tokens) for part in generation.parts),
+        )
+        try:
+            async with asyncio.timeout(ASK_SECONDS):
+                reply = await self._peers.ask(vm, request)
+        except PeerUnreachable:
+            return ""
+        except TimeoutError:
+            self._members.note_silence(vm, self._clock())
+            log_event("scheduling router too slow", peer=vm, request_id=run_id)
+            return ""
+        return reply.upstream
+
+    def _place_here(
+        self, run_id: str, generation: Generation, candidates: Sequence[Entry]
+    ) -> str:
+        own = self._members.own.data_centre
+        return self._place(run_id, generation, candidates, own)
+
+    def _place(
+        self,
+        run_id: str,
+        generation: Generation,
+        entries: Sequence[Entry],
+        data_centre: str,
+    ) -> str:
+        found = []
+        # A rank of its own for each prompt spreads what costs the same.
+        by_id = {entry.upstream.id: entry for entry in entries}
+        parts = generation.shared_parts
+        for upstream_id in ranked(parts[-1].id if parts else run_id, by_id):
+            upstream = by_id[upstream_id].upstream
+            found.append(
+                Candidate(
+                    upstream_id,
+                    upstream.slots,
+                    self._capacity_of(upstream.service),
+                    upstream.data_centre != data_centre,
+                )
+            )
+        return self.board.place(run_id, generation, found, self._clock())
+
+    async def _serve_place(self, request: PlaceRequest) -> PlaceReply:
+        entries = []
+        for upstream_id in request.upstreams:
+            entry = self._directory.entries_by_id.get(upstream_id)
+            if entry is not None and entry.takes_work:
+                entries.append(entry)
+        if not entries:
+            return PlaceReply("")
+        generation = Generation(
+            model="",
+            prompt_tokens=request.prompt_tokens,
+            max_output_tokens=request.output_tokens,
+            parts=tuple(PromptPart(*part) for part in request.parts),
+        )
+        chosen = self._place(request.run_id, generation, entries, request.data_centre)
+        return PlaceReply(chosen)
+
+    async def _serve_news(self, request: RunNewsRequest) -> Done:
+        for news in request.news:
+            self._take(news)
+        return Done()
+
+    def _take(self, news: RunNews) -> None:
+        if news.stage is RunStage.BEGUN:
+            self.board.begun(news.upstream, news.run_id, self._clock())
+            return
+        self.board.ended(news.upstream, news.run_id)
+
+    async def _run(self) -> None:
+        tidied_at = self._clock()
+        while True:
+            try:
+                async with asyncio.timeout(TIDY_SECONDS):
+                    await self._any_news.wait()
+            except TimeoutError:
+                # No news; the board is tidied all the same.
+                pass
+            if self._clock() - tidied_at >= TIDY_SECONDS:
+                tidied_at = self._clock()
+                self.board.keep_only(self._directory.entries_by_id, tidied_at)
+            if not self._any_news.is_set():
+                continue
+            self._any_news.clear()
+            await asyncio.sleep(NEWS_SECONDS)
+            waiting, self._news_by_vm = self._news_by_vm, {}
+            await asyncio.gather(*(self._tell(vm, waiting[vm]) for vm in waiting))
+
+    async def _tell(self, vm: str, news: list[RunNews]) -> None:
+        try:
+            await self._peers.ask(vm, RunNewsRequest(tuple(news)))
+        except PeerUnreachable as error:
+            # It forgets the runs after a while by itself.
+            log_event("news of runs lost", peer=vm, count=len(news), reason=str(error))
