--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -179,6 +179,7 @@
 
     BEGUN = "begun"
     ENDED = "ended"
+    FAILED = "failed"
 
 
 @attrs.frozen
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -163,12 +163,13 @@
 
     async def _read_whole(self, exchange: Exchange, answer: Answer) -> bytes | None:
         """Return an answer's body, or None where it broke off."""
-        fate = Fate.BROKEN
+        fate = Fate.ABANDONED
         try:
             body = await answer.response.body(MAX_HELD_BYTES)
             failed = answer.response.status >= SERVER_ERROR
             fate = Fate.FAILED if failed else Fate.SERVED
         except ExchangeFailed as error:
+            fate = Fate.BROKEN
             log_event(
                 "an answer broke off",
                 request_id=exchange.call.request_id,
@@ -199,7 +200,7 @@
     async def _pass_events(self, exchange: Exchange, answer: Answer) -> bool:
         """Pass events on; return whether the stream came to its end."""
         splitter = EventSplitter()
-        fate = Fate.BROKEN
+        fate = Fate.ABANDONED
         try:
             while True:
                 data = await answer.response.read()
@@ -214,9 +215,11 @@
                 exchange.note_events(events.count, events.last_id, self._clock())
                 await exchange.respond.send(events.data)
             if splitter.rest:
+                fate = Fate.BROKEN
                 return False
             fate = Fate.SERVED
         except (ExchangeFailed, EventsOutOfOrder) as error:
+            fate = Fate.BROKEN
             log_event(
                 "a stream broke off",
                 request_id=exchange.call.request_id,
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -113,7 +113,9 @@
     def release(self, answer: Answer, fate: Fate) -> None:
         """Note that an upstream no longer works on a request."""
         self._note_fate(answer.entry, answer.cost, fate)
-        self._generations.note_ended(answer.run_id, answer.entry.upstream.id)
+        failed = fate not in (Fate.SERVED, Fate.ABANDONED)
+        upstream_id = answer.entry.upstream.id
+        self._generations.note_ended(answer.run_id, upstream_id, failed=failed)
 
     def note_begun(self, answer: Answer) -> None:
         """Note the first event of a stream."""
@@ -166,7 +168,8 @@
         except BaseException:
             entry.open_requests -= 1
             entry.open_tokens -= cost
-            self._generations.note_ended(exchange.run_id, entry.upstream.id)
+            upstream_id = entry.upstream.id
+            self._generations.note_ended(exchange.run_id, upstream_id, failed=False)
             raise
         verdict = self._dialect.verdict(response.status, response.headers)
         answer = Answer(response, entry, cost, exchange.run_id)
@@ -221,7 +224,7 @@
         self, exchange: Exchange, entry: Entry, cost: int, fate: Fate, reason: str
     ) -> None:
         self._note_fate(entry, cost, fate)
-        self._generations.note_ended(exchange.run_id, entry.upstream.id)
+        self._generations.note_ended(exchange.run_id, entry.upstream.id, failed=True)
         log_event(
             "a send gave no answer",
             request_id=exchange.call.request_id,
--- a/lynxchute/scheduling/board.py
+++ b/lynxchute/scheduling/board.py
@@ -18,6 +18,9 @@
 SPEED_WEIGHT = 0.1
 # Prompts shorter than this tell nothing of the speed.
 TELLING_TOKENS = 1500
+# First events expected sooner than this many milliseconds tell nothing of how
+# slow an engine is.
+TELLING_MS = 60.0
 # Milliseconds from an idle engine's start of a prompt to its first event, apart
 # from reading the prompt.
 FIRST_EVENT_MS = 35.0
@@ -37,24 +40,35 @@
 FULL_MS = 2_000.0
 
 
+# Seconds that an engine is passed over after a run broke there.
+AVOID_SECONDS = 0.8
+# Weight of the newest first event in how much slower than expected an engine
+# is, and the bounds of that factor.
+SLOWNESS_WEIGHT = 0.25
+MIN_SLOWNESS = 0.5
+MAX_SLOWNESS = 8.0
+
+
 @attrs.define
 class Run:
-    """A request on an engine.
+    """A request on an engine whose answer has not ended.
 
     Attributes
     ----------
+    uncached
+        Tokens of its prompt that had to be read.
     prefill_ms
-        How long its prompt was expected to be read.
-    ready_at
-        When its first event was expected, in seconds.
+        How long reading them takes an engine that does nothing else.
+    expected_ms
+        When its first event was expected, in milliseconds after its placement.
     tokens
         What it takes of the engine's memory, in tokens.
     """
 
     uncached: int
     prefill_ms: float
+    expected_ms: float
     placed_at: float
-    ready_at: float
     tokens: int
     has_begun: bool = False
 
@@ -67,16 +81,21 @@
     ----------
     speed
         Prompt tokens that it reads in a millisecond.
-    busy_until
-        When it is expected to have read all prompts that were sent there, in
-        seconds.
+    slowness
+        How much longer than expected first events take of late.
+    begun_at
+        When a run last began there, in seconds.
+    avoided_until
+        Time before which it is passed over, in seconds.
     """
 
     slots: int
     capacity: int
     cache: PrefixCache
     speed: float = USUAL_SPEED
-    busy_until: float = 0.0
+    slowness: float = 1.0
+    begun_at: float = 0.0
+    avoided_until: float = 0.0
     runs_by_id: dict[str, Run] = attrs.Factory(dict)
 
     @property
@@ -84,6 +103,18 @@
         """Return the tokens that running requests take of its memory."""
         return sum(run.tokens for run in self.runs_by_id.values())
 
+    def backlog_ms(self, now: float) -> float:
+        """Return how long it has to read the prompts that are still waiting."""
+        waiting = [run for run in self.runs_by_id.values() if not run.has_begun]
+        if not waiting:
+            return 0.0
+        head = waiting[0]
+        reading_ms = (now - max(head.placed_at, self.begun_at)) * 1000.0
+        backlog = sum(run.prefill_ms for run in waiting)
+        backlog -= min(reading_ms, head.prefill_ms)
+        overdue_ms = (now - head.placed_at) * 1000.0 - head.expected_ms
+        return backlog * self.slowness + max(overdue_ms, 0.0)
+
 
 @attrs.frozen
 class Candidate:
@@ -123,23 +154,34 @@
         return best
 
     def begun(self, upstream_id: str, run_id: str, now: float) -> None:
-        """Note the first event of a run, and learn the engine's speed by it."""
+        """Note the first event of a run, and learn from when it came."""
         state = self.engines_by_id.get(upstream_id)
         run = state.runs_by_id.get(run_id) if state is not None else None
         if state is None or run is None or run.has_begun:
             return
         run.has_begun = True
-        self._learn_speed(state, run, now)
-        # What was expected to be read after it moves with it.
-        error = now - run.ready_at
-        if abs(error) > 0.005:
-            state.busy_until = max(state.busy_until + error, now)
+        state.begun_at = now
+        took_ms = (now - run.placed_at) * 1000.0
+        self._learn_speed(state, run, took_ms)
+        self._learn_slowness(state, run, took_ms)
 
-    def ended(self, upstream_id: str, run_id: str) -> None:
+    def ended(self, upstream_id: str, run_id: str, now: float) -> None:
         """Note the end of a run."""
         state = self.engines_by_id.get(upstream_id)
+        run = state.runs_by_id.pop(run_id, None) if state is not None else None
+        if state is None or run is None or run.has_begun:
+            return
+        # Nobody waited for its first event; it took at least this long.
+        waited_ms = (now - run.placed_at) * 1000.0
+        if waited_ms > run.expected_ms:
+            self._learn_slowness(state, run, waited_ms)
+
+    def failed(self, upstream_id: str, run_id: str, now: float) -> None:
+        """Note that a run broke, and keep others away for a moment."""
+        state = self.engines_by_id.get(upstream_id)
         if state is not None:
             state.runs_by_id.pop(run_id, None)
+            state.avoided_until = now + AVOID_SECONDS
 
     def keep_only(self, upstream_ids: Iterable[str], now: float) -> None:
         """Forget engines that are gone, and runs that nobody reported ended."""
@@ -166,9 +208,7 @@
         state = self._state(candidate)
         shared = sum(part.tokens for part in generation.shared_parts)
         cached = state.cache.cached_tokens(generation.shared_parts)
-        uncached = max(generation.prompt_tokens - cached, 0)
-        cost = max(state.busy_until - now, 0.0) * 1000.0
-        cost += uncached / state.speed
+        cost = self._expected_ms(state, generation.prompt_tokens - cached, now)
         cost += REREAD_WEIGHT * (shared - cached) / state.speed
         cost += RUNNING_MS * len(state.runs_by_id)
         if candidate.is_far:
@@ -177,32 +217,43 @@
             cost += FULL_MS
         if state.occupied + generation.most_tokens > state.capacity:
             cost += FULL_MS
+        if now < state.avoided_until:
+            cost += FULL_MS
         return cost
 
+    def _expected_ms(self, state: EngineState, uncached: int, now: float) -> float:
+        own_ms = max(uncached, 0) / state.speed * state.slowness
+        return state.backlog_ms(now) + own_ms + FIRST_EVENT_MS
+
     def _assign(
         self, run_id: str, upstream_id: str, generation: Generation, now: float
     ) -> None:
         state = self.engines_by_id[upstream_id]
         cached = state.cache.cached_tokens(generation.shared_parts)
         uncached = max(generation.prompt_tokens - cached, 0)
-        prefill_ms = uncached / state.speed
-        state.busy_until = max(state.busy_until, now) + prefill_ms / 1000.0
         state.runs_by_id[run_id] = Run(
             uncached=uncached,
-            prefill_ms=prefill_ms,
+            prefill_ms=uncached / state.speed,
+            expected_ms=self._expected_ms(state, uncached, now),
             placed_at=now,
-            ready_at=state.busy_until + FIRST_EVENT_MS / 1000.0,
             tokens=generation.most_tokens - cached,
         )
         state.cache.use(generation.shared_parts, occupied=state.occupied)
 
-    def _learn_speed(self, state: EngineState, run: Run, now: float) -> None:
-        """Learn from a run that did not wait behind others."""
-        took_ms = (now - run.placed_at) * 1000.0 - FIRST_EVENT_MS
-        waited_ms = (run.ready_at - run.placed_at) * 1000.0 - FIRST_EVENT_MS
-        if run.uncached < TELLING_TOKENS or waited_ms > run.prefill_ms * 1.05:
+    def _learn_speed(self, state: EngineState, run: Run, took_ms: float) -> None:
+        """Learn from a long prompt that did not wait behind others."""
+        reading_ms = took_ms - FIRST_EVENT_MS
+        waited_ms = run.expected_ms - FIRST_EVENT_MS - run.prefill_ms * state.slowness
+        if run.uncached < TELLING_TOKENS or waited_ms > 1.0 or reading_ms <= 0:
             return
-        if took_ms <= 0:
-            return
-        seen = min(max(run.uncached / took_ms, MIN_SPEED), MAX_SPEED)
+        seen = min(max(run.uncached / reading_ms, MIN_SPEED), MAX_SPEED)
         state.speed += SPEED_WEIGHT * (seen - state.speed)
+
+    def _learn_slowness(self, state: EngineState, run: Run, took_ms: float) -> None:
+        """Learn how much longer first events take than was expected."""
+        reading_ms = run.expected_ms - FIRST_EVENT_MS
+        if reading_ms < TELLING_MS:
+            return
+        ratio = max(took_ms - FIRST_EVENT_MS, 0.0) / reading_ms
+        seen = min(max(state.slowness * ratio, MIN_SLOWNESS), MAX_SLOWNESS)
+        state.slowness += SLOWNESS_WEIGHT * (seen - state.slowness)
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -97,9 +97,10 @@
         """Note the first event of a run."""
         self._note(run_id, upstream_id, RunStage.BEGUN)
 
-    def note_ended(self, run_id: str, upstream_id: str) -> None:
+    def note_ended(self, run_id: str, upstream_id: str, *, failed: bool) -> None:
         """Note that an engine no longer works on a run."""
-        self._note(run_id, upstream_id, RunStage.ENDED)
+        stage = RunStage.FAILED if failed else RunStage.ENDED
+        self._note(run_id, upstream_id, stage)
         self._scheduler_by_run.pop(run_id, None)
 
     def _note(self, run_id: str, upstream_id: str, stage: RunStage) -> None:
@@ -200,7 +201,10 @@
         if news.stage is RunStage.BEGUN:
             self.board.begun(news.upstream, news.run_id, self._clock())
             return
-        self.board.ended(news.upstream, news.run_id)
+        if news.stage is RunStage.FAILED:
+            self.board.failed(news.upstream, news.run_id, self._clock())
+            return
+        self.board.ended(news.upstream, news.run_id, self._clock())
 
     async def _run(self) -> None:
         tidied_at = self._clock()
--- a/lynxchute/upstreams/health.py
+++ b/lynxchute/upstreams/health.py
@@ -22,6 +22,8 @@
         Without a whole answer.
     UNREACHED
         No connection came about.
+    ABANDONED
+        The caller or the router did not wait for its end.
     """
 
     SERVED = "served"
@@ -29,6 +31,7 @@
     DECLINED = "declined"
     BROKEN = "broken"
     UNREACHED = "unreached"
+    ABANDONED = "abandoned"
 
 
 # Seconds for which an upstream is passed over after one bad end, doubled with
@@ -67,6 +70,9 @@
 
     def note(self, fate: Fate, now: float) -> None:
         """Take the end of a send."""
+        if fate is Fate.ABANDONED:
+            # It tells nothing of the upstream.
+            return
         bad = fate is not Fate.SERVED
         self.bad_share += NEWEST_WEIGHT * (float(bad) - self.bad_share)
         if not bad:
--- a/lynxchute/upstreams/placement.py
+++ b/lynxchute/upstreams/placement.py
@@ -27,8 +27,14 @@
     def note_begun(self, run_id: str, upstream_id: str) -> None:
         """Note the first event of a run."""
 
-    def note_ended(self, run_id: str, upstream_id: str) -> None:
-        """Note that an upstream no longer works on a run."""
+    def note_ended(self, run_id: str, upstream_id: str, *, failed: bool) -> None:
+        """Note that an upstream no longer works on a run.
+
+        Parameters
+        ----------
+        failed
+            Whether that is the upstream's doing.
+        """
 
 
 class LeastOpen(Placement):
