--- a/lynxchute/config/configuration.py
+++ b/lynxchute/config/configuration.py
@@ -84,12 +84,26 @@
         Output tokens that one event of a stream holds.
     max_waiting_questions
         Questions about cache events that an engine keeps waiting.
+    cache_bytes_per_token
+        Bytes that a token of the cache takes where it is moved.
+    link_bytes_per_ms
+        Bytes of cache that an engine sends or takes in a millisecond; 0 where
+        cache is not moved.
     """
 
     slots: int
     cache_tokens: int
     tokens_per_event: int
     max_waiting_questions: int = 0
+    cache_bytes_per_token: float = 0.0
+    link_bytes_per_ms: float = 0.0
+
+    @property
+    def fetch_tokens_per_ms(self) -> float:
+        """Return how many tokens of cache are moved in a millisecond, or 0."""
+        if not self.cache_bytes_per_token:
+            return 0.0
+        return self.link_bytes_per_ms / self.cache_bytes_per_token
 
 
 @attrs.frozen
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -12,6 +12,7 @@
 
 from lynxchute.application import Application, Component
 from lynxchute.budgets import DemandPolicy, Ledger
+from lynxchute.config import EngineTraits
 from lynxchute.edge.configurations import Configurations
 from lynxchute.edge.platform import Platform
 from lynxchute.edge.reload import Reader, SettingsWatcher
@@ -34,7 +35,7 @@
 from lynxchute.relay.admission import Admission
 from lynxchute.relay.relay import Relay
 from lynxchute.relay.sender import UPSTREAM_TIMEOUTS, Sender
-from lynxchute.scheduling.scheduler import USUAL_CAPACITY, Scheduler
+from lynxchute.scheduling.scheduler import Scheduler
 from lynxchute.spending.balance import Balance
 from lynxchute.spending.keeper import Keeper
 from lynxchute.spending.reservations import FleetBudgets
@@ -153,7 +154,7 @@
             self.members,
             self.peers,
             self.directory,
-            self._capacity_of,
+            self._traits_of,
             time.monotonic,
         )
         scheduler.serve(self.peer_server)
@@ -269,13 +270,11 @@
         body = metrics.exposition()
         await respond.whole(200, body, CONTENT_TYPE_LATEST)
 
-    def _capacity_of(self, service: str) -> int:
-        """Return the tokens that an engine of a service holds in its memory."""
+    def _traits_of(self, service: str) -> EngineTraits | None:
+        """Return what the engines of a service can do, where it is known."""
         current = self.configurations.current
         found = current.services_by_name.get(service) if current else None
-        if found is None or found.engine is None:
-            return USUAL_CAPACITY
-        return found.engine.cache_tokens
+        return found.engine if found is not None else None
 
     def _limits(self) -> ServerLimits:
         configuration = self.configurations.current
--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -144,9 +144,16 @@
 
 @attrs.frozen
 class PlaceReply:
-    """The engine for a generation; empty where none is known."""
+    """The engine for a generation; empty where none is known.
+
+    Attributes
+    ----------
+    fetch_from
+        The engine that should hand over what it keeps of the prompt, if any.
+    """
 
     upstream: str
+    fetch_from: str = ""
 
 
 @attrs.frozen
@@ -167,6 +174,7 @@
     REPLY = PlaceReply
 
     run_id: str
+    service: str
     data_centre: str
     upstreams: tuple[str, ...]
     prompt_tokens: int
--- a/lynxchute/platform/configuration.py
+++ b/lynxchute/platform/configuration.py
@@ -99,6 +99,9 @@
         tokens_per_event=max(int(item.get("stride") or 1), 1),
         # How many waiting questions for cache events an engine keeps.
         max_waiting_questions=int(item.get("most") or 0),
+        cache_bytes_per_token=float(item.get("kv_bytes") or 0),
+        # Megabits a second are 125 bytes a millisecond.
+        link_bytes_per_ms=float(item.get("link_mbps") or 0) * 125.0,
     )
 
 
--- a/lynxchute/platform/dialect.py
+++ b/lynxchute/platform/dialect.py
@@ -72,6 +72,8 @@
             own.append((names.ACCOUNT, dispatch.account))
         if call.generation is not None:
             own.append((names.PRIORITY, str(min(dispatch.priority, MAX_PRIORITY))))
+        if dispatch.fetch_from is not None:
+            own.append((names.FETCH_CACHE, dispatch.fetch_from.address))
         if dispatch.resumes_after:
             own.append((names.LAST_EVENT, dispatch.resumes_after))
         headers.extend((name.encode(), value.encode("latin-1")) for name, value in own)
--- a/lynxchute/platform/names.py
+++ b/lynxchute/platform/names.py
@@ -14,6 +14,8 @@
 LENGTH_HINT = "X-Length-Hint"
 PRIORITY = "X-Request-Priority"
 LAST_EVENT = "Last-Event-Id"
+# The address of an engine that hands over what it keeps of the prompt.
+FETCH_CACHE = "Kv-Fetch"
 RETRY_AFTER = "Retry-After"
 
 # Only the router may set these towards an upstream: a caller that sends one
@@ -29,7 +31,7 @@
         "x-pin-ms",
         "x-cache-hold",
         "x-kv-backup",
-        "kv-fetch",
+        FETCH_CACHE.lower(),
         "kv-from",
     }
 )
--- a/lynxchute/relay/dialect.py
+++ b/lynxchute/relay/dialect.py
@@ -48,6 +48,8 @@
         Rank among the upstream's requests; 0 comes first.
     resumes_after
         The last event that the caller has; empty for a new stream.
+    fetch_from
+        The engine that should hand over what it keeps of the prompt, if any.
     """
 
     upstream: Upstream
@@ -55,6 +57,7 @@
     account: str = ""
     priority: int = 0
     resumes_after: str = ""
+    fetch_from: Upstream | None = None
 
 
 class Dialect(ABC):
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -14,7 +14,7 @@
 from lynxchute.telemetry import Metrics, log_event
 from lynxchute.upstreams.directory import Directory, Entry
 from lynxchute.upstreams.health import Fate
-from lynxchute.upstreams.placement import Placement
+from lynxchute.upstreams.placement import Choice, Placement
 from lynxchute.upstreams.retry_budget import RetryBudget
 
 # A connection within a region comes about in a few ms; a SYN that is lost is
@@ -96,11 +96,11 @@
         if not exchange.sends:
             self._retries.note_request(exchange.service, self._clock())
         while True:
-            entry = await self._choose(exchange)
-            answer = await self._try(exchange, entry)
+            choice = await self._choose(exchange)
+            answer = await self._try(exchange, choice)
             if answer is not None:
                 return answer
-            exchange.tried.add(entry.upstream.id)
+            exchange.tried.add(choice.entry.upstream.id)
             if exchange.sends and not self.may_send_again(exchange):
                 raise self._give_up(exchange)
 
@@ -121,13 +121,13 @@
         """Note the first event of a stream."""
         self._generations.note_begun(answer.run_id, answer.entry.upstream.id)
 
-    async def _choose(self, exchange: Exchange) -> Entry:
+    async def _choose(self, exchange: Exchange) -> Choice:
         patience = exchange.route.latency_objective * WAIT_SHARE
         until = min(self._clock() + patience, exchange.ends_at)
         while True:
-            entry = await self._find(exchange)
-            if entry is not None:
-                return entry
+            choice = await self._find(exchange)
+            if choice is not None:
+                return choice
             self._changed.clear()
             try:
                 async with asyncio.timeout_at(until):
@@ -135,7 +135,7 @@
             except TimeoutError:
                 raise self._give_up(exchange) from None
 
-    async def _find(self, exchange: Exchange) -> Entry | None:
+    async def _find(self, exchange: Exchange) -> Choice | None:
         now = self._clock()
         known = [
             entry
@@ -152,15 +152,16 @@
         placement = self._generations if generation is not None else self._plain
         return await placement.choose(exchange.run_id, generation, candidates)
 
-    async def _try(self, exchange: Exchange, entry: Entry) -> Answer | None:
+    async def _try(self, exchange: Exchange, choice: Choice) -> Answer | None:
         """Send once; return None where there was no answer to pass on."""
+        entry = choice.entry
         generation = exchange.call.generation
         cost = generation.most_tokens if generation is not None else 0
         entry.open_requests += 1
         entry.open_tokens += cost
         run_before = exchange.run
         try:
-            response = await self._exchange_heads(exchange, entry)
+            response = await self._exchange_heads(exchange, choice)
         except ExchangeFailed as error:
             fate = Fate.BROKEN if error.sent else Fate.UNREACHED
             self._failed(exchange, entry, cost, fate, str(error))
@@ -186,14 +187,15 @@
         self._failed(exchange, entry, cost, Fate.BROKEN, reason)
         return None
 
-    async def _exchange_heads(self, exchange: Exchange, entry: Entry) -> Response:
-        call = exchange.call
+    async def _exchange_heads(self, exchange: Exchange, choice: Choice) -> Response:
+        call, entry = exchange.call, choice.entry
         dispatch = Dispatch(
             upstream=entry.upstream,
             time_left=max(exchange.ends_at - self._clock(), 0.0),
             account=exchange.account.name if exchange.account else "",
             priority=exchange.priority,
             resumes_after=exchange.last_event or call.resumes_after,
+            fetch_from=choice.fetch_from,
         )
 
         def note_sent() -> None:
--- a/lynxchute/scheduling/board.py
+++ b/lynxchute/scheduling/board.py
@@ -27,6 +27,13 @@
 # Reading a part again costs this many times the engine's time for it: the time
 # is the next requests' as well, and the operators pay for it.
 REREAD_WEIGHT = 1.5
+# Fetching it from an engine that keeps it costs them less, but takes the
+# links' time; beside that, as a share of what reading it would take.
+FETCH_WEIGHT = 0.35
+# Milliseconds that a fetch takes before its first byte.
+FETCH_SETUP_MS = 6.0
+# Fewer tokens than these are read as fast as they are fetched.
+MIN_FETCH_TOKENS = 1_000
 # Milliseconds that an engine in another data centre must be faster to be
 # chosen: what its bytes cost.
 FAR_MS = 15.0
@@ -126,6 +133,33 @@
     is_far: bool
 
 
+@attrs.frozen
+class Place:
+    """Where a request goes.
+
+    Attributes
+    ----------
+    upstream_id
+        Its engine; empty where there is none.
+    fetch_from
+        The engine that should hand over what it keeps of the prompt; empty
+        where that does not pay.
+    """
+
+    upstream_id: str = ""
+    fetch_from: str = ""
+
+
+@attrs.frozen
+class _Offer:
+    """What taking a request would mean for an engine."""
+
+    cost: float
+    uncached: int
+    fetched: int
+    fetch_from: str
+
+
 class EngineBoard:
     """Choose an engine for each generation, and keep count of what it has to do.
 
@@ -141,17 +175,34 @@
         generation: Generation,
         candidates: Iterable[Candidate],
         now: float,
-    ) -> str:
-        """Return the engine for a request; empty where there is none."""
-        best = ""
-        least = float("inf")
+        *,
+        sources: Iterable[str] = (),
+        fetch_tokens_per_ms: float = 0.0,
+    ) -> Place:
+        """Return the engine for a request.
+
+        Parameters
+        ----------
+        sources
+            Engines that can hand over what they keep.
+        fetch_tokens_per_ms
+            How fast they do; 0 where they do not.
+        """
+        source, kept = self._best_source(generation, sources)
+        if not fetch_tokens_per_ms:
+            kept = 0
+        best: _Offer | None = None
+        chosen = ""
         for candidate in candidates:
-            cost = self._cost(candidate, generation, now)
-            if cost < least:
-                best, least = candidate.upstream_id, cost
-        if best:
-            self._assign(run_id, best, generation, now)
-        return best
+            offer = self._offer(
+                candidate, generation, now, source, kept, fetch_tokens_per_ms
+            )
+            if best is None or offer.cost < best.cost:
+                best, chosen = offer, candidate.upstream_id
+        if best is None:
+            return Place()
+        self._assign(run_id, chosen, generation, best, now, fetch_tokens_per_ms)
+        return Place(chosen, best.fetch_from)
 
     def begun(self, upstream_id: str, run_id: str, now: float) -> None:
         """Note the first event of a run, and learn from when it came."""
@@ -203,22 +254,57 @@
             self.engines_by_id[candidate.upstream_id] = state
         return state
 
-    def _cost(self, candidate: Candidate, generation: Generation, now: float) -> float:
-        """Return what a request costs there, in milliseconds."""
+    def _best_source(
+        self, generation: Generation, sources: Iterable[str]
+    ) -> tuple[str, int]:
+        """Return the engine that keeps most of a prompt, and how many tokens."""
+        best, most = "", 0
+        for upstream_id in sources:
+            state = self.engines_by_id.get(upstream_id)
+            if state is None:
+                continue
+            kept = state.cache.cached_tokens(generation.shared_parts)
+            if kept > most:
+                best, most = upstream_id, kept
+        return best, most
+
+    def _offer(
+        self,
+        candidate: Candidate,
+        generation: Generation,
+        now: float,
+        source: str,
+        kept: int,
+        fetch_tokens_per_ms: float,
+    ) -> _Offer:
+        """Return what a request would cost there, in milliseconds."""
         state = self._state(candidate)
         shared = sum(part.tokens for part in generation.shared_parts)
         cached = state.cache.cached_tokens(generation.shared_parts)
-        cost = self._expected_ms(state, generation.prompt_tokens - cached, now)
-        cost += REREAD_WEIGHT * (shared - cached) / state.speed
-        cost += RUNNING_MS * len(state.runs_by_id)
+        fetched = kept - cached if source != candidate.upstream_id else 0
+        if fetched < MIN_FETCH_TOKENS:
+            fetched = 0
+        uncached = max(generation.prompt_tokens - cached - fetched, 0)
+        cost = self._expected_ms(state, uncached, now)
+        cost += REREAD_WEIGHT * (shared - cached - fetched) / state.speed
+        if fetched:
+            cost += FETCH_SETUP_MS + fetched / fetch_tokens_per_ms
+            cost += FETCH_WEIGHT * fetched / state.speed
+        cost += self._crowding(candidate, state, generation)
+        if now < state.avoided_until:
+            cost += FULL_MS
+        return _Offer(cost, uncached, fetched, source if fetched else "")
+
+    def _crowding(
+        self, candidate: Candidate, state: EngineState, generation: Generation
+    ) -> float:
+        cost = RUNNING_MS * len(state.runs_by_id)
         if candidate.is_far:
             cost += FAR_MS
         if len(state.runs_by_id) >= state.slots:
             cost += FULL_MS
         if state.occupied + generation.most_tokens > state.capacity:
             cost += FULL_MS
-        if now < state.avoided_until:
-            cost += FULL_MS
         return cost
 
     def _expected_ms(self, state: EngineState, uncached: int, now: float) -> float:
@@ -226,15 +312,23 @@
         return state.backlog_ms(now) + own_ms + FIRST_EVENT_MS
 
     def _assign(
-        self, run_id: str, upstream_id: str, generation: Generation, now: float
+        self,
+        run_id: str,
+        upstream_id: str,
+        generation: Generation,
+        offer: _Offer,
+        now: float,
+        fetch_tokens_per_ms: float,
     ) -> None:
         state = self.engines_by_id[upstream_id]
         cached = state.cache.cached_tokens(generation.shared_parts)
-        uncached = max(generation.prompt_tokens - cached, 0)
+        expected_ms = self._expected_ms(state, offer.uncached, now)
+        if offer.fetched:
+            expected_ms += FETCH_SETUP_MS + offer.fetched / fetch_tokens_per_ms
         state.runs_by_id[run_id] = Run(
-            uncached=uncached,
-            prefill_ms=uncached / state.speed,
-            expected_ms=self._expected_ms(state, uncached, now),
+            uncached=offer.uncached,
+            prefill_ms=offer.uncached / state.speed,
+            expected_ms=expected_ms,
             placed_at=now,
             tokens=generation.most_tokens - cached,
         )
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Sequence
 
 from lynxchute.application import Background
+from lynxchute.config import EngineTraits
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Members
 from lynxchute.fleet.messages import (
@@ -18,11 +19,11 @@
 )
 from lynxchute.fleet.server import PeerServer
 from lynxchute.rendezvous import ranked
-from lynxchute.scheduling.board import Candidate, EngineBoard
+from lynxchute.scheduling.board import Candidate, EngineBoard, Place
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.directory import Directory, Entry
 from lynxchute.upstreams.generation import Generation, PromptPart
-from lynxchute.upstreams.placement import Placement
+from lynxchute.upstreams.placement import Choice, Placement
 
 # Seconds that a request waits for a place; a router within the region answers
 # in a few ms.
@@ -46,8 +47,8 @@
         The other routers.
     directory
         The upstreams.
-    capacity_of
-        Returns the tokens that an engine of a service holds.
+    traits_of
+        Returns what the engines of a service can do, where it is known.
     clock
         Seconds on the steady clock.
     """
@@ -57,7 +58,7 @@
         members: Members,
         peers: Peers,
         directory: Directory,
-        capacity_of: Callable[[str], int],
+        traits_of: Callable[[str], EngineTraits | None],
         clock: Callable[[], float],
     ) -> None:
         super().__init__()
@@ -65,7 +66,7 @@
         self._members = members
         self._peers = peers
         self._directory = directory
-        self._capacity_of = capacity_of
+        self._traits_of = traits_of
         self._clock = clock
         self._news_by_vm: dict[str, list[RunNews]] = {}
         self._scheduler_by_run: dict[str, str] = {}
@@ -78,20 +79,21 @@
 
     async def choose(
         self, run_id: str, generation: Generation | None, candidates: Sequence[Entry]
-    ) -> Entry:
+    ) -> Choice:
         """Return one of the candidates, of which there is at least one."""
         assert generation is not None
         by_id = {entry.upstream.id: entry for entry in candidates}
         own = self._members.own.vm
         vm = self._scheduling_vm(candidates[0].upstream.service)
-        chosen = ""
+        place = Place()
         if vm != own:
-            chosen = await self._ask(vm, run_id, generation, by_id)
-        if chosen not in by_id:
+            place = await self._ask(vm, run_id, generation, by_id)
+        if place.upstream_id not in by_id:
             vm = own
-            chosen = self._place_here(run_id, generation, candidates)
+            place = self._place(run_id, generation, candidates, self._own_data_centre)
         self._scheduler_by_run[run_id] = vm
-        return by_id[chosen]
+        source = self._directory.entries_by_id.get(place.fetch_from)
+        return Choice(by_id[place.upstream_id], source.upstream if source else None)
 
     def note_begun(self, run_id: str, upstream_id: str) -> None:
         """Note the first event of a run."""
@@ -126,9 +128,11 @@
         run_id: str,
         generation: Generation,
         by_id: dict[str, Entry],
-    ) -> str:
+    ) -> Place:
+        (service,) = {entry.upstream.service for entry in by_id.values()}
         request = PlaceRequest(
             run_id=run_id,
+            service=service,
             data_centre=self._members.own.data_centre,
             upstreams=tuple(by_id),
             prompt_tokens=generation.prompt_tokens,
@@ -139,18 +143,16 @@
             async with asyncio.timeout(ASK_SECONDS):
                 reply = await self._peers.ask(vm, request)
         except PeerUnreachable:
-            return ""
+            return Place()
         except TimeoutError:
             self._members.note_silence(vm, self._clock())
             log_event("scheduling router too slow", peer=vm, request_id=run_id)
-            return ""
-        return reply.upstream
+            return Place()
+        return Place(reply.upstream, reply.fetch_from)
 
-    def _place_here(
-        self, run_id: str, generation: Generation, candidates: Sequence[Entry]
-    ) -> str:
-        own = self._members.own.data_centre
-        return self._place(run_id, generation, candidates, own)
+    @property
+    def _own_data_centre(self) -> str:
+        return self._members.own.data_centre
 
     def _place(
         self,
@@ -158,28 +160,34 @@
         generation: Generation,
         entries: Sequence[Entry],
         data_centre: str,
-    ) -> str:
+    ) -> Place:
+        service = entries[0].upstream.service
+        traits = self._traits_of(service)
         found = []
         # A rank of its own for each prompt spreads what costs the same.
         by_id = {entry.upstream.id: entry for entry in entries}
         parts = generation.shared_parts
         for upstream_id in ranked(parts[-1].id if parts else run_id, by_id):
             upstream = by_id[upstream_id].upstream
-            found.append(
-                Candidate(
-                    upstream_id,
-                    upstream.slots,
-                    self._capacity_of(upstream.service),
-                    upstream.data_centre != data_centre,
-                )
-            )
-        return self.board.place(run_id, generation, found, self._clock())
+            is_far = upstream.data_centre != data_centre
+            capacity = traits.cache_tokens if traits else USUAL_CAPACITY
+            found.append(Candidate(upstream_id, upstream.slots, capacity, is_far))
+        return self.board.place(
+            run_id,
+            generation,
+            found,
+            self._clock(),
+            sources=self._directory.ids_that_answer(service),
+            fetch_tokens_per_ms=traits.fetch_tokens_per_ms if traits else 0.0,
+        )
 
     async def _serve_place(self, request: PlaceRequest) -> PlaceReply:
         entries = []
         for upstream_id in request.upstreams:
             entry = self._directory.entries_by_id.get(upstream_id)
-            if entry is not None and entry.takes_work:
+            if entry is None or not entry.takes_work:
+                continue
+            if entry.upstream.service == request.service:
                 entries.append(entry)
         if not entries:
             return PlaceReply("")
@@ -189,8 +197,8 @@
             max_output_tokens=request.output_tokens,
             parts=tuple(PromptPart(*part) for part in request.parts),
         )
-        chosen = self._place(request.run_id, generation, entries, request.data_centre)
-        return PlaceReply(chosen)
+        place = self._place(request.run_id, generation, entries, request.data_centre)
+        return PlaceReply(place.upstream_id, place.fetch_from)
 
     async def _serve_news(self, request: RunNewsRequest) -> Done:
         for news in request.news:
--- a/lynxchute/upstreams/directory.py
+++ b/lynxchute/upstreams/directory.py
@@ -86,6 +86,14 @@
         """Return how many upstreams take work."""
         return sum(1 for entry in self.entries_by_id.values() if entry.takes_work)
 
+    def ids_that_answer(self, service: str) -> list[str]:
+        """Return the upstreams of a service whose entries stand, leaving or not."""
+        found = []
+        for upstream_id, entry in self.entries_by_id.items():
+            if entry.upstream.service == service and entry.gone_at is None:
+                found.append(upstream_id)
+        return found
+
     def of_services(self, services: Iterable[str]) -> Iterator[Entry]:
         """Yield the upstreams of some services that take work."""
         wanted = set(services)
--- a/lynxchute/upstreams/placement.py
+++ b/lynxchute/upstreams/placement.py
@@ -5,8 +5,26 @@
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 
+import attrs
+
 from lynxchute.upstreams.directory import Entry
 from lynxchute.upstreams.generation import Generation
+from lynxchute.upstreams.upstream import Upstream
+
+
+@attrs.frozen
+class Choice:
+    """An upstream for a request.
+
+    Attributes
+    ----------
+    fetch_from
+        The engine that should hand over what it keeps of the prompt; None
+        where that does not pay.
+    """
+
+    entry: Entry
+    fetch_from: Upstream | None = None
 
 
 class Placement(ABC):
@@ -15,7 +33,7 @@
     @abstractmethod
     async def choose(
         self, run_id: str, generation: Generation | None, candidates: Sequence[Entry]
-    ) -> Entry:
+    ) -> Choice:
         """Return one of the candidates, of which there is at least one.
 
         Parameters
@@ -55,12 +73,12 @@
 
     async def choose(
         self, run_id: str, generation: Generation | None, candidates: Sequence[Entry]
-    ) -> Entry:
+    ) -> Choice:
         """Return the upstream with the least to do, near ones first."""
         self._turn += 1
         count = len(candidates)
         turned = [candidates[(self._turn + offset) % count] for offset in range(count)]
-        return min(turned, key=self._cost)
+        return Choice(min(turned, key=self._cost))
 
     def _cost(self, entry: Entry) -> float:
         far = entry.upstream.data_centre != self._data_centre
