Learn from the engines what they keep when scheduling begins

Cause: a router that came to schedule, after a stop or a kill, knew nothing of the caches and had shared parts read again.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -155,9 +155,13 @@
             self.peers,
             self.directory,
             self._traits_of,
+            platform.make_engines(self.clients),
             time.monotonic,
         )
         scheduler.serve(self.peer_server)
+        self.directory.listeners.append(scheduler.look)
+        self.registry.listeners.append(scheduler.look)
+        self.configurations.listeners.append(lambda _: scheduler.look())
         sender = Sender(
             self.directory,
             platform.dialect,
--- a/lynxchute/edge/platform.py
+++ b/lynxchute/edge/platform.py
@@ -8,8 +8,10 @@
 from expression import Result
 
 from lynxchute.config import Configuration
+from lynxchute.http import ClientPool
 from lynxchute.relay.dialect import Dialect
 from lynxchute.store import Row, Store
+from lynxchute.upstreams.engines import Engines
 from lynxchute.upstreams.upstream import Upstream
 
 
@@ -23,6 +25,8 @@
         Where the operator keeps the newest configuration.
     upstream_table
         Where upstreams tell of themselves, a row each.
+    make_engines
+        Returns what asks model engines over given connections.
     """
 
     store: Store
@@ -33,3 +37,4 @@
     upstream_table: str
     decode_upstream: Callable[[Row], Result[Upstream, str]]
     readiness_path: str
+    make_engines: Callable[[ClientPool], Engines]
--- a/lynxchute/platform/daemon.py
+++ b/lynxchute/platform/daemon.py
@@ -16,6 +16,7 @@
 from lynxchute.platform import names
 from lynxchute.platform.configuration import decode_configuration
 from lynxchute.platform.dialect import PlatformDialect
+from lynxchute.platform.engines import PlatformEngines
 from lynxchute.platform.settings import SETTINGS_VARIABLE, decode_settings
 from lynxchute.platform.store import PlatformStore
 from lynxchute.platform.upstreams import decode_upstream
@@ -54,6 +55,7 @@
         upstream_table=names.UPSTREAM_TABLE,
         decode_upstream=decode_upstream,
         readiness_path=names.READY_PATH,
+        make_engines=PlatformEngines,
     )
 
 
--- /dev/null
+++ b/lynxchute/platform/engines.py
@@ -0,0 +1,39 @@
+"""Questions to the platform's model engines."""
+
+from __future__ import annotations
+
+from lynxchute.http import ClientPool, ExchangeFailed, Timeouts
+from lynxchute.platform.names import CACHE_LIST
+from lynxchute.upstreams.engines import Engines, EngineSilent
+from lynxchute.upstreams.generation import PromptPart
+from lynxchute.upstreams.upstream import Upstream
+
+# The list is made within some ms; nothing waits for it.
+TIMEOUTS = Timeouts(connect=0.3, first_byte=1.0, between_bytes=1.0)
+
+
+class PlatformEngines(Engines):
+    """Ask engines over HTTP.
+
+    Parameters
+    ----------
+    clients
+        Connections to the upstreams.
+    """
+
+    def __init__(self, clients: ClientPool) -> None:
+        self._clients = clients
+
+    async def cached_parts(self, upstream: Upstream) -> list[PromptPart]:
+        """Return the parts of prompts that an engine keeps."""
+        client = self._clients.get(upstream.address)
+        try:
+            status, answer = await client.get_json(CACHE_LIST, timeouts=TIMEOUTS)
+            if status != 200:
+                raise EngineSilent(f"{upstream.id} answered {status}")
+            # Each entry: an empty text, the part's id, its tokens, the model.
+            return [PromptPart(str(i[1]), int(i[2])) for i in answer["held"]]
+        except ExchangeFailed as error:
+            raise EngineSilent(f"{upstream.id}: {error}") from error
+        except (KeyError, TypeError, ValueError, IndexError) as error:
+            raise EngineSilent(f"{upstream.id} lists no parts: {error!r}") from error
--- a/lynxchute/platform/names.py
+++ b/lynxchute/platform/names.py
@@ -38,6 +38,8 @@
 
 READY_PATH = "/lynxchute/readyz"
 REPORT_PATH = "/lynxchute/report"
+# What an engine keeps of prompts.
+CACHE_LIST = "/lynxchute/kv-list"
 
 ROWS_WRITE = "/lynxchute/rows-tx"
 ROWS_READ = "/lynxchute/rows-get"
--- a/lynxchute/scheduling/board.py
+++ b/lynxchute/scheduling/board.py
@@ -7,7 +7,7 @@
 import attrs
 
 from lynxchute.scheduling.prefix_cache import PrefixCache
-from lynxchute.upstreams.generation import Generation
+from lynxchute.upstreams.generation import Generation, PromptPart
 
 # Prompt tokens that an engine reads in a millisecond, until its own speed is
 # known: that of a large model on today's accelerators.
@@ -234,6 +234,21 @@
             state.runs_by_id.pop(run_id, None)
             state.avoided_until = now + AVOID_SECONDS
 
+    def unknown(self, candidates: Iterable[Candidate]) -> list[str]:
+        """Return the engines of which nothing is known yet, and begin to know them."""
+        found = []
+        for candidate in candidates:
+            if candidate.upstream_id not in self.engines_by_id:
+                found.append(candidate.upstream_id)
+                self._state(candidate)
+        return found
+
+    def learn_cache(self, upstream_id: str, parts: Iterable[PromptPart]) -> None:
+        """Take the parts that an engine says it keeps."""
+        state = self.engines_by_id.get(upstream_id)
+        if state is not None:
+            state.cache.learn(parts)
+
     def keep_only(self, upstream_ids: Iterable[str], now: float) -> None:
         """Forget engines that are gone, and runs that nobody reported ended."""
         known = set(upstream_ids)
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
-from lynxchute.application import Background
+from lynxchute.application import Background, Tasks
 from lynxchute.config import EngineTraits
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Members
@@ -22,8 +22,10 @@
 from lynxchute.scheduling.board import Candidate, EngineBoard, Place
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.directory import Directory, Entry
+from lynxchute.upstreams.engines import Engines, EngineSilent
 from lynxchute.upstreams.generation import Generation, PromptPart
 from lynxchute.upstreams.placement import Choice, Placement
+from lynxchute.upstreams.upstream import Upstream
 
 # Seconds that a request waits for a place; a router within the region answers
 # in a few ms.
@@ -49,6 +51,8 @@
         The upstreams.
     traits_of
         Returns what the engines of a service can do, where it is known.
+    engines
+        Asked for what they keep when this router begins to schedule them.
     clock
         Seconds on the steady clock.
     """
@@ -59,6 +63,7 @@
         peers: Peers,
         directory: Directory,
         traits_of: Callable[[str], EngineTraits | None],
+        engines: Engines,
         clock: Callable[[], float],
     ) -> None:
         super().__init__()
@@ -67,11 +72,44 @@
         self._peers = peers
         self._directory = directory
         self._traits_of = traits_of
+        self._engines = engines
+        self._tasks = Tasks()
         self._clock = clock
         self._news_by_vm: dict[str, list[RunNews]] = {}
         self._scheduler_by_run: dict[str, str] = {}
         self._any_news = asyncio.Event()
 
+    async def stop(self) -> None:
+        """End at once."""
+        await super().stop()
+        await self._tasks.stop()
+
+    def look(self) -> None:
+        """Learn what new engines keep, where this router schedules them."""
+        by_service: dict[str, list[Entry]] = {}
+        for entry in self._directory.entries_by_id.values():
+            if entry.takes_work:
+                by_service.setdefault(entry.upstream.service, []).append(entry)
+        for service, entries in by_service.items():
+            if self._traits_of(service) is None:
+                continue
+            if self._scheduling_vm(service) != self._members.own.vm:
+                continue
+            candidates = self._candidates(entries, self._own_data_centre)
+            for upstream_id in self.board.unknown(candidates):
+                upstream = self._directory.entries_by_id[upstream_id].upstream
+                self._tasks.spawn(self._learn_cache(upstream))
+
+    async def _learn_cache(self, upstream: Upstream) -> None:
+        try:
+            parts = await self._engines.cached_parts(upstream)
+        except EngineSilent as error:
+            log_event("engine did not list its cache", reason=str(error))
+            return
+        self.board.learn_cache(upstream.id, parts)
+        tokens = sum(part.tokens for part in parts)
+        log_event("engine's cache known", upstream=upstream.id, tokens=tokens)
+
     def serve(self, server: PeerServer) -> None:
         """Answer the questions of other routers."""
         server.answers_by_class[PlaceRequest] = self._serve_place
@@ -163,24 +201,32 @@
     ) -> Place:
         service = entries[0].upstream.service
         traits = self._traits_of(service)
-        found = []
         # A rank of its own for each prompt spreads what costs the same.
         by_id = {entry.upstream.id: entry for entry in entries}
         parts = generation.shared_parts
-        for upstream_id in ranked(parts[-1].id if parts else run_id, by_id):
-            upstream = by_id[upstream_id].upstream
-            is_far = upstream.data_centre != data_centre
-            capacity = traits.cache_tokens if traits else USUAL_CAPACITY
-            found.append(Candidate(upstream_id, upstream.slots, capacity, is_far))
+        order = ranked(parts[-1].id if parts else run_id, by_id)
+        in_order = [by_id[upstream_id] for upstream_id in order]
         return self.board.place(
             run_id,
             generation,
-            found,
+            self._candidates(in_order, data_centre),
             self._clock(),
             sources=self._directory.ids_that_answer(service),
             fetch_tokens_per_ms=traits.fetch_tokens_per_ms if traits else 0.0,
         )
 
+    def _candidates(
+        self, entries: Sequence[Entry], data_centre: str
+    ) -> list[Candidate]:
+        found = []
+        for entry in entries:
+            upstream = entry.upstream
+            traits = self._traits_of(upstream.service)
+            capacity = traits.cache_tokens if traits else USUAL_CAPACITY
+            is_far = upstream.data_centre != data_centre
+            found.append(Candidate(upstream.id, upstream.slots, capacity, is_far))
+        return found
+
     async def _serve_place(self, request: PlaceRequest) -> PlaceReply:
         entries = []
         for upstream_id in request.upstreams:
--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -107,6 +107,8 @@
         The ids of all requests that came, run or not.
     runs
         What it has worked on.
+    cache
+        Tokens of the parts of prompts that it says it keeps, by id.
     """
 
     def __init__(
@@ -125,6 +127,7 @@
         self.faults: list[Fault] = []
         self.arrivals: list[str] = []
         self.runs: list[Run] = []
+        self.cache: dict[str, int] = {}
         self.state = "ready"
         self.port = 0
         self.connections = 0
@@ -181,6 +184,10 @@
             head = await _next(protocol, reader)
             if not isinstance(head, h11.Request):
                 return
+            if head.target.decode() == names.CACHE_LIST:
+                await _read_body(protocol, reader)
+                await self._list_cache(protocol, writer)
+                continue
             fault = self.faults.pop(0) if self.faults else None
             run = _run_of(head)
             self.arrivals.append(run.request_id)
@@ -196,6 +203,20 @@
                 return
             protocol.start_next_cycle()
 
+    async def _list_cache(
+        self, protocol: h11.Connection, writer: asyncio.StreamWriter
+    ) -> None:
+        held = [["", part_id, tokens, "m"] for part_id, tokens in self.cache.items()]
+        body = json.dumps({"epoch": 1, "next": 0, "held": held}).encode()
+        length = [("Content-Length", str(len(body)))]
+        writer.write(
+            protocol.send(h11.Response(status_code=200, headers=length)) or b""
+        )
+        writer.write(protocol.send(h11.Data(data=body)) or b"")
+        writer.write(protocol.send(h11.EndOfMessage()) or b"")
+        await writer.drain()
+        protocol.start_next_cycle()
+
     async def _decline_early(self, writer: asyncio.StreamWriter) -> None:
         writer.write(
             b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n"
