Let a line's slack shrink as its grant runs out

Cause: what a death loses is missed only by accounts near their end, while the first seconds of an outage ask for slack of all.

--- a/lynxchute/budgets/policy.py
+++ b/lynxchute/budgets/policy.py
@@ -77,22 +77,24 @@
     stake
         Share of what is paid that the homes of all data centres together take
         at once: what lies free at the store cannot be had in an outage.
-    burst_share
-        Share of what is granted and not used that the line starts above use:
-        more serves more in the first moments of an outage, less loses less
-        with a dead router.
-    rate_factor, rate_share
-        Growth of the line at first, as a multiple of the demand, and as a
-        share a second of what is granted and not used.
+    burst_share, rate_share
+        How far the line starts above use, and how much it grows in a second
+        at first, at most, as shares of what is granted and not used. More
+        serves more in the first moments of an outage, less loses less with a
+        dead router.
+    ample_seconds
+        A grant that lasts for as many seconds of the demand has these shares
+        in full, one that lasts less long has less of them: what a death loses
+        is missed only near the end.
     drain_seconds
         Seconds of an outage in which all that is granted may be used.
     """
 
     reserve_seconds: float = 15.0
     stake: float = 0.85
-    burst_share: float = 0.01
-    rate_factor: float = 0.6
-    rate_share: float = 0.005
+    burst_share: float = 0.06
+    rate_share: float = 0.05
+    ample_seconds: float = 25.0
     drain_seconds: float = 3.0
 
     def grant(self, view: ShareView) -> int:
@@ -115,13 +117,20 @@
     def burst(self, view: ShareView) -> int:
         """Return how far the line starts above what is used, in tokens."""
         headroom = max(view.granted - view.used, 0)
-        burst = int(headroom * self.burst_share) + view.waiting
+        burst = int(headroom * self.burst_share * self._plenty(view)) + view.waiting
         return min(burst, headroom)
 
     def rate(self, view: ShareView) -> int:
         """Return by how many tokens a second the line grows at first."""
         headroom = max(view.granted - view.used, 0)
-        return int(view.demand * self.rate_factor + headroom * self.rate_share)
+        return int(headroom * self.rate_share * self._plenty(view))
+
+    def _plenty(self, view: ShareView) -> float:
+        """Return how far a grant is from its end, from 0 to 1."""
+        headroom = max(view.granted - view.used, 0)
+        if headroom >= view.demand * self.ample_seconds:
+            return 1.0
+        return headroom / (view.demand * self.ample_seconds)
 
     def late_rate(self, view: ShareView) -> int:
         """Return by how many tokens a second it grows in an outage."""
