Give grants back when a stop begins, and leave the count with others

Change: what is not used goes back as soon as the stop begins; where the store is out of reach at the end, the data centre's other routers keep the count for the next run on that VM.

--- a/lynxchute/budgets/ledger.py
+++ b/lynxchute/budgets/ledger.py
@@ -115,6 +115,7 @@
         self.open_by_request: dict[str, OpenReservation] = {}
         self.totals_by_account: dict[str, KnownTotals] = {}
         self.prepaid_by_account: dict[str, int] = {}
+        self.predecessor = ""
         self.pending: Plan | None = None
         self._policy = policy
         self._parts = max(parts, 1)
@@ -138,16 +139,38 @@
             A time on the store's clock by which that run had ended.
         """
         self._predecessor_ended_ms = ended_ms
+        self.predecessor = ""
         self.shares_by_account = {}
         self._row_version = row.version if row is not None else 0
         if row is None:
             return
-        for account, terms in HolderRow.decode(row.value).terms_by_account.items():
+        found = HolderRow.decode(row.value)
+        self.predecessor = found.incarnation
+        for account, terms in found.terms_by_account.items():
             # All that the line allowed may have been used.
             used = terms.limit(ended_ms)
             share = Share(Terms(terms.granted, Line.flat(used)), settled=used)
             self.shares_by_account[account] = share
 
+    @property
+    def counts_too_much(self) -> bool:
+        """Return whether the last run's use is known by its lines only."""
+        if self.is_open:
+            return False
+        return any(share.settled > 0 for share in self.shares_by_account.values())
+
+    def learn_final_use(
+        self, incarnation: str, used_by_account: dict[str, int]
+    ) -> None:
+        """Take what the run before said that it had used when it stopped."""
+        if self.is_open or incarnation != self.predecessor:
+            return
+        for account, used in used_by_account.items():
+            share = self.shares_by_account.get(account)
+            if share is not None:
+                share.settled = min(share.settled, used)
+                share.terms = Terms(share.terms.granted, Line.flat(share.settled))
+
     def learn_totals(self, rows: Iterable[Row]) -> None:
         """Take divisions of budgets as they stand in the store."""
         for row in rows:
@@ -212,7 +235,7 @@
         if loan_id in self._lent_by_id:
             return self._lent_by_id.get(loan_id)
         share = self.shares_by_account.get(account)
-        if share is None or not self.is_open or self.fenced:
+        if share is None or not self._may_give:
             return 0
         available = max(share.available(now_ms) - share.releasing, 0)
         tokens = self._spare(share, available, needed, wanted, now)
@@ -229,7 +252,7 @@
         other would like, half of what the own demand leaves over.
         """
         share = self.shares_by_account.get(account)
-        if share is None or not self.is_open or self.fenced:
+        if share is None or not self._may_give:
             return 0
         unused = max(share.terms.granted - share.own_use - share.releasing, 0)
         unused = max(unused - share.waiting, 0)
@@ -239,6 +262,10 @@
             share.released_at = now
         return tokens
 
+    @property
+    def _may_give(self) -> bool:
+        return self.is_open and not self.fenced and not self.is_closing
+
     def _spare(
         self, share: Share, unused: int, needed: int, wanted: int, now: float
     ) -> int:
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -37,6 +37,7 @@
 from lynxchute.relay.sender import UPSTREAM_TIMEOUTS, Sender
 from lynxchute.scheduling.scheduler import Scheduler
 from lynxchute.spending.balance import Balance
+from lynxchute.spending.final_use import FinalUses
 from lynxchute.spending.keeper import Keeper
 from lynxchute.spending.reservations import FleetBudgets
 from lynxchute.spending.settlements import Settlements
@@ -135,12 +136,15 @@
             DemandPolicy(),
             parts=len(settings.data_centres),
         )
+        self.final_uses = FinalUses(ledger, self.members, self.peers)
+        self.final_uses.serve(self.peer_server)
         self.keeper = Keeper(
             ledger,
             platform.store,
             self.members.homes,
             settled=self.registry.settled,
             started_at=time.monotonic() if started_at is None else started_at,
+            before_first_write=self.final_uses.recall,
         )
         self.configurations.listeners.append(self.keeper.configure)
         self.settlements = Settlements(ledger, self.members, self.peers)
@@ -215,6 +219,9 @@
         log_event("stopping", open_requests=self.relay.open_requests)
         self.callers.announce_close()
         await self.registry.announce(self.members.leave())
+        # What is not used may be needed at once, and a later outage of the
+        # store would keep it here.
+        await self.keeper.close(started + CLOSE_SECONDS)
         serve_until = started + STILL_SERVING_SECONDS
         end = started + self.settings.bounds.stop - STOP_MARGIN_SECONDS
         while time.monotonic() < end:
@@ -225,7 +232,8 @@
                     break
             await asyncio.sleep(DRAIN_STEP_SECONDS)
         await self.settlements.flush()
-        await self.keeper.close(time.monotonic() + CLOSE_SECONDS)
+        if not await self.keeper.close(time.monotonic() + CLOSE_SECONDS):
+            await self.final_uses.announce()
         log_event("stopped", open_requests=self.relay.open_requests)
 
     def is_ready(self) -> bool:
--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -142,6 +142,44 @@
     tokens: int
 
 
+@attrs.frozen
+class FinalUse(Message[Done]):
+    """Keep what a router that stops has used, for the next run on its VM.
+
+    It is sent where the store could not be told.
+
+    Attributes
+    ----------
+    used_by_account
+        Tokens of its own grants; the router uses no more of them.
+    """
+
+    NAME = "final-use"
+    REPLY = Done
+
+    vm: str
+    incarnation: str
+    used_by_account: dict[str, int]
+
+
+@attrs.frozen
+class FinalUseReply:
+    """What a stopped run had used; None where this router was not told."""
+
+    used_by_account: dict[str, int] | None
+
+
+@attrs.frozen
+class FinalUseRequest(Message[FinalUseReply]):
+    """Ask what an earlier run on a VM had used when it stopped."""
+
+    NAME = "final-use-of"
+    REPLY = FinalUseReply
+
+    vm: str
+    incarnation: str
+
+
 @attrs.frozen
 class PlaceReply:
     """The engine for a generation; empty where none is known.
@@ -224,6 +262,8 @@
         SettleRequest,
         LendRequest,
         GiveRequest,
+        FinalUse,
+        FinalUseRequest,
         PlaceRequest,
         RunNewsRequest,
         PingRequest,
--- /dev/null
+++ b/lynxchute/spending/final_use.py
@@ -0,0 +1,108 @@
+"""Pass on what a stopped router had used, where the store cannot be told."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TypeVar
+
+from lynxchute.budgets import Ledger
+from lynxchute.fleet.client import Peers, PeerUnreachable
+from lynxchute.fleet.members import Members
+from lynxchute.fleet.messages import (
+    Done,
+    FinalUse,
+    FinalUseReply,
+    FinalUseRequest,
+    Message,
+)
+from lynxchute.fleet.server import PeerServer
+from lynxchute.telemetry import log_event
+
+ReplyT = TypeVar("ReplyT")
+
+# Seconds for telling or asking all others at once.
+ALL_SECONDS = 0.3
+
+
+class FinalUses:
+    """Keep the others' last words, and exchange the own.
+
+    A router that stops while it is cut off from the store cannot write down
+    what it has used; the next run would have to count all that its lines
+    allowed meanwhile.
+
+    Parameters
+    ----------
+    ledger
+        The own grants.
+    members, peers
+        The other routers.
+    """
+
+    def __init__(self, ledger: Ledger, members: Members, peers: Peers) -> None:
+        self._ledger = ledger
+        self._members = members
+        self._peers = peers
+        self._kept_by_vm: dict[str, FinalUse] = {}
+
+    def serve(self, server: PeerServer) -> None:
+        """Answer the questions of other routers."""
+        server.answers_by_class[FinalUse] = self._keep
+        server.answers_by_class[FinalUseRequest] = self._tell
+
+    async def announce(self) -> None:
+        """Tell the others what this router has used; it uses no more."""
+        ledger = self._ledger
+        ledger.is_closing = True
+        used = {name: s.own_use for name, s in ledger.shares_by_account.items()}
+        final = FinalUse(ledger.vm, ledger.incarnation, used)
+        told = await self._ask_all(final)
+        log_event("final use told to others", told=len(told), accounts=len(used))
+
+    async def recall(self) -> None:
+        """Ask the others what the run before this one had used."""
+        ledger = self._ledger
+        if not ledger.counts_too_much:
+            return
+        question = FinalUseRequest(ledger.vm, ledger.predecessor)
+        for reply in await self._ask_all(question):
+            if reply.used_by_account is None:
+                continue
+            ledger.learn_final_use(question.incarnation, reply.used_by_account)
+            log_event(
+                "final use of the run before known",
+                incarnation=question.incarnation,
+                accounts=len(reply.used_by_account),
+            )
+            return
+
+    async def _ask_all(self, message: Message[ReplyT]) -> list[ReplyT]:
+        """Return the answers of the data centre's other routers that answer."""
+
+        async def ask(vm: str) -> ReplyT | None:
+            try:
+                async with asyncio.timeout(ALL_SECONDS):
+                    return await self._peers.ask(vm, message)
+            except (PeerUnreachable, TimeoutError):
+                # Whoever cannot be reached was cut off from this router, and
+                # would not have been told.
+                return None
+
+        own = self._members.own
+        vms = []
+        for member in self._members.by_vm.values():
+            near = member.data_centre == own.data_centre
+            if member.vm != own.vm and near and self._members.is_reachable(member.vm):
+                vms.append(member.vm)
+        replies = await asyncio.gather(*(ask(vm) for vm in vms))
+        return [reply for reply in replies if reply is not None]
+
+    async def _keep(self, message: FinalUse) -> Done:
+        self._kept_by_vm[message.vm] = message
+        return Done()
+
+    async def _tell(self, message: FinalUseRequest) -> FinalUseReply:
+        kept = self._kept_by_vm.get(message.vm)
+        if kept is None or kept.incarnation != message.incarnation:
+            return FinalUseReply(None)
+        return FinalUseReply(kept.used_by_account)
--- a/lynxchute/spending/keeper.py
+++ b/lynxchute/spending/keeper.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from lynxchute.application import Background
 from lynxchute.budgets import Ledger
@@ -49,6 +49,8 @@
     started_at
         When this process began, on the steady clock in seconds; an earlier one
         of this VM had ended by then.
+    before_first_write
+        Awaited once the row of the run before has been read.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         *,
         settled: asyncio.Event,
         started_at: float,
+        before_first_write: Callable[[], Awaitable[None]],
     ) -> None:
         super().__init__()
         self.ledger = ledger
@@ -66,6 +69,7 @@
         self._homes = homes
         self._settled = settled
         self._started_at = started_at
+        self._before_first_write = before_first_write
         self._stirred = asyncio.Event()
         self._wanted = asyncio.Event()
         self._waiters: set[asyncio.Future[None]] = set()
@@ -159,8 +163,8 @@
         finally:
             share.waiting -= tokens
 
-    async def close(self, until: float) -> None:
-        """Give back what is not used, as far as the store can be reached."""
+    async def close(self, until: float) -> bool:
+        """Give back what is not used; return whether the store was told."""
         ledger = self.ledger
         ledger.is_closing = True
         while not ledger.fenced and any(
@@ -168,8 +172,9 @@
         ):
             if not await self._next_outcome(until) or not self.store_answers:
                 log_event("budgets not given back", store_answers=self.store_answers)
-                return
+                return False
         log_event("budgets given back", accounts=len(ledger.shares_by_account))
+        return True
 
     async def _next_outcome(self, until: float) -> bool:
         waiter = asyncio.get_running_loop().create_future()
@@ -193,6 +198,7 @@
         while not await self._open():
             await asyncio.sleep(RETRY_SECONDS)
         await self._settled.wait()
+        await self._before_first_write()
         while True:
             if not await self._wait():
                 continue
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -179,6 +179,28 @@
 
         self.with_platform(scenario, routers=("a-1",))
 
+    def test_a_router_that_stops_while_cut_off_leaves_its_count_with_others(self):
+        async def scenario(deployment):
+            router = deployment.routers["a-1"]
+            home = home_of(deployment, "a")
+            await reserve(home, 10_000, "r1")
+            vm = home.settings.vm
+            deployment.faults(vm).outage = Outage.BUSY
+            await asyncio.sleep(0.1)
+            now = asyncio.get_running_loop().time()
+            self.assertFalse(await home.keeper.close(now + 0.3))
+            await home.final_uses.announce()
+            await home.kill()
+            # The line has grown to all of the grant by now.
+            await asyncio.sleep(5.0)
+            deployment.faults(vm).outage = Outage.NONE
+            again = await deployment.start_router(vm)
+            await until(lambda: again.keeper.ledger.is_open)
+            self.assertEqual(10_000, again.keeper.ledger.share(ACCOUNT).settled)
+            self.assertIsNot(router, again)
+
+        self.with_platform(scenario, routers=ROUTERS)
+
     def test_lost_and_late_writes_cost_nothing(self):
         async def scenario(deployment):
             for vm in ROUTERS:
