--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -1,12 +1,15 @@
-"""Fuzz the budget decisions; the last line is a JSON object."""
+"""Fuzz the budget decisions; prints a JSON object for each machine."""
 
 import json
 import sys
+import traceback
 
+import hypothesis
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
 from tests.budget_machine import BudgetMachine
+from tests.ledger_machine import LedgerMachine
 
 KINDS = (
     ("overspend_tokens", "overspend"),
@@ -18,7 +21,16 @@
 )
 
 
-def run(examples, steps, seed=None, shrink=True):
+LEDGER_KINDS = (
+    ("overspend_tokens", "overspend"),
+    ("use_beyond_the_line", "beyond the line"),
+    ("granted_too_much", "granted"),
+    ("use_forgotten_at_a_restart", "forgotten"),
+    ("use_not_counted", "uncounted"),
+)
+
+
+def run(examples, steps, seed=None, shrink=True, machine=BudgetMachine):
     """Fuzz; raise the first failure found."""
     phases = [Phase.generate, Phase.shrink] if shrink else [Phase.generate]
     profile = settings(
@@ -32,32 +44,36 @@
         print_blob=False,
         report_multiple_bugs=False,
     )
-    machine = BudgetMachine
     if seed is not None:
-        import hypothesis
-
         machine = hypothesis.seed(seed)(machine)
     run_state_machine_as_test(machine, settings=profile)
 
 
-def main():
-    examples = int(sys.argv[1]) if len(sys.argv) > 1 else 150
-    steps = int(sys.argv[2]) if len(sys.argv) > 2 else 50
+def fuzz(machine, kinds, examples, steps, seed):
+    """Fuzz one machine, print what came of it; return whether it held."""
     found = ""
     try:
-        run(examples, steps)
+        run(examples, steps, seed, machine=machine)
     except AssertionError as error:
-        import traceback
-
         traceback.print_exc()
         found = str(error)
-    result = {"steps": BudgetMachine.steps, "examples": BudgetMachine.examples}
-    for name, text in KINDS:
+    result = {"machine": machine.__name__}
+    result.update(steps=machine.steps, examples=machine.examples)
+    for name, text in kinds:
         result[name] = int(text in found)
     if found:
         result["found"] = found
-    print(json.dumps(result))
-    return 1 if found else 0
+    print(json.dumps(result), flush=True)
+    return not found
+
+
+def main():
+    examples = int(sys.argv[1]) if len(sys.argv) > 1 else 150
+    steps = int(sys.argv[2]) if len(sys.argv) > 2 else 50
+    seed = int(sys.argv[3]) if len(sys.argv) > 3 else None
+    held = fuzz(BudgetMachine, KINDS, examples, steps, seed)
+    held = fuzz(LedgerMachine, LEDGER_KINDS, examples, steps, seed) and held
+    return 0 if held else 1
 
 
 if __name__ == "__main__":
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -16,7 +16,10 @@
 from lynxchute.journal import Journal
 from lynxchute.recovery import Recovery, Report
 from lynxchute.share import Share
+from tests import ledger_mutants
+from tests.budget_machine import BudgetMachine
 from tests.fuzz import run
+from tests.ledger_machine import LedgerMachine
 
 EXAMPLES = 1500
 STEPS = 60
@@ -256,11 +259,11 @@
 )
 
 
-def is_caught(mutant):
+def is_caught(mutant, machine):
     """Return the first broken promise that the fuzzing finds, or None."""
     with mutant():
         try:
-            run(EXAMPLES, STEPS, shrink=False)
+            run(EXAMPLES, STEPS, shrink=False, machine=machine)
         except AssertionError as error:
             return str(error).partition("\n")[0] or "an assertion"
         except KeyError as error:
@@ -269,10 +272,13 @@
 
 
 def main():
-    chosen = [m for m in MUTANTS if len(sys.argv) < 2 or m.__name__ in sys.argv[1:]]
+    known = [(mutant, BudgetMachine) for mutant in MUTANTS]
+    known += [(mutant, LedgerMachine) for mutant in ledger_mutants.MUTANTS]
+    names = sys.argv[1:]
+    chosen = [pair for pair in known if not names or pair[0].__name__ in names]
     caught = 0
-    for mutant in chosen:
-        found = is_caught(mutant)
+    for mutant, machine in chosen:
+        found = is_caught(mutant, machine)
         caught += found is not None
         print(f"{mutant.__name__}: {found or 'NOT CAUGHT'}", flush=True)
     print(json.dumps({"mutants": len(chosen), "caught": caught}))
