--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -45,6 +45,7 @@
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.placement import LeastOpen
 from lynxchute.upstreams.retry_budget import RetryBudget
+from lynxchute.upstreams.silence import SilenceWatch
 
 METRICS_PATH = "/metrics"
 # Seconds that a stopping router takes to give its grants back.
@@ -154,14 +155,16 @@
         rng = random.Random()
         self.admission = Admission(self.configurations, rng)
         plain = LeastOpen(settings.data_centre)
+        engines = platform.make_engines(self.clients)
         scheduler = Scheduler(
             self.members,
             self.peers,
             self.directory,
             self._traits_of,
-            platform.make_engines(self.clients),
+            engines,
             time.monotonic,
         )
+        silence = SilenceWatch(self.directory, engines, time.monotonic)
         scheduler.serve(self.peer_server)
         self.directory.listeners.append(scheduler.look)
         self.registry.listeners.append(scheduler.look)
@@ -197,6 +200,8 @@
             self.settlements,
             balance.loop,
             scheduler,
+            silence.tasks,
+            silence.loop,
             Listener(self.peer_server.server, settings.peers),
             Listener(self.readiness, settings.readiness),
             Listener(self.callers, settings.callers),
--- a/lynxchute/edge/upstreams.py
+++ b/lynxchute/edge/upstreams.py
@@ -16,6 +16,9 @@
 # at this interval, in seconds; a leaving upstream must be known in less than
 # the drain bound of two seconds.
 FEED_TIMES = FeedTimes(wait=2.0, pause=0.4)
+# Seconds after the store has come back in which entries that lapsed while it
+# was away come back as well; the platform's own figure is about two.
+LAPSE_SECONDS = 2.0
 # An upstream that vanished is remembered while requests may still end there.
 FORGET_AFTER = 30.0
 
@@ -66,9 +69,16 @@
 
     def _take_row(self, row: Row, now: float) -> bool:
         if row.deleted:
-            removed = self._directory.remove(row.id.key, now)
+            # A feed that never lost the store has regained_at at zero.
+            lapses_at = self.feed.regained_at + LAPSE_SECONDS
+            removed = self._directory.remove(row.id.key, now, lapses_at=lapses_at)
             if removed:
-                log_event("upstream gone", upstream=row.id.key, version=row.version)
+                log_event(
+                    "upstream gone",
+                    upstream=row.id.key,
+                    version=row.version,
+                    may_be_back_s=round(max(lapses_at - now, 0.0), 2),
+                )
             return removed
         result = self._decode(row)
         if result.is_error():
--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -188,10 +188,13 @@
     ----------
     fetch_from
         The engine that should hand over what it keeps of the prompt, if any.
+    expected_ms
+        When its first event is expected, in milliseconds.
     """
 
     upstream: str
     fetch_from: str = ""
+    expected_ms: float = 0.0
 
 
 @attrs.frozen
--- a/lynxchute/http/__init__.py
+++ b/lynxchute/http/__init__.py
@@ -1,13 +1,20 @@
 """HTTP/1.1 for both sides of a router, on `asyncio` and `h11`."""
 
-from lynxchute.http.client import ClientPool, ExchangeFailed, HttpClient, Response
-from lynxchute.http.client import Timeouts as Timeouts
+from lynxchute.http.client import (
+    AbortHandle,
+    ClientPool,
+    ExchangeFailed,
+    HttpClient,
+    Response,
+    Timeouts,
+)
 from lynxchute.http.headers import HeaderItems, Headers
 from lynxchute.http.messages import BadRequest, Request, RequestHead
 from lynxchute.http.responder import CallerLeft, Responder
 from lynxchute.http.server import HttpServer, ServerLimits, not_found
 
 __all__ = [
+    "AbortHandle",
     "BadRequest",
     "CallerLeft",
     "ClientPool",
--- a/lynxchute/http/client.py
+++ b/lynxchute/http/client.py
@@ -61,6 +61,18 @@
         self.sent = sent
 
 
+@attrs.define(eq=False)
+class AbortHandle:
+    """Break an exchange off from outside."""
+
+    connection: ClientConnection | None = None
+
+    def abort(self) -> None:
+        """Drop the connection of the exchange, if it has one."""
+        if self.connection is not None:
+            self.connection.abort()
+
+
 def any_answer(head: h11.Response) -> bool:
     """Take whatever answer comes first."""
     return True
@@ -222,6 +234,7 @@
         fresh_within: float | None = None,
         is_answer: Callable[[h11.Response], bool] = any_answer,
         on_sent: Callable[[], None] | None = None,
+        abort_handle: AbortHandle | None = None,
     ) -> Response:
         """Send a request and return the answer with its head read.
 
@@ -237,6 +250,8 @@
             which is read and dropped.
         on_sent
             Called when the first byte is about to leave.
+        abort_handle
+            Told the connection, so that the exchange can be broken off.
 
         Raises
         ------
@@ -250,6 +265,8 @@
         except BaseException:
             self._slots.release()
             raise
+        if abort_handle is not None:
+            abort_handle.connection = connection
         outgoing = OutgoingRequest(method, target, self._full_headers(headers, body))
         try:
             if on_sent is not None:
--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -15,6 +15,11 @@
 # Callers come back after at most a third of the time that they have left; a
 # tenth leaves them time for the request itself.
 RETRY_SHARE = 0.1
+# Callers leave a stream that pauses for two seconds, four times its latency
+# objective or eight times the longest pause, whichever is longest; nothing is
+# begun that would come in the last tenth of that.
+LEAST_WAIT = 2.0
+WAIT_SHARE = 0.9
 MIN_RETRY_AFTER = 0.05
 MAX_RETRY_AFTER = 1.0
 
@@ -72,6 +77,18 @@
         """Return when the request began to arrive, in seconds."""
         return self.call.request.received_at
 
+    @property
+    def may_move(self) -> bool:
+        """Return whether a run may be broken off to go on at another upstream."""
+        return self.route.is_repeatable and self.sends < self.route.max_attempts
+
+    @property
+    def longest_wait(self) -> float:
+        """Return the seconds that a caller waits for the first event of a stream."""
+        route = self.route
+        wait = max(LEAST_WAIT, 4 * route.latency_objective, 8 * route.max_pause)
+        return wait * WAIT_SHARE
+
     @property
     def run_id(self) -> str:
         """Return what names the next or present run of the request."""
--- a/lynxchute/relay/refusal.py
+++ b/lynxchute/relay/refusal.py
@@ -30,6 +30,7 @@
     BUDGET_UNREACHABLE = "budget-unreachable"
     NO_UPSTREAM = "no-upstream"
     DECLINED = "upstream-full"
+    OVERLOADED = "overloaded"
     STOPPING = "stopping"
     BROKEN = "broken"
     TIMEOUT = "timeout"
@@ -45,6 +46,7 @@
     Reason.BUDGET_UNREACHABLE: 503,
     Reason.NO_UPSTREAM: 503,
     Reason.DECLINED: 503,
+    Reason.OVERLOADED: 503,
     Reason.STOPPING: 503,
     Reason.BROKEN: 502,
     Reason.TIMEOUT: 504,
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
+import attrs
+
 from lynxchute.http import ExchangeFailed, Request, Responder
 from lynxchute.relay.admission import Admission
 from lynxchute.relay.budgets import (
@@ -28,6 +30,25 @@
 EVENT_STREAM = "text/event-stream"
 
 
+@attrs.frozen
+class Held:
+    """An answer that was read before it is passed on.
+
+    Attributes
+    ----------
+    body
+        All of it; None where it broke off.
+    is_good
+        Whether the upstream did what was asked.
+    is_passed_on
+        Whether the caller has it already.
+    """
+
+    body: bytes | None
+    is_good: bool = False
+    is_passed_on: bool = False
+
+
 class Relay:
     """Serve the requests of callers.
 
@@ -133,41 +154,51 @@
         """Send a request until an answer can be passed on."""
         answer = await self._sender.send(exchange)
         while not _is_stream(answer):
-            body = await self._read_whole(exchange, answer)
-            is_good = body is not None and answer.response.status < SERVER_ERROR
-            if is_good or not self._sender.may_send_again(exchange):
-                await self._forward(exchange, answer, body)
+            held = await self._hold(exchange, answer)
+            if held.is_passed_on:
+                return
+            if held.is_good or not self._sender.may_send_again(exchange):
+                await self._forward(exchange, answer, held)
                 return
             exchange.tried.add(answer.entry.upstream.id)
             try:
                 answer = await self._sender.send(exchange)
             except Refusal:
-                if body is None:
+                if held.body is None:
                     raise
                 # The first answer is an answer, if a bad one.
-                await self._forward(exchange, answer, body)
+                await self._forward(exchange, answer, held)
                 return
         await self._stream(exchange, answer)
 
     # Answers that are passed on whole.
 
-    async def _forward(
-        self, exchange: Exchange, answer: Answer, body: bytes | None
-    ) -> None:
-        if body is None:
+    async def _forward(self, exchange: Exchange, answer: Answer, held: Held) -> None:
+        if held.body is None:
             title = "The upstream's answer broke off; the request may have run."
             raise exchange.refuse(Reason.BROKEN, title, self._clock())
         headers = self._dialect.caller_headers(answer.response.headers)
         exchange.first_byte_at = self._clock()
-        await exchange.respond.forward(answer.response.status, headers, body)
+        await exchange.respond.forward(answer.response.status, headers, held.body)
 
-    async def _read_whole(self, exchange: Exchange, answer: Answer) -> bytes | None:
-        """Return an answer's body, or None where it broke off."""
+    async def _hold(self, exchange: Exchange, answer: Answer) -> Held:
+        """Read an answer whole; pass it on as it comes where it is too large."""
         fate = Fate.ABANDONED
+        failed = answer.response.status >= SERVER_ERROR
+        parts: list[bytes] = []
+        size = 0
         try:
-            body = await answer.response.body(MAX_HELD_BYTES)
-            failed = answer.response.status >= SERVER_ERROR
-            fate = Fate.FAILED if failed else Fate.SERVED
+            while size <= MAX_HELD_BYTES:
+                piece = await answer.response.read()
+                answer.entry.heard_at = self._clock()
+                if piece is None:
+                    fate = Fate.FAILED if failed else Fate.SERVED
+                    return Held(b"".join(parts), is_good=not failed)
+                parts.append(piece)
+                size += len(piece)
+            await self._pass_on(exchange, answer, parts)
+            fate = Fate.SERVED
+            return Held(None, is_passed_on=True)
         except ExchangeFailed as error:
             fate = Fate.BROKEN
             log_event(
@@ -176,10 +207,29 @@
                 upstream=answer.entry.upstream.id,
                 reason=str(error),
             )
-            return None
+            if exchange.respond.started:
+                title = "The answer broke off."
+                raise Refusal(Reason.BROKEN, title, run=Run.RAN) from error
+            return Held(None)
         finally:
+            answer.response.close()
             self._sender.release(answer, fate)
-        return body
+
+    async def _pass_on(
+        self, exchange: Exchange, answer: Answer, parts: list[bytes]
+    ) -> None:
+        """Pass a large answer on as it comes."""
+        headers = self._dialect.caller_headers(answer.response.headers)
+        length = answer.response.headers.get("content-length")
+        if length is not None:
+            headers.append((b"Content-Length", length.encode()))
+        exchange.first_byte_at = self._clock()
+        await exchange.respond.start(answer.response.status, headers)
+        for part in parts:
+            await exchange.respond.send(part)
+        while (piece := await answer.response.read()) is not None:
+            await exchange.respond.send(piece)
+        await exchange.respond.finish()
 
     # Streams.
 
@@ -204,6 +254,7 @@
         try:
             while True:
                 data = await answer.response.read()
+                answer.entry.heard_at = self._clock()
                 if data is None:
                     break
                 events = splitter.feed(data)
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -7,12 +7,18 @@
 
 import attrs
 
-from lynxchute.http import ClientPool, ExchangeFailed, Response, Timeouts
+from lynxchute.http import (
+    AbortHandle,
+    ClientPool,
+    ExchangeFailed,
+    Response,
+    Timeouts,
+)
 from lynxchute.relay.dialect import Dialect, Dispatch, Verdict
 from lynxchute.relay.exchange import Exchange
 from lynxchute.relay.refusal import Reason, Refusal, Run
 from lynxchute.telemetry import Metrics, log_event
-from lynxchute.upstreams.directory import Directory, Entry
+from lynxchute.upstreams.directory import Directory, Entry, OpenSend
 from lynxchute.upstreams.health import Fate
 from lynxchute.upstreams.placement import Choice, Placement
 from lynxchute.upstreams.retry_budget import RetryBudget
@@ -40,6 +46,7 @@
     entry: Entry
     cost: int
     run_id: str
+    send: OpenSend
 
 
 class Sender:
@@ -112,6 +119,7 @@
 
     def release(self, answer: Answer, fate: Fate) -> None:
         """Note that an upstream no longer works on a request."""
+        answer.entry.open_sends.discard(answer.send)
         self._note_fate(answer.entry, answer.cost, fate)
         failed = fate not in (Fate.SERVED, Fate.ABANDONED)
         upstream_id = answer.entry.upstream.id
@@ -127,6 +135,7 @@
         while True:
             choice = await self._find(exchange)
             if choice is not None:
+                self._check_load(exchange, choice)
                 return choice
             self._changed.clear()
             try:
@@ -135,11 +144,30 @@
             except TimeoutError:
                 raise self._give_up(exchange) from None
 
+    def _check_load(self, exchange: Exchange, choice: Choice) -> None:
+        """Refuse a request at once whose answer would begin too late for anyone.
+
+        Its caller would leave, and the engine would have read its prompt for
+        nothing.
+        """
+        if choice.expected_seconds <= exchange.longest_wait:
+            return
+        upstream_id = choice.entry.upstream.id
+        self._generations.note_ended(exchange.run_id, upstream_id, failed=False)
+        log_event(
+            "engines overloaded",
+            request_id=exchange.call.request_id,
+            expected_s=round(choice.expected_seconds, 3),
+            longest_wait_s=exchange.longest_wait,
+        )
+        title = "All engines are busy for longer than a caller waits."
+        raise exchange.refuse(Reason.OVERLOADED, title, self._clock())
+
     async def _find(self, exchange: Exchange) -> Choice | None:
         now = self._clock()
         known = [
             entry
-            for entry in self._directory.of_services([exchange.service])
+            for entry in self._directory.of_service(exchange.service, now)
             if entry.upstream.id not in exchange.tried
         ]
         if not known:
@@ -160,23 +188,30 @@
         entry.open_requests += 1
         entry.open_tokens += cost
         run_before = exchange.run
+        send = OpenSend(AbortHandle(), lambda: exchange.may_move)
+        entry.open_sends.add(send)
+        entry.heard_at = max(entry.heard_at, self._clock())
         try:
-            response = await self._exchange_heads(exchange, choice)
+            response = await self._exchange_heads(exchange, choice, send)
         except ExchangeFailed as error:
+            entry.open_sends.discard(send)
             fate = Fate.BROKEN if error.sent else Fate.UNREACHED
             self._failed(exchange, entry, cost, fate, str(error))
             return None
         except BaseException:
+            entry.open_sends.discard(send)
             entry.open_requests -= 1
             entry.open_tokens -= cost
             upstream_id = entry.upstream.id
             self._generations.note_ended(exchange.run_id, upstream_id, failed=False)
             raise
+        entry.heard_at = self._clock()
         verdict = self._dialect.verdict(response.status, response.headers)
-        answer = Answer(response, entry, cost, exchange.run_id)
+        answer = Answer(response, entry, cost, exchange.run_id, send)
         if verdict is Verdict.ANSWERED:
             exchange.run = Run.RAN
             return answer
+        entry.open_sends.discard(send)
         reason = f"{verdict.value}, status {response.status}"
         if verdict in (Verdict.NOT_RUN, Verdict.MOVED):
             await self._discard(response)
@@ -187,7 +222,9 @@
         self._failed(exchange, entry, cost, Fate.BROKEN, reason)
         return None
 
-    async def _exchange_heads(self, exchange: Exchange, choice: Choice) -> Response:
+    async def _exchange_heads(
+        self, exchange: Exchange, choice: Choice, send: OpenSend
+    ) -> Response:
         call, entry = exchange.call, choice.entry
         dispatch = Dispatch(
             upstream=entry.upstream,
@@ -213,6 +250,7 @@
             fresh_within=fresh_within,
             is_answer=lambda head: self._dialect.is_answer(call, head),
             on_sent=note_sent,
+            abort_handle=send.handle,
         )
 
     async def _discard(self, response: Response) -> None:
--- a/lynxchute/scheduling/board.py
+++ b/lynxchute/scheduling/board.py
@@ -144,10 +144,13 @@
     fetch_from
         The engine that should hand over what it keeps of the prompt; empty
         where that does not pay.
+    expected_ms
+        When its first event is expected, in milliseconds from now.
     """
 
     upstream_id: str = ""
     fetch_from: str = ""
+    expected_ms: float = 0.0
 
 
 @attrs.frozen
@@ -201,8 +204,8 @@
                 best, chosen = offer, candidate.upstream_id
         if best is None:
             return Place()
-        self._assign(run_id, chosen, generation, best, now, fetch_tokens_per_ms)
-        return Place(chosen, best.fetch_from)
+        run = self._assign(run_id, chosen, generation, best, now, fetch_tokens_per_ms)
+        return Place(chosen, best.fetch_from, run.expected_ms)
 
     def begun(self, upstream_id: str, run_id: str, now: float) -> None:
         """Note the first event of a run, and learn from when it came."""
@@ -334,20 +337,22 @@
         offer: _Offer,
         now: float,
         fetch_tokens_per_ms: float,
-    ) -> None:
+    ) -> Run:
         state = self.engines_by_id[upstream_id]
         cached = state.cache.cached_tokens(generation.shared_parts)
         expected_ms = self._expected_ms(state, offer.uncached, now)
         if offer.fetched:
             expected_ms += FETCH_SETUP_MS + offer.fetched / fetch_tokens_per_ms
-        state.runs_by_id[run_id] = Run(
+        run = Run(
             uncached=offer.uncached,
             prefill_ms=offer.uncached / state.speed,
             expected_ms=expected_ms,
             placed_at=now,
             tokens=generation.most_tokens - cached,
         )
+        state.runs_by_id[run_id] = run
         state.cache.use(generation.shared_parts, occupied=state.occupied)
+        return run
 
     def _learn_speed(self, state: EngineState, run: Run, took_ms: float) -> None:
         """Learn from a long prompt that did not wait behind others."""
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -131,7 +131,11 @@
             place = self._place(run_id, generation, candidates, self._own_data_centre)
         self._scheduler_by_run[run_id] = vm
         source = self._directory.entries_by_id.get(place.fetch_from)
-        return Choice(by_id[place.upstream_id], source.upstream if source else None)
+        return Choice(
+            by_id[place.upstream_id],
+            source.upstream if source else None,
+            place.expected_ms / 1000.0,
+        )
 
     def note_begun(self, run_id: str, upstream_id: str) -> None:
         """Note the first event of a run."""
@@ -186,7 +190,7 @@
             self._members.note_silence(vm, self._clock())
             log_event("scheduling router too slow", peer=vm, request_id=run_id)
             return Place()
-        return Place(reply.upstream, reply.fetch_from)
+        return Place(reply.upstream, reply.fetch_from, reply.expected_ms)
 
     @property
     def _own_data_centre(self) -> str:
@@ -244,7 +248,7 @@
             parts=tuple(PromptPart(*part) for part in request.parts),
         )
         place = self._place(request.run_id, generation, entries, request.data_centre)
-        return PlaceReply(place.upstream_id, place.fetch_from)
+        return PlaceReply(place.upstream_id, place.fetch_from, place.expected_ms)
 
     async def _serve_news(self, request: RunNewsRequest) -> Done:
         for news in request.news:
--- a/lynxchute/upstreams/engines.py
+++ b/lynxchute/upstreams/engines.py
@@ -13,7 +13,17 @@
 
 
 class Engines(ABC):
-    """Questions to model engines."""
+    """Questions to upstreams, above all to model engines."""
+
+    @abstractmethod
+    async def probe(self, upstream: Upstream) -> None:
+        """Ask whether an upstream is there; any answer will do.
+
+        Raises
+        ------
+        EngineSilent
+            Where none came soon.
+        """
 
     @abstractmethod
     async def cached_parts(self, upstream: Upstream) -> list[PromptPart]:
--- a/lynxchute/upstreams/placement.py
+++ b/lynxchute/upstreams/placement.py
@@ -21,10 +21,13 @@
     fetch_from
         The engine that should hand over what it keeps of the prompt; None
         where that does not pay.
+    expected_seconds
+        When the first event of its answer is expected; 0 where nobody knows.
     """
 
     entry: Entry
     fetch_from: Upstream | None = None
+    expected_seconds: float = 0.0
 
 
 class Placement(ABC):
