Rank requests by account, then by route, and broken streams first

Cause: nearly all accounts have one rank, so that the route's, by which the operators tell urgent from less urgent, never reached the engines.

--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -15,6 +15,11 @@
 # Callers come back after at most a third of the time that they have left; a
 # tenth leaves them time for the request itself.
 RETRY_SHARE = 0.1
+# Ranks of routes that are told apart within a rank of accounts: upstreams know
+# ten ranks in all.
+ROUTE_RANKS = 3
+# The rank of requests without an account, or whose account has none.
+DEFAULT_ACCOUNT_RANK = 1
 # Callers leave a stream that pauses for two seconds, four times its latency
 # objective or eight times the longest pause, whichever is longest; nothing is
 # begun that would come in the last tenth of that.
@@ -96,10 +101,19 @@
 
     @property
     def priority(self) -> int:
-        """Return the request's rank; 0 comes first."""
+        """Return the request's rank; 0 comes first.
+
+        The account's rank goes before the route's, which decides among the
+        requests of accounts of one rank. What a caller has begun to read
+        comes before all that is new.
+        """
+        if self.events:
+            return 0
+        account_rank = DEFAULT_ACCOUNT_RANK
         if self.account is not None and self.account.priority is not None:
-            return self.account.priority
-        return self.route.priority
+            account_rank = self.account.priority
+        route_rank = min(self.route.priority, ROUTE_RANKS - 1)
+        return account_rank * ROUTE_RANKS + route_rank
 
     @property
     def may_be_sent_again(self) -> bool:
