--- a/lynxchute/scheduling/board.py
+++ b/lynxchute/scheduling/board.py
@@ -40,6 +40,11 @@
 # Milliseconds that a request more for each request running there counts: it
 # slows all of them a little.
 RUNNING_MS = 2.0
+# Milliseconds that each running stream counts where this many prompt tokens
+# have to be read: its events pause meanwhile, and the longest pause that is on
+# time is about what three pieces of a prompt take.
+PAUSE_MS = 60.0
+PAUSE_TOKENS = 12_000
 # A run of which nothing has been heard for this many seconds is over.
 FORGET_SECONDS = 20.0
 # Milliseconds that count against an engine without a free slot, or without
@@ -308,15 +313,21 @@
         if fetched:
             cost += FETCH_SETUP_MS + fetched / fetch_tokens_per_ms
             cost += FETCH_WEIGHT * fetched / state.speed
-        cost += self._crowding(candidate, state, generation)
+        cost += self._crowding(candidate, state, generation, uncached)
         if now < state.avoided_until:
             cost += FULL_MS
         return _Offer(cost, uncached, fetched, source if fetched else "")
 
     def _crowding(
-        self, candidate: Candidate, state: EngineState, generation: Generation
+        self,
+        candidate: Candidate,
+        state: EngineState,
+        generation: Generation,
+        uncached: int,
     ) -> float:
-        cost = RUNNING_MS * len(state.runs_by_id)
+        running = len(state.runs_by_id)
+        cost = RUNNING_MS * running
+        cost += PAUSE_MS * running * min(uncached / PAUSE_TOKENS, 2.0)
         if candidate.is_far:
             cost += FAR_MS
         if len(state.runs_by_id) >= state.slots:
