Bring a doc comment's example in line with the line's slow phase

The code is right: use by a router that is back within two seconds must stay in the slow phase.

Ruled out: an error in Line.at (100 + 10 * 2.2 + 100 * 1.3 = 252, and 100 + 22 + 100 * 12.8 = 1402).

--- a/lynxchute/budgets/line.py
+++ b/lynxchute/budgets/line.py
@@ -35,7 +35,7 @@
     --------
     >>> line = Line(base=100, rate=10, late_rate=100, start_ms=1000)
     >>> line.at(500), line.at(3000), line.at(4500), line.at(60_000)
-    (100, 120, 225, 1375)
+    (100, 120, 252, 1402)
     """
 
     base: int
