--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -317,5 +317,5 @@
         vm=settings.vm,
         data_centre=settings.data_centre,
         incarnation=secrets.token_hex(6),
-        address=str(settings.peers),
+        address=str(settings.peers_reached_at or settings.peers),
     )
--- a/lynxchute/edge/settings.py
+++ b/lynxchute/edge/settings.py
@@ -51,6 +51,9 @@
         Memory of the process, in MB; it is killed beyond.
     is_first_start
         Whether the whole fleet starts for the first time.
+    peers_reached_at
+        Where the other routers reach this one; None where that is where it
+        listens for them.
     """
 
     vm: str
@@ -63,4 +66,5 @@
     memory_mb: float
     metrics: Address | None = None
     is_first_start: bool = False
+    peers_reached_at: Address | None = None
     bounds: Bounds = Bounds()
--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -209,6 +209,8 @@
         The engines that it could send to.
     parts
         Ids and tokens of the prompt's parts.
+    router
+        Names the run of the asking process.
     """
 
     NAME = "place"
@@ -221,19 +223,33 @@
     prompt_tokens: int
     output_tokens: int
     parts: tuple[tuple[str, int], ...]
+    router: str
 
 
 class RunStage(enum.Enum):
-    """How far a run has come."""
+    """How far a run has come.
+
+    Attributes
+    ----------
+    UNPLACED
+        Its router got no answer in time and has placed it by itself.
+    """
 
     BEGUN = "begun"
     ENDED = "ended"
     FAILED = "failed"
+    UNPLACED = "unplaced"
 
 
 @attrs.frozen
 class RunNews:
-    """What has become of a run on an engine."""
+    """What has become of a run on an engine.
+
+    Attributes
+    ----------
+    upstream
+        The engine; empty where the router does not know it.
+    """
 
     run_id: str
     upstream: str
--- a/lynxchute/platform/settings.py
+++ b/lynxchute/platform/settings.py
@@ -14,6 +14,9 @@
 SETTINGS_VARIABLE = "LYNXCHUTE_SETTINGS"
 # The port for metrics stands in the deploy file only, which hands it on here.
 METRICS_VARIABLE = "LYNXCHUTE_METRICS_PORT"
+# Where the other routers reach this one, as host:port, if a relay stands
+# between them.
+PEERS_VARIABLE = "LYNXCHUTE_PEERS_REACHED_AT"
 
 # Which of the ports for traffic between the VMs the routers use; counted from
 # the first one.
@@ -51,6 +54,7 @@
         memory_mb=reader.number("limits", "memory_mb"),
         metrics=_metrics(reader, environment),
         is_first_start=bool(document.get("bootstrap")),
+        peers_reached_at=_peers_reached_at(reader, environment),
         bounds=_bounds(reader),
     )
     if reader.findings:
@@ -68,6 +72,19 @@
     return Address(reader.text("ip"), int(port))
 
 
+def _peers_reached_at(
+    reader: _Reader, environment: Mapping[str, str]
+) -> Address | None:
+    text = environment.get(PEERS_VARIABLE, "")
+    if not text:
+        return None
+    try:
+        return Address.parse(text)
+    except ValueError as error:
+        reader.findings.append(f"the variable {PEERS_VARIABLE}: {error}")
+        return None
+
+
 def _bounds(reader: _Reader) -> Bounds:
     usual = Bounds()
     return Bounds(
--- a/lynxchute/scheduling/board.py
+++ b/lynxchute/scheduling/board.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 
@@ -50,8 +50,13 @@
 # Milliseconds that count against an engine without a free slot, or without
 # memory for the request: it would have to wait for another one to end.
 FULL_MS = 2_000.0
-
-
+# Milliseconds at most that a run which is overdue counts: one of which nothing
+# is heard may never have been sent, and an engine that has stopped is noticed
+# by its silence before that.
+MAX_OVERDUE_MS = 1_500.0
+# A run that is overdue by so many milliseconds when one that came later begins
+# is no longer waited for.
+PASSED_MS = 500.0
 # Seconds that an engine is passed over after a run broke there.
 AVOID_SECONDS = 0.8
 # Weight of the newest first event in how much slower than expected an engine
@@ -75,6 +80,10 @@
         When its first event was expected, in milliseconds after its placement.
     tokens
         What it takes of the engine's memory, in tokens.
+    router
+        The process that sends it.
+    is_passed
+        Whether others that came later have begun long after it should have.
     """
 
     uncached: int
@@ -82,7 +91,18 @@
     expected_ms: float
     placed_at: float
     tokens: int
+    router: str = ""
     has_begun: bool = False
+    is_passed: bool = False
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether its prompt has still to be read."""
+        return not self.has_begun and not self.is_passed
+
+    def overdue_ms(self, now: float) -> float:
+        """Return how late its first event is."""
+        return max((now - self.placed_at) * 1000.0 - self.expected_ms, 0.0)
 
 
 @attrs.define
@@ -117,15 +137,23 @@
 
     def backlog_ms(self, now: float) -> float:
         """Return how long it has to read the prompts that are still waiting."""
-        waiting = [run for run in self.runs_by_id.values() if not run.has_begun]
+        waiting = [run for run in self.runs_by_id.values() if run.is_waiting]
         if not waiting:
             return 0.0
         head = waiting[0]
         reading_ms = (now - max(head.placed_at, self.begun_at)) * 1000.0
         backlog = sum(run.prefill_ms for run in waiting)
         backlog -= min(reading_ms, head.prefill_ms)
-        overdue_ms = (now - head.placed_at) * 1000.0 - head.expected_ms
-        return backlog * self.slowness + max(overdue_ms, 0.0)
+        overdue_ms = min(head.overdue_ms(now), MAX_OVERDUE_MS)
+        return backlog * self.slowness + overdue_ms
+
+    def pass_overdue(self, begun_id: str, now: float) -> None:
+        """Wait no longer for runs that are overdue and came before another."""
+        for run_id, run in self.runs_by_id.items():
+            if run_id == begun_id:
+                return
+            if run.overdue_ms(now) > PASSED_MS:
+                run.is_passed = True
 
 
 @attrs.frozen
@@ -186,6 +214,7 @@
         *,
         sources: Iterable[str] = (),
         fetch_tokens_per_ms: float = 0.0,
+        router: str = "",
     ) -> Place:
         """Return the engine for a request.
 
@@ -195,6 +224,8 @@
             Engines that can hand over what they keep.
         fetch_tokens_per_ms
             How fast they do; 0 where they do not.
+        router
+            The process that sends the request.
         """
         source, kept = self._best_source(generation, sources)
         if not fetch_tokens_per_ms:
@@ -210,6 +241,7 @@
         if best is None:
             return Place()
         run = self._assign(run_id, chosen, generation, best, now, fetch_tokens_per_ms)
+        run.router = router
         return Place(chosen, best.fetch_from, run.expected_ms)
 
     def begun(self, upstream_id: str, run_id: str, now: float) -> None:
@@ -220,6 +252,7 @@
             return
         run.has_begun = True
         state.begun_at = now
+        state.pass_overdue(run_id, now)
         took_ms = (now - run.placed_at) * 1000.0
         self._learn_speed(state, run, took_ms)
         self._learn_slowness(state, run, took_ms)
@@ -242,6 +275,18 @@
             state.runs_by_id.pop(run_id, None)
             state.avoided_until = now + AVOID_SECONDS
 
+    def drop(self, run_id: str) -> None:
+        """Forget a run that its router has not sent."""
+        for state in self.engines_by_id.values():
+            state.runs_by_id.pop(run_id, None)
+
+    def keep_runs_of(self, routers: Collection[str]) -> None:
+        """Forget the runs of router processes that are gone."""
+        for state in self.engines_by_id.values():
+            for run_id, run in list(state.runs_by_id.items()):
+                if run.router not in routers:
+                    del state.runs_by_id[run_id]
+
     def unknown(self, candidates: Iterable[Candidate]) -> list[str]:
         """Return the engines of which nothing is known yet, and begin to know them."""
         found = []
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -32,6 +32,10 @@
 ASK_SECONDS = 0.1
 # News of runs of this many seconds go out together.
 NEWS_SECONDS = 0.05
+# Seconds until news are told again to a router that did not take them.
+RETELL_SECONDS = 0.5
+# News that are kept for such a router: those of some seconds.
+MAX_KEPT_NEWS = 300
 TIDY_SECONDS = 5.0
 # Tokens of an engine's memory where its service does not say.
 USUAL_CAPACITY = 400_000
@@ -85,7 +89,12 @@
         await self._tasks.stop()
 
     def look(self) -> None:
-        """Learn what new engines keep, where this router schedules them."""
+        """Learn what new engines keep, where this router schedules them.
+
+        Runs of routers that are gone are forgotten.
+        """
+        members = self._members.by_vm.values()
+        self.board.keep_runs_of({member.incarnation for member in members})
         by_service: dict[str, list[Entry]] = {}
         for entry in self._directory.entries_by_id.values():
             if entry.takes_work:
@@ -128,7 +137,13 @@
             place = await self._ask(vm, run_id, generation, by_id)
         if place.upstream_id not in by_id:
             vm = own
-            place = self._place(run_id, generation, candidates, self._own_data_centre)
+            place = self._place(
+                run_id,
+                generation,
+                candidates,
+                self._own_data_centre,
+                self._members.own.incarnation,
+            )
         self._scheduler_by_run[run_id] = vm
         source = self._directory.entries_by_id.get(place.fetch_from)
         return Choice(
@@ -153,7 +168,10 @@
         if vm == self._members.own.vm:
             self._take(news)
             return
-        self._news_by_vm.setdefault(vm, []).append(news)
+        self._post(vm, [news])
+
+    def _post(self, vm: str, news: list[RunNews]) -> None:
+        self._news_by_vm.setdefault(vm, []).extend(news)
         self._any_news.set()
 
     def _scheduling_vm(self, service: str) -> str:
@@ -180,13 +198,21 @@
             prompt_tokens=generation.prompt_tokens,
             output_tokens=generation.max_output_tokens,
             parts=tuple((part.id, part.tokens) for part in generation.parts),
+            router=self._members.own.incarnation,
         )
+        # Where no answer comes in time it may have placed the run all the same.
+        unplaced = [RunNews(run_id, "", RunStage.UNPLACED)]
         try:
             async with asyncio.timeout(ASK_SECONDS):
                 reply = await self._peers.ask(vm, request)
         except PeerUnreachable:
+            self._post(vm, unplaced)
             return Place()
+        except asyncio.CancelledError:
+            self._post(vm, unplaced)
+            raise
         except TimeoutError:
+            self._post(vm, unplaced)
             self._members.note_silence(vm, self._clock())
             log_event("scheduling router too slow", peer=vm, request_id=run_id)
             return Place()
@@ -202,6 +228,7 @@
         generation: Generation,
         entries: Sequence[Entry],
         data_centre: str,
+        router: str,
     ) -> Place:
         service = entries[0].upstream.service
         traits = self._traits_of(service)
@@ -217,6 +244,7 @@
             self._clock(),
             sources=self._directory.ids_that_answer(service),
             fetch_tokens_per_ms=traits.fetch_tokens_per_ms if traits else 0.0,
+            router=router,
         )
 
     def _candidates(
@@ -247,7 +275,9 @@
             max_output_tokens=request.output_tokens,
             parts=tuple(PromptPart(*part) for part in request.parts),
         )
-        place = self._place(request.run_id, generation, entries, request.data_centre)
+        place = self._place(
+            request.run_id, generation, entries, request.data_centre, request.router
+        )
         return PlaceReply(place.upstream_id, place.fetch_from, place.expected_ms)
 
     async def _serve_news(self, request: RunNewsRequest) -> Done:
@@ -256,6 +286,9 @@
         return Done()
 
     def _take(self, news: RunNews) -> None:
+        if news.stage is RunStage.UNPLACED:
+            self.board.drop(news.run_id)
+            return
         if news.stage is RunStage.BEGUN:
             self.board.begun(news.upstream, news.run_id, self._clock())
             return
@@ -280,12 +313,31 @@
                 continue
             self._any_news.clear()
             await asyncio.sleep(NEWS_SECONDS)
-            waiting, self._news_by_vm = self._news_by_vm, {}
-            await asyncio.gather(*(self._tell(vm, waiting[vm]) for vm in waiting))
+            await self._tell_all()
+
+    async def _tell_all(self) -> None:
+        """Send the news that wait for routers that can be reached."""
+        waiting, self._news_by_vm = self._news_by_vm, {}
+        tellings = []
+        for vm, news in waiting.items():
+            if vm not in self._members.by_vm:
+                continue
+            if self._members.is_reachable(vm):
+                tellings.append(self._tell(vm, news))
+            else:
+                self._keep(vm, news)
+        await asyncio.gather(*tellings)
 
     async def _tell(self, vm: str, news: list[RunNews]) -> None:
         try:
             await self._peers.ask(vm, RunNewsRequest(tuple(news)))
         except PeerUnreachable as error:
-            # It forgets the runs after a while by itself.
-            log_event("news of runs lost", peer=vm, count=len(news), reason=str(error))
+            log_event("news of runs kept", peer=vm, count=len(news), reason=str(error))
+            self._keep(vm, news)
+
+    def _keep(self, vm: str, news: list[RunNews]) -> None:
+        """Keep news for a router that may answer again."""
+        newer = self._news_by_vm.get(vm, [])
+        self._news_by_vm[vm] = [*news, *newer][-MAX_KEPT_NEWS:]
+        loop = asyncio.get_running_loop()
+        loop.call_later(RETELL_SECONDS, self._any_news.set)
--- a/lynxchute/standins/link.py
+++ b/lynxchute/standins/link.py
@@ -3,15 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import enum
+import socket
+import struct
 
 READ_SIZE = 65536
+# Have the kernel send a reset instead of an orderly end.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Direction(enum.Enum):
+    """Which way bytes go."""
+
+    TO_TARGET = "to target"
+    FROM_TARGET = "from target"
 
 
 class Link:
     """Relay TCP connections to an address while the link is up.
 
     A cut link drops what is open and lets new connections hang without an
-    answer, as a lost route does.
+    answer, as a lost route does. A held direction keeps its bytes until it is
+    let go; nobody at either end is told.
 
     Parameters
     ----------
@@ -29,6 +42,11 @@
         self.bytes_carried = 0
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._open_by_direction: dict[Direction, asyncio.Event] = {}
+        for direction in Direction:
+            self._open_by_direction[direction] = asyncio.Event()
+            self._open_by_direction[direction].set()
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Listen for connections."""
@@ -42,6 +60,23 @@
             for task in self._tasks:
                 task.cancel()
 
+    def hold(self, *directions: Direction) -> None:
+        """Hold up the bytes of these directions, and let the others go on."""
+        for direction, is_open in self._open_by_direction.items():
+            if direction in directions:
+                is_open.clear()
+            else:
+                is_open.set()
+
+    def reset(self) -> None:
+        """Reset every open connection at both ends."""
+        for writer in self._writers:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+        for task in self._tasks:
+            task.cancel()
+
     async def stop(self) -> None:
         """Close the link."""
         if self._server is not None:
@@ -72,19 +107,27 @@
             await asyncio.sleep(3600)
         host, _, port = self.target.rpartition(":")
         far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        ends = {writer, far_writer}
+        self._writers |= ends
         try:
             await asyncio.gather(
-                self._pump(reader, far_writer), self._pump(far_reader, writer)
+                self._pump(reader, far_writer, Direction.TO_TARGET),
+                self._pump(far_reader, writer, Direction.FROM_TARGET),
             )
         finally:
+            self._writers -= ends
             far_writer.transport.abort()
 
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        direction: Direction,
     ) -> None:
         while data := await reader.read(READ_SIZE):
             if self.delay:
                 await asyncio.sleep(self.delay)
+            await self._open_by_direction[direction].wait()
             self.bytes_carried += len(data)
             writer.write(data)
             await writer.drain()
--- a/lynxchute/standins/platform_store.py
+++ b/lynxchute/standins/platform_store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import enum
+import json
 import random
 from typing import Any
 from urllib.parse import parse_qsl, urlsplit
@@ -13,6 +14,7 @@
 
 from lynxchute.http import HttpServer, Request, Responder, not_found
 from lynxchute.platform.names import (
+    CONFIGURATION_KEY,
     OPERATOR_TABLE,
     ROWS_FEED,
     ROWS_READ,
@@ -136,6 +138,11 @@
         text = base64.b64encode(value).decode("ascii")
         return await self._apply({(table, "", key): text})
 
+    async def configure(self, document: dict[str, Any]) -> int:
+        """Write a configuration as the operator; return the row's version."""
+        value = json.dumps(document).encode()
+        return await self.put(OPERATOR_TABLE, CONFIGURATION_KEY, value)
+
     async def drop(self, table: str, key: str) -> int:
         """Drop a row as the operator or an upstream."""
         return await self._apply({(table, "", key): None})
--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -109,6 +109,9 @@
         What it has worked on.
     cache
         Tokens of the parts of prompts that it says it keeps, by id.
+    reached_at
+        The port that it registers, where a relay stands before it; 0 for its
+        own.
     """
 
     def __init__(
@@ -130,6 +133,7 @@
         self.cache: dict[str, int] = {}
         self.state = "ready"
         self.port = 0
+        self.reached_at = 0
         self.connections = 0
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -151,7 +155,7 @@
         """Write its entry."""
         entry = {
             "service": self.service,
-            "address": f"127.0.0.1:{self.port}",
+            "address": f"127.0.0.1:{self.reached_at or self.port}",
             "zone": self.data_centre,
             "version": "v1",
             "slots": 64,
--- /dev/null
+++ b/tests/test_scheduling.py
@@ -0,0 +1,206 @@
+"""Where generations go, and what is known of the engines' load."""
+
+import asyncio
+
+import testtools
+
+from lynxchute.fleet.client import Peers, PeerUnreachable
+from lynxchute.fleet.members import Member, Members
+from lynxchute.fleet.messages import (
+    PlaceRequest,
+    RunNews,
+    RunNewsRequest,
+    RunStage,
+)
+from lynxchute.scheduling.board import MAX_OVERDUE_MS, Candidate, EngineBoard
+from lynxchute.scheduling.scheduler import Scheduler
+from lynxchute.upstreams.directory import Directory
+from lynxchute.upstreams.generation import Generation, PromptPart
+from lynxchute.upstreams.upstream import Upstream
+from tests.support import AsyncTestCase, until
+
+PROMPT = 2_000
+
+
+def generation(tokens=PROMPT, shared=(), own="own"):
+    parts = (*(PromptPart(*part) for part in shared), PromptPart(own, 10))
+    return Generation("m", tokens, 60, parts)
+
+
+def candidates(*ids):
+    return [Candidate(upstream_id, 64, 400_000, False) for upstream_id in ids]
+
+
+class BoardTest(testtools.TestCase):
+    def place(self, board, run_id, now, *ids, **more):
+        return board.place(
+            run_id, generation(**more), candidates(*(ids or ("e1",))), now
+        )
+
+    def test_a_shared_part_is_read_once(self):
+        board = EngineBoard()
+        shared = [("s", 1_500)]
+        first = self.place(board, "r1", 0.0, "e1", "e2", shared=shared)
+        board.begun(first.upstream_id, "r1", 0.1)
+        second = self.place(board, "r2", 0.2, "e1", "e2", shared=shared)
+        self.assertEqual(first.upstream_id, second.upstream_id)
+        self.assertLess(second.expected_ms, first.expected_ms)
+
+    def test_long_prompts_do_not_meet_on_one_engine(self):
+        board = EngineBoard()
+        taken = {
+            self.place(board, f"r{n}", 0.0, "e1", "e2", "e3", tokens=15_000).upstream_id
+            for n in range(3)
+        }
+        self.assertEqual({"e1", "e2", "e3"}, taken)
+
+    def test_a_run_of_which_nothing_is_heard_holds_nobody_off_for_long(self):
+        board = EngineBoard()
+        self.place(board, "lost", 0.0)
+        expected_ms = self.place(board, "r2", 12.0).expected_ms
+        self.assertLess(expected_ms, 2 * MAX_OVERDUE_MS)
+
+    def test_a_run_that_a_later_one_has_passed_is_not_waited_for(self):
+        board = EngineBoard()
+        alone_ms = self.place(board, "lost", 0.0).expected_ms
+        self.place(board, "r2", 2.0)
+        board.begun("e1", "r2", 2.1)
+        board.ended("e1", "r2", 2.2)
+        expected_ms = self.place(board, "r3", 4.0).expected_ms
+        self.assertLess(expected_ms, 1.5 * alone_ms)
+
+    def test_a_run_that_was_not_sent_leaves_no_trace(self):
+        board = EngineBoard()
+        alone_ms = self.place(board, "r1", 0.0).expected_ms
+        board.drop("r1")
+        self.assertEqual({}, board.engines_by_id["e1"].runs_by_id)
+        self.assertEqual(alone_ms, self.place(board, "r2", 9.0).expected_ms)
+
+    def test_runs_of_routers_that_are_gone_are_dropped(self):
+        board = EngineBoard()
+        board.place("r1", generation(), candidates("e1"), 0.0, router="old")
+        board.place("r2", generation(), candidates("e1"), 0.0, router="new")
+        board.keep_runs_of({"new"})
+        self.assertEqual({"r2"}, set(board.engines_by_id["e1"].runs_by_id))
+
+    def test_an_engine_where_a_run_broke_is_avoided_for_a_moment(self):
+        board = EngineBoard()
+        first = self.place(board, "r1", 0.0, "e1", "e2")
+        board.failed(first.upstream_id, "r1", 0.1)
+        second = self.place(board, "r2", 0.2, "e1", "e2")
+        self.assertNotEqual(first.upstream_id, second.upstream_id)
+
+    def test_memory_for_the_request_counts(self):
+        board = EngineBoard()
+        self.place(board, "big", 0.0, "e1", tokens=399_000)
+        board.begun("e1", "big", 10.0)
+        self.assertEqual("e2", self.place(board, "r2", 10.0, "e1", "e2").upstream_id)
+
+
+class FakePeers(Peers):
+    """Take messages, and answer none that asks for a place."""
+
+    def __init__(self):
+        self.messages = []
+        self.refused = 0
+        self.is_up = True
+
+    async def ask(self, vm, message):
+        if isinstance(message, PlaceRequest):
+            await asyncio.Event().wait()
+        if not self.is_up:
+            self.refused += 1
+            raise PeerUnreachable(vm)
+        self.messages.append((vm, message))
+
+    def news(self):
+        found = []
+        for _, message in self.messages:
+            if isinstance(message, RunNewsRequest):
+                found.extend(message.news)
+        return found
+
+
+class SchedulerTest(AsyncTestCase):
+    """One router asks the other one, named ``a-1`` or ``a-2``, for places."""
+
+    def setUp(self):
+        super().setUp()
+        self.now = 100.0
+        self.peers = FakePeers()
+        self.directory = Directory()
+        self.directory.put(Upstream("e1", "pool", "127.0.0.1:1", "a", slots=64))
+        self.members = Members(member("a-1"))
+        self.members.put(member("a-2"))
+        scheduling = self.scheduler()._scheduling_vm("pool")
+        if scheduling == "a-1":
+            self.members = Members(member("a-2"))
+            self.members.put(member("a-1"))
+        self.other = scheduling
+
+    def scheduler(self):
+        return Scheduler(
+            self.members,
+            self.peers,
+            self.directory,
+            lambda service: None,
+            None,
+            lambda: self.now,
+        )
+
+    def choose(self, scheduler, run_id="r1"):
+        entries = list(self.directory.entries_by_id.values())
+        return scheduler.choose(run_id, generation(), entries)
+
+    def test_a_place_that_came_too_late_is_given_back(self):
+        async def scenario():
+            scheduler = self.scheduler()
+            await scheduler.start()
+            choice = await self.choose(scheduler)
+            self.assertEqual("e1", choice.entry.upstream.id)
+            self.members.note_answer(self.other)
+            await until(self.peers.news)
+            await scheduler.stop()
+
+        self.run_async(scenario())
+        (news,) = self.peers.news()
+        self.assertEqual(("r1", RunStage.UNPLACED), (news.run_id, news.stage))
+        self.assertEqual(self.other, self.peers.messages[0][0])
+
+    def test_news_that_was_not_taken_is_told_again(self):
+        async def scenario():
+            scheduler = self.scheduler()
+            await scheduler.start()
+            self.peers.is_up = False
+            await self.choose(scheduler)
+            self.members.note_answer(self.other)
+            await until(lambda: self.peers.refused)
+            self.peers.is_up = True
+            await until(self.peers.news)
+            await scheduler.stop()
+
+        self.run_async(scenario())
+        self.assertEqual([RunStage.UNPLACED], [n.stage for n in self.peers.news()])
+
+    def test_the_scheduling_router_forgets_what_it_is_told_to(self):
+        async def scenario():
+            scheduler = self.scheduler()
+            request = PlaceRequest(
+                "r1", "pool", "a", ("e1",), PROMPT, 60, (("own", 10),), "run-of-a-3"
+            )
+            await scheduler._serve_place(request)
+            engine = scheduler.board.engines_by_id["e1"]
+            self.assertEqual({"r1"}, set(engine.runs_by_id))
+            news = RunNews("r1", "", RunStage.UNPLACED)
+            await scheduler._serve_news(RunNewsRequest((news,)))
+            self.assertEqual({}, engine.runs_by_id)
+            await scheduler._serve_place(request)
+            # That router is not, or no longer, a member.
+            scheduler.look()
+            self.assertEqual({}, engine.runs_by_id)
+
+        self.run_async(scenario())
+
+
+def member(vm):
+    return Member(vm, "a", f"run-of-{vm}", "127.0.0.1:1")
