--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import contextlib
+import itertools
+import os
+import socket
 
 from lynxchute.edge.application import EdgeApplication
 from lynxchute.edge.settings import Bounds, EdgeSettings
@@ -16,6 +19,10 @@
 KEY = "key-of-kanda"
 ACCOUNT = "kanda"
 DATA_CENTRES = ("a", "b")
+# Below the ports that the kernel gives to connections; each process begins at
+# another one.
+FIRST_PORT, PORTS = 12_000, 18_000
+_ports = itertools.count(os.getpid() * 97)
 
 
 def route(name, prefix, service, kind, **more):
@@ -164,11 +171,16 @@
 
 
 def free_port():
-    import socket
-
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port that no connection takes by itself until it is used."""
+    while True:
+        port = FIRST_PORT + next(_ports) % PORTS
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 class PlatformTestCase(AsyncTestCase):
