Reserve for each request by itself, log reservations and sends, wire metrics

Cause: a test of streams failed once in some runs (503 instead of 200). Its callers' ids came from memory addresses and could meet again; a second request with the id of an earlier one found its reservation ended and was refused, and one that came while the first was open shared its reservation, so that its use was counted nowhere. The platform's callers use an id once, but a budget must not hang on that. Reservations now bear an id of their own, which begins with the request's.

Ruled out: the upstreams' faults and the retry budget (the same id four times over without any fault gave 200, 503, 503, 503; four ids 200 four times).

Also: the walk over all modules in the doc test ended the test run, since the module that starts a router did so on import; it had been hidden by the doc test that failed before it. Counters of store calls and of dropped log lines were never counted up; the store's are counted and timed around each call now. One line tells where each request's tokens were reserved and one where each send went and why; the last line of a request says how old its configuration was.

On tests: three in test_spending looked for the request's id among the reservations; they look for the one reservation of that request now, and that there is no other. The new test fails without the change (200, 200, 200, 503).

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 
+import attrs
 from prometheus_client import CONTENT_TYPE_LATEST
 
 from lynxchute.application import Application, Component
@@ -41,6 +42,7 @@
 from lynxchute.spending.keeper import Keeper
 from lynxchute.spending.reservations import FleetBudgets
 from lynxchute.spending.settlements import Settlements
+from lynxchute.store.counted import CountedStore
 from lynxchute.telemetry import Metrics, log_event
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.placement import LeastOpen
@@ -98,6 +100,8 @@
     started_at
         When the process began, on the steady clock in seconds; now, where it
         is not told.
+    log_lines_dropped
+        Returns how many lines the log had no room for.
     """
 
     def __init__(
@@ -106,11 +110,17 @@
         platform: Platform,
         *,
         started_at: float | None = None,
+        log_lines_dropped: Callable[[], int] = lambda: 0,
     ) -> None:
         super().__init__(settings.bounds.stop)
         self.settings = settings
-        self.platform = platform
         self.metrics = Metrics()
+        self._log_lines_dropped = log_lines_dropped
+        store = CountedStore(
+            platform.store, self.metrics.store_calls, self.metrics.store_seconds
+        )
+        platform = attrs.evolve(platform, store=store)
+        self.platform = platform
         self.configurations = Configurations(platform)
         self.directory = Directory()
         self.clients = ClientPool(UPSTREAM_TIMEOUTS)
@@ -284,6 +294,7 @@
         metrics.upstreams.set(self.directory.count())
         metrics.store_answers.set(self.keeper.store_answers)
         metrics.routers.set(self.members.count)
+        metrics.log_lines_dropped.set(self._log_lines_dropped())
         body = metrics.exposition()
         await respond.whole(200, body, CONTENT_TYPE_LATEST)
 
--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -47,21 +47,27 @@
 
 @attrs.frozen
 class ReserveRequest(Message[ReserveReply]):
-    """Set tokens aside for a request."""
+    """Set tokens aside for a request.
+
+    Attributes
+    ----------
+    reservation_id
+        The same each time that one reservation is asked for, and no other's.
+    """
 
     NAME = "reserve"
     REPLY = ReserveReply
 
-    request_id: str
+    reservation_id: str
     account: str
     tokens: int
 
 
 @attrs.frozen
 class Settlement:
-    """What a request has used, in tokens."""
+    """What a request has used of its reservation, in tokens."""
 
-    request_id: str
+    reservation_id: str
     used: int
 
 
--- a/lynxchute/platform/__main__.py
+++ b/lynxchute/platform/__main__.py
@@ -13,4 +13,5 @@
     run(started_at)
 
 
-main()
+if __name__ == "__main__":
+    main()
--- a/lynxchute/platform/daemon.py
+++ b/lynxchute/platform/daemon.py
@@ -20,7 +20,7 @@
 from lynxchute.platform.settings import SETTINGS_VARIABLE, decode_settings
 from lynxchute.platform.store import PlatformStore
 from lynxchute.platform.upstreams import decode_upstream
-from lynxchute.telemetry import log_event, log_to_stdout
+from lynxchute.telemetry import LogWriter, log_event, log_to_stdout
 
 EXIT_SETTINGS = 2
 EXIT_KILLED = 3
@@ -59,10 +59,16 @@
     )
 
 
-async def serve(settings: EdgeSettings, path: Path, started_at: float) -> None:
+async def serve(
+    settings: EdgeSettings, path: Path, started_at: float, log: LogWriter
+) -> None:
     """Run until told to stop."""
-    platform = make_platform(settings)
-    application = EdgeApplication(settings, platform, started_at=started_at)
+    application = EdgeApplication(
+        settings,
+        make_platform(settings),
+        started_at=started_at,
+        log_lines_dropped=lambda: log.dropped,
+    )
     application.watch_settings(lambda: read_settings(path), lambda: _stamp(path))
     end_on_signals(
         lambda: application.end(Ending.STOPPED), lambda: os._exit(EXIT_KILLED)
@@ -85,7 +91,7 @@
             print(f"{path}: {finding}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
     settings = result.ok
-    log_to_stdout(vm=settings.vm)
+    log = log_to_stdout(vm=settings.vm)
     log_event("started", data_centre=settings.data_centre, pid=os.getpid())
-    asyncio.run(serve(settings, path, started_at))
+    asyncio.run(serve(settings, path, started_at, log))
     log_event("ended")
--- a/lynxchute/platform/store.py
+++ b/lynxchute/platform/store.py
@@ -45,13 +45,11 @@
 
     def __init__(self, address: str) -> None:
         self.clock = StoreClock()
-        self.calls = 0
         self._client = HttpClient(address, max_connections=MAX_CONNECTIONS)
 
     async def write(self, write: Write) -> Outcome:
         """Apply a write."""
         body = _encode_write(write)
-        self.calls += 1
         asked_at = asyncio.get_running_loop().time()
         try:
             status, answer = await self._client.post_json(
@@ -112,7 +110,6 @@
     async def _ask(
         self, path: str, question: dict[str, Any], *, wait: float
     ) -> dict[str, Any]:
-        self.calls += 1
         asked_at = asyncio.get_running_loop().time()
         try:
             status, answer = await self._client.get_json(
--- a/lynxchute/relay/admission.py
+++ b/lynxchute/relay/admission.py
@@ -71,6 +71,7 @@
             route=route,
             account=account,
             service=self._service(route),
+            configuration_age=self._source.unconfirmed_for(),
             respond=respond,
             ends_at=end_of(call, route),
         )
--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -41,6 +41,8 @@
         Who pays; None on public routes.
     service
         The service that the route's split gave it to.
+    configuration_age
+        Seconds since the store had last confirmed that version.
     ends_at
         When it gets its final answer, on the loop's clock in seconds.
     sends
@@ -63,6 +65,7 @@
     route: Route
     account: ClientAccount | None
     service: str
+    configuration_age: float
     respond: Responder
     ends_at: float
     sends: int = 0
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -319,6 +319,7 @@
             route=exchange.route.name,
             account=account.name if account else "",
             configuration=exchange.configuration.version,
+            configuration_age=round(exchange.configuration_age, 2),
             upstreams=exchange.upstreams,
             sends=exchange.sends,
             events=exchange.events,
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -239,6 +239,7 @@
             exchange.sends += 1
             exchange.run = Run.UNKNOWN
             exchange.upstreams.append(entry.upstream.id)
+            self._log_send(exchange, choice, dispatch)
 
         fresh_within = None if exchange.route.is_repeatable else FRESH_WITHIN
         return await self._clients.get(entry.upstream.address).request(
@@ -253,6 +254,23 @@
             abort_handle=send.handle,
         )
 
+    def _log_send(self, exchange: Exchange, choice: Choice, dispatch: Dispatch) -> None:
+        entry = choice.entry
+        log_event(
+            "request sent",
+            request_id=exchange.call.request_id,
+            upstream=entry.upstream.id,
+            send=exchange.sends,
+            placed_by=choice.placed_by,
+            expected_s=round(choice.expected_seconds, 3),
+            fetch_from=choice.fetch_from.id if choice.fetch_from else "",
+            open_here=entry.open_requests,
+            bad_in_row=entry.health.bad_in_row,
+            time_left=round(dispatch.time_left, 3),
+            priority=dispatch.priority,
+            after_event=dispatch.resumes_after,
+        )
+
     async def _discard(self, response: Response) -> None:
         """Read a refusal to its end, so that its connection can be kept."""
         try:
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -150,6 +150,7 @@
             by_id[place.upstream_id],
             source.upstream if source else None,
             place.expected_ms / 1000.0,
+            placed_by=vm,
         )
 
     def note_begun(self, run_id: str, upstream_id: str) -> None:
--- a/lynxchute/spending/reservations.py
+++ b/lynxchute/spending/reservations.py
@@ -41,6 +41,8 @@
 # Seconds of its demand that a router asks for ahead, so that not every request
 # has to ask.
 AHEAD_SECONDS = 2.0
+# Bytes that tell apart the reservations of requests with one id.
+NONCE_BYTES = 4
 # How many homes are tried in turn.
 MAX_HOMES = 3
 
@@ -72,12 +74,12 @@
     """Tokens that a router, or this one, has set aside."""
 
     holder: str
-    request_id: str
+    reservation_id: str
     settlements: Settlements
 
     def settle(self, used: int) -> None:
         """Give back what the request did not use."""
-        self.settlements.add(self.holder, Settlement(self.request_id, used))
+        self.settlements.add(self.holder, Settlement(self.reservation_id, used))
 
 
 class FleetBudgets(Budgets):
@@ -116,20 +118,31 @@
         """Set tokens aside."""
         own = self._members.own.vm
         tried = []
+        # Callers may use an id twice; each request is counted all the same.
+        reservation_id = f"{request_id}.{secrets.token_hex(NONCE_BYTES)}"
+        request = ReserveRequest(reservation_id, account.name, tokens)
         for vm in self._members.homes(account.name)[:MAX_HOMES]:
-            request = ReserveRequest(request_id, account.name, tokens)
             if vm == own:
                 reply = await self.reserve_here(request)
             else:
                 reply = await self._ask(vm, request)
             if reply.outcome is ReserveOutcome.RESERVED:
-                return _HeldReservation(vm, request_id, self._settlements)
+                log_event(
+                    "tokens reserved",
+                    request_id=request_id,
+                    account=account.name,
+                    tokens=tokens,
+                    holder=vm,
+                    how=reply.detail or "granted",
+                    store_answers=self._keeper.store_answers,
+                )
+                return _HeldReservation(vm, reservation_id, self._settlements)
             tried.append(f"{vm}: {reply.outcome.value} {reply.detail}".strip())
             if reply.outcome is ReserveOutcome.EXHAUSTED:
-                self._log_refusal(request, tried)
+                self._log_refusal(request_id, request, tried)
                 title = f"The budget does not cover {tokens} tokens."
                 raise BudgetExhausted(title)
-        self._log_refusal(ReserveRequest(request_id, account.name, tokens), tried)
+        self._log_refusal(request_id, request, tried)
         raise BudgetUnreachable("No tokens can be had at the moment. Send it again.")
 
     async def reserve_here(self, request: ReserveRequest) -> ReserveReply:
@@ -152,7 +165,7 @@
 
     def _try_here(self, request: ReserveRequest) -> ReserveProblem | None:
         problem = self._ledger.reserve(
-            request.request_id,
+            request.reservation_id,
             request.account,
             request.tokens,
             now_ms=self._keeper.now_ms(),
@@ -251,10 +264,10 @@
             return await self._peers.ask(vm, request)
         except PeerUnreachable as error:
             # It may have set the tokens aside all the same.
-            self._settlements.add(vm, Settlement(request.request_id, 0))
+            self._settlements.add(vm, Settlement(request.reservation_id, 0))
             return ReserveReply(ReserveOutcome.UNREACHABLE, str(error))
         except asyncio.CancelledError:
-            self._settlements.add(vm, Settlement(request.request_id, 0))
+            self._settlements.add(vm, Settlement(request.reservation_id, 0))
             raise
 
     async def _serve_reserve(self, request: ReserveRequest) -> ReserveReply:
@@ -262,7 +275,7 @@
 
     async def _serve_settle(self, request: SettleRequest) -> Done:
         for settlement in request.settlements:
-            self._ledger.settle(settlement.request_id, settlement.used)
+            self._ledger.settle(settlement.reservation_id, settlement.used)
         self._keeper.touch()
         return Done()
 
@@ -292,12 +305,14 @@
     async def _serve_ping(self, request: PingRequest) -> Done:
         return Done()
 
-    def _log_refusal(self, request: ReserveRequest, tried: list[str]) -> None:
+    def _log_refusal(
+        self, request_id: str, request: ReserveRequest, tried: list[str]
+    ) -> None:
         ledger = self._ledger
         share = ledger.shares_by_account.get(request.account)
         log_event(
             "no tokens for a request",
-            request_id=request.request_id,
+            request_id=request_id,
             account=request.account,
             tokens=request.tokens,
             tried=tried,
--- a/lynxchute/spending/settlements.py
+++ b/lynxchute/spending/settlements.py
@@ -51,7 +51,7 @@
     def add(self, holder: str, settlement: Settlement) -> None:
         """Take what a request has used of a reservation."""
         if holder == self._members.own.vm:
-            self._ledger.settle(settlement.request_id, settlement.used)
+            self._ledger.settle(settlement.reservation_id, settlement.used)
             return
         waiting = self._waiting_by_vm.setdefault(holder, _Waiting())
         waiting.settlements.append(settlement)
--- a/lynxchute/telemetry/metrics.py
+++ b/lynxchute/telemetry/metrics.py
@@ -30,7 +30,9 @@
     reserve_seconds
         How long tokens took to be set aside.
     store_calls
-        Calls to the store by how they ended.
+        Calls to the store by what was called and how they ended.
+    store_seconds
+        How long the store took to answer writes and scans.
     log_lines_dropped
         Log lines that nobody read in time.
     """
@@ -43,7 +45,10 @@
         self.request_seconds = self._histogram("request", "Whole requests.")
         self.first_byte_seconds = self._histogram("first_byte", "First bytes.")
         self.reserve_seconds = self._histogram("reserve", "Reservations of tokens.")
-        self.store_calls = self._counter("store_calls", "Calls to the store.", "end")
+        self.store_calls = self._counter(
+            "store_calls", "Calls to the store.", "call", "end"
+        )
+        self.store_seconds = self._histogram("store", "Writes and scans at the store.")
         self.open_requests = self._gauge("open_requests", "Requests being served.")
         self.configuration_version = self._gauge(
             "configuration_version", "The version in force."
@@ -57,8 +62,8 @@
         """Return everything in Prometheus' text format."""
         return prometheus_client.generate_latest(self.registry)
 
-    def _counter(self, name: str, text: str, label: str) -> Counter:
-        return Counter(PREFIX + name, text, [label], registry=self.registry)
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(PREFIX + name, text, labels, registry=self.registry)
 
     def _gauge(self, name: str, text: str) -> Gauge:
         return Gauge(PREFIX + name, text, registry=self.registry)
--- a/lynxchute/upstreams/placement.py
+++ b/lynxchute/upstreams/placement.py
@@ -23,11 +23,14 @@
         where that does not pay.
     expected_seconds
         When the first event of its answer is expected; 0 where nobody knows.
+    placed_by
+        The VM that chose; empty for this one.
     """
 
     entry: Entry
     fetch_from: Upstream | None = None
     expected_seconds: float = 0.0
+    placed_by: str = ""
 
 
 class Placement(ABC):
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -22,6 +22,7 @@
 # Below the ports that the kernel gives to connections; each process begins at
 # another one.
 FIRST_PORT, PORTS = 12_000, 18_000
+_request_numbers = itertools.count(1)
 _ports = itertools.count(os.getpid() * 97)
 
 
@@ -204,7 +205,6 @@
         limits = Timeouts(first_byte=10.0, between_bytes=10.0)
         self.client = HttpClient(str(address), timeouts=limits)
         self.key = key
-        self.sent = 0
 
     def headers(self, request_id, deadline_ms=3000, tokens=None, **more):
         headers = [("Host", HOST), ("X-Request-Id", request_id)]
@@ -220,8 +220,7 @@
         return headers
 
     async def send(self, method, path, body=b"", request_id=None, **more):
-        self.sent += 1
-        request_id = request_id or f"q{id(self) % 10_000}-{self.sent}"
+        request_id = request_id or f"q{next(_request_numbers)}"
         response = await self.client.request(
             method, path, headers=self.headers(request_id, **more), body=body
         )
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -35,7 +35,7 @@
     def caller(self):
         caller = PlatformCaller.__new__(PlatformCaller)
         caller.client = HttpClient(f"127.0.0.1:{self.router.ports['front']}")
-        caller.key, caller.sent = "key-of-kanda", 0
+        caller.key = "key-of-kanda"
         return caller
 
     async def stop(self):
@@ -80,11 +80,25 @@
                 ("served", 6, 1),
                 tuple(ended[k] for k in ("outcome", "events", "sends")),
             )
+            self.assertLess(ended["configuration_age"], 5.0)
+            request_id = ended["request_id"]
+            for event in ("tokens reserved", "request sent"):
+                (line,) = [
+                    line
+                    for line in deployment.router.events(event)
+                    if line["request_id"] == request_id
+                ]
+            self.assertEqual(ended["upstreams"], [line["upstream"]])
             metrics = HttpClient(f"127.0.0.1:{deployment.router.ports['metrics']}")
             response = await metrics.request("GET", "/metrics")
             text = (await response.body()).decode()
             self.assertIn('lynxchute_requests_total{outcome="served"} 2.0', text)
             self.assertIn("lynxchute_request_seconds_bucket", text)
+            self.assertRegex(
+                text, r'store_calls_total{call="write",end="answered"} [1-9]'
+            )
+            self.assertIn("lynxchute_store_seconds_bucket", text)
+            self.assertIn("lynxchute_log_lines_dropped 0.0", text)
 
         self.with_process(scenario)
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -366,6 +366,19 @@
 
         self.with_platform(scenario)
 
+    def test_requests_with_one_id_are_each_counted(self):
+        async def scenario(deployment):
+            callers = [PlatformCaller(deployment, vm) for vm in ("a-1", "a-1", "b-1")]
+            answers = await asyncio.gather(
+                *(caller.stream(request_id="same") for caller in callers)
+            )
+            again = await callers[0].stream(request_id="same")
+            statuses = [status for status, _, _ in [*answers, again]]
+            self.assertEqual([200] * 4, statuses)
+            self.assertEqual(4 * (100 + 6 * 3), await _used(deployment))
+
+        self.with_platform(scenario)
+
     def test_a_declined_generation_costs_nothing(self):
         async def scenario(deployment):
             caller = PlatformCaller(deployment)
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -51,7 +51,7 @@
                 r for vm, r in deployment.routers.items() if vm[0] == "a" and r != home
             ]
             reservation = await reserve(other, 500, "r1")
-            self.assertIn("r1", home.keeper.ledger.open_by_request)
+            self.assertEqual(["r1"], open_requests(home))
             reservation.settle(200)
             await until(lambda: not home.keeper.ledger.open_by_request)
             self.assertEqual(200, home.keeper.ledger.share(ACCOUNT).settled)
@@ -126,7 +126,7 @@
             ]
             await home.kill()
             await reserve(other, 3_000, "r1")
-            self.assertIn("r1", other.keeper.ledger.open_by_request)
+            self.assertEqual(["r1"], open_requests(other))
 
         self.with_platform(scenario, routers=ROUTERS)
 
@@ -148,7 +148,7 @@
                 if cls.NAME == "reserve":
                     server.answers_by_class[cls] = reserve_and_hang
             await reserve(other, 3_000, "r1")
-            self.assertIn("r1", other.keeper.ledger.open_by_request)
+            self.assertEqual(["r1"], open_requests(other))
             await until(lambda: not home.keeper.ledger.open_by_request, timeout=5)
 
         self.with_platform(scenario, routers=ROUTERS)
@@ -243,3 +243,9 @@
             self.assertEqual(404, status)
 
         self.with_platform(scenario)
+
+
+def open_requests(router):
+    """Return the requests for which a router holds reservations."""
+    reservations = router.keeper.ledger.open_by_request
+    return [reservation_id.partition(".")[0] for reservation_id in reservations]
