Write lines apart from contended grants, and let strong VMs serve the others

One write changes a router's lines and the grants of all accounts that need it; any other router's change of one of these grants made it fail, lines and all, and dozens of routers tried again at once. All rows of 80 routers stood in one part of the store, which takes 300 writes a second, so that answers became slow and the store seemed to be away.

Change: after a conflict a router writes its lines alone and changes grants a little later, ever later while it goes on; each router's own row is in a part of its own where the store can write over parts. The scheduling router and the accounts' homes are chosen among VMs with links and processors that can carry it (some grown VMs have 5 Mbit/s), and a question for a place names the engines that are passed over instead of all that are left (some 600 bytes fewer with 45 engines). Requests that wait while an earlier run's shares are taken over no longer wait on a share that is replaced.

--- a/lynxchute/budgets/ledger.py
+++ b/lynxchute/budgets/ledger.py
@@ -94,6 +94,8 @@
         Sizes grants and lines.
     parts
         Data centres that share the budgets.
+    store_part
+        The store's part for the router's own row.
 
     Attributes
     ----------
@@ -104,9 +106,16 @@
     """
 
     def __init__(
-        self, vm: str, incarnation: str, policy: GrantPolicy, *, parts: int
+        self,
+        vm: str,
+        incarnation: str,
+        policy: GrantPolicy,
+        *,
+        parts: int,
+        store_part: str = "",
     ) -> None:
         self.vm = vm
+        self.store_part = store_part
         self.incarnation = incarnation
         self.is_open = False
         self.is_closing = False
@@ -337,14 +346,21 @@
 
     # Writing.
 
-    def plan(self, *, now_ms: int, now: float) -> Plan:
-        """Return the next write: new lines everywhere, and grants where due."""
+    def plan(self, *, now_ms: int, now: float, with_grants: bool = True) -> Plan:
+        """Return the next write: new lines everywhere, and grants where due.
+
+        Parameters
+        ----------
+        with_grants
+            Whether grants may change. Only then can another router's write be
+            in the way.
+        """
         self._sequence += 1
         terms_by_account: dict[str, Terms] = {}
         totals_by_account: dict[str, Totals] = {}
         for account, share in self.shares_by_account.items():
             granted = share.terms.granted
-            if len(totals_by_account) < MAX_GRANTS_PER_WRITE:
+            if with_grants and len(totals_by_account) < MAX_GRANTS_PER_WRITE:
                 granted = self._granted(account, share, now)
             if granted != share.terms.granted:
                 known = self.totals_by_account.get(account)
@@ -431,7 +447,7 @@
         )
 
     def _write(self, row: HolderRow, totals_by_account: dict[str, Totals]) -> Write:
-        own = holder_id(self.vm)
+        own = holder_id(self.vm, self.store_part)
         expected = [Expected(own, self._row_version)]
         puts = [Put(own, row.encode())]
         for account, totals in totals_by_account.items():
@@ -454,7 +470,7 @@
             share.terms = terms
 
     def _learn_conflict(self, plan: Plan, conflict: Conflict) -> None:
-        own_id = holder_id(self.vm)
+        own_id = holder_id(self.vm, self.store_part)
         totals = []
         for row_id, row in conflict.rows_by_id.items():
             if row_id == own_id:
--- a/lynxchute/budgets/rows.py
+++ b/lynxchute/budgets/rows.py
@@ -123,6 +123,6 @@
     return RowId(TOTALS_TABLE, account)
 
 
-def holder_id(vm: str) -> RowId:
+def holder_id(vm: str, part: str = "") -> RowId:
     """Return where a router's grants and lines stand."""
-    return RowId(HOLDERS_TABLE, vm)
+    return RowId(HOLDERS_TABLE, vm, part)
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -20,7 +20,7 @@
 from lynxchute.edge.settings import EdgeSettings
 from lynxchute.edge.upstreams import UpstreamWatcher
 from lynxchute.fleet.client import HttpPeers
-from lynxchute.fleet.members import Member, Members
+from lynxchute.fleet.members import Member, Members, strength_of
 from lynxchute.fleet.registry import Registry
 from lynxchute.fleet.server import PeerServer
 from lynxchute.http import (
@@ -146,6 +146,9 @@
             self.members.own.incarnation,
             DemandPolicy(),
             parts=len(settings.data_centres),
+            # A part takes some hundred writes a second; with a part for each
+            # router their lines do not queue behind one another.
+            store_part=settings.vm if settings.store_spans_parts else "",
         )
         self.final_uses = FinalUses(ledger, self.members, self.peers)
         self.final_uses.serve(self.peer_server)
@@ -329,4 +332,5 @@
         data_centre=settings.data_centre,
         incarnation=secrets.token_hex(6),
         address=str(settings.peers_reached_at or settings.peers),
+        strength=strength_of(link_mbps=settings.link_mbps, cores=settings.cores),
     )
--- a/lynxchute/edge/settings.py
+++ b/lynxchute/edge/settings.py
@@ -32,6 +32,11 @@
     retry_window: float = 10.0
 
 
+# A VM's link in Mbit/s where nothing says what it carries: that of a data
+# centre's usual network card.
+USUAL_LINK_MBPS = 1000.0
+
+
 @attrs.frozen
 class EdgeSettings:
     """The settings of one router.
@@ -47,8 +52,13 @@
         The store as ``IP:port``.
     metrics
         Where the metrics are served; None where they are not.
+    link_mbps, cores
+        What the VM's link carries, in Mbit/s, and what the process has of
+        processors.
     memory_mb
         Memory of the process, in MB; it is killed beyond.
+    store_spans_parts
+        Whether one write to the store may change rows of several parts.
     is_first_start
         Whether the whole fleet starts for the first time.
     peers_reached_at
@@ -64,7 +74,10 @@
     peers: Address
     store: str
     memory_mb: float
+    link_mbps: float = USUAL_LINK_MBPS
+    cores: float = 1.0
     metrics: Address | None = None
     is_first_start: bool = False
+    store_spans_parts: bool = False
     peers_reached_at: Address | None = None
     bounds: Bounds = Bounds()
--- a/lynxchute/fleet/members.py
+++ b/lynxchute/fleet/members.py
@@ -13,6 +13,13 @@
 # it gives none.
 FIRST_PAUSE = 0.5
 MAX_PAUSE = 4.0
+# What a router that serves many others should have: a fleet's homes and its
+# scheduler carry the messages of a hundred routers, some 2 Mbit/s of them,
+# beside their own callers.
+AMPLE_LINK_MBPS = 100.0
+AMPLE_CORES = 1.0
+# Routers of this share of the greatest strength or more serve the others.
+STRONG_SHARE = 0.5
 
 
 @attrs.frozen
@@ -27,6 +34,8 @@
         Where it listens for other routers.
     is_leaving
         Whether it takes nothing new.
+    strength
+        What its VM can carry for others: 1 for one that has plenty.
     """
 
     vm: str
@@ -34,6 +43,7 @@
     incarnation: str
     address: str
     is_leaving: bool = False
+    strength: float = 1.0
 
     def encode(self) -> bytes:
         """Return the value of the router's row."""
@@ -64,6 +74,24 @@
     retry_at: float = 0.0
 
 
+def strength_of(*, link_mbps: float, cores: float) -> float:
+    """Return what a VM can carry for others, from 0 to 1.
+
+    Parameters
+    ----------
+    link_mbps
+        What its link carries, in Mbit/s.
+    cores
+        What it has of processors.
+
+    Examples
+    --------
+    >>> strength_of(link_mbps=1000.0, cores=2.0), strength_of(link_mbps=5.0, cores=2.0)
+    (1.0, 0.05)
+    """
+    return min(link_mbps / AMPLE_LINK_MBPS, cores / AMPLE_CORES, 1.0)
+
+
 class Members:
     """The registered routers by VM.
 
@@ -134,16 +162,27 @@
         The first one is the account's home here; the next ones stand in for
         it. Routers that leave or cannot be reached are left out.
         """
-        return ranked(account, self._asked_in(self.own.data_centre))
+        return self.in_order(account, self._asked_in(self.own.data_centre))
 
     def homes_elsewhere(self, account: str) -> list[str]:
         """Return the account's home in each other data centre."""
         found = []
         data_centres = {member.data_centre for member in self.by_vm.values()}
         for data_centre in sorted(data_centres - {self.own.data_centre}):
-            found.extend(ranked(account, self._asked_in(data_centre))[:1])
+            found.extend(self.in_order(account, self._asked_in(data_centre))[:1])
         return found
 
+    def in_order(self, key: str, vms: list[str]) -> list[str]:
+        """Return VMs in the order in which they should serve a key.
+
+        Those whose links or processors are weak come last.
+        """
+        strengths = [self.by_vm[vm].strength for vm in vms]
+        least = max(strengths, default=0.0) * STRONG_SHARE
+        strong = [vm for vm in vms if self.by_vm[vm].strength >= least]
+        weak = [vm for vm in vms if self.by_vm[vm].strength < least]
+        return ranked(key, strong) + ranked(key, weak)
+
     def _asked_in(self, data_centre: str) -> list[str]:
         vms = []
         for member in self.by_vm.values():
--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -211,8 +211,8 @@
     ----------
     data_centre
         Where the asking router is.
-    upstreams
-        The engines that it could send to.
+    passed_over
+        The engines of the service that it would not send to.
     parts
         Ids and tokens of the prompt's parts.
     router
@@ -225,7 +225,7 @@
     run_id: str
     service: str
     data_centre: str
-    upstreams: tuple[str, ...]
+    passed_over: tuple[str, ...]
     prompt_tokens: int
     output_tokens: int
     parts: tuple[tuple[str, int], ...]
--- a/lynxchute/platform/settings.py
+++ b/lynxchute/platform/settings.py
@@ -8,7 +8,7 @@
 import yaml
 from expression import Error, Ok, Result
 
-from lynxchute.edge.settings import Bounds, EdgeSettings
+from lynxchute.edge.settings import USUAL_LINK_MBPS, Bounds, EdgeSettings
 from lynxchute.settings import Address
 
 SETTINGS_VARIABLE = "LYNXCHUTE_SETTINGS"
@@ -52,8 +52,12 @@
         peers=Address(reader.text("ip"), reader.first_port() + PEER_PORT_OFFSET),
         store=str(reader.address("platform", "address")),
         memory_mb=reader.number("limits", "memory_mb"),
+        link_mbps=reader.limit("link_mbps", USUAL_LINK_MBPS),
+        # A share of one core, which is so many times as fast as a usual one.
+        cores=reader.limit("cpu_share", 1.0) * reader.limit("cores", 1.0),
         metrics=_metrics(reader, environment),
         is_first_start=bool(document.get("bootstrap")),
+        store_spans_parts=reader.flag("platform", "across"),
         peers_reached_at=_peers_reached_at(reader, environment),
         bounds=_bounds(reader),
     )
@@ -138,12 +142,24 @@
             self.findings.append(f"{'.'.join(path)} is no number")
         return 0.0
 
+    def flag(self, section: str, name: str) -> bool:
+        """Return whether something is on; it is off where nothing says so."""
+        found = self._document.get(section)
+        return isinstance(found, dict) and found.get(name) is True
+
     def bound(self, name: str, usual: float) -> float:
         """Return a figure of the deployment, or the usual one where it has none."""
-        bounds = self._document.get("bounds")
-        if not isinstance(bounds, dict) or bounds.get(name) is None:
+        return self._number_or("bounds", name, usual)
+
+    def limit(self, name: str, usual: float) -> float:
+        """Return what the process has, or what is usual where nothing says so."""
+        return self._number_or("limits", name, usual)
+
+    def _number_or(self, section: str, name: str, usual: float) -> float:
+        found = self._document.get(section)
+        if not isinstance(found, dict) or found.get(name) is None:
             return usual
-        return self.number("bounds", name)
+        return self.number(section, name)
 
     def address(self, *path: str) -> Address:
         """Return an address."""
--- a/lynxchute/rendezvous.py
+++ b/lynxchute/rendezvous.py
@@ -6,9 +6,14 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 from collections.abc import Iterable
 
+# Weights that are kept: those of some dozen keys over a hundred names, in
+# about a megabyte.
+KEPT_WEIGHTS = 8_192
+
 
 def ranked(key: str, names: Iterable[str]) -> list[str]:
     """Return names in the order in which they should serve a key.
@@ -24,5 +29,6 @@
     return sorted(names, key=lambda name: _weight(key, name), reverse=True)
 
 
+@functools.lru_cache(maxsize=KEPT_WEIGHTS)
 def _weight(key: str, name: str) -> bytes:
     return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -181,7 +181,7 @@
             if not member.is_leaving and self._members.is_reachable(member.vm):
                 vms.append(member.vm)
         own = self._members.own.vm
-        return ranked(f"schedule {service}", vms)[0] if vms else own
+        return self._members.in_order(f"schedule {service}", vms)[0] if vms else own
 
     async def _ask(
         self,
@@ -195,7 +195,7 @@
             run_id=run_id,
             service=service,
             data_centre=self._members.own.data_centre,
-            upstreams=tuple(by_id),
+            passed_over=tuple(self._passed_over(service, by_id)),
             prompt_tokens=generation.prompt_tokens,
             output_tokens=generation.max_output_tokens,
             parts=tuple((part.id, part.tokens) for part in generation.parts),
@@ -219,6 +219,14 @@
             return Place()
         return Place(reply.upstream, reply.fetch_from, reply.expected_ms)
 
+    def _passed_over(self, service: str, by_id: dict[str, Entry]) -> list[str]:
+        """Return the engines of a service that are not among the candidates."""
+        found = []
+        for entry in self._directory.of_service(service, self._clock()):
+            if entry.upstream.id not in by_id:
+                found.append(entry.upstream.id)
+        return found
+
     @property
     def _own_data_centre(self) -> str:
         return self._members.own.data_centre
@@ -262,11 +270,11 @@
 
     async def _serve_place(self, request: PlaceRequest) -> PlaceReply:
         entries = []
-        for upstream_id in request.upstreams:
-            entry = self._directory.entries_by_id.get(upstream_id)
-            if entry is None or not entry.takes_work:
+        for entry in self._directory.entries_by_id.values():
+            upstream = entry.upstream
+            if upstream.service != request.service or not entry.takes_work:
                 continue
-            if entry.upstream.service == request.service:
+            if upstream.id not in request.passed_over:
                 entries.append(entry)
         if not entries:
             return PlaceReply("")
--- a/lynxchute/spending/keeper.py
+++ b/lynxchute/spending/keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from collections.abc import Awaitable, Callable
 
@@ -26,6 +27,11 @@
 SLOW_WRITE_SECONDS = 0.12
 # Seconds that a lender waits for the store, less than its asker waits for it.
 RELEASE_SECONDS = 0.15
+# Seconds until grants are changed again after another router's write came
+# first, doubled with each time in a row; a write takes 5 ms, twice that over
+# several parts.
+CONFLICT_PAUSE = 0.02
+MAX_CONFLICT_PAUSE = 0.3
 # Seconds between two looks at what is free of the budgets.
 LOOK_SECONDS = 0.25
 # Seconds until a router that holds less than it should looks whether others
@@ -77,6 +83,9 @@
         self._looked_at = 0.0
         self._is_look_due = False
         self._writing_since: float | None = None
+        self._random = random.Random()
+        self._grants_at = 0.0
+        self._conflicts = 0
 
     @property
     def store_answers(self) -> bool:
@@ -149,10 +158,17 @@
         until
             When to give up, on the steady clock in seconds.
         """
+        while not self.ledger.is_open:
+            # Until then an earlier run's shares may yet be taken over.
+            if not await self._next_outcome(until):
+                return False
         share = self.ledger.share(account)
         share.waiting += tokens
         try:
             while self.ledger.available(account, self.now_ms()) < tokens:
+                if share.headroom < tokens:
+                    # Only a larger grant helps, which may have to wait.
+                    await self._until_grants_change(until)
                 if not await self._next_outcome(until):
                     return False
                 if not self.store_answers:
@@ -189,6 +205,10 @@
             self._waiters.discard(waiter)
         return True
 
+    async def _until_grants_change(self, until: float) -> None:
+        now = time.monotonic()
+        await asyncio.sleep(max(min(self._grants_at, until) - now, 0.0))
+
     def _is_hopeless(self, account: str, tokens: int) -> bool:
         """Return whether a write can no longer bring the tokens."""
         share = self.ledger.share(account)
@@ -238,7 +258,7 @@
         """Take over what an earlier run on this VM has left."""
         try:
             totals = await self._store.scan(TOTALS_TABLE)
-            holders = await self._store.scan(HOLDERS_TABLE)
+            holders = await self._store.scan(HOLDERS_TABLE, part=self.ledger.store_part)
         except StoreUnavailable as error:
             log_event("budgets not read yet", reason=str(error))
             return False
@@ -263,8 +283,10 @@
             return
         if not await self._look():
             return
-        plan = ledger.plan(now_ms=self.now_ms(), now=time.monotonic())
-        self._writing_since = time.monotonic()
+        now = time.monotonic()
+        with_grants = ledger.is_closing or now >= self._grants_at
+        plan = ledger.plan(now_ms=self.now_ms(), now=now, with_grants=with_grants)
+        self._writing_since = now
         try:
             outcome = await self._store.write(plan.write)
         except StoreUnavailable as error:
@@ -287,8 +309,10 @@
         self._note_answer()
         if not ledger.learn(outcome):
             # Another router's write came first; what it changed is known now.
+            self._put_grants_off()
             self.want()
         elif plan.totals_by_account:
+            self._conflicts = 0
             log_event(
                 "grants changed",
                 sequence=plan.row.sequence,
@@ -300,6 +324,14 @@
         if ledger.fenced:
             log_event("fenced: another process of this VM holds the budgets")
 
+    def _put_grants_off(self) -> None:
+        """Let others change grants first; lines are written meanwhile."""
+        pause = min(CONFLICT_PAUSE * 2**self._conflicts, MAX_CONFLICT_PAUSE)
+        self._conflicts += 1
+        pause *= self._random.uniform(0.5, 1.5)
+        self._grants_at = time.monotonic() + pause
+        asyncio.get_running_loop().call_later(pause, self.want)
+
     async def _look(self) -> bool:
         """Read the divisions again where that is due.
 
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -142,6 +142,7 @@
             peers=Address("127.0.0.1", free_port()),
             store=f"127.0.0.1:{self.store_ports[vm]}",
             memory_mb=200,
+            store_spans_parts=True,
             bounds=Bounds(stop=4.0),
         )
         router = EdgeApplication(settings, make_platform(settings))
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import time
+import unittest
 import urllib.request
 from pathlib import Path
 
@@ -17,6 +18,7 @@
 from lynxchute.reference import reference
 from lynxchute.settings import load_router_settings
 from lynxchute.standins.daemon import load_standin_settings
+from tests.known_red import known_red, listed
 from tests.support import AsyncTestCase, operate, small_shape, with_deployment
 
 ROOT = Path(__file__).parent.parent
@@ -51,6 +53,15 @@
             examples += result.attempted
         self.assertGreater(examples, 15)
 
+    def test_the_list_of_known_red_tests_is_in_order(self):
+        for name in listed():
+            loaded = unittest.defaultTestLoader.loadTestsFromName(name)
+            self.assertEqual(1, loaded.countTestCases(), name)
+        expected = {"tests.t.T.test_a": "late, issue 9"}
+        text = "# why\n\ntests.t.T.test_a: late, issue 9\n"
+        self.assertEqual(expected, known_red(text))
+        self.assertRaises(ValueError, known_red, "tests.t.T.test_a")
+
     def test_the_example_settings_are_in_order(self):
         for path in sorted((ROOT / "examples").glob("*/*.yaml")):
             text = path.read_text(encoding="utf-8")
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -224,6 +224,24 @@
         members.leave()
         self.assertNotIn("a-1", members.homes("kanda"))
 
+    def test_weak_routers_serve_others_last(self):
+        members = Members(Member("a-1", "a", "r1", "x:1", strength=0.05))
+        for number, strength in ((2, 1.0), (3, 0.6), (4, 0.4)):
+            vm = f"a-{number}"
+            members.put(Member(vm, "a", f"r{number}", "x:1", strength=strength))
+        for account in ("kanda", "ueno", "otaru"):
+            homes = members.homes(account)
+            self.assertEqual({"a-2", "a-3"}, set(homes[:2]))
+            self.assertEqual({"a-1", "a-4"}, set(homes[2:]))
+
+    def test_a_fleet_of_equal_routers_spreads_what_it_serves(self):
+        members = Members(Member("a-1", "a", "r1", "x:1", strength=0.3))
+        for number in (2, 3, 4):
+            vm = f"a-{number}"
+            members.put(Member(vm, "a", f"r{number}", "x:1", strength=0.3))
+        firsts = {members.homes(f"account {n}")[0] for n in range(40)}
+        self.assertEqual({"a-1", "a-2", "a-3", "a-4"}, firsts)
+
     def test_a_new_run_of_a_silent_router_is_asked_at_once(self):
         members = Members(self.member("a-1"))
         members.put(self.member("a-2"))
