Reach the store through other routers, and lend what could not be given back

Cause: a router that alone had lost the store could write no lines, learned of no configuration and no leaving upstream, while its neighbours had the store.

Change: calls go through another router while the store cannot be reached from here, at most three asked, none for half a second after none had it; answers are the store's own, with versions and time. A write of unknown outcome is never repeated. Tokens whose way back is not known are no longer marked; where a write has taken them all the same, its terms are kept to as before. An answer that was lost does not make the store seem away.

Two tests of the last resort (lending, the count of a stop) now cut all routers off, since one alone no longer needs it; one of them had set use beyond the line it had written.

--- a/lynxchute/budgets/ledger.py
+++ b/lynxchute/budgets/ledger.py
@@ -271,6 +271,15 @@
             share.released_at = now
         return tokens
 
+    def keep(self, account: str, tokens: int) -> None:
+        """Take back what was marked to be given back and may not have been.
+
+        Where the store has taken it all the same, the terms of that write are
+        still kept to until its outcome is known.
+        """
+        share = self.share(account)
+        share.releasing = max(share.releasing - tokens, 0)
+
     @property
     def _may_give(self) -> bool:
         return self.is_open and not self.fenced and not self.is_closing
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -22,6 +22,7 @@
 from lynxchute.fleet.client import HttpPeers
 from lynxchute.fleet.members import Member, Members, strength_of
 from lynxchute.fleet.registry import Registry
+from lynxchute.fleet.relayed_store import RelayedStore
 from lynxchute.fleet.server import PeerServer
 from lynxchute.http import (
     BadRequest,
@@ -116,8 +117,16 @@
         self.settings = settings
         self.metrics = Metrics()
         self._log_lines_dropped = log_lines_dropped
-        store = CountedStore(
-            platform.store, self.metrics.store_calls, self.metrics.store_seconds
+        self.members = Members(_own_member(settings))
+        self.peers = HttpPeers(
+            self.members, lambda: self.registry.secret, time.monotonic
+        )
+        store = RelayedStore(
+            CountedStore(
+                platform.store, self.metrics.store_calls, self.metrics.store_seconds
+            ),
+            self.members,
+            self.peers,
         )
         platform = attrs.evolve(platform, store=store)
         self.platform = platform
@@ -131,16 +140,13 @@
             extra=bounds.retry_extra,
             window=bounds.retry_window,
         )
-        self.members = Members(_own_member(settings))
         self.registry = Registry(
             platform.store, self.members, is_first_start=settings.is_first_start
         )
-        self.peers = HttpPeers(
-            self.members, lambda: self.registry.secret, time.monotonic
-        )
         self.registry.peers = self.peers
         self.registry.listeners.append(self._note_members)
         self.peer_server = PeerServer(lambda: self.registry.secret)
+        store.serve(self.peer_server)
         ledger = Ledger(
             settings.vm,
             self.members.own.incarnation,
--- a/lynxchute/fleet/client.py
+++ b/lynxchute/fleet/client.py
@@ -7,7 +7,7 @@
 from typing import TypeVar, cast
 
 from lynxchute.fleet.members import Members
-from lynxchute.fleet.messages import (
+from lynxchute.fleet.message import (
     PREFIX,
     Message,
     MessageUnreadable,
--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -1,31 +1,18 @@
-"""What the routers ask one another, as JSON."""
+"""What the routers ask one another."""
 
 from __future__ import annotations
 
 import enum
-from typing import Any, ClassVar, Generic, TypeVar
+from typing import Any
 
 import attrs
-import cattrs
 
-PREFIX = "/fleet/"
-
-ReplyT = TypeVar("ReplyT")
-
-
-class Message(Generic[ReplyT]):
-    """A question of one router to another.
-
-    Attributes
-    ----------
-    NAME
-        The path that it is sent to.
-    REPLY
-        The class of the answer.
-    """
-
-    NAME: ClassVar[str]
-    REPLY: ClassVar[type[Any]]
+from lynxchute.fleet.message import Message
+from lynxchute.fleet.store_messages import (
+    StoreChangesRequest,
+    StoreScanRequest,
+    StoreWriteRequest,
+)
 
 
 class ReserveOutcome(enum.Enum):
@@ -292,30 +279,8 @@
         PlaceRequest,
         RunNewsRequest,
         PingRequest,
+        StoreWriteRequest,
+        StoreScanRequest,
+        StoreChangesRequest,
     )
 }
-
-_CONVERTER = cattrs.Converter(forbid_extra_keys=False)
-
-
-class MessageUnreadable(ValueError):
-    """Report a message that is not of its class."""
-
-
-def to_json(message: Any) -> Any:
-    """Return a message as JSON values."""
-    return _CONVERTER.unstructure(message)
-
-
-def from_json(value: Any, cls: type[Any]) -> Any:
-    """Return the message of a class.
-
-    Raises
-    ------
-    MessageUnreadable
-        Where the values are not of that class.
-    """
-    try:
-        return _CONVERTER.structure(value, cls)
-    except Exception as error:
-        raise MessageUnreadable(f"no {cls.__name__}: {error!r}") from error
--- a/lynxchute/fleet/server.py
+++ b/lynxchute/fleet/server.py
@@ -7,14 +7,14 @@
 from typing import Any
 
 from lynxchute.fleet.client import SECRET_HEADER
-from lynxchute.fleet.messages import (
-    MESSAGES_BY_NAME,
+from lynxchute.fleet.message import (
     PREFIX,
     Message,
     MessageUnreadable,
     from_json,
     to_json,
 )
+from lynxchute.fleet.messages import MESSAGES_BY_NAME
 from lynxchute.http import BadRequest, HttpServer, Request, Responder, not_found
 
 Answer = Callable[[Any], Awaitable[Any]]
--- a/lynxchute/spending/final_use.py
+++ b/lynxchute/spending/final_use.py
@@ -8,12 +8,12 @@
 from lynxchute.budgets import Ledger
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Members
+from lynxchute.fleet.message import Message
 from lynxchute.fleet.messages import (
     Done,
     FinalUse,
     FinalUseReply,
     FinalUseRequest,
-    Message,
 )
 from lynxchute.fleet.server import PeerServer
 from lynxchute.telemetry import log_event
--- a/lynxchute/spending/keeper.py
+++ b/lynxchute/spending/keeper.py
@@ -136,6 +136,7 @@
         while tokens and share.releasing:
             if not await self._next_outcome(until) or not self.store_answers:
                 # Whether they went back is not known; they may yet.
+                self.ledger.keep(account, tokens)
                 return 0
         return tokens
 
--- a/lynxchute/store/clock.py
+++ b/lynxchute/store/clock.py
@@ -26,6 +26,7 @@
     # Steady clocks of two computers differ by some 50 ppm; this is 20 times it.
     DRIFT = 0.001
 
+    last_told_ms: int = 0
     _offset_ms: float | None = None
     _observed_at: float = 0.0
     _first_told_ms: int | None = None
@@ -50,6 +51,7 @@
         asked_at
             The same, before the question was sent.
         """
+        self.last_told_ms = max(self.last_told_ms, told_ms)
         if self._first_told_ms is None:
             self._first_told_ms = told_ms
             self._first_asked_at = now if asked_at is None else asked_at
--- a/lynxchute/store/store.py
+++ b/lynxchute/store/store.py
@@ -13,7 +13,17 @@
 
 
 class OutcomeUnknown(Exception):
-    """Report that a write may have taken effect, or may still do so."""
+    """Report that a write may have taken effect, or may still do so.
+
+    Parameters
+    ----------
+    is_silent
+        Whether the store gave no sign of itself; else only the answer was lost.
+    """
+
+    def __init__(self, reason: str, *, is_silent: bool = False) -> None:
+        super().__init__(reason)
+        self.is_silent = is_silent
 
 
 class HistoryLost(Exception):
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -53,6 +53,12 @@
     return json.loads(value) if value else {}
 
 
+def cut_off_all(deployment, outage=Outage.BUSY):
+    """Have the store fail all routers: one that has it would help the others."""
+    for vm in deployment.routers:
+        deployment.faults(vm).outage = outage
+
+
 async def reserve(router, tokens, request_id):
     return await router.relay._budgets.reserve(request_id, KANDA, tokens)
 
@@ -134,13 +140,36 @@
             own = home.keeper.ledger.share(ACCOUNT)
             # All of the own part is in use.
             own.settled = own.terms.granted
-            deployment.faults(home.settings.vm).outage = Outage.BUSY
+            home.keeper.touch()
+            now_ms = home.keeper.now_ms
+            await until(lambda: own.available(now_ms()) >= 0)
+            cut_off_all(deployment)
             await reserve(home, 3_000, "r1")
             self.assertGreaterEqual(own.borrowed, 3_000)
             self.assertGreaterEqual(lender.keeper.ledger.share(ACCOUNT).settled, 3_000)
 
         self.with_platform(scenario, routers=ROUTERS)
 
+    def test_tokens_that_could_not_be_given_back_can_be_lent(self):
+        async def scenario(deployment):
+            home, lender = home_of(deployment, "a"), home_of(deployment, "b")
+            await until(lambda: lender.keeper.ledger.unused(ACCOUNT) > 300_000)
+            own = home.keeper.ledger.share(ACCOUNT)
+            own.settled = own.terms.granted
+            cut_off_all(deployment, Outage.SILENT)
+            # Nobody knows yet that the store is away, so that the lender tries
+            # to give tokens back there, as often as it is asked.
+            keeper = lender.keeper
+            asks = [keeper.release(ACCOUNT, 60_000, 60_000) for _ in range(5)]
+            self.assertEqual([0] * 5, await asyncio.gather(*asks))
+            self.assertEqual(0, keeper.ledger.share(ACCOUNT).releasing)
+            # After the line's slow phase.
+            await asyncio.sleep(4.0)
+            await reserve(home, 30_000, "r1")
+            self.assertGreaterEqual(own.borrowed, 30_000)
+
+        self.with_platform(scenario, routers=ROUTERS)
+
     def test_a_home_that_is_down_is_stood_in_for(self):
         async def scenario(deployment):
             home = home_of(deployment, "a")
@@ -208,7 +237,7 @@
             home = home_of(deployment, "a")
             await reserve(home, 10_000, "r1")
             vm = home.settings.vm
-            deployment.faults(vm).outage = Outage.BUSY
+            cut_off_all(deployment)
             await asyncio.sleep(0.1)
             now = asyncio.get_running_loop().time()
             self.assertFalse(await home.keeper.close(now + 0.3))
@@ -216,7 +245,7 @@
             await home.kill()
             # The line has grown to all of the grant by now.
             await asyncio.sleep(5.0)
-            deployment.faults(vm).outage = Outage.NONE
+            cut_off_all(deployment, Outage.NONE)
             again = await deployment.start_router(vm)
             await until(lambda: again.keeper.ledger.is_open)
             self.assertEqual(10_000, again.keeper.ledger.share(ACCOUNT).settled)
