--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -16,12 +16,21 @@
 
 
 class ReserveOutcome(enum.Enum):
-    """What came of a reservation."""
+    """What came of a reservation.
+
+    Attributes
+    ----------
+    UNREACHABLE
+        There are tokens, but none that can be had now.
+    SILENT
+        The router that was asked did not answer.
+    """
 
     RESERVED = "reserved"
     EXHAUSTED = "exhausted"
     UNREACHABLE = "unreachable"
     CLOSED = "closed"
+    SILENT = "silent"
 
 
 @attrs.frozen
--- a/lynxchute/spending/keeper.py
+++ b/lynxchute/spending/keeper.py
@@ -96,6 +96,11 @@
             return True
         return time.monotonic() - self._writing_since < SLOW_WRITE_SECONDS
 
+    @property
+    def may_change_grants(self) -> bool:
+        """Return whether a grant can be changed with the next write."""
+        return self.store_answers and time.monotonic() >= self._grants_at
+
     def now_ms(self) -> int:
         """Return a time that the store's clock has reached, in milliseconds."""
         return self._store.clock.earliest_ms(time.monotonic())
@@ -180,6 +185,13 @@
         finally:
             share.waiting -= tokens
 
+    async def cover_own(self, account: str, tokens: int, until: float) -> None:
+        """Wait until the line covers tokens of the present grant."""
+        share = self.ledger.share(account)
+        tokens = min(tokens, share.headroom)
+        if tokens > 0:
+            await self.cover(account, tokens, until)
+
     async def close(self, until: float) -> bool:
         """Give back what is not used; return whether the store was told."""
         ledger = self.ledger
--- a/lynxchute/spending/reservations.py
+++ b/lynxchute/spending/reservations.py
@@ -37,7 +37,12 @@
 
 # Seconds that a request waits for the store to cover it: some writes of 5 ms,
 # or one of a store that is slow.
-COVER_SECONDS = 0.3
+COVER_SECONDS = 0.25
+# Seconds after which a router that looks for a request's tokens asks no further
+# lender: its asker waits 0.6 s for the answer, and a lender takes up to 0.25 s.
+GATHER_SECONDS = 0.3
+# Seconds that a lender waits until its line covers what it lends: a few writes.
+LEND_COVER_SECONDS = 0.1
 # Seconds of its demand that a router asks for ahead, so that not every request
 # has to ask.
 AHEAD_SECONDS = 2.0
@@ -138,6 +143,9 @@
                 )
                 return _HeldReservation(vm, reservation_id, self._settlements)
             tried.append(f"{vm}: {reply.outcome.value} {reply.detail}".strip())
+            if reply.outcome is ReserveOutcome.UNREACHABLE:
+                # It has asked all that the next one would ask.
+                break
             if reply.outcome is ReserveOutcome.EXHAUSTED:
                 self._log_refusal(request_id, request, tried)
                 title = f"The budget does not cover {tokens} tokens."
@@ -149,6 +157,7 @@
         """Set tokens of the own grant aside, raising or borrowing what lacks."""
         keeper, ledger = self._keeper, self._ledger
         account, tokens = request.account, request.tokens
+        started = time.monotonic()
         share = ledger.share(account)
         share.is_home = self._members.homes(account)[:1] == [self._members.own.vm]
         share.demand.add(tokens, time.monotonic())
@@ -161,7 +170,7 @@
             return ReserveReply(ReserveOutcome.RESERVED)
         if problem is ReserveProblem.CLOSED:
             return ReserveReply(ReserveOutcome.CLOSED)
-        return await self._borrow_and_reserve(request)
+        return await self._borrow_and_reserve(request, started + GATHER_SECONDS)
 
     def _try_here(self, request: ReserveRequest) -> ReserveProblem | None:
         problem = self._ledger.reserve(
@@ -174,10 +183,12 @@
             self._keeper.touch()
         return problem
 
-    async def _borrow_and_reserve(self, request: ReserveRequest) -> ReserveReply:
+    async def _borrow_and_reserve(
+        self, request: ReserveRequest, until: float
+    ) -> ReserveReply:
         """Get what lacks from the other routers that hold a part."""
         account = request.account
-        gathered = await self.gather(account, request.tokens)
+        gathered = await self.gather(account, request.tokens, until)
         if gathered.released:
             self._keeper.look_soon()
             until = time.monotonic() + COVER_SECONDS
@@ -192,11 +203,16 @@
             return ReserveReply(ReserveOutcome.EXHAUSTED, detail)
         return ReserveReply(ReserveOutcome.UNREACHABLE, detail)
 
-    async def gather(self, account: str, tokens: int) -> Gathered:
+    async def gather(self, account: str, tokens: int, until: float) -> Gathered:
         """Ask the other holders until a number of tokens is in reach.
 
         They give it back to the store for this router to take, or lend it
-        where the store cannot be reached.
+        where that would take too long.
+
+        Parameters
+        ----------
+        until
+            When to stop asking, on the steady clock in seconds.
         """
         gathered = Gathered()
         share = self._ledger.share(account)
@@ -205,6 +221,9 @@
             missing = tokens - available - gathered.released
             if missing <= 0:
                 break
+            if time.monotonic() >= until:
+                gathered.silent.append(vm)
+                continue
             ahead = int(share.demand.rate(time.monotonic()) * AHEAD_SECONDS)
             await self._ask_for(gathered, vm, account, missing, missing + ahead)
         return gathered
@@ -265,7 +284,7 @@
         except PeerUnreachable as error:
             # It may have set the tokens aside all the same.
             self._settlements.add(vm, Settlement(request.reservation_id, 0))
-            return ReserveReply(ReserveOutcome.UNREACHABLE, str(error))
+            return ReserveReply(ReserveOutcome.SILENT, str(error))
         except asyncio.CancelledError:
             self._settlements.add(vm, Settlement(request.reservation_id, 0))
             raise
@@ -282,11 +301,14 @@
     async def _serve_lend(self, request: LendRequest) -> LendReply:
         account = request.account
         released, lent = 0, 0
-        if request.by_store and self._keeper.store_answers:
+        if request.by_store and self._keeper.may_change_grants:
             # What the store knows of is not lost with this router or the other.
             needed, wanted = request.needed, request.wanted
             released = await self._keeper.release(account, needed, wanted)
         if not released:
+            if request.needed and self._keeper.store_answers:
+                until = time.monotonic() + LEND_COVER_SECONDS
+                await self._keeper.cover_own(account, request.needed, until)
             lent = self._ledger.lend(
                 request.loan_id,
                 account,
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -16,6 +16,7 @@
 )
 from lynxchute.budgets.share import Terms
 from lynxchute.config import ClientAccount
+from lynxchute.fleet.messages import LendRequest
 from lynxchute.relay.budgets import BudgetExhausted, BudgetUnreachable
 from lynxchute.spending.keeper import Keeper
 from lynxchute.standins.platform_store import Outage
@@ -170,6 +171,31 @@
 
         self.with_platform(scenario, routers=ROUTERS)
 
+    def test_a_lender_raises_its_line_for_what_a_request_needs(self):
+        async def scenario(deployment):
+            lender = home_of(deployment, "b")
+            await until(lambda: lender.keeper.ledger.unused(ACCOUNT) > 300_000)
+            lender.keeper._grants_at = float("inf")
+            loan = LendRequest("l1", ACCOUNT, 200_000, 200_000, True)
+            reply = await lender.relay._budgets._serve_lend(loan)
+            self.assertEqual((200_000, 0), (reply.lent, reply.released))
+
+        self.with_platform(scenario, routers=ROUTERS)
+
+    def test_stand_ins_are_not_asked_what_the_home_has_answered(self):
+        async def scenario(deployment):
+            home = home_of(deployment, "a")
+            (other,) = [
+                r for vm, r in deployment.routers.items() if vm[0] == "a" and r != home
+            ]
+            cut_off_all(deployment)
+            with self.assertRaises(BudgetUnreachable):
+                await reserve(other, 990_000, "r1")
+            demand = other.keeper.ledger.share(ACCOUNT).demand
+            self.assertEqual(0.0, demand.rate(time.monotonic()))
+
+        self.with_platform(scenario, routers=ROUTERS)
+
     def test_a_home_that_is_down_is_stood_in_for(self):
         async def scenario(deployment):
             home = home_of(deployment, "a")
