--- a/lynxchute/scheduling/board.py
+++ b/lynxchute/scheduling/board.py
@@ -6,24 +6,10 @@
 
 import attrs
 
+from lynxchute.scheduling.engine_state import EngineState, Run
 from lynxchute.scheduling.prefix_cache import PrefixCache
 from lynxchute.upstreams.generation import Generation, PromptPart
 
-# Prompt tokens that an engine reads in a millisecond, until its own speed is
-# known: that of a large model on today's accelerators.
-USUAL_SPEED = 40.0
-MIN_SPEED = 5.0
-MAX_SPEED = 500.0
-# Weight of the newest first token in an engine's known speed.
-SPEED_WEIGHT = 0.1
-# Prompts shorter than this tell nothing of the speed.
-TELLING_TOKENS = 1500
-# First events expected sooner than this many milliseconds tell nothing of how
-# slow an engine is.
-TELLING_MS = 60.0
-# Milliseconds from an idle engine's start of a prompt to its first event, apart
-# from reading the prompt.
-FIRST_EVENT_MS = 35.0
 # Reading a part again costs this many times the engine's time for it: the time
 # is the next requests' as well, and the operators pay for it.
 REREAD_WEIGHT = 1.5
@@ -50,110 +36,8 @@
 # Milliseconds that count against an engine without a free slot, or without
 # memory for the request: it would have to wait for another one to end.
 FULL_MS = 2_000.0
-# Milliseconds at most that a run which is overdue counts: one of which nothing
-# is heard may never have been sent, and an engine that has stopped is noticed
-# by its silence before that.
-MAX_OVERDUE_MS = 1_500.0
-# A run that is overdue by so many milliseconds when one that came later begins
-# is no longer waited for.
-PASSED_MS = 500.0
 # Seconds that an engine is passed over after a run broke there.
 AVOID_SECONDS = 0.8
-# Weight of the newest first event in how much slower than expected an engine
-# is, and the bounds of that factor.
-SLOWNESS_WEIGHT = 0.25
-MIN_SLOWNESS = 0.5
-MAX_SLOWNESS = 8.0
-
-
-@attrs.define
-class Run:
-    """A request on an engine whose answer has not ended.
-
-    Attributes
-    ----------
-    uncached
-        Tokens of its prompt that had to be read.
-    prefill_ms
-        How long reading them takes an engine that does nothing else.
-    expected_ms
-        When its first event was expected, in milliseconds after its placement.
-    tokens
-        What it takes of the engine's memory, in tokens.
-    router
-        The process that sends it.
-    is_passed
-        Whether others that came later have begun long after it should have.
-    """
-
-    uncached: int
-    prefill_ms: float
-    expected_ms: float
-    placed_at: float
-    tokens: int
-    router: str = ""
-    has_begun: bool = False
-    is_passed: bool = False
-
-    @property
-    def is_waiting(self) -> bool:
-        """Return whether its prompt has still to be read."""
-        return not self.has_begun and not self.is_passed
-
-    def overdue_ms(self, now: float) -> float:
-        """Return how late its first event is."""
-        return max((now - self.placed_at) * 1000.0 - self.expected_ms, 0.0)
-
-
-@attrs.define
-class EngineState:
-    """An engine as the board sees it.
-
-    Attributes
-    ----------
-    speed
-        Prompt tokens that it reads in a millisecond.
-    slowness
-        How much longer than expected first events take of late.
-    begun_at
-        When a run last began there, in seconds.
-    avoided_until
-        Time before which it is passed over, in seconds.
-    """
-
-    slots: int
-    capacity: int
-    cache: PrefixCache
-    speed: float = USUAL_SPEED
-    slowness: float = 1.0
-    begun_at: float = 0.0
-    avoided_until: float = 0.0
-    runs_by_id: dict[str, Run] = attrs.Factory(dict)
-
-    @property
-    def occupied(self) -> int:
-        """Return the tokens that running requests take of its memory."""
-        return sum(run.tokens for run in self.runs_by_id.values())
-
-    def backlog_ms(self, now: float) -> float:
-        """Return how long it has to read the prompts that are still waiting."""
-        waiting = [run for run in self.runs_by_id.values() if run.is_waiting]
-        if not waiting:
-            return 0.0
-        head = waiting[0]
-        reading_ms = (now - max(head.placed_at, self.begun_at)) * 1000.0
-        backlog = sum(run.prefill_ms for run in waiting)
-        backlog -= min(reading_ms, head.prefill_ms)
-        overdue_ms = min(head.overdue_ms(now), MAX_OVERDUE_MS)
-        return backlog * self.slowness + overdue_ms
-
-    def pass_overdue(self, begun_id: str, now: float) -> None:
-        """Wait no longer for runs that are overdue and came before another."""
-        for run_id, run in self.runs_by_id.items():
-            if run_id == begun_id:
-                return
-            if run.overdue_ms(now) > PASSED_MS:
-                run.is_passed = True
 
 
 @attrs.frozen
@@ -253,9 +137,7 @@
         run.has_begun = True
         state.begun_at = now
         state.pass_overdue(run_id, now)
-        took_ms = (now - run.placed_at) * 1000.0
-        self._learn_speed(state, run, took_ms)
-        self._learn_slowness(state, run, took_ms)
+        state.learn(run, now)
 
     def ended(self, upstream_id: str, run_id: str, now: float) -> None:
         """Note the end of a run."""
@@ -263,10 +145,7 @@
         run = state.runs_by_id.pop(run_id, None) if state is not None else None
         if state is None or run is None or run.has_begun:
             return
-        # Nobody waited for its first event; it took at least this long.
-        waited_ms = (now - run.placed_at) * 1000.0
-        if waited_ms > run.expected_ms:
-            self._learn_slowness(state, run, waited_ms)
+        state.learn_from_no_event(run, now)
 
     def failed(self, upstream_id: str, run_id: str, now: float) -> None:
         """Note that a run broke, and keep others away for a moment."""
@@ -353,7 +232,7 @@
         if fetched < MIN_FETCH_TOKENS:
             fetched = 0
         uncached = max(generation.prompt_tokens - cached - fetched, 0)
-        cost = self._expected_ms(state, uncached, now)
+        cost = state.expected_ms(uncached, now)
         cost += REREAD_WEIGHT * (shared - cached - fetched) / state.speed
         if fetched:
             cost += FETCH_SETUP_MS + fetched / fetch_tokens_per_ms
@@ -381,10 +260,6 @@
             cost += FULL_MS
         return cost
 
-    def _expected_ms(self, state: EngineState, uncached: int, now: float) -> float:
-        own_ms = max(uncached, 0) / state.speed * state.slowness
-        return state.backlog_ms(now) + own_ms + FIRST_EVENT_MS
-
     def _assign(
         self,
         run_id: str,
@@ -396,7 +271,7 @@
     ) -> Run:
         state = self.engines_by_id[upstream_id]
         cached = state.cache.cached_tokens(generation.shared_parts)
-        expected_ms = self._expected_ms(state, offer.uncached, now)
+        expected_ms = state.expected_ms(offer.uncached, now)
         if offer.fetched:
             expected_ms += FETCH_SETUP_MS + offer.fetched / fetch_tokens_per_ms
         run = Run(
@@ -409,21 +284,3 @@
         state.runs_by_id[run_id] = run
         state.cache.use(generation.shared_parts, occupied=state.occupied)
         return run
-
-    def _learn_speed(self, state: EngineState, run: Run, took_ms: float) -> None:
-        """Learn from a long prompt that did not wait behind others."""
-        reading_ms = took_ms - FIRST_EVENT_MS
-        waited_ms = run.expected_ms - FIRST_EVENT_MS - run.prefill_ms * state.slowness
-        if run.uncached < TELLING_TOKENS or waited_ms > 1.0 or reading_ms <= 0:
-            return
-        seen = min(max(run.uncached / reading_ms, MIN_SPEED), MAX_SPEED)
-        state.speed += SPEED_WEIGHT * (seen - state.speed)
-
-    def _learn_slowness(self, state: EngineState, run: Run, took_ms: float) -> None:
-        """Learn how much longer first events take than was expected."""
-        reading_ms = run.expected_ms - FIRST_EVENT_MS
-        if reading_ms < TELLING_MS:
-            return
-        ratio = max(took_ms - FIRST_EVENT_MS, 0.0) / reading_ms
-        seen = min(max(state.slowness * ratio, MIN_SLOWNESS), MAX_SLOWNESS)
-        state.slowness += SLOWNESS_WEIGHT * (seen - state.slowness)
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -13,7 +13,8 @@
     RunNewsRequest,
     RunStage,
 )
-from lynxchute.scheduling.board import MAX_OVERDUE_MS, Candidate, EngineBoard
+from lynxchute.scheduling.board import Candidate, EngineBoard
+from lynxchute.scheduling.engine_state import MAX_OVERDUE_MS
 from lynxchute.scheduling.scheduler import Scheduler
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.generation import Generation, PromptPart
