Trust rows, not versions, of empty answers from the store's feed

Change: a feed goes on from the last row that it was told.

Test: a store whose feed hides changes behind a newer version (fails before).

--- a/lynxchute/standins/platform_store.py
+++ b/lynxchute/standins/platform_store.py
@@ -54,6 +54,9 @@
         what they expect still holds.
     delay
         Seconds before each answer.
+    hides_changes
+        Whether questions for changes are told none, though the version that
+        their answers bear has gone on.
     """
 
     outage: Outage = Outage.NONE
@@ -61,6 +64,7 @@
     late_share: float = 0.0
     late_seconds: float = 0.5
     delay: float = 0.0
+    hides_changes: bool = False
 
 
 @attrs.frozen
@@ -180,7 +184,7 @@
         elif request.path == ROWS_READ:
             await self._read(request, respond)
         elif request.path == ROWS_FEED:
-            await self._feed(request, respond)
+            await self._feed(faults, request, respond)
         else:
             await not_found(request, respond)
 
@@ -249,7 +253,9 @@
         answer = {"rows": found[:limit], "has_more": len(found) > limit}
         await respond.json(200, {**answer, **self._stamp()})
 
-    async def _feed(self, request: Request, respond: Responder) -> None:
+    async def _feed(
+        self, faults: StoreFaults, request: Request, respond: Responder
+    ) -> None:
         question = dict(parse_qsl(urlsplit(request.target).query))
         after = int(question["after_revision"])
         wait = min(int(question.get("wait_ms", 0)), MAX_WAIT_MS) / 1000.0
@@ -268,6 +274,8 @@
             await respond.json(410, {"error": "the history is gone"})
             return
         rows = [row.to_json() for row in self._since(question["table"], after)]
+        if faults.hides_changes:
+            rows = []
         await respond.json(200, {"rows": rows, **self._stamp()})
 
     def _since(self, table: str, after: int) -> list[StoredRow]:
--- a/lynxchute/store/feed.py
+++ b/lynxchute/store/feed.py
@@ -131,7 +131,11 @@
         wait = self._times.wait if self.lost_at is None else 0.0
         changes = await self._store.changes(self.table, after=self.version, wait=wait)
         self._note_heard()
-        self.version = max(self.version, changes.version)
+        # An empty answer may bear a version beyond changes that it does not
+        # tell, while the store's watchers hear nothing; only rows are proof.
+        # After a quiet spell the history is gone, and the table is listed.
+        for row in changes.rows:
+            self.version = max(self.version, row.version)
         self.take(changes.rows)
         if self._times.pause and changes.rows:
             await asyncio.sleep(self._times.pause)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -306,6 +306,18 @@
 
         self.with_feed(scenario)
 
+    def test_changes_that_an_empty_answer_passed_over_are_not_missed(self):
+        async def scenario(standin, feed, faults):
+            faults.hides_changes = True
+            await standin.put("own", "second", b"2")
+            await standin.put("other", "more", b"")
+            await asyncio.sleep(0.3)
+            self.assertEqual(1, len(feed.live_rows()))
+            faults.hides_changes = False
+            await until(lambda: len(feed.live_rows()) == 2, timeout=3)
+
+        self.with_feed(scenario)
+
     def test_older_rows_change_nothing(self):
         async def scenario(standin, feed, faults):
             version = await standin.put("own", "first", b"new")
