Tell everybody at once what a stopping router without the store has used

Change: the count is told as soon as the first try to give grants back fails, to the routers of all data centres, and asked of all, also of those that were silent of late.

Test: a router that stops without the store has told everybody while it still serves (fails before).

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -245,7 +245,9 @@
         await self.registry.announce(self.members.leave())
         # What is not used may be needed at once, and a later outage of the
         # store would keep it here.
-        await self.keeper.close(started + CLOSE_SECONDS)
+        if not await self.keeper.close(started + CLOSE_SECONDS):
+            # The others may be out of reach by the end.
+            await self.final_uses.announce()
         serve_until = started + STILL_SERVING_SECONDS
         end = started + self.settings.bounds.stop - STOP_MARGIN_SECONDS
         while time.monotonic() < end:
--- a/lynxchute/spending/final_use.py
+++ b/lynxchute/spending/final_use.py
@@ -51,7 +51,10 @@
         server.answers_by_class[FinalUseRequest] = self._tell
 
     async def announce(self) -> None:
-        """Tell the others what this router has used; it uses no more."""
+        """Tell the others what this router has used at most; it reserves no more.
+
+        Told again, it takes the place of what was told before.
+        """
         ledger = self._ledger
         ledger.is_closing = True
         used = {name: s.own_use for name, s in ledger.shares_by_account.items()}
@@ -77,7 +80,12 @@
             return
 
     async def _ask_all(self, message: Message[ReplyT]) -> list[ReplyT]:
-        """Return the answers of the data centre's other routers that answer."""
+        """Return the answers of all other routers that answer.
+
+        Those of other data centres are asked as well: the near ones often
+        stop next, or are cut off with this one. So are those that were silent
+        of late: a cut may have just ended.
+        """
 
         async def ask(vm: str) -> ReplyT | None:
             try:
@@ -91,8 +99,7 @@
         own = self._members.own
         vms = []
         for member in self._members.by_vm.values():
-            near = member.data_centre == own.data_centre
-            if member.vm != own.vm and near and self._members.is_reachable(member.vm):
+            if member.vm != own.vm:
                 vms.append(member.vm)
         replies = await asyncio.gather(*(ask(vm) for vm in vms))
         return [reply for reply in replies if reply is not None]
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -279,6 +279,24 @@
 
         self.with_platform(scenario, routers=ROUTERS)
 
+    def test_a_stop_without_the_store_tells_everybody_at_once(self):
+        async def scenario(deployment):
+            home = home_of(deployment, "a")
+            await reserve(home, 10_000, "r1")
+            cut_off_all(deployment)
+            await asyncio.sleep(0.1)
+            stop = asyncio.create_task(home.drain())
+
+            def is_kept(router):
+                kept = router.final_uses._kept_by_vm.get(home.settings.vm)
+                return kept is not None and kept.used_by_account == {ACCOUNT: 10_000}
+
+            await until(lambda: all(map(is_kept, others(deployment, home))), timeout=2)
+            self.assertFalse(stop.done())
+            stop.cancel()
+
+        self.with_platform(scenario, routers=ROUTERS)
+
     def test_lost_and_late_writes_cost_nothing(self):
         async def scenario(deployment):
             for vm in ROUTERS:
