Count the grants of routers that were not heard as left, not as spent

Routers that had not been heard of were left out, where the answer must be 503.

Change: what is left counts in full the grants, as the store tells them, of all routers that gave no answer. 402 is given where even that does not cover the request, so that a silent router with a small grant no longer makes it a 503.

Ruled out: a wrong count at the restart (granted 0, used 0 and free 0 were right for that router), the configuration (its version had the 50,000,000 paid).

Test: a home to which all others are silent (402 before; 503 now, and 402 for more than there is in all).

--- a/lynxchute/spending/reservations.py
+++ b/lynxchute/spending/reservations.py
@@ -66,12 +66,15 @@
         Tokens that they have not used yet.
     silent
         Those that gave no answer.
+    answered
+        Those that did.
     """
 
     released: int = 0
     had: int = 0
     left_elsewhere: int = 0
     silent: list[str] = attrs.Factory(list)
+    answered: list[str] = attrs.Factory(list)
 
 
 @attrs.define(eq=False)
@@ -195,14 +198,25 @@
             await self._keeper.cover(account, request.tokens, until)
         if self._try_here(request) is None:
             return ReserveReply(ReserveOutcome.RESERVED, "borrowed")
+        unheard = self._granted_to_unheard(account, gathered)
         unused = self._ledger.unused(account) + gathered.left_elsewhere
-        unused += max(self._ledger.free(account), 0)
-        silent = ",".join(gathered.silent)
+        unused += max(self._ledger.free(account), 0) + sum(unheard.values())
+        silent = ",".join(sorted({*gathered.silent, *unheard}))
         detail = f"unused={unused} silent={silent}"
-        if unused < request.tokens and not silent and self._keeper.store_answers:
+        if unused < request.tokens and self._keeper.store_answers:
             return ReserveReply(ReserveOutcome.EXHAUSTED, detail)
         return ReserveReply(ReserveOutcome.UNREACHABLE, detail)
 
+    def _granted_to_unheard(self, account: str, gathered: Gathered) -> dict[str, int]:
+        """Return the grants of routers that did not say what is left of them.
+
+        All of it may be left.
+        """
+        known = self._ledger.totals_by_account.get(account)
+        granted_by_vm = known.totals.granted_by_vm if known is not None else {}
+        heard = {*gathered.answered, self._members.own.vm}
+        return {vm: n for vm, n in granted_by_vm.items() if vm not in heard}
+
     async def gather(self, account: str, tokens: int, until: float) -> Gathered:
         """Ask the other holders until a number of tokens is in reach.
 
@@ -248,6 +262,7 @@
         except PeerUnreachable:
             gathered.silent.append(vm)
             return
+        gathered.answered.append(vm)
         gathered.left_elsewhere += reply.unused
         gathered.released += reply.released
         gathered.had += reply.released + reply.lent
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -196,6 +196,30 @@
 
         self.with_platform(scenario, routers=ROUTERS)
 
+    def test_tokens_of_routers_that_are_silent_are_not_taken_for_spent(self):
+        async def scenario(deployment):
+            home, other = home_of(deployment, "a"), home_of(deployment, "b")
+            await until(lambda: other.settings.vm in granted(deployment))
+            home.keeper.look_soon()
+            home.keeper.want()
+            known = home.keeper.ledger.totals_by_account
+            await until(
+                lambda: other.settings.vm in known[ACCOUNT].totals.granted_by_vm
+            )
+            now = time.monotonic()
+            for router in others(deployment, home):
+                home.members.note_silence(router.settings.vm, now)
+            own = home.keeper.ledger.share(ACCOUNT)
+            own.settled = own.terms.granted
+            needed = home.keeper.ledger.free(ACCOUNT) + 100
+            with self.assertRaises(BudgetUnreachable):
+                await reserve(home, needed, "r1")
+            # More than there is in all, whoever is silent.
+            with self.assertRaises(BudgetExhausted):
+                await reserve(home, 990_000, "r2")
+
+        self.with_platform(scenario, routers=ROUTERS)
+
     def test_a_home_that_is_down_is_stood_in_for(self):
         async def scenario(deployment):
             home = home_of(deployment, "a")
