Take lost history for a sign that the store is there

A router that tried it directly was told so, which counted as no answer, so that it went on through other routers, none of which had it yet, and tried directly again 1.5 s later, then with the next table. Configuration and upstreams came 1.8 s later than they could, beyond the bound.

Change: lost history is an answer; the table is listed at once.

Test: a list goes directly after it, while no other router has the store (fails before).

--- a/lynxchute/fleet/relayed_store.py
+++ b/lynxchute/fleet/relayed_store.py
@@ -157,12 +157,20 @@
         return True
 
     async def _note_direct(self, answer: Awaitable[ResultT]) -> ResultT:
-        result = await answer
+        try:
+            result = await answer
+        except HistoryLost:
+            # That is an answer: the table can be listed now.
+            self._note_reached()
+            raise
+        self._note_reached()
+        return result
+
+    def _note_reached(self) -> None:
         if self._is_away:
             log_event("store reached directly again", before=self._via)
         self._is_away = False
         self._via = ""
-        return result
 
     def _note_away(self) -> None:
         self._is_away = True
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -13,6 +13,7 @@
     Committed,
     Conflict,
     Expected,
+    HistoryLost,
     OutcomeUnknown,
     Put,
     Row,
@@ -185,6 +186,25 @@
 
         self.with_stores(scenario)
 
+    def test_a_store_that_has_lost_its_history_is_there(self):
+        async def scenario(stores, direct, peers):
+            store = stores["a-1"]
+            for other in direct.values():
+                other.failure = StoreUnavailable("away")
+            with self.assertRaises(StoreUnavailable):
+                await store.write(WRITE)
+            store._direct_at -= 10.0
+            direct["a-1"].failure = HistoryLost()
+            with self.assertRaises(HistoryLost):
+                await store.changes("t", after=1, wait=0.0)
+            # The table can be listed at once, though no other has the store.
+            direct["a-1"].failure = None
+            peers.asked.clear()
+            self.assertEqual(9, (await store.scan("t")).version)
+            self.assertEqual([], peers.asked)
+
+        self.with_stores(scenario)
+
     def test_a_write_goes_over_the_wire_whole(self):
         request = StoreWriteRequest.of(WRITE)
         again = from_json(to_json(request), StoreWriteRequest)
