--- a/lynxchute/bench/slopes.py
+++ b/lynxchute/bench/slopes.py
@@ -48,7 +48,7 @@
     Settlement,
     SettleRequest,
 )
-from lynxchute.http import HttpServer, Request, Responder
+from lynxchute.http import HttpServer, LinkMeter, Request, Responder
 from lynxchute.scheduling.board import Candidate, EngineBoard
 from lynxchute.standins.link import Link
 from lynxchute.upstreams.generation import Generation, PromptPart
@@ -137,7 +137,7 @@
 def _peers(port: int) -> HttpPeers:
     members = Members(Member("a", "x", "1", "127.0.0.1:1"))
     members.put(Member("b", "x", "2", f"127.0.0.1:{port}"))
-    return HttpPeers(members, lambda: "0" * 48, time.monotonic)
+    return HttpPeers(members, lambda: "0" * 48, time.monotonic, LinkMeter(1e6))
 
 
 def reserve() -> Exchange:
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -29,13 +29,16 @@
     BadRequest,
     ClientPool,
     HttpServer,
+    LinkMeter,
     Request,
     RequestHead,
     Responder,
     ServerLimits,
     not_found,
 )
+from lynxchute.reachability import Reachability
 from lynxchute.relay.admission import Admission
+from lynxchute.relay.load import RouterLoad
 from lynxchute.relay.relay import Relay
 from lynxchute.relay.sender import UPSTREAM_TIMEOUTS, Sender
 from lynxchute.scheduling.scheduler import Scheduler
@@ -119,9 +122,12 @@
         self.settings = settings
         self.metrics = Metrics()
         self._log_lines_dropped = log_lines_dropped
-        self.members = Members(_own_member(settings))
+        meter = LinkMeter(settings.link_mbps)
+        self.load = RouterLoad(meter, time.monotonic)
+        reachability = Reachability(settings.data_centre)
+        self.members = Members(_own_member(settings), reachability)
         self.peers = HttpPeers(
-            self.members, lambda: self.registry.secret, time.monotonic
+            self.members, lambda: self.registry.secret, time.monotonic, meter
         )
         store = RelayedStore(
             CountedStore(
@@ -134,7 +140,7 @@
         self.platform = platform
         self.configurations = Configurations(platform)
         self.directory = Directory()
-        self.clients = ClientPool(UPSTREAM_TIMEOUTS)
+        self.clients = ClientPool(UPSTREAM_TIMEOUTS, meter)
         self.upstreams = self.make_upstreams()
         bounds = settings.bounds
         self.retries = RetryBudget(
@@ -147,7 +153,7 @@
         )
         self.registry.peers = self.peers
         self.registry.listeners.append(self._note_members)
-        self.peer_server = PeerServer(lambda: self.registry.secret)
+        self.peer_server = PeerServer(lambda: self.registry.secret, meter)
         store.serve(self.peer_server)
         ledger = Ledger(
             settings.vm,
@@ -174,7 +180,7 @@
         budgets.serve(self.peer_server)
         balance = Balance(self.keeper, budgets, self.members, self.peers)
         rng = random.Random()
-        self.admission = Admission(self.configurations, rng)
+        self.admission = Admission(self.configurations, rng, self.load)
         plain = LeastOpen(settings.data_centre)
         engines = platform.make_engines(self.clients)
         scheduler = Scheduler(
@@ -183,9 +189,10 @@
             self.directory,
             self._traits_of,
             engines,
+            meter,
             time.monotonic,
         )
-        silence = SilenceWatch(self.directory, engines, time.monotonic)
+        silence = SilenceWatch(self.directory, engines, reachability, time.monotonic)
         scheduler.serve(self.peer_server)
         self.directory.listeners.append(scheduler.look)
         self.registry.listeners.append(scheduler.look)
@@ -198,6 +205,7 @@
             scheduler,
             plain,
             self.metrics,
+            reachability,
             time.monotonic,
         )
         self.relay = Relay(
@@ -209,7 +217,7 @@
             time.monotonic,
         )
         self.callers = HttpServer(
-            self.handle, limits=self._limits, check_head=self._check_head
+            self.handle, limits=self._limits, check_head=self._check_head, meter=meter
         )
         self.readiness = HttpServer(self._answer_readiness)
         self.exposition = HttpServer(self._answer_metrics)
@@ -276,6 +284,8 @@
         """Return whether new connections should come here."""
         if self.is_ending:
             return False
+        if self.load.is_shedding:
+            return False
         return self.configurations.current is not None
 
     async def _answer_readiness(self, request: Request, respond: Responder) -> None:
--- a/lynxchute/fleet/client.py
+++ b/lynxchute/fleet/client.py
@@ -14,7 +14,7 @@
     from_json,
     to_json,
 )
-from lynxchute.http import ClientPool, ExchangeFailed, Timeouts
+from lynxchute.http import ClientPool, ExchangeFailed, LinkMeter, Timeouts
 from lynxchute.telemetry import log_event
 
 ReplyT = TypeVar("ReplyT")
@@ -54,6 +54,8 @@
         Returns what proves that a message comes from the fleet.
     clock
         Seconds on the steady clock.
+    meter
+        Tells how long messages wait for the VM's link.
 
     Attributes
     ----------
@@ -66,12 +68,13 @@
         members: Members,
         secret: Callable[[], str],
         clock: Callable[[], float],
+        meter: LinkMeter,
     ) -> None:
         self.address_of: Callable[[Member], str] = lambda member: member.address
         self._members = members
         self._secret = secret
         self._clock = clock
-        self._clients = ClientPool(TIMEOUTS)
+        self._clients = ClientPool(TIMEOUTS, meter)
 
     async def ask(self, vm: str, message: Message[ReplyT]) -> ReplyT:
         """Return a router's answer."""
--- a/lynxchute/fleet/members.py
+++ b/lynxchute/fleet/members.py
@@ -7,6 +7,7 @@
 import attrs
 from expression import Error, Ok, Result
 
+from lynxchute.reachability import Reachability
 from lynxchute.rendezvous import ranked
 
 # Seconds until a router that gave no answer is tried again, doubled each time
@@ -99,10 +100,13 @@
     ----------
     own
         This router.
+    reachability
+        Which data centres can be reached.
     """
 
-    def __init__(self, own: Member) -> None:
+    def __init__(self, own: Member, reachability: Reachability | None = None) -> None:
         self.own = own
+        self.reachability = reachability or Reachability(own.data_centre)
         self.by_vm: dict[str, Member] = {own.vm: own}
         self._reach_by_vm: dict[str, Reach] = {}
 
@@ -134,7 +138,10 @@
 
     def is_reachable(self, vm: str) -> bool:
         """Return whether a router has answered the last question, if any."""
-        return vm not in self._reach_by_vm
+        if vm in self._reach_by_vm:
+            return False
+        member = self.by_vm.get(vm)
+        return member is None or not self.reachability.is_cut(member.data_centre)
 
     def to_try_again(self, now: float) -> list[str]:
         """Return the routers that gave no answer and are due to be tried."""
@@ -147,9 +154,15 @@
     def note_answer(self, vm: str) -> None:
         """Note that a router answered."""
         self._reach_by_vm.pop(vm, None)
+        member = self.by_vm.get(vm)
+        if member is not None:
+            self.reachability.note_heard(member.data_centre)
 
     def note_silence(self, vm: str, now: float) -> bool:
         """Note that a router gave no answer; return whether that is news."""
+        member = self.by_vm.get(vm)
+        if member is not None:
+            self.reachability.note_silent(member.data_centre, vm, now)
         reach = self._reach_by_vm.setdefault(vm, Reach())
         reach.failures += 1
         pause = FIRST_PAUSE * 2 ** min(reach.failures - 1, 8)
--- a/lynxchute/fleet/server.py
+++ b/lynxchute/fleet/server.py
@@ -15,7 +15,14 @@
     to_json,
 )
 from lynxchute.fleet.messages import MESSAGES_BY_NAME
-from lynxchute.http import BadRequest, HttpServer, Request, Responder, not_found
+from lynxchute.http import (
+    BadRequest,
+    HttpServer,
+    LinkMeter,
+    Request,
+    Responder,
+    not_found,
+)
 
 Answer = Callable[[Any], Awaitable[Any]]
 
@@ -28,6 +35,8 @@
     secret
         Returns what proves that a message comes from the fleet; empty while
         it is not known.
+    meter
+        Counts what goes over the VM's link.
 
     Attributes
     ----------
@@ -35,9 +44,9 @@
         Who answers which message.
     """
 
-    def __init__(self, secret: Callable[[], str]) -> None:
+    def __init__(self, secret: Callable[[], str], meter: LinkMeter) -> None:
         self.answers_by_class: dict[type[Message[Any]], Answer] = {}
-        self.server = HttpServer(self._handle)
+        self.server = HttpServer(self._handle, meter=meter)
         self._secret = secret
 
     async def _handle(self, request: Request, respond: Responder) -> None:
--- a/lynxchute/http/__init__.py
+++ b/lynxchute/http/__init__.py
@@ -9,6 +9,7 @@
     Timeouts,
 )
 from lynxchute.http.headers import HeaderItems, Headers
+from lynxchute.http.link_meter import LinkMeter
 from lynxchute.http.messages import BadRequest, Request, RequestHead
 from lynxchute.http.responder import CallerLeft, Responder
 from lynxchute.http.server import HttpServer, ServerLimits, not_found
@@ -23,6 +24,7 @@
     "Headers",
     "HttpClient",
     "HttpServer",
+    "LinkMeter",
     "Request",
     "RequestHead",
     "Responder",
--- a/lynxchute/http/client.py
+++ b/lynxchute/http/client.py
@@ -21,6 +21,7 @@
     OutgoingRequest,
 )
 from lynxchute.http.headers import HeaderItems, Headers, encoded
+from lynxchute.http.link_meter import AMPLE, LinkMeter
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # An extra answer or two may stand before the right one; a peer that sends
@@ -60,6 +61,11 @@
         super().__init__(reason)
         self.sent = sent
 
+    @property
+    def is_silence(self) -> bool:
+        """Return whether the peer said nothing, not even that it refuses."""
+        return isinstance(self.__cause__, TimeoutError)
+
 
 @attrs.define(eq=False)
 class AbortHandle:
@@ -200,6 +206,9 @@
         How long each step may take.
     max_connections
         Exchanges at once; further ones wait.
+    meter
+        Tells how long what is sent waits for the VM's link: nobody is silent for
+        that time.
 
     Attributes
     ----------
@@ -213,8 +222,10 @@
         *,
         timeouts: Timeouts | None = None,
         max_connections: int = 256,
+        meter: LinkMeter = AMPLE,
     ) -> None:
         self.address = address
+        self._meter = meter
         self.opened = 0
         host, _, port = address.rpartition(":")
         self._host = host
@@ -334,9 +345,9 @@
             return kept
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(limits.connect):
+            async with asyncio.timeout(limits.connect + self._meter.delay()):
                 _, connection = await loop.create_connection(
-                    ClientConnection, self._host, self._port
+                    lambda: ClientConnection(self._meter), self._host, self._port
                 )
         except (OSError, TimeoutError) as error:
             raise ExchangeFailed(f"cannot connect: {error!r}", sent=False) from error
@@ -367,7 +378,10 @@
         limits: Timeouts,
         is_answer: Callable[[h11.Response], bool],
     ) -> h11.Response:
-        async with asyncio.timeout(limits.first_byte):
+        patience = limits.first_byte
+        if patience is not None:
+            patience += self._meter.delay()
+        async with asyncio.timeout(patience):
             for _ in range(MAX_SKIPPED_ANSWERS + 1):
                 head = await connection.read_head()
                 if is_answer(head):
@@ -391,13 +405,14 @@
     """Keep one client for each address."""
 
     timeouts: Timeouts = attrs.Factory(Timeouts)
+    meter: LinkMeter = AMPLE
     by_address: dict[str, HttpClient] = attrs.Factory(dict)
 
     def get(self, address: str) -> HttpClient:
         """Return the client for an address, made on first use."""
         client = self.by_address.get(address)
         if client is None:
-            client = HttpClient(address, timeouts=self.timeouts)
+            client = HttpClient(address, timeouts=self.timeouts, meter=self.meter)
             self.by_address[address] = client
         return client
 
--- a/lynxchute/http/client_connection.py
+++ b/lynxchute/http/client_connection.py
@@ -9,6 +9,7 @@
 import h11
 
 from lynxchute.http.headers import HeaderItems, encoded
+from lynxchute.http.link_meter import AMPLE, LinkMeter
 from lynxchute.http.sockets import apply_options
 
 # Bytes of an answer that may wait here before its reader takes them.
@@ -41,6 +42,11 @@
 class ClientConnection(asyncio.Protocol):
     """Send one request at a time and read its answer.
 
+    Parameters
+    ----------
+    meter
+        Counts what goes over the VM's link.
+
     Attributes
     ----------
     idle_since
@@ -50,8 +56,9 @@
         does not say.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, meter: LinkMeter = AMPLE) -> None:
         self.idle_since = 0.0
+        self._meter = meter
         self.keep_alive_seconds = 0.0
         self._protocol = h11.Connection(h11.CLIENT)
         self._loop = asyncio.get_running_loop()
@@ -82,6 +89,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Take bytes from the peer."""
+        self._meter.note_received(len(data))
         if not self._in_use:
             # Bytes that answer nothing may be the start of an answer to an
             # earlier request; the connection is not to be trusted.
@@ -124,6 +132,7 @@
         self._request = request
         data = self._send_head_and_body(request, body)
         assert self._transport is not None
+        self._meter.note_sent(len(data))
         self._transport.write(data)
 
     async def read_head(self) -> h11.Response:
--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -90,6 +90,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Take bytes from the caller."""
+        self._server.meter.note_received(len(data))
         if self._phase in (_Phase.LINGERING, _Phase.CLOSED):
             return
         if self._phase is _Phase.SERVING:
@@ -348,6 +349,7 @@
         if self._transport is None or self._phase is _Phase.CLOSED:
             raise CallerLeft("the caller left")
         if data:
+            self._server.meter.note_sent(len(data))
             self._transport.write(data)
 
     async def _drained(self) -> None:
--- /dev/null
+++ b/lynxchute/http/link_meter.py
@@ -0,0 +1,89 @@
+"""How long bytes wait for the VM's own link, worked out from what goes over it."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import attrs
+
+# Bytes on the wire for each byte of payload: heads of packets and their
+# acknowledgements, for packets of about a kilobyte.
+WIRE_OVERHEAD = 1.08
+# Arrivals are as fast as the link at most; the nearer they come to it, the more
+# of them wait at its other end. So they are held against a part of it.
+RECEIVING_SHARE = 0.9
+# Longer waits than this are not believed: whoever waits so long has left.
+MAX_DELAY = 1.0
+
+
+@attrs.define
+class _Queue:
+    """Bytes that wait for one direction of a link.
+
+    Attributes
+    ----------
+    bytes_per_s
+        What the link carries.
+    """
+
+    bytes_per_s: float
+    _waiting: float = 0.0
+    _at: float = 0.0
+
+    def add(self, size: int, now: float) -> None:
+        self._waiting = self._left(now) + size * WIRE_OVERHEAD
+        self._at = now
+
+    def delay(self, now: float) -> float:
+        return min(self._left(now) / self.bytes_per_s, MAX_DELAY)
+
+    def _left(self, now: float) -> float:
+        return max(self._waiting - (now - self._at) * self.bytes_per_s, 0.0)
+
+
+class LinkMeter:
+    """Know how long what is sent now waits for the link.
+
+    A small VM's link carries a few requests' bodies at once; what is sent behind
+    them is late, which must not be taken for the silence of whoever it is for.
+
+    Parameters
+    ----------
+    mbps
+        What the link carries in each direction, in Mbit/s.
+    clock
+        Seconds on the steady clock.
+
+    Examples
+    --------
+    >>> meter = LinkMeter(8.0, lambda: 0.0)
+    >>> meter.note_sent(100_000)
+    >>> round(meter.delay(), 3)
+    0.108
+    """
+
+    def __init__(
+        self, mbps: float, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        bytes_per_s = mbps * 1e6 / 8
+        self._sending = _Queue(bytes_per_s)
+        self._receiving = _Queue(bytes_per_s * RECEIVING_SHARE)
+        self._clock = clock
+
+    def note_sent(self, size: int) -> None:
+        """Count bytes that were handed to the kernel."""
+        self._sending.add(size, self._clock())
+
+    def note_received(self, size: int) -> None:
+        """Count bytes that have arrived."""
+        self._receiving.add(size, self._clock())
+
+    def delay(self) -> float:
+        """Return the seconds that a packet and its answer wait for the link."""
+        now = self._clock()
+        return self._sending.delay(now) + self._receiving.delay(now)
+
+
+# For peers and tests on links that are never full.
+AMPLE = LinkMeter(1e6)
--- a/lynxchute/http/server.py
+++ b/lynxchute/http/server.py
@@ -9,6 +9,7 @@
 from absl import logging
 
 from lynxchute.http.connection import ServerConnection
+from lynxchute.http.link_meter import AMPLE, LinkMeter
 from lynxchute.http.messages import Request, RequestHead
 from lynxchute.http.responder import Responder
 
@@ -58,6 +59,8 @@
         Returns the limits in force; they may change while the server runs.
     check_head
         Called before a body is read; raises `BadRequest` to refuse it.
+    meter
+        Counts what goes over the VM's link.
     """
 
     def __init__(
@@ -66,6 +69,7 @@
         *,
         limits: Callable[[], ServerLimits] = ServerLimits,
         check_head: Callable[[RequestHead], None] = accept_all,
+        meter: LinkMeter = AMPLE,
     ) -> None:
         self.connections: set[ServerConnection] = set()
         self.buffered_bytes = 0
@@ -74,6 +78,7 @@
         self.handler = handler
         self.limits = limits
         self.check_head = check_head
+        self.meter = meter
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
--- a/lynxchute/platform/engines.py
+++ b/lynxchute/platform/engines.py
@@ -37,7 +37,9 @@
             )
             await response.body()
         except ExchangeFailed as error:
-            raise EngineSilent(f"{upstream.id}: {error}") from error
+            raise EngineSilent(
+                f"{upstream.id}: {error}", is_silence=error.is_silence
+            ) from error
 
     async def cached_parts(self, upstream: Upstream) -> list[PromptPart]:
         """Return the parts of prompts that an engine keeps."""
@@ -49,6 +51,8 @@
             # Each entry: an empty text, the part's id, its tokens, the model.
             return [PromptPart(str(i[1]), int(i[2])) for i in answer["held"]]
         except ExchangeFailed as error:
-            raise EngineSilent(f"{upstream.id}: {error}") from error
+            raise EngineSilent(
+                f"{upstream.id}: {error}", is_silence=error.is_silence
+            ) from error
         except (KeyError, TypeError, ValueError, IndexError) as error:
             raise EngineSilent(f"{upstream.id} lists no parts: {error!r}") from error
--- a/lynxchute/platform/store.py
+++ b/lynxchute/platform/store.py
@@ -57,8 +57,7 @@
             )
         except ExchangeFailed as error:
             if error.sent:
-                is_silent = isinstance(error.__cause__, TimeoutError)
-                raise OutcomeUnknown(str(error), is_silent=is_silent) from error
+                raise OutcomeUnknown(str(error), is_silent=error.is_silence) from error
             raise StoreUnavailable(str(error)) from error
         if status in (429, 503):
             raise StoreUnavailable(f"the store answered {status}")
--- a/lynxchute/relay/admission.py
+++ b/lynxchute/relay/admission.py
@@ -10,6 +10,7 @@
 from lynxchute.http import Responder
 from lynxchute.relay.call import Call
 from lynxchute.relay.exchange import Exchange, end_of
+from lynxchute.relay.load import RouterLoad
 from lynxchute.relay.refusal import Reason, Refusal
 
 # A configuration that the store has not confirmed for this long may lack a
@@ -19,6 +20,8 @@
 RETRY_UNCONFIGURED = 0.5
 RETRY_STALE = 1.0
 RETRY_TOO_MANY = 1.0
+# Another router can serve the request at once.
+RETRY_ELSEWHERE = 0.05
 
 
 class ConfigurationSource(ABC):
@@ -43,6 +46,8 @@
         Where the configuration comes from.
     rng
         Splits the requests of a route over its services.
+    load
+        Says when requests are better served by another router.
 
     Attributes
     ----------
@@ -52,8 +57,11 @@
         Admitted requests that have not ended.
     """
 
-    def __init__(self, source: ConfigurationSource, rng: random.Random) -> None:
+    def __init__(
+        self, source: ConfigurationSource, rng: random.Random, load: RouterLoad
+    ) -> None:
         self.stopping = False
+        self._load = load
         self.open_requests = 0
         self._open_by_account: Counter[str] = Counter()
         self._source = source
@@ -75,6 +83,7 @@
             title = "This router has no configuration yet. Send it again soon."
             raise Refusal(Reason.NOT_CONFIGURED, title, retry_after=RETRY_UNCONFIGURED)
         route = self._route(configuration, call)
+        self._check_load(route, respond)
         account = self._account(configuration, route, call)
         if account is not None:
             self._count(configuration, account)
@@ -100,6 +109,15 @@
         if not self._open_by_account[name]:
             del self._open_by_account[name]
 
+    def _check_load(self, route: Route, respond: Responder) -> None:
+        """Send callers elsewhere while this router would serve them late."""
+        if self._load.is_too_slow(route.latency_objective):
+            respond.closing = True
+            title = "This router's link is full. Send the request to another one."
+            raise Refusal(Reason.OVERLOADED, title, retry_after=RETRY_ELSEWHERE)
+        if self._load.is_shedding:
+            respond.closing = True
+
     def _count(self, configuration: Configuration, account: ClientAccount) -> None:
         """Count a request of an account, if it may have one more open."""
         most = configuration.limits.max_open_per_account
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -14,6 +14,7 @@
     Response,
     Timeouts,
 )
+from lynxchute.reachability import Reachability
 from lynxchute.relay.dialect import Dialect, Dispatch, Verdict
 from lynxchute.relay.exchange import Exchange
 from lynxchute.relay.refusal import Reason, Refusal, Run
@@ -66,6 +67,8 @@
         Choose among model engines, and among other upstreams.
     metrics
         Where the ends of sends are counted.
+    reachability
+        Which data centres can be reached.
     clock
         Seconds on the loop's clock.
     """
@@ -79,6 +82,7 @@
         generations: Placement,
         plain: Placement,
         metrics: Metrics,
+        reachability: Reachability,
         clock: Callable[[], float],
     ) -> None:
         self._directory = directory
@@ -88,6 +92,7 @@
         self._generations = generations
         self._plain = plain
         self._metrics = metrics
+        self._reachability = reachability
         self._clock = clock
         self._changed = asyncio.Event()
         directory.listeners.append(self._note_change)
@@ -173,13 +178,17 @@
         if not known:
             return None
         awake = [entry for entry in known if not entry.health.is_paused(now)]
+        near = [entry for entry in awake if self._is_in_reach(entry)]
         # Where all are paused, the one that fails for the shortest time yet is
         # worth more than a refusal.
-        candidates = awake or [min(known, key=lambda e: e.health.paused_until)]
+        candidates = near or awake or [min(known, key=lambda e: e.health.paused_until)]
         generation = exchange.call.generation
         placement = self._generations if generation is not None else self._plain
         return await placement.choose(exchange.run_id, generation, candidates)
 
+    def _is_in_reach(self, entry: Entry) -> bool:
+        return not self._reachability.is_cut(entry.upstream.data_centre)
+
     async def _try(self, exchange: Exchange, choice: Choice) -> Answer | None:
         """Send once; return None where there was no answer to pass on."""
         entry = choice.entry
@@ -196,6 +205,11 @@
         except ExchangeFailed as error:
             entry.open_sends.discard(send)
             fate = Fate.BROKEN if error.sent else Fate.UNREACHED
+            if fate is Fate.UNREACHED and error.is_silence:
+                upstream = entry.upstream
+                self._reachability.note_silent(
+                    upstream.data_centre, upstream.id, self._clock(), is_upstream=True
+                )
             self._failed(exchange, entry, cost, fate, str(error))
             return None
         except BaseException:
@@ -206,6 +220,7 @@
             self._generations.note_ended(exchange.run_id, upstream_id, failed=False)
             raise
         entry.heard_at = self._clock()
+        self._reachability.note_heard(entry.upstream.data_centre)
         verdict = self._dialect.verdict(response.status, response.headers)
         answer = Answer(response, entry, cost, exchange.run_id, send)
         if verdict is Verdict.ANSWERED:
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -18,6 +18,7 @@
     RunStage,
 )
 from lynxchute.fleet.server import PeerServer
+from lynxchute.http import LinkMeter
 from lynxchute.rendezvous import ranked
 from lynxchute.scheduling.board import Candidate, EngineBoard, Place
 from lynxchute.telemetry import log_event
@@ -57,6 +58,8 @@
         Returns what the engines of a service can do, where it is known.
     engines
         Asked for what they keep when this router begins to schedule them.
+    meter
+        Tells how long questions wait for the VM's link.
     clock
         Seconds on the steady clock.
     """
@@ -68,6 +71,7 @@
         directory: Directory,
         traits_of: Callable[[str], EngineTraits | None],
         engines: Engines,
+        meter: LinkMeter,
         clock: Callable[[], float],
     ) -> None:
         super().__init__()
@@ -78,6 +82,7 @@
         self._traits_of = traits_of
         self._engines = engines
         self._tasks = Tasks()
+        self._meter = meter
         self._clock = clock
         self._news_by_vm: dict[str, list[RunNews]] = {}
         self._scheduler_by_run: dict[str, str] = {}
@@ -204,7 +209,7 @@
         # Where no answer comes in time it may have placed the run all the same.
         unplaced = [RunNews(run_id, "", RunStage.UNPLACED)]
         try:
-            async with asyncio.timeout(ASK_SECONDS):
+            async with asyncio.timeout(ASK_SECONDS + self._meter.delay()):
                 reply = await self._peers.ask(vm, request)
         except PeerUnreachable:
             self._post(vm, unplaced)
--- a/lynxchute/upstreams/engines.py
+++ b/lynxchute/upstreams/engines.py
@@ -9,7 +9,19 @@
 
 
 class EngineSilent(Exception):
-    """Report that an engine gave no answer of use."""
+    """Report that an engine gave no answer of use.
+
+    Parameters
+    ----------
+    reason
+        What came instead.
+    is_silence
+        Whether nothing came, not even a refusal to connect.
+    """
+
+    def __init__(self, reason: str, *, is_silence: bool = False) -> None:
+        super().__init__(reason)
+        self.is_silence = is_silence
 
 
 class Engines(ABC):
--- a/lynxchute/upstreams/health.py
+++ b/lynxchute/upstreams/health.py
@@ -86,6 +86,10 @@
         pause *= 2 ** min(self.bad_in_row - 1, 8)
         self.paused_until = now + min(pause, MAX_PAUSE)
 
+    def resume(self) -> None:
+        """Try it again now: what kept it away is over."""
+        self.paused_until = 0.0
+
     def is_paused(self, now: float) -> bool:
         """Return whether it is passed over at the moment."""
         return now < self.paused_until
--- a/lynxchute/upstreams/load_report.py
+++ b/lynxchute/upstreams/load_report.py
@@ -31,7 +31,9 @@
         try:
             await client.get_json(LOAD_PATH, timeouts=TIMEOUTS)
         except ExchangeFailed as error:
-            raise EngineSilent(f"{upstream.id}: {error}") from error
+            raise EngineSilent(
+                f"{upstream.id}: {error}", is_silence=error.is_silence
+            ) from error
 
     async def cached_parts(self, upstream: Upstream) -> list[PromptPart]:
         """Return the parts of prompts that an engine keeps."""
@@ -42,6 +44,8 @@
                 raise EngineSilent(f"{upstream.id} answered {status}")
             return [PromptPart(str(i[0]), int(i[1])) for i in answer["cached"]]
         except ExchangeFailed as error:
-            raise EngineSilent(f"{upstream.id}: {error}") from error
+            raise EngineSilent(
+                f"{upstream.id}: {error}", is_silence=error.is_silence
+            ) from error
         except (KeyError, TypeError, ValueError, IndexError) as error:
             raise EngineSilent(f"{upstream.id} lists no parts: {error!r}") from error
--- a/lynxchute/upstreams/silence.py
+++ b/lynxchute/upstreams/silence.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from lynxchute.application import Loop, Tasks
+from lynxchute.reachability import Reachability
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.directory import Directory, Entry
 from lynxchute.upstreams.engines import Engines, EngineSilent
@@ -16,6 +17,11 @@
 # asked whether it is there. Reading a long prompt takes as long, so that
 # silence alone tells nothing.
 SILENT_SECONDS = 0.35
+# Where another one of its data centre has just been found silent, it is asked
+# after this many seconds: longer than the pause between two events of a stream.
+SUSPECT_SECONDS = 0.1
+# Seconds between two questions to a data centre that is out of reach.
+CUT_AGAIN_SECONDS = 0.5
 # Seconds until it is asked again while it stays silent.
 AGAIN_SECONDS = 0.6
 
@@ -33,41 +39,96 @@
         The upstreams.
     engines
         Asks them.
+    reachability
+        Which data centres can be reached.
     clock
         Seconds on the steady clock.
     """
 
     def __init__(
-        self, directory: Directory, engines: Engines, clock: Callable[[], float]
+        self,
+        directory: Directory,
+        engines: Engines,
+        reachability: Reachability,
+        clock: Callable[[], float],
     ) -> None:
         self.tasks = Tasks()
         self.loop = Loop("silence", self._step, STEP_SECONDS)
         self._directory = directory
         self._engines = engines
+        self._reachability = reachability
         self._clock = clock
+        self._asked_cut_at: dict[str, float] = {}
 
     async def _step(self) -> None:
         now = self._clock()
         for entry in self._directory.entries_by_id.values():
-            if not entry.open_sends or now - entry.heard_at < SILENT_SECONDS:
-                continue
-            if now - entry.probed_at < AGAIN_SECONDS:
-                continue
-            if not any(send.may_move() for send in entry.open_sends):
-                continue
-            entry.probed_at = now
-            self.tasks.spawn(self._probe(entry))
+            if self._is_silent(entry, now, SILENT_SECONDS):
+                self._ask(entry, now)
+            elif self._reachability.is_cut(entry.upstream.data_centre):
+                self._ask_cut(entry, now)
+
+    def _is_silent(self, entry: Entry, now: float, seconds: float) -> bool:
+        """Return whether an upstream owes answers and is due to be asked."""
+        if not entry.open_sends or now - entry.heard_at < seconds:
+            return False
+        if now - entry.probed_at < AGAIN_SECONDS:
+            return False
+        return any(send.may_move() for send in entry.open_sends)
+
+    def _ask_cut(self, entry: Entry, now: float) -> None:
+        """Ask one upstream after the other whether its data centre is back."""
+        data_centre = entry.upstream.data_centre
+        asked_at = self._asked_cut_at.get(data_centre, -CUT_AGAIN_SECONDS)
+        if now - asked_at < CUT_AGAIN_SECONDS or not entry.takes_work:
+            return
+        if now - entry.probed_at < AGAIN_SECONDS:
+            return
+        self._asked_cut_at[data_centre] = now
+        self._ask(entry, now)
+
+    def _ask(self, entry: Entry, now: float) -> None:
+        entry.probed_at = now
+        self.tasks.spawn(self._probe(entry))
 
     async def _probe(self, entry: Entry) -> None:
         asked_at = self._clock()
         try:
             await self._engines.probe(entry.upstream)
         except EngineSilent as error:
-            if entry.heard_at < asked_at:
-                self._leave(entry, str(error))
+            if entry.heard_at >= asked_at:
+                return
+            if error.is_silence:
+                self._suspect_others(entry)
+            self._leave(entry, str(error))
+            return
+        self._note_heard(entry.upstream.data_centre)
+
+    def _note_heard(self, data_centre: str) -> None:
+        if not self._reachability.is_cut(data_centre):
+            return
+        self._reachability.note_heard(data_centre)
+        for entry in self._directory.entries_by_id.values():
+            if entry.upstream.data_centre == data_centre:
+                entry.health.resume()
+
+    def _suspect_others(self, silent: Entry) -> None:
+        """Ask the others of a data centre sooner than their silence would have it."""
+        data_centre, now = silent.upstream.data_centre, self._clock()
+        self._reachability.note_silent(
+            data_centre, silent.upstream.id, now, is_upstream=True
+        )
+        for entry in self._directory.entries_by_id.values():
+            if entry.upstream.data_centre != data_centre or entry is silent:
+                continue
+            if self._is_silent(entry, now, SUSPECT_SECONDS):
+                self._ask(entry, now)
 
     def _leave(self, entry: Entry, reason: str) -> None:
+        entry.health.note(Fate.UNREACHED, self._clock())
         moving = [send for send in entry.open_sends if send.may_move()]
+        if not moving:
+            return
         log_event(
             "upstream silent",
             upstream=entry.upstream.id,
@@ -75,6 +136,5 @@
             moving=len(moving),
             reason=reason,
         )
-        entry.health.note(Fate.UNREACHED, self._clock())
         for send in moving:
             send.handle.abort()
--- /dev/null
+++ b/tests/test_reachability.py
@@ -0,0 +1,157 @@
+"""Data centres that fall silent at one moment, and what is tried then."""
+
+import asyncio
+
+import testtools
+
+from lynxchute.fleet.members import Member, Members
+from lynxchute.reachability import EVIDENCE_SECONDS, Reachability
+from lynxchute.upstreams.directory import Directory, OpenSend
+from lynxchute.upstreams.engines import Engines, EngineSilent
+from lynxchute.upstreams.health import Fate
+from lynxchute.upstreams.silence import SilenceWatch
+from lynxchute.upstreams.upstream import Upstream
+from tests.support import AsyncTestCase
+
+
+class ReachabilityTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.reach = Reachability("a")
+
+    def silent(self, *names, now=10.0, place="b"):
+        for name in names:
+            self.reach.note_silent(place, name, now, is_upstream=name[0] == "u")
+
+    def test_one_silent_upstream_is_no_cut(self):
+        self.silent("u1", "u1")
+        self.assertFalse(self.reach.is_cut("b"))
+
+    def test_routers_alone_prove_nothing_of_upstreams(self):
+        self.silent("r1", "r2", "r3")
+        self.assertFalse(self.reach.is_cut("b"))
+        self.silent("u1")
+        self.assertTrue(self.reach.is_cut("b"))
+
+    def test_whatever_is_heard_ends_the_suspicion(self):
+        self.silent("u1")
+        self.reach.note_heard("b")
+        self.silent("u2")
+        self.assertFalse(self.reach.is_cut("b"))
+
+    def test_old_evidence_is_dropped_but_a_cut_lasts_until_something_is_heard(self):
+        self.silent("u1", now=10.0)
+        self.silent("u2", now=10.1 + EVIDENCE_SECONDS)
+        self.assertFalse(self.reach.is_cut("b"))
+        self.silent("u1", now=10.2 + EVIDENCE_SECONDS)
+        self.silent("u1", now=60.0)
+        self.assertTrue(self.reach.is_cut("b"))
+        self.reach.note_heard("b")
+        self.assertFalse(self.reach.is_cut("b"))
+
+    def test_the_own_data_centre_is_never_given_up(self):
+        self.silent("u1", "u2", place="a")
+        self.assertFalse(self.reach.is_cut("a"))
+
+    def test_routers_of_a_cut_data_centre_are_not_asked(self):
+        members = Members(Member("a-1", "a", "1", "x:1"), self.reach)
+        for vm in ("b-1", "b-2", "c-1"):
+            members.put(Member(vm, vm[0], "1", "x:1"))
+        members.note_silence("b-1", 10.0)
+        self.assertEqual(["b-2", "c-1"], members.homes_elsewhere("account"))
+        self.silent("u1")
+        self.assertEqual(["c-1"], members.homes_elsewhere("account"))
+        members.note_answer("b-1")
+        self.assertEqual(2, len(members.homes_elsewhere("account")))
+
+
+class FakeEngines(Engines):
+    def __init__(self, cut):
+        self.cut = cut
+        self.probed = []
+
+    async def probe(self, upstream):
+        self.probed.append(upstream.id)
+        if upstream.data_centre in self.cut:
+            raise EngineSilent(upstream.id, is_silence=True)
+
+    async def cached_parts(self, upstream):
+        return []
+
+
+class FakeHandle:
+    def __init__(self, moved, name):
+        self._moved = moved
+        self._name = name
+
+    def abort(self):
+        self._moved.append(self._name)
+
+
+class SilenceWatchTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 100.0
+        self.moved = []
+        self.directory = Directory()
+        self.engines = FakeEngines({"b"})
+        self.reach = Reachability("a")
+        self.watch = SilenceWatch(
+            self.directory, self.engines, self.reach, lambda: self.now
+        )
+        for name in ("a1", "b1", "b2", "b3"):
+            self.directory.put(Upstream(name, "s", f"{name}:1", name[0]))
+
+    def entry(self, name):
+        return self.directory.entries_by_id[name]
+
+    def open_send(self, name, heard_at):
+        handle = FakeHandle(self.moved, name)
+        self.entry(name).open_sends.add(OpenSend(handle, lambda: True))
+        self.entry(name).heard_at = heard_at
+
+    async def look(self):
+        await self.watch._step()
+        while self.watch.tasks._tasks:
+            await asyncio.sleep(0)
+
+    def test_the_others_of_a_silent_upstreams_data_centre_are_asked_at_once(self):
+        async def work():
+            self.open_send("b1", self.now - 0.4)
+            self.open_send("b2", self.now - 0.15)
+            self.open_send("a1", self.now - 0.15)
+            await self.look()
+            self.assertEqual(["b1", "b2"], self.engines.probed)
+            self.assertEqual({"b1", "b2"}, set(self.moved))
+            self.assertTrue(self.reach.is_cut("b"))
+
+        self.run_async(work())
+
+    def test_a_cut_data_centre_is_asked_until_it_answers_and_then_used_at_once(self):
+        async def work():
+            for name in ("b1", "b2"):
+                self.reach.note_silent("b", name, self.now, is_upstream=True)
+                self.entry(name).health.note(Fate.UNREACHED, self.now)
+            for _ in range(10):
+                self.now += 0.1
+                await self.look()
+            self.assertEqual(2, len(self.engines.probed))
+            self.engines.cut = set()
+            self.now += 0.6
+            await self.look()
+            self.assertFalse(self.reach.is_cut("b"))
+            self.assertFalse(self.entry("b1").health.is_paused(self.now))
+            probed = len(self.engines.probed)
+            self.now += 2.0
+            await self.look()
+            self.assertEqual(probed, len(self.engines.probed))
+
+        self.run_async(work())
+
+    def test_an_upstream_that_sends_events_is_not_asked(self):
+        async def work():
+            self.open_send("b1", self.now - 0.05)
+            await self.look()
+            self.assertEqual([], self.engines.probed)
+
+        self.run_async(work())
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -13,6 +13,7 @@
     RunNewsRequest,
     RunStage,
 )
+from lynxchute.http import LinkMeter
 from lynxchute.scheduling.board import Candidate, EngineBoard
 from lynxchute.scheduling.engine_state import MAX_OVERDUE_MS
 from lynxchute.scheduling.scheduler import Scheduler
@@ -147,6 +148,7 @@
             self.directory,
             lambda service: None,
             None,
+            LinkMeter(1e6),
             lambda: self.now,
         )
 
