Say why a router cannot start when the store refuses its first configuration

Cause: FirstConfiguration ended with the store's refusal unsaid, so the router stopped and the log had no line from which an operator could act.

The test in tests/test_operators.py failed first.

Measured: tests/test_operators.py, 7 passed; linter and types clean.

--- a/lynxchute/router.py
+++ b/lynxchute/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 
 from expression import Error, Ok, Result
 
@@ -23,7 +24,7 @@
 from lynxchute.operators.service import COMMANDS_PATH, OperatorService
 from lynxchute.platform.store import PlatformStore
 from lynxchute.settings import RouterSettings
-from lynxchute.store import OutcomeUnknown, Row, StoreUnavailable
+from lynxchute.store import OutcomeUnknown, Row, StoreRefused, StoreUnavailable
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.load_report import LoadReports
@@ -129,6 +130,14 @@
                 return
             except (StoreUnavailable, OutcomeUnknown) as error:
                 log_event("first configuration not written yet", reason=str(error))
+            except StoreRefused as error:
+                # It will not take it later either; the operator has to change it.
+                log_event(
+                    "first configuration refused by the store",
+                    level=logging.ERROR,
+                    reason=str(error),
+                )
+                return
             await asyncio.sleep(PROPOSE_AGAIN_SECONDS)
 
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import logging
 import random
 
 import hypothesis.strategies as st
@@ -20,7 +21,7 @@
 from lynxchute.operators.language import parse
 from lynxchute.operators.runner import StatementRunner
 from lynxchute.platform.daemon import make_platform as users_platform
-from lynxchute.router import make_platform
+from lynxchute.router import FirstConfiguration, make_platform
 from lynxchute.store import (
     Committed,
     Conflict,
@@ -30,6 +31,7 @@
     Snapshot,
     Store,
     StoreClock,
+    StoreRefused,
     StoreUnavailable,
 )
 from tests.platform_support import PlatformTestCase
@@ -195,6 +197,26 @@
         self.run_async(work())
 
 
+class FirstConfigurationTest(AsyncTestCase):
+    def test_a_store_that_refuses_it_is_told_of_and_not_asked_again(self):
+        class RefusingStore(FaultyStore):
+            asked = 0
+
+            async def write(self, write):
+                self.asked += 1
+                raise StoreRefused("the store answered 413")
+
+        async def work():
+            store = RefusingStore()
+            first = FirstConfiguration(ConfigurationHistory(store), document())
+            with self.assertLogs("absl", logging.ERROR) as logs:
+                await first._run()
+            self.assertEqual(1, store.asked)
+            self.assertIn("refused by the store", logs.output[0])
+
+        self.run_async(work())
+
+
 class DifferencesTest(testtools.TestCase):
     def test_each_difference_is_a_row(self):
         first = document()
