Split the comparison of ways to keep budgets

Change: budget_scene (deployments, traces, faults), budget_schemes (the ways), budgets (playing and reporting).

--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -5,7 +5,9 @@
 import testtools
 from hypothesis import given, settings
 
-from lynxchute.bench import budgets
+from lynxchute.bench import budget_scene
+from lynxchute.bench.budget_schemes import Cached, Central, Escrow, Static
+from lynxchute.bench.budgets import play
 from lynxchute.budgets import DemandPolicy, ShareView
 from lynxchute.rendezvous import ranked
 from lynxchute.upstreams.retry_budget import RetryBudget
@@ -157,23 +159,23 @@
     SECONDS = 300.0
 
     def play(self, cls, scene):
-        (deployment, _) = budgets.deployments()
+        (deployment, _) = budget_scene.deployments()
         short = attrs.evolve(
             deployment, budgets={n: t // 3 for n, t in deployment.budgets.items()}
         )
-        trace = budgets.make_trace(short, self.SECONDS, 1)
-        faults = budgets.scenes(short, self.SECONDS)[scene]
-        return budgets.play(cls(short), trace, faults)
+        trace = budget_scene.make_trace(short, self.SECONDS, 1)
+        faults = budget_scene.scenes(short, self.SECONDS)[scene]
+        return play(cls(short), trace, faults)
 
     def test_escrow_never_overspends_and_refuses_least(self):
         for scene in ("no_faults", "cut_and_death", "all_die", "store_away"):
-            escrow = self.play(budgets.Escrow, scene)
+            escrow = self.play(Escrow, scene)
             self.assertEqual(0, escrow.overspend)
-            static = self.play(budgets.Static, scene)
+            static = self.play(Static, scene)
             self.assertLess(escrow.false_refusals, 0.6 * static.false_refusals)
-        central = self.play(budgets.Central, "no_faults")
-        escrow = self.play(budgets.Escrow, "no_faults")
+        central = self.play(Central, "no_faults")
+        escrow = self.play(Escrow, "no_faults")
         self.assertLessEqual(escrow.false_refusals, 1.05 * central.false_refusals)
 
     def test_a_cached_total_overspends(self):
-        self.assertGreater(self.play(budgets.Cached, "no_faults").overspend, 0)
+        self.assertGreater(self.play(Cached, "no_faults").overspend, 0)
