Have callers and counts of the demonstration among the stand-ins

Change: standins/callers.py (callers that repeat and judge their answers), standins/counts.py (what was paid, served, counted), demo.py (the scenes and the report). Nothing that routers load changed.

--- a/tests/support.py
+++ b/tests/support.py
@@ -5,8 +5,9 @@
 
 import testtools
 
-from lynxchute.demo import counted_by_account, served_by_account, text_of
 from lynxchute.http import HttpClient
+from lynxchute.standins.callers import text_of
+from lynxchute.standins.counts import counted_by_account, served_by_account
 from lynxchute.standins.deployment import MODEL, Deployment, Shape, caller_key
 
 ACCOUNT = "kanda"
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -5,8 +5,8 @@
 import json
 
 from lynxchute.budgets.rows import HOLDERS_TABLE, TOTALS_TABLE, HolderRow, Totals
-from lynxchute.demo import counted_by_account, served_by_account
 from lynxchute.http import ExchangeFailed, HttpClient
+from lynxchute.standins.counts import counted_by_account, served_by_account
 from lynxchute.standins.platform_store import Outage
 from lynxchute.standins.text import answer_tokens
 from tests.support import (
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -2,7 +2,7 @@
 
 import json
 
-from lynxchute.demo import counted_by_account, served_by_account
+from lynxchute.standins.counts import counted_by_account, served_by_account
 from lynxchute.standins.text import answer_tokens
 from tests.support import (
     ACCOUNT,
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -4,7 +4,6 @@
 import json
 
 from lynxchute.config.document import LimitDocument
-from lynxchute.demo import counted_by_account
 from lynxchute.http import (
     BadRequest,
     ExchangeFailed,
@@ -13,6 +12,7 @@
     ServerLimits,
     Timeouts,
 )
+from lynxchute.standins.counts import counted_by_account
 from lynxchute.standins.faults import Faults
 from tests.support import (
     AsyncTestCase,
