Run the examples in the tests on free ports

Cause: test_routers_serve_survive_a_kill_and_stop_on_a_signal started the shipped examples at their fixed ports. With two runs of the tests on one machine one of them failed: 127.0.0.1:21301 was in use.

Change: the test runs a copy of the example in which only the ports differ; its assertions are the same.

Measured: with 21301 held by another process the test failed before and passes now.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -4,9 +4,11 @@
 import doctest
 import importlib
 import pkgutil
+import re
 import signal
 import subprocess
 import sys
+import tempfile
 import time
 import unittest
 import urllib.request
@@ -20,6 +22,7 @@
 from lynxchute.settings import load_router_settings
 from lynxchute.standins.daemon import load_standin_settings
 from tests.known_red import known_red, listed
+from tests.platform_support import free_port
 from tests.support import AsyncTestCase, small_shape, with_deployment
 
 ROOT = Path(__file__).parent.parent
@@ -126,6 +129,24 @@
         self.processes.append(process)
         return process
 
+    def _example_on_free_ports(self, name):
+        """Copy an example; its ports may be in use by another run of the tests."""
+        kept = tempfile.TemporaryDirectory()
+        self.addCleanup(kept.cleanup)
+        folder = Path(kept.name)
+        ports = {}
+        for source in sorted((ROOT / "examples" / name).glob("*.yaml")):
+            text = source.read_text(encoding="utf-8")
+            for port in set(re.findall(r"127\.0\.0\.1:(\d+)", text)) - set(ports):
+                ports[port] = free_port()
+            moved = re.sub(
+                r"(127\.0\.0\.1:)(\d+)",
+                lambda found: f"{found[1]}{ports[found[2]]}",
+                text,
+            )
+            (folder / source.name).write_text(moved, encoding="utf-8")
+        return folder, ports
+
     def _end_all(self):
         for process in self.processes:
             if process.poll() is None:
@@ -140,14 +161,15 @@
         self.assertIn(b"'vm' is missing", errors)
 
     def test_routers_serve_survive_a_kill_and_stop_on_a_signal(self):
-        self._start("lynxchute.standins.daemon", "examples/amagumo/standins.yaml")
+        folder, ports = self._example_on_free_ports("amagumo")
+        self._start("lynxchute.standins.daemon", folder / "standins.yaml")
         routers = [
-            self._start("lynxchute.daemon", f"examples/amagumo/kyu-a-{number}.yaml")
+            self._start("lynxchute.daemon", folder / f"kyu-a-{number}.yaml")
             for number in (1, 2, 3)
         ]
-        self._wait_for(b"200", 21100)
+        self._wait_for(b"200", ports["21100"])
         routers[0].kill()
-        self._wait_for(b"200", 21101)
+        self._wait_for(b"200", ports["21101"])
         routers[1].send_signal(signal.SIGTERM)
         output, errors = routers[1].communicate(timeout=30)
         self.assertEqual((0, b""), (routers[1].returncode, errors))
