Ask engines for their lists in one place

Cause: platform/engines.py and upstreams/load_report.py decoded the list of an engine's cache with the same requests, timeouts and errors, written twice.

Change: upstreams/http_engines.py has that once; each interface says where the list is and how an entry reads.

Ruled out: one piece for the headers of a send of both dialects; they share a shape, but differ in names, order and bounds on each line. One piece for the two probes; they differ in what counts as an answer.

--- /dev/null
+++ b/lynxchute/upstreams/http_engines.py
@@ -0,0 +1,58 @@
+"""Questions to model engines over HTTP, whatever their interface."""
+
+from __future__ import annotations
+
+from abc import abstractmethod
+from typing import Any, ClassVar
+
+from lynxchute.http import ClientPool, ExchangeFailed, Timeouts
+from lynxchute.upstreams.engines import Engines, EngineSilent
+from lynxchute.upstreams.generation import PromptPart
+from lynxchute.upstreams.upstream import Upstream
+
+# The list is made within some ms; nothing waits for it.
+LIST_TIMEOUTS = Timeouts(connect=0.3, first_byte=1.0, between_bytes=1.0)
+
+
+class HttpEngines(Engines):
+    """Ask engines over HTTP.
+
+    Parameters
+    ----------
+    clients
+        Connections to the upstreams.
+
+    Attributes
+    ----------
+    LIST_PATH
+        Where an engine lists the parts of prompts that it keeps.
+    """
+
+    LIST_PATH: ClassVar[str]
+
+    def __init__(self, clients: ClientPool) -> None:
+        self._clients = clients
+
+    @abstractmethod
+    def _listed(self, answer: Any) -> list[PromptPart]:
+        """Decode a list; what it lacks is a KeyError, TypeError or the like."""
+
+    async def cached_parts(self, upstream: Upstream) -> list[PromptPart]:
+        """Return the parts of prompts that an engine keeps."""
+        client = self._clients.get(upstream.address)
+        try:
+            status, answer = await client.get_json(
+                self.LIST_PATH, timeouts=LIST_TIMEOUTS
+            )
+            if status != 200:
+                raise EngineSilent(f"{upstream.id} answered {status}")
+            return self._listed(answer)
+        except ExchangeFailed as error:
+            raise no_answer(upstream, error) from error
+        except (KeyError, TypeError, ValueError, IndexError) as error:
+            raise EngineSilent(f"{upstream.id} lists no parts: {error!r}") from error
+
+
+def no_answer(upstream: Upstream, error: ExchangeFailed) -> EngineSilent:
+    """Return what is reported where an exchange with an upstream failed."""
+    return EngineSilent(f"{upstream.id}: {error}", is_silence=error.is_silence)
