Take entries by type, each by itself, and know starts under one id apart

Cause: an entry with endless or deep values raised out of the decoder after its page had been stored, so that every good one behind it stayed unknown; one that was overwritten by bytes went on taking work; wrong types were believed and broke whoever used them later. A replica that starts again under its id kept health, open counts, cached parts and connections of the process before, and where its VM had lost power its streams waited for their timeouts, since the new process answered the probes.

Ruled out: catching more in the decoder alone (any listener that raises costs the page); keys of id and start throughout (routers hear of a start at different moments, and a place named by one would be unknown to another); taking each lower start for an old word (a clock that was set back would shut the upstream out for good).

Change: rows are handed on one by one; values are taken by type, never converted; an entry that cannot be read names no upstream, and what runs there goes on. A later start begins a new entry, breaks off what was open, and clears board and connections; a start known to have ended changes nothing; reports tell starts too, also while the store is away.

--- a/lynxchute/address.py
+++ b/lynxchute/address.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
 from typing import Any, ClassVar
 
 import attrs
 
+PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
+
 
 @attrs.frozen
 class Address:
@@ -32,8 +36,12 @@
             Where it names none.
         """
         host, colon, port = str(value).rpartition(":")
-        if not colon or not host or not port.isdigit() or int(port) > 65535:
+        if not colon or not PORT.fullmatch(port) or int(port) > 65535:
             raise ValueError(f"{value!r} is no address")
+        try:
+            ipaddress.IPv4Address(host)
+        except ValueError as error:
+            raise ValueError(f"{value!r} is no address: {error}") from error
         return cls(host, int(port))
 
     def __str__(self) -> str:
--- a/lynxchute/budgets/ledger.py
+++ b/lynxchute/budgets/ledger.py
@@ -13,6 +13,7 @@
 from lynxchute.budgets.recent import Recent
 from lynxchute.budgets.rows import (
     HolderRow,
+    RowUnreadable,
     Totals,
     holder_id,
     totals_id,
@@ -79,6 +80,8 @@
         Whether the store has the router's row as this run wrote it.
     fenced
         Whether another run of the same VM has taken the row.
+    unreadable_accounts
+        Budgets whose division in the store cannot be read.
     """
 
     def __init__(
@@ -100,6 +103,7 @@
         self.open_by_request: dict[str, OpenReservation] = {}
         self.totals_by_account: dict[str, KnownTotals] = {}
         self.prepaid_by_account: dict[str, int] = {}
+        self.unreadable_accounts: set[str] = set()
         self.predecessor = ""
         self.pending: Plan | None = None
         self._policy = policy
@@ -157,12 +161,21 @@
                 share.terms = Terms(share.terms.granted, Line.flat(share.settled))
 
     def learn_totals(self, rows: Iterable[Row]) -> None:
-        """Take divisions of budgets as they stand in the store."""
+        """Take divisions of budgets as they stand in the store.
+
+        One that cannot be read changes nothing: no grant of its budget can change
+        then, since that write expects the division that is known.
+        """
         for row in rows:
             known = self.totals_by_account.get(row.id.key)
             if known is not None and known.version >= row.version:
                 continue
-            totals = Totals() if row.deleted else Totals.decode(row.value)
+            try:
+                totals = Totals() if row.deleted else Totals.decode(row.value)
+            except RowUnreadable:
+                self.unreadable_accounts.add(row.id.key)
+                continue
+            self.unreadable_accounts.discard(row.id.key)
             self.totals_by_account[row.id.key] = KnownTotals(totals, row.version)
 
     # Spending.
--- a/lynxchute/budgets/rows.py
+++ b/lynxchute/budgets/rows.py
@@ -9,6 +9,7 @@
 from lynxchute.budgets.line import Line
 from lynxchute.budgets.share import Terms
 from lynxchute.store import RowId
+from lynxchute.store.row_value import RowValue, ValueUnreadable, whole
 
 TOTALS_TABLE = "budget-totals"
 HOLDERS_TABLE = "budget-holders"
@@ -54,9 +55,9 @@
             Where it says nothing of the kind.
         """
         try:
-            found = json.loads(value)
-            return cls({str(vm): int(tokens) for vm, tokens in found.items()})
-        except (ValueError, TypeError, AttributeError) as error:
+            found = RowValue.decode(value).fields
+            return cls({vm: whole(tokens, vm) for vm, tokens in found.items()})
+        except ValueUnreadable as error:
             raise RowUnreadable(f"no totals: {error}") from error
 
 
@@ -106,15 +107,13 @@
             Where it says nothing of the kind.
         """
         try:
-            row = json.loads(value)
+            row = RowValue.decode(value)
             terms_by_account = {}
-            for account, (granted, *line) in row["shares"].items():
-                base, rate, late_rate, start_ms = (int(value) for value in line)
-                terms_by_account[account] = Terms(
-                    int(granted), Line(base, rate, late_rate, start_ms)
-                )
-            return cls(row["incarnation"], int(row["sequence"]), terms_by_account)
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
+            for account, numbers in row.mapping("shares").items():
+                granted, *line = (whole(number, account) for number in numbers)
+                terms_by_account[account] = Terms(granted, Line(*line))
+            return cls(row.text("incarnation"), row.count("sequence"), terms_by_account)
+        except (ValueError, TypeError) as error:
             raise RowUnreadable(f"no holder: {error!r}") from error
 
 
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -53,6 +53,7 @@
 from lynxchute.upstreams.placement import LeastOpen
 from lynxchute.upstreams.retry_budget import RetryBudget
 from lynxchute.upstreams.silence import SilenceWatch
+from lynxchute.upstreams.upstream import Upstream
 
 METRICS_PATH = "/metrics"
 STATE_PATH = "/state"
@@ -199,6 +200,8 @@
         silence = SilenceWatch(self.directory, engines, reachability, time.monotonic)
         scheduler.serve(self.peer_server)
         self.directory.listeners.append(scheduler.look)
+        self.directory.start_listeners.append(scheduler.forget)
+        self.directory.start_listeners.append(self._drop_connections)
         self.registry.listeners.append(scheduler.look)
         self.configurations.listeners.append(lambda _: scheduler.look())
         sender = Sender(
@@ -320,6 +323,10 @@
             if getattr(settings, name) != getattr(before, name):
                 log_event("settings need a restart", setting=name)
 
+    def _drop_connections(self, before: Upstream) -> None:
+        """Keep no connection to a process that has ended."""
+        self.clients.drop(before.address)
+
     def _note_members(self) -> None:
         self.retries.routers = self.members.count
         self.keeper.want()
--- a/lynxchute/edge/configurations.py
+++ b/lynxchute/edge/configurations.py
@@ -51,7 +51,7 @@
             platform.store,
             platform.configuration_table,
             times=FeedTimes(wait=bound * WAIT_SHARE),
-            on_change=self._take,
+            on_row=self._take,
         )
         self._bound = bound
         self._key = platform.configuration_key
@@ -83,13 +83,9 @@
         """Stop following."""
         await self.feed.stop()
 
-    def _take(self, rows: list[Row]) -> None:
-        for row in rows:
-            if row.id.key != self._key or row.deleted:
-                continue
-            self._apply(row)
-
-    def _apply(self, row: Row) -> None:
+    def _take(self, row: Row) -> None:
+        if row.id.key != self._key or row.deleted:
+            return
         result = self._decode(row.value)
         if result.is_error():
             log_event(
--- a/lynxchute/edge/upstreams.py
+++ b/lynxchute/edge/upstreams.py
@@ -53,8 +53,10 @@
             platform.store,
             platform.upstream_table,
             times=FeedTimes(wait=bound * WAIT_SHARE, pause=PAUSE_SECONDS),
-            on_change=self._take,
+            on_row=self._take,
+            on_page=self._note_page,
         )
+        self._is_changed = False
         self._decode = platform.decode_upstream
         self._directory = directory
         self._clients = clients
@@ -67,33 +69,29 @@
         """Stop following."""
         await self.feed.stop()
 
-    def _take(self, rows: list[Row]) -> None:
+    def _take(self, row: Row) -> None:
+        self._is_changed = self._take_row(row, time.monotonic()) or self._is_changed
+
+    def _note_page(self) -> None:
         now = time.monotonic()
-        changed = False
-        for row in rows:
-            changed = self._take_row(row, now) or changed
         for upstream in self._directory.forget(now - FORGET_AFTER):
             self._clients.drop(upstream.address)
-        if changed:
+        if self._is_changed:
+            self._is_changed = False
             self._directory.changed()
 
     def _take_row(self, row: Row, now: float) -> bool:
+        """Take an entry; return whether it is news."""
         if row.deleted:
             # A feed that never lost the store has regained_at at zero.
             lapses_at = self.feed.regained_at + LAPSE_SECONDS
-            removed = self._directory.remove(row.id.key, now, lapses_at=lapses_at)
-            if removed:
-                log_event(
-                    "upstream gone",
-                    upstream=row.id.key,
-                    version=row.version,
-                    may_be_back_s=round(max(lapses_at - now, 0.0), 2),
-                )
-            return removed
+            return self._remove(row, now, lapses_at=lapses_at)
         result = self._decode(row)
         if result.is_error():
+            # It names no upstream to use, whatever it named before; what runs there
+            # goes on.
             log_event("upstream not understood", problem=result.error)
-            return False
+            return self._remove(row, now, lapses_at=0.0)
         upstream = result.ok
         entry = self._directory.entries_by_id.get(upstream.id)
         was_leaving = entry is not None and entry.upstream.is_leaving
@@ -107,3 +105,14 @@
                 version=row.version,
             )
         return is_news
+
+    def _remove(self, row: Row, now: float, *, lapses_at: float) -> bool:
+        removed = self._directory.remove(row.id.key, now, lapses_at=lapses_at)
+        if removed:
+            log_event(
+                "upstream gone",
+                upstream=row.id.key,
+                version=row.version,
+                may_be_back_s=round(max(lapses_at - now, 0.0), 2),
+            )
+        return removed
--- a/lynxchute/fleet/members.py
+++ b/lynxchute/fleet/members.py
@@ -7,8 +7,10 @@
 import attrs
 from expression import Error, Ok, Result
 
+from lynxchute.address import Address
 from lynxchute.reachability import Reachability
 from lynxchute.rendezvous import ranked
+from lynxchute.store.row_value import RowValue
 
 # Seconds until a router that gave no answer is tried again, doubled each time
 # it gives none.
@@ -54,8 +56,18 @@
     def decode(cls, value: bytes) -> Result[Member, str]:
         """Return the router of a row, or what is wrong with the row."""
         try:
-            return Ok(cls(**json.loads(value)))
-        except (ValueError, TypeError) as error:
+            row = RowValue.decode(value)
+            return Ok(
+                cls(
+                    vm=row.text("vm"),
+                    data_centre=row.text("data_centre"),
+                    incarnation=row.text("incarnation"),
+                    address=str(Address.parse(row.text("address"))),
+                    is_leaving=row.flag("is_leaving", default=False),
+                    strength=row.number("strength"),
+                )
+            )
+        except ValueError as error:
             return Error(f"a router's row cannot be read: {error}")
 
 
--- a/lynxchute/fleet/registry.py
+++ b/lynxchute/fleet/registry.py
@@ -68,7 +68,13 @@
         self.settled = asyncio.Event()
         self.listeners: list[Callable[[], None]] = []
         self.peers: Peers | None = None
-        self.feed = TableFeed(store, TABLE, times=FEED_TIMES, on_change=self._take)
+        self.feed = TableFeed(
+            store,
+            TABLE,
+            times=FEED_TIMES,
+            on_row=self._take,
+            on_page=self._note_change,
+        )
         self._store = store
         self._members = members
         self._is_first_start = is_first_start
@@ -142,13 +148,14 @@
                 continue
             log_event("router answers again", peer=vm)
 
-    def _take(self, rows: list[Row]) -> None:
-        for row in rows:
-            if row.id.key == SECRET_KEY and not row.deleted:
-                self.secret = row.value.decode()
-                continue
-            if row.id.key.startswith(ROUTER_PREFIX):
-                self._take_router(row)
+    def _take(self, row: Row) -> None:
+        if row.id.key == SECRET_KEY and not row.deleted:
+            self.secret = row.value.decode()
+            return
+        if row.id.key.startswith(ROUTER_PREFIX):
+            self._take_router(row)
+
+    def _note_change(self) -> None:
         for listener in self.listeners:
             listener()
 
--- a/lynxchute/platform/configuration.py
+++ b/lynxchute/platform/configuration.py
@@ -29,7 +29,14 @@
     """Return the configuration in a row, or what is wrong with it."""
     try:
         return Ok(_configuration(json.loads(value)))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        ArithmeticError,
+        AttributeError,
+        LookupError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
         return Error(f"the configuration cannot be read: {error!r}")
 
 
--- a/lynxchute/platform/names.py
+++ b/lynxchute/platform/names.py
@@ -50,3 +50,5 @@
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
 UPSTREAM_TABLE = "servers"
+# In all that an upstream says of itself: the Unix millisecond of its start.
+STARTED = "born"
--- a/lynxchute/scheduling/board.py
+++ b/lynxchute/scheduling/board.py
@@ -167,10 +167,12 @@
         state.learn_from_no_event(run, now)
 
     def failed(self, upstream_id: str, run_id: str, now: float) -> None:
-        """Note that a run broke, and keep others away for a moment."""
+        """Note that a run broke, and keep others away for a moment.
+
+        One that is not known here may have broken with a process that has ended.
+        """
         state = self.engines_by_id.get(upstream_id)
-        if state is not None:
-            state.runs_by_id.pop(run_id, None)
+        if state is not None and state.runs_by_id.pop(run_id, None) is not None:
             state.avoided_until = now + AVOID_SECONDS
 
     def drop(self, run_id: str) -> None:
@@ -200,6 +202,10 @@
         if state is not None:
             state.cache.learn(parts)
 
+    def forget(self, upstream_id: str) -> None:
+        """Keep nothing of an engine whose process has started again."""
+        self.engines_by_id.pop(upstream_id, None)
+
     def keep_only(self, upstream_ids: Iterable[str], now: float) -> None:
         """Forget engines that are gone, and runs that nobody reported ended."""
         known = set(upstream_ids)
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -116,6 +116,10 @@
                 upstream = self._directory.entries_by_id[upstream_id].upstream
                 self._tasks.spawn(self._learn_cache(upstream))
 
+    def forget(self, upstream: Upstream) -> None:
+        """Keep nothing of an engine whose process has started again."""
+        self.board.forget(upstream.id)
+
     async def _learn_cache(self, upstream: Upstream) -> None:
         try:
             parts = await self._engines.cached_parts(upstream)
--- a/lynxchute/spending/keeper.py
+++ b/lynxchute/spending/keeper.py
@@ -280,6 +280,7 @@
         log_event(
             "budgets read",
             accounts=len(totals.rows),
+            unreadable=sorted(self.ledger.unreadable_accounts),
             holders=len(holders.rows),
             own_version=own.version if own is not None else 0,
         )
--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import json
+import time
 
 import h11
 
@@ -47,6 +48,8 @@
         What it has worked on.
     cache
         Tokens of the parts of prompts that it says it keeps, by id.
+    started_ms
+        When its process started, in Unix milliseconds; None where it does not say.
     reached_at
         The port that it registers, where a relay stands before it; 0 for its
         own.
@@ -73,8 +76,12 @@
         self.port = 0
         self.reached_at = 0
         self.connections = 0
+        self.started_ms: int | None = int(time.time() * 1000)
+        self._is_dark = False
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        # Held, since a connection that nobody holds is closed.
+        self._dark_writers: list[asyncio.StreamWriter] = []
 
     async def start(self, port: int = 0) -> None:
         """Listen; port 0 takes any free port."""
@@ -85,13 +92,32 @@
         """End at once, like a crash."""
         if self._server is not None:
             self._server.close()
+        for writer in self._dark_writers:
+            writer.transport.abort()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def lose_power(self) -> None:
+        """End without a word: connections stay open and bring nothing more."""
+        assert self._server is not None
+        self._server.close()
+        self._is_dark = True
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def start_again(self, after_ms: int = 1000) -> None:
+        """Start again under the same id and address, knowing nothing of before."""
+        self.started_ms = (self.started_ms or 0) + after_ms
+        self.runs, self.cache, self.faults = [], {}, []
+        self._is_dark = False
+        await self.start(self.port)
+
     async def register(self, store: PlatformStoreStandin) -> None:
         """Write its entry."""
-        entry = {
+        entry: dict[str, object] = {
             "service": self.service,
             "address": f"127.0.0.1:{self.reached_at or self.port}",
             "zone": self.data_centre,
@@ -101,6 +127,8 @@
             "cold_remaining_ms": 0,
             "sequence": 1,
         }
+        if self.started_ms is not None:
+            entry[names.STARTED] = self.started_ms
         await store.put(UPSTREAM_TABLE, self.id, json.dumps(entry).encode())
 
     async def _accept(
@@ -113,10 +141,14 @@
         try:
             await self._serve(reader, writer)
         except (OSError, h11.ProtocolError, asyncio.CancelledError):
+            if self._is_dark:
+                self._dark_writers.append(writer)
+                return
             writer.transport.abort()
         finally:
             self._tasks.discard(task)
-            writer.close()
+            if not self._is_dark:
+                writer.close()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -126,9 +158,9 @@
             head = await next_event(protocol, reader)
             if not isinstance(head, h11.Request):
                 return
-            if head.target.decode() == names.CACHE_LIST:
+            if head.target.decode() in (names.CACHE_LIST, names.REPORT_PATH):
                 await read_body(protocol, reader)
-                await self._list_cache(protocol, writer)
+                await self._tell(protocol, writer)
                 continue
             fault = self.faults.pop(0) if self.faults else None
             run = run_of(head)
@@ -155,11 +187,15 @@
                 return
             protocol.start_next_cycle()
 
-    async def _list_cache(
+    async def _tell(
         self, protocol: h11.Connection, writer: asyncio.StreamWriter
     ) -> None:
+        """Say what it is doing and what it keeps of prompts."""
         held = [["", part_id, tokens, "m"] for part_id, tokens in self.cache.items()]
-        body = json.dumps({"epoch": 1, "next": 0, "held": held}).encode()
+        told: dict[str, object] = {"epoch": 1, "next": 0, "held": held, "sequence": 1}
+        if self.started_ms is not None:
+            told[names.STARTED] = self.started_ms
+        body = json.dumps(told).encode()
         length = [("Content-Length", str(len(body)))]
         writer.write(
             protocol.send(h11.Response(status_code=200, headers=length)) or b""
--- a/lynxchute/store/feed.py
+++ b/lynxchute/store/feed.py
@@ -53,8 +53,11 @@
         Its name.
     times
         How to ask.
-    on_change
-        Called after rows have changed, with those that did.
+    on_row
+        Called with each row that has changed, one after the other; one that it
+        cannot take costs no other row.
+    on_page
+        Called after the rows of an answer have been taken.
 
     Attributes
     ----------
@@ -81,7 +84,8 @@
         table: str,
         *,
         times: FeedTimes,
-        on_change: Callable[[list[Row]], None],
+        on_row: Callable[[Row], None],
+        on_page: Callable[[], None] = lambda: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__()
@@ -96,7 +100,8 @@
         self.synced = asyncio.Event()
         self._store = store
         self._times = times
-        self._on_change = on_change
+        self._on_row = on_row
+        self._on_page = on_page
         self._clock = clock
         self._listed = False
         self._confirming: asyncio.Task[bool] | None = None
@@ -161,8 +166,7 @@
                 continue
             self.rows_by_key[row.id.key] = row
             changed.append(row)
-        if changed:
-            self._on_change(changed)
+        self._tell(changed)
 
     def live_rows(self) -> list[Row]:
         """Return the rows that have not been dropped."""
@@ -241,8 +245,25 @@
             dropped.append(attrs.evolve(row, version=version, deleted=True))
         for row in dropped:
             self.rows_by_key[row.id.key] = row
-        if dropped:
-            self._on_change(dropped)
+        self._tell(dropped)
+
+    def _tell(self, rows: list[Row]) -> None:
+        """Hand rows on, each by itself.
+
+        They count as known from now on, and are not handed on again: whatever one
+        of them makes fail, the others of its page must be taken.
+        """
+        if not rows:
+            return
+        for row in rows:
+            try:
+                self._on_row(row)
+            except Exception:
+                logging.exception("row %s of %s was not taken", row.id.key, self.table)
+        try:
+            self._on_page()
+        except Exception:
+            logging.exception("a page of table %s was not taken whole", self.table)
 
     def _note_heard(self) -> None:
         now = self._clock()
--- a/lynxchute/upstreams/directory.py
+++ b/lynxchute/upstreams/directory.py
@@ -7,9 +7,14 @@
 import attrs
 
 from lynxchute.http import AbortHandle
+from lynxchute.telemetry import log_event
 from lynxchute.upstreams.health import Health
 from lynxchute.upstreams.upstream import Upstream
 
+# Starts under one id whose late words are known as such; the store delays a write by
+# some seconds at most, in which a process starts once or twice.
+MAX_EARLIER_STARTS = 8
+
 
 @attrs.define(eq=False)
 class OpenSend:
@@ -47,6 +52,8 @@
     heard_at, probed_at
         When a byte last came from it, and when it was last asked whether it
         is there, in seconds.
+    earlier_starts
+        The last starts under its id before this one, as Unix milliseconds.
     """
 
     upstream: Upstream
@@ -58,6 +65,7 @@
     open_sends: set[OpenSend] = attrs.Factory(set)
     heard_at: float = 0.0
     probed_at: float = 0.0
+    earlier_starts: tuple[int, ...] = ()
 
     @property
     def takes_work(self) -> bool:
@@ -78,11 +86,14 @@
     ----------
     listeners
         Called after upstreams have changed.
+    start_listeners
+        Called with what an upstream was that has started again under its id.
     """
 
     def __init__(self) -> None:
         self.entries_by_id: dict[str, Entry] = {}
         self.listeners: list[Callable[[], None]] = []
+        self.start_listeners: list[Callable[[Upstream], None]] = []
 
     def put(self, upstream: Upstream) -> bool:
         """Take what an upstream says of itself; return whether that is news."""
@@ -90,11 +101,65 @@
         if entry is None:
             self.entries_by_id[upstream.id] = Entry(upstream)
             return True
+        known = entry.upstream.started_ms
+        if upstream.started_ms is None:
+            upstream = attrs.evolve(upstream, started_ms=known)
+        if upstream.started_ms in entry.earlier_starts:
+            # A late word of a process that has ended.
+            return False
+        if known is not None and upstream.started_ms != known:
+            self._begin_anew(entry, upstream)
+            return True
         is_news = entry.upstream != upstream or entry.gone_at is not None
         entry.upstream = upstream
         entry.gone_at = None
         return is_news
 
+    def note_started(self, entry: Entry, started_ms: int | None) -> bool:
+        """Take when a process says that it started; return whether that is news.
+
+        The entry in the store may still be the one of the process before.
+        """
+        upstream = entry.upstream
+        if self.entries_by_id.get(upstream.id) is not entry:
+            return False
+        if started_ms is None or upstream.started_ms is None:
+            return False
+        if started_ms <= upstream.started_ms or started_ms in entry.earlier_starts:
+            return False
+        gone_at, lapses_at = entry.gone_at, entry.lapses_at
+        self._begin_anew(entry, attrs.evolve(upstream, started_ms=started_ms))
+        self.entries_by_id[upstream.id].gone_at = gone_at
+        self.entries_by_id[upstream.id].lapses_at = lapses_at
+        return True
+
+    def _begin_anew(self, entry: Entry, upstream: Upstream) -> None:
+        """Keep nothing of the process that had an upstream's id before."""
+        before = entry.upstream
+        known = before.started_ms or 0
+        if (upstream.started_ms or 0) > known:
+            starts = (*entry.earlier_starts, known)[-MAX_EARLIER_STARTS:]
+            self.entries_by_id[upstream.id] = Entry(upstream, earlier_starts=starts)
+            # That process has ended. Where its VM lost power no reset tells, and
+            # each of these would wait for its timeout.
+            for send in list(entry.open_sends):
+                send.handle.abort()
+        else:
+            # Its clock was set back, or this is a late word of a process that this
+            # router never knew: whether the other one has ended is not certain.
+            entry.upstream = upstream
+            entry.gone_at = None
+            entry.health = Health()
+        log_event(
+            "upstream started again",
+            upstream=upstream.id,
+            started_ms=upstream.started_ms,
+            before_ms=known,
+            open_sends=len(entry.open_sends),
+        )
+        for listener in self.start_listeners:
+            listener(before)
+
     def remove(self, upstream_id: str, now: float, *, lapses_at: float = 0.0) -> bool:
         """Note that an upstream's entry has vanished.
 
--- a/lynxchute/upstreams/engines.py
+++ b/lynxchute/upstreams/engines.py
@@ -28,9 +28,14 @@
     """Questions to upstreams, above all to model engines."""
 
     @abstractmethod
-    async def probe(self, upstream: Upstream) -> None:
+    async def probe(self, upstream: Upstream) -> int | None:
         """Ask whether an upstream is there; any answer will do.
 
+        Returns
+        -------
+        int or None
+            When its process started, in Unix milliseconds, where it says so.
+
         Raises
         ------
         EngineSilent
--- a/lynxchute/upstreams/load_report.py
+++ b/lynxchute/upstreams/load_report.py
@@ -20,13 +20,14 @@
 
     LIST_PATH = LOAD_PATH
 
-    async def probe(self, upstream: Upstream) -> None:
-        """Ask whether an upstream is there; any answer will do."""
+    async def probe(self, upstream: Upstream) -> int | None:
+        """Ask whether an upstream is there; it does not say when it started."""
         client = self._clients.get(upstream.address)
         try:
             await client.get_json(LOAD_PATH, timeouts=PROBE_TIMEOUTS)
         except ExchangeFailed as error:
             raise no_answer(upstream, error) from error
+        return None
 
     def _listed(self, answer: Any) -> list[PromptPart]:
         return [PromptPart(str(i[0]), int(i[1])) for i in answer["cached"]]
--- a/lynxchute/upstreams/silence.py
+++ b/lynxchute/upstreams/silence.py
@@ -94,7 +94,7 @@
     async def _probe(self, entry: Entry) -> None:
         asked_at = self._clock()
         try:
-            await self._engines.probe(entry.upstream)
+            started_ms = await self._engines.probe(entry.upstream)
         except EngineSilent as error:
             if entry.heard_at >= asked_at:
                 return
@@ -103,6 +103,8 @@
             self._leave(entry, str(error))
             return
         self._note_heard(entry.upstream.data_centre)
+        if self._directory.note_started(entry, started_ms):
+            self._directory.changed()
 
     def _note_heard(self, data_centre: str) -> None:
         if not self._reachability.is_cut(data_centre):
--- a/lynxchute/upstreams/upstream.py
+++ b/lynxchute/upstreams/upstream.py
@@ -12,13 +12,17 @@
     Attributes
     ----------
     id
-        Names one start of its process; an address may pass to another one.
+        Names its process; an address may pass to another one. A process that
+        starts again may have the id that it had.
     is_leaving
         Whether it takes no new work.
     slots
         Requests that it serves at once.
     warm_up
         Seconds that it stays slow after its start.
+    started_ms
+        When its process started, in Unix milliseconds of its own clock; None
+        where it does not say.
     """
 
     id: str
@@ -28,3 +32,4 @@
     is_leaving: bool = False
     slots: int = 1
     warm_up: float = 0.0
+    started_ms: int | None = None
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -128,7 +128,15 @@
         self.assertTrue(result.is_ok() or result.error)
 
     def test_upstreams_that_are_not_ready_are_leaving(self):
-        entry = {"service": "app", "address": "1.2.3.4:5", "zone": "a", "slots": 6}
+        entry = {
+            "service": "app",
+            "address": "1.2.3.4:5",
+            "zone": "a",
+            "version": "v1",
+            "slots": 6,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+        }
         for state, leaving in (("ready", False), ("draining", True), ("new", True)):
             value = json.dumps({**entry, "state": state}).encode()
             row = Row(RowId("servers", "i-1"), value, 3)
@@ -271,7 +279,7 @@
                 store,
                 "own",
                 times=FeedTimes(wait=0.2, retry=0.02),
-                on_change=changes.extend,
+                on_row=changes.append,
             )
             await standin.put("own", "first", b"1")
             await feed.start()
@@ -314,7 +322,7 @@
             for number in range(40):
                 await standin.put("own", "first", b"%d" % number)
             taken = []
-            feed._on_change = taken.extend
+            feed._on_row = taken.append
             faults.outage = Outage.NONE
             await until(lambda: feed.rows_by_key["first"].value == b"39")
             self.assertEqual([b"39"], [row.value for row in taken])
--- /dev/null
+++ b/tests/test_restarts.py
@@ -0,0 +1,190 @@
+"""Upstreams that start again under the id that they had."""
+
+import asyncio
+
+import attrs
+from testtools import TestCase
+
+from lynxchute.scheduling.board import Candidate, EngineBoard
+from lynxchute.scheduling.newcomer import Newcomer
+from lynxchute.upstreams.aims import NO_AIMS
+from lynxchute.upstreams.directory import Directory, OpenSend
+from lynxchute.upstreams.generation import Generation, PromptPart
+from lynxchute.upstreams.health import Fate
+from lynxchute.upstreams.upstream import Upstream
+from tests.platform_support import PlatformCaller, PlatformTestCase, ids_of
+from tests.support import until
+
+FIRST = Upstream("i-1", "pool", "10.0.0.1:80", "a", slots=64, started_ms=1000)
+
+
+def started(milliseconds, **more):
+    return attrs.evolve(FIRST, started_ms=milliseconds, **more)
+
+
+class DirectoryTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.directory = Directory()
+        self.directory.put(FIRST)
+        self.aborted = 0
+        self.ended = []
+        self.directory.start_listeners.append(self.ended.append)
+
+    @property
+    def entry(self):
+        return self.directory.entries_by_id["i-1"]
+
+    def abort(self):
+        self.aborted += 1
+
+    def open_sends(self):
+        for may_move in (True, False):
+            self.entry.open_sends.add(OpenSend(self, lambda may=may_move: may))
+            self.entry.open_requests += 1
+
+    def test_a_new_start_keeps_nothing_of_the_one_before(self):
+        before = self.entry
+        self.open_sends()
+        before.health.note(Fate.UNREACHED, 10.0)
+        self.assertTrue(self.directory.put(started(2000, address="10.0.0.2:80")))
+        self.assertEqual((2, [FIRST]), (self.aborted, self.ended))
+        self.assertEqual((0, set()), (self.entry.open_requests, self.entry.open_sends))
+        self.assertFalse(self.entry.health.is_paused(10.0))
+        self.assertEqual("10.0.0.2:80", self.entry.upstream.address)
+        # What still comes of the runs there is of the old start.
+        before.health.note(Fate.BROKEN, 11.0)
+        before.open_requests -= 2
+        self.assertEqual(0, self.entry.open_requests)
+        self.assertFalse(self.entry.health.is_paused(11.0))
+
+    def test_the_same_start_twice_is_none(self):
+        self.open_sends()
+        before = self.entry
+        self.assertFalse(self.directory.put(started(1000)))
+        self.assertTrue(self.directory.put(started(1000, is_leaving=True)))
+        self.assertEqual((0, []), (self.aborted, self.ended))
+        self.assertIs(before, self.entry)
+
+    def test_late_words_of_an_older_start_change_nothing(self):
+        self.directory.put(started(2000))
+        self.open_sends()
+        self.assertFalse(self.directory.put(started(1000, is_leaving=True)))
+        self.assertFalse(self.directory.note_started(self.entry, 1000))
+        self.assertEqual(2000, self.entry.upstream.started_ms)
+        self.assertTrue(self.entry.takes_work)
+        self.assertEqual(0, self.aborted)
+
+    def test_a_start_whose_clock_was_set_back_is_taken_and_breaks_nothing(self):
+        self.open_sends()
+        self.entry.health.note(Fate.UNREACHED, 10.0)
+        self.assertTrue(self.directory.put(started(400, is_leaving=True)))
+        self.assertFalse(self.entry.takes_work)
+        self.assertFalse(self.entry.health.is_paused(10.0))
+        self.assertEqual((0, 2), (self.aborted, self.entry.open_requests))
+        # It was a late word after all: the other one counts again.
+        self.assertTrue(self.directory.put(started(1000)))
+        self.assertTrue(self.entry.takes_work)
+
+    def test_an_entry_without_a_start_is_of_the_start_that_is_known(self):
+        self.assertFalse(self.directory.put(started(None)))
+        self.assertEqual(1000, self.entry.upstream.started_ms)
+        self.directory.put(started(2000))
+        self.assertEqual([FIRST], self.ended)
+
+    def test_a_start_that_a_report_tells_first_is_the_one_of_the_entry_later(self):
+        self.open_sends()
+        self.directory.remove("i-1", 5.0, lapses_at=7.0)
+        self.assertTrue(self.directory.note_started(self.entry, 2000))
+        self.assertEqual(2, self.aborted)
+        self.assertEqual((5.0, 7.0), (self.entry.gone_at, self.entry.lapses_at))
+        self.assertFalse(self.directory.note_started(self.entry, 2000))
+        # The store has the old entry still, and then the new one.
+        self.assertFalse(self.directory.put(started(1000)))
+        self.directory.put(started(2000))
+        self.assertEqual([FIRST], self.ended)
+        self.assertTrue(self.entry.takes_work)
+
+    def test_a_report_of_an_entry_that_was_replaced_changes_nothing(self):
+        before = self.entry
+        self.directory.put(started(2000))
+        self.assertFalse(self.directory.note_started(before, 3000))
+        self.assertFalse(self.directory.note_started(self.entry, None))
+
+
+class BoardTest(TestCase):
+    def test_news_of_an_older_start_change_nothing(self):
+        board = EngineBoard()
+        candidate = Candidate("i-1", 64, 400_000, False)
+        generation = Generation("m", 500, 60, (PromptPart("aa", 400),))
+        board.place(Newcomer("r1.0", generation, NO_AIMS, "run"), [candidate], 1.0)
+        board.forget("i-1")
+        board.unknown([candidate])
+        board.failed("i-1", "r1.0", 2.0)
+        board.begun("i-1", "r1.0", 2.0)
+        board.ended("i-1", "r1.0", 2.0)
+        state = board.engines_by_id["i-1"]
+        self.assertEqual((0.0, {}), (state.avoided_until, state.runs_by_id))
+        self.assertEqual(0, state.cache.cached_tokens(generation.parts))
+
+
+class RestartTest(PlatformTestCase):
+    """Old connections stay open and bring nothing, as after a loss of power."""
+
+    def test_a_stream_goes_on_elsewhere_and_the_new_start_is_used(self):
+        async def scenario(deployment):
+            for engine in deployment.engines:
+                engine.events, engine.event_delay = 30, 0.02
+            caller = PlatformCaller(deployment)
+            stream = asyncio.create_task(caller.stream())
+            await until(lambda: any(e.runs for e in deployment.engines))
+            busy, idle = sorted(deployment.engines, key=lambda e: -len(e.runs))
+            await until(lambda: busy.runs[0].events_sent > 3)
+            await busy.lose_power()
+            await busy.start_again()
+            await busy.register(deployment.store)
+            status, _, body = await stream
+            self.assertEqual((200, list(range(1, 31))), (status, ids_of(body)))
+            self.assertEqual(1, len(idle.runs))
+            await idle.stop()
+            self.assertEqual(200, (await caller.stream())[0])
+            self.assertEqual(1, len(busy.runs))
+
+        self.with_platform(scenario)
+
+    def test_a_start_is_heard_of_by_its_report_while_the_store_is_away(self):
+        async def scenario(deployment):
+            for engine in deployment.engines:
+                engine.events, engine.event_delay = 30, 0.02
+            caller = PlatformCaller(deployment)
+            stream = asyncio.create_task(caller.stream())
+            await until(lambda: any(e.runs for e in deployment.engines))
+            busy, idle = sorted(deployment.engines, key=lambda e: -len(e.runs))
+            await until(lambda: busy.runs[0].events_sent > 3)
+            await busy.lose_power()
+            await busy.start_again()
+            status, _, body = await stream
+            self.assertEqual((200, 30), (status, len(ids_of(body))))
+            self.assertEqual(1, len(idle.runs))
+            found = deployment.routers["a-1"].directory.entries_by_id[busy.id]
+            self.assertEqual(busy.started_ms, found.upstream.started_ms)
+
+        self.with_platform(scenario)
+
+    def test_a_call_that_may_have_run_is_answered_at_once_and_not_repeated(self):
+        async def scenario(deployment):
+            for app in deployment.apps:
+                app.event_delay = 5.0
+            caller = PlatformCaller(deployment)
+            call = asyncio.create_task(caller.send("POST", "/unsafe/x"))
+            await until(lambda: any(a.runs for a in deployment.apps))
+            busy, idle = sorted(deployment.apps, key=lambda a: -len(a.runs))
+            await busy.lose_power()
+            await busy.start_again()
+            await busy.register(deployment.store)
+            async with asyncio.timeout(2.0):
+                status, _, _ = await call
+            self.assertEqual(502, status)
+            self.assertEqual(([], []), (busy.runs, idle.runs))
+
+        self.with_platform(scenario)
