Load what operators write only where it is needed

Cause: a router on the platform loaded the classes of operators' documents and the reader of YAML settings files with located findings (lynxchute/_structure), for the sake of one enumeration, the roles of operators. Ruled out: compiled files that do not fit (their times match on the VMs). What is left is mostly the building of 130 attrs classes, asyncio, prometheus_client, yaml and expression.

--- a/lynxchute/config/configuration.py
+++ b/lynxchute/config/configuration.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from lynxchute.config.document import Role
+from lynxchute.config.role import Role
 from lynxchute.upstreams.upstream import Upstream
 
 
--- a/lynxchute/config/document.py
+++ b/lynxchute/config/document.py
@@ -15,18 +15,11 @@
 
 from lynxchute._structure import option
 from lynxchute.address import Address
+from lynxchute.config.role import Role
 
 Report = Callable[[str, str, str], None]
 
 
-class Role(enum.Enum):
-    """What an operator's key permits; each role includes those before it."""
-
-    READ = "read"
-    OPERATE = "operate"
-    CONFIGURE = "configure"
-
-
 class ServiceKind(enum.Enum):
     """What the upstreams of a service are."""
 
--- a/lynxchute/operators/client.py
+++ b/lynxchute/operators/client.py
@@ -22,7 +22,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from lynxchute.config.document import Role
+from lynxchute.config.role import Role
 from lynxchute.edge.platform import Platform
 from lynxchute.http import ExchangeFailed, HttpClient
 from lynxchute.operators import runner
--- a/lynxchute/operators/runner.py
+++ b/lynxchute/operators/runner.py
@@ -8,7 +8,8 @@
 
 import attrs
 
-from lynxchute.config.document import Role, Version
+from lynxchute.config.document import Version
+from lynxchute.config.role import Role
 from lynxchute.edge.platform import Platform
 from lynxchute.operators.changes import change_for, differences
 from lynxchute.operators.collections import COLUMNS_BY_COLLECTION, STORE, Collections
--- a/lynxchute/standins/deployment.py
+++ b/lynxchute/standins/deployment.py
@@ -12,13 +12,13 @@
     FleetDocument,
     LimitDocument,
     OperatorDocument,
-    Role,
     RouteDocument,
     ServiceDocument,
     ServiceKind,
     UpstreamDocument,
     hash_key,
 )
+from lynxchute.config.role import Role
 from lynxchute.http import HttpClient
 from lynxchute.operators.service import COMMANDS_PATH
 from lynxchute.router import RouterApplication
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -9,7 +9,8 @@
 import testtools
 from hypothesis import given, settings
 
-from lynxchute.config.document import AccountDocument, FleetDocument, Role, Version
+from lynxchute.config.document import AccountDocument, FleetDocument, Version
+from lynxchute.config.role import Role
 from lynxchute.operators.changes import change_for, differences
 from lynxchute.operators.client import StoreClient
 from lynxchute.operators.history import (
