--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -10,17 +10,16 @@
 from collections.abc import Callable
 
 import attrs
-from prometheus_client import CONTENT_TYPE_LATEST
 
-from lynxchute.address import Address
 from lynxchute.application import Application, Component
 from lynxchute.budgets import DemandPolicy, Ledger
 from lynxchute.config import EngineTraits
 from lynxchute.edge.configurations import Configurations
+from lynxchute.edge.exposition import Exposition
+from lynxchute.edge.listener import Listener
 from lynxchute.edge.platform import Platform
 from lynxchute.edge.reload import Reader, SettingsWatcher
 from lynxchute.edge.settings import EdgeSettings
-from lynxchute.edge.state import state_of
 from lynxchute.edge.upstreams import UpstreamWatcher
 from lynxchute.fleet.client import HttpPeers
 from lynxchute.fleet.members import Member, Members, strength_of
@@ -57,8 +56,6 @@
 from lynxchute.upstreams.silence import SilenceWatch
 from lynxchute.upstreams.upstream import Upstream
 
-METRICS_PATH = "/metrics"
-STATE_PATH = "/state"
 # Seconds that a stopping router takes to give its grants back.
 CLOSE_SECONDS = 0.5
 # Seconds after the signal to stop in which requests are still served: the
@@ -72,41 +69,6 @@
 BODY_SHARE = 0.15
 
 
-class Listener(Component):
-    """Listen at an address.
-
-    Parameters
-    ----------
-    server
-        Serves what comes.
-    address
-        Where to listen.
-    listener
-        Takes connections there already; None where nothing does.
-    """
-
-    def __init__(
-        self,
-        server: HttpServer,
-        address: Address,
-        listener: socket.socket | None = None,
-    ) -> None:
-        self.server = server
-        self._address = address
-        self._listener = listener
-
-    async def start(self) -> None:
-        """Begin to listen."""
-        if self._listener is not None:
-            await self.server.serve(self._listener)
-            return
-        await self.server.start(self._address.host, self._address.port)
-
-    async def stop(self) -> None:
-        """Drop every connection."""
-        await self.server.kill()
-
-
 class EdgeApplication(Application):
     """Everything that a router runs.
 
@@ -137,7 +99,6 @@
         super().__init__(settings.bounds.stop)
         self.settings = settings
         self.metrics = Metrics()
-        self._log_lines_dropped = log_lines_dropped
         meter = LinkMeter(settings.link_mbps)
         self.load = RouterLoad(meter, time.monotonic)
         reachability = Reachability(settings.data_centre)
@@ -198,7 +159,7 @@
             self.keeper, self.members, self.peers, self.settlements, self.metrics
         )
         budgets.serve(self.peer_server)
-        self.balance = Balance(self.keeper, budgets, self.members, self.peers)
+        self.balance = Balance(self.keeper, budgets.lenders, self.members, self.peers)
         rng = random.Random()
         self.admission = Admission(self.configurations, rng, self.load)
         plain = LeastOpen(settings.data_centre)
@@ -242,7 +203,7 @@
             self.handle, limits=self._limits, check_head=self._check_head, meter=meter
         )
         self.readiness = HttpServer(self._answer_readiness)
-        self.exposition = HttpServer(self._answer_metrics)
+        self.exposition = HttpServer(Exposition(self, log_lines_dropped).answer)
         self.components = [
             self.configurations,
             self.upstreams,
@@ -348,24 +309,6 @@
         self.retries.routers = self.members.count
         self.keeper.want()
 
-    async def _answer_metrics(self, request: Request, respond: Responder) -> None:
-        if request.path == STATE_PATH:
-            await respond.json(200, state_of(self))
-            return
-        if request.path != METRICS_PATH:
-            await not_found(request, respond)
-            return
-        metrics = self.metrics
-        current = self.configurations.current
-        metrics.open_requests.set(self.relay.open_requests)
-        metrics.configuration_version.set(current.version if current else 0)
-        metrics.upstreams.set(self.directory.count())
-        metrics.store_answers.set(self.keeper.store_answers)
-        metrics.routers.set(self.members.count)
-        metrics.log_lines_dropped.set(self._log_lines_dropped())
-        body = metrics.exposition()
-        await respond.whole(200, body, CONTENT_TYPE_LATEST)
-
     def _traits_of(self, service: str) -> EngineTraits | None:
         """Return what the engines of a service can do, where it is known."""
         current = self.configurations.current
--- /dev/null
+++ b/lynxchute/edge/exposition.py
@@ -0,0 +1,57 @@
+"""Answer who asks for a router's metrics and state."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from prometheus_client import CONTENT_TYPE_LATEST
+
+from lynxchute.edge.state import state_of
+from lynxchute.http import Request, Responder, not_found
+
+if TYPE_CHECKING:
+    from lynxchute.edge.application import EdgeApplication
+
+METRICS_PATH = "/metrics"
+STATE_PATH = "/state"
+
+
+class Exposition:
+    """Tell what a router counts and knows.
+
+    Parameters
+    ----------
+    router
+        Whose.
+    log_lines_dropped
+        Returns how many lines the log had no room for.
+    """
+
+    def __init__(
+        self, router: EdgeApplication, log_lines_dropped: Callable[[], int]
+    ) -> None:
+        self._router = router
+        self._log_lines_dropped = log_lines_dropped
+
+    async def answer(self, request: Request, respond: Responder) -> None:
+        """Answer one question."""
+        if request.path == STATE_PATH:
+            await respond.json(200, state_of(self._router))
+            return
+        if request.path != METRICS_PATH:
+            await not_found(request, respond)
+            return
+        await respond.whole(200, self._metrics(), CONTENT_TYPE_LATEST)
+
+    def _metrics(self) -> bytes:
+        router = self._router
+        metrics = router.metrics
+        current = router.configurations.current
+        metrics.open_requests.set(router.relay.open_requests)
+        metrics.configuration_version.set(current.version if current else 0)
+        metrics.upstreams.set(router.directory.count())
+        metrics.store_answers.set(router.keeper.store_answers)
+        metrics.routers.set(router.members.count)
+        metrics.log_lines_dropped.set(self._log_lines_dropped())
+        return metrics.exposition()
--- a/lynxchute/spending/balance.py
+++ b/lynxchute/spending/balance.py
@@ -13,7 +13,7 @@
 from lynxchute.fleet.members import Member, Members
 from lynxchute.fleet.messages import GiveRequest
 from lynxchute.spending.keeper import Keeper
-from lynxchute.spending.reservations import FleetBudgets
+from lynxchute.spending.lenders import Lenders
 from lynxchute.telemetry import log_event
 
 # Seconds between two looks.
@@ -48,19 +48,19 @@
     ----------
     keeper
         This router's own grants.
-    budgets
-        Asks the other holders.
+    lenders
+        The other holders.
     members, peers
         The other routers.
     """
 
     def __init__(
-        self, keeper: Keeper, budgets: FleetBudgets, members: Members, peers: Peers
+        self, keeper: Keeper, lenders: Lenders, members: Members, peers: Peers
     ) -> None:
         self.loop = Loop("balance", self._step, STEP_SECONDS)
         self._keeper = keeper
         self._ledger = keeper.ledger
-        self._budgets = budgets
+        self._lenders = lenders
         self._members = members
         self._peers = peers
         self._gifts: list[Gift] = []
@@ -87,7 +87,7 @@
             self._keeper.want()
             return
         wanted = int(demand * FILL_SECONDS) - at_hand
-        gathered = await self._budgets.fill(account, wanted)
+        gathered = await self._lenders.fill(account, wanted)
         if gathered.released:
             self._keeper.look_soon()
             self._keeper.want()
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -7,7 +7,8 @@
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Member, Members
 from lynxchute.fleet.messages import LendReply
-from lynxchute.spending.reservations import GATHER_SECONDS, FleetBudgets
+from lynxchute.spending.lenders import Lenders
+from lynxchute.spending.reservations import GATHER_SECONDS
 from tests.support import AsyncTestCase
 
 ACCOUNT = "kanda"
@@ -65,12 +66,12 @@
             self.members.put(Member(vm, vm[0], "run", "127.0.0.1:2"))
         self.settlements = NoSettlements()
 
-    def budgets(self, peers):
-        budgets = FleetBudgets(
-            FakeKeeper(self.ledger), self.members, peers, self.settlements, None
+    def lenders(self, peers):
+        lenders = Lenders(
+            FakeKeeper(self.ledger), self.members, peers, self.settlements
         )
-        budgets._lenders = lambda account: [v for v in self.members.by_vm if v != "a-0"]
-        return budgets
+        lenders.in_order = lambda account: [v for v in self.members.by_vm if v != "a-0"]
+        return lenders
 
     def gather(self, peers, tokens):
         async def work():
@@ -78,7 +79,7 @@
             self.ledger.is_open = True
             started = time.monotonic()
             until = started + GATHER_SECONDS
-            found = await self.budgets(peers).gather(ACCOUNT, tokens, until)
+            found = await self.lenders(peers).gather(ACCOUNT, tokens, until)
             return found, time.monotonic() - started
 
         return self.run_async(work())
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -299,11 +299,13 @@
             answers[LendRequest] = lend_and_hang
             lender.keeper._grant_pause.until = float("inf")
             budgets = home.relay._budgets
-            gathered = await budgets.gather(ACCOUNT, 10**6, time.monotonic() + 0.1)
+            gathered = await budgets.lenders.gather(
+                ACCOUNT, 10**6, time.monotonic() + 0.1
+            )
             self.assertEqual(0, gathered.had)
             # Its asker may also leave before the answer comes.
             home.members.note_answer(lender.members.own.vm)
-            asking = asyncio.create_task(budgets.fill(ACCOUNT, 1_000))
+            asking = asyncio.create_task(budgets.lenders.fill(ACCOUNT, 1_000))
             await until(lambda: len(lent) == 2)
             asking.cancel()
             self.assertGreater(sum(lent), 0)
