Hear of the store again with nothing in hand, and have callers come back after an outage

Cause: a home whose grant was spent when the store went away wrote nothing more, since it had nothing to lose, and so never heard that the store was back: it refused what it could have been granted, until a settlement or a change of the fleet stirred it. Found by a test of callers who come back. Callers refused for tokens out of reach were told to come back within a second, when they were late already and the outage was as before.

Ruled out: more calls while the store is away (a home without grants tries once a second, as others do).

Change: failures keep a router trying; Retry-After for tokens out of reach is 0.3 of the time that a caller has left, four seconds at most, for 0.1 and one second.

The test is red without either change: 503 on the second try, 200 with both.

--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -28,6 +28,11 @@
 WAIT_SHARE = 0.9
 MIN_RETRY_AFTER = 0.05
 MAX_RETRY_AFTER = 1.0
+# The same where tokens are out of reach: an outage of the store or a cut lasts three to
+# nine seconds, and a caller has few tries. Whoever comes back after a second is late by
+# then as well, and finds the outage as it was.
+BUDGET_RETRY_SHARE = 0.3
+BUDGET_MAX_RETRY_AFTER = 4.0
 
 
 @attrs.define(eq=False)
@@ -158,11 +163,14 @@
         self.last_event = last_event
         self.last_event_at = now
 
-    def retry_after(self, now: float) -> float:
+    def retry_after(self, now: float, reason: Reason) -> float:
         """Return the seconds after which the caller should come back."""
+        share, most = RETRY_SHARE, MAX_RETRY_AFTER
+        if reason is Reason.BUDGET_UNREACHABLE:
+            share, most = BUDGET_RETRY_SHARE, BUDGET_MAX_RETRY_AFTER
         patience = self.call.patience or self.route.timeout
         left = self.received_at + patience - now
-        return min(max(left * RETRY_SHARE, MIN_RETRY_AFTER), MAX_RETRY_AFTER)
+        return min(max(left * share, MIN_RETRY_AFTER), most)
 
     def refuse(self, reason: Reason, title: str, now: float) -> Refusal:
         """Return the final answer where no upstream gives one.
@@ -172,7 +180,7 @@
         if self.run is Run.NOT_RUN:
             if reason in (Reason.BROKEN, Reason.TIMEOUT):
                 reason = Reason.NO_UPSTREAM
-            return Refusal(reason, title, retry_after=self.retry_after(now))
+            return Refusal(reason, title, retry_after=self.retry_after(now, reason))
         if reason is not Reason.TIMEOUT:
             reason = Reason.BROKEN
         return Refusal(reason, title, run=Run.UNKNOWN)
--- a/lynxchute/spending/keeper.py
+++ b/lynxchute/spending/keeper.py
@@ -263,7 +263,9 @@
             now = time.monotonic()
             if now - self._looked_at > TEND_SECONDS and self.ledger.is_wanting(now):
                 self._is_look_due = True
-            return self.ledger.holds_anything
+            # A home that has spent all would not learn that the store is back, and
+            # would go on refusing what it could be granted.
+            return self.ledger.holds_anything or self._failures > 0
         try:
             async with asyncio.timeout(REFRESH_SECONDS):
                 await self._wanted.wait()
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -196,6 +196,34 @@
 
         self.with_platform(scenario, routers=ROUTERS)
 
+    def test_a_caller_is_told_to_come_back_after_an_outage_and_is_served(self):
+        async def scenario(deployment):
+            home = home_of(deployment, "a")
+            own = home.keeper.ledger.share(ACCOUNT)
+            await until(lambda: own.terms.granted > 300_000)
+            # All that is here is used; the rest lies in the other data centre.
+            own.settled = own.terms.granted
+            home.keeper.want()
+            await until(lambda: own.terms.line.base >= own.settled)
+            cut_off_all(deployment)
+            (far,) = [r for vm, r in deployment.routers.items() if vm[0] == "b"]
+            await far.peer_server.server.kill()
+            caller = PlatformCaller(deployment, home.settings.vm)
+            asked = {"tokens": (30_000, 60), "deadline_ms": 12_000}
+            status, headers, _ = await caller.stream(**asked)
+            self.assertEqual(503, status)
+            wait = float(headers["retry-after"])
+            # A third of the time that is left is the most that callers honour.
+            self.assertLess(wait, 4.1)
+            # The outage ends before it is over, if not within a second.
+            await asyncio.sleep(wait / 2)
+            cut_off_all(deployment, Outage.NONE)
+            await asyncio.sleep(wait / 2)
+            self.assertEqual(200, (await caller.stream(**asked))[0])
+            self.assertGreater(wait, 3.0)
+
+        self.with_platform(scenario, routers=ROUTERS)
+
     def test_a_lender_raises_its_line_for_what_a_request_needs(self):
         async def scenario(deployment):
             lender = home_of(deployment, "b")
