--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -247,3 +247,14 @@
     async with asyncio.timeout(5):
         while ledger.open_by_request:
             await asyncio.sleep(0.01)
+
+
+async def stream_at_one_engine(deployment):
+    """Begin a long stream; return it, its engine and the other one."""
+    for engine in deployment.engines:
+        engine.events, engine.event_delay = 30, 0.02
+    stream = asyncio.create_task(PlatformCaller(deployment).stream())
+    await until(lambda: any(engine.runs for engine in deployment.engines))
+    busy, idle = sorted(deployment.engines, key=lambda engine: -len(engine.runs))
+    await until(lambda: busy.runs[0].events_sent > 3)
+    return stream, busy, idle
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -1,6 +1,5 @@
 """Entries that another writer leaves in the tables that routers follow."""
 
-import asyncio
 import json
 
 from hypothesis import given
@@ -23,6 +22,7 @@
     PlatformTestCase,
     configuration,
     ids_of,
+    stream_at_one_engine,
 )
 from tests.support import until
 
@@ -266,12 +266,7 @@
 
     def test_what_runs_at_an_upstream_goes_on_when_its_entry_is_overwritten(self):
         async def scenario(deployment):
-            for engine in deployment.engines:
-                engine.events, engine.event_delay = 30, 0.02
-            caller = PlatformCaller(deployment)
-            stream = asyncio.create_task(caller.stream())
-            await until(lambda: any(e.runs for e in deployment.engines))
-            busy, idle = sorted(deployment.engines, key=lambda e: -len(e.runs))
+            stream, busy, idle = await stream_at_one_engine(deployment)
             await deployment.store.put("servers", busy.id, b"\xff")
             router = deployment.routers["a-1"]
             found = router.directory.entries_by_id[busy.id]
@@ -280,7 +275,7 @@
             self.assertEqual((200, 30), (status, len(ids_of(body))))
             self.assertEqual(1, len(busy.runs))
             self.assertEqual([], idle.runs)
-            await caller.stream()
+            await PlatformCaller(deployment).stream()
             self.assertEqual((1, 1), (len(busy.runs), len(idle.runs)))
 
         self.with_platform(scenario)
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -12,7 +12,12 @@
 from lynxchute.upstreams.generation import Generation, PromptPart
 from lynxchute.upstreams.health import Fate
 from lynxchute.upstreams.upstream import Upstream
-from tests.platform_support import PlatformCaller, PlatformTestCase, ids_of
+from tests.platform_support import (
+    PlatformCaller,
+    PlatformTestCase,
+    ids_of,
+    stream_at_one_engine,
+)
 from tests.support import until
 
 FIRST = Upstream("i-1", "pool", "10.0.0.1:80", "a", slots=64, started_ms=1000)
@@ -133,13 +138,7 @@
 
     def test_a_stream_goes_on_elsewhere_and_the_new_start_is_used(self):
         async def scenario(deployment):
-            for engine in deployment.engines:
-                engine.events, engine.event_delay = 30, 0.02
-            caller = PlatformCaller(deployment)
-            stream = asyncio.create_task(caller.stream())
-            await until(lambda: any(e.runs for e in deployment.engines))
-            busy, idle = sorted(deployment.engines, key=lambda e: -len(e.runs))
-            await until(lambda: busy.runs[0].events_sent > 3)
+            stream, busy, idle = await stream_at_one_engine(deployment)
             await busy.lose_power()
             await busy.start_again()
             await busy.register(deployment.store)
@@ -147,20 +146,14 @@
             self.assertEqual((200, list(range(1, 31))), (status, ids_of(body)))
             self.assertEqual(1, len(idle.runs))
             await idle.stop()
-            self.assertEqual(200, (await caller.stream())[0])
+            self.assertEqual(200, (await PlatformCaller(deployment).stream())[0])
             self.assertEqual(1, len(busy.runs))
 
         self.with_platform(scenario)
 
     def test_a_start_is_heard_of_by_its_report_while_the_store_is_away(self):
         async def scenario(deployment):
-            for engine in deployment.engines:
-                engine.events, engine.event_delay = 30, 0.02
-            caller = PlatformCaller(deployment)
-            stream = asyncio.create_task(caller.stream())
-            await until(lambda: any(e.runs for e in deployment.engines))
-            busy, idle = sorted(deployment.engines, key=lambda e: -len(e.runs))
-            await until(lambda: busy.runs[0].events_sent > 3)
+            stream, busy, idle = await stream_at_one_engine(deployment)
             await busy.lose_power()
             await busy.start_again()
             status, _, body = await stream
