Let logs and metrics tell which request was open when an upstream ended

Cause: a line named an attempt, never its content, and whether the head of an answer had come had to be read off the wording of an error; three hypotheses could not be told apart. Ruled out: logging the body or its length: an id of the content says whether two attempts are one request and gives nothing of it away. Change: 'content' in the lines of broken runs and of ended requests, 'progress' in those of broken runs, lynxchute_broken_runs_total by progress. No decision changes. Conclusion: one line for each end of an upstream now names the request that had begun.

--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -6,6 +6,7 @@
 
 from lynxchute.config import ClientAccount, Configuration, Route
 from lynxchute.http import Responder
+from lynxchute.quarantine import content_id
 from lynxchute.relay.call import Call
 from lynxchute.relay.events import EventOrder
 from lynxchute.relay.refusal import Reason, Refusal, Run
@@ -89,6 +90,20 @@
     last_event_at: float = 0.0
     longest_pause: float = 0.0
     told_tokens: int | None = None
+    _content_id: str = ""
+
+    @property
+    def content_id(self) -> str:
+        """Return what names the content of the request, the same for each attempt."""
+        if not self._content_id:
+            self._content_id = content_id(
+                account=self.account.name if self.account is not None else "",
+                method=self.call.request.method,
+                host=self.call.host,
+                target=self.call.request.target,
+                body=self.call.request.body,
+            )
+        return self._content_id
 
     @property
     def received_at(self) -> float:
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -9,6 +9,7 @@
 
 from lynxchute.config import RequestKind
 from lynxchute.http import ExchangeFailed, Request, Responder
+from lynxchute.quarantine import Progress
 from lynxchute.relay.admission import Admission
 from lynxchute.relay.budgets import (
     BudgetExhausted,
@@ -211,10 +212,14 @@
             return Held(None, is_passed_on=True)
         except ExchangeFailed as error:
             fate = Fate.BROKEN
+            progress = Progress.ANSWERING if size else Progress.BEGUN
+            self._sender.note_broken(progress)
             log_event(
                 "an answer broke off",
                 request_id=exchange.call.request_id,
                 upstream=answer.entry.upstream.id,
+                content=exchange.content_id,
+                progress=progress.value,
                 reason=str(error),
             )
             if exchange.respond.started:
@@ -261,6 +266,7 @@
         """Pass events on; return whether the stream came to its end."""
         splitter = EventSplitter()
         fate = Fate.ABANDONED
+        progress = Progress.BEGUN
         try:
             while True:
                 data = await answer.response.read()
@@ -271,6 +277,7 @@
                 if events is None:
                     continue
                 exchange.order.check(events)
+                progress = Progress.ANSWERING
                 if not exchange.respond.started:
                     await self._start_stream(exchange, answer)
                 had_paused = exchange.has_paused
@@ -289,10 +296,13 @@
             fate = Fate.SERVED
         except (ExchangeFailed, EventsOutOfOrder) as error:
             fate = Fate.BROKEN
+            self._sender.note_broken(progress)
             log_event(
                 "a stream broke off",
                 request_id=exchange.call.request_id,
                 upstream=answer.entry.upstream.id,
+                content=exchange.content_id,
+                progress=progress.value,
                 last_event=exchange.last_event,
                 reason=str(error),
             )
@@ -331,6 +341,7 @@
         log_event(
             "request ended",
             request_id=exchange.call.request_id,
+            content=exchange.content_id,
             outcome=outcome,
             status=exchange.respond.status,
             run=exchange.run.value,
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -14,6 +14,7 @@
     Response,
     Timeouts,
 )
+from lynxchute.quarantine import Progress
 from lynxchute.reachability import Reachability
 from lynxchute.relay.dialect import Dialect, Dispatch, Verdict
 from lynxchute.relay.exchange import Exchange
@@ -147,6 +148,10 @@
         """Note that a stream has paused for longer than is on time."""
         self._generations.note_paused(answer.run_id, answer.entry.upstream.id)
 
+    def note_broken(self, progress: Progress) -> None:
+        """Count a run that broke off."""
+        self._metrics.broken_runs.labels(progress.value).inc()
+
     async def _choose(self, exchange: Exchange) -> Choice:
         patience = exchange.route.latency_objective * WAIT_SHARE
         until = min(self._clock() + patience, exchange.ends_at)
@@ -220,6 +225,8 @@
         except ExchangeFailed as error:
             entry.open_sends.discard(send)
             fate = Fate.BROKEN if error.sent else Fate.UNREACHED
+            if fate is Fate.BROKEN:
+                self.note_broken(Progress.UNANSWERED)
             if fate is Fate.UNREACHED and error.is_silence:
                 upstream = entry.upstream
                 self._reachability.note_silent(
@@ -317,6 +324,7 @@
             "a send gave no answer",
             request_id=exchange.call.request_id,
             upstream=entry.upstream.id,
+            content=exchange.content_id,
             send=exchange.sends,
             fate=fate.value,
             reason=reason,
--- a/lynxchute/telemetry/metrics.py
+++ b/lynxchute/telemetry/metrics.py
@@ -26,6 +26,8 @@
         Requests refused for want of tokens though the fleet had as many unused.
     sends
         Sends to upstreams by how they ended.
+    broken_runs
+        Runs that broke off, by how far the upstream had come with them.
     request_seconds, first_byte_seconds
         From a request's first byte to the end of its answer, and to the first
         byte of it.
@@ -47,6 +49,9 @@
             "refusals_with_tokens", "Refused for tokens that others had."
         )
         self.sends = self._counter("sends", "Sends to upstreams.", "fate")
+        self.broken_runs = self._counter(
+            "broken_runs", "Runs that broke off.", "progress"
+        )
         self.request_seconds = self._histogram("request", "Whole requests.")
         self.first_byte_seconds = self._histogram("first_byte", "First bytes.")
         self.reserve_seconds = self._histogram("reserve", "Reservations of tokens.")
