--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -53,6 +53,10 @@
     reached_at
         The port that it registers, where a relay stands before it; 0 for its
         own.
+    deadly_bodies
+        Requests that end the process as soon as it works on them, by body.
+    crashes
+        How often that has happened.
     """
 
     def __init__(
@@ -75,10 +79,13 @@
         self.state = "ready"
         self.port = 0
         self.reached_at = 0
+        self.deadly_bodies: set[bytes] = set()
+        self.crashes = 0
         self.connections = 0
         self.started_ms: int | None = int(time.time() * 1000)
         self._is_dark = False
         self._server: asyncio.Server | None = None
+        self._ending: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         # Held, since a connection that nobody holds is closed.
         self._dark_writers: list[asyncio.StreamWriter] = []
@@ -115,6 +122,14 @@
         self._is_dark = False
         await self.start(self.port)
 
+    async def start_anew(self, store: PlatformStoreStandin) -> None:
+        """Start as another process at the same address, under an id of its own."""
+        await store.drop(UPSTREAM_TABLE, self.id)
+        self.id = f"i-{next(_ids):06x}"
+        self.started_ms = int(time.time() * 1000)
+        await self.start(self.port)
+        await self.register(store)
+
     async def register(self, store: PlatformStoreStandin) -> None:
         """Write its entry."""
         entry: dict[str, object] = {
@@ -172,6 +187,8 @@
             expected = run.headers.get(names.EXPECTED_UPSTREAM.lower(), self.id)
             if expected != self.id:
                 fault = Fault.MOVED
+            elif run.body in self.deadly_bodies:
+                fault = Fault.CRASH
             exchange = UpstreamExchange(
                 self.id,
                 self.runs,
@@ -184,9 +201,16 @@
                 writer,
             )
             if not await exchange.answer():
+                if fault is Fault.CRASH:
+                    self._crash()
                 return
             protocol.start_next_cycle()
 
+    def _crash(self) -> None:
+        """End the process; every connection goes with it."""
+        self.crashes += 1
+        self._ending = asyncio.create_task(self.stop())
+
     async def _tell(
         self, protocol: h11.Connection, writer: asyncio.StreamWriter
     ) -> None:
--- a/lynxchute/standins/upstream_exchange.py
+++ b/lynxchute/standins/upstream_exchange.py
@@ -12,6 +12,8 @@
 from lynxchute.standins.upstream_run import SILENT_FAULTS, Fault, Run
 
 KEEP_ALIVE_SECONDS = 10
+# Seconds from the head of an answer to the end of a process that its request ends.
+CRASH_SECONDS = 0.04
 
 
 @attrs.define
@@ -47,6 +49,8 @@
         self.runs.append(self.run)
         if fault in SILENT_FAULTS:
             return await self._say_nothing_of_use()
+        if fault is Fault.CRASH:
+            return await self._begin_only()
         if fault is Fault.FAIL:
             await self._plain(500, b"failed")
             return True
@@ -67,6 +71,14 @@
             await self.writer.drain()
         return False
 
+    async def _begin_only(self) -> bool:
+        """Work on the request until the process ends."""
+        if self.events:
+            self._begin_stream()
+            await self.writer.drain()
+        await asyncio.sleep(CRASH_SECONDS)
+        return False
+
     async def _answer_plain(self) -> bool:
         if self.fault is Fault.CUT:
             self._write_raw(b"half of it", self.run.request_id, declared=400)
@@ -108,9 +120,7 @@
         return False
 
     async def _stream(self) -> bool:
-        headers = [*self._headers(), ("Content-Type", "text/event-stream")]
-        headers.append(("Transfer-Encoding", "chunked"))
-        self._send(h11.Response(status_code=200, headers=headers))
+        self._begin_stream()
         for number in range(self.run.first_event, self.events + 1):
             await asyncio.sleep(self.event_delay)
             if self._router_left():
@@ -129,6 +139,11 @@
         await self.writer.drain()
         return True
 
+    def _begin_stream(self) -> None:
+        headers = [*self._headers(), ("Content-Type", "text/event-stream")]
+        headers.append(("Transfer-Encoding", "chunked"))
+        self._send(h11.Response(status_code=200, headers=headers))
+
     def _router_left(self) -> bool:
         closing = self.writer.transport.is_closing()
         return closing or self.reader.at_eof() or self.reader.exception() is not None
--- a/lynxchute/standins/upstream_run.py
+++ b/lynxchute/standins/upstream_run.py
@@ -42,6 +42,8 @@
         Say that another upstream has the address.
     EARLY
         Decline before the body has been read.
+    CRASH
+        Begin to run it, and end with everything that is open.
     """
 
     DECLINE = "decline"
@@ -58,6 +60,7 @@
     UNSIGNED = "unsigned"
     MOVED = "moved"
     EARLY = "early"
+    CRASH = "crash"
 
 
 @attrs.define(eq=False)
