Go by a clock that counts a suspension, in the event loop too

Cause: a suspended VM's monotonic clock stands still, and everything was dated by it: callers' deadlines, the age of the configuration, kept connections, windows of repeats. Ruled out: noticing a suspension by comparing two clocks and repairing each place (a place is forgotten); the time of day (it jumps). Change: lynxchute.clock.steady_seconds (CLOCK_BOOTTIME) takes the place of time.monotonic everywhere, SteadyEventLoop runs asyncio's timers by it and sleeps 0.1 s at most, since the kernel's sleep does not count a suspension. docs/design/clocks.md has a row for each lease, deadline and timeout. The soak's every other router has a monotonic clock that stands still while it is stopped, and a caller whose request ends upstreams. Conclusion: to every decision a suspension is now what a stopped process is.

--- a/lynxchute/bench/slopes.py
+++ b/lynxchute/bench/slopes.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import gc
 import json
 import resource
@@ -22,6 +21,7 @@
 
 from lynxchute.bench.memory_rows import MemoryRows
 from lynxchute.budgets import DemandPolicy, Ledger
+from lynxchute.clock import steady_seconds
 from lynxchute.config.document import (
     AccountDocument,
     FleetDocument,
@@ -32,6 +32,7 @@
     Version,
 )
 from lynxchute.config.from_document import configuration_of
+from lynxchute.event_loop import run as run_loop
 from lynxchute.fleet.client import HttpPeers
 from lynxchute.fleet.members import Member, Members
 from lynxchute.fleet.message import Message, from_json, to_json
@@ -106,7 +107,7 @@
 
     def run(self) -> Exchange:
         """Measure; both ends run in this process, so halve the time for one."""
-        asyncio.run(self._run())
+        run_loop(self._run())
         return self
 
     async def _run(self) -> None:
@@ -138,7 +139,7 @@
 def _peers(port: int) -> HttpPeers:
     members = Members(Member("a", "x", "1", "127.0.0.1:1"))
     members.put(Member("b", "x", "2", f"127.0.0.1:{port}"))
-    return HttpPeers(members, lambda: "0" * 48, time.monotonic, LinkMeter(1e6))
+    return HttpPeers(members, lambda: "0" * 48, steady_seconds, LinkMeter(1e6))
 
 
 def reserve() -> Exchange:
--- a/lynxchute/bench/stream.py
+++ b/lynxchute/bench/stream.py
@@ -18,6 +18,7 @@
 from absl import logging
 
 from lynxchute.bench.base import resident_kb
+from lynxchute.event_loop import run as run_loop
 from lynxchute.http import HttpClient
 from lynxchute.standins.deployment import MODEL, Deployment, Shape, caller_key
 
@@ -253,7 +254,7 @@
         Streams at once for the token events.
     """
     logging.set_verbosity(logging.ERROR)
-    asyncio.run(_measure(requests, streams))
+    run_loop(_measure(requests, streams))
 
 
 def main() -> None:
--- a/lynxchute/daemon.py
+++ b/lynxchute/daemon.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-import asyncio
 import os
 import sys
-import time
 from pathlib import Path
 
 import defopt
 
 from lynxchute.application import Ending, end_on_signals
+from lynxchute.clock import steady_seconds
+from lynxchute.event_loop import run as run_loop
 from lynxchute.router import RouterApplication
 from lynxchute.settings import RouterSettings, load_router_settings
 from lynxchute.telemetry import log_event, log_to_stdout
@@ -52,14 +52,14 @@
     check
         Only check the settings.
     """
-    started_at = time.monotonic()
+    started_at = steady_seconds()
     loaded = read_settings(settings)
     if check:
         print(f"{settings}: in order")
         return
     log_to_stdout(vm=loaded.vm)
     log_event("started", data_centre=loaded.data_centre, pid=os.getpid())
-    asyncio.run(serve(loaded, started_at))
+    run_loop(serve(loaded, started_at))
     log_event("ended")
 
 
--- a/lynxchute/demo.py
+++ b/lynxchute/demo.py
@@ -14,6 +14,7 @@
 import defopt
 from absl import logging
 
+from lynxchute.event_loop import run as run_loop
 from lynxchute.relay.refusal import Run
 from lynxchute.standins.callers import Callers, Sent
 from lynxchute.standins.counts import (
@@ -160,7 +161,7 @@
         Requests a second.
     """
     logging.set_verbosity(logging.ERROR)
-    sys.exit(asyncio.run(_run(rate)))
+    sys.exit(run_loop(_run(rate)))
 
 
 def main() -> None:
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -6,13 +6,13 @@
 import random
 import secrets
 import socket
-import time
 from collections.abc import Callable
 
 import attrs
 
 from lynxchute.application import Application, Component
 from lynxchute.budgets import DemandPolicy, Ledger
+from lynxchute.clock import steady_seconds
 from lynxchute.config import EngineTraits
 from lynxchute.containment import Containment
 from lynxchute.containment.judge import ROW_KEY
@@ -102,11 +102,11 @@
         self.settings = settings
         self.metrics = Metrics()
         meter = LinkMeter(settings.link_mbps)
-        self.load = RouterLoad(meter, time.monotonic)
+        self.load = RouterLoad(meter, steady_seconds)
         reachability = Reachability(settings.data_centre)
         self.members = Members(_own_member(settings), reachability)
         self.peers = HttpPeers(
-            self.members, lambda: self.registry.secret, time.monotonic, meter
+            self.members, lambda: self.registry.secret, steady_seconds, meter
         )
         store = RelayedStore(
             CountedStore(
@@ -152,7 +152,7 @@
             platform.store,
             self.members.homes,
             settled=self.registry.settled,
-            started_at=time.monotonic() if started_at is None else started_at,
+            started_at=steady_seconds() if started_at is None else started_at,
             before_first_write=self.final_uses.recall,
         )
         self.configurations.listeners.append(self.keeper.configure)
@@ -173,9 +173,9 @@
             self._traits_of,
             engines,
             meter,
-            time.monotonic,
+            steady_seconds,
         )
-        silence = SilenceWatch(self.directory, engines, reachability, time.monotonic)
+        silence = SilenceWatch(self.directory, engines, reachability, steady_seconds)
         scheduler.serve(self.peer_server)
         self.directory.listeners.append(scheduler.look)
         self.directory.start_listeners.append(scheduler.forget)
@@ -188,7 +188,7 @@
             platform.store,
             self.directory,
             self.metrics,
-            time.monotonic,
+            steady_seconds,
         )
         self.containment.serve(self.peer_server)
         self.registry.takers_by_key[ROW_KEY] = self.containment.take_row
@@ -203,7 +203,7 @@
             self.metrics,
             reachability,
             self.containment,
-            time.monotonic,
+            steady_seconds,
         )
         self.relay = Relay(
             platform.dialect,
@@ -211,7 +211,7 @@
             budgets,
             sender,
             self.metrics,
-            time.monotonic,
+            steady_seconds,
         )
         self.callers = HttpServer(
             self.handle, limits=self._limits, check_head=self._check_head, meter=meter
@@ -262,7 +262,7 @@
         Callers are sent elsewhere only once the platform has seen twice that
         this router is not ready; until then their requests are served.
         """
-        started = time.monotonic()
+        started = steady_seconds()
         log_event("stopping", open_requests=self.relay.open_requests)
         self.callers.announce_close()
         await self.registry.announce(self.members.leave())
@@ -274,8 +274,8 @@
         await self.balance.hand_over()
         serve_until = started + STILL_SERVING_SECONDS
         end = started + self.settings.bounds.stop - STOP_MARGIN_SECONDS
-        while time.monotonic() < end:
-            if time.monotonic() >= serve_until:
+        while steady_seconds() < end:
+            if steady_seconds() >= serve_until:
                 self.admission.stopping = True
                 self.callers.close_idle()
                 if not self.relay.open_requests:
@@ -283,7 +283,7 @@
             await asyncio.sleep(DRAIN_STEP_SECONDS)
         await self.settlements.flush()
         await self.balance.hand_over()
-        if not await self.keeper.close(time.monotonic() + CLOSE_SECONDS):
+        if not await self.keeper.close(steady_seconds() + CLOSE_SECONDS):
             await self.final_uses.announce()
         log_event("stopped", open_requests=self.relay.open_requests)
 
--- a/lynxchute/edge/configurations.py
+++ b/lynxchute/edge/configurations.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 
 from lynxchute.application import Component
+from lynxchute.clock import steady_seconds
 from lynxchute.config import Configuration
 from lynxchute.edge.platform import Platform
 from lynxchute.relay.admission import ConfigurationSource
@@ -73,11 +73,11 @@
 
     def unconfirmed_for(self) -> float:
         """Return the seconds since the store last confirmed the version."""
-        return self.feed.silent_for(time.monotonic())
+        return self.feed.silent_for(steady_seconds())
 
     async def arrival(self) -> None:
         """Wait for the first version, no longer than a start takes."""
-        left = self._started_at + ARRIVAL_SECONDS - time.monotonic()
+        left = self._started_at + ARRIVAL_SECONDS - steady_seconds()
         try:
             async with asyncio.timeout(max(left, 0.0)):
                 await self._arrived.wait()
@@ -95,7 +95,7 @@
 
     async def start(self) -> None:
         """Begin to follow."""
-        self._started_at = time.monotonic()
+        self._started_at = steady_seconds()
         await self.feed.start()
 
     async def stop(self) -> None:
--- a/lynxchute/edge/state.py
+++ b/lynxchute/edge/state.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING, Any
 
+from lynxchute.clock import steady_seconds
+
 if TYPE_CHECKING:
     from lynxchute.edge.application import EdgeApplication
 
 
 def state_of(router: EdgeApplication) -> dict[str, Any]:
     """Return a router's state as JSON values; ages are in seconds."""
-    now = time.monotonic()
+    now = steady_seconds()
     current = router.configurations.current
     return {
         "vm": router.settings.vm,
--- a/lynxchute/edge/upstreams.py
+++ b/lynxchute/edge/upstreams.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import time
-
 from lynxchute.application import Component
+from lynxchute.clock import steady_seconds
 from lynxchute.edge.platform import Platform
 from lynxchute.http import ClientPool
 from lynxchute.store import Row, TableFeed
@@ -70,10 +69,10 @@
         await self.feed.stop()
 
     def _take(self, row: Row) -> None:
-        self._is_changed = self._take_row(row, time.monotonic()) or self._is_changed
+        self._is_changed = self._take_row(row, steady_seconds()) or self._is_changed
 
     def _note_page(self) -> None:
-        now = time.monotonic()
+        now = steady_seconds()
         for upstream in self._directory.forget(now - FORGET_AFTER):
             self._clients.drop(upstream.address)
         if self._is_changed:
--- a/lynxchute/fleet/relayed_store.py
+++ b/lynxchute/fleet/relayed_store.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
+from lynxchute.clock import steady_seconds
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Members
 from lynxchute.fleet.message import Message
@@ -75,7 +75,7 @@
         direct: Store,
         members: Members,
         peers: Peers,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = steady_seconds,
     ) -> None:
         self.clock = direct.clock
         self._direct = direct
--- a/lynxchute/http/link_meter.py
+++ b/lynxchute/http/link_meter.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import attrs
 
+from lynxchute.clock import steady_seconds
+
 # Bytes on the wire for each byte of payload: heads of packets and their
 # acknowledgements, for packets of about a kilobyte.
 WIRE_OVERHEAD = 1.08
@@ -65,7 +66,7 @@
     """
 
     def __init__(
-        self, mbps: float, clock: Callable[[], float] = time.monotonic
+        self, mbps: float, clock: Callable[[], float] = steady_seconds
     ) -> None:
         bytes_per_s = mbps * 1e6 / 8
         self._sending = _Queue(bytes_per_s)
--- a/lynxchute/operators/client.py
+++ b/lynxchute/operators/client.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import getpass
 import json
 import os
@@ -24,6 +23,7 @@
 
 from lynxchute.config.role import Role
 from lynxchute.edge.platform import Platform
+from lynxchute.event_loop import run as run_loop
 from lynxchute.http import ExchangeFailed, HttpClient
 from lynxchute.operators import runner
 from lynxchute.operators.collections import COLUMNS_BY_COLLECTION
@@ -82,7 +82,7 @@
 
         A statement that may have reached a router is sent to no other one.
         """
-        return asyncio.run(self._run(statement))
+        return run_loop(self._run(statement))
 
     async def _run(self, statement: str) -> dict[str, Any] | None:
         for address in self._routers:
@@ -120,7 +120,7 @@
 
     def run(self, statement: str) -> dict[str, Any] | None:
         """Return the answer to a statement."""
-        return asyncio.run(self._run(statement))
+        return run_loop(self._run(statement))
 
     async def _run(self, statement: str) -> dict[str, Any]:
         platform = self._make_platform()
--- a/lynxchute/operators/collections.py
+++ b/lynxchute/operators/collections.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import attrs
 
 from lynxchute.budgets.rows import HOLDERS_TABLE, TOTALS_TABLE, HolderRow, Totals
+from lynxchute.clock import steady_seconds
 from lynxchute.config import Configuration
 from lynxchute.config.document import Version
 from lynxchute.edge.platform import Platform
@@ -119,7 +119,7 @@
         return _Grants(
             {row.id.key: Totals.decode(row.value) for row in totals.rows},
             holders,
-            self._store.clock.earliest_ms(time.monotonic()),
+            self._store.clock.earliest_ms(steady_seconds()),
         )
 
     async def _holder_parts(self) -> list[str]:
--- a/lynxchute/platform/__main__.py
+++ b/lynxchute/platform/__main__.py
@@ -3,14 +3,15 @@
 import gc
 import signal
 import sys
-import time
+
+from lynxchute.clock import steady_seconds
 
 EXIT_SETTINGS = 2
 
 
 def main() -> None:
     """Run a router, deaf to SIGHUP until it has loaded what answers it."""
-    started_at = time.monotonic()
+    started_at = steady_seconds()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Nothing that is loaded is let go of again: looking for that takes 34 of the 1,105
     # million instructions of a start.
--- a/lynxchute/platform/daemon.py
+++ b/lynxchute/platform/daemon.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-import asyncio
 import os
 import socket
 import time
 from pathlib import Path
 
 from lynxchute.application import Ending, end_on_signals
+from lynxchute.clock import steady_seconds
 from lynxchute.edge.application import EdgeApplication
 from lynxchute.edge.platform import Platform
 from lynxchute.edge.settings import EdgeSettings
+from lynxchute.event_loop import run as run_loop
 from lynxchute.platform import names
 from lynxchute.platform.configuration import decode_configuration
 from lynxchute.platform.dialect import PlatformDialect
@@ -82,8 +83,8 @@
         "started",
         data_centre=settings.data_centre,
         pid=os.getpid(),
-        seconds=round(time.monotonic() - started_at, 3),
+        seconds=round(steady_seconds() - started_at, 3),
         processor_seconds=round(time.process_time(), 3),
     )
-    asyncio.run(serve(settings, path, callers, started_at, log))
+    run_loop(serve(settings, path, callers, started_at, log))
     log_event("ended")
--- a/lynxchute/spending/balance.py
+++ b/lynxchute/spending/balance.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import secrets
-import time
 
 import attrs
 
 from lynxchute.application import Loop
+from lynxchute.clock import steady_seconds
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Member, Members
 from lynxchute.fleet.messages import GiveRequest
@@ -79,7 +79,7 @@
 
     async def _fill(self, account: str) -> None:
         share = self._ledger.shares_by_account[account]
-        demand = share.demand.rate(time.monotonic())
+        demand = share.demand.rate(steady_seconds())
         at_hand = share.terms.granted + share.borrowed - share.used
         if demand <= 0 or at_hand >= demand * LOW_SECONDS:
             return
--- a/lynxchute/spending/keeper.py
+++ b/lynxchute/spending/keeper.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Awaitable, Callable
 
 from lynxchute.application import Background
 from lynxchute.budgets import Ledger
 from lynxchute.budgets.plan import Plan
 from lynxchute.budgets.rows import HOLDERS_TABLE, TOTALS_TABLE
+from lynxchute.clock import steady_seconds
 from lynxchute.config import Configuration
 from lynxchute.spending.grant_pause import GrantPause
 from lynxchute.store import Outcome, OutcomeUnknown, Store, StoreUnavailable
@@ -88,7 +88,7 @@
             return False
         if self._writing_since is None:
             return True
-        return time.monotonic() - self._writing_since < SLOW_WRITE_SECONDS
+        return steady_seconds() - self._writing_since < SLOW_WRITE_SECONDS
 
     @property
     def is_opening(self) -> bool:
@@ -105,11 +105,11 @@
     @property
     def may_change_grants(self) -> bool:
         """Return whether a grant can be changed with the next write."""
-        return self.store_answers and self._grant_pause.is_over(time.monotonic())
+        return self.store_answers and self._grant_pause.is_over(steady_seconds())
 
     def now_ms(self) -> int:
         """Return a time that the store's clock has reached, in milliseconds."""
-        return self._store.clock.earliest_ms(time.monotonic())
+        return self._store.clock.earliest_ms(steady_seconds())
 
     def configure(self, configuration: Configuration) -> None:
         """Take what has been paid from a new version of the configuration."""
@@ -136,12 +136,12 @@
 
     async def release(self, account: str, needed: int, wanted: int) -> int:
         """Give tokens back for another router; return how many the store has."""
-        until = time.monotonic() + RELEASE_SECONDS
+        until = steady_seconds() + RELEASE_SECONDS
         release = self.ledger.release(
             account,
             needed=needed,
             wanted=wanted,
-            now=time.monotonic(),
+            now=steady_seconds(),
         )
         if release is None:
             return 0
@@ -217,7 +217,7 @@
         self._waiters.add(waiter)
         self.want()
         try:
-            async with asyncio.timeout(max(until - time.monotonic(), 0.0)):
+            async with asyncio.timeout(max(until - steady_seconds(), 0.0)):
                 await waiter
         except TimeoutError:
             return False
@@ -226,7 +226,7 @@
         return True
 
     async def _until_grants_change(self, until: float) -> None:
-        now = time.monotonic()
+        now = steady_seconds()
         await asyncio.sleep(max(min(self._grant_pause.until, until) - now, 0.0))
 
     def _is_hopeless(self, account: str, tokens: int) -> bool:
@@ -260,7 +260,7 @@
             async with asyncio.timeout(IDLE_SECONDS):
                 await self._stirred.wait()
         except TimeoutError:
-            now = time.monotonic()
+            now = steady_seconds()
             if now - self._looked_at > TEND_SECONDS and self.ledger.is_wanting(now):
                 self._is_look_due = True
             # A home that has spent all would not learn that the store is back, and
@@ -317,7 +317,7 @@
             return
         if not await self._look():
             return
-        now = time.monotonic()
+        now = steady_seconds()
         with_grants = ledger.is_closing or self._grant_pause.is_over(now)
         plan = ledger.plan(now_ms=self.now_ms(), now=now, with_grants=with_grants)
         self._writing_since = now
@@ -360,7 +360,7 @@
 
     def _put_grants_off(self) -> None:
         """Let others change grants first; lines are written meanwhile."""
-        seconds = self._grant_pause.begin(time.monotonic())
+        seconds = self._grant_pause.begin(steady_seconds())
         asyncio.get_running_loop().call_later(seconds, self.want)
 
     async def _look(self) -> bool:
@@ -375,7 +375,7 @@
         bool
             Whether the store is there.
         """
-        now = time.monotonic()
+        now = steady_seconds()
         is_due = self._is_short() and now - self._looked_at >= LOOK_SECONDS
         if not (is_due or self._is_look_due or self._failures):
             return True
--- a/lynxchute/spending/lenders.py
+++ b/lynxchute/spending/lenders.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import secrets
-import time
 
 import attrs
 
+from lynxchute.clock import steady_seconds
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Members
 from lynxchute.fleet.messages import LendReply, LendRequest, VoidLoan
@@ -95,10 +95,10 @@
             missing = tokens - available - gathered.released
             if missing <= 0:
                 break
-            if time.monotonic() >= until:
+            if steady_seconds() >= until:
                 gathered.silent.extend(lenders)
                 break
-            ahead = int(share.demand.rate(time.monotonic()) * AHEAD_SECONDS)
+            ahead = int(share.demand.rate(steady_seconds()) * AHEAD_SECONDS)
             asked, lenders = lenders[:LENDERS_AT_ONCE], lenders[LENDERS_AT_ONCE:]
             await asyncio.gather(
                 *(
--- a/lynxchute/spending/reservations.py
+++ b/lynxchute/spending/reservations.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import secrets
-import time
 
 import attrs
 
 from lynxchute.budgets import ReserveProblem
+from lynxchute.clock import steady_seconds
 from lynxchute.config import ClientAccount
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Members
@@ -161,15 +161,15 @@
         """Set tokens of the own grant aside, raising or borrowing what lacks."""
         keeper, ledger = self._keeper, self._ledger
         account, tokens = request.account, request.tokens
-        started = time.monotonic()
+        started = steady_seconds()
         share = ledger.share(account)
         share.is_home = self._members.homes(account)[:1] == [self._members.own.vm]
-        share.demand.add(tokens, time.monotonic())
+        share.demand.add(tokens, steady_seconds())
         if keeper.is_opening:
             await keeper.opened(started + OPEN_SECONDS)
         problem = self._try_here(request)
         if problem is ReserveProblem.SHORT and keeper.store_answers:
-            until = time.monotonic() + COVER_SECONDS
+            until = steady_seconds() + COVER_SECONDS
             if await keeper.cover(account, tokens, until):
                 problem = self._try_here(request)
         if problem is None:
@@ -195,7 +195,7 @@
         A request for which it does not is not held.
         """
         ledger, now_ms = self._ledger, self._keeper.now_ms
-        while (left := until - time.monotonic()) > 0:
+        while (left := until - steady_seconds()) > 0:
             wait_ms = ledger.ms_until(
                 request.account,
                 request.tokens,
@@ -218,7 +218,7 @@
         gathered = await self.lenders.gather(account, request.tokens, until)
         if gathered.released:
             self._keeper.look_soon()
-            until = time.monotonic() + COVER_SECONDS
+            until = steady_seconds() + COVER_SECONDS
             await self._keeper.cover(account, request.tokens, until)
         if self._try_here(request) is None:
             return ReserveReply(ReserveOutcome.RESERVED, "borrowed")
@@ -275,7 +275,7 @@
             released = await self._keeper.release(account, needed, wanted)
         if not released:
             if request.needed and self._keeper.store_answers:
-                until = time.monotonic() + LEND_COVER_SECONDS
+                until = steady_seconds() + LEND_COVER_SECONDS
                 await self._keeper.cover_own(account, request.needed, until)
             lent = self._ledger.lend(
                 request.loan_id,
@@ -283,7 +283,7 @@
                 needed=request.needed,
                 wanted=request.wanted,
                 now_ms=self._keeper.now_ms(),
-                now=time.monotonic(),
+                now=steady_seconds(),
             )
         self._keeper.touch()
         return LendReply(lent, released, self._ledger.unused(account))
--- a/lynxchute/store/counted.py
+++ b/lynxchute/store/counted.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Awaitable
 from typing import TypeVar
 
 from prometheus_client import Counter, Histogram
 
+from lynxchute.clock import steady_seconds
 from lynxchute.store.rows import Changes, Outcome, Snapshot, Write
 from lynxchute.store.store import (
     HistoryLost,
@@ -68,11 +68,11 @@
         self._store.close()
 
     async def _timed(self, call: str, answer: Awaitable[ResultT]) -> ResultT:
-        started = time.monotonic()
+        started = steady_seconds()
         try:
             return await self._counted(call, answer)
         finally:
-            self._seconds.observe(time.monotonic() - started)
+            self._seconds.observe(steady_seconds() - started)
 
     async def _counted(self, call: str, answer: Awaitable[ResultT]) -> ResultT:
         end = "cancelled"
--- a/lynxchute/store/feed.py
+++ b/lynxchute/store/feed.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 
 import attrs
 from absl import logging
 
 from lynxchute.application import Background
+from lynxchute.clock import steady_seconds
 from lynxchute.store.rows import Changes, Row
 from lynxchute.store.store import HistoryLost, Store, StoreUnavailable
 
@@ -86,7 +86,7 @@
         times: FeedTimes,
         on_row: Callable[[Row], None],
         on_page: Callable[[], None] = lambda: None,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = steady_seconds,
     ) -> None:
         super().__init__()
         self.table = table
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -15,6 +15,7 @@
 EVENT_DELAY = 0.01
 # Versions whose own route is still there.
 ROUTES_KEPT = 50
+ROUTER_MODULES = ("lynxchute.platform", "tests.suspendable_router")
 
 
 @attrs.define(eq=False)
@@ -119,6 +120,8 @@
             store_link.port,
             peers_at=peers_port,
             peers_reached_at=peer_link.port,
+            # To every other VM a pause is a suspension, to the others a freeze.
+            module=ROUTER_MODULES[len(self.routers_by_vm) % 2],
         )
         caller_link = Link(f"127.0.0.1:{process.ports['front']}")
         await caller_link.start()
