Show operators the quarantine, and let them take a request out of it

Cause: a mended upstream can run what ended the one before, and nobody could say so before the quarantine lapses. Ruled out: a version of the configuration for it: the row is the fleet's own, and the judge must see it at once.

--- a/lynxchute/operators/collections.py
+++ b/lynxchute/operators/collections.py
@@ -15,6 +15,7 @@
 from lynxchute.fleet.members import Member
 from lynxchute.fleet.registry import ROUTER_PREFIX, TABLE
 from lynxchute.operators.history import ConfigurationHistory
+from lynxchute.operators.quarantine_row import QuarantineRow
 from lynxchute.store import StoreUnavailable
 from lynxchute.telemetry import log_event
 
@@ -87,6 +88,7 @@
             "budgets": self._budgets,
             "data_centres": self._data_centres,
             "grants": self._grants_rows,
+            "quarantine": QuarantineRow(platform.store).rows,
             "routes": self._routes,
             "upstreams": self._upstreams,
             "versions": self._versions,
@@ -256,6 +258,7 @@
     "budgets": ("account", "paid", "granted", "free", "used_at_most"),
     "data_centres": ("data_centre", "vms", "leaving"),
     "grants": ("vm", "account", "granted", "used_at_most", "age_s"),
+    "quarantine": ("content", "left_s", "times"),
     "routes": ("route", "host", "prefix", "kind", "services", "priority"),
     "upstreams": ("upstream", "service", "data_centre", "state", "address"),
     "versions": ("version", "operation", "operator"),
--- a/lynxchute/operators/language.py
+++ b/lynxchute/operators/language.py
@@ -16,6 +16,7 @@
     Condition,
     CreateAccount,
     DropAccount,
+    Release,
     SetDraining,
     SetService,
     Show,
@@ -81,7 +82,7 @@
     TopUpStatement(account='kanda', tokens=500, operation='t1')
     >>> print(parse("shaw budgets").error[0])
     column 1: 'shaw' cannot stand here. Did you mean 'show'? Expected: compare, \
-create, drain, drop, set, show, top, undrain.
+create, drain, drop, release, set, show, top, undrain.
     """
     if len(text) > MAX_LENGTH:
         problem = f"A statement has at most {MAX_LENGTH} characters."
@@ -170,6 +171,9 @@
     def set_upstream(self, items: list[Any]) -> SetService:
         return SetService(str(items[0]), str(items[1]), items[2] or "")
 
+    def release(self, items: list[Any]) -> Release:
+        return Release(str(items[0]))
+
     def compare(self, items: list[Any]) -> Compare:
         return Compare(int(items[0]), int(items[1]))
 
@@ -181,6 +185,8 @@
             return _show_text(statement)
         case Compare(first, second):
             return f"compare version {first} with {second}"
+        case Release(content):
+            return f"release request {content}"
         case TopUpStatement(account, tokens, operation):
             text = f"top up {account} by {tokens}"
         case SetDraining(kind, name, draining, operation):
--- a/lynxchute/operators/runner.py
+++ b/lynxchute/operators/runner.py
@@ -15,10 +15,12 @@
 from lynxchute.operators.collections import COLUMNS_BY_COLLECTION, STORE, Collections
 from lynxchute.operators.history import ConfigurationHistory, Order
 from lynxchute.operators.language import parse, to_text
+from lynxchute.operators.quarantine_row import QuarantineRow
 from lynxchute.operators.query import nearest, run_query
 from lynxchute.operators.statements import (
     Command,
     Compare,
+    Release,
     SetDraining,
     Show,
     Statement,
@@ -75,6 +77,7 @@
     def __init__(self, platform: Platform) -> None:
         self._collections = Collections(platform)
         self._history = ConfigurationHistory(platform.store)
+        self._quarantine = QuarantineRow(platform.store)
 
     async def run(self, text: str, *, operator: str, role: Role) -> Answer:
         """Return the answer to a statement.
@@ -98,6 +101,8 @@
             return await self._show(statement)
         if isinstance(statement, Compare):
             return await self._compare(statement)
+        if isinstance(statement, Release):
+            return await self._release(statement)
         return await self._change(statement, operator)
 
     async def _show(self, show: Show) -> Answer:
@@ -133,6 +138,12 @@
             detail += f" Came first: {', '.join(accepted.before)}."
         return Answer(DONE, detail, operation)
 
+    async def _release(self, release: Release) -> Answer:
+        result = await self._quarantine.release(release.content)
+        if result.is_error():
+            return Answer(NOT_DONE, result.error)
+        return Answer(DONE, result.ok)
+
     async def _compare(self, statement: Compare) -> Answer:
         try:
             snapshot = await self._history.versions()
@@ -155,6 +166,6 @@
 def _role_for(statement: Statement) -> Role:
     if isinstance(statement, Show | Compare):
         return Role.READ
-    if isinstance(statement, TopUpStatement | SetDraining):
+    if isinstance(statement, TopUpStatement | SetDraining | Release):
         return Role.OPERATE
     return Role.CONFIGURE
--- a/lynxchute/operators/statements.py
+++ b/lynxchute/operators/statements.py
@@ -87,6 +87,19 @@
     operation: str = ""
 
 
+@attrs.frozen
+class Release:
+    """Send a request in quarantine to upstreams again.
+
+    Attributes
+    ----------
+    content
+        Names what it asks for, as the logs do.
+    """
+
+    content: str
+
+
 @attrs.frozen
 class Compare:
     """Compare two versions of the configuration."""
@@ -96,4 +109,4 @@
 
 
 Command = TopUpStatement | SetDraining | CreateAccount | DropAccount | SetService
-Statement = Show | Compare | Command
+Statement = Show | Compare | Release | Command
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -15,10 +15,13 @@
 import asyncio
 import contextlib
 
+from lynxchute.config.role import Role
 from lynxchute.containment.judge import HOME_KEY, ROW_ID
 from lynxchute.edge.state import state_of
 from lynxchute.fleet.client import PeerUnreachable
 from lynxchute.http import ExchangeFailed
+from lynxchute.operators.runner import StatementRunner
+from lynxchute.platform.daemon import make_platform
 from lynxchute.quarantine import Record
 from lynxchute.standins.platform_store import Outage
 from lynxchute.standins.upstream_run import Fault
@@ -311,6 +314,33 @@
 
         self.assertEqual([200] * 3, self.play(scenario, apps=3))
 
+    def test_an_operator_sees_it_and_has_it_sent_again(self):
+        async def scenario(deployment):
+            await end_until_known(deployment, VMS)
+            for upstream in deployment.upstreams:
+                upstream.deadly_bodies.clear()
+            await until(lambda: deployment.is_settled("a-1"))
+            platform = make_platform(deployment.settings["a-1"].store)
+            runner = StatementRunner(platform)
+
+            async def run(text, role=Role.OPERATE):
+                return await runner.run(text, operator="o", role=role)
+
+            shown = (await run("show quarantine", Role.READ)).rows
+            content = shown[0]["content"]
+            refused = await run(f"release request {content}", Role.READ)
+            self.assertEqual("not_done", refused.state)
+            released = await run(f"release request {content}")
+            self.assertEqual("done", released.state)
+            await asyncio.sleep(KNOWN_SECONDS)
+            platform.store.close()
+            return shown, await statuses_of(deployment, VMS)
+
+        shown, statuses = self.play(scenario)
+        self.assertEqual([1], [row["times"] for row in shown])
+        self.assertGreater(shown[0]["left_s"], 500)
+        self.assertEqual([200] * 3, statuses)
+
     def test_a_quarantined_request_costs_no_tokens_and_is_seen(self):
         async def scenario(deployment):
             await end_until_known(deployment, VMS)
