--- a/lynxchute/containment/containment.py
+++ b/lynxchute/containment/containment.py
@@ -6,12 +6,13 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable
 
-from lynxchute.application import Background
-from lynxchute.containment.judge import HOME_KEY, Judge
+from lynxchute.application import Component, Loop
+from lynxchute.containment.judge import HOME_KEY, ROW_KEY, Judge
 from lynxchute.containment.news import Newscast
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Member, Members
 from lynxchute.fleet.quarantine_messages import Noted, QuarantineNews, RunEvidence
+from lynxchute.fleet.registry import Registry
 from lynxchute.fleet.server import PeerServer
 from lynxchute.quarantine import (
     BrokenRun,
@@ -28,6 +29,8 @@
 # Evidence of this many seconds goes out together: all runs of an upstream break off
 # within some ms.
 GATHER_SECONDS = 0.05
+# Seconds between two looks whether another router judges by now.
+IDLE_SECONDS = 5.0
 # Evidence that waits at most, and that is kept: the open runs of several upstreams.
 MAX_WAITING = 300
 # Milliseconds for which evidence is kept for the next judge: one that ends had
@@ -37,12 +40,13 @@
 HOME_TRIES = 3
 # Contents that were reported from here, whose survival is worth telling.
 MAX_REPORTED = 500
-# Milliseconds for which having been served speaks for a request: an upstream that was
-# replaced since may end with what the one before could do.
-SPEAKS_FOR_MS = 60_000
+# Milliseconds for which having been served speaks for a request. What is asked for many
+# times a second is open at most ends, and is no cause while others run it; an upstream
+# that was replaced since may end with what the one before could run.
+SPEAKS_FOR_MS = 5_000
 
 
-class Containment(Background):
+class Containment:
     """Report runs that ended with their upstreams, and refuse what ends them.
 
     Parameters
@@ -75,7 +79,6 @@
         metrics: Metrics,
         clock: Callable[[], float],
     ) -> None:
-        super().__init__()
         news = Newscast(members, peers, clock)
         news.listeners.append(self._take_news)
         self.judge = Judge(members, store, news, metrics, clock)
@@ -92,13 +95,23 @@
         self._kept: deque[tuple[int, BrokenRun]] = deque(maxlen=MAX_WAITING)
         self._judged_by = members.own.incarnation
         self._survived: deque[str] = deque(maxlen=MAX_WAITING)
-        self._any_evidence = asyncio.Event()
+        self._loop = Loop("evidence", self._give_evidence, IDLE_SECONDS)
+
+    @property
+    def components(self) -> list[Component]:
+        """Return what runs in the background."""
+        return [self._loop, *self.judge.components]
 
     def serve(self, server: PeerServer) -> None:
         """Take what other routers tell."""
         server.answers_by_class[RunEvidence] = self._serve_evidence
         server.answers_by_class[QuarantineNews] = self._serve_news
 
+    def follow(self, registry: Registry) -> None:
+        """Take what stands in the store, and notice who judges."""
+        registry.takers_by_key[ROW_KEY] = self._take_row
+        registry.listeners.append(self._note_members)
+
     def seconds_left(self, content: str) -> float | None:
         """Return how long a request is still kept away; None where it is not."""
         now_ms = self.judge.now_ms()
@@ -118,7 +131,7 @@
         self._reported[send.content] = None
         if len(self._reported) > MAX_REPORTED:
             self._reported.popitem(last=False)
-        self._any_evidence.set()
+        self._loop.wake()
 
     def note_ended(self, send: OpenSend, *, is_whole: bool) -> None:
         """Note a run that has ended, with a whole answer or otherwise."""
@@ -130,34 +143,32 @@
             self._suspects.discard(send.content)
             self._tell_survived(send.content)
 
-    def note_members(self) -> None:
+    def _note_members(self) -> None:
         """Give a new judge what the one before was told."""
         if self._kept and self._current_judge().incarnation != self._judged_by:
-            self._any_evidence.set()
-
-    def take_row(self, row: Row) -> None:
-        """Take what the fleet knows from the store."""
-        result = Record.decode(b"{}" if row.deleted else row.value)
-        if row.deleted:
-            record = Record()
-        elif result.is_error():
-            log_event("quarantine not understood", problem=result.error)
-            return
-        else:
+            self._loop.wake()
+
+    def _take_row(self, row: Row) -> None:
+        """Take what the fleet knows; a row that is gone says that it is nothing."""
+        record = Record()
+        if not row.deleted:
+            result = Record.decode(row.value)
+            if result.is_error():
+                log_event("quarantine not understood", problem=result.error)
+                return
             record = result.ok
         self.judge.adopt(record, row.version)
         self._suspects = {suspect.content for suspect in record.suspects}
         new = self.quarantine.replace(record.quarantined, self.judge.now_ms())
         self._keep_away(new, source="store")
 
-    async def _run(self) -> None:
-        while True:
-            await self._any_evidence.wait()
-            await asyncio.sleep(GATHER_SECONDS)
-            self._any_evidence.clear()
-            broken, survived = tuple(self._broken), tuple(self._survived)
-            self._broken.clear()
-            self._survived.clear()
+    async def _give_evidence(self) -> None:
+        await asyncio.sleep(GATHER_SECONDS)
+        broken, survived = tuple(self._broken), tuple(self._survived)
+        self._broken.clear()
+        self._survived.clear()
+        is_new = self._kept and self._current_judge().incarnation != self._judged_by
+        if broken or survived or is_new:
             await self._report(broken, survived)
 
     async def _report(
@@ -237,5 +248,7 @@
         return withdrawn
 
     def _tell_survived(self, content: str) -> None:
+        kept = [item for item in self._kept if item[1].content != content]
+        self._kept = deque(kept, maxlen=MAX_WAITING)
         self._survived.append(content)
-        self._any_evidence.set()
+        self._loop.wake()
--- a/lynxchute/containment/judge.py
+++ b/lynxchute/containment/judge.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from lynxchute.application import Background, Tasks
+from lynxchute.application import Component, Loop, Tasks
 from lynxchute.containment.news import Newscast
 from lynxchute.fleet.members import Members
 from lynxchute.fleet.quarantine_messages import RunEvidence
@@ -42,7 +42,7 @@
 WRITE_TRIES = 3
 
 
-class Judge(Background):
+class Judge:
     """Decide which requests are kept from upstreams, and tell everyone.
 
     One router does it for the fleet, named by rendezvous hashing: it alone sees all
@@ -77,10 +77,11 @@
         metrics: Metrics,
         clock: Callable[[], float],
     ) -> None:
-        super().__init__()
         self.suspicion = Suspicion()
+        self._loop = Loop("quarantine", self._step, IDLE_SECONDS)
         self._tasks = Tasks()
-        self._any_evidence = asyncio.Event()
+        self._timer: asyncio.TimerHandle | None = None
+        self._telling: asyncio.Task[None] | None = None
         self._members = members
         self._store = store
         self._news = news
@@ -91,10 +92,10 @@
         self._is_writing = False
         self._write_at = 0.0
 
-    async def stop(self) -> None:
-        """End at once."""
-        await super().stop()
-        await self._tasks.stop()
+    @property
+    def components(self) -> list[Component]:
+        """Return what runs in the background."""
+        return [self._loop, self._tasks]
 
     def now_ms(self) -> int:
         """Return a time that the store's clock has reached, in milliseconds."""
@@ -112,7 +113,7 @@
             log_event("request cleared", content=content, quarantined=was_quarantined)
             if was_quarantined:
                 self._news.tell(cleared=(content,))
-        self._any_evidence.set()
+        self._loop.wake()
 
     def adopt(self, record: Record, version: int) -> None:
         """Take what stands in the store."""
@@ -120,25 +121,22 @@
             self._version = version
             self.suspicion.adopt(record)
 
-    async def _run(self) -> None:
-        while True:
-            try:
-                async with asyncio.timeout(self._pause()):
-                    await self._any_evidence.wait()
-            except TimeoutError:
-                # Nothing new; what is under way goes on.
-                pass
-            else:
-                self._any_evidence.clear()
-            self._step()
-            await self._news.send()
+    async def _step(self) -> None:
+        self._look()
+        if self._telling is None or self._telling.done():
+            # Ends are judged meanwhile: a router that is gone keeps a message waiting.
+            self._telling = self._tasks.spawn(self._news.send())
+        pause = self._pause()
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = asyncio.get_running_loop().call_later(pause, self._loop.wake)
 
     def _pause(self) -> float:
         if self.suspicion.has_ends() or self.suspicion.is_changed:
             return STEP_SECONDS
         return RETELL_SECONDS if self._news.is_waiting else IDLE_SECONDS
 
-    def _step(self) -> None:
+    def _look(self) -> None:
         now_ms = self.now_ms()
         for finding in self.suspicion.judge(now_ms):
             self._note(finding)
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -15,9 +15,9 @@
 from lynxchute.clock import steady_seconds
 from lynxchute.config import EngineTraits
 from lynxchute.containment import Containment
-from lynxchute.containment.judge import ROW_KEY
 from lynxchute.edge.configurations import Configurations
 from lynxchute.edge.exposition import Exposition
+from lynxchute.edge.limits import caller_limits
 from lynxchute.edge.listener import Listener
 from lynxchute.edge.platform import Platform
 from lynxchute.edge.reload import Reader, SettingsWatcher
@@ -41,6 +41,7 @@
 )
 from lynxchute.reachability import Reachability
 from lynxchute.relay.admission import Admission
+from lynxchute.relay.chooser import Chooser
 from lynxchute.relay.load import RouterLoad
 from lynxchute.relay.relay import Relay
 from lynxchute.relay.sender import UPSTREAM_TIMEOUTS, Sender
@@ -67,8 +68,6 @@
 # given up, so that grants can still be given back.
 STOP_MARGIN_SECONDS = 1.2
 DRAIN_STEP_SECONDS = 0.05
-# The part of the process's memory that bodies of requests may take.
-BODY_SHARE = 0.15
 
 
 class EdgeApplication(Application):
@@ -191,15 +190,16 @@
             steady_seconds,
         )
         self.containment.serve(self.peer_server)
-        self.registry.takers_by_key[ROW_KEY] = self.containment.take_row
-        self.registry.listeners.append(self.containment.note_members)
+        self.containment.follow(self.registry)
+        chooser = Chooser(
+            self.directory, scheduler, plain, reachability, steady_seconds
+        )
         sender = Sender(
-            self.directory,
+            chooser,
             platform.dialect,
             self.clients,
             self.retries,
             scheduler,
-            plain,
             self.metrics,
             reachability,
             self.containment,
@@ -228,8 +228,7 @@
             scheduler,
             silence.tasks,
             silence.loop,
-            self.containment,
-            self.containment.judge,
+            *self.containment.components,
             Listener(self.peer_server.server, settings.peers),
             # Whoever says that it is ready takes connections.
             Listener(self.callers, settings.callers, callers),
@@ -332,18 +331,7 @@
         return found.engine if found is not None else None
 
     def _limits(self) -> ServerLimits:
-        configuration = self.configurations.current
-        if configuration is None:
-            return ServerLimits(head_timeout=3.0, idle_timeout=15.0)
-        limits = configuration.limits
-        return ServerLimits(
-            max_head_bytes=limits.max_header_bytes,
-            max_body_bytes=limits.max_body_bytes,
-            max_buffered_bytes=int(self.settings.memory_mb * 1e6 * BODY_SHARE),
-            head_timeout=limits.header_timeout,
-            body_timeout=limits.header_timeout,
-            idle_timeout=limits.idle_timeout,
-        )
+        return caller_limits(self.configurations.current, self.settings.memory_mb)
 
     def _check_head(self, head: RequestHead) -> None:
         if not head.target.startswith("/"):
--- /dev/null
+++ b/lynxchute/edge/limits.py
@@ -0,0 +1,39 @@
+"""What callers may send, and how long they may take."""
+
+from __future__ import annotations
+
+from lynxchute.config import Configuration
+from lynxchute.http import ServerLimits
+
+# The part of the process's memory that bodies of requests may take.
+BODY_SHARE = 0.15
+# Seconds before the first configuration says them.
+FIRST_HEAD_TIMEOUT = 3.0
+FIRST_IDLE_TIMEOUT = 15.0
+
+
+def caller_limits(
+    configuration: Configuration | None, memory_mb: float
+) -> ServerLimits:
+    """Return the limits that a configuration sets.
+
+    Parameters
+    ----------
+    configuration
+        The version in force; None where there is none yet.
+    memory_mb
+        Memory of the process, in MB.
+    """
+    if configuration is None:
+        return ServerLimits(
+            head_timeout=FIRST_HEAD_TIMEOUT, idle_timeout=FIRST_IDLE_TIMEOUT
+        )
+    limits = configuration.limits
+    return ServerLimits(
+        max_head_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        max_buffered_bytes=int(memory_mb * 1e6 * BODY_SHARE),
+        head_timeout=limits.header_timeout,
+        body_timeout=limits.header_timeout,
+        idle_timeout=limits.idle_timeout,
+    )
--- /dev/null
+++ b/lynxchute/relay/chooser.py
@@ -0,0 +1,125 @@
+"""Choose the upstream that a request is sent to."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from lynxchute.reachability import Reachability
+from lynxchute.relay.exchange import Exchange
+from lynxchute.relay.refusal import Reason, Refusal, Run
+from lynxchute.telemetry import log_event
+from lynxchute.upstreams.directory import Directory, Entry
+from lynxchute.upstreams.placement import Choice, Placement
+
+# Share of the latency objective that a request waits for an upstream: a
+# refusal that comes within a quarter of it can still be made good.
+WAIT_SHARE = 0.2
+
+
+class Chooser:
+    """Choose upstreams for exchanges, or refuse what none can take.
+
+    Parameters
+    ----------
+    directory
+        The upstreams.
+    generations, plain
+        Choose among model engines, and among other upstreams.
+    reachability
+        Which data centres can be reached.
+    clock
+        Seconds on the loop's clock.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        generations: Placement,
+        plain: Placement,
+        reachability: Reachability,
+        clock: Callable[[], float],
+    ) -> None:
+        self._directory = directory
+        self._generations = generations
+        self._plain = plain
+        self._reachability = reachability
+        self._clock = clock
+        self._changed = asyncio.Event()
+        directory.listeners.append(self._note_change)
+
+    async def choose(self, exchange: Exchange) -> Choice:
+        """Return the upstream for an exchange, which may wait a little for one.
+
+        Raises
+        ------
+        Refusal
+            Where there is none, or all would answer too late.
+        """
+        patience = exchange.route.latency_objective * WAIT_SHARE
+        until = min(self._clock() + patience, exchange.ends_at)
+        while True:
+            choice = await self._find(exchange)
+            if choice is not None:
+                self._check_load(exchange, choice)
+                return choice
+            self._changed.clear()
+            try:
+                async with asyncio.timeout_at(until):
+                    await self._changed.wait()
+            except TimeoutError:
+                raise nothing_answered(exchange, self._clock()) from None
+
+    def _check_load(self, exchange: Exchange, choice: Choice) -> None:
+        """Refuse a request at once whose answer would begin too late for anyone.
+
+        Its caller would leave, and the engine would have read its prompt for
+        nothing.
+        """
+        if choice.expected_seconds <= exchange.longest_wait:
+            return
+        upstream_id = choice.entry.upstream.id
+        self._generations.note_ended(exchange.run_id, upstream_id, failed=False)
+        log_event(
+            "engines overloaded",
+            request_id=exchange.call.request_id,
+            expected_s=round(choice.expected_seconds, 3),
+            longest_wait_s=exchange.longest_wait,
+        )
+        title = "All engines are busy for longer than a caller waits."
+        raise exchange.refuse(Reason.OVERLOADED, title, self._clock())
+
+    async def _find(self, exchange: Exchange) -> Choice | None:
+        now = self._clock()
+        known = [
+            entry
+            for entry in self._directory.of_service(exchange.service, now)
+            if entry.upstream.id not in exchange.tried
+        ]
+        if not known:
+            return None
+        awake = [entry for entry in known if not entry.health.is_paused(now)]
+        near = [entry for entry in awake if self._is_in_reach(entry)]
+        # Where all are paused, the one that fails for the shortest time yet is
+        # worth more than a refusal.
+        candidates = near or awake or [min(known, key=lambda e: e.health.paused_until)]
+        generation = exchange.call.generation
+        placement = self._generations if generation is not None else self._plain
+        aims = exchange.aims(now)
+        return await placement.choose(exchange.run_id, generation, candidates, aims)
+
+    def _is_in_reach(self, entry: Entry) -> bool:
+        return not self._reachability.is_cut(entry.upstream.data_centre)
+
+    def _note_change(self) -> None:
+        self._changed.set()
+
+
+def nothing_answered(exchange: Exchange, now: float) -> Refusal:
+    """Return the final answer where no upstream gave one."""
+    if exchange.run is Run.NOT_RUN:
+        reason = Reason.DECLINED if exchange.sends else Reason.NO_UPSTREAM
+        title = "No upstream could take the request. Send it again."
+        return exchange.refuse(reason, title, now)
+    title = "The upstream gave no whole answer; the request may have run."
+    return exchange.refuse(Reason.BROKEN, title, now)
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -21,6 +21,7 @@
 from lynxchute.relay.events import EventsOutOfOrder, EventSplitter
 from lynxchute.relay.exchange import Exchange
 from lynxchute.relay.refusal import Reason, Refusal, Run
+from lynxchute.relay.request_log import RequestLog, used_tokens
 from lynxchute.relay.sender import Answer, Sender
 from lynxchute.telemetry import Metrics, log_event
 from lynxchute.upstreams.health import Fate
@@ -83,6 +84,7 @@
         self._budgets = budgets
         self._sender = sender
         self._metrics = metrics
+        self._log = RequestLog(metrics, clock)
         self._clock = clock
 
     @property
@@ -98,7 +100,7 @@
             request_id = call.request_id
             exchange = await self._admission.admit(call, respond)
         except Refusal as refusal:
-            self._note_refusal(request_id, refusal)
+            self._log.note_refusal(request_id, refusal)
             await refusal.send(respond)
             return
         outcome = "left"
@@ -106,7 +108,7 @@
             outcome = await self._serve(exchange)
         finally:
             self._admission.note_ended(exchange)
-            self._note_end(exchange, outcome)
+            self._log.note_end(exchange, outcome)
 
     async def _serve(self, exchange: Exchange) -> str:
         """Serve an admitted request; return the outcome in a word."""
@@ -318,67 +320,7 @@
         self._sender.note_begun(answer)
         await exchange.respond.start(answer.response.status, headers)
 
-    # Logs and metrics.
-
-    def _note_refusal(self, request_id: str, refusal: Refusal) -> None:
-        self._metrics.requests.labels("not admitted").inc()
-        self._metrics.refusals.labels(refusal.reason.value).inc()
-        log_event(
-            "request refused",
-            request_id=request_id,
-            reason=refusal.reason.value,
-            status=refusal.status,
-        )
-
-    def _note_end(self, exchange: Exchange, outcome: str) -> None:
-        seconds = self._clock() - exchange.received_at
-        first_byte = max(exchange.first_byte_at - exchange.received_at, 0.0)
-        self._metrics.requests.labels(outcome.partition(":")[0]).inc()
-        self._metrics.request_seconds.observe(seconds)
-        if first_byte:
-            self._metrics.first_byte_seconds.observe(first_byte)
-        account = exchange.account
-        log_event(
-            "request ended",
-            request_id=exchange.call.request_id,
-            content=exchange.content_id,
-            outcome=outcome,
-            status=exchange.respond.status,
-            run=exchange.run.value,
-            route=exchange.route.name,
-            account=account.name if account else "",
-            configuration=exchange.configuration.version,
-            configuration_age=round(exchange.configuration_age, 2),
-            upstreams=exchange.upstreams,
-            sends=exchange.sends,
-            events=exchange.events,
-            tokens=used_tokens(exchange),
-            seconds=round(seconds, 4),
-            first_byte=round(first_byte, 4),
-            longest_pause=round(exchange.longest_pause, 4),
-            objective=exchange.route.latency_objective,
-            max_pause=exchange.route.max_pause,
-        )
-
 
 def _is_stream(answer: Answer) -> bool:
     content_type = answer.response.headers.get("content-type", "")
     return answer.response.status == 200 and content_type.startswith(EVENT_STREAM)
-
-
-def used_tokens(exchange: Exchange) -> int:
-    """Return what a request has used of its budget, at most."""
-    generation = exchange.call.generation
-    if exchange.run is Run.NOT_RUN:
-        return 0
-    if generation is None:
-        return exchange.most_tokens
-    if exchange.told_tokens is not None:
-        # No upstream may charge more than was asked for.
-        return min(exchange.told_tokens, generation.most_tokens)
-    service = exchange.configuration.services_by_name.get(exchange.service)
-    engine = service.engine if service is not None else None
-    if engine is None:
-        return generation.most_tokens
-    delivered = exchange.events * engine.tokens_per_event
-    return generation.prompt_tokens + min(delivered, generation.max_output_tokens)
--- /dev/null
+++ b/lynxchute/relay/request_log.py
@@ -0,0 +1,85 @@
+"""Log and count how requests end."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from lynxchute.relay.exchange import Exchange
+from lynxchute.relay.refusal import Refusal, Run
+from lynxchute.telemetry import Metrics, log_event
+
+
+class RequestLog:
+    """Write a line for each request, and count it.
+
+    Parameters
+    ----------
+    metrics
+        Where ends are counted.
+    clock
+        Seconds on the loop's clock.
+    """
+
+    def __init__(self, metrics: Metrics, clock: Callable[[], float]) -> None:
+        self._metrics = metrics
+        self._clock = clock
+
+    def note_refusal(self, request_id: str, refusal: Refusal) -> None:
+        """Note a request that is not admitted."""
+        self._metrics.requests.labels("not admitted").inc()
+        self._metrics.refusals.labels(refusal.reason.value).inc()
+        log_event(
+            "request refused",
+            request_id=request_id,
+            reason=refusal.reason.value,
+            status=refusal.status,
+        )
+
+    def note_end(self, exchange: Exchange, outcome: str) -> None:
+        """Note the end of an admitted request."""
+        seconds = self._clock() - exchange.received_at
+        first_byte = max(exchange.first_byte_at - exchange.received_at, 0.0)
+        self._metrics.requests.labels(outcome.partition(":")[0]).inc()
+        self._metrics.request_seconds.observe(seconds)
+        if first_byte:
+            self._metrics.first_byte_seconds.observe(first_byte)
+        account = exchange.account
+        log_event(
+            "request ended",
+            request_id=exchange.call.request_id,
+            content=exchange.content_id,
+            outcome=outcome,
+            status=exchange.respond.status,
+            run=exchange.run.value,
+            route=exchange.route.name,
+            account=account.name if account else "",
+            configuration=exchange.configuration.version,
+            configuration_age=round(exchange.configuration_age, 2),
+            upstreams=exchange.upstreams,
+            sends=exchange.sends,
+            events=exchange.events,
+            tokens=used_tokens(exchange),
+            seconds=round(seconds, 4),
+            first_byte=round(first_byte, 4),
+            longest_pause=round(exchange.longest_pause, 4),
+            objective=exchange.route.latency_objective,
+            max_pause=exchange.route.max_pause,
+        )
+
+
+def used_tokens(exchange: Exchange) -> int:
+    """Return what a request has used of its budget, at most."""
+    generation = exchange.call.generation
+    if exchange.run is Run.NOT_RUN:
+        return 0
+    if generation is None:
+        return exchange.most_tokens
+    if exchange.told_tokens is not None:
+        # No upstream may charge more than was asked for.
+        return min(exchange.told_tokens, generation.most_tokens)
+    service = exchange.configuration.services_by_name.get(exchange.service)
+    engine = service.engine if service is not None else None
+    if engine is None:
+        return generation.most_tokens
+    delivered = exchange.events * engine.tokens_per_event
+    return generation.prompt_tokens + min(delivered, generation.max_output_tokens)
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 
 import attrs
@@ -17,11 +16,12 @@
 )
 from lynxchute.quarantine import Progress
 from lynxchute.reachability import Reachability
+from lynxchute.relay.chooser import Chooser, nothing_answered
 from lynxchute.relay.dialect import Dialect, Dispatch, Verdict
 from lynxchute.relay.exchange import Exchange
-from lynxchute.relay.refusal import Reason, Refusal, Run
+from lynxchute.relay.refusal import Reason, Run
 from lynxchute.telemetry import Metrics, log_event
-from lynxchute.upstreams.directory import Directory, Entry, OpenSend
+from lynxchute.upstreams.directory import Entry, OpenSend
 from lynxchute.upstreams.health import Fate
 from lynxchute.upstreams.placement import Choice, Placement
 from lynxchute.upstreams.retry_budget import RetryBudget
@@ -33,9 +33,6 @@
 # upstream; the outcome of a request that meets its reset is unknown, which
 # only a request that may run again can afford.
 FRESH_WITHIN = 0.25
-# Share of the latency objective that a request waits for an upstream: a
-# refusal that comes within a quarter of it can still be made good.
-WAIT_SHARE = 0.2
 UPSTREAM_TIMEOUTS = Timeouts(
     connect=CONNECT_TIMEOUT, first_byte=None, between_bytes=None, kept_idle=4.0
 )
@@ -60,20 +57,20 @@
 
 
 class Sender:
-    """Choose upstreams for exchanges and send them there.
+    """Send exchanges to upstreams, and again where that is allowed.
 
     Parameters
     ----------
-    directory
-        The upstreams.
+    chooser
+        Chooses the upstreams.
     dialect
         How to write a send and read an answer.
     clients
         Connections to the upstreams.
     retries
         How often requests may be sent again.
-    generations, plain
-        Choose among model engines, and among other upstreams.
+    generations
+        Is told of the runs of model engines.
     metrics
         Where the ends of sends are counted.
     reachability
@@ -86,29 +83,25 @@
 
     def __init__(
         self,
-        directory: Directory,
+        chooser: Chooser,
         dialect: Dialect,
         clients: ClientPool,
         retries: RetryBudget,
         generations: Placement,
-        plain: Placement,
         metrics: Metrics,
         reachability: Reachability,
         containment: Containment,
         clock: Callable[[], float],
     ) -> None:
-        self._directory = directory
+        self._chooser = chooser
         self._dialect = dialect
         self._clients = clients
         self._retries = retries
         self._generations = generations
-        self._plain = plain
         self._metrics = metrics
         self._reachability = reachability
         self._containment = containment
         self._clock = clock
-        self._changed = asyncio.Event()
-        directory.listeners.append(self._note_change)
 
     async def send(self, exchange: Exchange) -> Answer:
         """Return the first answer of an upstream to an exchange.
@@ -122,13 +115,13 @@
             self._retries.note_request(exchange.service, self._clock())
         while True:
             self.check_quarantine(exchange)
-            choice = await self._choose(exchange)
+            choice = await self._chooser.choose(exchange)
             answer = await self._try(exchange, choice)
             if answer is not None:
                 return answer
             exchange.tried.add(choice.entry.upstream.id)
             if exchange.sends and not self.may_send_again(exchange):
-                raise self._give_up(exchange)
+                raise nothing_answered(exchange, self._clock())
 
     def may_send_again(self, exchange: Exchange) -> bool:
         """Return whether an exchange may be sent once more, and count it."""
@@ -174,62 +167,6 @@
         """Note an answer that broke off, maybe since its upstream ended."""
         self._containment.note_broken(answer.entry.upstream, answer.send)
 
-    async def _choose(self, exchange: Exchange) -> Choice:
-        patience = exchange.route.latency_objective * WAIT_SHARE
-        until = min(self._clock() + patience, exchange.ends_at)
-        while True:
-            choice = await self._find(exchange)
-            if choice is not None:
-                self._check_load(exchange, choice)
-                return choice
-            self._changed.clear()
-            try:
-                async with asyncio.timeout_at(until):
-                    await self._changed.wait()
-            except TimeoutError:
-                raise self._give_up(exchange) from None
-
-    def _check_load(self, exchange: Exchange, choice: Choice) -> None:
-        """Refuse a request at once whose answer would begin too late for anyone.
-
-        Its caller would leave, and the engine would have read its prompt for
-        nothing.
-        """
-        if choice.expected_seconds <= exchange.longest_wait:
-            return
-        upstream_id = choice.entry.upstream.id
-        self._generations.note_ended(exchange.run_id, upstream_id, failed=False)
-        log_event(
-            "engines overloaded",
-            request_id=exchange.call.request_id,
-            expected_s=round(choice.expected_seconds, 3),
-            longest_wait_s=exchange.longest_wait,
-        )
-        title = "All engines are busy for longer than a caller waits."
-        raise exchange.refuse(Reason.OVERLOADED, title, self._clock())
-
-    async def _find(self, exchange: Exchange) -> Choice | None:
-        now = self._clock()
-        known = [
-            entry
-            for entry in self._directory.of_service(exchange.service, now)
-            if entry.upstream.id not in exchange.tried
-        ]
-        if not known:
-            return None
-        awake = [entry for entry in known if not entry.health.is_paused(now)]
-        near = [entry for entry in awake if self._is_in_reach(entry)]
-        # Where all are paused, the one that fails for the shortest time yet is
-        # worth more than a refusal.
-        candidates = near or awake or [min(known, key=lambda e: e.health.paused_until)]
-        generation = exchange.call.generation
-        placement = self._generations if generation is not None else self._plain
-        aims = exchange.aims(now)
-        return await placement.choose(exchange.run_id, generation, candidates, aims)
-
-    def _is_in_reach(self, entry: Entry) -> bool:
-        return not self._reachability.is_cut(entry.upstream.data_centre)
-
     async def _try(self, exchange: Exchange, choice: Choice) -> Answer | None:
         """Send once; return None where there was no answer to pass on."""
         entry = choice.entry
@@ -361,18 +298,6 @@
         entry.health.note(fate, self._clock())
         self._metrics.sends.labels(fate.value).inc()
 
-    def _give_up(self, exchange: Exchange) -> Refusal:
-        now = self._clock()
-        if exchange.run is Run.NOT_RUN:
-            reason = Reason.DECLINED if exchange.sends else Reason.NO_UPSTREAM
-            title = "No upstream could take the request. Send it again."
-            return exchange.refuse(reason, title, now)
-        title = "The upstream gave no whole answer; the request may have run."
-        return exchange.refuse(Reason.BROKEN, title, now)
-
-    def _note_change(self) -> None:
-        self._changed.set()
-
 
 def _fate_of(send: OpenSend, fate: Fate) -> Fate:
     """Return how a send ended as far as its upstream is to blame."""
--- /dev/null
+++ b/tests/test_containment.py
@@ -0,0 +1,235 @@
+"""How the fleet's routers tell one another of requests that end upstreams."""
+
+from lynxchute.containment.containment import MAX_WAITING, Containment
+from lynxchute.containment.news import MAX_NEWS, TELL_SECONDS, Newscast
+from lynxchute.fleet.client import Peers, PeerUnreachable
+from lynxchute.fleet.members import Member, Members
+from lynxchute.fleet.message import from_json, to_json
+from lynxchute.fleet.quarantine_messages import Noted, QuarantineNews, RunEvidence
+from lynxchute.http import AbortHandle
+from lynxchute.quarantine import BrokenRun, Progress, Quarantined
+from lynxchute.store import StoreClock
+from lynxchute.telemetry import Metrics
+from lynxchute.upstreams.directory import OUTLIVED_SECONDS, Directory, Entry, OpenSend
+from lynxchute.upstreams.upstream import Upstream
+from tests.support import AsyncTestCase
+
+ROUTERS = 195
+ITEM = Quarantined("q", since_ms=1, until_ms=600_000)
+ENGINE = Upstream("i-1", "pool", "10.0.0.1:80", "a", slots=64)
+
+
+def member(number):
+    return Member(f"vm-{number}", f"dc-{number % 5}", f"run-{number}", "10.0.0.1:7340")
+
+
+class CountingPeers(Peers):
+    """Take every message, but those to routers that are gone."""
+
+    def __init__(self):
+        self.messages = []
+        self.gone = set()
+
+    async def ask(self, vm, message):
+        # What comes over the wire is what was sent.
+        self.messages.append((vm, from_json(to_json(message), type(message))))
+        if vm in self.gone:
+            raise PeerUnreachable(vm)
+        return Noted()
+
+
+class FakeStore:
+    def __init__(self):
+        self.clock = StoreClock()
+        self.clock.observe(told_ms=1_000_000, now=0.0)
+
+
+class Fleet:
+    def __init__(self, routers=ROUTERS):
+        self.now = 0.0
+        self.members = Members(member(0))
+        for number in range(1, routers):
+            self.members.put(member(number))
+        self.peers = CountingPeers()
+
+
+class NewscastTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = Fleet()
+        self.news = Newscast(
+            self.fleet.members, self.fleet.peers, lambda: self.fleet.now
+        )
+
+    def test_each_router_is_told_once(self):
+        async def work():
+            self.news.tell(quarantined=(ITEM,))
+            for _ in range(3):
+                await self.news.send()
+
+        self.run_async(work())
+        told = [vm for vm, _ in self.fleet.peers.messages]
+        self.assertEqual(ROUTERS - 1, len(told))
+        self.assertEqual(len(told), len(set(told)))
+        self.assertFalse(self.news.is_waiting)
+
+    def test_who_was_gone_is_told_until_it_is_too_late(self):
+        async def work():
+            self.fleet.peers.gone.add("vm-7")
+            self.news.tell(cleared=("q",))
+            await self.news.send()
+            await self.news.send()
+            self.assertTrue(self.news.is_waiting)
+            self.assertEqual(ROUTERS, len(self.fleet.peers.messages))
+            self.fleet.now += TELL_SECONDS
+            await self.news.send()
+            self.assertFalse(self.news.is_waiting)
+
+        self.run_async(work())
+        self.assertEqual(ROUTERS, len(self.fleet.peers.messages))
+
+    def test_who_has_started_again_is_told_again(self):
+        async def work():
+            self.news.tell(quarantined=(ITEM,))
+            await self.news.send()
+            self.fleet.members.put(Member("vm-7", "dc-2", "run-new", "10.0.0.1:7340"))
+            await self.news.send()
+
+        self.run_async(work())
+        vm, message = self.fleet.peers.messages[-1]
+        self.assertEqual(("vm-7", QuarantineNews((ITEM,))), (vm, message))
+        self.assertEqual(ROUTERS, len(self.fleet.peers.messages))
+
+    def test_no_more_news_are_kept_than_fit(self):
+        for number in range(2 * MAX_NEWS):
+            self.news.tell(cleared=(f"q{number}",))
+        self.assertEqual(MAX_NEWS, len(self.news._news))
+
+
+class EvidenceTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = Fleet()
+
+    def containment(self):
+        directory = Directory()
+        directory.entries_by_id[ENGINE.id] = Entry(ENGINE)
+        return Containment(
+            self.fleet.members,
+            self.fleet.peers,
+            FakeStore(),
+            directory,
+            Metrics(),
+            lambda: self.fleet.now,
+        )
+
+    def send(self, content="q", progress=Progress.BEGUN):
+        return OpenSend(AbortHandle(), lambda: True, content, progress)
+
+    def evidence_of(self, work):
+        """Return what reaches the fleet's judge."""
+
+        async def report():
+            containment = self.containment()
+            work(containment)
+            await containment._give_evidence()
+            return containment
+
+        containment = self.run_async(report())
+        # At this size another router judges, or this one does.
+        messages = [message for _, message in self.fleet.peers.messages]
+        if not messages:
+            return containment.judge.suspicion.has_ends()
+        self.assertEqual([RunEvidence], [type(message) for message in messages])
+        return messages[0].broken
+
+    def test_all_runs_of_an_end_go_out_together(self):
+        def work(containment):
+            for number in range(64):
+                containment.note_broken(ENGINE, self.send(f"q{number}"))
+
+        self.assertEqual(64, len(self.evidence_of(work)))
+
+    def test_what_a_router_leaves_is_no_end(self):
+        def work(containment):
+            left = self.send()
+            left.leave()
+            containment.note_broken(ENGINE, left)
+
+        self.assertEqual(False, self.evidence_of(work))
+
+    def test_what_an_upstream_has_run_for_a_while_is_no_cause(self):
+        def work(containment):
+            long_run = self.send()
+            long_run.note_answering(self.fleet.now)
+            self.fleet.now += OUTLIVED_SECONDS
+            containment.note_broken(ENGINE, long_run)
+            young = self.send("young")
+            young.note_answering(self.fleet.now)
+            containment.note_broken(ENGINE, young)
+
+        expected = (BrokenRun("young", "i-1", Progress.ANSWERING),)
+        self.assertEqual(expected, self.evidence_of(work))
+
+    def test_what_was_just_served_here_is_no_cause(self):
+        def work(containment):
+            containment.note_ended(self.send(), is_whole=True)
+            containment.note_broken(ENGINE, self.send())
+
+        self.assertEqual(False, self.evidence_of(work))
+
+    def test_evidence_is_bounded(self):
+        def work(containment):
+            for number in range(2 * MAX_WAITING):
+                containment.note_broken(ENGINE, self.send(f"q{number}"))
+
+        self.assertEqual(MAX_WAITING, len(self.evidence_of(work)))
+
+    def test_the_next_judge_gets_what_the_first_one_got(self):
+        async def work():
+            containment = self.containment()
+            containment.note_broken(ENGINE, self.send())
+            await containment._give_evidence()
+            first, _ = self.fleet.peers.messages[-1]
+            self.fleet.members.remove(first)
+            await containment._give_evidence()
+            second, message = self.fleet.peers.messages[-1]
+            self.assertNotEqual(first, second)
+            self.assertEqual("q", message.broken[0].content)
+            # What has survived since is not told again.
+            containment.note_ended(self.send(), is_whole=True)
+            self.fleet.members.remove(second)
+            await containment._give_evidence()
+            _, message = self.fleet.peers.messages[-1]
+            self.assertEqual(RunEvidence((), ("q",)), message)
+
+        self.run_async(work())
+
+    def test_a_request_that_was_served_after_its_first_end_is_cleared(self):
+        async def work():
+            containment = self.containment()
+            since_ms = containment.judge.now_ms()
+            self.fleet.now += 1.0
+            containment.note_ended(self.send(), is_whole=True)
+            item = Quarantined("q", since_ms, since_ms + 600_000)
+            await containment._serve_news(QuarantineNews((item,)))
+            self.assertIsNone(containment.seconds_left("q"))
+            await containment._give_evidence()
+            _, message = self.fleet.peers.messages[-1]
+            self.assertEqual(("q",), message.survived)
+
+        self.run_async(work())
+
+    def test_quarantine_goes_on_by_the_stores_time_and_lapses(self):
+        async def work():
+            containment = self.containment()
+            until_ms = containment.judge.now_ms() + 5_000
+            await containment._serve_news(
+                QuarantineNews((Quarantined("q", 0, until_ms),))
+            )
+            left = containment.seconds_left("q")
+            self.assertTrue(4.9 < left <= 5.0, left)
+            self.fleet.now += 5.1
+            self.assertIsNone(containment.seconds_left("q"))
+
+        self.run_async(work())
