Tell ends apart of upstreams whose processes all have one name, and show it in the demonstration

Cause: on the product's own interface operators name the upstreams: each process of one has the same name, and tells no start. Two ends of it counted once, so that a service of one or two engines would never be rid of a request that ends them. Ruled out: taking each report for an end (routers report one end within 0.3 s of each other, and a service with two would be blamed twice for one). Change: such ends are told apart by two seconds; what a dialect's upstreams say decides (keeps_id). The demonstration has a question that ends engines, and a promise that none ends for it a second after the third.

--- a/lynxchute/config/from_document.py
+++ b/lynxchute/config/from_document.py
@@ -78,6 +78,7 @@
 def _upstream(item: UpstreamDocument, document: FleetDocument) -> Upstream:
     service = document.services_by_name[item.service]
     return Upstream(
+        keeps_id=True,
         id=item.name,
         service=item.service,
         address=item.address,
--- a/lynxchute/containment/containment.py
+++ b/lynxchute/containment/containment.py
@@ -125,7 +125,9 @@
             return
         if self._served.since(send.content, self.judge.now_ms() - SPEAKS_FOR_MS):
             return
-        run = BrokenRun(send.content, upstream.process, send.progress)
+        run = BrokenRun(
+            send.content, upstream.process, send.progress, upstream.is_start_known
+        )
         self._broken.append(run)
         self._kept.append((self.judge.now_ms(), run))
         self._reported[send.content] = None
--- a/lynxchute/demo.py
+++ b/lynxchute/demo.py
@@ -14,7 +14,10 @@
 import defopt
 from absl import logging
 
+from lynxchute.callers import names
+from lynxchute.config.from_document import CHAT_PATH
 from lynxchute.event_loop import run as run_loop
+from lynxchute.http import ExchangeFailed, HttpClient
 from lynxchute.relay.refusal import Run
 from lynxchute.standins.callers import Callers, Sent
 from lynxchute.standins.counts import (
@@ -22,9 +25,19 @@
     paid_by_account,
     served_by_account,
 )
-from lynxchute.standins.deployment import Deployment, Shape
+from lynxchute.standins.deployment import MODEL, Deployment, Shape, caller_key
 
 SCENE_SECONDS = 4.0
+# A question that ends each engine that begins to answer it, who asks it, how often, and
+# the seconds between.
+DEADLY_TEXT = "the question that no engine survives"
+DEADLY_ACCOUNT = "road-2"
+DEADLY_TIMES = 14
+DEADLY_PAUSE = 0.25
+# Ends after which it must be known to be their cause, and seconds in which all routers
+# must know it; what it ends later counts as broken.
+ENDS_KNOWN = 3
+KNOWN_SECONDS = 1.0
 SEED = 7
 
 
@@ -69,6 +82,7 @@
     "wrong_or_partial_answers",
     "run_twice",
     "not_run_but_ran",
+    "engines_ended_by_what_is_known",
 )
 
 
@@ -81,8 +95,8 @@
     )
 
 
-async def _play(deployment: Deployment, callers: Callers, rate: float) -> None:
-    """Go through the scenes."""
+async def _play(deployment: Deployment, callers: Callers, rate: float) -> int:
+    """Go through the scenes; return how many engines ended for want of knowledge."""
     _say("all is well")
     await callers.run(SCENE_SECONDS, rate)
     _say("kyu-c is cut off from the store and the others; 'coop' is topped up twice")
@@ -108,6 +122,57 @@
     deployment.set_cut("kyu-c", False)
     await deployment.start_router("kyu-a-1")
     await callers.run(SCENE_SECONDS, rate)
+    _say("a question ends each engine that begins to answer it; its caller repeats it")
+    scene = asyncio.create_task(callers.run(SCENE_SECONDS, rate))
+    ended = await _repeat_deadly(deployment)
+    await scene
+    return ended
+
+
+async def _repeat_deadly(deployment: Deployment) -> int:
+    """Ask the deadly question at one router after the other.
+
+    Returns
+    -------
+    int
+        How many engines it ended after all routers must have known it.
+    """
+    engines = list(deployment.engines_by_name.values())
+    for engine in engines:
+        engine.deadly_texts.add(DEADLY_TEXT)
+    vms = sorted(deployment.routers_by_vm)
+    known_at, ended_before, last = float("inf"), 0, 0
+    for number in range(DEADLY_TIMES):
+        last = await _ask_deadly(deployment, vms[number % len(vms)])
+        ended = sum(engine.ends for engine in engines)
+        if time.monotonic() < known_at + KNOWN_SECONDS:
+            ended_before = ended
+        if ended >= ENDS_KNOWN:
+            known_at = min(known_at, time.monotonic())
+        await asyncio.sleep(DEADLY_PAUSE)
+    ended = sum(engine.ends for engine in engines)
+    _say(f"  it ended {ended} engines; the last of {DEADLY_TIMES} answers: {last}")
+    return ended - ended_before
+
+
+async def _ask_deadly(deployment: Deployment, vm: str) -> int:
+    """Ask the deadly question once; return the status, 0 where none came."""
+    client = HttpClient(f"127.0.0.1:{deployment.caller_port(vm)}")
+    key = caller_key(DEADLY_ACCOUNT)
+    question = {
+        "model": MODEL,
+        "messages": [{"role": "user", "content": DEADLY_TEXT}],
+        "max_tokens": 64,
+        "stream": True,
+    }
+    headers = [(names.AUTHORIZATION, f"Bearer {key}")]
+    try:
+        status, _ = await client.post_json(CHAT_PATH, question, headers=headers)
+    except ExchangeFailed:
+        return 0
+    finally:
+        client.close()
+    return status
 
 
 def _say(text: str) -> None:
@@ -141,10 +206,11 @@
     await deployment.start()
     callers = Callers(deployment, random.Random(SEED))
     try:
-        await _play(deployment, callers, rate)
+        ended = await _play(deployment, callers, rate)
         _say("waiting for the last settlements")
         await _settle(deployment, 8.0)
         result = measure(deployment, callers.sent)
+        result["engines_ended_by_what_is_known"] = ended
     finally:
         await deployment.stop()
     _print_table(callers.sent)
--- a/lynxchute/quarantine/suspicion.py
+++ b/lynxchute/quarantine/suspicion.py
@@ -28,6 +28,11 @@
 # Milliseconds for which the reports on an end are collected: routers send them every
 # 50 ms, and a message takes some ms.
 SETTLE_MS = 300
+# Milliseconds for which reports on an upstream whose processes all have one name speak
+# of one end: longer than routers take to notice it, about as long as it is down.
+SAME_END_MS = 2_000
+# Stands between the name of such an upstream and the time of its end.
+TIME_MARK = "#"
 # How long an end counts against a request. Callers repeat what fails within seconds to
 # minutes; what an upstream survives later is none of them.
 REMEMBERED_MS = 600_000
@@ -55,11 +60,14 @@
         Names the upstream and its start.
     progress
         How far it had come.
+    is_start_known
+        Whether the next process at the upstream will have another name.
     """
 
     content: str
     process: str
     progress: Progress
+    is_start_known: bool = True
 
 
 class Verdict(enum.Enum):
@@ -148,17 +156,20 @@
 
     def report(self, run: BrokenRun, now_ms: int) -> None:
         """Take a run that broke off when its upstream ended."""
-        end = self._ends_by_process.get(run.process)
+        process = run.process
+        if not run.is_start_known:
+            process = self._name_of_end(process, now_ms)
+        end = self._ends_by_process.get(process)
         if end is None:
             self._make_room()
-            end = self._ends_by_process[run.process] = _End(now_ms)
+            end = self._ends_by_process[process] = _End(now_ms)
         known = end.progress_by_content.get(run.content)
         if known is Progress.BEGUN:
             return
         end.progress_by_content[run.content] = run.progress
         if end.best is not None and self._weight(run.content, run.progress) >= end.best:
             # Its router was heard late; that others were blamed meanwhile does no harm.
-            self._blame(run.content, run.process, now_ms, is_alone=False)
+            self._blame(run.content, process, now_ms, is_alone=False)
 
     def judge(self, now_ms: int) -> list[Finding]:
         """Blame the ends whose reports are in; return what came of each."""
@@ -222,6 +233,14 @@
             tuple(suspects[-MAX_SUSPECTS_KEPT:]),
         )
 
+    def _name_of_end(self, upstream: str, now_ms: int) -> str:
+        """Name one end of an upstream whose processes all have the same name."""
+        for name, end in self._ends_by_process.items():
+            is_its = name.startswith(f"{upstream}{TIME_MARK}")
+            if is_its and now_ms - end.at_ms < SAME_END_MS:
+                return name
+        return f"{upstream}{TIME_MARK}{now_ms}"
+
     def _judge_end(self, process: str, end: _End, now_ms: int) -> list[Finding]:
         progress_by_content = end.progress_by_content
         known = progress_by_content.keys() & self.quarantined_by_content.keys()
--- a/lynxchute/standins/engine.py
+++ b/lynxchute/standins/engine.py
@@ -25,6 +25,10 @@
 EVENT_STREAM = "text/event-stream"
 # Prompts whose beginnings the stand-in says that it keeps.
 KEPT_PROMPTS = 64
+# Seconds from the beginning of a run that ends the process to its end, and until the
+# next process takes requests.
+CRASH_SECONDS = 0.03
+DOWN_SECONDS = 0.6
 DONE = b"data: [DONE]\n\n"
 
 
@@ -69,6 +73,13 @@
         The models that are loaded.
     first_token_delay, token_delay
         Seconds until the first token, and between tokens.
+
+    Attributes
+    ----------
+    deadly_texts
+        Questions that end the process as soon as it works on them.
+    ends
+        How often that has happened.
     """
 
     def __init__(
@@ -82,6 +93,9 @@
         super().__init__(name)
         self.models = models
         self.runs: list[Generation] = []
+        self.deadly_texts: set[str] = set()
+        self.ends = 0
+        self._ending: asyncio.Task[None] | None = None
         self._kept_tokens_by_prefix: OrderedDict[str, int] = OrderedDict()
         self._first_token_delay = first_token_delay
         self._token_delay = token_delay
@@ -128,6 +142,9 @@
             done=int(last) if last.isdecimal() else 0,
         )
         self.runs.append(run)
+        if question["messages"][-1]["content"] in self.deadly_texts:
+            await self._end(run, respond)
+            return
         try:
             if question.get("stream"):
                 await self._stream(run, respond)
@@ -137,6 +154,22 @@
             if run.state == "running":
                 run.state = "cancelled"
 
+    async def _end(self, run: Generation, respond: Responder) -> None:
+        """End the process as it begins to work, with everything that is open."""
+        run.state = "cancelled"
+        headers = [("Content-Type", EVENT_STREAM), (names.REQUEST_ID, run.request_id)]
+        await respond.start(200, [*headers, ("Transfer-Encoding", "chunked")])
+        await asyncio.sleep(CRASH_SECONDS)
+        if self._ending is None or self._ending.done():
+            self.ends += 1
+            self._ending = asyncio.create_task(self._start_again())
+
+    async def _start_again(self) -> None:
+        port = self.server.port
+        await self.server.kill()
+        await asyncio.sleep(DOWN_SECONDS)
+        await self.server.start("127.0.0.1", port)
+
     def _keep(self, request: Request) -> None:
         parsed = parse_question(request)
         if parsed.is_error():
--- a/lynxchute/upstreams/upstream.py
+++ b/lynxchute/upstreams/upstream.py
@@ -23,6 +23,8 @@
     started_ms
         When its process started, in Unix milliseconds of its own clock; None
         where it does not say.
+    keeps_id
+        Whether its next process will have the same id: operators have named it.
     """
 
     id: str
@@ -33,8 +35,14 @@
     slots: int = 1
     warm_up: float = 0.0
     started_ms: int | None = None
+    keeps_id: bool = False
 
     @property
     def process(self) -> str:
         """Return what names the process, also among those that had its id."""
         return self.id if self.started_ms is None else f"{self.id}/{self.started_ms}"
+
+    @property
+    def is_start_known(self) -> bool:
+        """Return whether the name of the process is that of one start only."""
+        return self.started_ms is not None or not self.keeps_id
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import contextlib
+import json
 
 from lynxchute.config.role import Role
 from lynxchute.containment.judge import HOME_KEY, ROW_ID
@@ -26,7 +27,7 @@
 from lynxchute.standins.platform_store import Outage
 from lynxchute.standins.upstream_run import Fault
 from tests.platform_support import ACCOUNT, PlatformCaller, PlatformTestCase, ids_of
-from tests.support import until
+from tests.support import AsyncTestCase, Caller, question, until, with_deployment
 
 DEADLY = b"a prompt that no engine survives"
 # Seconds from the end of an upstream until its next process takes work.
@@ -355,6 +356,35 @@
         self.assertEqual(1, entry["times"])
 
 
+class OwnInterfaceTest(AsyncTestCase):
+    """The same for chat completions, at engines that keep their names."""
+
+    def test_a_question_that_ends_engines_is_refused_and_others_are_answered(self):
+        async def scenario(deployment):
+            engines = list(deployment.engines_by_name.values())
+            for engine in engines:
+                engine.deadly_texts.add(DEADLY.decode())
+            vms = sorted(deployment.routers_by_vm)
+            while sum(engine.ends for engine in engines) < ENDS_KNOWN:
+                await Caller(deployment, vms[0]).ask(deadly)
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(KNOWN_SECONDS)
+            before = sum(engine.ends for engine in engines)
+            refused = [await Caller(deployment, vm).ask(deadly) for vm in vms]
+            other = [await Caller(deployment, vm).ask(question()) for vm in vms]
+            ended = sum(engine.ends for engine in engines) - before
+            return ended, refused, [status for status, _, _ in other]
+
+        deadly = question(DEADLY.decode(), stream=True)
+        ended, refused, other = with_deployment(self, scenario)
+        self.assertEqual(0, ended)
+        for status, headers, body in refused:
+            self.assertEqual(503, status)
+            self.assertGreater(float(headers["retry-after"]), 500)
+            self.assertIn("ends-upstreams", json.loads(body)["type"])
+        self.assertEqual([200] * len(other), other)
+
+
 class DeafPeers:
     """Reach all routers but one."""
 
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -26,6 +26,7 @@
     MAX_SUSPECTS,
     QUARANTINE_MS,
     REMEMBERED_MS,
+    SAME_END_MS,
     SETTLE_MS,
     Verdict,
 )
@@ -128,6 +129,19 @@
         self.fleet.suspicion.judge(self.fleet.now_ms + SETTLE_MS)
         self.assertEqual({"q"}, self.fleet.quarantined)
 
+    def test_ends_of_an_upstream_that_keeps_its_name_are_told_apart_by_time(self):
+        for number in range(3):
+            for _ in range(2):
+                # Two routers report one end.
+                run = BrokenRun("q", "engine-1", BEGUN, is_start_known=False)
+                self.fleet.suspicion.report(run, self.fleet.now_ms)
+                self.fleet.now_ms += SETTLE_MS
+            self.fleet.suspicion.judge(self.fleet.now_ms)
+            if number < 2:
+                self.assertEqual(number + 1, self.fleet.blamed("q"))
+            self.fleet.now_ms += SAME_END_MS
+        self.assertEqual({"q"}, self.fleet.quarantined)
+
     def test_reports_are_awaited_before_anyone_is_blamed(self):
         suspicion, now_ms = self.fleet.suspicion, self.fleet.now_ms
         suspicion.report(BrokenRun("waiting", "e", UNANSWERED), now_ms)
