Have whoever was told of a quarantine tell the next judge

The store was away as the judge found a request, all routers were told, and all but one were killed before the row was written. The one that was left knew, but told nobody; the three that started again had it end five more upstreams. Ruled out: each router writing the row (195 would, for one finding); having a start ask all others (a message to each, at each start). Change: what was told and does not stand in the store goes to the next judge with the kept evidence; the judge tells all and writes it.

--- a/lynxchute/containment/containment.py
+++ b/lynxchute/containment/containment.py
@@ -18,6 +18,7 @@
     BrokenRun,
     Progress,
     Quarantine,
+    Quarantined,
     Record,
     ServedContents,
 )
@@ -146,10 +147,16 @@
             self._tell_survived(send.content)
 
     def _note_members(self) -> None:
-        """Give a new judge what the one before was told."""
-        if self._kept and self._current_judge().incarnation != self._judged_by:
+        """Give a new judge what the one before was told, and what it told."""
+        if self._has_news_for_judge:
             self._loop.wake()
 
+    @property
+    def _has_news_for_judge(self) -> bool:
+        if not self._kept and not self.quarantine.told():
+            return False
+        return self._current_judge().incarnation != self._judged_by
+
     def _take_row(self, row: Row) -> None:
         """Take what the fleet knows; a row that is gone says that it is nothing."""
         record = Record()
@@ -169,8 +176,7 @@
         broken, survived = tuple(self._broken), tuple(self._survived)
         self._broken.clear()
         self._survived.clear()
-        is_new = self._kept and self._current_judge().incarnation != self._judged_by
-        if broken or survived or is_new:
+        if broken or survived or self._has_news_for_judge:
             await self._report(broken, survived)
 
     async def _report(
@@ -179,9 +185,10 @@
         """Give evidence to the fleet's judge, all that counts yet to a new one."""
         for _ in range(HOME_TRIES):
             judge = self._current_judge()
+            quarantined: tuple[Quarantined, ...] = ()
             if judge.incarnation != self._judged_by:
-                broken = self._kept_runs()
-            evidence = RunEvidence(broken, survived)
+                broken, quarantined = self._kept_runs(), self.quarantine.told()
+            evidence = RunEvidence(broken, survived, quarantined)
             if judge.vm == self._members.own.vm:
                 break
             try:
--- a/lynxchute/containment/judge.py
+++ b/lynxchute/containment/judge.py
@@ -106,6 +106,10 @@
         now_ms = self.now_ms()
         for run in evidence.broken:
             self.suspicion.report(run, now_ms)
+        for quarantined in evidence.quarantined:
+            if self.suspicion.take_over(quarantined):
+                # The judge before has died, and who has started since knows nothing.
+                self._news.tell(quarantined=(quarantined,))
         for content in evidence.survived:
             was_quarantined = content in self.suspicion.quarantined_by_content
             if not self.suspicion.clear(content):
--- a/lynxchute/fleet/quarantine_messages.py
+++ b/lynxchute/fleet/quarantine_messages.py
@@ -23,6 +23,8 @@
         Runs that broke off when their upstream ended.
     survived
         Contents of suspected requests that an upstream has outlived.
+    quarantined
+        What another judge had told that does not stand in the store yet.
     """
 
     NAME = "evidence"
@@ -30,6 +32,7 @@
 
     broken: tuple[BrokenRun, ...] = ()
     survived: tuple[str, ...] = ()
+    quarantined: tuple[Quarantined, ...] = ()
 
 
 @attrs.frozen
--- a/lynxchute/quarantine/quarantine.py
+++ b/lynxchute/quarantine/quarantine.py
@@ -65,6 +65,12 @@
             self._told_at_ms_by_content[item.content] = now_ms
         return self._put(items)
 
+    def told(self) -> tuple[Quarantined, ...]:
+        """Return what was told and does not stand in the store yet."""
+        return tuple(
+            self.by_content[content] for content in self._told_at_ms_by_content
+        )
+
     def clear(self, contents: Iterable[str]) -> None:
         """Take requests again."""
         for content in contents:
--- a/lynxchute/quarantine/suspicion.py
+++ b/lynxchute/quarantine/suspicion.py
@@ -193,6 +193,15 @@
             self.is_changed = True
         return suspect is not None or quarantined is not None
 
+    def take_over(self, quarantined: Quarantined) -> bool:
+        """Take what another judge had found; return whether that is news."""
+        if quarantined.content in self.quarantined_by_content:
+            return False
+        self.suspects_by_content.pop(quarantined.content, None)
+        self.quarantined_by_content[quarantined.content] = quarantined
+        self.is_changed = True
+        return True
+
     def adopt(self, record: Record) -> None:
         """Take what stands in the store, beside what does not stand there yet."""
         if not self.is_changed:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -200,6 +200,33 @@
 
         self.assertEqual((0, [503] * 6), self.play(scenario))
 
+    def test_who_was_told_tells_it_on_where_the_judge_died_before_it_wrote(self):
+        # The soak's seed 9734: the store was away as the judge found it; every router
+        # knew, then all but one were killed. The three that started again had nobody
+        # to hear it from, and five more attempts reached an engine.
+        async def scenario(deployment):
+            for vm in VMS:
+                deployment.faults(vm).outage = Outage.SILENT
+            judge = deployment.routers["a-1"].members.first_for(HOME_KEY)
+            left = next(vm for vm in VMS if vm != judge)
+            started = [vm for vm in VMS if vm != left]
+            # The one that is left has seen none of the ends itself.
+            await end_until_known(deployment, started)
+            for vm in started:
+                await deployment.routers.pop(vm).kill()
+            for vm in VMS:
+                deployment.faults(vm).outage = Outage.NONE
+            for vm in started:
+                await deployment.start_router(vm)
+            await until(lambda: all(deployment.routers[v].is_ready() for v in VMS))
+            await until(lambda: row_of(deployment) is not None)
+            await asyncio.sleep(KNOWN_SECONDS)
+            before = ends(deployment)
+            statuses = await statuses_of(deployment, VMS)
+            return ends(deployment) - before, statuses
+
+        self.assertEqual((0, [503] * 3), self.play(scenario))
+
     def test_another_router_judges_where_the_first_one_is_gone(self):
         async def scenario(deployment):
             await repeat(deployment, 1, ["b-1"])
