Let go of a released request everywhere, whatever the order in which routers hear

Where the store's row came before the judge's message, the message counted as news that the row did not have yet, and outlived it. By reading: a judge with something unwritten would have brought a released request back, and would have told it again to a router that was out of reach. Ruled out: leaving messages out where the row has come (a router whose connection to the store is silent needs them). Change: what stands in the row goes with the row; a judge remembers what stood there, and takes what is missing for taken back; news of it are dropped.

--- a/lynxchute/bench/slopes.py
+++ b/lynxchute/bench/slopes.py
@@ -35,9 +35,8 @@
 from lynxchute.event_loop import run as run_loop
 from lynxchute.fleet.client import HttpPeers
 from lynxchute.fleet.members import Member, Members
-from lynxchute.fleet.message import Message, from_json, to_json
+from lynxchute.fleet.message import Done, Message, from_json, to_json
 from lynxchute.fleet.messages import (
-    Done,
     PlaceReply,
     PlaceRequest,
     ReserveOutcome,
--- a/lynxchute/containment/containment.py
+++ b/lynxchute/containment/containment.py
@@ -11,7 +11,8 @@
 from lynxchute.containment.news import Newscast
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Member, Members
-from lynxchute.fleet.quarantine_messages import Noted, QuarantineNews, RunEvidence
+from lynxchute.fleet.message import Done
+from lynxchute.fleet.quarantine_messages import QuarantineNews, RunEvidence
 from lynxchute.fleet.registry import Registry
 from lynxchute.fleet.server import PeerServer
 from lynxchute.quarantine import (
@@ -208,13 +209,13 @@
         oldest_ms = self.judge.now_ms() - KEPT_MS
         return tuple(run for noted_ms, run in self._kept if noted_ms >= oldest_ms)
 
-    async def _serve_evidence(self, evidence: RunEvidence) -> Noted:
+    async def _serve_evidence(self, evidence: RunEvidence) -> Done:
         self.judge.take(evidence)
-        return Noted()
+        return Done()
 
-    async def _serve_news(self, news: QuarantineNews) -> Noted:
+    async def _serve_news(self, news: QuarantineNews) -> Done:
         self._take_news(news)
-        return Noted()
+        return Done()
 
     def _take_news(self, news: QuarantineNews) -> None:
         self.quarantine.clear(news.cleared)
--- a/lynxchute/containment/judge.py
+++ b/lynxchute/containment/judge.py
@@ -10,8 +10,7 @@
 from lynxchute.fleet.members import Members
 from lynxchute.fleet.quarantine_messages import RunEvidence
 from lynxchute.fleet.registry import TABLE
-from lynxchute.quarantine import Record, Suspicion
-from lynxchute.quarantine.suspicion import Finding, Verdict
+from lynxchute.quarantine import Finding, Record, Suspicion, Verdict
 from lynxchute.store import (
     Committed,
     Expected,
@@ -123,7 +122,12 @@
         """Take what stands in the store."""
         if version > self._version:
             self._version = version
-            self.suspicion.adopt(record)
+            self._adopt(record)
+
+    def _adopt(self, record: Record) -> None:
+        self.suspicion.adopt(record)
+        # Nobody is told any more of what was taken back.
+        self._news.keep_only(self.suspicion.quarantined_by_content.keys())
 
     async def _step(self) -> None:
         self._look()
@@ -204,11 +208,12 @@
         self._version = row.version if row is not None else ABSENT
         found = Record.decode(row.value) if row is not None else None
         if found is not None and found.is_ok():
-            self.suspicion.adopt(found.ok)
+            self._adopt(found.ok)
         return False
 
     def _note_written(self, record: Record, version: int) -> None:
         self._version = version
+        self.suspicion.note_written(record)
         self._is_unwritten = False
         log_event(
             "quarantine written",
--- a/lynxchute/containment/news.py
+++ b/lynxchute/containment/news.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 import attrs
 
@@ -80,6 +80,15 @@
         self._news.append(_News(message, self._clock() + TELL_SECONDS))
         del self._news[:-MAX_NEWS]
 
+    def keep_only(self, contents: Container[str]) -> None:
+        """Tell nobody any more of other requests in quarantine."""
+        kept = []
+        for news in self._news:
+            items = news.message.quarantined
+            if all(item.content in contents for item in items):
+                kept.append(news)
+        self._news = kept
+
     async def send(self) -> None:
         """Tell the routers that can be reached what they have not taken yet."""
         now = self._clock()
--- a/lynxchute/fleet/message.py
+++ b/lynxchute/fleet/message.py
@@ -4,6 +4,7 @@
 
 from typing import Any, ClassVar, Generic, TypeVar
 
+import attrs
 import cattrs
 
 PREFIX = "/fleet/"
@@ -26,6 +27,11 @@
     REPLY: ClassVar[type[Any]]
 
 
+@attrs.frozen
+class Done:
+    """Say that a message was taken."""
+
+
 _CONVERTER = cattrs.Converter(forbid_extra_keys=False)
 
 
--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from lynxchute.fleet.message import Message
+from lynxchute.fleet.message import Done, Message
 from lynxchute.fleet.quarantine_messages import QuarantineNews, RunEvidence
 from lynxchute.fleet.store_messages import (
     StoreChangesRequest,
@@ -77,11 +77,6 @@
     used: int
 
 
-@attrs.frozen
-class Done:
-    """Say that a message was taken."""
-
-
 @attrs.frozen
 class VoidLoan:
     """A loan whose answer did not come: the borrower has none of it."""
--- a/lynxchute/fleet/quarantine_messages.py
+++ b/lynxchute/fleet/quarantine_messages.py
@@ -4,17 +4,12 @@
 
 import attrs
 
-from lynxchute.fleet.message import Message
+from lynxchute.fleet.message import Done, Message
 from lynxchute.quarantine import BrokenRun, Quarantined
 
 
 @attrs.frozen
-class Noted:
-    """Say that evidence or news were taken."""
-
-
-@attrs.frozen
-class RunEvidence(Message[Noted]):
+class RunEvidence(Message[Done]):
     """Take what runs say of requests that may end upstreams.
 
     Attributes
@@ -28,7 +23,7 @@
     """
 
     NAME = "evidence"
-    REPLY = Noted
+    REPLY = Done
 
     broken: tuple[BrokenRun, ...] = ()
     survived: tuple[str, ...] = ()
@@ -36,11 +31,11 @@
 
 
 @attrs.frozen
-class QuarantineNews(Message[Noted]):
+class QuarantineNews(Message[Done]):
     """Send some requests to no upstream, and others again."""
 
     NAME = "quarantine"
-    REPLY = Noted
+    REPLY = Done
 
     quarantined: tuple[Quarantined, ...] = ()
     cleared: tuple[str, ...] = ()
--- a/lynxchute/quarantine/__init__.py
+++ b/lynxchute/quarantine/__init__.py
@@ -1,14 +1,16 @@
 """Requests that end the upstreams that run them: decisions without I/O."""
 
 from lynxchute.quarantine.content import content_id
+from lynxchute.quarantine.evidence import BrokenRun, Finding, Verdict
 from lynxchute.quarantine.progress import Progress
 from lynxchute.quarantine.quarantine import Quarantine
 from lynxchute.quarantine.record import Quarantined, Record, Suspect
 from lynxchute.quarantine.served import ServedContents
-from lynxchute.quarantine.suspicion import BrokenRun, Suspicion
+from lynxchute.quarantine.suspicion import Suspicion
 
 __all__ = [
     "BrokenRun",
+    "Finding",
     "Progress",
     "Quarantine",
     "Quarantined",
@@ -16,5 +18,6 @@
     "ServedContents",
     "Suspect",
     "Suspicion",
+    "Verdict",
     "content_id",
 ]
--- a/lynxchute/quarantine/quarantine.py
+++ b/lynxchute/quarantine/quarantine.py
@@ -62,7 +62,9 @@
         """Take what a router tells; return the contents that are new."""
         items = list(quarantined)
         for item in items:
-            self._told_at_ms_by_content[item.content] = now_ms
+            # What stands in the store already goes with its row.
+            if item.content not in self.by_content:
+                self._told_at_ms_by_content[item.content] = now_ms
         return self._put(items)
 
     def told(self) -> tuple[Quarantined, ...]:
--- a/lynxchute/quarantine/record.py
+++ b/lynxchute/quarantine/record.py
@@ -69,6 +69,12 @@
     quarantined: tuple[Quarantined, ...] = ()
     suspects: tuple[Suspect, ...] = ()
 
+    @property
+    def contents(self) -> frozenset[str]:
+        """Return the requests that it names."""
+        quarantined = {item.content for item in self.quarantined}
+        return frozenset(quarantined | {suspect.content for suspect in self.suspects})
+
     def encode(self) -> bytes:
         """Return the row's value."""
         fields = attrs.asdict(self, recurse=True)
--- a/lynxchute/quarantine/suspicion.py
+++ b/lynxchute/quarantine/suspicion.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import enum
-
 import attrs
 
+from lynxchute.quarantine.evidence import BrokenRun, Finding, Verdict
 from lynxchute.quarantine.progress import Progress
 from lynxchute.quarantine.record import (
     MAX_SUSPECTS_KEPT,
@@ -48,62 +47,6 @@
 LATE_MS = 10_000
 
 
-@attrs.frozen
-class BrokenRun:
-    """A run that broke off before its upstream had outlived it.
-
-    Attributes
-    ----------
-    content
-        Names what the request asks for.
-    process
-        Names the upstream and its start.
-    progress
-        How far it had come.
-    is_start_known
-        Whether the next process at the upstream will have another name.
-    """
-
-    content: str
-    process: str
-    progress: Progress
-    is_start_known: bool = True
-
-
-class Verdict(enum.Enum):
-    """What the end of an upstream says of a request that was open there.
-
-    Attributes
-    ----------
-    BLAMED
-        It may have ended the upstream.
-    QUARANTINED
-        It has ended as many as it may.
-    """
-
-    BLAMED = "blamed"
-    QUARANTINED = "quarantined"
-
-
-@attrs.frozen
-class Finding:
-    """What came of an end for one request.
-
-    Attributes
-    ----------
-    company
-        How many other runs may have been the cause.
-    ends
-        How many upstreams it is blamed for by now.
-    """
-
-    verdict: Verdict
-    content: str
-    process: str
-    company: int
-    ends: int
-
-
 @attrs.define
 class _End:
     """The end of an upstream, with the runs that may have caused it.
@@ -152,6 +95,7 @@
         self.suspects_by_content: dict[str, Suspect] = {}
         self.quarantined_by_content: dict[str, Quarantined] = {}
         self.is_changed = False
+        self._stood: frozenset[str] = frozenset()
         self._ends_by_process: dict[str, _End] = {}
 
     def report(self, run: BrokenRun, now_ms: int) -> None:
@@ -203,9 +147,15 @@
         return True
 
     def adopt(self, record: Record) -> None:
-        """Take what stands in the store, beside what does not stand there yet."""
-        if not self.is_changed:
-            self._drop_missing(record)
+        """Take what stands in the store, beside what never stood there.
+
+        What stood there and does not any more was taken back by someone else.
+        """
+        standing = record.contents
+        for content in self._stood - standing:
+            self.quarantined_by_content.pop(content, None)
+            self.suspects_by_content.pop(content, None)
+        self._stood = standing
         for quarantined in record.quarantined:
             known = self.quarantined_by_content.get(quarantined.content)
             if known is None or known.until_ms < quarantined.until_ms:
@@ -233,6 +183,10 @@
                 del self._ends_by_process[process]
         return lapsed
 
+    def note_written(self, record: Record) -> None:
+        """Note what was written to the store from here."""
+        self._stood = record.contents
+
     def record(self) -> Record:
         """Return what is to be kept in the store."""
         suspects = [s for s in self.suspects_by_content.values() if _is_kept(s)]
@@ -349,14 +303,6 @@
             times=max(known.times, suspect.times),
         )
 
-    def _drop_missing(self, record: Record) -> None:
-        """Let go of what stood in the store and does not stand there any more."""
-        self.quarantined_by_content.clear()
-        kept = {suspect.content for suspect in record.suspects}
-        for content, suspect in list(self.suspects_by_content.items()):
-            if _is_kept(suspect) and content not in kept:
-                del self.suspects_by_content[content]
-
     def _make_room(self) -> None:
         if len(self._ends_by_process) < MAX_ENDS:
             return
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -9,8 +9,8 @@
 from lynxchute.config import EngineTraits
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Members
+from lynxchute.fleet.message import Done
 from lynxchute.fleet.messages import (
-    Done,
     PlaceReply,
     PlaceRequest,
     RunNews,
--- a/lynxchute/spending/final_use.py
+++ b/lynxchute/spending/final_use.py
@@ -8,9 +8,8 @@
 from lynxchute.budgets import Ledger
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Members
-from lynxchute.fleet.message import Message
+from lynxchute.fleet.message import Done, Message
 from lynxchute.fleet.messages import (
-    Done,
     FinalUse,
     FinalUseReply,
     FinalUseRequest,
--- a/lynxchute/spending/reservations.py
+++ b/lynxchute/spending/reservations.py
@@ -12,8 +12,8 @@
 from lynxchute.config import ClientAccount
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Members
+from lynxchute.fleet.message import Done
 from lynxchute.fleet.messages import (
-    Done,
     GiveRequest,
     LendReply,
     LendRequest,
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -4,8 +4,8 @@
 from lynxchute.containment.news import MAX_NEWS, TELL_SECONDS, Newscast
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Member, Members
-from lynxchute.fleet.message import from_json, to_json
-from lynxchute.fleet.quarantine_messages import Noted, QuarantineNews, RunEvidence
+from lynxchute.fleet.message import Done, from_json, to_json
+from lynxchute.fleet.quarantine_messages import QuarantineNews, RunEvidence
 from lynxchute.http import AbortHandle
 from lynxchute.quarantine import BrokenRun, Progress, Quarantined
 from lynxchute.store import StoreClock
@@ -35,7 +35,7 @@
         self.messages.append((vm, from_json(to_json(message), type(message))))
         if vm in self.gone:
             raise PeerUnreachable(vm)
-        return Noted()
+        return Done()
 
 
 class FakeStore:
@@ -100,6 +100,17 @@
         self.assertEqual(("vm-7", QuarantineNews((ITEM,))), (vm, message))
         self.assertEqual(ROUTERS, len(self.fleet.peers.messages))
 
+    def test_nobody_is_told_of_what_was_taken_back(self):
+        async def work():
+            self.news.tell(quarantined=(ITEM,))
+            self.news.tell(cleared=("other",))
+            self.news.keep_only(set())
+            await self.news.send()
+
+        self.run_async(work())
+        told = {message.cleared for _, message in self.fleet.peers.messages}
+        self.assertEqual({("other",)}, told)
+
     def test_no_more_news_are_kept_than_fit(self):
         for number in range(2 * MAX_NEWS):
             self.news.tell(cleared=(f"q{number}",))
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -15,6 +15,7 @@
     Record,
     Suspect,
     Suspicion,
+    Verdict,
 )
 from lynxchute.quarantine.quarantine import TOLD_MS
 from lynxchute.quarantine.record import MAX_QUARANTINED
@@ -28,7 +29,6 @@
     REMEMBERED_MS,
     SAME_END_MS,
     SETTLE_MS,
-    Verdict,
 )
 
 BEGUN, UNANSWERED, ANSWERING = Progress.BEGUN, Progress.UNANSWERED, Progress.ANSWERING
@@ -220,10 +220,21 @@
     def test_what_was_taken_back_in_the_store_is_free(self):
         for _ in range(3):
             self.fleet.end(q=BEGUN)
-        self.fleet.suspicion.is_changed = False
+        self.fleet.suspicion.note_written(self.fleet.suspicion.record())
         self.fleet.suspicion.adopt(Record())
         self.assertEqual(set(), self.fleet.quarantined)
 
+    def test_what_was_taken_back_stays_so_while_something_else_is_found(self):
+        for _ in range(3):
+            self.fleet.end(released=BEGUN)
+        written = self.fleet.suspicion.record()
+        self.fleet.suspicion.note_written(written)
+        for _ in range(3):
+            self.fleet.end(q=BEGUN)
+        # An operator was faster with the row than the judge.
+        self.fleet.suspicion.adopt(Record())
+        self.assertEqual({"q"}, self.fleet.quarantined)
+
 
 runs = st.dictionaries(
     st.sampled_from(["culprit", "a", "b", "c", "d"]), st.sampled_from(list(Progress))
@@ -311,6 +322,15 @@
         quarantine.replace([], TOLD_MS)
         self.assertIsNone(quarantine.find("a", 0))
 
+    def test_news_that_come_after_the_row_do_not_outlive_it(self):
+        # Seen once, on a busy machine: an operator had released a request, and routers
+        # whose feed had been faster than the judge's message refused it for long after.
+        quarantine = Quarantine()
+        quarantine.replace([self.item("a")], 0)
+        quarantine.add([self.item("a")], 1)
+        quarantine.replace([], 2)
+        self.assertIsNone(quarantine.find("a", 2))
+
     def test_it_lapses_and_is_bounded(self):
         quarantine = Quarantine()
         items = [self.item(f"q{n}", 100 + n) for n in range(MAX_QUARANTINED + 5)]
