Hear of quarantined requests within three seconds of being in touch again

After a cut, or on a connection gone silent, a router could send a request that all others know to end upstreams for up to 6 s. Ruled out: a question of its own for the row (more calls than a shorter wait); asking routers that were out of reach more often (a message to each, all the time). Change: the question is held for 1.5 s. Figures: 0.67 calls a second and router instead of 0.2 (by the wait); a test holds the sum under three seconds.

--- a/lynxchute/fleet/registry.py
+++ b/lynxchute/fleet/registry.py
@@ -30,8 +30,11 @@
 SECRET_KEY = "secret"
 ROUTER_PREFIX = "router/"
 
-# Routers come and go seldom.
-FEED_TIMES = FeedTimes(wait=5.0, pause=0.2)
+# Routers come and go seldom, and so do requests in quarantine; but a router whose
+# connection to the store has gone silent, or that was cut off, must hear of these
+# within three seconds, and gives a question up a second after its wait. With a wait of
+# 5 s it could send what ends upstreams for six. The price is 0.47 calls a second more.
+FEED_TIMES = FeedTimes(wait=1.5, pause=0.2)
 RETRY_SECONDS = 0.3
 # Seconds between questions to routers that gave no answer.
 PING_SECONDS = 1.0
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -1,12 +1,16 @@
 """How the fleet's routers tell one another of requests that end upstreams."""
 
+from testtools import TestCase
+
 from lynxchute.containment.containment import MAX_WAITING, Containment
 from lynxchute.containment.news import MAX_NEWS, TELL_SECONDS, Newscast
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Member, Members
 from lynxchute.fleet.message import Done, from_json, to_json
 from lynxchute.fleet.quarantine_messages import QuarantineNews, RunEvidence
+from lynxchute.fleet.registry import FEED_TIMES
 from lynxchute.http import AbortHandle
+from lynxchute.platform.store import ANSWER_TIMEOUT
 from lynxchute.quarantine import BrokenRun, Progress, Quarantined
 from lynxchute.store import StoreClock
 from lynxchute.telemetry import Metrics
@@ -53,6 +57,17 @@
         self.peers = CountingPeers()
 
 
+# Seconds in which a router that is in touch again must know what the others know.
+CONTACT_SECONDS = 3.0
+
+
+class FeedTest(TestCase):
+    def test_a_router_that_was_cut_off_hears_in_time(self):
+        # The judge may take it for out of reach for some seconds more.
+        heard_within = FEED_TIMES.wait + FEED_TIMES.pause + ANSWER_TIMEOUT
+        self.assertLess(heard_within, CONTACT_SECONDS)
+
+
 class NewscastTest(AsyncTestCase):
     def setUp(self):
         super().setUp()
