--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -229,6 +229,26 @@
 
         self.assertEqual((0, [503] * 3), self.play(scenario))
 
+    def test_another_router_writes_what_a_judge_that_is_gone_had_found(self):
+        # The soak's seed 9702: the judge died before its write came through, and was
+        # not back for seven seconds. The others knew and could reach the store, but
+        # waited for it; then they died as well, and nobody knew any more.
+        async def scenario(deployment):
+            for vm in VMS:
+                deployment.faults(vm).outage = Outage.SILENT
+            judge = deployment.routers["a-1"].members.first_for(HOME_KEY)
+            # All ends were seen by the judge alone.
+            await end_until_known(deployment, [judge], known_at=VMS)
+            await deployment.routers.pop(judge).kill()
+            for vm in VMS:
+                deployment.faults(vm).outage = Outage.NONE
+            await until(lambda: row_of(deployment) is not None)
+            before = ends(deployment)
+            statuses = await statuses_of(deployment, [vm for vm in VMS if vm != judge])
+            return ends(deployment) - before, statuses
+
+        self.assertEqual((0, [503] * 2), self.play(scenario))
+
     def test_another_router_judges_where_the_first_one_is_gone(self):
         async def scenario(deployment):
             await repeat(deployment, 1, ["b-1"])
