Keep no more requests in quarantine at the judge than a row holds

Cause: by reading: each router kept 200 at most, the judge and the row any number; some hundreds more would not have fitted into a row, and the write would have been refused. Ruled out: cutting the row alone (the judge would go on telling of those it left out). Change: the one that lapses first makes room, at the judge too.

--- a/lynxchute/quarantine/suspicion.py
+++ b/lynxchute/quarantine/suspicion.py
@@ -7,6 +7,7 @@
 from lynxchute.quarantine.evidence import BrokenRun, Finding, Verdict
 from lynxchute.quarantine.progress import Progress
 from lynxchute.quarantine.record import (
+    MAX_QUARANTINED,
     MAX_SUSPECTS_KEPT,
     Quarantined,
     Record,
@@ -142,7 +143,7 @@
         if quarantined.content in self.quarantined_by_content:
             return False
         self.suspects_by_content.pop(quarantined.content, None)
-        self.quarantined_by_content[quarantined.content] = quarantined
+        self._put(quarantined)
         self.is_changed = True
         return True
 
@@ -159,7 +160,7 @@
         for quarantined in record.quarantined:
             known = self.quarantined_by_content.get(quarantined.content)
             if known is None or known.until_ms < quarantined.until_ms:
-                self.quarantined_by_content[quarantined.content] = quarantined
+                self._put(quarantined)
         for suspect in record.suspects:
             self._merge_suspect(suspect)
 
@@ -265,9 +266,8 @@
         suspect = self.suspects_by_content.pop(finding.content)
         times = suspect.times + 1
         lasts_ms = min(QUARANTINE_MS * 2 ** min(times - 1, 8), MAX_QUARANTINE_MS)
-        self.quarantined_by_content[finding.content] = Quarantined(
-            finding.content, suspect.since_ms, now_ms + lasts_ms, times
-        )
+        until_ms = now_ms + lasts_ms
+        self._put(Quarantined(finding.content, suspect.since_ms, until_ms, times))
         self.is_changed = True
         return attrs.evolve(finding, verdict=Verdict.QUARANTINED)
 
@@ -303,6 +303,14 @@
             times=max(known.times, suspect.times),
         )
 
+    def _put(self, quarantined: Quarantined) -> None:
+        """Keep a request away; the one that lapses first makes room where none is."""
+        self.quarantined_by_content[quarantined.content] = quarantined
+        if len(self.quarantined_by_content) > MAX_QUARANTINED:
+            items = self.quarantined_by_content.values()
+            soonest = min(items, key=lambda item: item.until_ms)
+            del self.quarantined_by_content[soonest.content]
+
     def _make_room(self) -> None:
         if len(self._ends_by_process) < MAX_ENDS:
             return
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -198,6 +198,20 @@
         found = self.fleet.suspicion.judge(self.fleet.now_ms + SETTLE_MS)
         self.assertEqual(MAX_ENDS, len(found))
 
+    def test_no_more_requests_are_quarantined_than_a_row_holds(self):
+        suspicion = self.fleet.suspicion
+        items = [Quarantined(f"q{n}", 0, 1_000 + n) for n in range(MAX_QUARANTINED + 9)]
+        suspicion.adopt(Record(tuple(items)))
+        self.assertEqual(MAX_QUARANTINED, len(suspicion.record().quarantined))
+        suspicion.take_over(Quarantined("late", 0, 9_000))
+        for _ in range(3):
+            self.fleet.end(q=BEGUN)
+        kept = {item.content for item in suspicion.record().quarantined}
+        self.assertEqual(MAX_QUARANTINED, len(kept))
+        # Those that lapse first make room.
+        self.assertLessEqual({"q", "late"}, kept)
+        self.assertNotIn("q0", kept)
+
     def test_a_successor_goes_on_from_the_row(self):
         for _ in range(2):
             self.fleet.end(q=BEGUN)
