--- a/lynxchute/containment/judge.py
+++ b/lynxchute/containment/judge.py
@@ -24,8 +24,8 @@
 from lynxchute.store.rows import ABSENT
 from lynxchute.telemetry import Metrics, log_event
 
-# The row stands in a table that every router follows anyway, so that it needs no feed of
-# its own.
+# The row stands in a table that every router follows anyway, so that it needs no feed
+# of its own.
 ROW_KEY = "quarantine"
 ROW_ID = RowId(TABLE, ROW_KEY)
 HOME_KEY = "quarantine"
