--- a/lynxchute/config/configuration.py
+++ b/lynxchute/config/configuration.py
@@ -114,12 +114,22 @@
 
 @attrs.frozen
 class Service:
-    """A group of upstreams that do the same."""
+    """A group of upstreams that do the same.
+
+    Attributes
+    ----------
+    cold_seconds
+        How long one is cold after a start, in seconds.
+    cold_per_second
+        Requests that one bears in a second meanwhile; 0 for any number.
+    """
 
     name: str
     health_path: str
     max_connections: int
     engine: EngineTraits | None = None
+    cold_seconds: float = 0.0
+    cold_per_second: float = 0.0
 
 
 @attrs.frozen
--- a/lynxchute/edge/configurations.py
+++ b/lynxchute/edge/configurations.py
@@ -12,7 +12,9 @@
 from lynxchute.relay.admission import ConfigurationSource
 from lynxchute.store import Row, TableFeed
 from lynxchute.store.feed import FeedTimes
+from lynxchute.store.row_value import RowValue, ValueUnreadable
 from lynxchute.telemetry import log_event
+from lynxchute.upstreams.evacuations import Evacuations
 
 # Share of the time within which a new version must be in force for which the store
 # may hold a question back. A connection that has gone silent is noticed a second after
@@ -42,6 +44,8 @@
     ----------
     platform
         Where it stands.
+    evacuations
+        Is told of the orders that stand beside it.
     bound
         Seconds within which a new version must be in force.
 
@@ -51,7 +55,9 @@
         Called with each new version after it is in force.
     """
 
-    def __init__(self, platform: Platform, *, bound: float) -> None:
+    def __init__(
+        self, platform: Platform, evacuations: Evacuations, *, bound: float
+    ) -> None:
         self.listeners: list[Callable[[Configuration], None]] = []
         self.feed = TableFeed(
             platform.store,
@@ -60,6 +66,8 @@
             on_row=self._take,
         )
         self._bound = bound
+        self._evacuations = evacuations
+        self._evacuation_prefix = platform.evacuation_prefix
         self._key = platform.configuration_key
         self._decode = platform.decode_configuration
         self._current: Configuration | None = None
@@ -103,8 +111,35 @@
         await self.feed.stop()
 
     def _take(self, row: Row) -> None:
+        if row.id.key.startswith(self._evacuation_prefix):
+            self._take_evacuation(row)
+            return
         if row.id.key != self._key or row.deleted:
             return
+        self._take_version(row)
+
+    def _take_evacuation(self, row: Row) -> None:
+        """Take an order to evacuate a data centre, or that it no longer stands.
+
+        A configuration of the same page admits nobody before its other rows are
+        taken, since they are taken without a pause.
+        """
+        data_centre = row.id.key.removeprefix(self._evacuation_prefix)
+        now = steady_seconds()
+        if row.deleted:
+            is_news = self._evacuations.take_back(data_centre, row.version, now)
+        else:
+            is_news = self._evacuations.order(data_centre, row.version, now)
+        if not is_news:
+            return
+        log_event(
+            "data centre taken back" if row.deleted else "data centre evacuated",
+            data_centre=data_centre,
+            row_version=row.version,
+            is_understood=row.deleted or _is_object(row.value),
+        )
+
+    def _take_version(self, row: Row) -> None:
         result = self._decode(row.value)
         if result.is_error():
             log_event(
@@ -135,3 +170,12 @@
         )
         for listener in self.listeners:
             listener(configuration)
+
+
+def _is_object(value: bytes) -> bool:
+    """Return whether an order's row can be read; it counts either way."""
+    try:
+        RowValue.decode(value)
+    except ValueUnreadable:
+        return False
+    return True
--- a/lynxchute/edge/exposition.py
+++ b/lynxchute/edge/exposition.py
@@ -7,6 +7,7 @@
 
 from prometheus_client import CONTENT_TYPE_LATEST
 
+from lynxchute.clock import steady_seconds
 from lynxchute.edge.state import state_of
 from lynxchute.http import Request, Responder, not_found
 
@@ -54,5 +55,7 @@
         metrics.store_answers.set(router.keeper.store_answers)
         metrics.routers.set(router.members.count)
         metrics.quarantined.set(len(router.containment.quarantine.by_content))
+        metrics.evacuated.set(len(router.evacuations.by_data_centre))
+        metrics.cold_upstreams.set(router.directory.count_cold(steady_seconds()))
         metrics.log_lines_dropped.set(self._log_lines_dropped())
         return metrics.exposition()
--- a/lynxchute/edge/platform.py
+++ b/lynxchute/edge/platform.py
@@ -23,6 +23,9 @@
     ----------
     configuration_table, configuration_key
         Where the operator keeps the newest configuration.
+    evacuation_prefix
+        What the keys of the rows in that table begin with which each name a data
+        centre that is to get nothing new, whatever stands in them.
     upstream_table
         Where upstreams tell of themselves, a row each.
     make_engines
@@ -34,6 +37,7 @@
     configuration_table: str
     configuration_key: str
     decode_configuration: Callable[[bytes], Result[Configuration, str]]
+    evacuation_prefix: str
     upstream_table: str
     decode_upstream: Callable[[Row], Result[Upstream, str]]
     readiness_path: str
--- a/lynxchute/edge/settings.py
+++ b/lynxchute/edge/settings.py
@@ -19,6 +19,9 @@
         Seconds after which an upstream that leaves gets nothing new.
     configuration
         Seconds until a new version must be in force.
+    cold_factor, cold_extra
+        In any second all routers together may send a cold upstream so many times
+        what its service says that it bears, and this number of requests on top.
     retry_share, retry_extra, retry_window
         In any window of that many seconds, all routers together may send a
         service this share of its requests, and this number on top, again.
@@ -27,6 +30,8 @@
     stop: float = 8.0
     drain: float = 2.0
     configuration: float = 2.0
+    cold_factor: float = 1.5
+    cold_extra: float = 5.0
     retry_share: float = 0.2
     retry_extra: float = 20.0
     retry_window: float = 10.0
--- a/lynxchute/edge/upstreams.py
+++ b/lynxchute/edge/upstreams.py
@@ -94,7 +94,10 @@
         upstream = result.ok
         entry = self._directory.entries_by_id.get(upstream.id)
         was_leaving = entry is not None and entry.upstream.is_leaving
-        is_news = self._directory.put(upstream)
+        # What a later page brings has started since; the first list tells of all that
+        # stood before.
+        is_start = self.feed.synced.is_set()
+        is_news = self._directory.put(upstream, now, is_start=is_start)
         if entry is None or upstream.is_leaving != was_leaving:
             log_event(
                 "upstream leaving" if upstream.is_leaving else "upstream known",
--- a/lynxchute/fleet/members.py
+++ b/lynxchute/fleet/members.py
@@ -208,6 +208,17 @@
                 vms.append(member.vm)
         return self.in_order(key, vms)[0] if vms else self.own.vm
 
+    def own_rank(self, key: str) -> int | None:
+        """Return this router's place among all that are registered, from 0.
+
+        Those that cannot be reached count: they may well be at work. It has none once
+        it takes nothing new.
+        """
+        if self.own.is_leaving:
+            return None
+        staying = [vm for vm, member in self.by_vm.items() if not member.is_leaving]
+        return self.in_order(key, staying).index(self.own.vm)
+
     def in_order(self, key: str, vms: list[str]) -> list[str]:
         """Return VMs in the order in which they should serve a key.
 
--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -206,11 +206,14 @@
         The engine that should hand over what it keeps of the prompt, if any.
     expected_ms
         When its first event is expected, in milliseconds.
+    is_counted
+        Whether the request is among those that the engine may get when it is cold.
     """
 
     upstream: str
     fetch_from: str = ""
     expected_ms: float = 0.0
+    is_counted: bool = False
 
 
 @attrs.frozen
--- a/lynxchute/platform/configuration.py
+++ b/lynxchute/platform/configuration.py
@@ -94,6 +94,8 @@
         health_path=item.get("health_path") or "/health",
         max_connections=int(item.get("max_connections") or 100),
         engine=_engine(engine) if engine else None,
+        cold_seconds=float(item.get("cold_start_s") or 0),
+        cold_per_second=float(item.get("cold_per_s") or 0),
     )
 
 
--- a/lynxchute/platform/daemon.py
+++ b/lynxchute/platform/daemon.py
@@ -33,6 +33,7 @@
         configuration_table=names.OPERATOR_TABLE,
         configuration_key=names.CONFIGURATION_KEY,
         decode_configuration=decode_configuration,
+        evacuation_prefix=names.EVACUATION_PREFIX,
         upstream_table=names.UPSTREAM_TABLE,
         decode_upstream=decode_upstream,
         readiness_path=names.READY_PATH,
--- a/lynxchute/platform/engines.py
+++ b/lynxchute/platform/engines.py
@@ -4,9 +4,16 @@
 
 from typing import Any
 
-from lynxchute.http import ExchangeFailed, Timeouts
-from lynxchute.platform.names import CACHE_LIST, REPORT_PATH, STARTED
+from lynxchute.http import ExchangeFailed, Headers, Timeouts
+from lynxchute.platform.names import (
+    CACHE_LIST,
+    COLD_MS,
+    COLD_REMAINING,
+    REPORT_PATH,
+    STARTED,
+)
 from lynxchute.store.row_value import RowValue, ValueUnreadable
+from lynxchute.upstreams.engines import Probe
 from lynxchute.upstreams.generation import PromptPart
 from lynxchute.upstreams.http_engines import HttpEngines, no_answer
 from lynxchute.upstreams.upstream import Upstream
@@ -20,8 +27,8 @@
 
     LIST_PATH = CACHE_LIST
 
-    async def probe(self, upstream: Upstream) -> int | None:
-        """Ask whether an upstream is there, and when it started."""
+    async def probe(self, upstream: Upstream) -> Probe:
+        """Ask whether an upstream is there, when it started and how cold it is."""
         client = self._clients.get(upstream.address)
         try:
             response = await client.request(
@@ -30,17 +37,26 @@
             body = await response.body()
         except ExchangeFailed as error:
             raise no_answer(upstream, error) from error
-        return _started_ms(body)
+        return _probe_of(body, response.headers)
 
     def _listed(self, answer: Any) -> list[PromptPart]:
         # Each entry: an empty text, the part's id, its tokens, the model.
         return [PromptPart(str(i[1]), int(i[2])) for i in answer["held"]]
 
 
-def _started_ms(report: bytes) -> int | None:
-    """Return the start that a report tells; any other answer tells none."""
+def _probe_of(report: bytes, headers: Headers) -> Probe:
+    """Return what a report tells; any other answer tells nothing by its body."""
+    cold_ms = cold_ms_of(headers)
     try:
-        started_ms: int | None = RowValue.decode(report).count(STARTED, default=None)
+        value = RowValue.decode(report)
+        told_ms = value.count(COLD_REMAINING, default=0)
+        started_ms = value.count(STARTED, default=None)
     except ValueUnreadable:
-        return None
-    return started_ms
+        return Probe(cold_seconds=cold_ms / 1000.0)
+    return Probe(started_ms, max(cold_ms, told_ms) / 1000.0)
+
+
+def cold_ms_of(headers: Headers) -> float:
+    """Return how long the upstream that answered is cold; 0 where it does not say."""
+    text = headers.get(COLD_MS.lower(), "")
+    return float(text) if text.isascii() and text.isdigit() else 0.0
--- a/lynxchute/platform/names.py
+++ b/lynxchute/platform/names.py
@@ -8,6 +8,8 @@
 UPSTREAM_ID = "X-Instance-Id"
 SIGNATURE = "X-Response-Stamp"
 NOT_RUN = "X-Not-Run"
+# How much longer the upstream that answers is cold.
+COLD_MS = "X-Cold-Ms"
 MODEL = "X-Model"
 TOKENS = "X-Token-Counts"
 PROMPT_PARTS = "X-Prompt-Prefix"
@@ -49,6 +51,10 @@
 # newest configuration in the first of them.
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
+# The rest of the key is the data centre.
+EVACUATION_PREFIX = "evacuate/"
 UPSTREAM_TABLE = "servers"
 # In all that an upstream says of itself: the Unix millisecond of its start.
 STARTED = "born"
+# The milliseconds for which it is still cold.
+COLD_REMAINING = "cold_remaining_ms"
--- a/lynxchute/platform/settings.py
+++ b/lynxchute/platform/settings.py
@@ -99,6 +99,10 @@
         # Seconds until a new configuration must be in force.
         configuration=reader.bound("config_apply_ms", usual.configuration * 1000)
         / 1000.0,
+        # What a cold upstream may get in a second: so many times what it bears, and a
+        # number on top.
+        cold_factor=reader.bound("cold_over", usual.cold_factor),
+        cold_extra=reader.bound("cold_slack", usual.cold_extra),
         # Second sends that the whole fleet may make in a window: a share of
         # the requests, and a number on top.
         retry_share=reader.bound("retry_budget_ratio", usual.retry_share),
--- a/lynxchute/platform/upstreams.py
+++ b/lynxchute/platform/upstreams.py
@@ -38,6 +38,6 @@
         # Any other state takes no new work.
         is_leaving=value.text("state") != READY,
         slots=value.count("slots", least=1),
-        warm_up=value.number("cold_remaining_ms") / 1000.0,
+        warm_up=value.number(names.COLD_REMAINING) / 1000.0,
         started_ms=value.count(names.STARTED, default=None),
     )
--- a/lynxchute/relay/chooser.py
+++ b/lynxchute/relay/chooser.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from lynxchute.reachability import Reachability
-from lynxchute.relay.exchange import Exchange
+from lynxchute.relay.exchange import MIN_RETRY_AFTER, Exchange
 from lynxchute.relay.refusal import Reason, Refusal, Run
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.directory import Directory, Entry
 from lynxchute.upstreams.placement import Choice, Placement
+from lynxchute.upstreams.send_gate import SendGate
 
 # Share of the latency objective that a request waits for an upstream: a
 # refusal that comes within a quarter of it can still be made good.
@@ -28,6 +29,8 @@
         Choose among model engines, and among other upstreams.
     reachability
         Which data centres can be reached.
+    gate
+        Which upstreams get nothing new.
     clock
         Seconds on the loop's clock.
     """
@@ -38,12 +41,14 @@
         generations: Placement,
         plain: Placement,
         reachability: Reachability,
+        gate: SendGate,
         clock: Callable[[], float],
     ) -> None:
         self._directory = directory
         self._generations = generations
         self._plain = plain
         self._reachability = reachability
+        self._gate = gate
         self._clock = clock
         self._changed = asyncio.Event()
         directory.listeners.append(self._note_change)
@@ -98,6 +103,9 @@
         ]
         if not known:
             return None
+        known = [e for e in known if not self._gate.is_evacuated(e.upstream)]
+        if not known:
+            raise self._all_evacuated(exchange, now)
         awake = [entry for entry in known if not entry.health.is_paused(now)]
         near = [entry for entry in awake if self._is_in_reach(entry)]
         # Where all are paused, the one that fails for the shortest time yet is
@@ -106,7 +114,28 @@
         generation = exchange.call.generation
         placement = self._generations if generation is not None else self._plain
         aims = exchange.aims(now)
-        return await placement.choose(exchange.run_id, generation, candidates, aims)
+        choice = await placement.choose(exchange.run_id, generation, candidates, aims)
+        if choice is None:
+            raise self._all_cold(exchange, candidates)
+        return choice
+
+    def _all_evacuated(self, exchange: Exchange, now: float) -> Refusal:
+        """Refuse at once what no data centre takes, until an operator changes that."""
+        title = (
+            f"The data centres that serve {exchange.service} are evacuated, or have "
+            "been tried. Send it again later."
+        )
+        return exchange.refuse(Reason.EVACUATED, title, now)
+
+    def _all_cold(self, exchange: Exchange, candidates: Sequence[Entry]) -> Refusal:
+        """Refuse at once what no upstream bears before one of them is warm."""
+        now = self._clock()
+        left = min(entry.cold_until for entry in candidates) - now
+        usual = exchange.retry_after(now, Reason.COLD)
+        title = "All upstreams that serve this have just started. Send it again soon."
+        return exchange.refuse(
+            Reason.COLD, title, now, retry_after=min(max(left, MIN_RETRY_AFTER), usual)
+        )
 
     def _is_in_reach(self, entry: Entry) -> bool:
         return not self._reachability.is_cut(entry.upstream.data_centre)
--- a/lynxchute/relay/refusal.py
+++ b/lynxchute/relay/refusal.py
@@ -37,6 +37,8 @@
     MALFORMED = "malformed"
     TOO_MANY = "too-many-open"
     QUARANTINED = "ends-upstreams"
+    EVACUATED = "evacuated"
+    COLD = "upstreams-cold"
 
 
 STATUS_BY_REASON = {
@@ -55,6 +57,8 @@
     Reason.MALFORMED: 400,
     Reason.TOO_MANY: 429,
     Reason.QUARANTINED: 503,
+    Reason.EVACUATED: 503,
+    Reason.COLD: 503,
 }
 
 
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -25,6 +25,7 @@
 from lynxchute.upstreams.health import Fate
 from lynxchute.upstreams.placement import Choice, Placement
 from lynxchute.upstreams.retry_budget import RetryBudget
+from lynxchute.upstreams.send_gate import SendGate, Withheld
 
 # A connection within a region comes about in a few ms; a SYN that is lost is
 # repeated only after a second, so that another try is worth more.
@@ -56,6 +57,20 @@
     sent_at: float
 
 
+class SendWithheld(Exception):
+    """Report a request that was placed at an upstream and must not be sent there.
+
+    Parameters
+    ----------
+    reason
+        Why.
+    """
+
+    def __init__(self, reason: Withheld) -> None:
+        super().__init__(reason.value)
+        self.reason = reason
+
+
 class Sender:
     """Send exchanges to upstreams, and again where that is allowed.
 
@@ -77,6 +92,8 @@
         Which data centres can be reached.
     containment
         Which requests end the upstreams that run them.
+    gate
+        Holds back what must not reach an upstream.
     clock
         Seconds on the loop's clock.
     """
@@ -91,6 +108,7 @@
         metrics: Metrics,
         reachability: Reachability,
         containment: Containment,
+        gate: SendGate,
         clock: Callable[[], float],
     ) -> None:
         self._chooser = chooser
@@ -101,6 +119,7 @@
         self._metrics = metrics
         self._reachability = reachability
         self._containment = containment
+        self._gate = gate
         self._clock = clock
 
     async def send(self, exchange: Exchange) -> Answer:
@@ -116,7 +135,12 @@
         while True:
             self.check_quarantine(exchange)
             choice = await self._chooser.choose(exchange)
-            answer = await self._try(exchange, choice)
+            try:
+                answer = await self._try(exchange, choice)
+            except SendWithheld as error:
+                # Nothing was sent: this is not one more send.
+                self._note_withheld(exchange, choice, error.reason)
+                continue
             if answer is not None:
                 return answer
             exchange.tried.add(choice.entry.upstream.id)
@@ -233,6 +257,11 @@
         )
 
         def note_sent() -> None:
+            withheld = self._gate.withholds(
+                entry, permit_until=choice.permit_until, now=self._clock()
+            )
+            if withheld is not None:
+                raise SendWithheld(withheld)
             exchange.sends += 1
             exchange.run = Run.UNKNOWN
             exchange.upstreams.append(entry.upstream.id)
@@ -251,6 +280,23 @@
             abort_handle=send.handle,
         )
 
+    def _note_withheld(
+        self, exchange: Exchange, choice: Choice, reason: Withheld
+    ) -> None:
+        entry = choice.entry
+        # Its place is given up under this run's name, so the next one needs another.
+        exchange.tried.add(entry.upstream.id)
+        self._metrics.sends_withheld.labels(reason.value).inc()
+        log_event(
+            "send withheld",
+            request_id=exchange.call.request_id,
+            upstream=entry.upstream.id,
+            data_centre=entry.upstream.data_centre,
+            reason=reason.value,
+            placed_by=choice.placed_by,
+            cold_s=round(max(entry.cold_until - self._clock(), 0.0), 3),
+        )
+
     def _log_send(self, exchange: Exchange, choice: Choice, dispatch: Dispatch) -> None:
         entry = choice.entry
         log_event(
--- a/lynxchute/router.py
+++ b/lynxchute/router.py
@@ -9,6 +9,7 @@
 
 from lynxchute.application import Background, Component
 from lynxchute.callers.dialect import ChatDialect, models_body
+from lynxchute.clock import steady_seconds
 from lynxchute.config import Configuration
 from lynxchute.config.document import FleetDocument, Version
 from lynxchute.config.from_document import CHAT_PATH, configuration_of
@@ -32,6 +33,8 @@
 
 MODELS_PATH = "/v1/models"
 READINESS_PATH = "/ready"
+# Beside the configuration stands a row for each data centre that is evacuated.
+EVACUATION_PREFIX = "evacuate/"
 # Seconds until the first configuration is proposed again.
 PROPOSE_AGAIN_SECONDS = 0.5
 # What the client needs no settings for: it sends no requests of callers.
@@ -56,6 +59,7 @@
         decode_configuration=_decode_configuration,
         upstream_table="",
         decode_upstream=_no_upstream,
+        evacuation_prefix=EVACUATION_PREFIX,
         readiness_path=READINESS_PATH,
         make_engines=LoadReports,
     )
@@ -92,11 +96,11 @@
 
     def configure(self, configuration: Configuration) -> None:
         """Take the upstreams of a new version."""
-        now = asyncio.get_running_loop().time()
+        now = steady_seconds()
         listed = {upstream.id for upstream in configuration.upstreams}
         changed = False
         for upstream in configuration.upstreams:
-            changed = self._directory.put(upstream) or changed
+            changed = self._directory.put(upstream, now) or changed
         for upstream_id in self._directory.entries_by_id:
             if upstream_id not in listed:
                 changed = self._directory.remove(upstream_id, now) or changed
--- /dev/null
+++ b/lynxchute/scheduling/cold_placements.py
@@ -0,0 +1,75 @@
+"""What this router may place at upstreams that are cold."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Container, Iterable
+
+from lynxchute.upstreams.cold_admission import (
+    ColdAdmission,
+    ColdLimits,
+    RecentPlacements,
+    StandingWatch,
+)
+from lynxchute.upstreams.directory import Entry
+
+
+class ColdPlacements:
+    """Keep what is placed at each upstream to what it bears.
+
+    What is placed at warm upstreams counts as well: one may become cold after that,
+    and word of it takes up to two seconds. So none gets more than the bound at any
+    time, which 14 requests a second are of a service whose mean is three.
+
+    Parameters
+    ----------
+    admission
+        Says which part of the bound is this router's.
+    watch
+        Tells where it stands among all registered ones.
+    limits_of
+        Returns what the upstreams of a service bear.
+    """
+
+    def __init__(
+        self,
+        admission: ColdAdmission,
+        watch: StandingWatch,
+        limits_of: Callable[[str], ColdLimits],
+    ) -> None:
+        self.limits_of = limits_of
+        self._admission = admission
+        self._watch = watch
+        self._recent = RecentPlacements()
+
+    def look(self, services: Iterable[str], now: float) -> None:
+        """Take note of who is registered."""
+        self._watch.look(services, now)
+
+    def may_place(self, entry: Entry, now: float) -> bool:
+        """Return whether an upstream may get one more request from here."""
+        limits = self.limits_of(entry.upstream.service)
+        if not limits.is_bound:
+            return True
+        placed = self._recent.count(entry.upstream.id, now)
+        if now < entry.cold_until:
+            return placed < self._share(entry.upstream.service, now)
+        return placed < limits.most
+
+    def note_placed(self, entry: Entry, now: float) -> bool:
+        """Count a request; return whether it may be sent to the upstream when cold."""
+        service, upstream_id = entry.upstream.service, entry.upstream.id
+        if not self.limits_of(service).is_bound:
+            return False
+        is_counted = self._recent.count(upstream_id, now) < self._share(service, now)
+        self._recent.note(upstream_id, now)
+        return is_counted
+
+    def keep_only(self, upstream_ids: Container[str]) -> None:
+        """Forget upstreams that are gone."""
+        self._recent.keep_only(upstream_ids)
+
+    def _share(self, service: str, now: float) -> int:
+        standing = self._watch.standing(service, now)
+        if standing is None:
+            return 0
+        return self._admission.share(self.limits_of(service), standing)
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from lynxchute.application import Background, Tasks
 from lynxchute.config import EngineTraits
@@ -20,14 +20,17 @@
 from lynxchute.fleet.server import PeerServer
 from lynxchute.http import LinkMeter
 from lynxchute.rendezvous import ranked
-from lynxchute.scheduling.board import Candidate, EngineBoard, Place
+from lynxchute.scheduling.board import Candidate, EngineBoard
+from lynxchute.scheduling.cold_placements import ColdPlacements
 from lynxchute.scheduling.newcomer import Newcomer
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.aims import NO_AIMS, Aims
+from lynxchute.upstreams.cold_admission import PERMIT_SECONDS
 from lynxchute.upstreams.directory import Directory, Entry
 from lynxchute.upstreams.engines import Engines, EngineSilent
 from lynxchute.upstreams.generation import Generation, PromptPart
 from lynxchute.upstreams.placement import Choice, Placement
+from lynxchute.upstreams.send_gate import SendGate
 from lynxchute.upstreams.upstream import Upstream
 
 # Seconds that a request waits for a place; a router within the region answers
@@ -60,6 +63,10 @@
         Returns what the engines of a service can do, where it is known.
     engines
         Asked for what they keep when this router begins to schedule them.
+    gate
+        Tells which upstreams get nothing new.
+    cold
+        Says what may be placed at engines that are cold.
     meter
         Tells how long questions wait for the VM's link.
     clock
@@ -73,6 +80,8 @@
         directory: Directory,
         traits_of: Callable[[str], EngineTraits | None],
         engines: Engines,
+        gate: SendGate,
+        cold: ColdPlacements,
         meter: LinkMeter,
         clock: Callable[[], float],
     ) -> None:
@@ -83,6 +92,8 @@
         self._directory = directory
         self._traits_of = traits_of
         self._engines = engines
+        self._gate = gate
+        self._cold = cold
         self._tasks = Tasks()
         self._meter = meter
         self._clock = clock
@@ -104,8 +115,9 @@
         self.board.keep_runs_of({member.incarnation for member in members})
         by_service: dict[str, list[Entry]] = {}
         for entry in self._directory.entries_by_id.values():
-            if entry.takes_work:
+            if self._takes_work(entry):
                 by_service.setdefault(entry.upstream.service, []).append(entry)
+        self._cold.look(by_service, self._clock())
         for service, entries in by_service.items():
             if self._traits_of(service) is None:
                 continue
@@ -141,27 +153,31 @@
         generation: Generation | None,
         candidates: Sequence[Entry],
         aims: Aims = NO_AIMS,
-    ) -> Choice:
-        """Return one of the candidates, of which there is at least one."""
+    ) -> Choice | None:
+        """Return one of the candidates; None where all are cold and had enough."""
         assert generation is not None
+        asked_at = self._clock()
         by_id = {entry.upstream.id: entry for entry in candidates}
         service = candidates[0].upstream.service
         request = self._request(run_id, service, generation, by_id, aims)
         own = self._members.own.vm
         vm = self._scheduling_vm(service)
-        place = Place()
+        reply = PlaceReply("")
         if vm != own:
-            place = await self._ask(vm, request)
-        if place.upstream_id not in by_id:
+            reply = await self._ask(vm, request)
+        if reply.upstream not in by_id:
             vm = own
-            place = self._place(request, candidates)
+            reply = self._place(request, candidates)
+        if not reply.upstream:
+            return None
         self._scheduler_by_run[run_id] = vm
-        source = self._directory.entries_by_id.get(place.fetch_from)
+        source = self._directory.entries_by_id.get(reply.fetch_from)
         return Choice(
-            by_id[place.upstream_id],
-            source.upstream if source else None,
-            place.expected_ms / 1000.0,
+            by_id[reply.upstream],
+            source.upstream if source and self._may_be_source(source) else None,
+            reply.expected_ms / 1000.0,
             placed_by=vm,
+            permit_until=asked_at + PERMIT_SECONDS if reply.is_counted else 0.0,
         )
 
     def note_begun(self, run_id: str, upstream_id: str, *, took_ms: float) -> None:
@@ -193,7 +209,7 @@
         self._any_news.set()
 
     def _scheduling_vm(self, service: str) -> str:
-        return self._members.first_for(f"schedule {service}")
+        return self._members.first_for(scheduling_key(service))
 
     def _request(
         self,
@@ -218,15 +234,15 @@
             pause_ms=aims.pause_ms,
         )
 
-    async def _ask(self, vm: str, request: PlaceRequest) -> Place:
+    async def _ask(self, vm: str, request: PlaceRequest) -> PlaceReply:
         # Where no answer comes in time it may have placed the run all the same.
         unplaced = [RunNews(request.run_id, "", RunStage.UNPLACED)]
         try:
             async with asyncio.timeout(ASK_SECONDS + self._meter.delay()):
-                reply = await self._peers.ask(vm, request)
+                return await self._peers.ask(vm, request)
         except PeerUnreachable:
             self._post(vm, unplaced)
-            return Place()
+            return PlaceReply("")
         except asyncio.CancelledError:
             self._post(vm, unplaced)
             raise
@@ -234,14 +250,16 @@
             self._post(vm, unplaced)
             self._members.note_silence(vm, self._clock())
             log_event("scheduling router too slow", peer=vm, request_id=request.run_id)
-            return Place()
-        return Place(reply.upstream, reply.fetch_from, reply.expected_ms)
+            return PlaceReply("")
 
     def _passed_over(self, service: str, by_id: dict[str, Entry]) -> list[str]:
         """Return the engines of a service that are not among the candidates."""
         found = []
         for entry in self._directory.of_service(service, self._clock()):
-            if entry.upstream.id not in by_id:
+            # The scheduling router knows by itself what is evacuated.
+            if entry.upstream.id not in by_id and not self._gate.is_evacuated(
+                entry.upstream
+            ):
                 found.append(entry.upstream.id)
         return found
 
@@ -249,22 +267,47 @@
     def _own_data_centre(self) -> str:
         return self._members.own.data_centre
 
-    def _place(self, request: PlaceRequest, entries: Sequence[Entry]) -> Place:
-        """Choose one of the entries, of which there is at least one."""
+    def _place(self, request: PlaceRequest, entries: Iterable[Entry]) -> PlaceReply:
+        """Choose one of the entries; an empty name where none may get it."""
+        now = self._clock()
         traits = self._traits_of(request.service)
         newcomer = _newcomer_of(request)
         # A rank of its own for each prompt spreads what costs the same.
-        by_id = {entry.upstream.id: entry for entry in entries}
+        by_id = {}
+        for entry in entries:
+            if self._cold.may_place(entry, now):
+                by_id[entry.upstream.id] = entry
         parts = newcomer.generation.shared_parts
         order = ranked(parts[-1].id if parts else request.run_id, by_id)
         in_order = [by_id[upstream_id] for upstream_id in order]
-        return self.board.place(
+        place = self.board.place(
             newcomer,
             self._candidates(in_order, request.data_centre),
-            self._clock(),
-            sources=self._directory.ids_that_answer(request.service),
+            now,
+            sources=self._sources(request.service),
             fetch_tokens_per_ms=traits.fetch_tokens_per_ms if traits else 0.0,
         )
+        is_counted = False
+        if place.upstream_id:
+            is_counted = self._cold.note_placed(by_id[place.upstream_id], now)
+        return PlaceReply(
+            place.upstream_id, place.fetch_from, place.expected_ms, is_counted
+        )
+
+    def _sources(self, service: str) -> list[str]:
+        """Return the engines that can hand over what they keep."""
+        entries_by_id = self._directory.entries_by_id
+        found = []
+        for upstream_id in self._directory.ids_that_answer(service):
+            if self._may_be_source(entries_by_id[upstream_id]):
+                found.append(upstream_id)
+        return found
+
+    def _may_be_source(self, entry: Entry) -> bool:
+        return not self._gate.is_evacuated(entry.upstream)
+
+    def _takes_work(self, entry: Entry) -> bool:
+        return entry.takes_work and not self._gate.is_evacuated(entry.upstream)
 
     def _candidates(
         self, entries: Sequence[Entry], data_centre: str
@@ -282,14 +325,11 @@
         entries = []
         for entry in self._directory.entries_by_id.values():
             upstream = entry.upstream
-            if upstream.service != request.service or not entry.takes_work:
+            if upstream.service != request.service or not self._takes_work(entry):
                 continue
             if upstream.id not in request.passed_over:
                 entries.append(entry)
-        if not entries:
-            return PlaceReply("")
-        place = self._place(request, entries)
-        return PlaceReply(place.upstream_id, place.fetch_from, place.expected_ms)
+        return self._place(request, entries)
 
     async def _serve_news(self, request: RunNewsRequest) -> Done:
         for news in request.news:
@@ -324,6 +364,7 @@
             if self._clock() - tidied_at >= TIDY_SECONDS:
                 tidied_at = self._clock()
                 self.board.keep_only(self._directory.entries_by_id, tidied_at)
+                self._cold.keep_only(self._directory.entries_by_id)
             if not self._any_news.is_set():
                 continue
             self._any_news.clear()
@@ -358,6 +399,11 @@
         loop.call_later(RETELL_SECONDS, self._any_news.set)
 
 
+def scheduling_key(service: str) -> str:
+    """Return the key by which routers agree on who schedules a service's engines."""
+    return f"schedule {service}"
+
+
 def _newcomer_of(request: PlaceRequest) -> Newcomer:
     generation = Generation(
         # A service's engines all have the model that the route names.
--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -11,6 +11,7 @@
 
 from lynxchute.platform import names
 from lynxchute.platform.names import UPSTREAM_TABLE
+from lynxchute.standins.arrivals import Arrivals
 from lynxchute.standins.platform_store import PlatformStoreStandin
 from lynxchute.standins.upstream_exchange import UpstreamExchange
 from lynxchute.standins.upstream_run import (
@@ -57,6 +58,10 @@
         Requests that end the process as soon as it works on them, by body.
     crashes
         How often that has happened.
+    taken
+        When it took requests, and when it was cold.
+    cold_most
+        Requests within a second that end it while it is cold; 0 for none.
     """
 
     def __init__(
@@ -81,6 +86,8 @@
         self.reached_at = 0
         self.deadly_bodies: set[bytes] = set()
         self.crashes = 0
+        self.taken = Arrivals()
+        self.cold_most = 0
         self.connections = 0
         self.started_ms: int | None = int(time.time() * 1000)
         self._is_dark = False
@@ -130,6 +137,15 @@
         await self.start(self.port)
         await self.register(store)
 
+    def grow_cold(self, seconds: float) -> None:
+        """Bear only a few requests for a while, as after a start."""
+        self.taken.note_cold(seconds, asyncio.get_running_loop().time())
+
+    @property
+    def _cold_ms(self) -> int:
+        now = asyncio.get_running_loop().time()
+        return int(max(self.taken.cold_seconds(now), 0.0) * 1000)
+
     async def register(self, store: PlatformStoreStandin) -> None:
         """Write its entry."""
         entry: dict[str, object] = {
@@ -139,7 +155,7 @@
             "version": "v1",
             "slots": 64,
             "state": self.state,
-            "cold_remaining_ms": 0,
+            names.COLD_REMAINING: self._cold_ms,
             "sequence": 1,
         }
         if self.started_ms is not None:
@@ -187,7 +203,7 @@
             expected = run.headers.get(names.EXPECTED_UPSTREAM.lower(), self.id)
             if expected != self.id:
                 fault = Fault.MOVED
-            elif run.body in self.deadly_bodies:
+            elif self._is_too_much() or run.body in self.deadly_bodies:
                 fault = Fault.CRASH
             exchange = UpstreamExchange(
                 self.id,
@@ -206,6 +222,14 @@
                 return
             protocol.start_next_cycle()
 
+    def _is_too_much(self) -> bool:
+        """Note a request; return whether it is more than a cold process bears."""
+        now = asyncio.get_running_loop().time()
+        self.taken.note(now)
+        if not self.cold_most or self.taken.cold_seconds(now) <= 0:
+            return False
+        return len(self.taken.since(now - 1.0)) > self.cold_most
+
     def _crash(self) -> None:
         """End the process; every connection goes with it."""
         self.crashes += 1
@@ -220,9 +244,12 @@
         if self.started_ms is not None:
             told[names.STARTED] = self.started_ms
         body = json.dumps(told).encode()
-        length = [("Content-Length", str(len(body)))]
+        headers = [
+            ("Content-Length", str(len(body))),
+            (names.COLD_MS, str(self._cold_ms)),
+        ]
         writer.write(
-            protocol.send(h11.Response(status_code=200, headers=length)) or b""
+            protocol.send(h11.Response(status_code=200, headers=headers)) or b""
         )
         writer.write(protocol.send(h11.Data(data=body)) or b"")
         writer.write(protocol.send(h11.EndOfMessage()) or b"")
--- a/lynxchute/telemetry/metrics.py
+++ b/lynxchute/telemetry/metrics.py
@@ -26,6 +26,10 @@
         Requests refused for want of tokens though the fleet had as many unused.
     sends
         Sends to upstreams by how they ended.
+    sends_withheld
+        Requests that were placed at an upstream and not sent there, by reason.
+    evacuated, cold_upstreams
+        Data centres that get nothing new, and upstreams that are cold.
     broken_runs
         Runs that broke off, by how far the upstream had come with them.
     upstream_ends_blamed
@@ -53,6 +57,11 @@
             "refusals_with_tokens", "Refused for tokens that others had."
         )
         self.sends = self._counter("sends", "Sends to upstreams.", "fate")
+        self.sends_withheld = self._counter(
+            "sends_withheld", "Placed requests that were not sent.", "reason"
+        )
+        self.evacuated = self._gauge("evacuated_data_centres", "Evacuated.")
+        self.cold_upstreams = self._gauge("cold_upstreams", "Upstreams that are cold.")
         self.broken_runs = self._counter(
             "broken_runs", "Runs that broke off.", "progress"
         )
--- a/lynxchute/upstreams/directory.py
+++ b/lynxchute/upstreams/directory.py
@@ -94,6 +94,8 @@
         is there, in seconds.
     earlier_starts
         The last starts under its id before this one, as Unix milliseconds.
+    cold_until
+        Until when it bears a few requests a second only, in seconds.
     """
 
     upstream: Upstream
@@ -106,6 +108,18 @@
     heard_at: float = 0.0
     probed_at: float = 0.0
     earlier_starts: tuple[int, ...] = ()
+    cold_until: float = 0.0
+
+    def note_cold(self, seconds: float, now: float) -> bool:
+        """Take the word that it is cold for so long; return whether that is longer.
+
+        A word may be late, or be older than one that has come before it, and none
+        makes the time shorter.
+        """
+        if not seconds or now + seconds <= self.cold_until:
+            return False
+        self.cold_until = now + seconds
+        return True
 
     @property
     def takes_work(self) -> bool:
@@ -128,18 +142,44 @@
         Called after upstreams have changed.
     start_listeners
         Called with what an upstream was that has started again under its id.
+    cold_seconds_of
+        Returns how long the upstreams of a service are cold after a start.
     """
 
     def __init__(self) -> None:
+        self.cold_seconds_of: Callable[[str], float] = lambda service: 0.0
         self.entries_by_id: dict[str, Entry] = {}
         self.listeners: list[Callable[[], None]] = []
         self.start_listeners: list[Callable[[Upstream], None]] = []
 
-    def put(self, upstream: Upstream) -> bool:
-        """Take what an upstream says of itself; return whether that is news."""
+    def put(
+        self, upstream: Upstream, now: float = 0.0, *, is_start: bool = False
+    ) -> bool:
+        """Take what an upstream says of itself; return whether that is news.
+
+        Parameters
+        ----------
+        now
+            When it was heard, in seconds.
+        is_start
+            Whether one that was not known must have started just now.
+        """
+        is_news = self._put(upstream, now, is_start=is_start)
+        entry = self.entries_by_id.get(upstream.id)
+        if entry is not None and upstream.started_ms in (
+            None,
+            entry.upstream.started_ms,
+        ):
+            entry.note_cold(upstream.warm_up, now)
+        return is_news
+
+    def _put(self, upstream: Upstream, now: float, *, is_start: bool) -> bool:
         entry = self.entries_by_id.get(upstream.id)
         if entry is None:
-            self.entries_by_id[upstream.id] = Entry(upstream)
+            entry = Entry(upstream)
+            self.entries_by_id[upstream.id] = entry
+            if is_start:
+                entry.note_cold(self.cold_seconds_of(upstream.service), now)
             return True
         known = entry.upstream.started_ms
         if upstream.started_ms is None:
@@ -148,14 +188,16 @@
             # A late word of a process that has ended.
             return False
         if known is not None and upstream.started_ms != known:
-            self._begin_anew(entry, upstream)
+            self._begin_anew(entry, upstream, now)
             return True
         is_news = entry.upstream != upstream or entry.gone_at is not None
         entry.upstream = upstream
         entry.gone_at = None
         return is_news
 
-    def note_started(self, entry: Entry, started_ms: int | None) -> bool:
+    def note_started(
+        self, entry: Entry, started_ms: int | None, now: float = 0.0
+    ) -> bool:
         """Take when a process says that it started; return whether that is news.
 
         The entry in the store may still be the one of the process before.
@@ -168,18 +210,20 @@
         if started_ms <= upstream.started_ms or started_ms in entry.earlier_starts:
             return False
         gone_at, lapses_at = entry.gone_at, entry.lapses_at
-        self._begin_anew(entry, attrs.evolve(upstream, started_ms=started_ms))
+        self._begin_anew(entry, attrs.evolve(upstream, started_ms=started_ms), now)
         self.entries_by_id[upstream.id].gone_at = gone_at
         self.entries_by_id[upstream.id].lapses_at = lapses_at
         return True
 
-    def _begin_anew(self, entry: Entry, upstream: Upstream) -> None:
+    def _begin_anew(self, entry: Entry, upstream: Upstream, now: float) -> None:
         """Keep nothing of the process that had an upstream's id before."""
         before = entry.upstream
         known = before.started_ms or 0
         if (upstream.started_ms or 0) > known:
             starts = (*entry.earlier_starts, known)[-MAX_EARLIER_STARTS:]
-            self.entries_by_id[upstream.id] = Entry(upstream, earlier_starts=starts)
+            begun = Entry(upstream, earlier_starts=starts)
+            begun.note_cold(self.cold_seconds_of(upstream.service), now)
+            self.entries_by_id[upstream.id] = begun
             # That process has ended. Where its VM lost power no reset tells, and
             # each of these would wait for its timeout.
             for send in list(entry.open_sends):
@@ -233,6 +277,19 @@
         """Return how many upstreams take work."""
         return sum(1 for entry in self.entries_by_id.values() if entry.takes_work)
 
+    def count_cold(self, now: float) -> int:
+        """Return how many upstreams that take work are cold."""
+        found = 0
+        for entry in self.entries_by_id.values():
+            found += entry.takes_work and now < entry.cold_until
+        return found
+
+    def note_cold_in(self, data_centre: str, now: float) -> None:
+        """Take all upstreams of a data centre for just started."""
+        for entry in self.entries_by_id.values():
+            if entry.upstream.data_centre == data_centre:
+                entry.note_cold(self.cold_seconds_of(entry.upstream.service), now)
+
     def ids_that_answer(self, service: str) -> list[str]:
         """Return the upstreams of a service whose entries stand, leaving or not."""
         found = []
--- a/lynxchute/upstreams/engines.py
+++ b/lynxchute/upstreams/engines.py
@@ -4,6 +4,8 @@
 
 from abc import ABC, abstractmethod
 
+import attrs
+
 from lynxchute.upstreams.generation import PromptPart
 from lynxchute.upstreams.upstream import Upstream
 
@@ -24,18 +26,29 @@
         self.is_silence = is_silence
 
 
+@attrs.frozen
+class Probe:
+    """What an upstream says of its process when it is asked whether it is there.
+
+    Attributes
+    ----------
+    started_ms
+        When it started, in Unix milliseconds; None where it does not say.
+    cold_seconds
+        How much longer it is cold; 0 where it is not, or does not say.
+    """
+
+    started_ms: int | None = None
+    cold_seconds: float = 0.0
+
+
 class Engines(ABC):
     """Questions to upstreams, above all to model engines."""
 
     @abstractmethod
-    async def probe(self, upstream: Upstream) -> int | None:
+    async def probe(self, upstream: Upstream) -> Probe:
         """Ask whether an upstream is there; any answer will do.
 
-        Returns
-        -------
-        int or None
-            When its process started, in Unix milliseconds, where it says so.
-
         Raises
         ------
         EngineSilent
--- /dev/null
+++ b/lynxchute/upstreams/evacuations.py
@@ -0,0 +1,94 @@
+"""The data centres whose upstreams are to get nothing new."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+
+@attrs.frozen
+class Evacuation:
+    """An operator's order to send nothing more to a data centre.
+
+    Attributes
+    ----------
+    version
+        That of the order's row in the store.
+    heard_at
+        When this router heard of it, on the steady clock in seconds.
+    """
+
+    data_centre: str
+    version: int
+    heard_at: float
+
+
+class Evacuations:
+    """Know which data centres are evacuated.
+
+    An order stands until it is taken back. The store's versions tell the newer word
+    from the older one, whatever order they are heard in: orders may follow one another
+    faster than they are heard, and come through other routers.
+
+    Attributes
+    ----------
+    by_data_centre
+        The orders that stand.
+    ended_at_by_data_centre
+        When the last order for a data centre was taken back, as far as it was heard
+        here, on the steady clock in seconds.
+    listeners
+        Called with the name of each data centre whose order has come or gone.
+
+    Examples
+    --------
+    >>> evacuations = Evacuations()
+    >>> evacuations.order("a", 7, 1.0), evacuations.is_evacuated("a")
+    (True, True)
+    >>> evacuations.take_back("a", 6, 2.0), evacuations.is_evacuated("a")
+    (False, True)
+    >>> evacuations.take_back("a", 8, 2.0), evacuations.is_evacuated("a")
+    (True, False)
+    """
+
+    def __init__(self) -> None:
+        self.by_data_centre: dict[str, Evacuation] = {}
+        self.ended_at_by_data_centre: dict[str, float] = {}
+        self.listeners: list[Callable[[str], None]] = []
+        self._version_by_data_centre: dict[str, int] = {}
+
+    def is_evacuated(self, data_centre: str) -> bool:
+        """Return whether its upstreams are to get nothing new."""
+        return data_centre in self.by_data_centre
+
+    def order(self, data_centre: str, version: int, now: float) -> bool:
+        """Take an order; return whether it changes anything."""
+        if not self._is_newer(data_centre, version):
+            return False
+        known = self.by_data_centre.get(data_centre)
+        heard_at = now if known is None else known.heard_at
+        self.by_data_centre[data_centre] = Evacuation(data_centre, version, heard_at)
+        if known is None:
+            self._tell(data_centre)
+        return known is None
+
+    def take_back(self, data_centre: str, version: int, now: float) -> bool:
+        """Take the word that an order no longer stands; return whether it did here."""
+        if not self._is_newer(data_centre, version):
+            return False
+        if self.by_data_centre.pop(data_centre, None) is None:
+            return False
+        self.ended_at_by_data_centre[data_centre] = now
+        self._tell(data_centre)
+        return True
+
+    def _is_newer(self, data_centre: str, version: int) -> bool:
+        if version < self._version_by_data_centre.get(data_centre, 0):
+            return False
+        self._version_by_data_centre[data_centre] = version
+        return True
+
+    def _tell(self, data_centre: str) -> None:
+        for listener in self.listeners:
+            listener(data_centre)
--- a/lynxchute/upstreams/load_report.py
+++ b/lynxchute/upstreams/load_report.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from lynxchute.http import ExchangeFailed, Timeouts
+from lynxchute.upstreams.engines import Probe
 from lynxchute.upstreams.generation import PromptPart
 from lynxchute.upstreams.http_engines import HttpEngines, no_answer
 from lynxchute.upstreams.upstream import Upstream
@@ -20,14 +21,15 @@
 
     LIST_PATH = LOAD_PATH
 
-    async def probe(self, upstream: Upstream) -> int | None:
-        """Ask whether an upstream is there; it does not say when it started."""
+    async def probe(self, upstream: Upstream) -> Probe:
+        """Ask whether an upstream is there; it says how long it is cold."""
         client = self._clients.get(upstream.address)
         try:
-            await client.get_json(LOAD_PATH, timeouts=PROBE_TIMEOUTS)
+            _, answer = await client.get_json(LOAD_PATH, timeouts=PROBE_TIMEOUTS)
         except ExchangeFailed as error:
             raise no_answer(upstream, error) from error
-        return None
+        cold = answer.get("cold_seconds") if isinstance(answer, dict) else None
+        return Probe(cold_seconds=cold if isinstance(cold, float) else 0.0)
 
     def _listed(self, answer: Any) -> list[PromptPart]:
         return [PromptPart(str(i[0]), int(i[1])) for i in answer["cached"]]
--- a/lynxchute/upstreams/placement.py
+++ b/lynxchute/upstreams/placement.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 
 from lynxchute.upstreams.aims import NO_AIMS, Aims
 from lynxchute.upstreams.directory import Entry
 from lynxchute.upstreams.generation import Generation
+from lynxchute.upstreams.send_gate import SendGate
 from lynxchute.upstreams.upstream import Upstream
 
 
@@ -26,12 +27,16 @@
         When the first event of its answer is expected; 0 where nobody knows.
     placed_by
         The VM that chose; empty for this one.
+    permit_until
+        Until when it may be sent to the upstream though that is cold, on the steady
+        clock in seconds; 0 where it may not.
     """
 
     entry: Entry
     fetch_from: Upstream | None = None
     expected_seconds: float = 0.0
     placed_by: str = ""
+    permit_until: float = 0.0
 
 
 class Placement(ABC):
@@ -44,9 +49,11 @@
         generation: Generation | None,
         candidates: Sequence[Entry],
         aims: Aims = NO_AIMS,
-    ) -> Choice:
+    ) -> Choice | None:
         """Return one of the candidates, of which there is at least one.
 
+        None where all of them are cold and may not get this request.
+
         Parameters
         ----------
         run_id
@@ -78,12 +85,26 @@
     ----------
     data_centre
         Whose upstreams are near.
+    gate
+        Tells which upstreams are cold: since nobody counts for all routers what plain
+        services get, they get nothing then.
+    clock
+        Seconds on the steady clock.
     near_bonus
         Open requests that a near upstream may have more than a far one.
     """
 
-    def __init__(self, data_centre: str, *, near_bonus: int = 2) -> None:
+    def __init__(
+        self,
+        data_centre: str,
+        gate: SendGate,
+        clock: Callable[[], float],
+        *,
+        near_bonus: int = 2,
+    ) -> None:
         self._data_centre = data_centre
+        self._gate = gate
+        self._clock = clock
         self._near_bonus = near_bonus
         self._turn = 0
 
@@ -93,11 +114,15 @@
         generation: Generation | None,
         candidates: Sequence[Entry],
         aims: Aims = NO_AIMS,
-    ) -> Choice:
+    ) -> Choice | None:
         """Return the upstream with the least to do, near ones first."""
         self._turn += 1
-        count = len(candidates)
-        turned = [candidates[(self._turn + offset) % count] for offset in range(count)]
+        now = self._clock()
+        warm = [entry for entry in candidates if not self._gate.is_cold(entry, now)]
+        count = len(warm)
+        if not count:
+            return None
+        turned = [warm[(self._turn + offset) % count] for offset in range(count)]
         return Choice(min(turned, key=self._cost))
 
     def _cost(self, entry: Entry) -> float:
--- a/lynxchute/upstreams/silence.py
+++ b/lynxchute/upstreams/silence.py
@@ -94,7 +94,7 @@
     async def _probe(self, entry: Entry) -> None:
         asked_at = self._clock()
         try:
-            started_ms = await self._engines.probe(entry.upstream)
+            probe = await self._engines.probe(entry.upstream)
         except EngineSilent as error:
             if entry.heard_at >= asked_at:
                 return
@@ -103,8 +103,16 @@
             self._leave(entry, str(error))
             return
         self._note_heard(entry.upstream.data_centre)
-        if self._directory.note_started(entry, started_ms):
+        now = self._clock()
+        if self._directory.note_started(entry, probe.started_ms, now):
             self._directory.changed()
+        entry = self._directory.entries_by_id.get(entry.upstream.id, entry)
+        if entry.note_cold(probe.cold_seconds, now):
+            log_event(
+                "upstream cold",
+                upstream=entry.upstream.id,
+                cold_s=round(probe.cold_seconds, 3),
+            )
 
     def _note_heard(self, data_centre: str) -> None:
         if not self._reachability.is_cut(data_centre):
--- a/lynxchute/upstreams/upstream.py
+++ b/lynxchute/upstreams/upstream.py
@@ -19,7 +19,8 @@
     slots
         Requests that it serves at once.
     warm_up
-        Seconds that it stays slow after its start.
+        Seconds for which it is still cold, as it said when it last wrote; not part of
+        what it is, since it changes with each word.
     started_ms
         When its process started, in Unix milliseconds of its own clock; None
         where it does not say.
@@ -33,7 +34,7 @@
     data_centre: str
     is_leaving: bool = False
     slots: int = 1
-    warm_up: float = 0.0
+    warm_up: float = attrs.field(default=0.0, eq=False)
     started_ms: int | None = None
     keeps_id: bool = False
 
--- /dev/null
+++ b/tests/cold_mutants.py
@@ -0,0 +1,66 @@
+"""Break the decisions on cold upstreams one by one."""
+
+from unittest import mock
+
+from lynxchute.scheduling.cold_placements import ColdPlacements
+from lynxchute.upstreams import cold_admission
+from lynxchute.upstreams.cold_admission import RecentPlacements
+from lynxchute.upstreams.directory import Entry
+from lynxchute.upstreams.send_gate import SendGate
+
+
+def forget_the_check_before_a_send():
+    return mock.patch.object(SendGate, "is_cold", lambda self, entry, now: False)
+
+
+def count_from_the_first_moment():
+    return mock.patch.object(cold_admission, "TAKE_OVER_SECONDS", 0.0)
+
+
+def keep_the_whole_bound():
+    return mock.patch.object(cold_admission, "MOST_AT_ONCE", 1)
+
+
+def let_a_late_word_shorten():
+    def note_cold(self, seconds, now):
+        self.cold_until = now + seconds
+        return True
+
+    return mock.patch.object(Entry, "note_cold", note_cold)
+
+
+def let_permits_last():
+    withholds = SendGate.withholds
+
+    def withhold(self, entry, *, permit_until, now):
+        until = now + 1.0 if permit_until else 0.0
+        return withholds(self, entry, permit_until=until, now=now)
+
+    return mock.patch.object(SendGate, "withholds", withhold)
+
+
+def forget_what_was_placed_while_warm():
+    count = RecentPlacements.count
+
+    def counted(self, upstream_id, now):
+        return min(count(self, upstream_id, now), 3)
+
+    return mock.patch.object(RecentPlacements, "count", counted)
+
+
+def give_everybody_the_share():
+    def share(self, service, now):
+        return self.limits_of(service).most // 2
+
+    return mock.patch.object(ColdPlacements, "_share", share)
+
+
+MUTANTS = (
+    forget_the_check_before_a_send,
+    count_from_the_first_moment,
+    keep_the_whole_bound,
+    let_a_late_word_shorten,
+    let_permits_last,
+    forget_what_was_placed_while_warm,
+    give_everybody_the_share,
+)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1,4 +1,4 @@
-"""Show that the fuzzing can fail: break the budget decisions one by one.
+"""Show that the fuzzing can fail: break the decisions one by one.
 
 Each mutant changes one decision; the fuzzing must find a broken promise.
 """
@@ -6,19 +6,24 @@
 import json
 import sys
 
+from tests import cold_mutants, ledger_mutants
+from tests.cold_machine import ColdMachine
 from tests.fuzz import run
 from tests.ledger_machine import LedgerMachine
-from tests.ledger_mutants import MUTANTS
 
 EXAMPLES = 1500
 STEPS = 60
+MACHINES_BY_MUTANT = {
+    **dict.fromkeys(ledger_mutants.MUTANTS, LedgerMachine),
+    **dict.fromkeys(cold_mutants.MUTANTS, ColdMachine),
+}
 
 
 def is_caught(mutant):
     """Return the first broken promise that the fuzzing finds, or None."""
     with mutant():
         try:
-            run(EXAMPLES, STEPS, shrink=False, machine=LedgerMachine)
+            run(EXAMPLES, STEPS, shrink=False, machine=MACHINES_BY_MUTANT[mutant])
         except AssertionError as error:
             return str(error).partition("\n")[0] or "an assertion"
         except KeyError as error:
@@ -28,7 +33,7 @@
 
 def main():
     names = sys.argv[1:]
-    chosen = [mutant for mutant in MUTANTS if not names or mutant.__name__ in names]
+    chosen = [m for m in MACHINES_BY_MUTANT if not names or m.__name__ in names]
     caught = 0
     for mutant in chosen:
         found = is_caught(mutant)
--- /dev/null
+++ b/tests/test_cold_upstreams.py
@@ -0,0 +1,237 @@
+"""Cold upstreams get no more than they bear, whoever sends.
+
+Nothing kept to what an upstream bears after its start: routers that cannot reach one
+another, that were just started or that had placed before they heard of it each sent as
+much as they had. An upstream that has just started is empty, so that it draws requests.
+"""
+
+import asyncio
+import json
+
+import attrs
+import testtools
+
+from lynxchute.scheduling.cold_placements import ColdPlacements
+from lynxchute.standins.arrivals import Arrivals
+from lynxchute.upstreams.cold_admission import (
+    TAKE_OVER_SECONDS,
+    ColdLimits,
+    FirstRegistered,
+    SharesByRank,
+    Standing,
+    StandingWatch,
+    WarmOnly,
+)
+from lynxchute.upstreams.directory import Directory, Entry
+from lynxchute.upstreams.upstream import Upstream
+from tests import cold_mutants, mutants
+from tests.cold_machine import ColdMachine
+from tests.fuzz import run
+from tests.platform_support import (
+    PlatformCaller,
+    PlatformTestCase,
+    configuration,
+)
+from tests.support import until
+
+LIMITS = ColdLimits(start_seconds=3.0, per_second=6.6, factor=1.5, extra=5.0)
+ENGINE = Upstream("e", "pool", "127.0.0.1:1", "a", started_ms=1_000)
+
+
+class ColdTimeTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.directory = Directory()
+        self.directory.cold_seconds_of = lambda service: 3.0
+
+    @property
+    def cold_until(self):
+        return self.directory.entries_by_id["e"].cold_until
+
+    def put(self, now, **changes):
+        return self.directory.put(attrs.evolve(ENGINE, **changes), now)
+
+    def test_no_word_makes_the_time_shorter(self):
+        self.put(10.0, warm_up=2.5)
+        for word in (0.0, 0.5):
+            self.put(10.2, warm_up=word)
+            self.assertEqual(12.5, self.cold_until)
+        self.put(11.0, warm_up=3.0)
+        self.assertEqual(14.0, self.cold_until)
+
+    def test_how_cold_it_is_is_no_news_of_the_upstream(self):
+        self.put(10.0, warm_up=2.5)
+        self.assertFalse(self.put(10.2, warm_up=2.3))
+
+    def test_a_start_that_was_not_there_before_is_cold(self):
+        self.directory.put(ENGINE, 10.0, is_start=True)
+        self.assertEqual(13.0, self.cold_until)
+
+    def test_another_start_under_the_id_is_cold_and_the_one_before_tells_nothing(self):
+        self.put(10.0)
+        self.put(20.0, started_ms=2_000)
+        self.assertEqual(23.0, self.cold_until)
+        self.put(21.0, warm_up=60.0)
+        self.assertEqual(23.0, self.cold_until)
+
+    def test_a_start_that_a_report_tells_is_cold(self):
+        self.put(10.0)
+        self.directory.note_started(self.directory.entries_by_id["e"], 2_000, 30.0)
+        self.assertEqual(33.0, self.cold_until)
+
+
+class ColdAdmissionTest(testtools.TestCase):
+    def test_only_the_first_registered_router_counts_and_not_at_once(self):
+        ways = FirstRegistered(), SharesByRank(), WarmOnly()
+        just = [way.share(LIMITS, Standing(0, 0.0)) for way in ways]
+        self.assertEqual([0, 0, 0], just)
+        long = TAKE_OVER_SECONDS
+        for rank, expected in ((0, [7, 1, 0]), (6, [0, 1, 0]), (7, [0, 0, 0])):
+            shares = [way.share(LIMITS, Standing(rank, long)) for way in ways]
+            self.assertEqual(expected, shares)
+
+    def test_a_service_without_a_bound_is_not_held_back(self):
+        cold = ColdPlacements(WarmOnly(), StandingWatch(lambda s: 0), lambda s: free)
+        free = ColdLimits(start_seconds=3.0)
+        entry = Entry(ENGINE, cold_until=1e9)
+        for _ in range(100):
+            self.assertTrue(cold.may_place(entry, 0.0))
+            cold.note_placed(entry, 0.0)
+
+    def test_a_warm_upstream_gets_the_bound_at_most_since_it_may_grow_cold(self):
+        watch = StandingWatch(lambda s: 1)
+        cold = ColdPlacements(FirstRegistered(), watch, lambda s: LIMITS)
+        entry, placed = Entry(ENGINE), 0
+        while cold.may_place(entry, 5.0):
+            cold.note_placed(entry, 5.0)
+            placed += 1
+        self.assertEqual(LIMITS.most, placed)
+
+
+class ColdFuzzTest(testtools.TestCase):
+    def test_no_second_has_more_than_a_cold_upstream_bears(self):
+        run(200, 30, machine=ColdMachine)
+
+    def test_the_fuzzing_finds_each_decision_that_is_broken(self):
+        self.patch(mutants, "EXAMPLES", 200)
+        self.patch(mutants, "STEPS", 30)
+        for mutant in cold_mutants.MUTANTS:
+            self.assertIsNotNone(mutants.is_caught(mutant), mutant.__name__)
+
+
+class ArrivalsTest(testtools.TestCase):
+    def test_the_fullest_second_of_a_cold_time_counts(self):
+        taken = Arrivals()
+        taken.note_cold(2.0, 10.0)
+        for time in (9.9, 9.95, 10.5, 10.6, 11.4, 11.55, 12.1):
+            taken.note(time)
+        self.assertEqual(3, taken.most_while_cold())
+
+
+def with_bound(**changes):
+    document = configuration(version=2)
+    for service in document["services"]:
+        if service["name"] == "pool":
+            service.update({"cold_start_s": 3.0, "cold_per_s": 2.0, **changes})
+    return document
+
+
+class ColdFleetTest(PlatformTestCase):
+    """Two routers, engines that bear 2 x 1.5 + 5 = 8 requests a second when cold."""
+
+    async def bind(self, deployment):
+        await deployment.store.configure(with_bound())
+        for router in deployment.routers.values():
+            await until(lambda r=router: r.configurations.current.version == 2)
+
+    async def grow_cold(self, deployment, engines, seconds):
+        for engine in engines:
+            engine.grow_cold(seconds)
+            engine.cold_most = 8
+            await engine.register(deployment.store)
+        for router in deployment.routers.values():
+            entries_by_id = router.directory.entries_by_id
+            for engine in engines:
+                await until(
+                    lambda e=entries_by_id[engine.id], r=router: (
+                        e.cold_until > asyncio.get_running_loop().time()
+                    )
+                )
+
+    async def burst(self, deployment, count, vms=("a-1", "b-1")):
+        callers = [PlatformCaller(deployment, vm) for vm in vms]
+        sends = [
+            callers[number % len(callers)].stream(request_id=f"burst-{number}")
+            for number in range(count)
+        ]
+        return await asyncio.gather(*sends)
+
+    def test_a_burst_ends_no_cold_engine_and_is_served_by_the_warm_one(self):
+        async def scenario(deployment):
+            await self.bind(deployment)
+            cold, warm = deployment.engines
+            await asyncio.sleep(TAKE_OVER_SECONDS)
+            await self.grow_cold(deployment, [cold], 4.0)
+            answers = await self.burst(deployment, 16)
+            self.assertEqual({200}, {answer[0] for answer in answers})
+            self.assertEqual(0, cold.crashes)
+            self.assertLessEqual(cold.taken.most_while_cold(), 4)
+
+        self.with_platform(scenario)
+
+    def test_where_all_are_cold_what_they_do_not_bear_is_refused_at_once(self):
+        async def scenario(deployment):
+            await self.bind(deployment)
+            await asyncio.sleep(TAKE_OVER_SECONDS)
+            await self.grow_cold(deployment, deployment.engines, 3.0)
+            began = asyncio.get_running_loop().time()
+            answers = await self.burst(deployment, 30)
+            took = asyncio.get_running_loop().time() - began
+            served = [answer for answer in answers if answer[0] == 200]
+            refused = [answer for answer in answers if answer[0] == 503]
+            self.assertEqual(30, len(served) + len(refused))
+            self.assertGreater(len(served), 0)
+            for _, headers, body in refused:
+                problem = json.loads(body)
+                self.assertEqual(
+                    "urn:lynxchute:problem:upstreams-cold", problem["type"]
+                )
+                self.assertEqual("not_run", problem["run"])
+                self.assertGreater(float(headers["retry-after"]), 0)
+            self.assertLess(took, 1.0)
+            for engine in deployment.engines:
+                self.assertEqual(0, engine.crashes)
+                self.assertLessEqual(engine.taken.most_while_cold(), 8)
+
+        self.with_platform(scenario)
+
+    def test_routers_that_cannot_reach_the_one_that_counts_send_cold_engines_nothing(
+        self,
+    ):
+        async def scenario(deployment):
+            await self.bind(deployment)
+            await asyncio.sleep(TAKE_OVER_SECONDS)
+            members = deployment.routers["a-1"].members
+            first = members.in_order("schedule pool", list(members.by_vm))[0]
+            (other,) = set(deployment.routers) - {first}
+            await deployment.routers.pop(first).kill()
+            await self.grow_cold(deployment, deployment.engines, 3.0)
+            answers = await self.burst(deployment, 6, vms=(other,))
+            self.assertEqual({503}, {answer[0] for answer in answers})
+            for engine in deployment.engines:
+                self.assertEqual([], engine.arrivals)
+
+        self.with_platform(scenario)
+
+    def test_a_data_centre_that_is_taken_back_is_taken_for_cold(self):
+        async def scenario(deployment):
+            await self.bind(deployment)
+            for router in deployment.routers.values():
+                router.evacuations.order("a", 10**9, 0.0)
+                router.evacuations.take_back("a", 10**9 + 1, 0.0)
+                for engine in deployment.engines:
+                    entry = router.directory.entries_by_id[engine.id]
+                    left = entry.cold_until - asyncio.get_running_loop().time()
+                    self.assertEqual(engine.data_centre == "a", left > 2.9)
+
+        self.with_platform(scenario)
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -7,7 +7,7 @@
 from lynxchute.fleet.members import Member, Members
 from lynxchute.reachability import EVIDENCE_SECONDS, Reachability
 from lynxchute.upstreams.directory import Directory, OpenSend
-from lynxchute.upstreams.engines import Engines, EngineSilent
+from lynxchute.upstreams.engines import Engines, EngineSilent, Probe
 from lynxchute.upstreams.health import Fate
 from lynxchute.upstreams.silence import SilenceWatch
 from lynxchute.upstreams.upstream import Upstream
@@ -74,6 +74,7 @@
         self.probed.append(upstream.id)
         if upstream.data_centre in self.cut:
             raise EngineSilent(upstream.id, is_silence=True)
+        return Probe()
 
     async def cached_parts(self, upstream):
         return []
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -16,11 +16,19 @@
 )
 from lynxchute.http import LinkMeter
 from lynxchute.scheduling.board import Candidate, EngineBoard
+from lynxchute.scheduling.cold_placements import ColdPlacements
 from lynxchute.scheduling.engine_state import MAX_OVERDUE_MS
 from lynxchute.scheduling.newcomer import Newcomer
 from lynxchute.scheduling.scheduler import Scheduler
+from lynxchute.upstreams.cold_admission import (
+    ColdLimits,
+    FirstRegistered,
+    StandingWatch,
+)
 from lynxchute.upstreams.directory import Directory
+from lynxchute.upstreams.evacuations import Evacuations
 from lynxchute.upstreams.generation import Generation, PromptPart
+from lynxchute.upstreams.send_gate import SendGate
 from lynxchute.upstreams.upstream import Upstream
 from tests.support import AsyncTestCase, until
 
@@ -133,6 +141,15 @@
         super().setUp()
         self.now = 100.0
         self.peers = FakePeers()
+        self.limits = ColdLimits()
+        self.evacuations = Evacuations()
+        self.gate = SendGate(self.evacuations, lambda service: self.limits)
+        self.rank = 0
+        self.cold = ColdPlacements(
+            FirstRegistered(),
+            StandingWatch(lambda service: self.rank),
+            lambda service: self.limits,
+        )
         self.directory = Directory()
         self.directory.put(Upstream("e1", "pool", "127.0.0.1:1", "a", slots=64))
         self.members = Members(member("a-1"))
@@ -150,6 +167,8 @@
             self.directory,
             lambda service: None,
             None,
+            self.gate,
+            self.cold,
             LinkMeter(1e6),
             lambda: self.now,
         )
