Let operators evacuate a data centre, take it back and see who has heard

Cause: evacuations could be obeyed and not ordered in the product's own interface.

Change: statements `evacuate data centre NAME [anyway]`, `take back data centre NAME`, `show evacuations`. A name that no VM and no upstream has is refused with what is known, and the last data centre that is left wants a word more. What only routers know (who has heard, what still runs there, how long upstreams stay cold) is asked of all of them when it is shown.

Ruled out: a word of each router in its row of the store for each order, which all others would read: the square of the fleet.

--- a/lynxchute/edge/state.py
+++ b/lynxchute/edge/state.py
@@ -25,6 +25,7 @@
             "age": _age(router.configurations.unconfirmed_for()),
         },
         "store_answers": router.keeper.store_answers,
+        "evacuated": _evacuated(router, now),
         "routers": _routers(router),
         "upstreams": _upstreams(router, now),
         "budgets": _budgets(router),
@@ -37,6 +38,14 @@
     return None if seconds == float("inf") else round(seconds, 3)
 
 
+def _evacuated(router: EdgeApplication, now: float) -> list[dict[str, Any]]:
+    rows = []
+    for order in router.evacuations.by_data_centre.values():
+        age = round(now - order.heard_at, 3)
+        rows.append({"data_centre": order.data_centre, "heard_ago": age})
+    return rows
+
+
 def _routers(router: EdgeApplication) -> list[dict[str, Any]]:
     rows = []
     for member in router.members.by_vm.values():
@@ -61,6 +70,7 @@
                 "address": entry.upstream.address,
                 "takes_work": entry.takes_work,
                 "open_requests": entry.open_requests,
+                "cold_for": round(max(entry.cold_until - now, 0.0), 3),
                 "bad_in_row": entry.health.bad_in_row,
                 "bad_share": round(entry.health.bad_share, 3),
                 "paused_for": round(max(entry.health.paused_until - now, 0.0), 3),
--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -307,6 +307,35 @@
     REPLY = Done
 
 
+@attrs.frozen
+class EvacuationReply:
+    """What a router knows of a data centre.
+
+    Attributes
+    ----------
+    has_heard
+        Whether it sends nothing new there.
+    open_requests
+        Its requests that still run there.
+    cold_seconds
+        How long the last of the upstreams there stays cold, as far as it knows.
+    """
+
+    has_heard: bool
+    open_requests: int
+    cold_seconds: float
+
+
+@attrs.frozen
+class EvacuationRequest(Message[EvacuationReply]):
+    """Ask whether a router has heard that a data centre is evacuated."""
+
+    NAME = "evacuation"
+    REPLY = EvacuationReply
+
+    data_centre: str
+
+
 MESSAGES_BY_NAME: dict[str, type[Message[Any]]] = {
     cls.NAME: cls
     for cls in (
@@ -319,6 +348,7 @@
         PlaceRequest,
         RunNewsRequest,
         PingRequest,
+        EvacuationRequest,
         RunEvidence,
         QuarantineNews,
         StoreWriteRequest,
--- a/lynxchute/operators/collections.py
+++ b/lynxchute/operators/collections.py
@@ -14,6 +14,8 @@
 from lynxchute.edge.platform import Platform
 from lynxchute.fleet.members import Member
 from lynxchute.fleet.registry import ROUTER_PREFIX, TABLE
+from lynxchute.operators.evacuation_rows import COLUMNS as EVACUATION_COLUMNS
+from lynxchute.operators.evacuation_rows import EvacuationRows
 from lynxchute.operators.history import ConfigurationHistory
 from lynxchute.operators.quarantine_row import QuarantineRow
 from lynxchute.store import StoreUnavailable
@@ -77,9 +79,11 @@
     ----------
     platform
         Where the rows stand and how to read them.
+    evacuations
+        Reads those of evacuated data centres.
     """
 
-    def __init__(self, platform: Platform) -> None:
+    def __init__(self, platform: Platform, evacuations: EvacuationRows) -> None:
         self._platform = platform
         self._store = platform.store
         self._history = ConfigurationHistory(platform.store)
@@ -87,6 +91,7 @@
             "accounts": self._accounts,
             "budgets": self._budgets,
             "data_centres": self._data_centres,
+            "evacuations": evacuations.rows,
             "grants": self._grants_rows,
             "quarantine": QuarantineRow(platform.store).rows,
             "routes": self._routes,
@@ -103,6 +108,11 @@
             log_event("rows not read", collection=collection, reason=str(error))
             return Found([], (STORE,))
 
+    async def data_centre_names(self) -> set[str]:
+        """Return the data centres that any VM or upstream has."""
+        rows = [*await self._vms(), *await self._upstreams()]
+        return {row["data_centre"] for row in rows}
+
     async def _configuration(self) -> Configuration | None:
         platform = self._platform
         snapshot = await self._store.scan(platform.configuration_table)
@@ -257,6 +267,7 @@
     "accounts": ("account", "keys"),
     "budgets": ("account", "paid", "granted", "free", "used_at_most"),
     "data_centres": ("data_centre", "vms", "leaving"),
+    "evacuations": EVACUATION_COLUMNS,
     "grants": ("vm", "account", "granted", "used_at_most", "age_s"),
     "quarantine": ("content", "left_s", "times"),
     "routes": ("route", "host", "prefix", "kind", "services", "priority"),
--- a/lynxchute/operators/language.py
+++ b/lynxchute/operators/language.py
@@ -16,11 +16,13 @@
     Condition,
     CreateAccount,
     DropAccount,
+    Evacuate,
     Release,
     SetDraining,
     SetService,
     Show,
     Statement,
+    TakeBack,
     TopUpStatement,
     Value,
 )
@@ -29,7 +31,8 @@
 KEYWORDS = (
     "show", "top", "up", "by", "as", "where", "and", "group", "order", "limit",
     "drain", "undrain", "vm", "upstream", "create", "drop", "account", "key",
-    "set", "service", "compare", "version", "with", "asc", "desc",
+    "set", "service", "compare", "version", "with", "asc", "desc", "evacuate",
+    "take", "back", "data", "centre", "anyway",
 )  # fmt: skip
 
 
@@ -82,7 +85,7 @@
     TopUpStatement(account='kanda', tokens=500, operation='t1')
     >>> print(parse("shaw budgets").error[0])
     column 1: 'shaw' cannot stand here. Did you mean 'show'? Expected: compare, \
-create, drain, drop, release, set, show, top, undrain.
+create, drain, drop, evacuate, release, set, show, take, top, undrain.
     """
     if len(text) > MAX_LENGTH:
         problem = f"A statement has at most {MAX_LENGTH} characters."
@@ -174,6 +177,12 @@
     def release(self, items: list[Any]) -> Release:
         return Release(str(items[0]))
 
+    def evacuate(self, items: list[Any]) -> Evacuate:
+        return Evacuate(str(items[0]), items[1] is not None)
+
+    def take_back(self, items: list[Any]) -> TakeBack:
+        return TakeBack(str(items[0]))
+
     def compare(self, items: list[Any]) -> Compare:
         return Compare(int(items[0]), int(items[1]))
 
@@ -185,6 +194,8 @@
             return _show_text(statement)
         case Compare(first, second):
             return f"compare version {first} with {second}"
+        case Evacuate() | TakeBack():
+            return _evacuation_text(statement)
         case Release(content):
             return f"release request {content}"
         case TopUpStatement(account, tokens, operation):
@@ -200,6 +211,13 @@
     return f"{text} as {operation}" if operation else text
 
 
+def _evacuation_text(statement: Evacuate | TakeBack) -> str:
+    if isinstance(statement, TakeBack):
+        return f"take back data centre {statement.data_centre}"
+    word = " anyway" if statement.is_certain else ""
+    return f"evacuate data centre {statement.data_centre}{word}"
+
+
 def _show_text(show: Show) -> str:
     parts = [f"show {show.collection}"]
     if show.where:
--- a/lynxchute/operators/runner.py
+++ b/lynxchute/operators/runner.py
@@ -7,12 +7,14 @@
 from typing import Any
 
 import attrs
+from expression import Result
 
 from lynxchute.config.document import Version
 from lynxchute.config.role import Role
 from lynxchute.edge.platform import Platform
 from lynxchute.operators.changes import change_for, differences
 from lynxchute.operators.collections import COLUMNS_BY_COLLECTION, STORE, Collections
+from lynxchute.operators.evacuation_rows import AskRouters, EvacuationRows
 from lynxchute.operators.history import ConfigurationHistory, Order
 from lynxchute.operators.language import parse, to_text
 from lynxchute.operators.quarantine_row import QuarantineRow
@@ -20,10 +22,12 @@
 from lynxchute.operators.statements import (
     Command,
     Compare,
+    Evacuate,
     Release,
     SetDraining,
     Show,
     Statement,
+    TakeBack,
     TopUpStatement,
 )
 from lynxchute.store import StoreUnavailable
@@ -72,10 +76,15 @@
     ----------
     platform
         Where the rows stand.
+    ask_routers
+        Asks all routers of an evacuated data centre; None where none can be asked.
     """
 
-    def __init__(self, platform: Platform) -> None:
-        self._collections = Collections(platform)
+    def __init__(
+        self, platform: Platform, ask_routers: AskRouters | None = None
+    ) -> None:
+        self._evacuations = EvacuationRows(platform, ask_routers)
+        self._collections = Collections(platform, self._evacuations)
         self._history = ConfigurationHistory(platform.store)
         self._quarantine = QuarantineRow(platform.store)
 
@@ -103,6 +112,10 @@
             return await self._compare(statement)
         if isinstance(statement, Release):
             return await self._release(statement)
+        if isinstance(statement, Evacuate):
+            return await self._evacuate(statement, operator)
+        if isinstance(statement, TakeBack):
+            return _told(await self._evacuations.take_back(statement.data_centre))
         return await self._change(statement, operator)
 
     async def _show(self, show: Show) -> Answer:
@@ -139,10 +152,20 @@
         return Answer(DONE, detail, operation)
 
     async def _release(self, release: Release) -> Answer:
-        result = await self._quarantine.release(release.content)
-        if result.is_error():
-            return Answer(NOT_DONE, result.error)
-        return Answer(DONE, result.ok)
+        return _told(await self._quarantine.release(release.content))
+
+    async def _evacuate(self, statement: Evacuate, operator: str) -> Answer:
+        try:
+            known = await self._collections.data_centre_names()
+        except StoreUnavailable:
+            return Answer(NOT_DONE, "The store is out of reach. Try again.")
+        done = await self._evacuations.order(
+            statement.data_centre,
+            known=known,
+            operator=operator,
+            is_certain=statement.is_certain,
+        )
+        return _told(done)
 
     async def _compare(self, statement: Compare) -> Answer:
         try:
@@ -163,9 +186,18 @@
         )
 
 
+def _told(done: Result[str, str]) -> Answer:
+    """Return the answer to an order that is no version of the configuration."""
+    if done.is_error():
+        return Answer(NOT_DONE, done.error)
+    return Answer(DONE, done.ok)
+
+
 def _role_for(statement: Statement) -> Role:
     if isinstance(statement, Show | Compare):
         return Role.READ
-    if isinstance(statement, TopUpStatement | SetDraining | Release):
+    if isinstance(
+        statement, TopUpStatement | SetDraining | Release | Evacuate | TakeBack
+    ):
         return Role.OPERATE
     return Role.CONFIGURE
--- a/lynxchute/operators/statements.py
+++ b/lynxchute/operators/statements.py
@@ -100,6 +100,27 @@
     content: str
 
 
+@attrs.frozen
+class Evacuate:
+    """Send nothing new to the upstreams of a data centre.
+
+    Attributes
+    ----------
+    is_certain
+        Whether it may be the last one that is left.
+    """
+
+    data_centre: str
+    is_certain: bool = False
+
+
+@attrs.frozen
+class TakeBack:
+    """Use an evacuated data centre again."""
+
+    data_centre: str
+
+
 @attrs.frozen
 class Compare:
     """Compare two versions of the configuration."""
@@ -109,4 +130,4 @@
 
 
 Command = TopUpStatement | SetDraining | CreateAccount | DropAccount | SetService
-Statement = Show | Compare | Release | Command
+Statement = Show | Compare | Release | Evacuate | TakeBack | Command
--- a/lynxchute/router.py
+++ b/lynxchute/router.py
@@ -16,6 +16,7 @@
 from lynxchute.edge.application import EdgeApplication
 from lynxchute.edge.platform import Platform
 from lynxchute.http import ClientPool, Request, Responder
+from lynxchute.operators.evacuation_reports import EvacuationReports
 from lynxchute.operators.history import (
     CURRENT_KEY,
     CURRENT_TABLE,
@@ -166,8 +167,13 @@
         super().__init__(edge, platform, started_at=started_at)
         history = ConfigurationHistory(self.platform.store)
         self.components.insert(0, FirstConfiguration(history, settings.configuration))
+        reports = EvacuationReports(
+            self.evacuations, self.directory, self.members, self.peers, steady_seconds
+        )
+        reports.serve(self.peer_server)
         self._operators = OperatorService(
-            StatementRunner(self.platform), lambda: self.configurations.current
+            StatementRunner(self.platform, reports.gather),
+            lambda: self.configurations.current,
         )
 
     def make_upstreams(self) -> Component:
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -12,12 +12,28 @@
 import testtools
 from hypothesis import given
 
+from lynxchute.config.role import Role
+from lynxchute.operators.language import parse, to_text
+from lynxchute.operators.runner import StatementRunner
+from lynxchute.platform.daemon import make_platform
 from lynxchute.platform.names import EVACUATION_PREFIX, OPERATOR_TABLE
 from lynxchute.standins.platform_store import Outage
 from lynxchute.standins.upstream_run import Fault
 from lynxchute.upstreams.evacuations import Evacuations
-from tests.platform_support import PlatformCaller, PlatformTestCase, ids_of
-from tests.support import until
+from tests.platform_support import (
+    PlatformCaller,
+    PlatformDeployment,
+    PlatformTestCase,
+    ids_of,
+)
+from tests.support import (
+    AsyncTestCase,
+    Caller,
+    engine_runs,
+    question,
+    until,
+    with_deployment,
+)
 
 # The promise is some seconds; the aim, where the store answers, is one.
 AIM_SECONDS = 1.0
@@ -256,3 +272,78 @@
             self.assertEqual(4, len(router.directory.entries_by_id))
 
         self.with_platform(scenario)
+
+
+class OperatorsTest(AsyncTestCase):
+    """Operators evacuate a data centre and take it back in the product's own words."""
+
+    def test_an_order_is_checked_heard_by_all_and_taken_back(self):
+        async def scenario(deployment):
+            async def say(statement):
+                _, answer = await deployment.operate("kyu-a-1", statement)
+                return answer
+
+            answer = await say("evacuate data centre kyu-z")
+            self.assertEqual("not_done", answer["state"])
+            self.assertIn("Did you mean 'kyu-", answer["detail"])
+            self.assertEqual("done", (await say("evacuate data centre kyu-a"))["state"])
+            await until(lambda: self.heard(deployment, "kyu-a"))
+            (row,) = (await say("show evacuations"))["rows"]
+            self.assertEqual("kyu-a", row["data_centre"])
+            self.assertEqual((4, ""), (row["heard_by"], row["not_heard_by"]))
+            self.assertLess(row["since_s"], 10)
+            answer = await say("evacuate data centre kyu-b")
+            self.assertIn("anyway", answer["detail"])
+            caller = Caller(deployment, "kyu-a-1")
+            for _ in range(4):
+                self.assertEqual(200, (await caller.ask(question()))[0])
+            inside = [
+                engine
+                for name, engine in deployment.engines_by_name.items()
+                if name.startswith("kyu-a")
+            ]
+            self.assertEqual(4, len(engine_runs(deployment)))
+            self.assertEqual([], [run for e in inside for run in e.records()])
+            answer = await say("take back data centre kyu-a")
+            self.assertEqual("done", answer["state"])
+            await until(lambda: not self.heard(deployment, "kyu-a"))
+            self.assertEqual([], (await say("show evacuations"))["rows"])
+            answer = await say("take back data centre kyu-a")
+            self.assertEqual("not_done", answer["state"])
+
+        with_deployment(self, scenario)
+
+    def heard(self, deployment, data_centre):
+        routers = deployment.routers_by_vm.values()
+        return all(r.evacuations.is_evacuated(data_centre) for r in routers)
+
+    def test_the_users_platform_takes_its_orders_from_its_own_operator_only(self):
+        async def scenario():
+            deployment = PlatformDeployment()
+            await deployment.start()
+            try:
+                platform = make_platform(deployment.settings["a-1"].store)
+                runner = StatementRunner(platform)
+                answer = await runner.run(
+                    "evacuate data centre a", operator="x", role=Role.OPERATE
+                )
+                self.assertEqual("not_done", answer.state)
+                self.assertIn("write its row", answer.detail)
+                await order(deployment, "a")
+                answer = await runner.run(
+                    "show evacuations", operator="x", role=Role.READ
+                )
+                self.assertEqual(["a"], [row["data_centre"] for row in answer.rows])
+                platform.store.close()
+            finally:
+                await deployment.stop()
+
+        self.run_async(scenario())
+
+    def test_statements_are_printed_as_they_are_read(self):
+        for text in (
+            "evacuate data centre a",
+            "evacuate data centre a anyway",
+            "take back data centre a",
+        ):
+            self.assertEqual(text, to_text(parse(text).ok))
