--- a/lynxchute/scheduling/cold_placements.py
+++ b/lynxchute/scheduling/cold_placements.py
@@ -17,8 +17,9 @@
     """Keep what is placed at each upstream to what it bears.
 
     What is placed at warm upstreams counts as well: one may become cold after that,
-    and word of it takes up to two seconds. So none gets more than the bound at any
-    time, which 14 requests a second are of a service whose mean is three.
+    and word of it takes up to two seconds. So one that had the bound within a second is
+    passed over while another has room; where none has, it is better to be right about
+    the others than to refuse.
 
     Parameters
     ----------
@@ -45,13 +46,19 @@
         """Take note of who is registered."""
         self._watch.look(services, now)
 
+    def admitting(self, entries: Iterable[Entry], now: float) -> list[Entry]:
+        """Return those that may get one more request from here, in their order."""
+        known = list(entries)
+        found = [entry for entry in known if self.may_place(entry, now)]
+        return found or [entry for entry in known if not self._is_cold(entry, now)]
+
     def may_place(self, entry: Entry, now: float) -> bool:
-        """Return whether an upstream may get one more request from here."""
+        """Return whether an upstream has room for one more request from here."""
         limits = self.limits_of(entry.upstream.service)
         if not limits.is_bound:
             return True
         placed = self._recent.count(entry.upstream.id, now)
-        if now < entry.cold_until:
+        if self._is_cold(entry, now):
             return placed < self._share(entry.upstream.service, now)
         return placed < limits.most
 
@@ -68,6 +75,11 @@
         """Forget upstreams that are gone."""
         self._recent.keep_only(upstream_ids)
 
+    def _is_cold(self, entry: Entry, now: float) -> bool:
+        if now >= entry.cold_until:
+            return False
+        return self.limits_of(entry.upstream.service).is_bound
+
     def _share(self, service: str, now: float) -> int:
         standing = self._watch.standing(service, now)
         if standing is None:
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -273,10 +273,8 @@
         traits = self._traits_of(request.service)
         newcomer = _newcomer_of(request)
         # A rank of its own for each prompt spreads what costs the same.
-        by_id = {}
-        for entry in entries:
-            if self._cold.may_place(entry, now):
-                by_id[entry.upstream.id] = entry
+        admitting = self._cold.admitting(entries, now)
+        by_id = {entry.upstream.id: entry for entry in admitting}
         parts = newcomer.generation.shared_parts
         order = ranked(parts[-1].id if parts else request.run_id, by_id)
         in_order = [by_id[upstream_id] for upstream_id in order]
