Evacuate a data centre in the demonstration, and let services state what cold upstreams bear

The operators' services take cold_seconds and cold_per_second; engines of the demonstration come back cold after an evacuation and record what reaches them.

--- a/lynxchute/config/document.py
+++ b/lynxchute/config/document.py
@@ -68,6 +68,14 @@
     cache_tokens: int = option(
         default=400_000, low=1, doc="Tokens that fit into an engine's memory."
     )
+    cold_seconds: float = option(
+        default=0.0, low=0.0, doc="Seconds for which one is cold after a start."
+    )
+    cold_per_second: float = option(
+        default=0.0,
+        low=0.0,
+        doc="Requests a second that a cold one bears; 0 for any number.",
+    )
 
 
 @attrs.frozen
--- a/lynxchute/config/from_document.py
+++ b/lynxchute/config/from_document.py
@@ -72,6 +72,8 @@
         health_path="/health",
         max_connections=item.slots * CONNECTIONS_PER_SLOT,
         engine=engine,
+        cold_seconds=item.cold_seconds,
+        cold_per_second=item.cold_per_second,
     )
 
 
--- a/lynxchute/demo.py
+++ b/lynxchute/demo.py
@@ -38,6 +38,14 @@
 # must know it; what it ends later counts as broken.
 ENDS_KNOWN = 3
 KNOWN_SECONDS = 1.0
+# Engines are cold after they were taken back, and bear so many requests a second: in
+# any second all routers together send one at most 2 x 1.5 + 5 = 8.
+COLD_SECONDS = 3.0
+COLD_PER_SECOND = 2.0
+COLD_MOST = 8
+# Seconds after an evacuation was accepted in which all routers must have heard of it.
+EVACUATED_SECONDS = 1.0
+EVACUATED = "kyu-b"
 SEED = 7
 
 
@@ -83,6 +91,8 @@
     "run_twice",
     "not_run_but_ran",
     "engines_ended_by_what_is_known",
+    "sent_to_evacuated",
+    "cold_rate_passed",
 )
 
 
@@ -91,7 +101,10 @@
     budgets = {f"crew-{index}": 60_000 for index in range(1, 8)}
     budgets.update({"road-1": 400_000, "road-2": 400_000, "coop": 30_000})
     return Shape(
-        routers_by_data_centre={"kyu-a": 3, "kyu-b": 3, "kyu-c": 2}, budgets=budgets
+        routers_by_data_centre={"kyu-a": 3, "kyu-b": 3, "kyu-c": 2},
+        budgets=budgets,
+        cold_seconds=COLD_SECONDS,
+        cold_per_second=COLD_PER_SECOND,
     )
 
 
@@ -104,10 +117,7 @@
     scene = asyncio.create_task(callers.run(SCENE_SECONDS, rate))
     await asyncio.sleep(SCENE_SECONDS / 2)
     for _ in range(2):
-        _, answer = await deployment.operate(
-            "kyu-a-2", "top up coop by 5000 as night-1"
-        )
-        _say(f"  {answer['state']}: {answer['detail']}")
+        await _order(deployment, "top up coop by 5000 as night-1")
     await scene
     _say("kyu-a-1 dies with open streams; the store loses answers")
     for vm in ("kyu-a-2", "kyu-b-1", "kyu-b-2"):
@@ -129,6 +139,45 @@
     return ended
 
 
+async def _evacuate(deployment: Deployment, callers: Callers, rate: float) -> int:
+    """Evacuate a data centre and take it back.
+
+    Returns
+    -------
+    int
+        How many requests were sent there later than they may be.
+    """
+    scene = asyncio.create_task(callers.run(SCENE_SECONDS, rate))
+    await _order(deployment, f"evacuate data centre {EVACUATED}")
+    await asyncio.sleep(EVACUATED_SECONDS)
+    since = asyncio.get_running_loop().time()
+    await scene
+    sent = 0
+    for upstream in deployment.upstreams:
+        if upstream.name.startswith(EVACUATED):
+            sent += len(upstream.taken.since(since))
+    _, shown = await deployment.operate("kyu-a-2", "show evacuations")
+    _say(f"  {shown['rows']}")
+    for name, engine in deployment.engines_by_name.items():
+        if name.startswith(EVACUATED):
+            engine.taken.note_cold(COLD_SECONDS, asyncio.get_running_loop().time())
+    await _order(deployment, f"take back data centre {EVACUATED}")
+    await callers.run(SCENE_SECONDS, rate)
+    return sent
+
+
+async def _order(deployment: Deployment, statement: str) -> None:
+    _, answer = await deployment.operate("kyu-a-2", statement)
+    _say(f"  {answer['state']}: {answer['detail']}")
+
+
+def _cold_rate_passed(deployment: Deployment) -> int:
+    """Return by how many requests the fullest second of a cold engine is too full."""
+    engines = deployment.engines_by_name.values()
+    most = max(engine.taken.most_while_cold() for engine in engines)
+    return max(most - COLD_MOST, 0)
+
+
 async def _repeat_deadly(deployment: Deployment) -> int:
     """Ask the deadly question at one router after the other.
 
@@ -207,10 +256,14 @@
     callers = Callers(deployment, random.Random(SEED))
     try:
         ended = await _play(deployment, callers, rate)
+        _say(f"{EVACUATED} is evacuated and taken back; its engines come back cold")
+        sent_to_evacuated = await _evacuate(deployment, callers, rate)
         _say("waiting for the last settlements")
         await _settle(deployment, 8.0)
         result = measure(deployment, callers.sent)
         result["engines_ended_by_what_is_known"] = ended
+        result["sent_to_evacuated"] = sent_to_evacuated
+        result["cold_rate_passed"] = _cold_rate_passed(deployment)
     finally:
         await deployment.stop()
     _print_table(callers.sent)
--- a/lynxchute/standins/deployment.py
+++ b/lynxchute/standins/deployment.py
@@ -58,6 +58,9 @@
         The path prefix of the plain service's route.
     limits
         Bounds on callers.
+    cold_seconds, cold_per_second
+        How long an engine is cold after a start, and the requests a second that it
+        bears meanwhile; 0 for any number.
     """
 
     routers_by_data_centre: dict[str, int]
@@ -69,6 +72,8 @@
     first_token_delay: float = 0.005
     max_answer_tokens: int = 256
     limits: LimitDocument = attrs.Factory(LimitDocument)
+    cold_seconds: float = 0.0
+    cold_per_second: float = 0.0
 
 
 @attrs.define(eq=False)
@@ -272,7 +277,12 @@
             name="operator", role=Role.CONFIGURE, key_hashes=(hash_key(OPERATOR_KEY),)
         )
         services = (
-            ServiceDocument(name=ENGINES, kind=ServiceKind.ENGINE),
+            ServiceDocument(
+                name=ENGINES,
+                kind=ServiceKind.ENGINE,
+                cold_seconds=self.shape.cold_seconds,
+                cold_per_second=self.shape.cold_per_second,
+            ),
             ServiceDocument(name=SERVICE, kind=ServiceKind.PLAIN),
         )
         routes = (
--- a/lynxchute/standins/upstream.py
+++ b/lynxchute/standins/upstream.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from abc import ABC, abstractmethod
 from typing import Any
 
 from lynxchute.callers import names
 from lynxchute.http import HttpServer, Request, Responder
+from lynxchute.standins.arrivals import Arrivals
 from lynxchute.standins.faults import FAULTS_PATH, Faults
 
 STATE_PATH = "/state"
@@ -20,11 +22,17 @@
     ----------
     name
         The name under which routers know it.
+
+    Attributes
+    ----------
+    taken
+        When it took requests, and when it was cold.
     """
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.faults = Faults()
+        self.taken = Arrivals()
         self.server = HttpServer(self._handle)
 
     @abstractmethod
@@ -49,6 +57,8 @@
         if not await self.faults.before():
             await respond.json(503, {"error": "outage"}, [NOT_RUN_HEADER])
             return
+        if request.headers.get(names.EXPECTED_UPSTREAM.lower()):
+            self.taken.note(asyncio.get_running_loop().time())
         await self.serve(request, respond)
 
 
