Soak evacuations and cold upstreams beside all other faults

A task of its own evacuates data centres, lets engines grow cold before and after, and checks by what upstreams saw that calm routers send nothing there after a second and that no cold engine got over 14 requests in any second. It draws its own numbers.

--- a/lynxchute/standins/arrivals.py
+++ b/lynxchute/standins/arrivals.py
@@ -15,16 +15,24 @@
     ----------
     times
         All of them, in order.
+    request_ids
+        Their ids, as far as they were told, in the same order.
     cold_spans
         Beginnings and ends of the times at which the upstream was cold.
     """
 
     times: list[float] = attrs.Factory(list)
+    request_ids: list[str] = attrs.Factory(list)
     cold_spans: list[tuple[float, float]] = attrs.Factory(list)
 
-    def note(self, now: float) -> None:
+    def note(self, now: float, request_id: str = "") -> None:
         """Note a request."""
         self.times.append(now)
+        self.request_ids.append(request_id)
+
+    def items(self) -> list[tuple[float, str]]:
+        """Return the time and the id of each request."""
+        return list(zip(self.times, self.request_ids, strict=True))
 
     def note_cold(self, seconds: float, now: float) -> None:
         """Note that the upstream is cold from now on."""
--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -203,7 +203,7 @@
             expected = run.headers.get(names.EXPECTED_UPSTREAM.lower(), self.id)
             if expected != self.id:
                 fault = Fault.MOVED
-            elif self._is_too_much() or run.body in self.deadly_bodies:
+            elif self._is_too_much(run.request_id) or run.body in self.deadly_bodies:
                 fault = Fault.CRASH
             exchange = UpstreamExchange(
                 self.id,
@@ -222,10 +222,10 @@
                 return
             protocol.start_next_cycle()
 
-    def _is_too_much(self) -> bool:
+    def _is_too_much(self, request_id: str) -> bool:
         """Note a request; return whether it is more than a cold process bears."""
         now = asyncio.get_running_loop().time()
-        self.taken.note(now)
+        self.taken.note(now, request_id)
         if not self.cold_most or self.taken.cold_seconds(now) <= 0:
             return False
         return len(self.taken.since(now - 1.0)) > self.cold_most
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -44,6 +44,8 @@
 
     def __init__(self, fleet, checker, rng, plan):
         self.counts = {}
+        self.disturbed_at_by_vm = {}
+        self.store_disturbed_at = float("-inf")
         self._fleet = fleet
         self._checker = checker
         self._rng = rng
@@ -89,6 +91,7 @@
             return
         vm = router.process.vm
         self._busy_vms.add(vm)
+        self._note_disturbed([(vm, router)])
         router.process.send_signal(signal.SIGTERM)
         try:
             async with asyncio.timeout(STOP_WITHIN):
@@ -158,6 +161,7 @@
     async def _kill(self, routers):
         vms = {router.process.vm for router in routers}
         self._checker.disturbed_vms |= vms
+        self._note_disturbed([(vm, None) for vm in vms])
         self._busy_vms |= vms
         for router in routers:
             await router.process.kill()
@@ -174,12 +178,18 @@
             return
         vm = router.process.vm
         self._checker.disturbed_vms.add(vm)
+        self._note_disturbed([(vm, router)])
         self._busy_vms.add(vm)
         router.process.send_signal(signal.SIGSTOP)
         await self._while_it_lasts()
         router.process.send_signal(signal.SIGCONT)
         self._busy_vms.discard(vm)
 
+    def _note_disturbed(self, vms_and_things):
+        now = asyncio.get_running_loop().time()
+        for vm, _ in vms_and_things:
+            self.disturbed_at_by_vm[vm] = now + LASTS[1]
+
     def _links(self):
         routers = list(self._fleet.routers_by_vm.values())
         found = []
@@ -196,6 +206,7 @@
             routers = self._fleet.routers_by_vm.values()
             vms_and_links = [(r.process.vm, r.store_link) for r in routers]
         self._checker.disturbed_vms |= {vm for vm, _ in vms_and_links}
+        self._note_disturbed(vms_and_links)
         self._store_faults += 1
         return [link for _, link in vms_and_links]
 
@@ -230,6 +241,7 @@
 
     def _some_store_faults(self):
         self._store_faults += 1
+        self.store_disturbed_at = asyncio.get_running_loop().time() + LASTS[1]
         ports = [r.store_port for r in self._fleet.routers_by_vm.values()]
         if self._rng.random() < 0.5:
             ports = [self._rng.choice(ports)]
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -13,6 +13,9 @@
 SCARCE_TOKENS = 30_000
 EVENTS = 6
 EVENT_DELAY = 0.01
+# Engines are cold after a start and an evacuation; the fleet may send one 14 requests
+# in any second then.
+COLD_SECONDS, COLD_PER_SECOND, COLD_MOST = 1.5, 6.6, 14
 # Versions whose own route is still there.
 ROUTES_KEPT = 50
 ROUTER_MODULES = ("lynxchute.platform", "tests.suspendable_router")
@@ -87,6 +90,10 @@
             {"name": name, "api_keys": [f"key-of-{name}"], "prepaid": tokens}
             for name, tokens in self.prepaid_by_account.items()
         ]
+        for service in document["services"]:
+            if service["name"] == "pool":
+                service["cold_start_s"] = COLD_SECONDS
+                service["cold_per_s"] = COLD_PER_SECOND
         await self.store.configure(document)
 
     async def top_up(self, account, tokens):
@@ -102,6 +109,9 @@
         link = Link(f"127.0.0.1:{standin.port}")
         await link.start()
         standin.reached_at = link.port
+        if self.version and service == "pool":
+            # It starts while there is traffic.
+            standin.grow_cold(COLD_SECONDS)
         await standin.register(self.store)
         upstream = SoakUpstream(standin, link)
         self.upstreams.append(upstream)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,6 +11,7 @@
 from lynxchute.http import ExchangeFailed
 from tests.platform_support import HOST
 from tests.soak.deadly import DeadlyCaller
+from tests.soak.evacuator import Evacuator
 from tests.soak.faults import Injector, Plan
 from tests.soak.fleet import AMPLE, SoakFleet
 from tests.soak.promises import Checker
@@ -68,6 +69,7 @@
     checker.planned_only = plan.planned_only
     injector = Injector(fleet, checker, rng, plan)
     deadly = DeadlyCaller(fleet, callers, checker, seed)
+    evacuator = Evacuator(fleet, callers, checker, injector, seed)
     side_tasks = []
     try:
         await fleet.start()
@@ -78,12 +80,16 @@
         callers.start()
         if not plan.planned_only:
             side_tasks.append(asyncio.create_task(deadly.run()))
+        evacuations = asyncio.create_task(evacuator.run(seconds))
+        side_tasks.append(evacuations)
         await injector.run()
+        await evacuations
         await _check_recovery(fleet, callers, checker)
         await callers.stop()
         await asyncio.sleep(SETTLES_WITHIN)
         checker.look()
         deadly.check()
+        evacuator.check_cold()
     finally:
         for task in side_tasks:
             task.cancel()
@@ -97,7 +103,11 @@
         sum(1 for record in callers.records if record.status == 200),
         checker.summary(),
         list(checker.details()),
-        {**injector.counts, "deadly": len(deadly.ended_at)},
+        {
+            **injector.counts,
+            "deadly": len(deadly.ended_at),
+            "evacuations": len(evacuator.spans),
+        },
     )
 
 
