--- a/lynxchute/edge/settings.py
+++ b/lynxchute/edge/settings.py
@@ -66,6 +66,8 @@
         Whether one write to the store may change rows of several parts.
     is_first_start
         Whether the whole fleet starts for the first time.
+    cold_admission
+        Which way of `ADMISSIONS_BY_NAME` says what cold upstreams get.
     peers_reached_at
         Where the other routers reach this one; None where that is where it
         listens for them.
@@ -84,5 +86,6 @@
     metrics: Address | None = None
     is_first_start: bool = False
     store_spans_parts: bool = False
+    cold_admission: str = "first"
     peers_reached_at: Address | None = None
     bounds: Bounds = Bounds()
--- a/lynxchute/platform/settings.py
+++ b/lynxchute/platform/settings.py
@@ -10,6 +10,7 @@
 
 from lynxchute.address import Address
 from lynxchute.edge.settings import USUAL_LINK_MBPS, Bounds, EdgeSettings
+from lynxchute.upstreams.cold_admission import ADMISSIONS_BY_NAME, FirstRegistered
 
 SETTINGS_VARIABLE = "LYNXCHUTE_SETTINGS"
 # The port for metrics stands in the deploy file only, which hands it on here.
@@ -18,6 +19,9 @@
 # between them.
 PEERS_VARIABLE = "LYNXCHUTE_PEERS_REACHED_AT"
 
+# Which way says what cold upstreams get; for comparisons on played days.
+COLD_VARIABLE = "LYNXCHUTE_COLD_ADMISSION"
+
 # Which of the ports for traffic between the VMs the routers use; counted from
 # the first one.
 PEER_PORT_OFFSET = 0
@@ -57,6 +61,7 @@
         cores=reader.limit("cpu_share", 1.0) * reader.limit("cores", 1.0),
         metrics=_metrics(reader, environment),
         is_first_start=bool(document.get("bootstrap")),
+        cold_admission=_cold_admission(reader, environment),
         store_spans_parts=reader.flag("platform", "across"),
         peers_reached_at=_peers_reached_at(reader, environment),
         bounds=_bounds(reader),
@@ -76,6 +81,14 @@
     return Address(reader.text("ip"), int(port))
 
 
+def _cold_admission(reader: _Reader, environment: Mapping[str, str]) -> str:
+    name = environment.get(COLD_VARIABLE, "") or FirstRegistered.NAME
+    if name not in ADMISSIONS_BY_NAME:
+        known = ", ".join(ADMISSIONS_BY_NAME)
+        reader.findings.append(f"the variable {COLD_VARIABLE} is none of {known}")
+    return name
+
+
 def _peers_reached_at(
     reader: _Reader, environment: Mapping[str, str]
 ) -> Address | None:
--- a/lynxchute/upstreams/cold_admission.py
+++ b/lynxchute/upstreams/cold_admission.py
@@ -10,6 +10,7 @@
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable, Container, Iterable
+from typing import ClassVar
 
 import attrs
 
@@ -77,7 +78,15 @@
 
 
 class ColdAdmission(ABC):
-    """Say how many requests a router may have sent to one cold upstream."""
+    """Say how many requests a router may have sent to one cold upstream.
+
+    Attributes
+    ----------
+    NAME
+        What settings call it.
+    """
+
+    NAME: ClassVar[str]
 
     @abstractmethod
     def share(self, limits: ColdLimits, standing: Standing) -> int:
@@ -93,6 +102,8 @@
     while it cannot be reached; the upstreams are warm by themselves soon.
     """
 
+    NAME = "first"
+
     def share(self, limits: ColdLimits, standing: Standing) -> int:
         """Return half of the bound for the first router, nothing for others."""
         if standing.rank or standing.seconds < TAKE_OVER_SECONDS:
@@ -106,6 +117,8 @@
     It needs nobody's answer. But the requests are at other routers mostly.
     """
 
+    NAME = "shares"
+
     def share(self, limits: ColdLimits, standing: Standing) -> int:
         """Return 1 for as many routers as half of the bound has requests."""
         if standing.seconds < TAKE_OVER_SECONDS:
@@ -116,11 +129,18 @@
 class WarmOnly(ColdAdmission):
     """Send nothing to cold upstreams."""
 
+    NAME = "none"
+
     def share(self, limits: ColdLimits, standing: Standing) -> int:
         """Return 0."""
         return 0
 
 
+ADMISSIONS_BY_NAME: dict[str, type[ColdAdmission]] = {
+    cls.NAME: cls for cls in (FirstRegistered, SharesByRank, WarmOnly)
+}
+
+
 class StandingWatch:
     """Tell for how long a router has had its rank.
 
