--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -23,6 +23,7 @@
 from lynxchute.edge.platform import Platform
 from lynxchute.edge.reload import Reader, SettingsWatcher
 from lynxchute.edge.settings import EdgeSettings
+from lynxchute.edge.upstream_rules import UpstreamRules
 from lynxchute.edge.upstreams import UpstreamWatcher
 from lynxchute.fleet.client import HttpPeers
 from lynxchute.fleet.members import Member, Members, strength_of
@@ -46,8 +47,7 @@
 from lynxchute.relay.load import RouterLoad
 from lynxchute.relay.relay import Relay
 from lynxchute.relay.sender import UPSTREAM_TIMEOUTS, Sender
-from lynxchute.scheduling.cold_placements import ColdPlacements
-from lynxchute.scheduling.scheduler import Scheduler, scheduling_key
+from lynxchute.scheduling.scheduler import Scheduler
 from lynxchute.spending.balance import Balance
 from lynxchute.spending.final_use import FinalUses
 from lynxchute.spending.keeper import Keeper
@@ -55,16 +55,9 @@
 from lynxchute.spending.settlements import Settlements
 from lynxchute.store.counted import CountedStore
 from lynxchute.telemetry import Metrics, log_event
-from lynxchute.upstreams.cold_admission import (
-    ADMISSIONS_BY_NAME,
-    ColdLimits,
-    StandingWatch,
-)
 from lynxchute.upstreams.directory import Directory
-from lynxchute.upstreams.evacuations import Evacuations
 from lynxchute.upstreams.placement import LeastOpen
 from lynxchute.upstreams.retry_budget import RetryBudget
-from lynxchute.upstreams.send_gate import SendGate
 from lynxchute.upstreams.silence import SilenceWatch
 from lynxchute.upstreams.upstream import Upstream
 
@@ -77,8 +70,6 @@
 # given up, so that grants can still be given back.
 STOP_MARGIN_SECONDS = 1.2
 DRAIN_STEP_SECONDS = 0.05
-# Services that no configuration names bear any number of requests.
-NO_COLD_LIMITS = ColdLimits()
 
 
 class EdgeApplication(Application):
@@ -127,14 +118,18 @@
         )
         platform = attrs.evolve(platform, store=store)
         self.platform = platform
-        self.evacuations = Evacuations()
-        self.evacuations.listeners.append(self._note_evacuation)
+        self.directory = Directory()
+        rules = UpstreamRules(
+            lambda: self.settings,
+            lambda: self.configurations.current,
+            self.directory,
+            self.members,
+            lambda: self.registry.feed.synced.is_set(),
+        )
+        self.evacuations = rules.evacuations
         self.configurations = Configurations(
-            platform, self.evacuations, bound=settings.bounds.configuration
+            platform, rules.evacuations, bound=settings.bounds.configuration
         )
-        self.directory = Directory()
-        self.directory.cold_seconds_of = lambda name: self._cold_of(name).start_seconds
-        gate = SendGate(self.evacuations, self._cold_of)
         self.clients = ClientPool(UPSTREAM_TIMEOUTS, meter)
         self.upstreams = self.make_upstreams()
         bounds = settings.bounds
@@ -178,21 +173,16 @@
         self.balance = Balance(self.keeper, budgets.lenders, self.members, self.peers)
         rng = random.Random()
         self.admission = Admission(self.configurations, rng, self.load)
-        plain = LeastOpen(settings.data_centre, gate, steady_seconds)
+        plain = LeastOpen(settings.data_centre, rules.gate, steady_seconds)
         engines = platform.make_engines(self.clients)
-        cold = ColdPlacements(
-            ADMISSIONS_BY_NAME[settings.cold_admission](),
-            StandingWatch(self._rank_of),
-            self._cold_of,
-        )
         scheduler = Scheduler(
             self.members,
             self.peers,
             self.directory,
             self._traits_of,
             engines,
-            gate,
-            cold,
+            rules.gate,
+            rules.cold,
             meter,
             steady_seconds,
         )
@@ -214,7 +204,7 @@
         self.containment.serve(self.peer_server)
         self.containment.follow(self.registry)
         chooser = Chooser(
-            self.directory, scheduler, plain, reachability, gate, steady_seconds
+            self.directory, scheduler, plain, reachability, rules.gate, steady_seconds
         )
         sender = Sender(
             chooser,
@@ -225,7 +215,7 @@
             self.metrics,
             reachability,
             self.containment,
-            gate,
+            rules.gate,
             steady_seconds,
         )
         self.relay = Relay(
@@ -354,32 +344,6 @@
         found = current.services_by_name.get(service) if current else None
         return found.engine if found is not None else None
 
-    def _cold_of(self, service: str) -> ColdLimits:
-        """Return what the upstreams of a service bear while they are cold."""
-        current = self.configurations.current
-        found = current.services_by_name.get(service) if current else None
-        if found is None:
-            return NO_COLD_LIMITS
-        bounds = self.settings.bounds
-        return ColdLimits(
-            found.cold_seconds,
-            found.cold_per_second,
-            bounds.cold_factor,
-            bounds.cold_extra,
-        )
-
-    def _rank_of(self, service: str) -> int | None:
-        """Return this router's place among all registered ones, where known."""
-        if not self.registry.feed.synced.is_set():
-            return None
-        return self.members.own_rank(scheduling_key(service))
-
-    def _note_evacuation(self, data_centre: str) -> None:
-        """Let the load go elsewhere at once, or come back as cold upstreams bear it."""
-        if not self.evacuations.is_evacuated(data_centre):
-            self.directory.note_cold_in(data_centre, steady_seconds())
-        self.directory.changed()
-
     def _limits(self) -> ServerLimits:
         return caller_limits(self.configurations.current, self.settings.memory_mb)
 
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -23,6 +23,7 @@
 from lynxchute.scheduling.board import Candidate, EngineBoard
 from lynxchute.scheduling.cold_placements import ColdPlacements
 from lynxchute.scheduling.newcomer import Newcomer
+from lynxchute.scheduling.news import NewsOfRuns
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.aims import NO_AIMS, Aims
 from lynxchute.upstreams.cold_admission import PERMIT_SECONDS
@@ -36,12 +37,6 @@
 # Seconds that a request waits for a place; a router within the region answers
 # in a few ms.
 ASK_SECONDS = 0.1
-# News of runs of this many seconds go out together.
-NEWS_SECONDS = 0.05
-# Seconds until news are told again to a router that did not take them.
-RETELL_SECONDS = 0.5
-# News that are kept for such a router: those of some seconds.
-MAX_KEPT_NEWS = 300
 TIDY_SECONDS = 5.0
 # Tokens of an engine's memory where its service does not say.
 USUAL_CAPACITY = 400_000
@@ -97,9 +92,8 @@
         self._tasks = Tasks()
         self._meter = meter
         self._clock = clock
-        self._news_by_vm: dict[str, list[RunNews]] = {}
+        self._news = NewsOfRuns(members, peers)
         self._scheduler_by_run: dict[str, str] = {}
-        self._any_news = asyncio.Event()
 
     async def stop(self) -> None:
         """End at once."""
@@ -202,11 +196,7 @@
         if vm == self._members.own.vm:
             self._take(news)
             return
-        self._post(vm, [news])
-
-    def _post(self, vm: str, news: list[RunNews]) -> None:
-        self._news_by_vm.setdefault(vm, []).extend(news)
-        self._any_news.set()
+        self._news.post(vm, [news])
 
     def _scheduling_vm(self, service: str) -> str:
         return self._members.first_for(scheduling_key(service))
@@ -241,13 +231,13 @@
             async with asyncio.timeout(ASK_SECONDS + self._meter.delay()):
                 return await self._peers.ask(vm, request)
         except PeerUnreachable:
-            self._post(vm, unplaced)
+            self._news.post(vm, unplaced)
             return PlaceReply("")
         except asyncio.CancelledError:
-            self._post(vm, unplaced)
+            self._news.post(vm, unplaced)
             raise
         except TimeoutError:
-            self._post(vm, unplaced)
+            self._news.post(vm, unplaced)
             self._members.note_silence(vm, self._clock())
             log_event("scheduling router too slow", peer=vm, request_id=request.run_id)
             return PlaceReply("")
@@ -353,48 +343,12 @@
     async def _run(self) -> None:
         tidied_at = self._clock()
         while True:
-            try:
-                async with asyncio.timeout(TIDY_SECONDS):
-                    await self._any_news.wait()
-            except TimeoutError:
-                # No news; the board is tidied all the same.
-                pass
-            if self._clock() - tidied_at >= TIDY_SECONDS:
-                tidied_at = self._clock()
-                self.board.keep_only(self._directory.entries_by_id, tidied_at)
-                self._cold.keep_only(self._directory.entries_by_id)
-            if not self._any_news.is_set():
-                continue
-            self._any_news.clear()
-            await asyncio.sleep(NEWS_SECONDS)
-            await self._tell_all()
-
-    async def _tell_all(self) -> None:
-        """Send the news that wait for routers that can be reached."""
-        waiting, self._news_by_vm = self._news_by_vm, {}
-        tellings = []
-        for vm, news in waiting.items():
-            if vm not in self._members.by_vm:
+            await self._news.tell(TIDY_SECONDS)
+            if self._clock() - tidied_at < TIDY_SECONDS:
                 continue
-            if self._members.is_reachable(vm):
-                tellings.append(self._tell(vm, news))
-            else:
-                self._keep(vm, news)
-        await asyncio.gather(*tellings)
-
-    async def _tell(self, vm: str, news: list[RunNews]) -> None:
-        try:
-            await self._peers.ask(vm, RunNewsRequest(tuple(news)))
-        except PeerUnreachable as error:
-            log_event("news of runs kept", peer=vm, count=len(news), reason=str(error))
-            self._keep(vm, news)
-
-    def _keep(self, vm: str, news: list[RunNews]) -> None:
-        """Keep news for a router that may answer again."""
-        newer = self._news_by_vm.get(vm, [])
-        self._news_by_vm[vm] = [*news, *newer][-MAX_KEPT_NEWS:]
-        loop = asyncio.get_running_loop()
-        loop.call_later(RETELL_SECONDS, self._any_news.set)
+            tidied_at = self._clock()
+            self.board.keep_only(self._directory.entries_by_id, tidied_at)
+            self._cold.keep_only(self._directory.entries_by_id)
 
 
 def scheduling_key(service: str) -> str:
