Say once what holds a cold upstream back and what the store has said against an order

Read as a newcomer: one rule stood in the gate and in the count, one list of errors in two orders, and a time that nobody read.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -71,7 +71,7 @@
 STOP_MARGIN_SECONDS = 1.2
 # Seconds before the kill by which nothing more is told: each wait for somebody who
 # gives no answer takes up to 0.7 s, and they come one after the other.
-LAST_WORDS_MARGIN_SECONDS = 0.4
+TELL_MARGIN_SECONDS = 0.4
 DRAIN_STEP_SECONDS = 0.05
 
 
@@ -298,13 +298,15 @@
                     break
             await asyncio.sleep(DRAIN_STEP_SECONDS)
         bounds = self.settings.bounds
-        end_of_words = started + bounds.stop - LAST_WORDS_MARGIN_SECONDS
+        tell_until = started + bounds.stop - TELL_MARGIN_SECONDS
         try:
-            async with asyncio.timeout_at(end_of_words):
+            async with asyncio.timeout_at(tell_until):
                 await self._tell_last()
         except TimeoutError:
             # What is told to nobody counts as if the process had been killed.
-            log_event("last words cut short", seconds=steady_seconds() - started)
+            log_event(
+                "not all was told at the stop", seconds=steady_seconds() - started
+            )
         log_event("stopped", open_requests=self.relay.open_requests)
 
     async def _tell_last(self) -> None:
--- a/lynxchute/edge/configurations.py
+++ b/lynxchute/edge/configurations.py
@@ -125,10 +125,10 @@
         taken, since they are taken without a pause.
         """
         data_centre = row.id.key.removeprefix(self._evacuation_prefix)
-        now = steady_seconds()
         if row.deleted:
-            is_news = self._evacuations.take_back(data_centre, row.version, now)
+            is_news = self._evacuations.take_back(data_centre, row.version)
         else:
+            now = steady_seconds()
             is_news = self._evacuations.order(data_centre, row.version, now)
         if not is_news:
             return
--- a/lynxchute/operators/evacuation_rows.py
+++ b/lynxchute/operators/evacuation_rows.py
@@ -106,38 +106,32 @@
         """
         if name not in known:
             return Error(f"No data centre is called {name!r}. {nearest(name, known)}")
-        try:
-            standing = {self._name(row) for row in await self._standing()}
-            if not is_certain and not known - standing - {name}:
-                return Error(
-                    "Nothing would be served: all other data centres are evacuated. "
-                    f"Say `evacuate data centre {name} anyway`."
-                )
-            now_ms = self._store.clock.earliest_ms(steady_seconds())
-            value = json.dumps({SINCE: now_ms, OPERATOR: operator}).encode()
-            if name not in standing:
-                await self._store.write(Write(puts=(Put(self._row_id(name), value),)))
-        except StoreRefused:
-            return Error(NOT_WRITTEN_HERE)
-        except StoreUnavailable:
-            return Error(OUT_OF_REACH)
-        except OutcomeUnknown:
-            return Error(UNKNOWN_OUTCOME)
-        return Ok(f"Nothing new is sent to {name}; what runs there goes on to its end.")
+        return await _or_why_not(self._order(name, known, operator, is_certain))
 
     async def take_back(self, name: str) -> Result[str, str]:
         """Use a data centre again; return what was done, or why not."""
-        try:
-            standing = {self._name(row) for row in await self._standing()}
-            if name not in standing:
-                return Error(f"{name!r} is not evacuated. {nearest(name, standing)}")
-            await self._store.write(Write(deletes=(self._row_id(name),)))
-        except StoreRefused:
-            return Error(NOT_WRITTEN_HERE)
-        except StoreUnavailable:
-            return Error(OUT_OF_REACH)
-        except OutcomeUnknown:
-            return Error(UNKNOWN_OUTCOME)
+        return await _or_why_not(self._take_back(name))
+
+    async def _order(
+        self, name: str, known: set[str], operator: str, is_certain: bool
+    ) -> Result[str, str]:
+        standing = {self._name(row) for row in await self._standing()}
+        if not is_certain and not known - standing - {name}:
+            return Error(
+                "Nothing would be served: all other data centres are evacuated. "
+                f"Say `evacuate data centre {name} anyway`."
+            )
+        now_ms = self._store.clock.earliest_ms(steady_seconds())
+        value = json.dumps({SINCE: now_ms, OPERATOR: operator}).encode()
+        if name not in standing:
+            await self._store.write(Write(puts=(Put(self._row_id(name), value),)))
+        return Ok(f"Nothing new is sent to {name}; what runs there goes on to its end.")
+
+    async def _take_back(self, name: str) -> Result[str, str]:
+        standing = {self._name(row) for row in await self._standing()}
+        if name not in standing:
+            return Error(f"{name!r} is not evacuated. {nearest(name, standing)}")
+        await self._store.write(Write(deletes=(self._row_id(name),)))
         return Ok(f"{name} is used again, by what its upstreams bear.")
 
     async def _state(self, name: str) -> dict[str, Any]:
@@ -168,6 +162,18 @@
 COLUMNS = ("data_centre", "since_s", *STATE_COLUMNS)
 
 
+async def _or_why_not(work: Awaitable[Result[str, str]]) -> Result[str, str]:
+    """Return what was done, or what the store has said against it."""
+    try:
+        return await work
+    except StoreRefused:
+        return Error(NOT_WRITTEN_HERE)
+    except StoreUnavailable:
+        return Error(OUT_OF_REACH)
+    except OutcomeUnknown:
+        return Error(UNKNOWN_OUTCOME)
+
+
 def _since_ms(row: Row) -> int | None:
     """Return when an order was given, where its row says so."""
     try:
--- a/lynxchute/scheduling/cold_placements.py
+++ b/lynxchute/scheduling/cold_placements.py
@@ -76,9 +76,7 @@
         self._recent.keep_only(upstream_ids)
 
     def _is_cold(self, entry: Entry, now: float) -> bool:
-        if now >= entry.cold_until:
-            return False
-        return self.limits_of(entry.upstream.service).is_bound
+        return self.limits_of(entry.upstream.service).bounds(entry.cold_until, now)
 
     def _share(self, service: str, now: float) -> int:
         standing = self._watch.standing(service, now)
--- a/lynxchute/upstreams/cold_admission.py
+++ b/lynxchute/upstreams/cold_admission.py
@@ -55,6 +55,10 @@
         """Return whether there is a bound at all."""
         return self.per_second > 0
 
+    def bounds(self, cold_until: float, now: float) -> bool:
+        """Return whether an upstream that is cold until then bears a few only."""
+        return self.is_bound and now < cold_until
+
     @property
     def most(self) -> int:
         """Return the requests that may reach one in any second."""
--- a/lynxchute/upstreams/evacuations.py
+++ b/lynxchute/upstreams/evacuations.py
@@ -35,9 +35,6 @@
     ----------
     by_data_centre
         The orders that stand.
-    ended_at_by_data_centre
-        When the last order for a data centre was taken back, as far as it was heard
-        here, on the steady clock in seconds.
     listeners
         Called with the name of each data centre whose order has come or gone.
 
@@ -46,15 +43,14 @@
     >>> evacuations = Evacuations()
     >>> evacuations.order("a", 7, 1.0), evacuations.is_evacuated("a")
     (True, True)
-    >>> evacuations.take_back("a", 6, 2.0), evacuations.is_evacuated("a")
+    >>> evacuations.take_back("a", 6), evacuations.is_evacuated("a")
     (False, True)
-    >>> evacuations.take_back("a", 8, 2.0), evacuations.is_evacuated("a")
+    >>> evacuations.take_back("a", 8), evacuations.is_evacuated("a")
     (True, False)
     """
 
     def __init__(self) -> None:
         self.by_data_centre: dict[str, Evacuation] = {}
-        self.ended_at_by_data_centre: dict[str, float] = {}
         self.listeners: list[Callable[[str], None]] = []
         self._version_by_data_centre: dict[str, int] = {}
 
@@ -73,13 +69,12 @@
             self._tell(data_centre)
         return known is None
 
-    def take_back(self, data_centre: str, version: int, now: float) -> bool:
+    def take_back(self, data_centre: str, version: int) -> bool:
         """Take the word that an order no longer stands; return whether it did here."""
         if not self._is_newer(data_centre, version):
             return False
         if self.by_data_centre.pop(data_centre, None) is None:
             return False
-        self.ended_at_by_data_centre[data_centre] = now
         self._tell(data_centre)
         return True
 
--- a/lynxchute/upstreams/send_gate.py
+++ b/lynxchute/upstreams/send_gate.py
@@ -53,9 +53,7 @@
 
     def is_cold(self, entry: Entry, now: float) -> bool:
         """Return whether an upstream bears a few requests only."""
-        if now >= entry.cold_until:
-            return False
-        return self._limits_of(entry.upstream.service).is_bound
+        return self._limits_of(entry.upstream.service).bounds(entry.cold_until, now)
 
     def withholds(
         self, entry: Entry, *, permit_until: float, now: float
--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -268,7 +268,7 @@
             await self.bind(deployment)
             for router in deployment.routers.values():
                 router.evacuations.order("a", 10**9, 0.0)
-                router.evacuations.take_back("a", 10**9 + 1, 0.0)
+                router.evacuations.take_back("a", 10**9 + 1)
                 for engine in deployment.engines:
                     entry = router.directory.entries_by_id[engine.id]
                     left = entry.cold_until - asyncio.get_running_loop().time()
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -43,9 +43,9 @@
     def test_a_later_order_than_the_one_that_was_taken_back_stands(self):
         evacuations = Evacuations()
         evacuations.order("a", 1, 0.0)
-        evacuations.take_back("a", 2, 1.0)
+        evacuations.take_back("a", 2)
         self.assertTrue(evacuations.order("a", 3, 2.0))
-        self.assertFalse(evacuations.take_back("a", 2, 3.0))
+        self.assertFalse(evacuations.take_back("a", 2))
         self.assertTrue(evacuations.is_evacuated("a"))
         self.assertFalse(evacuations.is_evacuated("b"))
 
@@ -54,8 +54,8 @@
         evacuations.listeners.append(heard.append)
         for version in (1, 2, 2):
             evacuations.order("a", version, 0.0)
-        evacuations.take_back("b", 3, 0.0)
-        evacuations.take_back("a", 3, 0.0)
+        evacuations.take_back("b", 3)
+        evacuations.take_back("a", 3)
         self.assertEqual(["a", "a"], heard)
 
     @given(
@@ -71,8 +71,10 @@
         rng.shuffle(heard)
         evacuations = Evacuations()
         for version, place, is_order in heard:
-            take = evacuations.order if is_order else evacuations.take_back
-            take(place, version, 0.0)
+            if is_order:
+                evacuations.order(place, version, 0.0)
+            else:
+                evacuations.take_back(place, version)
         for place, is_order in expected.items():
             self.assertEqual(is_order, evacuations.is_evacuated(place), heard)
 
