Say that a router is not ready while it takes no connection

Cause: with the way in closed at 0.15 s of waiting and unreadiness from 0.2 s or 0.7 of the link, a router could say for a moment that it is ready and take nobody. Test: asserted where the way in closes.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -319,7 +319,7 @@
         """Return whether new connections should come here."""
         if self.is_ending:
             return False
-        if self.load.is_shedding:
+        if self.load.is_shedding or not self.callers.is_accepting:
             return False
         return self.configurations.current is not None
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -198,6 +198,8 @@
             router.load._meter = meter
             meter.note_sent(600_000)
             await until(lambda: not router.callers.is_accepting)
+            # Whoever says that it is ready takes connections.
+            self.assertFalse(router.is_ready())
             stranger = PlatformCaller(deployment)
             with self.assertRaises(ExchangeFailed) as caught:
                 await stranger.send("GET", "/safe/x")
