--- a/lynxchute/relay/load.py
+++ b/lynxchute/relay/load.py
@@ -22,11 +22,15 @@
 
 # Share of the link's use from which on new connections are sent elsewhere, and what is
 # kept of it then: the balancer notices after two seconds only, in which a caller whose
-# account is hot opens more.
+# account is hot opens more. One account sending 108 to 240 requests a second to VMs
+# that carry 60 (in virtual time): 0.97 of what is due is served with these, within
+# 0.02 of it with 0.4 to 0.7 and 0.55 to 0.75; keeping 0.4 moves too much, 0.95.
 SHED_USE = 0.7
 KEPT_USE = 0.55
 # Seconds of waiting from which on no connection is taken: what comes over it would wait
 # behind the bodies that fill the link, while its caller reaches another router at once.
+# From 0.3 s on instead 55 of 1,000 requests of a day with such an account were refused,
+# 8 with this (22 VMs, links of 5 Mbit/s).
 FULL_DELAY = 0.15
 
 
