Find a request's neighbours once, on one ring for asking and placing

Cause, seen on reading the whole change: where many engines are looked at the ring was kept twice in a process and built anew twice after each change among them (two sorts of 3,000 hashes for one), and a request that was placed for another router was decoded into a newcomer twice.

Ruled out: one ring in the directory, which would have to know of placing.

No change of behaviour.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -207,7 +207,13 @@
         self.containment.serve(self.peer_server)
         self.containment.follow(self.registry)
         chooser = Chooser(
-            self.directory, scheduler, plain, reachability, rules.gate, steady_seconds
+            self.directory,
+            scheduler.neighbourhood,
+            scheduler,
+            plain,
+            reachability,
+            rules.gate,
+            steady_seconds,
         )
         sender = Sender(
             chooser,
--- a/lynxchute/platform/engines.py
+++ b/lynxchute/platform/engines.py
@@ -46,7 +46,7 @@
 
 def _probe_of(report: bytes, headers: Headers) -> Probe:
     """Return what a report tells; any other answer tells nothing by its body."""
-    cold_ms = cold_ms_of(headers)
+    cold_ms = _cold_ms(headers)
     try:
         value = RowValue.decode(report)
         told_ms = value.count(COLD_REMAINING, default=0)
@@ -56,7 +56,7 @@
     return Probe(started_ms, max(cold_ms, told_ms) / 1000.0)
 
 
-def cold_ms_of(headers: Headers) -> float:
+def _cold_ms(headers: Headers) -> float:
     """Return how long the upstream that answered is cold; 0 where it does not say."""
     text = headers.get(COLD_MS.lower(), "")
     return float(text) if text.isascii() and text.isdigit() else 0.0
--- a/lynxchute/relay/chooser.py
+++ b/lynxchute/relay/chooser.py
@@ -26,6 +26,8 @@
     ----------
     directory
         The upstreams.
+    neighbourhood
+        Says which of many upstreams are looked at for a generation.
     generations, plain
         Choose among model engines, and among other upstreams.
     reachability
@@ -39,6 +41,7 @@
     def __init__(
         self,
         directory: Directory,
+        neighbourhood: Neighbourhood,
         generations: Placement,
         plain: Placement,
         reachability: Reachability,
@@ -50,7 +53,7 @@
         self._plain = plain
         self._reachability = reachability
         self._gate = gate
-        self._neighbourhood = Neighbourhood(directory)
+        self._neighbourhood = neighbourhood
         self._clock = clock
         self._changed = asyncio.Event()
         directory.listeners.append(self._note_change)
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -70,6 +70,11 @@
         Tells how long questions wait for the VM's link.
     clock
         Seconds on the steady clock.
+
+    Attributes
+    ----------
+    neighbourhood
+        Says which engines are looked at for a request, here and where it is asked for.
     """
 
     def __init__(
@@ -93,7 +98,7 @@
         self._engines = engines
         self._gate = gate
         self._cold = cold
-        self._neighbourhood = Neighbourhood(directory)
+        self.neighbourhood = Neighbourhood(directory)
         self._tasks = Tasks()
         self._meter = meter
         self._clock = clock
@@ -168,7 +173,7 @@
             reply = await self._ask(vm, request)
         if reply.upstream not in by_id:
             vm = own
-            reply = self._place(request, candidates)
+            reply = self._place(request, _newcomer_of(request), candidates)
         if not reply.upstream:
             return None
         self._scheduler_by_run[run_id] = vm
@@ -255,7 +260,7 @@
     ) -> list[str]:
         """Return the engines that are looked at and not among the candidates."""
         found = []
-        for entry in self._neighbourhood.entries(service, key, self._clock()):
+        for entry in self.neighbourhood.entries(service, key, self._clock()):
             # The scheduling router knows by itself what is evacuated.
             if entry.upstream.id not in by_id and not self._gate.is_evacuated(
                 entry.upstream
@@ -267,11 +272,12 @@
     def _own_data_centre(self) -> str:
         return self._members.own.data_centre
 
-    def _place(self, request: PlaceRequest, entries: Iterable[Entry]) -> PlaceReply:
+    def _place(
+        self, request: PlaceRequest, newcomer: Newcomer, entries: Iterable[Entry]
+    ) -> PlaceReply:
         """Choose one of the entries; an empty name where none may get it."""
         now = self._clock()
         traits = self._traits_of(request.service)
-        newcomer = _newcomer_of(request)
         # A rank of its own for each prompt spreads what costs the same.
         admitting = self._cold.admitting(entries, now)
         by_id = {entry.upstream.id: entry for entry in admitting}
@@ -296,7 +302,7 @@
         """Return the engines that can hand over what they keep, leaving or not."""
         entries_by_id = self._directory.entries_by_id
         found = []
-        for upstream_id in self._neighbourhood.ids(service, key):
+        for upstream_id in self.neighbourhood.ids(service, key):
             entry = entries_by_id.get(upstream_id)
             if entry is not None and self._may_be_source(entry):
                 found.append(upstream_id)
@@ -321,12 +327,13 @@
         return found
 
     async def _serve_place(self, request: PlaceRequest) -> PlaceReply:
-        key = _newcomer_of(request).generation.placing_key(request.run_id)
+        newcomer = _newcomer_of(request)
+        key = newcomer.generation.placing_key(request.run_id)
         entries = []
-        for entry in self._neighbourhood.entries(request.service, key, self._clock()):
+        for entry in self.neighbourhood.entries(request.service, key, self._clock()):
             if self._takes_work(entry) and entry.upstream.id not in request.passed_over:
                 entries.append(entry)
-        return self._place(request, entries)
+        return self._place(request, newcomer, entries)
 
     async def _serve_news(self, request: RunNewsRequest) -> Done:
         for news in request.news:
