Say in the log what an answer states of its upstream

Server-Limit, Server-Leaving and Retry-After of a refusal are decoded in platform/ now, bounded, and told in one line when they change (`upstream stated`). Nothing is decided by them yet.

--- a/lynxchute/platform/dialect.py
+++ b/lynxchute/platform/dialect.py
@@ -8,9 +8,11 @@
 
 from lynxchute.http import BadRequest, Headers, Request
 from lynxchute.platform import names
+from lynxchute.platform.statements import decode_statement
 from lynxchute.relay.call import Call
 from lynxchute.relay.dialect import Dialect, Dispatch, Verdict, names_request
 from lynxchute.upstreams.generation import Generation, PromptPart
+from lynxchute.upstreams.statement import Statement
 
 SINGLE = (
     names.REQUEST_ID,
@@ -95,6 +97,10 @@
             return Verdict.INVALID
         return Verdict.ANSWERED
 
+    def statement(self, status: int, headers: Headers) -> Statement:
+        """Return what the head of an answer states of its upstream."""
+        return decode_statement(status, headers)
+
     def caller_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
         """Return the headers of an upstream's answer that the caller gets."""
         return headers.end_to_end(NOT_RETURNED)
--- a/lynxchute/platform/names.py
+++ b/lynxchute/platform/names.py
@@ -19,6 +19,10 @@
 # The address of an engine that hands over what it keeps of the prompt.
 FETCH_CACHE = "Kv-Fetch"
 RETRY_AFTER = "Retry-After"
+# The requests a second that the upstream that answers takes from all routers.
+UPSTREAM_LIMIT = "Server-Limit"
+# "1" from an upstream that takes no new work.
+UPSTREAM_LEAVING = "Server-Leaving"
 
 # Only the router may set these towards an upstream: a caller that sends one
 # could take another account's place, rank or memory.
--- a/lynxchute/relay/dialect.py
+++ b/lynxchute/relay/dialect.py
@@ -10,6 +10,7 @@
 
 from lynxchute.http import Headers, Request
 from lynxchute.relay.call import Call
+from lynxchute.upstreams.statement import NOTHING_STATED, Statement
 from lynxchute.upstreams.upstream import Upstream
 
 
@@ -87,6 +88,10 @@
     def verdict(self, status: int, headers: Headers) -> Verdict:
         """Return what the head of an answer says."""
 
+    def statement(self, status: int, headers: Headers) -> Statement:
+        """Return what the head of an answer states of its upstream."""
+        return NOTHING_STATED
+
     @abstractmethod
     def caller_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
         """Return the headers of an upstream's answer that the caller gets."""
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -227,6 +227,9 @@
         entry.heard_at = self._clock()
         self._reachability.note_heard(entry.upstream.data_centre)
         verdict = self._dialect.verdict(response.status, response.headers)
+        if verdict is not Verdict.MOVED:
+            # Any other process that has the address by now speaks for itself only.
+            self._note_statement(exchange, entry, response)
         answer = Answer(response, entry, cost, exchange.run_id, send, sent_at)
         if verdict is Verdict.ANSWERED:
             send.progress = Progress.BEGUN
@@ -243,6 +246,24 @@
         self._failed(exchange, entry, cost, Fate.BROKEN, reason)
         return None
 
+    def _note_statement(
+        self, exchange: Exchange, entry: Entry, response: Response
+    ) -> None:
+        """Take what an answer states of its upstream."""
+        statement = self._dialect.statement(response.status, response.headers)
+        if statement == entry.stated:
+            return
+        entry.stated = statement
+        log_event(
+            "upstream stated",
+            request_id=exchange.call.request_id,
+            upstream=entry.upstream.id,
+            limit=statement.limit,
+            rest_s=statement.rest,
+            is_leaving=statement.is_leaving,
+            unreadable=", ".join(statement.unreadable),
+        )
+
     async def _exchange_heads(
         self, exchange: Exchange, choice: Choice, send: OpenSend
     ) -> Response:
--- a/lynxchute/upstreams/directory.py
+++ b/lynxchute/upstreams/directory.py
@@ -10,6 +10,7 @@
 from lynxchute.quarantine import Progress
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.health import Health
+from lynxchute.upstreams.statement import NOTHING_STATED, Statement
 from lynxchute.upstreams.upstream import Upstream
 
 # Starts under one id whose late words are known as such; the store delays a write by
@@ -96,6 +97,8 @@
         The last starts under its id before this one, as Unix milliseconds.
     cold_until
         Until when it bears a few requests a second only, in seconds.
+    stated
+        What its last answer stated.
     """
 
     upstream: Upstream
@@ -109,6 +112,7 @@
     probed_at: float = 0.0
     earlier_starts: tuple[int, ...] = ()
     cold_until: float = 0.0
+    stated: Statement = NOTHING_STATED
 
     def note_cold(self, seconds: float, now: float) -> bool:
         """Take the word that it is cold for so long; return whether that is longer.
