--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -62,6 +62,12 @@
         When it took requests, and when it was cold.
     cold_most
         Requests within a second that end it while it is cold; 0 for none.
+    limit
+        Requests a second from all routers that its answers name as its limit.
+    rest
+        Seconds of rest that its refusals ask for; 0 for none.
+    says_it_leaves
+        Whether its answers say that it leaves, whatever its entry says.
     """
 
     def __init__(
@@ -88,6 +94,9 @@
         self.crashes = 0
         self.taken = Arrivals()
         self.cold_most = 0
+        self.limit: float | None = None
+        self.rest = 0.0
+        self.says_it_leaves = False
         self.connections = 0
         self.started_ms: int | None = int(time.time() * 1000)
         self._is_dark = False
@@ -146,6 +155,17 @@
         now = asyncio.get_running_loop().time()
         return int(max(self.taken.cold_seconds(now), 0.0) * 1000)
 
+    def stated(self, *, is_refusal: bool = False) -> list[tuple[str, str]]:
+        """Return the headers in which an answer says what the process wants."""
+        headers = []
+        if self.limit is not None:
+            headers.append((names.UPSTREAM_LIMIT, f"{self.limit:g}"))
+        if self.says_it_leaves:
+            headers.append((names.UPSTREAM_LEAVING, "1"))
+        if self.rest and is_refusal:
+            headers.append((names.RETRY_AFTER, f"{self.rest:g}"))
+        return headers
+
     async def register(self, store: PlatformStoreStandin) -> None:
         """Write its entry."""
         entry: dict[str, object] = {
@@ -215,6 +235,7 @@
                 protocol,
                 reader,
                 writer,
+                self.stated,
             )
             if not await exchange.answer():
                 if fault is Fault.CRASH:
@@ -247,6 +268,7 @@
         headers = [
             ("Content-Length", str(len(body))),
             (names.COLD_MS, str(self._cold_ms)),
+            *self.stated(),
         ]
         writer.write(
             protocol.send(h11.Response(status_code=200, headers=headers)) or b""
--- a/lynxchute/standins/upstream_exchange.py
+++ b/lynxchute/standins/upstream_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -28,6 +29,8 @@
         Gets the run, unless the request is declined.
     events, event_delay
         Events of a stream, 0 for a plain answer, and seconds before each.
+    stated
+        Returns the headers in which an answer says what the upstream wants.
     """
 
     upstream_id: str
@@ -39,6 +42,7 @@
     protocol: h11.Connection
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
+    stated: Callable[..., list[tuple[str, str]]] = lambda **_: []
 
     async def answer(self) -> bool:
         """Answer; return whether the connection can be used again."""
@@ -99,6 +103,7 @@
         headers = [("Content-Length", "0"), (names.UPSTREAM_ID, self.upstream_id)]
         if fault is not Fault.MOVED:
             headers.append((names.NOT_RUN, "1"))
+            headers.extend(self.stated(is_refusal=True))
         self._send(h11.Response(status_code=status, headers=headers))
         self._send(h11.EndOfMessage())
         await self.writer.drain()
@@ -152,6 +157,7 @@
         headers = [
             (names.REQUEST_ID, self.run.request_id),
             ("Keep-Alive", f"timeout={KEEP_ALIVE_SECONDS}"),
+            *self.stated(),
         ]
         if self.fault is not Fault.UNSIGNED:
             signature = f"{self.upstream_id}.{self.run.request_id}"
