--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -35,6 +35,7 @@
 from tests.fuzz import run
 from tests.needs_machine import NeedsMachine
 from tests.platform_support import PlatformCaller, PlatformTestCase
+from tests.press import most_within, plain, press, stream
 from tests.support import until
 
 ROUTERS = ("a-1", "a-2", "b-1", "b-2")
@@ -184,40 +185,6 @@
     return int(FACTOR * limit * SPAN_SECONDS + EXTRA)
 
 
-def most_within(times, span):
-    """Return the most of the times, in order, that lie within one span."""
-    most, first = 0, 0
-    for last, time in enumerate(times):
-        while time - times[first] >= span:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
-async def press(deployment, ask, *, seconds, pause=0.05):
-    """Have every router asked again and again; return the statuses."""
-
-    async def one(vm):
-        caller = PlatformCaller(deployment, vm)
-        loop, statuses = asyncio.get_running_loop(), []
-        end = loop.time() + seconds
-        while loop.time() < end:
-            statuses.append((await ask(caller))[0])
-            await asyncio.sleep(pause)
-        return statuses
-
-    found = await asyncio.gather(*(one(vm) for vm in deployment.routers))
-    return [status for statuses in found for status in statuses]
-
-
-def stream(caller):
-    return caller.stream()
-
-
-def plain(caller):
-    return caller.send("GET", "/safe/x")
-
-
 class LimitFleetTest(PlatformTestCase):
     def with_routers(self, scenario, **more):
         return self.with_platform(scenario, routers=ROUTERS, **more)
