--- a/tests/test_stated_leaving.py
+++ b/tests/test_stated_leaving.py
@@ -2,9 +2,9 @@
 
 An engine said in an answer that it leaves, while the store answered nobody and its
 entry stood as ready for eleven seconds more. Five of eight routers sent it 11 more
-requests; two of them reached it 2.9 and 4.4 s after its word had been passed on, where 2 s are
-allowed. They were served; had the engine ended in time, their streams would have been
-cut.
+requests; two of them reached it 2.9 and 4.4 s after its word had been passed on, where
+2 s are allowed. They were served; had the engine ended in time, their streams would
+have been cut.
 """
 
 import asyncio
--- a/tests/test_stated_rest.py
+++ b/tests/test_stated_rest.py
@@ -1,9 +1,9 @@
 """Upstreams that turn a request away and ask for rest.
 
 Two engines turned routers away with 503 and asked for three seconds of rest. Each
-router came back within tenths of a second: three requests reached each engine from one router
-between half a second after its refusal and the end of the rest, where two are the most.
-Callers whose questions were first sent where they were not wanted were late.
+router came back within tenths of a second: three requests reached each engine from one
+router between half a second after its refusal and the end of the rest, where two are
+the most. Callers whose questions were first sent where they were not wanted were late.
 """
 
 import asyncio
