Give an upstream the rest that it asks a router for

What users saw: questions late by seconds, since each was first sent to an engine that had asked for three seconds of rest; three requests within each rest where two are the most.

Cause: a refusal with a rest was taken like any other one, the upstream passed over for 0.05 s, doubled with each in a row; and where all of a service are passed over, the one whose pause ends first got the request all the same. Ruled out: other routers' sends (the rest is asked of one router; the test has one), and requests placed before the refusal (they end within tenths of a second).

Where all want rest the caller is told at once; another router may send there, so it is told to come back no later than usual.

--- a/lynxchute/relay/chooser.py
+++ b/lynxchute/relay/chooser.py
@@ -101,11 +101,11 @@
 
     async def _find(self, exchange: Exchange) -> Choice | None:
         now = self._clock()
-        known = [
-            entry
-            for entry in self._neighbours(exchange, now)
-            if entry.upstream.id not in exchange.tried
-        ]
+        neighbours = list(self._neighbours(exchange, now))
+        if neighbours and all(e.needs.is_resting(now) for e in neighbours):
+            raise self._all_resting(exchange, neighbours, now)
+        known = [e for e in neighbours if e.upstream.id not in exchange.tried]
+        known = [e for e in known if not e.needs.is_resting(now)]
         if not known and exchange.limited_rate is not None:
             raise self._all_limited(exchange, exchange.limited_rate, now)
         if not known:
@@ -142,6 +142,22 @@
         )
         return exchange.refuse(Reason.EVACUATED, title, now)
 
+    def _all_resting(
+        self, exchange: Exchange, resting: Sequence[Entry], now: float
+    ) -> Refusal:
+        """Refuse at once what this router may send to no upstream for a while.
+
+        Another router may: so its caller is told to come back no later than usual.
+        """
+        left = min(entry.needs.rest_until for entry in resting) - now
+        title = (
+            "All upstreams that serve this have turned this router away for a while."
+        )
+        wait = min(
+            max(left, MIN_RETRY_AFTER), exchange.retry_after(now, Reason.RESTING)
+        )
+        return exchange.refuse(Reason.RESTING, title, now, retry_after=wait)
+
     def _none_takes_it(
         self, exchange: Exchange, candidates: Sequence[Entry]
     ) -> Refusal:
--- a/lynxchute/relay/refusal.py
+++ b/lynxchute/relay/refusal.py
@@ -40,6 +40,7 @@
     EVACUATED = "evacuated"
     COLD = "upstreams-cold"
     LIMITED = "upstreams-in-need"
+    RESTING = "upstreams-want-rest"
     TOO_LATE = "too-late-to-send"
 
 
@@ -62,6 +63,7 @@
     Reason.EVACUATED: 503,
     Reason.COLD: 503,
     Reason.LIMITED: 503,
+    Reason.RESTING: 503,
     Reason.TOO_LATE: 503,
 }
 
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -134,7 +134,7 @@
             for upstream_id in self.board.unknown(candidates):
                 entry = self._directory.entries_by_id[upstream_id]
                 # The question is one more request, and can be put later.
-                if not self._gate.rates.is_limited(entry, self._clock()):
+                if self._gate.may_be_asked(entry, self._clock()):
                     self._tasks.spawn(self._learn_cache(entry.upstream))
 
     def forget(self, upstream: Upstream) -> None:
--- a/lynxchute/upstreams/needs.py
+++ b/lynxchute/upstreams/needs.py
@@ -40,6 +40,8 @@
         The limit that has ended.
     is_unsaid
         Whether it did not name its limit when it was asked beside its requests.
+    rest_until
+        Until when it wants nothing from this router, in seconds.
     is_leaving
         Whether it has said that it takes no new work; a process never takes that back.
     """
@@ -51,6 +53,7 @@
     before: float = 0.0
     is_unsaid: bool = False
     is_leaving: bool = False
+    rest_until: float = 0.0
 
     def note_answer(
         self, statement: Statement, *, asked_at: float, now: float, clock_ms: int
@@ -61,7 +64,7 @@
         none, only from an answer to a request that was sent after the limit had last
         been heard, so that it was made later for certain.
         """
-        self.is_leaving = self.is_leaving or statement.is_leaving
+        self._take_standing(statement, now)
         limit = statement.limit
         if limit is None and self.limit is None:
             return
@@ -76,7 +79,7 @@
         An upstream may name its limit in answers to requests only; so one that does
         not name it here may be tried, no more.
         """
-        self.is_leaving = self.is_leaving or statement.is_leaving
+        self._take_standing(statement, now)
         if statement.limit is not None:
             self._take(statement.limit, now, clock_ms, now)
         elif self.limit is not None:
@@ -96,6 +99,10 @@
         self._take(limit, now - age, heard_ms, now)
         return True
 
+    def is_resting(self, now: float) -> bool:
+        """Return whether it wants nothing from this router for a while."""
+        return now < self.rest_until
+
     def are_news(self, now: float) -> bool:
         """Return whether other routers should know of them."""
         return self.is_leaving or self.rate(now) is not None
@@ -111,6 +118,12 @@
         grown = 2.0 ** ((now - self.ended_at) // RAMP_DOUBLING_SECONDS)
         return float(max(self.before, RAMP_FLOOR) * grown)
 
+    def _take_standing(self, statement: Statement, now: float) -> None:
+        """Take what a later answer does not take back."""
+        self.is_leaving = self.is_leaving or statement.is_leaving
+        # Several requests may have been turned away at once; the longest rest counts.
+        self.rest_until = max(self.rest_until, now + statement.rest)
+
     def _take(
         self, limit: float | None, heard_at: float, heard_ms: int, now: float
     ) -> None:
--- a/lynxchute/upstreams/send_gate.py
+++ b/lynxchute/upstreams/send_gate.py
@@ -21,6 +21,8 @@
         Its data centre is evacuated.
     LEAVING
         It has said that it takes no new work.
+    RESTING
+        It has turned this router away and wants nothing from it for a while.
     COLD
         It is cold, and nobody who counts for all routers let this request through.
     LIMITED
@@ -29,6 +31,7 @@
 
     EVACUATED = "data centre evacuated"
     LEAVING = "upstream leaving"
+    RESTING = "upstream wants rest"
     COLD = "upstream cold"
     LIMITED = "upstream names a limit"
 
@@ -68,6 +71,15 @@
         """Return whether an upstream bears a few requests only."""
         return self._limits_of(entry.upstream.service).bounds(entry.cold_until, now)
 
+    def may_be_asked(self, entry: Entry, now: float) -> bool:
+        """Return whether a question of the router's own may be put to an upstream.
+
+        It can wait; questions whether the upstream is there are not asked about here.
+        """
+        if self.is_evacuated(entry.upstream) or entry.is_leaving:
+            return False
+        return not (entry.needs.is_resting(now) or self.rates.is_limited(entry, now))
+
     def withholds(
         self,
         entry: Entry,
@@ -90,6 +102,8 @@
             return Withheld.EVACUATED
         if entry.is_leaving:
             return Withheld.LEAVING
+        if entry.needs.is_resting(now):
+            return Withheld.RESTING
         if now >= permit_until and self.is_cold(entry, now):
             return Withheld.COLD
         if now < admitted_until or not self.rates.is_limited(entry, now):
--- a/tests/test_stated_rest.py
+++ b/tests/test_stated_rest.py
@@ -4,12 +4,28 @@
 router came back within tenths of a second: three requests reached each engine from one
 router between half a second after its refusal and the end of the rest, where two are
 the most. Callers whose questions were first sent where they were not wanted were late.
+
+A refusal with a rest was taken like any other: the upstream was passed over for 0.05 s,
+doubled with each one in a row. Where all upstreams of a service were passed over, the
+one whose pause ended first got the request all the same: 22 in the three seconds of the
+second test below.
 """
 
 import asyncio
+import contextlib
+import json
+
+import testtools
 
+from lynxchute.http import ExchangeFailed
 from lynxchute.standins.upstream_run import Fault
-from tests.platform_support import PlatformTestCase
+from lynxchute.upstreams.needs import Needs
+from lynxchute.upstreams.statement import NOTHING_STATED, Statement
+from tests.platform_support import (
+    PlatformCaller,
+    PlatformTestCase,
+    stream_at_one_engine,
+)
 from tests.press import plain, press, stream
 
 REST_SECONDS = 3.0
@@ -18,6 +34,17 @@
 MOST_IN_REST = 2
 
 
+class NeedsTest(testtools.TestCase):
+    def test_a_later_shorter_rest_does_not_cut_a_longer_one(self):
+        needs = Needs()
+        for rest, now in ((3.0, 1.0), (0.5, 2.0), (0.0, 3.0)):
+            statement = Statement(rest=rest)
+            needs.note_answer(statement, asked_at=now, now=now, clock_ms=0)
+        needs.note_report(NOTHING_STATED, 3.5, 0)
+        self.assertTrue(needs.is_resting(3.9))
+        self.assertFalse(needs.is_resting(4.0))
+
+
 class RestTest(PlatformTestCase):
     def check(self, upstreams_of, ask, **more):
         async def scenario(deployment):
@@ -44,6 +71,54 @@
         statuses = self.check(lambda deployment: deployment.apps, plain, apps=1)
         self.assertEqual({503}, set(statuses))
 
+    def test_where_all_want_rest_the_refusal_comes_at_once(self):
+        async def scenario(deployment):
+            for engine in deployment.engines:
+                engine.rest = REST_SECONDS
+                engine.faults = [Fault.DECLINE] * 1000
+            caller = PlatformCaller(deployment)
+            await caller.stream()
+            for _ in range(5):
+                began = asyncio.get_running_loop().time()
+                status, headers, body = await caller.stream()
+                took = asyncio.get_running_loop().time() - began
+                self.assertEqual(503, status)
+                problem = json.loads(body)
+                self.assertEqual(
+                    "urn:lynxchute:problem:upstreams-want-rest", problem["type"]
+                )
+                self.assertEqual("not_run", problem["run"])
+                self.assertGreater(float(headers["retry-after"]), 0)
+                self.assertLess(took, 0.08)
+            self.assertEqual(2, sum(len(e.arrivals) for e in deployment.engines))
+
+        self.with_platform(scenario, routers=("a-1",))
+
+    def test_a_rest_of_one_router_is_no_other_ones(self):
+        async def scenario(deployment):
+            (engine,) = deployment.engines
+            engine.rest, engine.faults = REST_SECONDS, [Fault.DECLINE]
+            self.assertEqual(503, (await PlatformCaller(deployment).stream())[0])
+            other = PlatformCaller(deployment, "b-1")
+            self.assertEqual(200, (await other.stream())[0])
+
+        self.with_platform(scenario, engines=1)
+
+    def test_a_stream_does_not_go_on_where_rest_is_wanted(self):
+        async def scenario(deployment):
+            stream_, busy, idle = await stream_at_one_engine(deployment)
+            now = asyncio.get_running_loop().time()
+            for router in deployment.routers.values():
+                entry = router.directory.entries_by_id[idle.id]
+                statement = Statement(rest=REST_SECONDS)
+                router.directory.note_statement(entry, statement, asked_at=now, now=now)
+            await busy.stop()
+            with contextlib.suppress(ExchangeFailed):
+                await stream_
+            self.assertEqual([], idle.arrivals)
+
+        self.with_platform(scenario)
+
 
 class ReturnTest(PlatformTestCase):
     def check(self, upstreams_of, ask):
