Forget with time that an upstream's answers were bad

What callers saw: nothing directly; a plain upstream that had declined everything for four seconds got two requests at most in the last eight of the eleven seconds that followed, of some 40 a second, and the others of its service had its part.

Cause: its share of bad ends counts against it when upstreams are compared, and changes by sends only; with a high share it gets none. Ruled out: its pauses, which end after three seconds at most. Class: what is known of a failure and has no end of its own; looked for in pauses, quarantine (ends by time), reachability (asked again), the board (fed by reports).

Change: the share halves every two seconds.

--- a/lynxchute/edge/state.py
+++ b/lynxchute/edge/state.py
@@ -72,7 +72,7 @@
                 "open_requests": entry.open_requests,
                 "cold_for": round(max(entry.cold_until - now, 0.0), 3),
                 "bad_in_row": entry.health.bad_in_row,
-                "bad_share": round(entry.health.bad_share, 3),
+                "bad_share": round(entry.health.recent_bad_share(now), 3),
                 "paused_for": round(max(entry.health.paused_until - now, 0.0), 3),
             }
         )
--- a/lynxchute/upstreams/health.py
+++ b/lynxchute/upstreams/health.py
@@ -48,6 +48,9 @@
 
 # Weight of the newest outcome in the running share of bad ends.
 NEWEST_WEIGHT = 0.15
+# Seconds in which that share halves: an upstream that gets nothing has no other way of
+# being found well again.
+HALVING_SECONDS = 2.0
 
 
 @attrs.define
@@ -59,7 +62,9 @@
     bad_in_row
         Bad ends since the last whole answer.
     bad_share
-        Running share of sends that ended badly.
+        Running share of sends that ended badly, when the last one ended.
+    noted_at
+        When that was, in seconds.
     paused_until
         Time before which it is passed over, in seconds.
     """
@@ -67,6 +72,7 @@
     bad_in_row: int = 0
     bad_share: float = 0.0
     paused_until: float = 0.0
+    noted_at: float = 0.0
 
     def note(self, fate: Fate, now: float) -> None:
         """Take the end of a send."""
@@ -74,6 +80,8 @@
             # It tells nothing of the upstream.
             return
         bad = fate is not Fate.SERVED
+        self.bad_share = self.recent_bad_share(now)
+        self.noted_at = now
         self.bad_share += NEWEST_WEIGHT * (float(bad) - self.bad_share)
         if not bad:
             self.bad_in_row = 0
@@ -86,6 +94,11 @@
         pause *= 2 ** min(self.bad_in_row - 1, 8)
         self.paused_until = now + min(pause, MAX_PAUSE)
 
+    def recent_bad_share(self, now: float) -> float:
+        """Return the share of bad ends, less what time has made of it."""
+        passed = max(now - self.noted_at, 0.0)
+        return float(self.bad_share * 0.5 ** (passed / HALVING_SECONDS))
+
     def resume(self) -> None:
         """Try it again now: what kept it away is over."""
         self.paused_until = 0.0
--- a/lynxchute/upstreams/placement.py
+++ b/lynxchute/upstreams/placement.py
@@ -131,7 +131,7 @@
         if not count:
             return None
         turned = [warm[(self._turn + offset) % count] for offset in range(count)]
-        for entry in sorted(turned, key=self._cost):
+        for entry in sorted(turned, key=lambda entry: self._cost(entry, now)):
             if not self._gate.rates.is_limited(entry, now):
                 return Choice(entry)
             if self._gate.rates.has_turn(entry, now):
@@ -141,7 +141,7 @@
                 return Choice(entry, admitted_until=admitted_until)
         return None
 
-    def _cost(self, entry: Entry) -> float:
+    def _cost(self, entry: Entry, now: float) -> float:
         far = entry.upstream.data_centre != self._data_centre
         cost = entry.open_requests + (self._near_bonus if far else 0)
-        return cost + 20.0 * entry.health.bad_share
+        return cost + 20.0 * entry.health.recent_bad_share(now)
--- a/tests/test_stated_rest.py
+++ b/tests/test_stated_rest.py
@@ -121,6 +121,14 @@
 
 
 class ReturnTest(PlatformTestCase):
+    """Work comes back after bad times.
+
+    A plain upstream that had declined everything for four seconds got two requests at
+    most in the last eight of the eleven seconds that followed, of some 40 a second: its
+    share of bad ends stood for as long as nothing was sent, and nothing was sent for as
+    long as it stood.
+    """
+
     def check(self, upstreams_of, ask):
         async def scenario(deployment):
             declining = upstreams_of(deployment)[0]
