Have the product's own upstreams say what they want, and the demonstration show it

Cause: limits, rest and leaving were read from the platform's headers only. One decoder is named by each interface's headers now (X-Rate-Limit, X-Leaving, Retry-After); stand-ins state all three, and the demonstration has a scene with one engine of each.

--- a/lynxchute/callers/dialect.py
+++ b/lynxchute/callers/dialect.py
@@ -18,6 +18,8 @@
 from lynxchute.relay.dialect import Dialect, Dispatch, Verdict, names_request
 from lynxchute.relay.events import SEPARATOR
 from lynxchute.relay.refusal import Reason, Refusal
+from lynxchute.relay.statement_headers import StatementHeaders
+from lynxchute.upstreams.statement import Statement
 
 BEARER = "bearer "
 # Ids longer than this name nothing that anyone looks up.
@@ -30,6 +32,7 @@
     names.REQUEST_ID.lower(),
 }
 NOT_RETURNED = frozenset({"content-length"})
+STATEMENT_HEADERS = StatementHeaders(names.LIMIT, names.LEAVING)
 USAGE = re.compile(rb'"usage":\s*\{[^{}]*"total_tokens":\s*([0-9]{1,12})')
 
 
@@ -128,6 +131,10 @@
             return Verdict.INVALID
         return Verdict.ANSWERED
 
+    def statement(self, status: int, headers: Headers) -> Statement:
+        """Return what the head of an answer states of its upstream."""
+        return STATEMENT_HEADERS.decode(status, headers)
+
     def caller_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
         """Return the headers of an upstream's answer that the caller gets."""
         return headers.end_to_end(NOT_RETURNED)
--- a/lynxchute/callers/names.py
+++ b/lynxchute/callers/names.py
@@ -12,6 +12,12 @@
 RUN = "X-Run"
 NOT_RUN = "not_run"
 
+# The requests a second that an upstream takes from all routers together, for as long as
+# it says so in its answers.
+LIMIT = "X-Rate-Limit"
+# "1" in the answers of an upstream that takes no new work.
+LEAVING = "X-Leaving"
+
 # What only routers say to upstreams.
 ROUTER_ONLY = frozenset(
     name.lower()
--- a/lynxchute/demo.py
+++ b/lynxchute/demo.py
@@ -11,6 +11,7 @@
 import sys
 import time
 
+import attrs
 import defopt
 from absl import logging
 
@@ -46,6 +47,18 @@
 # Seconds after an evacuation was accepted in which all routers must have heard of it.
 EVACUATED_SECONDS = 1.0
 EVACUATED = "kyu-b"
+# One engine names a limit of all routers together, one says that it leaves, one turns
+# everybody away for a while. So long after an engine has first named its limit it gets
+# no more than 1.5 x 4 s x 0.5 + 5 = 8 within four seconds.
+LIMIT = 0.5
+LIMIT_MOST = 8
+LIMIT_SPAN = 4.0
+LIMIT_KNOWN_SECONDS = 3.0
+REST_SECONDS = 3.0
+REST_KNOWN_SECONDS = 0.5
+REST_MOST = 2
+LEAVING_SECONDS = 2.0
+IN_NEED = ("kyu-a", "kyu-b", "kyu-c")
 SEED = 7
 
 
@@ -93,6 +106,9 @@
     "engines_ended_by_what_is_known",
     "sent_to_evacuated",
     "cold_rate_passed",
+    "limit_passed",
+    "sent_to_leaving",
+    "sent_in_rest",
 )
 
 
@@ -166,6 +182,52 @@
     return sent
 
 
+@attrs.frozen
+class _InNeed:
+    """What engines in need got that they should not have got."""
+
+    limit_passed: int
+    sent_to_leaving: int
+    sent_in_rest: int
+
+
+async def _press_in_need(
+    deployment: Deployment, callers: Callers, rate: float
+) -> _InNeed:
+    """Have engines state what they want, and count what they get all the same."""
+    engines = []
+    for data_centre in IN_NEED:
+        name = min(n for n in deployment.engines_by_name if n.startswith(data_centre))
+        engines.append(deployment.engines_by_name[name])
+    limited, leaving, resting = engines
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    limited.limit, leaving.says_it_leaves = LIMIT, True
+    resting.rest_until = began + REST_SECONDS
+    await callers.run(2 * SCENE_SECONDS, rate)
+    bound = limited.taken.since(began + LIMIT_KNOWN_SECONDS)
+    passed = _most_within(bound, LIMIT_SPAN) - LIMIT_MOST
+    late = [at for at, _ in resting.refusals if at >= began + REST_KNOWN_SECONDS]
+    # Each router may have to hear it for itself, and send two more.
+    late_most = (1 + REST_MOST) * len(deployment.routers_by_vm)
+    limited.limit = None
+    return _InNeed(
+        limit_passed=max(passed, 0),
+        sent_to_leaving=len(leaving.taken.since(began + LEAVING_SECONDS)),
+        sent_in_rest=max(len(late) - late_most, 0),
+    )
+
+
+def _most_within(times: list[float], span: float) -> int:
+    """Return the most of the times, in order, that lie within one span."""
+    most, first = 0, 0
+    for last, time_ in enumerate(times):
+        while time_ - times[first] >= span:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
 async def _order(deployment: Deployment, statement: str) -> None:
     _, answer = await deployment.operate("kyu-a-2", statement)
     _say(f"  {answer['state']}: {answer['detail']}")
@@ -258,12 +320,15 @@
         ended = await _play(deployment, callers, rate)
         _say(f"{EVACUATED} is evacuated and taken back; its engines come back cold")
         sent_to_evacuated = await _evacuate(deployment, callers, rate)
+        _say("an engine names a limit, one says that it leaves, one asks for rest")
+        in_need = await _press_in_need(deployment, callers, rate)
         _say("waiting for the last settlements")
         await _settle(deployment, 8.0)
         result = measure(deployment, callers.sent)
         result["engines_ended_by_what_is_known"] = ended
         result["sent_to_evacuated"] = sent_to_evacuated
         result["cold_rate_passed"] = _cold_rate_passed(deployment)
+        result.update(attrs.asdict(in_need))
     finally:
         await deployment.stop()
     _print_table(callers.sent)
--- a/lynxchute/platform/dialect.py
+++ b/lynxchute/platform/dialect.py
@@ -8,7 +8,7 @@
 
 from lynxchute.http import BadRequest, Headers, Request
 from lynxchute.platform import names
-from lynxchute.platform.statements import decode_statement
+from lynxchute.platform.statements import STATEMENT_HEADERS
 from lynxchute.relay.call import Call
 from lynxchute.relay.dialect import Dialect, Dispatch, Verdict, names_request
 from lynxchute.upstreams.generation import Generation, PromptPart
@@ -99,7 +99,7 @@
 
     def statement(self, status: int, headers: Headers) -> Statement:
         """Return what the head of an answer states of its upstream."""
-        return decode_statement(status, headers)
+        return STATEMENT_HEADERS.decode(status, headers)
 
     def caller_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
         """Return the headers of an upstream's answer that the caller gets."""
--- a/lynxchute/platform/engines.py
+++ b/lynxchute/platform/engines.py
@@ -14,7 +14,7 @@
     REPORT_PATH,
     STARTED,
 )
-from lynxchute.platform.statements import decode_statement
+from lynxchute.platform.statements import STATEMENT_HEADERS
 from lynxchute.store.row_value import RowValue, ValueUnreadable
 from lynxchute.upstreams.engines import Probe
 from lynxchute.upstreams.generation import PromptPart
@@ -40,7 +40,7 @@
             body = await response.body()
         except ExchangeFailed as error:
             raise no_answer(upstream, error) from error
-        statement = decode_statement(response.status, response.headers)
+        statement = STATEMENT_HEADERS.decode(response.status, response.headers)
         return attrs.evolve(_probe_of(body, response.headers), statement=statement)
 
     def _listed(self, answer: Any) -> list[PromptPart]:
--- a/lynxchute/standins/engine.py
+++ b/lynxchute/standins/engine.py
@@ -186,7 +186,7 @@
             run.done += 1
             await asyncio.sleep(self._token_delay)
         run.state = "finished"
-        headers = [(names.REQUEST_ID, run.request_id)]
+        headers = [(names.REQUEST_ID, run.request_id), *self.stated()]
         await respond.json(200, _whole_answer(run), headers)
 
     async def _stream(self, run: Generation, respond: Responder) -> None:
@@ -194,6 +194,7 @@
             ("Content-Type", EVENT_STREAM),
             ("Transfer-Encoding", "chunked"),
             (names.REQUEST_ID, run.request_id),
+            *self.stated(),
         ]
         await respond.start(200, headers)
         await asyncio.sleep(self._first_token_delay)
--- a/lynxchute/standins/service.py
+++ b/lynxchute/standins/service.py
@@ -38,4 +38,6 @@
             "path": request.path,
             "digest": hashlib.sha256(request.body).hexdigest(),
         }
-        await respond.json(200, answer, [(names.REQUEST_ID, request_id)])
+        await respond.json(
+            200, answer, [(names.REQUEST_ID, request_id), *self.stated()]
+        )
--- a/lynxchute/standins/upstream.py
+++ b/lynxchute/standins/upstream.py
@@ -27,12 +27,24 @@
     ----------
     taken
         When it took requests, and when it was cold.
+    limit
+        Requests a second from all routers that its answers name; None for none.
+    says_it_leaves
+        Whether its answers say that it takes no new work.
+    rest_until
+        Until when it turns requests away and asks for rest, on the loop's clock.
+    refusals
+        The ids of the requests that it has turned away so, and when.
     """
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.faults = Faults()
         self.taken = Arrivals()
+        self.limit: float | None = None
+        self.says_it_leaves = False
+        self.rest_until = 0.0
+        self.refusals: list[tuple[float, str]] = []
         self.server = HttpServer(self._handle)
 
     @abstractmethod
@@ -58,9 +70,31 @@
             await respond.json(503, {"error": "outage"}, [NOT_RUN_HEADER])
             return
         if request.headers.get(names.EXPECTED_UPSTREAM.lower()):
-            self.taken.note(asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            self.taken.note(now, request_id_of(request))
+            if now < self.rest_until:
+                await self._turn_away(request, respond, now)
+                return
         await self.serve(request, respond)
 
+    def stated(self) -> list[tuple[str, str]]:
+        """Return the headers in which an answer says what this upstream wants."""
+        headers = []
+        if self.limit is not None:
+            headers.append((names.LIMIT, f"{self.limit:g}"))
+        if self.says_it_leaves:
+            headers.append((names.LEAVING, "1"))
+        return headers
+
+    async def _turn_away(
+        self, request: Request, respond: Responder, now: float
+    ) -> None:
+        self.refusals.append((now, request_id_of(request)))
+        rest = ("Retry-After", f"{self.rest_until - now:.3f}")
+        await respond.json(
+            503, {"error": "rest"}, [NOT_RUN_HEADER, rest, *self.stated()]
+        )
+
 
 def request_id_of(request: Request) -> str:
     """Return the id that a request bears."""
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -20,7 +20,8 @@
 from lynxchute.bench.limits import FLEETS, play
 from lynxchute.fleet.client import PeerUnreachable
 from lynxchute.http import ExchangeFailed, Headers
-from lynxchute.platform.statements import MAX_LIMIT, MAX_REST, decode_statement
+from lynxchute.platform.statements import STATEMENT_HEADERS
+from lynxchute.relay.statement_headers import MAX_LIMIT, MAX_REST
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.needs import (
     RAMP_SECONDS,
@@ -50,7 +51,7 @@
 class StatementTest(testtools.TestCase):
     def decode(self, *headers, status=200):
         raw = [(name.encode(), value.encode()) for name, value in headers]
-        return decode_statement(status, Headers(raw))
+        return STATEMENT_HEADERS.decode(status, Headers(raw))
 
     def test_a_fraction_and_nothing_at_all_are_limits(self):
         self.assertEqual(0.25, self.decode(("server-limit", "0.25")).limit)
