--- a/lynxchute/demo.py
+++ b/lynxchute/demo.py
@@ -207,17 +207,27 @@
     await callers.run(2 * SCENE_SECONDS, rate)
     bound = limited.taken.since(began + LIMIT_KNOWN_SECONDS)
     passed = _most_within(bound, LIMIT_SPAN) - LIMIT_MOST
-    late = [at for at, _ in resting.refusals if at >= began + REST_KNOWN_SECONDS]
-    # Each router may have to hear it for itself, and send two more.
-    late_most = (1 + REST_MOST) * len(deployment.routers_by_vm)
     limited.limit = None
     return _InNeed(
         limit_passed=max(passed, 0),
         sent_to_leaving=len(leaving.taken.since(began + LEAVING_SECONDS)),
-        sent_in_rest=max(len(late) - late_most, 0),
+        sent_in_rest=_sent_in_rest(resting.refusals, callers.sent),
     )
 
 
+def _sent_in_rest(refusals: list[tuple[float, str]], sent: list[Sent]) -> int:
+    """Return the requests that routers sent in a rest beyond what they may."""
+    vm_by_request = {a.request_id: a.vm for item in sent for a in item.attempts}
+    first_by_vm: dict[str, float] = {}
+    late_by_vm: dict[str, int] = {}
+    for at, request_id in refusals:
+        vm = vm_by_request.get(request_id, "")
+        first = first_by_vm.setdefault(vm, at)
+        is_late = at >= first + REST_KNOWN_SECONDS
+        late_by_vm[vm] = late_by_vm.get(vm, 0) + is_late
+    return sum(max(late - REST_MOST, 0) for late in late_by_vm.values())
+
+
 def _most_within(times: list[float], span: float) -> int:
     """Return the most of the times, in order, that lie within one span."""
     most, first = 0, 0
--- a/lynxchute/standins/callers.py
+++ b/lynxchute/standins/callers.py
@@ -32,11 +32,14 @@
 
     Attributes
     ----------
+    vm
+        Whose router it was sent to; empty before.
     run
         What a refusal said of it; empty without one.
     """
 
     request_id: str
+    vm: str = ""
     status: int = 0
     run: str = ""
 
@@ -128,7 +131,8 @@
     async def _try(self, sent: Sent, attempt: Attempt, *, stream: bool) -> Reply | None:
         """Send a request to a live router; None where no answer came."""
         vms = list(self._deployment.routers_by_vm)
-        port = self._deployment.caller_port(self._random.choice(vms))
+        attempt.vm = self._random.choice(vms)
+        port = self._deployment.caller_port(attempt.vm)
         client = HttpClient(f"127.0.0.1:{port}", timeouts=Timeouts(0.5, 8.0, 4.0))
         headers = [
             (names.AUTHORIZATION, f"Bearer {caller_key(sent.account)}"),
