Soak upstreams that name limits, ask for rest or say that they leave

They state it one at a time beside all other faults: a limit that changes once, refusals for 0.7 to 3 s, leaving in answers only with an entry that says ready. Each is checked by the run of the router that sent.

--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -66,6 +66,9 @@
         Requests a second from all routers that its answers name as its limit.
     rest
         Seconds of rest that its refusals ask for; 0 for none.
+    rest_until
+        Until when it turns all requests away and asks for the time that is left, on
+        the loop's clock.
     says_it_leaves
         Whether its answers say that it leaves, whatever its entry says.
     """
@@ -96,6 +99,7 @@
         self.cold_most = 0
         self.limit: float | None = None
         self.rest = 0.0
+        self.rest_until = 0.0
         self.says_it_leaves = False
         self.connections = 0
         self.started_ms: int | None = int(time.time() * 1000)
@@ -162,8 +166,9 @@
             headers.append((names.UPSTREAM_LIMIT, f"{self.limit:g}"))
         if self.says_it_leaves:
             headers.append((names.UPSTREAM_LEAVING, "1"))
-        if self.rest and is_refusal:
-            headers.append((names.RETRY_AFTER, f"{self.rest:g}"))
+        rest = max(self.rest, self.rest_until - asyncio.get_running_loop().time())
+        if rest > 0 and is_refusal:
+            headers.append((names.RETRY_AFTER, f"{rest:.3f}"))
         return headers
 
     async def register(self, store: PlatformStoreStandin) -> None:
@@ -225,6 +230,8 @@
                 fault = Fault.MOVED
             elif self._is_too_much(run.request_id) or run.body in self.deadly_bodies:
                 fault = Fault.CRASH
+            elif asyncio.get_running_loop().time() < self.rest_until:
+                fault = Fault.DECLINE
             exchange = UpstreamExchange(
                 self.id,
                 self.runs,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,6 +14,7 @@
 from tests.soak.evacuator import Evacuator
 from tests.soak.faults import Injector, Plan
 from tests.soak.fleet import AMPLE, SoakFleet
+from tests.soak.needs import NeedsSetter
 from tests.soak.promises import Checker
 from tests.soak.traffic import KINDS, Callers
 
@@ -70,6 +71,7 @@
     injector = Injector(fleet, checker, rng, plan)
     deadly = DeadlyCaller(fleet, callers, checker, seed)
     evacuator = Evacuator(fleet, callers, checker, injector, seed)
+    needs = NeedsSetter(fleet, callers, checker, injector, seed)
     side_tasks = []
     try:
         await fleet.start()
@@ -82,8 +84,12 @@
             side_tasks.append(asyncio.create_task(deadly.run()))
         evacuations = asyncio.create_task(evacuator.run(seconds))
         side_tasks.append(evacuations)
+        needing = asyncio.create_task(needs.run(seconds))
+        side_tasks.append(needing)
         await injector.run()
         await evacuations
+        await needing
+        needs.clear()
         await _check_recovery(fleet, callers, checker)
         await callers.stop()
         await asyncio.sleep(SETTLES_WITHIN)
@@ -107,6 +113,7 @@
             **injector.counts,
             "deadly": len(deadly.ended_at),
             "evacuations": len(evacuator.spans),
+            **needs.counts,
         },
     )
 
