--- a/lynxchute/bench/emulator/policies.py
+++ b/lynxchute/bench/emulator/policies.py
@@ -26,7 +26,7 @@
     StandingWatch,
     WarmOnly,
 )
-from lynxchute.upstreams.directory import Entry
+from lynxchute.upstreams.entry import Entry
 from lynxchute.upstreams.upstream import Upstream
 
 SERVICE = "pool"
--- a/lynxchute/bench/limits.py
+++ b/lynxchute/bench/limits.py
@@ -14,7 +14,7 @@
 import attrs
 
 from lynxchute.upstreams.cold_admission import TAKE_OVER_SECONDS, Standing
-from lynxchute.upstreams.directory import Entry
+from lynxchute.upstreams.entry import Entry
 from lynxchute.upstreams.rate_limits import RateLimits
 from lynxchute.upstreams.rate_sharing import SHARINGS_BY_NAME, Seat
 from lynxchute.upstreams.statement import Statement
--- a/lynxchute/callers/dialect.py
+++ b/lynxchute/callers/dialect.py
@@ -18,8 +18,8 @@
 from lynxchute.relay.dialect import Dialect, Dispatch, Verdict, names_request
 from lynxchute.relay.events import SEPARATOR
 from lynxchute.relay.refusal import Reason, Refusal
-from lynxchute.relay.statement_headers import StatementHeaders
 from lynxchute.upstreams.statement import Statement
+from lynxchute.upstreams.statement_headers import StatementHeaders
 
 BEARER = "bearer "
 # Ids longer than this name nothing that anyone looks up.
--- a/lynxchute/containment/containment.py
+++ b/lynxchute/containment/containment.py
@@ -25,7 +25,8 @@
 )
 from lynxchute.store import Row, Store
 from lynxchute.telemetry import Metrics, log_event
-from lynxchute.upstreams.directory import Directory, OpenSend
+from lynxchute.upstreams.directory import Directory
+from lynxchute.upstreams.entry import OpenSend
 from lynxchute.upstreams.upstream import Upstream
 
 # Evidence of this many seconds goes out together: all runs of an upstream break off
--- a/lynxchute/edge/exposition.py
+++ b/lynxchute/edge/exposition.py
@@ -56,5 +56,6 @@
         metrics.quarantined.set(len(router.containment.quarantine.by_content))
         metrics.evacuated.set(len(router.evacuations.by_data_centre))
         metrics.cold_upstreams.set(router.directory.count_cold(steady_seconds()))
+        metrics.limits.set(router.directory.count_limits())
         metrics.log_lines_dropped.set(self._log_lines_dropped())
         return metrics.exposition()
--- a/lynxchute/edge/state.py
+++ b/lynxchute/edge/state.py
@@ -71,6 +71,8 @@
                 "takes_work": entry.takes_work,
                 "open_requests": entry.open_requests,
                 "cold_for": round(max(entry.cold_until - now, 0.0), 3),
+                "wants": entry.needs.describe(now),
+                "rate": entry.needs.rate(now),
                 "bad_in_row": entry.health.bad_in_row,
                 "bad_share": round(entry.health.recent_bad_share(now), 3),
                 "paused_for": round(max(entry.health.paused_until - now, 0.0), 3),
--- a/lynxchute/operators/collections.py
+++ b/lynxchute/operators/collections.py
@@ -81,10 +81,18 @@
         Where the rows stand and how to read them.
     evacuations
         Reads those of evacuated data centres.
+    wants_of
+        Returns what the router that answers has heard that an upstream wants, by id.
     """
 
-    def __init__(self, platform: Platform, evacuations: EvacuationRows) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        evacuations: EvacuationRows,
+        wants_of: Callable[[str], str],
+    ) -> None:
         self._platform = platform
+        self._wants_of = wants_of
         self._store = platform.store
         self._history = ConfigurationHistory(platform.store)
         self._sources: dict[str, Callable[[], Awaitable[list[Row]]]] = {
@@ -239,6 +247,7 @@
                     "service": upstream.service,
                     "data_centre": upstream.data_centre,
                     "state": "leaving" if upstream.is_leaving else "active",
+                    "wants": self._wants_of(upstream.id),
                     "address": upstream.address,
                 }
             )
@@ -271,7 +280,7 @@
     "grants": ("vm", "account", "granted", "used_at_most", "age_s"),
     "quarantine": ("content", "left_s", "times"),
     "routes": ("route", "host", "prefix", "kind", "services", "priority"),
-    "upstreams": ("upstream", "service", "data_centre", "state", "address"),
+    "upstreams": ("upstream", "service", "data_centre", "state", "wants", "address"),
     "versions": ("version", "operation", "operator"),
     "vms": ("vm", "data_centre", "incarnation", "state", "address"),
 }
--- a/lynxchute/operators/runner.py
+++ b/lynxchute/operators/runner.py
@@ -4,6 +4,7 @@
 
 import secrets
 import time
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -69,6 +70,10 @@
         return {**attrs.asdict(self), "complete": not self.missing}
 
 
+def _nothing_heard(upstream_id: str) -> str:
+    return ""
+
+
 class StatementRunner:
     """Run statements for an operator.
 
@@ -78,13 +83,21 @@
         Where the rows stand.
     ask_routers
         Asks all routers of an evacuated data centre; None where none can be asked.
+    wants_of
+        Returns what the router that answers has heard that an upstream wants, by id;
+        None where no router answers.
     """
 
     def __init__(
-        self, platform: Platform, ask_routers: AskRouters | None = None
+        self,
+        platform: Platform,
+        ask_routers: AskRouters | None = None,
+        wants_of: Callable[[str], str] | None = None,
     ) -> None:
         self._evacuations = EvacuationRows(platform, ask_routers)
-        self._collections = Collections(platform, self._evacuations)
+        self._collections = Collections(
+            platform, self._evacuations, wants_of or _nothing_heard
+        )
         self._history = ConfigurationHistory(platform.store)
         self._quarantine = QuarantineRow(platform.store)
 
--- a/lynxchute/platform/statements.py
+++ b/lynxchute/platform/statements.py
@@ -1,6 +1,6 @@
 """How the platform's upstreams state what they want."""
 
 from lynxchute.platform import names
-from lynxchute.relay.statement_headers import StatementHeaders
+from lynxchute.upstreams.statement_headers import StatementHeaders
 
 STATEMENT_HEADERS = StatementHeaders(names.UPSTREAM_LIMIT, names.UPSTREAM_LEAVING)
--- a/lynxchute/relay/chooser.py
+++ b/lynxchute/relay/chooser.py
@@ -9,7 +9,8 @@
 from lynxchute.relay.exchange import MIN_RETRY_AFTER, Exchange
 from lynxchute.relay.refusal import Reason, Refusal, Run
 from lynxchute.telemetry import log_event
-from lynxchute.upstreams.directory import Directory, Entry
+from lynxchute.upstreams.directory import Directory
+from lynxchute.upstreams.entry import Entry
 from lynxchute.upstreams.neighbourhood import Neighbourhood
 from lynxchute.upstreams.placement import Choice, Placement
 from lynxchute.upstreams.send_gate import SendGate
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -22,7 +22,7 @@
 from lynxchute.relay.refusal import Reason, Run
 from lynxchute.relay.statement_reader import StatementReader
 from lynxchute.telemetry import Metrics, log_event
-from lynxchute.upstreams.directory import Entry, OpenSend
+from lynxchute.upstreams.entry import Entry, OpenSend
 from lynxchute.upstreams.health import Fate
 from lynxchute.upstreams.placement import Choice, Placement
 from lynxchute.upstreams.retry_budget import RetryBudget
@@ -276,6 +276,9 @@
             if withheld is not None:
                 raise SendWithheld(withheld)
             self._check_way(exchange)
+            if self._gate.rates.is_limited(entry, self._clock()):
+                part = "counted" if choice.admitted_until else "turn"
+                self._metrics.limited_sends.inc(part)
             exchange.sends += 1
             exchange.run = Run.UNKNOWN
             exchange.upstreams.append(entry.upstream.id)
--- a/lynxchute/relay/statement_reader.py
+++ b/lynxchute/relay/statement_reader.py
@@ -7,7 +7,8 @@
 from lynxchute.http import Response
 from lynxchute.relay.dialect import Dialect
 from lynxchute.telemetry import log_event
-from lynxchute.upstreams.directory import Directory, Entry
+from lynxchute.upstreams.directory import Directory
+from lynxchute.upstreams.entry import Entry
 
 
 class StatementReader:
--- a/lynxchute/router.py
+++ b/lynxchute/router.py
@@ -8,7 +8,11 @@
 from expression import Error, Ok, Result
 
 from lynxchute.application import Background, Component
-from lynxchute.callers.dialect import ChatDialect, models_body
+from lynxchute.callers.dialect import (
+    STATEMENT_HEADERS,
+    ChatDialect,
+    models_body,
+)
 from lynxchute.clock import steady_seconds
 from lynxchute.config import Configuration
 from lynxchute.config.document import FleetDocument, Version
@@ -62,7 +66,7 @@
         decode_upstream=_no_upstream,
         evacuation_prefix=EVACUATION_PREFIX,
         readiness_path=READINESS_PATH,
-        make_engines=LoadReports,
+        make_engines=lambda clients: LoadReports(clients, STATEMENT_HEADERS),
     )
 
 
@@ -172,7 +176,11 @@
         )
         reports.serve(self.peer_server)
         self._operators = OperatorService(
-            StatementRunner(self.platform, reports.gather),
+            StatementRunner(
+                self.platform,
+                reports.gather,
+                lambda name: self.directory.wants_of(name, steady_seconds()),
+            ),
             lambda: self.configurations.current,
         )
 
--- a/lynxchute/scheduling/cold_placements.py
+++ b/lynxchute/scheduling/cold_placements.py
@@ -10,7 +10,7 @@
     RecentPlacements,
     StandingWatch,
 )
-from lynxchute.upstreams.directory import Entry
+from lynxchute.upstreams.entry import Entry
 
 
 class ColdPlacements:
--- a/lynxchute/scheduling/rate_permits.py
+++ b/lynxchute/scheduling/rate_permits.py
@@ -13,7 +13,8 @@
 from lynxchute.scheduling.place_requests import scheduling_key
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.cold_admission import PERMIT_SECONDS
-from lynxchute.upstreams.directory import Directory, Entry
+from lynxchute.upstreams.directory import Directory
+from lynxchute.upstreams.entry import Entry
 from lynxchute.upstreams.permits import Permits
 from lynxchute.upstreams.rate_limits import RateLimits
 
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -29,8 +29,9 @@
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.aims import NO_AIMS, Aims
 from lynxchute.upstreams.cold_admission import PERMIT_SECONDS
-from lynxchute.upstreams.directory import Directory, Entry
+from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.engines import Engines, EngineSilent
+from lynxchute.upstreams.entry import Entry
 from lynxchute.upstreams.generation import Generation
 from lynxchute.upstreams.neighbourhood import Neighbourhood
 from lynxchute.upstreams.placement import Choice, Placement
--- a/lynxchute/standins/engine.py
+++ b/lynxchute/standins/engine.py
@@ -122,7 +122,8 @@
         if request.path == LOAD_PATH:
             running = sum(run.state == "running" for run in self.runs)
             cached = list(self._kept_tokens_by_prefix.items())
-            await respond.json(200, {"running": running, "cached": cached})
+            load = {"running": running, "cached": cached}
+            await respond.json(200, load, self.stated())
             return
         await not_found(request, respond)
 
--- a/lynxchute/telemetry/metrics.py
+++ b/lynxchute/telemetry/metrics.py
@@ -27,6 +27,10 @@
         Requests that were placed at an upstream and not sent there, by reason.
     evacuated, cold_upstreams
         Data centres that get nothing new, and upstreams that are cold.
+    limits
+        Upstreams that name a limit, as this router has heard.
+    limited_sends
+        Sends to these, by the part of the limit that they were within.
     broken_runs
         Runs that broke off, by how far the upstream had come with them.
     upstream_ends_blamed
@@ -59,6 +63,10 @@
         )
         self.evacuated = self._gauge("evacuated_data_centres", "Evacuated.")
         self.cold_upstreams = self._gauge("cold_upstreams", "Upstreams that are cold.")
+        self.limits = self._gauge("upstream_limits", "Upstreams that name a limit.")
+        self.limited_sends = self._counter(
+            "limited_sends", "Sends within a limit that an upstream names.", "part"
+        )
         self.broken_runs = self._counter(
             "broken_runs", "Runs that broke off.", "progress"
         )
--- /dev/null
+++ b/lynxchute/upstreams/entry.py
@@ -0,0 +1,145 @@
+"""One upstream in the directory: how it fares, and what is open there."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from lynxchute.http import AbortHandle
+from lynxchute.quarantine import Progress
+from lynxchute.upstreams.health import Health
+from lynxchute.upstreams.needs import Needs
+from lynxchute.upstreams.statement import NOTHING_STATED, Statement
+from lynxchute.upstreams.upstream import Upstream
+
+# Seconds of an answer after which its request cannot be what ends the upstream: those
+# that do end it within 0.12 s of its beginning, in 25 ends seen in a day's lines.
+OUTLIVED_SECONDS = 0.5
+
+
+@attrs.define(eq=False)
+class OpenSend:
+    """A request that an upstream has not answered whole.
+
+    Attributes
+    ----------
+    handle
+        Breaks it off.
+    may_move
+        Returns whether it may be sent to another upstream instead.
+    content
+        Names what it asks for.
+    progress
+        How far the upstream has come with it.
+    answering_since
+        When the first part of the answer itself came, in seconds; None before.
+    is_left
+        Whether this router has broken it off.
+    is_withdrawn
+        Whether it did so for the request's sake, not for the upstream's.
+    """
+
+    handle: AbortHandle
+    may_move: Callable[[], bool]
+    content: str = ""
+    progress: Progress = Progress.UNANSWERED
+    answering_since: float | None = None
+    is_left: bool = False
+    is_withdrawn: bool = False
+
+    def note_answering(self, now: float) -> None:
+        """Note a part of the answer."""
+        self.progress = Progress.ANSWERING
+        if self.answering_since is None:
+            self.answering_since = now
+
+    def has_outlived(self, now: float) -> bool:
+        """Return whether the upstream has run it for so long that it can run it."""
+        since = self.answering_since
+        return since is not None and now - since >= OUTLIVED_SECONDS
+
+    def leave(self) -> None:
+        """Break it off, which says nothing of the upstream."""
+        self.is_left = True
+        self.handle.abort()
+
+    def withdraw(self) -> None:
+        """Break it off before the upstream works on it."""
+        self.is_withdrawn = True
+        self.leave()
+
+
+@attrs.define(eq=False)
+class Entry:
+    """An upstream, how it fares, and what this router has open there.
+
+    Attributes
+    ----------
+    open_requests
+        Requests of this router that it is working on.
+    open_tokens
+        Tokens of their prompts, and of their answers at most.
+    gone_at
+        When its entry vanished; None while it stands.
+    lapses_at
+        Where it may have vanished only because the store was away: when it is
+        to be taken as gone unless it is back.
+    open_sends
+        What it is working on for this router.
+    heard_at, probed_at
+        When a byte last came from it, and when it was last asked whether it
+        is there, in seconds.
+    earlier_starts
+        The last starts under its id before this one, as Unix milliseconds.
+    cold_until
+        Until when it bears a few requests a second only, in seconds.
+    stated
+        What its last answer stated.
+    needs
+        What it wants, by all that it has stated.
+    """
+
+    upstream: Upstream
+    health: Health = attrs.Factory(Health)
+    open_requests: int = 0
+    open_tokens: int = 0
+    gone_at: float | None = None
+    lapses_at: float = 0.0
+    open_sends: set[OpenSend] = attrs.Factory(set)
+    heard_at: float = 0.0
+    probed_at: float = 0.0
+    earlier_starts: tuple[int, ...] = ()
+    cold_until: float = 0.0
+    stated: Statement = NOTHING_STATED
+    needs: Needs = attrs.Factory(Needs)
+
+    def note_cold(self, seconds: float, now: float) -> bool:
+        """Take the word that it is cold for so long; return whether that is longer.
+
+        A word may be late, or be older than one that has come before it, and none
+        makes the time shorter.
+        """
+        if not seconds or now + seconds <= self.cold_until:
+            return False
+        self.cold_until = now + seconds
+        return True
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether it leaves, by its entry or by an answer of its own.
+
+        Its entry may say otherwise for long: the store may be away.
+        """
+        return self.upstream.is_leaving or self.needs.is_leaving
+
+    @property
+    def takes_work(self) -> bool:
+        """Return whether it may get new requests."""
+        return self.gone_at is None and not self.is_leaving
+
+    def may_be_back(self, now: float) -> bool:
+        """Return whether its entry may have lapsed with the store only."""
+        if self.gone_at is None or self.is_leaving:
+            return False
+        return now < self.lapses_at
--- a/lynxchute/upstreams/load_report.py
+++ b/lynxchute/upstreams/load_report.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
-from lynxchute.http import ExchangeFailed, Timeouts
+from lynxchute.http import ClientPool, ExchangeFailed, Timeouts
 from lynxchute.upstreams.engines import Probe
 from lynxchute.upstreams.generation import PromptPart
 from lynxchute.upstreams.http_engines import HttpEngines, no_answer
+from lynxchute.upstreams.statement_headers import StatementHeaders
 from lynxchute.upstreams.upstream import Upstream
 
 # What an engine is doing and keeps: `{"running": 3, "cached": [["id", 120]]}`.
@@ -17,19 +19,44 @@
 
 
 class LoadReports(HttpEngines):
-    """Ask engines for their load."""
+    """Ask engines for their load.
+
+    Parameters
+    ----------
+    clients
+        Connections to the upstreams.
+    headers
+        Where answers state what their upstream wants.
+    """
 
     LIST_PATH = LOAD_PATH
 
+    def __init__(self, clients: ClientPool, headers: StatementHeaders) -> None:
+        super().__init__(clients)
+        self._headers = headers
+
     async def probe(self, upstream: Upstream) -> Probe:
         """Ask whether an upstream is there; it says how long it is cold."""
         client = self._clients.get(upstream.address)
         try:
-            _, answer = await client.get_json(LOAD_PATH, timeouts=PROBE_TIMEOUTS)
+            response = await client.request("GET", LOAD_PATH, timeouts=PROBE_TIMEOUTS)
+            body = await response.body()
         except ExchangeFailed as error:
             raise no_answer(upstream, error) from error
-        cold = answer.get("cold_seconds") if isinstance(answer, dict) else None
-        return Probe(cold_seconds=cold if isinstance(cold, float) else 0.0)
+        return Probe(
+            cold_seconds=_cold_seconds(body),
+            statement=self._headers.decode(response.status, response.headers),
+        )
 
     def _listed(self, answer: Any) -> list[PromptPart]:
         return [PromptPart(str(i[0]), int(i[1])) for i in answer["cached"]]
+
+
+def _cold_seconds(body: bytes) -> float:
+    """Return what a report says; 0 where it does not, or is none."""
+    try:
+        report = json.loads(body)
+    except ValueError:
+        return 0.0
+    cold = report.get("cold_seconds") if isinstance(report, dict) else None
+    return cold if isinstance(cold, float) else 0.0
--- a/lynxchute/upstreams/needs.py
+++ b/lynxchute/upstreams/needs.py
@@ -73,13 +73,28 @@
             return
         self._take(limit, now, clock_ms, now)
 
-    def note_report(self, statement: Statement, now: float, clock_ms: int) -> None:
+    def note_report(
+        self,
+        statement: Statement,
+        now: float,
+        clock_ms: int,
+        *,
+        is_start_known: bool = True,
+    ) -> None:
         """Take the answer to a question that was no request.
 
         An upstream may name its limit in answers to requests only; so one that does
         not name it here may be tried, no more.
+
+        Parameters
+        ----------
+        is_start_known
+            Whether another process at the upstream's place would be known as such.
+            Where it would not, one that does not say here that it leaves is another.
         """
         self._take_standing(statement, now)
+        if not is_start_known:
+            self.is_leaving = statement.is_leaving
         if statement.limit is not None:
             self._take(statement.limit, now, clock_ms, now)
         elif self.limit is not None:
@@ -103,6 +118,20 @@
         """Return whether it wants nothing from this router for a while."""
         return now < self.rest_until
 
+    def describe(self, now: float) -> str:
+        """Return for people what the upstream wants; empty where it wants nothing."""
+        wants = []
+        if self.is_leaving:
+            wants.append("leaving")
+        if self.is_resting(now):
+            wants.append(f"rest for {self.rest_until - now:.1f} s")
+        rate = self.rate(now)
+        if self.limit is not None:
+            wants.append(f"limit {self.limit:g}/s")
+        elif rate is not None:
+            wants.append(f"coming back at {rate:g}/s")
+        return ", ".join(wants)
+
     def are_news(self, now: float) -> bool:
         """Return whether other routers should know of them."""
         return self.is_leaving or self.rate(now) is not None
--- a/lynxchute/upstreams/needs_watch.py
+++ b/lynxchute/upstreams/needs_watch.py
@@ -6,8 +6,9 @@
 
 from lynxchute.application import Loop, Tasks
 from lynxchute.telemetry import log_event
-from lynxchute.upstreams.directory import Directory, Entry
+from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.engines import Engines, EngineSilent
+from lynxchute.upstreams.entry import Entry
 from lynxchute.upstreams.rate_limits import RateLimits
 
 # Seconds between two looks.
@@ -65,12 +66,15 @@
         self._rates.keep_only({entry.upstream.process for entry in needy})
 
     def _is_due(self, entry: Entry, now: float) -> bool:
-        if entry.needs.limit is None:
+        needs, upstream = entry.needs, entry.upstream
+        # Nothing else tells another process from one that leaves.
+        is_awaited = needs.is_leaving and not upstream.is_start_known
+        if needs.limit is None and not is_awaited:
             return False
-        rank = self._rank_of(entry.upstream.service)
+        rank = self._rank_of(upstream.service)
         if rank is None:
             return False
-        heard_at = max(entry.needs.heard_at, entry.probed_at)
+        heard_at = max(needs.heard_at, entry.probed_at)
         return now - heard_at >= ASK_AFTER_SECONDS + rank * LATER_SECONDS
 
     async def _ask(self, entry: Entry) -> None:
--- a/lynxchute/upstreams/neighbourhood.py
+++ b/lynxchute/upstreams/neighbourhood.py
@@ -6,7 +6,8 @@
 from bisect import bisect_left
 from collections.abc import Iterable
 
-from lynxchute.upstreams.directory import Directory, Entry
+from lynxchute.upstreams.directory import Directory
+from lynxchute.upstreams.entry import Entry
 
 # A service with so many upstreams or fewer has all of them looked at for each request:
 # what each costs (14 us to place a request, 4 us to ask for it) is 2 ms then. With all
--- a/lynxchute/upstreams/permits.py
+++ b/lynxchute/upstreams/permits.py
@@ -4,7 +4,7 @@
 
 from abc import ABC, abstractmethod
 
-from lynxchute.upstreams.directory import Entry
+from lynxchute.upstreams.entry import Entry
 
 
 class Permits(ABC):
--- a/lynxchute/upstreams/placement.py
+++ b/lynxchute/upstreams/placement.py
@@ -8,7 +8,7 @@
 import attrs
 
 from lynxchute.upstreams.aims import NO_AIMS, Aims
-from lynxchute.upstreams.directory import Entry
+from lynxchute.upstreams.entry import Entry
 from lynxchute.upstreams.generation import Generation
 from lynxchute.upstreams.permits import Permits
 from lynxchute.upstreams.send_gate import SendGate
--- a/lynxchute/upstreams/rate_limits.py
+++ b/lynxchute/upstreams/rate_limits.py
@@ -9,7 +9,7 @@
 import attrs
 
 from lynxchute.upstreams.cold_admission import Standing
-from lynxchute.upstreams.directory import Entry
+from lynxchute.upstreams.entry import Entry
 from lynxchute.upstreams.rate_sharing import (
     CONFIRMED_SECONDS,
     Count,
--- a/lynxchute/upstreams/send_gate.py
+++ b/lynxchute/upstreams/send_gate.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from lynxchute.upstreams.cold_admission import ColdLimits
-from lynxchute.upstreams.directory import Entry
+from lynxchute.upstreams.entry import Entry
 from lynxchute.upstreams.evacuations import Evacuations
 from lynxchute.upstreams.rate_limits import RateLimits
 from lynxchute.upstreams.upstream import Upstream
--- a/lynxchute/upstreams/silence.py
+++ b/lynxchute/upstreams/silence.py
@@ -7,8 +7,9 @@
 from lynxchute.application import Loop, Tasks
 from lynxchute.reachability import Reachability
 from lynxchute.telemetry import log_event
-from lynxchute.upstreams.directory import Directory, Entry
+from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.engines import Engines, EngineSilent
+from lynxchute.upstreams.entry import Entry
 from lynxchute.upstreams.health import Fate
 
 # Seconds between two looks.
--- a/tests/cold_mutants.py
+++ b/tests/cold_mutants.py
@@ -5,7 +5,7 @@
 from lynxchute.scheduling.cold_placements import ColdPlacements
 from lynxchute.upstreams import cold_admission
 from lynxchute.upstreams.cold_admission import RecentPlacements
-from lynxchute.upstreams.directory import Entry
+from lynxchute.upstreams.entry import Entry
 from lynxchute.upstreams.send_gate import SendGate
 
 
--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -25,7 +25,8 @@
     StandingWatch,
     WarmOnly,
 )
-from lynxchute.upstreams.directory import Directory, Entry
+from lynxchute.upstreams.directory import Directory
+from lynxchute.upstreams.entry import Entry
 from lynxchute.upstreams.upstream import Upstream
 from tests import cold_mutants, mutants
 from tests.cold_machine import ColdMachine
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -14,7 +14,8 @@
 from lynxchute.quarantine import BrokenRun, Progress, Quarantined
 from lynxchute.store import StoreClock
 from lynxchute.telemetry import Metrics
-from lynxchute.upstreams.directory import OUTLIVED_SECONDS, Directory, Entry, OpenSend
+from lynxchute.upstreams.directory import Directory
+from lynxchute.upstreams.entry import OUTLIVED_SECONDS, Entry, OpenSend
 from lynxchute.upstreams.upstream import Upstream
 from tests.support import AsyncTestCase
 
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -16,7 +16,8 @@
 from lynxchute.platform.upstreams import decode_upstream
 from lynxchute.store import Row, RowId, TableFeed
 from lynxchute.store.feed import FeedTimes
-from lynxchute.upstreams.directory import Directory, OpenSend
+from lynxchute.upstreams.directory import Directory
+from lynxchute.upstreams.entry import OpenSend
 from tests.platform_support import (
     PlatformCaller,
     PlatformTestCase,
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -6,8 +6,9 @@
 
 from lynxchute.fleet.members import Member, Members
 from lynxchute.reachability import EVIDENCE_SECONDS, Reachability
-from lynxchute.upstreams.directory import Directory, OpenSend
+from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.engines import Engines, EngineSilent, Probe
+from lynxchute.upstreams.entry import OpenSend
 from lynxchute.upstreams.health import Fate
 from lynxchute.upstreams.silence import SilenceWatch
 from lynxchute.upstreams.upstream import Upstream
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -8,7 +8,8 @@
 from lynxchute.scheduling.board import Candidate, EngineBoard
 from lynxchute.scheduling.newcomer import Newcomer
 from lynxchute.upstreams.aims import NO_AIMS
-from lynxchute.upstreams.directory import Directory, OpenSend
+from lynxchute.upstreams.directory import Directory
+from lynxchute.upstreams.entry import OpenSend
 from lynxchute.upstreams.generation import Generation, PromptPart
 from lynxchute.upstreams.health import Fate
 from lynxchute.upstreams.upstream import Upstream
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -21,7 +21,6 @@
 from lynxchute.fleet.client import PeerUnreachable
 from lynxchute.http import ExchangeFailed, Headers
 from lynxchute.platform.statements import STATEMENT_HEADERS
-from lynxchute.relay.statement_headers import MAX_LIMIT, MAX_REST
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.needs import (
     RAMP_SECONDS,
@@ -31,6 +30,7 @@
 )
 from lynxchute.upstreams.rate_sharing import SHARINGS_BY_NAME
 from lynxchute.upstreams.statement import NOTHING_STATED, Statement
+from lynxchute.upstreams.statement_headers import MAX_LIMIT, MAX_REST
 from lynxchute.upstreams.upstream import Upstream
 from tests import mutants, needs_mutants
 from tests.fuzz import run
