Look for cold engines by service, and less often

In an outage each entry had its service's order of routers computed anew, ten times a second (read, not measured). Removed a way of asking for permits that nothing used.

--- a/lynxchute/scheduling/cold_watch.py
+++ b/lynxchute/scheduling/cold_watch.py
@@ -11,14 +11,12 @@
 from lynxchute.upstreams.entry import Entry
 from lynxchute.upstreams.probes import take_probe
 
-# Seconds between two looks.
-STEP_SECONDS = 0.1
+# Seconds between two looks, and so between two questions to an engine at least.
+STEP_SECONDS = 0.3
 # Seconds of the store's silence after which an engine may be cold with nobody knowing:
 # a store that answers does so every 1.3 s at the latest.
 SILENT_SECONDS = 1.6
-# Seconds between two questions to an engine, and the most questions in a second: 70
-# engines are asked every 1.4 s.
-AGAIN_SECONDS = 0.3
+# The most questions in a second: 70 engines are asked every 1.4 s.
 MOST_PER_SECOND = 50.0
 
 
@@ -68,7 +66,7 @@
         if self._silent_for(now) < SILENT_SECONDS:
             return
         watched = self._watched()
-        again = max(AGAIN_SECONDS, len(watched) / MOST_PER_SECOND)
+        again = len(watched) / MOST_PER_SECOND
         for entry in watched:
             if now - entry.probed_at >= again:
                 entry.probed_at = now
@@ -76,12 +74,14 @@
 
     def _watched(self) -> list[Entry]:
         """Return the engines whose growing cold matters here."""
+        is_watched_by_service: dict[str, bool] = {}
         found = []
         for entry in self._directory.entries_by_id.values():
             service = entry.upstream.service
-            if not entry.takes_work or not self._limits_of(service).is_bound:
-                continue
-            if self._schedules(service):
+            if service not in is_watched_by_service:
+                is_bound = self._limits_of(service).is_bound
+                is_watched_by_service[service] = is_bound and self._schedules(service)
+            if is_watched_by_service[service] and entry.takes_work:
                 found.append(entry)
         return found
 
--- a/lynxchute/upstreams/permits.py
+++ b/lynxchute/upstreams/permits.py
@@ -20,11 +20,3 @@
             Until when it may be sent, in seconds on the steady clock; 0 where it may
             not.
         """
-
-
-class NoPermits(Permits):
-    """Let nothing through: each router sends in its own turns only."""
-
-    async def ask(self, entry: Entry) -> float:
-        """Return 0."""
-        return 0.0
