Put routers in order for a key once, until one of them changes

Each request to an upstream in need asks for this router's place in the order of turns: 88 us with 195 routers, 156 with 340; with 30 engines in need some 5 ms a request (computed). 0.1 us now; a test has the order follow each change.

--- a/lynxchute/fleet/members.py
+++ b/lynxchute/fleet/members.py
@@ -114,18 +114,26 @@
         This router.
     reachability
         Which data centres can be reached.
+
+    Attributes
+    ----------
+    changes
+        How often anything that registered routers say of themselves has changed.
     """
 
     def __init__(self, own: Member, reachability: Reachability | None = None) -> None:
         self.own = own
         self.reachability = reachability or Reachability(own.data_centre)
         self.by_vm: dict[str, Member] = {own.vm: own}
+        self.changes = 0
         self._reach_by_vm: dict[str, Reach] = {}
+        self._ranks = (0, dict[str, int | None]())
 
     def leave(self) -> Member:
         """Note that this router takes nothing new; return what it says now."""
         self.own = attrs.evolve(self.own, is_leaving=True)
         self.by_vm[self.own.vm] = self.own
+        self.changes += 1
         return self.own
 
     def put(self, member: Member) -> None:
@@ -135,12 +143,14 @@
         known = self.by_vm.get(member.vm)
         if known is None or known.incarnation != member.incarnation:
             self._reach_by_vm.pop(member.vm, None)
+        if known != member:
+            self.changes += 1
         self.by_vm[member.vm] = member
 
     def remove(self, vm: str) -> None:
         """Drop a router that is registered no more."""
         if vm != self.own.vm:
-            self.by_vm.pop(vm, None)
+            self.changes += self.by_vm.pop(vm, None) is not None
             self._reach_by_vm.pop(vm, None)
 
     @property
@@ -214,6 +224,17 @@
         Those that cannot be reached count: they may well be at work. It has none once
         it takes nothing new.
         """
+        changes, rank_by_key = self._ranks
+        if changes != self.changes or key not in rank_by_key:
+            # Asked for with each request to an upstream in need; to put 195 routers in
+            # order takes 0.09 ms.
+            if changes != self.changes:
+                rank_by_key = {}
+            rank_by_key[key] = self._own_rank(key)
+            self._ranks = (self.changes, rank_by_key)
+        return rank_by_key[key]
+
+    def _own_rank(self, key: str) -> int | None:
         if self.own.is_leaving:
             return None
         staying = [vm for vm, member in self.by_vm.items() if not member.is_leaving]
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -19,6 +19,7 @@
 
 from lynxchute.bench.limits import FLEETS, play
 from lynxchute.fleet.client import PeerUnreachable
+from lynxchute.fleet.members import Member, Members
 from lynxchute.http import ExchangeFailed, Headers
 from lynxchute.platform.statements import STATEMENT_HEADERS
 from lynxchute.upstreams.directory import Directory
@@ -155,6 +156,26 @@
         self.assertIsNone(directory.entries_by_id["e"].needs.rate(2.0))
 
 
+class RankTest(testtools.TestCase):
+    def test_the_order_of_routers_follows_each_of_their_changes(self):
+        members = Members(Member("a", "x", "run", "127.0.0.1:1"))
+        ranks = [members.own_rank("k")]
+        for vm in "bcdefg":
+            members.put(Member(vm, "x", "run", "127.0.0.1:1"))
+            ranks.append(members.own_rank("k"))
+        for vm in "bcd":
+            members.remove(vm)
+        leaving = Member("e", "x", "run", "127.0.0.1:1", is_leaving=True)
+        for change in (lambda: None, lambda: members.put(leaving)):
+            change()
+            staying = [vm for vm, m in members.by_vm.items() if not m.is_leaving]
+            order = members.in_order("k", staying)
+            self.assertEqual(order.index("a"), members.own_rank("k"))
+        self.assertEqual(sorted(ranks), ranks)
+        members.leave()
+        self.assertIsNone(members.own_rank("k"))
+
+
 class LimitFuzzTest(testtools.TestCase):
     def test_no_span_has_more_than_an_upstream_names(self):
         run(150, 30, machine=NeedsMachine)
