Fuzz rest and leaving over answers, reports, entries and starts

Six mutants, each found: a later rest that cuts a longer one, an answer that ends a rest, leaving taken back by an answer or by an entry, a gate that asks for no rest, needs that the next process inherits. A stream that breaks off does go on at an engine that leaves where the gate is not asked, so that its test can fail.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -11,6 +11,7 @@
 from tests.fuzz import run
 from tests.ledger_machine import LedgerMachine
 from tests.needs_machine import NeedsMachine
+from tests.words_machine import WordsMachine
 
 EXAMPLES = 1500
 STEPS = 60
@@ -18,6 +19,7 @@
     **dict.fromkeys(ledger_mutants.MUTANTS, LedgerMachine),
     **dict.fromkeys(cold_mutants.MUTANTS, ColdMachine),
     **dict.fromkeys(needs_mutants.MUTANTS, NeedsMachine),
+    **dict.fromkeys(needs_mutants.WORD_MUTANTS, WordsMachine),
 }
 
 
--- a/tests/test_stated_leaving.py
+++ b/tests/test_stated_leaving.py
@@ -132,17 +132,29 @@
 
             self.with_platform(scenario)
 
-    def test_a_stream_does_not_go_on_at_an_engine_that_leaves(self):
+    def came_of_a_stream_that_breaks_off(self, *, is_gate_asked=True):
+        """Return what came to an engine that leaves as a stream broke off elsewhere."""
+
         async def scenario(deployment):
             stream_, busy, idle = await stream_at_one_engine(deployment)
             for router in deployment.routers.values():
                 hear_after_each_choice(router, idle.id, LEAVING)
+                if not is_gate_asked:
+                    gate = router.relay._sender._gate
+                    self.patch(gate, "withholds", lambda entry, **more: None)
             await busy.stop()
             with contextlib.suppress(ExchangeFailed):
                 await stream_
-            self.assertEqual([], idle.arrivals)
+            return idle.arrivals
 
-        self.with_platform(scenario)
+        return self.with_platform(scenario)
+
+    def test_a_stream_does_not_go_on_at_an_engine_that_leaves(self):
+        self.assertEqual([], self.came_of_a_stream_that_breaks_off())
+
+    def test_without_the_gate_it_would(self):
+        arrivals = self.came_of_a_stream_that_breaks_off(is_gate_asked=False)
+        self.assertNotEqual([], arrivals)
 
     def test_what_runs_there_goes_on_to_its_end(self):
         async def scenario(deployment):
--- a/tests/test_stated_rest.py
+++ b/tests/test_stated_rest.py
@@ -21,12 +21,15 @@
 from lynxchute.standins.upstream_run import Fault
 from lynxchute.upstreams.needs import Needs
 from lynxchute.upstreams.statement import NOTHING_STATED, Statement
+from tests import mutants, needs_mutants
+from tests.fuzz import run
 from tests.platform_support import (
     PlatformCaller,
     PlatformTestCase,
     stream_at_one_engine,
 )
 from tests.press import plain, press, stream
+from tests.words_machine import WordsMachine
 
 REST_SECONDS = 3.0
 # The promise: from so long after the refusal to the end of the rest, no more than two.
@@ -45,6 +48,19 @@
         self.assertFalse(needs.is_resting(4.0))
 
 
+class WordsFuzzTest(testtools.TestCase):
+    """Rest and leaving, in answers, reports and entries, over starts."""
+
+    def test_nothing_is_sent_that_is_not_wanted(self):
+        run(300, 40, machine=WordsMachine)
+
+    def test_the_fuzzing_finds_each_decision_that_is_broken(self):
+        self.patch(mutants, "EXAMPLES", 200)
+        self.patch(mutants, "STEPS", 30)
+        for mutant in needs_mutants.WORD_MUTANTS:
+            self.assertIsNotNone(mutants.is_caught(mutant), mutant.__name__)
+
+
 class RestTest(PlatformTestCase):
     def check(self, upstreams_of, ask, **more):
         async def scenario(deployment):
