--- a/lynxchute/demo.py
+++ b/lynxchute/demo.py
@@ -27,6 +27,7 @@
     served_by_account,
 )
 from lynxchute.standins.deployment import MODEL, Deployment, Shape, caller_key
+from lynxchute.standins.in_need import press_in_need
 
 SCENE_SECONDS = 4.0
 # A question that ends each engine that begins to answer it, who asks it, how often, and
@@ -47,18 +48,6 @@
 # Seconds after an evacuation was accepted in which all routers must have heard of it.
 EVACUATED_SECONDS = 1.0
 EVACUATED = "kyu-b"
-# One engine names a limit of all routers together, one says that it leaves, one turns
-# everybody away for a while. So long after an engine has first named its limit it gets
-# no more than 1.5 x 4 s x 0.5 + 5 = 8 within four seconds.
-LIMIT = 0.5
-LIMIT_MOST = 8
-LIMIT_SPAN = 4.0
-LIMIT_KNOWN_SECONDS = 3.0
-REST_SECONDS = 3.0
-REST_KNOWN_SECONDS = 0.5
-REST_MOST = 2
-LEAVING_SECONDS = 2.0
-IN_NEED = ("kyu-a", "kyu-b", "kyu-c")
 SEED = 7
 
 
@@ -182,62 +171,6 @@
     return sent
 
 
-@attrs.frozen
-class _InNeed:
-    """What engines in need got that they should not have got."""
-
-    limit_passed: int
-    sent_to_leaving: int
-    sent_in_rest: int
-
-
-async def _press_in_need(
-    deployment: Deployment, callers: Callers, rate: float
-) -> _InNeed:
-    """Have engines state what they want, and count what they get all the same."""
-    engines = []
-    for data_centre in IN_NEED:
-        name = min(n for n in deployment.engines_by_name if n.startswith(data_centre))
-        engines.append(deployment.engines_by_name[name])
-    limited, leaving, resting = engines
-    loop = asyncio.get_running_loop()
-    began = loop.time()
-    limited.limit, leaving.says_it_leaves = LIMIT, True
-    resting.rest_until = began + REST_SECONDS
-    await callers.run(2 * SCENE_SECONDS, rate)
-    bound = limited.taken.since(began + LIMIT_KNOWN_SECONDS)
-    passed = _most_within(bound, LIMIT_SPAN) - LIMIT_MOST
-    limited.limit = None
-    return _InNeed(
-        limit_passed=max(passed, 0),
-        sent_to_leaving=len(leaving.taken.since(began + LEAVING_SECONDS)),
-        sent_in_rest=_sent_in_rest(resting.refusals, callers.sent),
-    )
-
-
-def _sent_in_rest(refusals: list[tuple[float, str]], sent: list[Sent]) -> int:
-    """Return the requests that routers sent in a rest beyond what they may."""
-    vm_by_request = {a.request_id: a.vm for item in sent for a in item.attempts}
-    first_by_vm: dict[str, float] = {}
-    late_by_vm: dict[str, int] = {}
-    for at, request_id in refusals:
-        vm = vm_by_request.get(request_id, "")
-        first = first_by_vm.setdefault(vm, at)
-        is_late = at >= first + REST_KNOWN_SECONDS
-        late_by_vm[vm] = late_by_vm.get(vm, 0) + is_late
-    return sum(max(late - REST_MOST, 0) for late in late_by_vm.values())
-
-
-def _most_within(times: list[float], span: float) -> int:
-    """Return the most of the times, in order, that lie within one span."""
-    most, first = 0, 0
-    for last, time_ in enumerate(times):
-        while time_ - times[first] >= span:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 async def _order(deployment: Deployment, statement: str) -> None:
     _, answer = await deployment.operate("kyu-a-2", statement)
     _say(f"  {answer['state']}: {answer['detail']}")
@@ -331,7 +264,7 @@
         _say(f"{EVACUATED} is evacuated and taken back; its engines come back cold")
         sent_to_evacuated = await _evacuate(deployment, callers, rate)
         _say("an engine names a limit, one says that it leaves, one asks for rest")
-        in_need = await _press_in_need(deployment, callers, rate)
+        in_need = await press_in_need(deployment, callers, rate, 2 * SCENE_SECONDS)
         _say("waiting for the last settlements")
         await _settle(deployment, 8.0)
         result = measure(deployment, callers.sent)
--- a/lynxchute/standins/arrivals.py
+++ b/lynxchute/standins/arrivals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left
+from collections.abc import Sequence
 
 import attrs
 
@@ -56,3 +57,19 @@
                 until = min(self.times[index] + 1.0, end)
                 most = max(most, bisect_left(self.times, until) - index)
         return most
+
+
+def most_within(times: Sequence[float], span: float) -> int:
+    """Return the most of the times, in order, that lie within one span.
+
+    Examples
+    --------
+    >>> most_within([1.0, 1.5, 2.0, 4.0], 1.0)
+    2
+    """
+    most, first = 0, 0
+    for last, time in enumerate(times):
+        while time - times[first] >= span:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
--- a/tests/press.py
+++ b/tests/press.py
@@ -1,4 +1,4 @@
-"""Press a deployment's routers with requests, and count what an upstream got."""
+"""Press a deployment's routers with requests."""
 
 import asyncio
 
@@ -27,13 +27,3 @@
 
 def plain(caller):
     return caller.send("GET", "/safe/x")
-
-
-def most_within(times, span):
-    """Return the most of the times, in order, that lie within one span."""
-    most, first = 0, 0
-    for last, time in enumerate(times):
-        while time - times[first] >= span:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
--- a/tests/soak/needs.py
+++ b/tests/soak/needs.py
@@ -9,8 +9,8 @@
 
 import attrs
 
+from lynxchute.standins.arrivals import most_within
 from lynxchute.telemetry import log_event
-from tests.press import most_within
 
 LIMIT_PROMISE = "upstreams in need get what they name"
 REST_PROMISE = "upstreams get the rest that they ask for"
--- a/tests/test_stated_by_own.py
+++ b/tests/test_stated_by_own.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.press import most_within
+from lynxchute.standins.arrivals import most_within
 from tests.support import AsyncTestCase, Caller, question, until, with_deployment
 
 LIMIT = 0.5
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -22,6 +22,7 @@
 from lynxchute.fleet.members import Member, Members
 from lynxchute.http import ExchangeFailed, Headers
 from lynxchute.platform.statements import STATEMENT_HEADERS
+from lynxchute.standins.arrivals import most_within
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.needs import (
     RAMP_SECONDS,
@@ -37,7 +38,7 @@
 from tests.fuzz import run
 from tests.needs_machine import NeedsMachine
 from tests.platform_support import PlatformCaller, PlatformTestCase
-from tests.press import most_within, plain, press, stream
+from tests.press import plain, press, stream
 from tests.support import until
 
 ROUTERS = ("a-1", "a-2", "b-1", "b-2")
