Let no refusal end a limit that it does not name

Found by reading: a refusal without the header ended a limit that stood, and may be made before the upstream's work. Only an answer to a request that ran ends one now; a test.

--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -235,7 +235,11 @@
         if verdict is not Verdict.MOVED:
             # Any other process that has the address by now speaks for itself only.
             self._statements.read(
-                exchange.call.request_id, entry, response, sent_at=sent_at
+                exchange.call.request_id,
+                entry,
+                response,
+                sent_at=sent_at,
+                is_served=verdict is Verdict.ANSWERED,
             )
         answer = Answer(response, entry, cost, exchange.run_id, send, sent_at)
         if verdict is Verdict.ANSWERED:
--- a/lynxchute/relay/statement_reader.py
+++ b/lynxchute/relay/statement_reader.py
@@ -32,7 +32,13 @@
         self._clock = clock
 
     def read(
-        self, request_id: str, entry: Entry, response: Response, *, sent_at: float
+        self,
+        request_id: str,
+        entry: Entry,
+        response: Response,
+        *,
+        sent_at: float,
+        is_served: bool,
     ) -> None:
         """Take what an answer states.
 
@@ -40,10 +46,16 @@
         ----------
         sent_at
             When the request was sent, in seconds.
+        is_served
+            Whether it ran, as far as the answer says.
         """
         statement = self._dialect.statement(response.status, response.headers)
         is_news = self._directory.note_statement(
-            entry, statement, asked_at=sent_at, now=self._clock()
+            entry,
+            statement,
+            asked_at=sent_at,
+            now=self._clock(),
+            is_served=is_served,
         )
         if not is_news:
             return
--- a/lynxchute/standins/in_need.py
+++ b/lynxchute/standins/in_need.py
@@ -17,8 +17,8 @@
 LIMIT_MOST = 8
 LIMIT_SPAN = 4.0
 LIMIT_KNOWN_SECONDS = 3.0
-# Seconds for which another one turns everybody away, and requests that a router may send
-# it later than half a second after it was turned away.
+# Seconds for which another one turns everybody away, and requests that a router may
+# send it later than half a second after it was turned away.
 REST_SECONDS = 3.0
 REST_KNOWN_SECONDS = 0.5
 REST_MOST = 2
--- a/lynxchute/upstreams/directory.py
+++ b/lynxchute/upstreams/directory.py
@@ -88,7 +88,13 @@
         return is_news
 
     def note_statement(
-        self, entry: Entry, statement: Statement, *, asked_at: float, now: float
+        self,
+        entry: Entry,
+        statement: Statement,
+        *,
+        asked_at: float,
+        now: float,
+        is_served: bool = True,
     ) -> bool:
         """Take what the answer to a request states of its upstream.
 
@@ -96,6 +102,8 @@
         ----------
         asked_at
             When the request was sent.
+        is_served
+            Whether it ran, as far as the answer says.
 
         Returns
         -------
@@ -107,7 +115,11 @@
         was_leaving = entry.is_leaving
         clock_ms = self.clock_ms(now)
         entry.needs.note_answer(
-            statement, asked_at=asked_at, now=now, clock_ms=clock_ms
+            statement,
+            asked_at=asked_at,
+            now=now,
+            clock_ms=clock_ms,
+            is_served=is_served,
         )
         self.note_needs(entry, now)
         if entry.is_leaving != was_leaving:
--- a/lynxchute/upstreams/needs.py
+++ b/lynxchute/upstreams/needs.py
@@ -56,17 +56,29 @@
     rest_until: float = 0.0
 
     def note_answer(
-        self, statement: Statement, *, asked_at: float, now: float, clock_ms: int
+        self,
+        statement: Statement,
+        *,
+        asked_at: float,
+        now: float,
+        clock_ms: int,
+        is_served: bool = True,
     ) -> None:
         """Take what the answer to a request states.
 
         Answers overtake one another. A lower limit counts at once; a higher one, or
         none, only from an answer to a request that was sent after the limit had last
         been heard, so that it was made later for certain.
+
+        Parameters
+        ----------
+        is_served
+            Whether it answers a request that ran. A refusal ends no limit: it may well
+            have been made by what stands before the upstream's work.
         """
         self._take_standing(statement, now)
         limit = statement.limit
-        if limit is None and self.limit is None:
+        if limit is None and (self.limit is None or not is_served):
             return
         is_lower = limit is not None and (self.limit is None or limit <= self.limit)
         if not is_lower and asked_at < self.heard_at:
--- a/tests/needs_mutants.py
+++ b/tests/needs_mutants.py
@@ -51,7 +51,7 @@
 
 
 def believe_late_answers():
-    def note_answer(self, statement, *, asked_at, now, clock_ms):
+    def note_answer(self, statement, *, asked_at, now, clock_ms, is_served):
         if statement.limit is not None or self.limit is not None:
             self._take(statement.limit, now, clock_ms, now)
 
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -113,6 +113,13 @@
         self.assertEqual([2.0, 4.0, 8.0, 64.0], rates)
         self.assertIsNone(needs.rate(2.0 + RAMP_SECONDS))
 
+    def test_a_refusal_that_names_no_limit_ends_none(self):
+        needs = self.needs()
+        needs.note_answer(
+            Statement(rest=1.0), asked_at=1.2, now=2.0, clock_ms=2000, is_served=False
+        )
+        self.assertEqual(2.0, needs.rate(9.0))
+
     def test_an_upstream_that_is_silent_about_its_limit_when_asked_is_tried_only(self):
         needs = self.needs(limit=0.0)
         needs.note_report(NOTHING_STATED, 2.0, 2000)
