--- a/lynxchute/bench/limits.py
+++ b/lynxchute/bench/limits.py
@@ -80,7 +80,9 @@
     """Play a fleet with a way of sharing; return what came of it."""
     rng = random.Random(seed)
     entry = Entry(Upstream("e", "pool", "127.0.0.1:1", "a"))
-    entry.needs.note_answer(Statement(fleet.limit), asked_at=0.0, now=0.0, clock_ms=0)
+    entry.backpressure.note_answer(
+        Statement(fleet.limit), asked_at=0.0, now=0.0, clock_ms=0
+    )
     routers = [_limits(fleet, way, rank) for rank in range(fleet.routers)]
     now, sent, most = TAKE_OVER_SECONDS, 0, 0
     recent: deque[float] = deque()
--- a/lynxchute/demo.py
+++ b/lynxchute/demo.py
@@ -20,6 +20,7 @@
 from lynxchute.event_loop import run as run_loop
 from lynxchute.http import ExchangeFailed, HttpClient
 from lynxchute.relay.refusal import Run
+from lynxchute.standins.backpressure_scene import press_throttled
 from lynxchute.standins.callers import Callers, Sent
 from lynxchute.standins.counts import (
     counted_by_account,
@@ -27,7 +28,6 @@
     served_by_account,
 )
 from lynxchute.standins.deployment import MODEL, Deployment, Shape, caller_key
-from lynxchute.standins.in_need import press_in_need
 
 SCENE_SECONDS = 4.0
 # A question that ends each engine that begins to answer it, who asks it, how often, and
@@ -97,7 +97,7 @@
     "cold_rate_passed",
     "limit_passed",
     "sent_to_leaving",
-    "sent_in_rest",
+    "sent_in_backoff",
 )
 
 
@@ -263,15 +263,17 @@
         ended = await _play(deployment, callers, rate)
         _say(f"{EVACUATED} is evacuated and taken back; its engines come back cold")
         sent_to_evacuated = await _evacuate(deployment, callers, rate)
-        _say("an engine names a limit, one says that it leaves, one asks for rest")
-        in_need = await press_in_need(deployment, callers, rate, 2 * SCENE_SECONDS)
+        _say("an engine names a limit, one says that it leaves, one asks for backoff")
+        throttled_sends = await press_throttled(
+            deployment, callers, rate, 2 * SCENE_SECONDS
+        )
         _say("waiting for the last settlements")
         await _settle(deployment, 8.0)
         result = measure(deployment, callers.sent)
         result["engines_ended_by_what_is_known"] = ended
         result["sent_to_evacuated"] = sent_to_evacuated
         result["cold_rate_passed"] = _cold_rate_passed(deployment)
-        result.update(attrs.asdict(in_need))
+        result.update(attrs.asdict(throttled_sends))
     finally:
         await deployment.stop()
     _print_table(callers.sent)
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -59,8 +59,8 @@
 from lynxchute.store import TableFeed
 from lynxchute.store.counted import CountedStore
 from lynxchute.telemetry import Metrics, log_event
+from lynxchute.upstreams.backpressure_watch import BackpressureWatch
 from lynxchute.upstreams.directory import Directory
-from lynxchute.upstreams.needs_watch import NeedsWatch
 from lynxchute.upstreams.placement import LeastOpen
 from lynxchute.upstreams.retry_budget import RetryBudget
 from lynxchute.upstreams.silence import SilenceWatch
@@ -203,7 +203,7 @@
             steady_seconds,
         )
         silence = SilenceWatch(self.directory, engines, reachability, steady_seconds)
-        needs = NeedsWatch(
+        backpressure = BackpressureWatch(
             self.directory, engines, rules.rates, rules.rank, steady_seconds
         )
         cold = ColdWatch(
@@ -275,8 +275,8 @@
             scheduler,
             silence.tasks,
             silence.loop,
-            needs.tasks,
-            needs.loop,
+            backpressure.tasks,
+            backpressure.loop,
             cold.tasks,
             cold.loop,
             *self.containment.components,
--- a/lynxchute/fleet/needs_messages.py
+++ b/lynxchute/fleet/backpressure_messages.py
@@ -1,4 +1,4 @@
-"""What the routers tell one another of upstreams that are in need."""
+"""What the routers tell one another of upstreams that are throttled."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 @attrs.frozen
-class NeedNews:
+class BackpressureNews:
     """What a router has last heard of an upstream's limit.
 
     Attributes
@@ -42,7 +42,7 @@
 
     is_admitted: bool
     again_s: float = 0.0
-    needs: tuple[NeedNews, ...] = ()
+    backpressure: tuple[BackpressureNews, ...] = ()
 
 
 @attrs.frozen
@@ -53,4 +53,4 @@
     REPLY = PermitReply
 
     upstream: str
-    needs: tuple[NeedNews, ...] = ()
+    backpressure: tuple[BackpressureNews, ...] = ()
--- a/lynxchute/fleet/members.py
+++ b/lynxchute/fleet/members.py
@@ -226,7 +226,7 @@
         """
         changes, rank_by_key = self._ranks
         if changes != self.changes or key not in rank_by_key:
-            # Asked for with each request to an upstream in need; to put 195 routers in
+            # Asked for with each request to a throttled upstream; to put 195 routers in
             # order takes 0.09 ms.
             if changes != self.changes:
                 rank_by_key = {}
--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -8,8 +8,8 @@
 
 import attrs
 
+from lynxchute.fleet.backpressure_messages import BackpressureNews, PermitRequest
 from lynxchute.fleet.message import Done, Message
-from lynxchute.fleet.needs_messages import NeedNews, PermitRequest
 from lynxchute.fleet.quarantine_messages import QuarantineNews, RunEvidence
 from lynxchute.fleet.store_messages import (
     StoreChangesRequest,
@@ -212,8 +212,8 @@
     is_admitted
         Whether it is among those that all routers together may send there, where the
         engine names a limit.
-    needs
-        What was heard of the service's engines that are in need.
+    backpressure
+        What was heard of the service's engines that are throttled.
     is_refused
         Whether there are engines and none may get the request now.
     """
@@ -223,7 +223,7 @@
     expected_ms: float = 0.0
     is_counted: bool = False
     is_admitted: bool = False
-    needs: tuple[NeedNews, ...] = ()
+    backpressure: tuple[BackpressureNews, ...] = ()
     is_refused: bool = False
 
 
@@ -248,8 +248,8 @@
         event, and the longest pause between two.
     own_turns
         Engines that name a limit, and to which the asking router may send by itself.
-    needs
-        What was heard of the service's engines that are in need.
+    backpressure
+        What was heard of the service's engines that are throttled.
     """
 
     NAME = "place"
@@ -267,7 +267,7 @@
     first_event_ms: float = math.inf
     pause_ms: float = math.inf
     own_turns: tuple[str, ...] = ()
-    needs: tuple[NeedNews, ...] = ()
+    backpressure: tuple[BackpressureNews, ...] = ()
 
 
 class RunStage(enum.Enum):
--- a/lynxchute/relay/chooser.py
+++ b/lynxchute/relay/chooser.py
@@ -103,10 +103,10 @@
     async def _find(self, exchange: Exchange) -> Choice | None:
         now = self._clock()
         neighbours = list(self._neighbours(exchange, now))
-        if neighbours and all(e.needs.is_resting(now) for e in neighbours):
-            raise self._all_resting(exchange, neighbours, now)
+        if neighbours and all(e.backpressure.is_backing_off(now) for e in neighbours):
+            raise self._all_backing_off(exchange, neighbours, now)
         known = [e for e in neighbours if e.upstream.id not in exchange.tried]
-        known = [e for e in known if not e.needs.is_resting(now)]
+        known = [e for e in known if not e.backpressure.is_backing_off(now)]
         if not known and exchange.limited_rate is not None:
             raise self._all_limited(exchange, exchange.limited_rate, now)
         if not known:
@@ -143,27 +143,27 @@
         )
         return exchange.refuse(Reason.EVACUATED, title, now)
 
-    def _all_resting(
-        self, exchange: Exchange, resting: Sequence[Entry], now: float
+    def _all_backing_off(
+        self, exchange: Exchange, backing_off: Sequence[Entry], now: float
     ) -> Refusal:
         """Refuse at once what this router may send to no upstream for a while.
 
         Another router may: so its caller is told to come back no later than usual.
         """
-        left = min(entry.needs.rest_until for entry in resting) - now
+        left = min(entry.backpressure.backoff_until for entry in backing_off) - now
         title = (
             "All upstreams that serve this have turned this router away for a while."
         )
         wait = min(
-            max(left, MIN_RETRY_AFTER), exchange.retry_after(now, Reason.RESTING)
+            max(left, MIN_RETRY_AFTER), exchange.retry_after(now, Reason.BACKOFF)
         )
-        return exchange.refuse(Reason.RESTING, title, now, retry_after=wait)
+        return exchange.refuse(Reason.BACKOFF, title, now, retry_after=wait)
 
     def _none_takes_it(
         self, exchange: Exchange, candidates: Sequence[Entry]
     ) -> Refusal:
         now = self._clock()
-        rates = [entry.needs.rate(now) for entry in candidates]
+        rates = [entry.backpressure.rate(now) for entry in candidates]
         named = [rate for rate in rates if rate is not None]
         if named:
             return self._all_limited(exchange, sum(named), now)
@@ -172,7 +172,7 @@
     def _all_limited(self, exchange: Exchange, rate: float, now: float) -> Refusal:
         """Refuse at once what no upstream takes within the rate that they name."""
         title = (
-            f"All upstreams that serve {exchange.service} are in need and take "
+            f"All upstreams that serve {exchange.service} are throttled and take "
             f"{rate:g} requests a second together. Send it again later."
         )
         # One more is taken after so long; the time for none at all nobody knows.
--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -62,7 +62,7 @@
         The upstreams that are not tried again for it.
     limited_rate
         What upstreams that did not take it name, in requests a second together; None
-        where none is in need.
+        where none is throttled.
     events, last_event
         Events delivered, and the id of the last of them.
     order
--- a/lynxchute/relay/refusal.py
+++ b/lynxchute/relay/refusal.py
@@ -39,8 +39,8 @@
     QUARANTINED = "ends-upstreams"
     EVACUATED = "evacuated"
     COLD = "upstreams-cold"
-    LIMITED = "upstreams-in-need"
-    RESTING = "upstreams-want-rest"
+    LIMITED = "upstreams-throttled"
+    BACKOFF = "upstreams-backing-off"
     TOO_LATE = "too-late-to-send"
 
 
@@ -63,7 +63,7 @@
     Reason.EVACUATED: 503,
     Reason.COLD: 503,
     Reason.LIMITED: 503,
-    Reason.RESTING: 503,
+    Reason.BACKOFF: 503,
     Reason.TOO_LATE: 503,
 }
 
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -328,7 +328,7 @@
         # Its place is given up under this run's name, so the next one needs another.
         exchange.tried.add(entry.upstream.id)
         if reason is Withheld.LIMITED:
-            rate = entry.needs.rate(self._clock()) or 0.0
+            rate = entry.backpressure.rate(self._clock()) or 0.0
             exchange.limited_rate = (exchange.limited_rate or 0.0) + rate
         self._metrics.sends_withheld.inc(reason.value)
         log_event(
@@ -339,7 +339,7 @@
             reason=reason.value,
             placed_by=choice.placed_by,
             cold_s=round(max(entry.cold_until - self._clock(), 0.0), 3),
-            rate=entry.needs.rate(self._clock()),
+            rate=entry.backpressure.rate(self._clock()),
         )
 
     def _log_send(self, exchange: Exchange, choice: Choice, dispatch: Dispatch) -> None:
--- a/lynxchute/relay/statement_reader.py
+++ b/lynxchute/relay/statement_reader.py
@@ -64,7 +64,7 @@
             request_id=request_id,
             upstream=entry.upstream.id,
             limit=statement.limit,
-            rest_s=statement.rest,
+            backoff_s=statement.backoff,
             is_leaving=statement.is_leaving,
             unreadable=", ".join(statement.unreadable),
         )
--- a/lynxchute/scheduling/needs_news.py
+++ b/lynxchute/scheduling/backpressure_news.py
@@ -1,34 +1,38 @@
-"""What routers tell one another, beside other questions, of upstreams in need."""
+"""What routers tell one another, beside other questions, of throttled upstreams."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 
-from lynxchute.fleet.needs_messages import NeedNews
+from lynxchute.fleet.backpressure_messages import BackpressureNews
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.directory import Directory
 
-# Upstreams of one message: all of a service may be in need at once.
+# Upstreams of one message: all of a service may be throttled at once.
 MAX_TOLD = 32
 
 
-def needs_of(directory: Directory, service: str, now: float) -> tuple[NeedNews, ...]:
-    """Return what was heard of a service's upstreams that are in need."""
+def backpressure_of(
+    directory: Directory, service: str, now: float
+) -> tuple[BackpressureNews, ...]:
+    """Return what was heard of a service's upstreams that are throttled."""
     told = []
-    for entry in directory.needy(service, now)[:MAX_TOLD]:
+    for entry in directory.throttled(service, now)[:MAX_TOLD]:
         told.append(
-            NeedNews(
+            BackpressureNews(
                 upstream=entry.upstream.id,
                 process=entry.upstream.process,
-                limit=entry.needs.limit,
-                heard_ms=entry.needs.heard_ms,
-                is_leaving=entry.needs.is_leaving,
+                limit=entry.backpressure.limit,
+                heard_ms=entry.backpressure.heard_ms,
+                is_leaving=entry.backpressure.is_leaving,
             )
         )
     return tuple(told)
 
 
-def take_needs(directory: Directory, told: Iterable[NeedNews], now: float) -> None:
+def take_backpressure(
+    directory: Directory, told: Iterable[BackpressureNews], now: float
+) -> None:
     """Take what another router has heard, of processes that are known here."""
     clock_ms = directory.clock_ms(now)
     for news in told:
@@ -37,16 +41,16 @@
             continue
         if news.limit is not None and news.limit < 0.0:
             continue
-        before = entry.needs.limit
+        before = entry.backpressure.limit
         if news.is_leaving:
             directory.note_leaving(entry, now)
-        is_newer = entry.needs.note_told(
+        is_newer = entry.backpressure.note_told(
             news.limit, heard_ms=news.heard_ms, now=now, clock_ms=clock_ms
         )
         if not is_newer:
             continue
-        directory.note_needs(entry, now)
-        if entry.needs.limit != before:
+        directory.note_backpressure(entry, now)
+        if entry.backpressure.limit != before:
             log_event(
                 "upstream's limit told",
                 upstream=news.upstream,
--- a/lynxchute/scheduling/rate_permits.py
+++ b/lynxchute/scheduling/rate_permits.py
@@ -5,11 +5,11 @@
 import asyncio
 from collections.abc import Callable
 
+from lynxchute.fleet.backpressure_messages import PermitReply, PermitRequest
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Members
-from lynxchute.fleet.needs_messages import PermitReply, PermitRequest
 from lynxchute.fleet.server import PeerServer
-from lynxchute.scheduling.needs_news import needs_of, take_needs
+from lynxchute.scheduling.backpressure_news import backpressure_of, take_backpressure
 from lynxchute.scheduling.place_requests import scheduling_key
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.cold_admission import PERMIT_SECONDS
@@ -25,10 +25,10 @@
 SILENT_SECONDS = 1.0
 # Seconds until it is asked again at the latest: by then the limit may be another one.
 MOST_AGAIN_SECONDS = 1.0
-# The same at least, so that each request to an upstream in need is not a question.
+# The same at least, so that each request to a throttled upstream is not a question.
 LEAST_AGAIN_SECONDS = 0.05
 
-# Upstreams in need of which it is remembered when to ask again.
+# Throttled upstreams of which it is remembered when to ask again.
 MOST_REMEMBERED = 256
 
 
@@ -93,11 +93,11 @@
         vm = self._members.first_for(scheduling_key(service))
         if vm == self._members.own.vm:
             return self._decide(entry)
-        needs = needs_of(self._directory, service, self._clock())
+        backpressure = backpressure_of(self._directory, service, self._clock())
         try:
             async with asyncio.timeout(ASK_SECONDS):
                 reply = await self._peers.ask(
-                    vm, PermitRequest(entry.upstream.id, needs)
+                    vm, PermitRequest(entry.upstream.id, backpressure)
                 )
         except (PeerUnreachable, TimeoutError) as error:
             log_event(
@@ -107,24 +107,24 @@
                 reason=str(error) or "too slow",
             )
             return PermitReply(is_admitted=False, again_s=SILENT_SECONDS)
-        take_needs(self._directory, reply.needs, self._clock())
+        take_backpressure(self._directory, reply.backpressure, self._clock())
         return reply
 
     def _decide(self, entry: Entry) -> PermitReply:
         now = self._clock()
         if self._rates.take_count(entry, now):
             return PermitReply(is_admitted=True)
-        rate = entry.needs.rate(now) or 0.0
-        needs = needs_of(self._directory, entry.upstream.service, now)
+        rate = entry.backpressure.rate(now) or 0.0
+        backpressure = backpressure_of(self._directory, entry.upstream.service, now)
         # Whoever else asks meanwhile may get the next one.
         return PermitReply(
             is_admitted=False,
             again_s=1.0 / rate if rate else MOST_AGAIN_SECONDS,
-            needs=needs,
+            backpressure=backpressure,
         )
 
     async def _serve(self, request: PermitRequest) -> PermitReply:
-        take_needs(self._directory, request.needs, self._clock())
+        take_backpressure(self._directory, request.backpressure, self._clock())
         entry = self._directory.entries_by_id.get(request.upstream)
         if entry is None:
             return PermitReply(is_admitted=False, again_s=MOST_AGAIN_SECONDS)
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -22,9 +22,9 @@
 from lynxchute.fleet.server import PeerServer
 from lynxchute.http import LinkMeter
 from lynxchute.rendezvous import ranked
+from lynxchute.scheduling.backpressure_news import backpressure_of, take_backpressure
 from lynxchute.scheduling.board import Candidate, EngineBoard
 from lynxchute.scheduling.cold_placements import ColdPlacements
-from lynxchute.scheduling.needs_news import needs_of, take_needs
 from lynxchute.scheduling.newcomer import Newcomer
 from lynxchute.scheduling.news import NewsOfRuns
 from lynxchute.scheduling.place_requests import newcomer_of, scheduling_key
@@ -247,7 +247,7 @@
             output_tokens=generation.max_output_tokens,
             parts=tuple((part.id, part.tokens) for part in generation.parts),
             own_turns=self._own_turns(service, by_id),
-            needs=needs_of(self._directory, service, self._clock()),
+            backpressure=backpressure_of(self._directory, service, self._clock()),
             router=self._members.own.incarnation,
             expected_output_tokens=generation.expected_output_tokens,
             first_event_ms=aims.first_event_ms,
@@ -255,9 +255,9 @@
         )
 
     def _own_turns(self, service: str, by_id: dict[str, Entry]) -> tuple[str, ...]:
-        """Return the candidates in need to which this router may send by itself."""
+        """Return the throttled candidates to which this router may send by itself."""
         now, found = self._clock(), []
-        for entry in self._directory.needy(service, now):
+        for entry in self._directory.throttled(service, now):
             upstream_id = entry.upstream.id
             if upstream_id in by_id and self._gate.rates.has_turn(entry, now):
                 found.append(upstream_id)
@@ -280,7 +280,7 @@
             self._members.note_silence(vm, self._clock())
             log_event("scheduling router too slow", peer=vm, request_id=request.run_id)
             return PlaceReply("")
-        take_needs(self._directory, reply.needs, self._clock())
+        take_backpressure(self._directory, reply.backpressure, self._clock())
         return reply
 
     def _passed_over(
@@ -332,7 +332,7 @@
             place.expected_ms,
             is_counted,
             is_admitted,
-            needs_of(self._directory, request.service, now),
+            backpressure_of(self._directory, request.service, now),
         )
 
     def _within_rate(
@@ -341,7 +341,7 @@
         """Return the engines that name no limit, or take one more request within it."""
         now, rates = self._clock(), self._gate.rates
         passed_over = set()
-        for entry in self._directory.needy(request.service, now):
+        for entry in self._directory.throttled(request.service, now):
             upstream_id = entry.upstream.id
             if upstream_id in request.own_turns or rates.has_count(entry, now):
                 continue
@@ -379,7 +379,7 @@
         return found
 
     async def _serve_place(self, request: PlaceRequest) -> PlaceReply:
-        take_needs(self._directory, request.needs, self._clock())
+        take_backpressure(self._directory, request.backpressure, self._clock())
         newcomer = newcomer_of(request)
         key = newcomer.generation.placing_key(request.run_id)
         entries = []
--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -64,9 +64,9 @@
         Requests within a second that end it while it is cold; 0 for none.
     limit
         Requests a second from all routers that its answers name as its limit.
-    rest
-        Seconds of rest that its refusals ask for; 0 for none.
-    rest_until
+    backoff
+        Seconds of backoff that its refusals ask for; 0 for none.
+    backoff_until
         Until when it turns all requests away and asks for the time that is left, on
         the loop's clock.
     says_it_leaves
@@ -98,8 +98,8 @@
         self.taken = Arrivals()
         self.cold_most = 0
         self.limit: float | None = None
-        self.rest = 0.0
-        self.rest_until = 0.0
+        self.backoff = 0.0
+        self.backoff_until = 0.0
         self.says_it_leaves = False
         self.connections = 0
         self.started_ms: int | None = int(time.time() * 1000)
@@ -166,9 +166,11 @@
             headers.append((names.UPSTREAM_LIMIT, f"{self.limit:g}"))
         if self.says_it_leaves:
             headers.append((names.UPSTREAM_LEAVING, "1"))
-        rest = max(self.rest, self.rest_until - asyncio.get_running_loop().time())
-        if rest > 0 and is_refusal:
-            headers.append((names.RETRY_AFTER, f"{rest:.3f}"))
+        backoff = max(
+            self.backoff, self.backoff_until - asyncio.get_running_loop().time()
+        )
+        if backoff > 0 and is_refusal:
+            headers.append((names.RETRY_AFTER, f"{backoff:.3f}"))
         return headers
 
     async def register(self, store: PlatformStoreStandin) -> None:
@@ -230,7 +232,7 @@
                 fault = Fault.MOVED
             elif self._is_too_much(run.request_id) or run.body in self.deadly_bodies:
                 fault = Fault.CRASH
-            elif asyncio.get_running_loop().time() < self.rest_until:
+            elif asyncio.get_running_loop().time() < self.backoff_until:
                 fault = Fault.DECLINE
             exchange = UpstreamExchange(
                 self.id,
--- a/lynxchute/standins/upstream.py
+++ b/lynxchute/standins/upstream.py
@@ -31,8 +31,8 @@
         Requests a second from all routers that its answers name; None for none.
     says_it_leaves
         Whether its answers say that it takes no new work.
-    rest_until
-        Until when it turns requests away and asks for rest, on the loop's clock.
+    backoff_until
+        Until when it turns requests away and asks for backoff, on the loop's clock.
     refusals
         The ids of the requests that it has turned away so, and when.
     """
@@ -43,7 +43,7 @@
         self.taken = Arrivals()
         self.limit: float | None = None
         self.says_it_leaves = False
-        self.rest_until = 0.0
+        self.backoff_until = 0.0
         self.refusals: list[tuple[float, str]] = []
         self.server = HttpServer(self._handle)
 
@@ -72,7 +72,7 @@
         if request.headers.get(names.EXPECTED_UPSTREAM.lower()):
             now = asyncio.get_running_loop().time()
             self.taken.note(now, request_id_of(request))
-            if now < self.rest_until:
+            if now < self.backoff_until:
                 await self._turn_away(request, respond, now)
                 return
         await self.serve(request, respond)
@@ -90,9 +90,9 @@
         self, request: Request, respond: Responder, now: float
     ) -> None:
         self.refusals.append((now, request_id_of(request)))
-        rest = ("Retry-After", f"{self.rest_until - now:.3f}")
+        backoff = ("Retry-After", f"{self.backoff_until - now:.3f}")
         await respond.json(
-            503, {"error": "rest"}, [NOT_RUN_HEADER, rest, *self.stated()]
+            503, {"error": "backoff"}, [NOT_RUN_HEADER, backoff, *self.stated()]
         )
 
 
--- a/lynxchute/upstreams/needs.py
+++ b/lynxchute/upstreams/backpressure.py
@@ -8,7 +8,7 @@
 
 # Requests a second from which the rate grows again once a limit has ended, where the
 # limit was lower, and the seconds in which it doubles: 64 times as much after the whole
-# ramp, more than any upstream that was in need got before.
+# ramp, more than any upstream that was throttled got before.
 RAMP_FLOOR = 1.0
 RAMP_DOUBLING_SECONDS = 0.5
 RAMP_SECONDS = 3.0
@@ -22,7 +22,7 @@
 
 
 @attrs.define
-class Needs:
+class Backpressure:
     """What an upstream wants of all routers, as far as this one has heard.
 
     Attributes
@@ -40,7 +40,7 @@
         The limit that has ended.
     is_unsaid
         Whether it did not name its limit when it was asked beside its requests.
-    rest_until
+    backoff_until
         Until when it wants nothing from this router, in seconds.
     is_leaving
         Whether it has said that it takes no new work; a process never takes that back.
@@ -53,7 +53,7 @@
     before: float = 0.0
     is_unsaid: bool = False
     is_leaving: bool = False
-    rest_until: float = 0.0
+    backoff_until: float = 0.0
 
     def note_answer(
         self,
@@ -126,17 +126,17 @@
         self._take(limit, now - age, heard_ms, now)
         return True
 
-    def is_resting(self, now: float) -> bool:
+    def is_backing_off(self, now: float) -> bool:
         """Return whether it wants nothing from this router for a while."""
-        return now < self.rest_until
+        return now < self.backoff_until
 
     def describe(self, now: float) -> str:
         """Return for people what the upstream wants; empty where it wants nothing."""
         wants = []
         if self.is_leaving:
             wants.append("leaving")
-        if self.is_resting(now):
-            wants.append(f"rest for {self.rest_until - now:.1f} s")
+        if self.is_backing_off(now):
+            wants.append(f"backoff for {self.backoff_until - now:.1f} s")
         rate = self.rate(now)
         if self.limit is not None:
             wants.append(f"limit {self.limit:g}/s")
@@ -162,8 +162,8 @@
     def _take_standing(self, statement: Statement, now: float) -> None:
         """Take what a later answer does not take back."""
         self.is_leaving = self.is_leaving or statement.is_leaving
-        # Several requests may have been turned away at once; the longest rest counts.
-        self.rest_until = max(self.rest_until, now + statement.rest)
+        # Several requests may have been turned away at once: the longest counts.
+        self.backoff_until = max(self.backoff_until, now + statement.backoff)
 
     def _take(
         self, limit: float | None, heard_at: float, heard_ms: int, now: float
--- a/lynxchute/upstreams/needs_watch.py
+++ b/lynxchute/upstreams/backpressure_watch.py
@@ -1,4 +1,4 @@
-"""Ask upstreams in need that get no requests whether they still are."""
+"""Ask throttled upstreams that get no requests whether they still are."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 LATER_SECONDS = 0.5
 
 
-class NeedsWatch:
+class BackpressureWatch:
     """Find out when a limit ends that lets nothing through, or that nobody presses.
 
     Parameters
@@ -49,7 +49,7 @@
         clock: Callable[[], float],
     ) -> None:
         self.tasks = Tasks()
-        self.loop = Loop("needs", self._step, STEP_SECONDS)
+        self.loop = Loop("backpressure", self._step, STEP_SECONDS)
         self._directory = directory
         self._engines = engines
         self._rates = rates
@@ -58,24 +58,24 @@
 
     async def _step(self) -> None:
         now = self._clock()
-        needy = list(self._directory.needy_by_id.values())
-        for entry in needy:
-            self._directory.note_needs(entry, now)
+        throttled = list(self._directory.throttled_by_id.values())
+        for entry in throttled:
+            self._directory.note_backpressure(entry, now)
             if self._is_due(entry, now):
                 entry.probed_at = now
                 self.tasks.spawn(self._ask(entry))
-        self._rates.keep_only({entry.upstream.process for entry in needy})
+        self._rates.keep_only({entry.upstream.process for entry in throttled})
 
     def _is_due(self, entry: Entry, now: float) -> bool:
-        needs, upstream = entry.needs, entry.upstream
+        backpressure, upstream = entry.backpressure, entry.upstream
         # Nothing else tells another process from one that leaves.
-        is_awaited = needs.is_leaving and not upstream.is_start_known
-        if needs.limit is None and not is_awaited:
+        is_awaited = backpressure.is_leaving and not upstream.is_start_known
+        if backpressure.limit is None and not is_awaited:
             return False
         rank = self._rank_of(upstream.service)
         if rank is None:
             return False
-        heard_at = max(needs.heard_at, entry.probed_at)
+        heard_at = max(backpressure.heard_at, entry.probed_at)
         return now - heard_at >= ASK_AFTER_SECONDS + rank * LATER_SECONDS
 
     async def _ask(self, entry: Entry) -> None:
@@ -83,7 +83,7 @@
             probe = await self._engines.probe(entry.upstream)
         except EngineSilent as error:
             log_event(
-                "upstream in need silent",
+                "throttled upstream silent",
                 upstream=entry.upstream.id,
                 reason=str(error),
             )
--- a/lynxchute/upstreams/directory.py
+++ b/lynxchute/upstreams/directory.py
@@ -7,9 +7,9 @@
 import attrs
 
 from lynxchute.telemetry import log_event
+from lynxchute.upstreams.backpressure import Backpressure
 from lynxchute.upstreams.entry import Entry
 from lynxchute.upstreams.health import Health
-from lynxchute.upstreams.needs import Needs
 from lynxchute.upstreams.statement import Statement
 from lynxchute.upstreams.upstream import Upstream
 
@@ -23,7 +23,7 @@
 
     Attributes
     ----------
-    needy_by_id
+    throttled_by_id
         Those that name a limit, or did so until just now, or that have said that they
         leave.
     listeners
@@ -40,7 +40,7 @@
         self.cold_seconds_of: Callable[[str], float] = lambda service: 0.0
         self.clock_ms: Callable[[float], int] = lambda now: 0
         self.entries_by_id: dict[str, Entry] = {}
-        self.needy_by_id: dict[str, Entry] = {}
+        self.throttled_by_id: dict[str, Entry] = {}
         self.listeners: list[Callable[[], None]] = []
         self.start_listeners: list[Callable[[Upstream], None]] = []
 
@@ -114,14 +114,14 @@
         entry.stated = statement
         was_leaving = entry.is_leaving
         clock_ms = self.clock_ms(now)
-        entry.needs.note_answer(
+        entry.backpressure.note_answer(
             statement,
             asked_at=asked_at,
             now=now,
             clock_ms=clock_ms,
             is_served=is_served,
         )
-        self.note_needs(entry, now)
+        self.note_backpressure(entry, now)
         if entry.is_leaving != was_leaving:
             self.changed()
         return is_news
@@ -129,44 +129,44 @@
     def note_report(self, entry: Entry, statement: Statement, now: float) -> None:
         """Take what the answer to a question that was no request states."""
         was_leaving = entry.is_leaving
-        entry.needs.note_report(
+        entry.backpressure.note_report(
             statement,
             now,
             self.clock_ms(now),
             is_start_known=entry.upstream.is_start_known,
         )
-        self.note_needs(entry, now)
+        self.note_backpressure(entry, now)
         if entry.is_leaving != was_leaving:
             self.changed()
 
     def note_leaving(self, entry: Entry, now: float) -> None:
         """Take from another router that an upstream has said that it leaves."""
-        if entry.needs.is_leaving:
+        if entry.backpressure.is_leaving:
             return
-        entry.needs.is_leaving = True
-        self.note_needs(entry, now)
+        entry.backpressure.is_leaving = True
+        self.note_backpressure(entry, now)
         self.changed()
 
-    def note_needs(self, entry: Entry, now: float) -> None:
-        """Keep an upstream among those in need for as long as it is."""
+    def note_backpressure(self, entry: Entry, now: float) -> None:
+        """Keep an upstream among those throttled for as long as it is."""
         upstream_id = entry.upstream.id
         is_known = self.entries_by_id.get(upstream_id) is entry
-        if is_known and entry.needs.are_news(now):
-            self.needy_by_id[upstream_id] = entry
-        elif self.needy_by_id.get(upstream_id) is entry:
-            del self.needy_by_id[upstream_id]
+        if is_known and entry.backpressure.are_news(now):
+            self.throttled_by_id[upstream_id] = entry
+        elif self.throttled_by_id.get(upstream_id) is entry:
+            del self.throttled_by_id[upstream_id]
 
     def wants_of(self, upstream_id: str, now: float) -> str:
         """Return for people what an upstream has said that it wants."""
         entry = self.entries_by_id.get(upstream_id)
-        return "" if entry is None else entry.needs.describe(now)
+        return "" if entry is None else entry.backpressure.describe(now)
 
-    def needy(self, service: str, now: float) -> list[Entry]:
-        """Return the upstreams of a service that are in need."""
-        for entry in list(self.needy_by_id.values()):
-            self.note_needs(entry, now)
+    def throttled(self, service: str, now: float) -> list[Entry]:
+        """Return the upstreams of a service that are throttled."""
+        for entry in list(self.throttled_by_id.values()):
+            self.note_backpressure(entry, now)
         found = []
-        for entry in self.needy_by_id.values():
+        for entry in self.throttled_by_id.values():
             if entry.upstream.service == service:
                 found.append(entry)
         return found
@@ -210,7 +210,7 @@
             entry.upstream = upstream
             entry.gone_at = None
             entry.health = Health()
-            entry.needs = Needs()
+            entry.backpressure = Backpressure()
         log_event(
             "upstream started again",
             upstream=upstream.id,
@@ -263,8 +263,8 @@
 
     def count_limits(self) -> int:
         """Return how many upstreams name a limit."""
-        entries = self.needy_by_id.values()
-        return sum(1 for entry in entries if entry.needs.limit is not None)
+        entries = self.throttled_by_id.values()
+        return sum(1 for entry in entries if entry.backpressure.limit is not None)
 
     def note_cold_in(self, data_centre: str, now: float) -> None:
         """Take all upstreams of a data centre for just started."""
--- a/lynxchute/upstreams/entry.py
+++ b/lynxchute/upstreams/entry.py
@@ -8,8 +8,8 @@
 
 from lynxchute.http import AbortHandle
 from lynxchute.quarantine import Progress
+from lynxchute.upstreams.backpressure import Backpressure
 from lynxchute.upstreams.health import Health
-from lynxchute.upstreams.needs import Needs
 from lynxchute.upstreams.statement import NOTHING_STATED, Statement
 from lynxchute.upstreams.upstream import Upstream
 
@@ -96,7 +96,7 @@
         Until when it bears a few requests a second only, in seconds.
     stated
         What its last answer stated.
-    needs
+    backpressure
         What it wants, by all that it has stated.
     """
 
@@ -112,7 +112,7 @@
     earlier_starts: tuple[int, ...] = ()
     cold_until: float = 0.0
     stated: Statement = NOTHING_STATED
-    needs: Needs = attrs.Factory(Needs)
+    backpressure: Backpressure = attrs.Factory(Backpressure)
 
     def note_cold(self, seconds: float, now: float) -> bool:
         """Take the word that it is cold for so long; return whether that is longer.
@@ -131,7 +131,7 @@
 
         Its entry may say otherwise for long: the store may be away.
         """
-        return self.upstream.is_leaving or self.needs.is_leaving
+        return self.upstream.is_leaving or self.backpressure.is_leaving
 
     @property
     def takes_work(self) -> bool:
--- a/lynxchute/upstreams/placement.py
+++ b/lynxchute/upstreams/placement.py
@@ -56,7 +56,7 @@
     ) -> Choice | None:
         """Return one of the candidates, of which there is at least one.
 
-        None where all of them are cold or in need, and may not get this request.
+        None where all of them are cold or throttled, and may not get this request.
 
         Parameters
         ----------
--- a/lynxchute/upstreams/rate_limits.py
+++ b/lynxchute/upstreams/rate_limits.py
@@ -89,7 +89,7 @@
 
     def is_limited(self, entry: Entry, now: float) -> bool:
         """Return whether an upstream takes a certain rate only."""
-        return entry.needs.rate(now) is not None
+        return entry.backpressure.rate(now) is not None
 
     def has_turn(self, entry: Entry, now: float) -> bool:
         """Return whether it is this router's turn to send a request."""
@@ -122,7 +122,7 @@
                 del self._use_by_process[process]
 
     def _counted(self, entry: Entry, now: float) -> float:
-        rate = entry.needs.rate(now)
+        rate = entry.backpressure.rate(now)
         if rate is None:
             return 0.0
         if not counts_for_all(self._standing_of(entry.upstream.service, now)):
@@ -135,7 +135,7 @@
         return self._sharing.counted(rate, is_confirmed=is_confirmed)
 
     def _turn(self, entry: Entry, now: float) -> Turn | None:
-        rate = entry.needs.rate(now)
+        rate = entry.backpressure.rate(now)
         seat = self._seat_of(entry.upstream.service)
         clock_ms = self._clock_ms(now)
         if rate is None or seat is None or not clock_ms:
--- a/lynxchute/upstreams/rate_sharing.py
+++ b/lynxchute/upstreams/rate_sharing.py
@@ -66,7 +66,7 @@
 class MostlyCounted(RateSharing):
     """Count three quarters and have the last one go by turns.
 
-    It answers an upstream in need of which a large fleet knows, where each router has
+    It answers a throttled upstream of which a large fleet knows, where each router has
     few requests: what the routers whose turn it is do not use is a quarter of the limit
     at most.
     """
--- a/lynxchute/upstreams/send_gate.py
+++ b/lynxchute/upstreams/send_gate.py
@@ -21,7 +21,7 @@
         Its data centre is evacuated.
     LEAVING
         It has said that it takes no new work.
-    RESTING
+    BACKOFF
         It has turned this router away and wants nothing from it for a while.
     COLD
         It is cold, and nobody who counts for all routers let this request through.
@@ -31,7 +31,7 @@
 
     EVACUATED = "data centre evacuated"
     LEAVING = "upstream leaving"
-    RESTING = "upstream wants rest"
+    BACKOFF = "upstream asked for backoff"
     COLD = "upstream cold"
     LIMITED = "upstream names a limit"
 
@@ -78,7 +78,9 @@
         """
         if self.is_evacuated(entry.upstream) or entry.is_leaving:
             return False
-        return not (entry.needs.is_resting(now) or self.rates.is_limited(entry, now))
+        return not (
+            entry.backpressure.is_backing_off(now) or self.rates.is_limited(entry, now)
+        )
 
     def withholds(
         self,
@@ -102,8 +104,8 @@
             return Withheld.EVACUATED
         if entry.is_leaving:
             return Withheld.LEAVING
-        if entry.needs.is_resting(now):
-            return Withheld.RESTING
+        if entry.backpressure.is_backing_off(now):
+            return Withheld.BACKOFF
         if now >= permit_until and self.is_cold(entry, now):
             return Withheld.COLD
         if now < admitted_until or not self.rates.is_limited(entry, now):
--- a/lynxchute/upstreams/statement.py
+++ b/lynxchute/upstreams/statement.py
@@ -14,7 +14,7 @@
     limit
         Requests a second that it takes from all routers together; None where it
         names no limit.
-    rest
+    backoff
         Seconds for which it wants nothing from the router that it answered.
     is_leaving
         Whether it takes no new work any more.
@@ -23,7 +23,7 @@
     """
 
     limit: float | None = None
-    rest: float = 0.0
+    backoff: float = 0.0
     is_leaving: bool = False
     unreadable: tuple[str, ...] = ()
 
--- a/lynxchute/upstreams/statement_headers.py
+++ b/lynxchute/upstreams/statement_headers.py
@@ -15,7 +15,7 @@
 # Requests a second; no upstream is sent as many, whatever it names.
 MAX_LIMIT = 100_000.0
 # Seconds; whatever is asked for longer ends sooner by the process's own end.
-MAX_REST = 3600.0
+MAX_BACKOFF = 3600.0
 # Characters of an unreadable value that are kept for the log.
 KEPT_CHARACTERS = 40
 TURNED_AWAY = 503
@@ -37,7 +37,7 @@
     >>> headers = StatementHeaders("X-Limit", "X-Leaving")
     >>> headers.decode(200, Headers([(b"X-Limit", b"1.5")])).limit
     1.5
-    >>> headers.decode(503, Headers([(b"Retry-After", b"3")])).rest
+    >>> headers.decode(503, Headers([(b"Retry-After", b"3")])).backoff
     3.0
     >>> headers.decode(200, Headers([(b"X-Limit", b"-1")])).unreadable
     ('X-Limit: -1',)
@@ -54,7 +54,7 @@
         Parameters
         ----------
         status
-            Only a refusal asks for rest; with any other status the time is the
+            Only a refusal asks for backoff; with any other status the time is the
             caller's.
         """
         is_told = self.limit.lower() in headers or self.leaving.lower() in headers
@@ -62,16 +62,16 @@
             return NOTHING_STATED
         unreadable: list[str] = []
         limits = _numbers(headers, self.limit, unreadable)
-        rests = [0.0]
+        backoffs = [0.0]
         if status == TURNED_AWAY:
-            rests += _numbers(headers, RETRY_AFTER, unreadable)
+            backoffs += _numbers(headers, RETRY_AFTER, unreadable)
         leaving = _values(headers, self.leaving)
         for value in leaving:
             if value not in ("0", "1"):
                 unreadable.append(f"{self.leaving}: {value[:KEPT_CHARACTERS]}")
         return Statement(
             limit=min(*limits, MAX_LIMIT) if limits else None,
-            rest=min(max(rests), MAX_REST),
+            backoff=min(max(backoffs), MAX_BACKOFF),
             is_leaving="1" in leaving,
             unreadable=tuple(unreadable),
         )
--- a/tests/needs_machine.py
+++ b/tests/backpressure_machine.py
@@ -1,4 +1,4 @@
-"""Routers that send to an upstream in need, with what they know of it and of others.
+"""Routers that send to a throttled upstream, with what they know of it and of others.
 
 Each router has the real decisions, a view of who is registered, and a store's clock
 that is a little behind. Views lag, one router at a time is cut off and hears nothing,
@@ -15,7 +15,7 @@
     rule,
 )
 
-from lynxchute.scheduling.needs_news import needs_of, take_needs
+from lynxchute.scheduling.backpressure_news import backpressure_of, take_backpressure
 from lynxchute.upstreams.cold_admission import (
     PERMIT_SECONDS,
     TAKE_OVER_SECONDS,
@@ -118,8 +118,8 @@
         self.watch.look([SERVICE], now)
 
 
-class NeedsMachine(RuleBasedStateMachine):
-    """Check that an upstream in need gets what it names."""
+class BackpressureMachine(RuleBasedStateMachine):
+    """Check that a throttled upstream gets what it names."""
 
     def __init__(self):
         super().__init__()
@@ -281,8 +281,8 @@
     def exchange(self, teller, router):
         if teller is router or teller.is_cut or router.is_cut:
             return
-        told = needs_of(teller.directory, SERVICE, self.now)
-        take_needs(router.directory, told, self.now)
+        told = backpressure_of(teller.directory, SERVICE, self.now)
+        take_backpressure(router.directory, told, self.now)
 
     def ask(self, router, delay, transit):
         """Have a router sent one request, and send it where it may."""
@@ -316,7 +316,7 @@
         )
         if withheld is not None:
             return
-        if router.entry.needs.limit is not None or router.number in self.told:
+        if router.entry.backpressure.limit is not None or router.number in self.told:
             self.arrivals.append(Arrival(self.now, router.number))
         made_at = self.now + delay
         self.answers.append(
--- a/tests/needs_mutants.py
+++ b/tests/backpressure_mutants.py
@@ -1,11 +1,11 @@
-"""Break the decisions on upstreams in need one by one."""
+"""Break the decisions on throttled upstreams one by one."""
 
 from unittest import mock
 
 from lynxchute.upstreams import rate_limits, rate_sharing
+from lynxchute.upstreams.backpressure import Backpressure
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.entry import Entry
-from lynxchute.upstreams.needs import Needs
 from lynxchute.upstreams.rate_limits import RateLimits
 from lynxchute.upstreams.rate_sharing import MostlyCounted, Seat, own_turn
 
@@ -55,36 +55,36 @@
         if statement.limit is not None or self.limit is not None:
             self._take(statement.limit, now, clock_ms, now)
 
-    return mock.patch.object(Needs, "note_answer", note_answer)
+    return mock.patch.object(Backpressure, "note_answer", note_answer)
 
 
 def forget_the_check_before_a_send():
     return mock.patch.object(RateLimits, "take_turn", lambda self, entry, now: True)
 
 
-def let_a_later_rest_cut_a_longer_one():
+def let_a_later_backoff_cut_a_longer_one():
     def take(self, statement, now):
         self.is_leaving = self.is_leaving or statement.is_leaving
-        if statement.rest:
-            self.rest_until = now + statement.rest
+        if statement.backoff:
+            self.backoff_until = now + statement.backoff
 
-    return mock.patch.object(Needs, "_take_standing", take)
+    return mock.patch.object(Backpressure, "_take_standing", take)
 
 
-def let_an_answer_end_a_rest():
+def let_an_answer_end_a_backoff():
     def take(self, statement, now):
         self.is_leaving = self.is_leaving or statement.is_leaving
-        self.rest_until = now + statement.rest
+        self.backoff_until = now + statement.backoff
 
-    return mock.patch.object(Needs, "_take_standing", take)
+    return mock.patch.object(Backpressure, "_take_standing", take)
 
 
 def let_a_later_answer_take_leaving_back():
     def take(self, statement, now):
         self.is_leaving = statement.is_leaving
-        self.rest_until = max(self.rest_until, now + statement.rest)
+        self.backoff_until = max(self.backoff_until, now + statement.backoff)
 
-    return mock.patch.object(Needs, "_take_standing", take)
+    return mock.patch.object(Backpressure, "_take_standing", take)
 
 
 def believe_the_entry_that_says_ready():
@@ -92,27 +92,27 @@
     return mock.patch.object(Entry, "is_leaving", is_leaving)
 
 
-def ask_no_rest_at_the_gate():
-    return mock.patch.object(Needs, "is_resting", lambda self, now: False)
+def ask_no_backoff_at_the_gate():
+    return mock.patch.object(Backpressure, "is_backing_off", lambda self, now: False)
 
 
-def keep_needs_for_the_next_process():
+def keep_backpressure_for_the_next_process():
     begin_anew = Directory._begin_anew
 
     def begin(self, entry, upstream, now):
         begin_anew(self, entry, upstream, now)
-        self.entries_by_id[upstream.id].needs = entry.needs
+        self.entries_by_id[upstream.id].backpressure = entry.backpressure
 
     return mock.patch.object(Directory, "_begin_anew", begin)
 
 
 WORD_MUTANTS = (
-    let_a_later_rest_cut_a_longer_one,
-    let_an_answer_end_a_rest,
+    let_a_later_backoff_cut_a_longer_one,
+    let_an_answer_end_a_backoff,
     let_a_later_answer_take_leaving_back,
     believe_the_entry_that_says_ready,
-    ask_no_rest_at_the_gate,
-    keep_needs_for_the_next_process,
+    ask_no_backoff_at_the_gate,
+    keep_backpressure_for_the_next_process,
 )
 MUTANTS = (
     keep_the_share_however_many_there_are,
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -6,11 +6,11 @@
 import json
 import sys
 
-from tests import cold_mutants, ledger_mutants, needs_mutants
+from tests import backpressure_mutants, cold_mutants, ledger_mutants
+from tests.backpressure_machine import BackpressureMachine
 from tests.cold_machine import ColdMachine
 from tests.fuzz import run
 from tests.ledger_machine import LedgerMachine
-from tests.needs_machine import NeedsMachine
 from tests.words_machine import WordsMachine
 
 EXAMPLES = 1500
@@ -18,8 +18,8 @@
 MACHINES_BY_MUTANT = {
     **dict.fromkeys(ledger_mutants.MUTANTS, LedgerMachine),
     **dict.fromkeys(cold_mutants.MUTANTS, ColdMachine),
-    **dict.fromkeys(needs_mutants.MUTANTS, NeedsMachine),
-    **dict.fromkeys(needs_mutants.WORD_MUTANTS, WordsMachine),
+    **dict.fromkeys(backpressure_mutants.MUTANTS, BackpressureMachine),
+    **dict.fromkeys(backpressure_mutants.WORD_MUTANTS, WordsMachine),
 }
 
 
--- a/tests/soak/needs.py
+++ b/tests/soak/backpressure.py
@@ -1,4 +1,4 @@
-"""Upstreams that name limits, ask for rest or say that they leave, beside all faults.
+"""Upstreams that name limits, ask for backoff or say that they leave, in all faults.
 
 It draws its own numbers, so that kept seeds have the faults that they always had.
 """
@@ -12,20 +12,20 @@
 from lynxchute.standins.arrivals import most_within
 from lynxchute.telemetry import log_event
 
-LIMIT_PROMISE = "upstreams in need get what they name"
-REST_PROMISE = "upstreams get the rest that they ask for"
+LIMIT_PROMISE = "throttled upstreams get what they name"
+BACKOFF_PROMISE = "upstreams get the backoff that they ask for"
 LEAVING_PROMISE = "upstreams that say that they leave get nothing new"
 FIRST_AFTER = (0.3, 2.0)
 PAUSES = (0.2, 1.5)
 LASTS = (4.0, 8.0)
 LIMITS = (0.0, 0.25, 1.0, 2.5)
-RESTS = (0.7, 2.0, 3.0)
+BACKOFFS = (0.7, 2.0, 3.0)
 # The promises, as the users' pages have them.
 CONTACT_SECONDS = 3.0
 SPAN_SECONDS = 4.0
 FACTOR, EXTRA = 1.5, 5
 HEARD_SECONDS = 0.5
-MOST_IN_REST = 2
+MOST_IN_BACKOFF = 2
 DRAIN_SECONDS = 2.0
 # Seconds in which the head of an answer comes back to the router that asked.
 ANSWERED_SECONDS = 0.3
@@ -44,7 +44,7 @@
         return self.vm, self.start
 
 
-class NeedsSetter:
+class BackpressureSetter:
     """Have upstreams state what they want, one at a time, and check what they get."""
 
     def __init__(self, fleet, callers, checker, injector, seed):
@@ -53,7 +53,7 @@
         self._callers = callers
         self._checker = checker
         self._injector = injector
-        self._rng = random.Random(f"needs of {seed}")
+        self._rng = random.Random(f"backpressure of {seed}")
 
     async def run(self, seconds):
         loop = asyncio.get_running_loop()
@@ -62,7 +62,9 @@
         while loop.time() < end:
             up = [u.standin for u in self._fleet.upstreams if u.is_up]
             standin = self._rng.choice(up)
-            need = self._rng.choice((self._limit, self._limit, self._rest, self._leave))
+            need = self._rng.choice(
+                (self._limit, self._limit, self._backoff, self._leave)
+            )
             await need(standin)
             await asyncio.sleep(self._rng.uniform(*PAUSES))
 
@@ -93,15 +95,15 @@
             what = f"{standin.id}: {most} of {allowed} at limits {limits}"
             self._checker.note(LIMIT_PROMISE, what)
 
-    async def _rest(self, standin):
+    async def _backoff(self, standin):
         """Turn all away for a while."""
-        log_event("soak fault", fault=f"{standin.id} wants rest")
+        log_event("soak fault", fault=f"{standin.id} wants backoff")
         loop = asyncio.get_running_loop()
         since = loop.time()
-        seconds = self._rng.choice(RESTS)
-        standin.rest_until = since + seconds
+        seconds = self._rng.choice(BACKOFFS)
+        standin.backoff_until = since + seconds
         await asyncio.sleep(seconds)
-        self.counts["rests"] += 1
+        self.counts["backoffs"] += 1
         arrivals = self._arrivals(standin, since, since + seconds)
         refused_at = _told_at(arrivals)
         late = collections.Counter()
@@ -109,9 +111,9 @@
             if arrival.at > refused_at[arrival.process] + HEARD_SECONDS:
                 late[arrival.process] += 1
         for (vm, _), count in late.items():
-            if count > MOST_IN_REST and not self._is_disturbed(vm, since):
+            if count > MOST_IN_BACKOFF and not self._is_disturbed(vm, since):
                 what = f"{standin.id}: {count} from {vm}"
-                self._checker.note(REST_PROMISE, what)
+                self._checker.note(BACKOFF_PROMISE, what)
 
     async def _leave(self, standin):
         """Say in answers only that it leaves, and end."""
@@ -145,7 +147,7 @@
         """Let no upstream want anything any more."""
         for upstream in self._fleet.upstreams:
             upstream.standin.limit = None
-            upstream.standin.rest_until = 0.0
+            upstream.standin.backoff_until = 0.0
 
     def _arrivals(self, standin, since, until):
         """Return what came to an upstream in a span, by the router's run."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,11 +10,11 @@
 
 from lynxchute.http import ExchangeFailed
 from tests.platform_support import HOST
+from tests.soak.backpressure import BackpressureSetter
 from tests.soak.deadly import DeadlyCaller
 from tests.soak.evacuator import Evacuator
 from tests.soak.faults import Injector, Plan
 from tests.soak.fleet import AMPLE, SoakFleet
-from tests.soak.needs import NeedsSetter
 from tests.soak.promises import Checker
 from tests.soak.traffic import KINDS, Callers
 
@@ -71,7 +71,7 @@
     injector = Injector(fleet, checker, rng, plan)
     deadly = DeadlyCaller(fleet, callers, checker, seed)
     evacuator = Evacuator(fleet, callers, checker, injector, seed)
-    needs = NeedsSetter(fleet, callers, checker, injector, seed)
+    backpressure = BackpressureSetter(fleet, callers, checker, injector, seed)
     side_tasks = []
     try:
         await fleet.start()
@@ -84,12 +84,12 @@
             side_tasks.append(asyncio.create_task(deadly.run()))
         evacuations = asyncio.create_task(evacuator.run(seconds))
         side_tasks.append(evacuations)
-        needing = asyncio.create_task(needs.run(seconds))
+        needing = asyncio.create_task(backpressure.run(seconds))
         side_tasks.append(needing)
         await injector.run()
         await evacuations
         await needing
-        needs.clear()
+        backpressure.clear()
         await _check_recovery(fleet, callers, checker)
         await callers.stop()
         await asyncio.sleep(SETTLES_WITHIN)
@@ -113,7 +113,7 @@
             **injector.counts,
             "deadly": len(deadly.ended_at),
             "evacuations": len(evacuator.spans),
-            **needs.counts,
+            **backpressure.counts,
         },
     )
 
--- a/tests/test_stated_rest.py
+++ b/tests/test_stated_backoff.py
@@ -1,14 +1,14 @@
-"""Upstreams that turn a request away and ask for rest.
+"""Upstreams that turn a request away and ask for backoff.
 
-Two engines turned routers away with 503 and asked for three seconds of rest. Each
+Two engines turned routers away with 503 and asked for three seconds of backoff. Each
 router came back within tenths of a second: three requests reached each engine from one
-router between half a second after its refusal and the end of the rest, where two are
+router between half a second after its refusal and the end of the backoff, where two are
 the most. Callers whose questions were first sent where they were not wanted were late.
 
-A refusal with a rest was taken like any other: the upstream was passed over for 0.05 s,
-doubled with each one in a row. Where all upstreams of a service were passed over, the
-one whose pause ended first got the request all the same: 22 in the three seconds of the
-second test below.
+A refusal with a backoff was taken like any other: the upstream was passed over for
+0.05 s, doubled with each one in a row. Where all upstreams of a service were passed
+over, the one whose pause ended first got the request all the same: 22 in the three
+seconds of the second test below.
 """
 
 import asyncio
@@ -19,9 +19,9 @@
 
 from lynxchute.http import ExchangeFailed
 from lynxchute.standins.upstream_run import Fault
-from lynxchute.upstreams.needs import Needs
+from lynxchute.upstreams.backpressure import Backpressure
 from lynxchute.upstreams.statement import NOTHING_STATED, Statement
-from tests import mutants, needs_mutants
+from tests import backpressure_mutants, mutants
 from tests.fuzz import run
 from tests.platform_support import (
     PlatformCaller,
@@ -31,25 +31,25 @@
 from tests.press import plain, press, stream
 from tests.words_machine import WordsMachine
 
-REST_SECONDS = 3.0
-# The promise: from so long after the refusal to the end of the rest, no more than two.
+BACKOFF_SECONDS = 3.0
+# The promise: from so long after the refusal to the end of it, no more than two.
 SOON_SECONDS = 0.5
-MOST_IN_REST = 2
+MOST_IN_BACKOFF = 2
 
 
-class NeedsTest(testtools.TestCase):
-    def test_a_later_shorter_rest_does_not_cut_a_longer_one(self):
-        needs = Needs()
-        for rest, now in ((3.0, 1.0), (0.5, 2.0), (0.0, 3.0)):
-            statement = Statement(rest=rest)
-            needs.note_answer(statement, asked_at=now, now=now, clock_ms=0)
-        needs.note_report(NOTHING_STATED, 3.5, 0)
-        self.assertTrue(needs.is_resting(3.9))
-        self.assertFalse(needs.is_resting(4.0))
+class BackpressureTest(testtools.TestCase):
+    def test_a_later_shorter_backoff_does_not_cut_a_longer_one(self):
+        backpressure = Backpressure()
+        for backoff, now in ((3.0, 1.0), (0.5, 2.0), (0.0, 3.0)):
+            statement = Statement(backoff=backoff)
+            backpressure.note_answer(statement, asked_at=now, now=now, clock_ms=0)
+        backpressure.note_report(NOTHING_STATED, 3.5, 0)
+        self.assertTrue(backpressure.is_backing_off(3.9))
+        self.assertFalse(backpressure.is_backing_off(4.0))
 
 
 class WordsFuzzTest(testtools.TestCase):
-    """Rest and leaving, in answers, reports and entries, over starts."""
+    """Backoff and leaving, in answers, reports and entries, over starts."""
 
     def test_nothing_is_sent_that_is_not_wanted(self):
         run(300, 40, machine=WordsMachine)
@@ -57,40 +57,40 @@
     def test_the_fuzzing_finds_each_decision_that_is_broken(self):
         self.patch(mutants, "EXAMPLES", 200)
         self.patch(mutants, "STEPS", 30)
-        for mutant in needs_mutants.WORD_MUTANTS:
+        for mutant in backpressure_mutants.WORD_MUTANTS:
             self.assertIsNotNone(mutants.is_caught(mutant), mutant.__name__)
 
 
-class RestTest(PlatformTestCase):
+class BackoffTest(PlatformTestCase):
     def check(self, upstreams_of, ask, **more):
         async def scenario(deployment):
-            resting = upstreams_of(deployment)[0]
-            resting.rest = REST_SECONDS
-            resting.faults = [Fault.DECLINE] * 1000
-            statuses = await press(deployment, ask, seconds=REST_SECONDS)
-            (refused_at, *later) = resting.taken.times
-            in_rest = [t for t in later if t - refused_at > SOON_SECONDS]
-            self.assertLessEqual(len(in_rest), MOST_IN_REST)
+            backing_off = upstreams_of(deployment)[0]
+            backing_off.backoff = BACKOFF_SECONDS
+            backing_off.faults = [Fault.DECLINE] * 1000
+            statuses = await press(deployment, ask, seconds=BACKOFF_SECONDS)
+            (refused_at, *later) = backing_off.taken.times
+            in_backoff = [t for t in later if t - refused_at > SOON_SECONDS]
+            self.assertLessEqual(len(in_backoff), MOST_IN_BACKOFF)
             return statuses
 
         return self.with_platform(scenario, routers=("a-1",), **more)
 
-    def test_an_engine_gets_the_rest_that_it_asks_for(self):
+    def test_an_engine_gets_the_backoff_that_it_asks_for(self):
         statuses = self.check(lambda deployment: deployment.engines, stream)
         self.assertEqual({200}, set(statuses))
 
-    def test_the_only_engine_gets_the_rest_that_it_asks_for(self):
+    def test_the_only_engine_gets_the_backoff_that_it_asks_for(self):
         statuses = self.check(lambda deployment: deployment.engines, stream, engines=1)
         self.assertEqual({503}, set(statuses))
 
-    def test_the_only_plain_upstream_gets_the_rest_that_it_asks_for(self):
+    def test_the_only_plain_upstream_gets_the_backoff_that_it_asks_for(self):
         statuses = self.check(lambda deployment: deployment.apps, plain, apps=1)
         self.assertEqual({503}, set(statuses))
 
-    def test_where_all_want_rest_the_refusal_comes_at_once(self):
+    def test_where_all_want_backoff_the_refusal_comes_at_once(self):
         async def scenario(deployment):
             for engine in deployment.engines:
-                engine.rest = REST_SECONDS
+                engine.backoff = BACKOFF_SECONDS
                 engine.faults = [Fault.DECLINE] * 1000
             caller = PlatformCaller(deployment)
             await caller.stream()
@@ -101,7 +101,7 @@
                 self.assertEqual(503, status)
                 problem = json.loads(body)
                 self.assertEqual(
-                    "urn:lynxchute:problem:upstreams-want-rest", problem["type"]
+                    "urn:lynxchute:problem:upstreams-backing-off", problem["type"]
                 )
                 self.assertEqual("not_run", problem["run"])
                 self.assertGreater(float(headers["retry-after"]), 0)
@@ -110,23 +110,23 @@
 
         self.with_platform(scenario, routers=("a-1",))
 
-    def test_a_rest_of_one_router_is_no_other_ones(self):
+    def test_a_backoff_of_one_router_is_no_other_ones(self):
         async def scenario(deployment):
             (engine,) = deployment.engines
-            engine.rest, engine.faults = REST_SECONDS, [Fault.DECLINE]
+            engine.backoff, engine.faults = BACKOFF_SECONDS, [Fault.DECLINE]
             self.assertEqual(503, (await PlatformCaller(deployment).stream())[0])
             other = PlatformCaller(deployment, "b-1")
             self.assertEqual(200, (await other.stream())[0])
 
         self.with_platform(scenario, engines=1)
 
-    def test_a_stream_does_not_go_on_where_rest_is_wanted(self):
+    def test_a_stream_does_not_go_on_where_backoff_is_wanted(self):
         async def scenario(deployment):
             stream_, busy, idle = await stream_at_one_engine(deployment)
             now = asyncio.get_running_loop().time()
             for router in deployment.routers.values():
                 entry = router.directory.entries_by_id[idle.id]
-                statement = Statement(rest=REST_SECONDS)
+                statement = Statement(backoff=BACKOFF_SECONDS)
                 router.directory.note_statement(entry, statement, asked_at=now, now=now)
             await busy.stop()
             with contextlib.suppress(ExchangeFailed):
--- a/tests/test_stated_by_own.py
+++ b/tests/test_stated_by_own.py
@@ -63,11 +63,13 @@
 
         with_deployment(self, scenario)
 
-    def test_one_that_wants_rest_gets_it(self):
+    def test_one_that_wants_backoff_gets_it(self):
         async def scenario(deployment):
-            resting = next(iter(deployment.engines_by_name.values()))
-            resting.rest_until = asyncio.get_running_loop().time() + 2.0
+            backing_off = next(iter(deployment.engines_by_name.values()))
+            backing_off.backoff_until = asyncio.get_running_loop().time() + 2.0
             self.assertEqual({200}, set(await ask_for(deployment, 2.0)))
-            self.assertLessEqual(len(resting.refusals), len(deployment.routers_by_vm))
+            self.assertLessEqual(
+                len(backing_off.refusals), len(deployment.routers_by_vm)
+            )
 
         with_deployment(self, scenario)
--- a/tests/test_stated_leaving.py
+++ b/tests/test_stated_leaving.py
@@ -18,7 +18,7 @@
 import testtools
 
 from lynxchute.http import ExchangeFailed
-from lynxchute.scheduling.needs_news import needs_of, take_needs
+from lynxchute.scheduling.backpressure_news import backpressure_of, take_backpressure
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.statement import NOTHING_STATED, Statement
 from lynxchute.upstreams.upstream import Upstream
@@ -71,12 +71,12 @@
     def test_the_other_routers_hear_of_it(self):
         heard, other = self.leaving(), Directory()
         other.put(ENGINE)
-        told = needs_of(heard, "pool", 1.0)
-        take_needs(other, told, 1.0)
+        told = backpressure_of(heard, "pool", 1.0)
+        take_backpressure(other, told, 1.0)
         self.assertFalse(other.entries_by_id["e"].takes_work)
         later = Directory()
         later.put(attrs.evolve(ENGINE, started_ms=2))
-        take_needs(later, told, 1.0)
+        take_backpressure(later, told, 1.0)
         self.assertTrue(later.entries_by_id["e"].takes_work)
 
 
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -1,9 +1,9 @@
 """Upstreams that name the rate that they take from all routers together.
 
-Two engines in need named 1.1 and 1 requests a second in all their answers. Routers went
-on as before: within four seconds each got 12 requests and more from routers that had
-been told, where 12 and 11 are the most. The engines' arrivals did not change as they
-named their limit.
+Two engines named 1.1 and 1 requests a second as their limit in all their answers.
+Routers went on as before: within four seconds each got 12 requests and more from
+routers that had been told, where 12 and 11 are the most. The engines' arrivals did not
+change as they named their limit.
 
 No router read what the head of an answer states: not the one that had passed it on, and
 not the one that places. Four routers sent 89 requests in four seconds to an upstream
@@ -23,20 +23,20 @@
 from lynxchute.http import ExchangeFailed, Headers
 from lynxchute.platform.statements import STATEMENT_HEADERS
 from lynxchute.standins.arrivals import most_within
-from lynxchute.upstreams.directory import Directory
-from lynxchute.upstreams.needs import (
+from lynxchute.upstreams.backpressure import (
     RAMP_SECONDS,
     TRIAL_RATE,
     UNCERTAIN_AFTER_SECONDS,
-    Needs,
+    Backpressure,
 )
+from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.rate_sharing import SHARINGS_BY_NAME
 from lynxchute.upstreams.statement import NOTHING_STATED, Statement
-from lynxchute.upstreams.statement_headers import MAX_LIMIT, MAX_REST
+from lynxchute.upstreams.statement_headers import MAX_BACKOFF, MAX_LIMIT
 from lynxchute.upstreams.upstream import Upstream
-from tests import mutants, needs_mutants
+from tests import backpressure_mutants, mutants
+from tests.backpressure_machine import BackpressureMachine
 from tests.fuzz import run
-from tests.needs_machine import NeedsMachine
 from tests.platform_support import PlatformCaller, PlatformTestCase
 from tests.press import plain, press, stream
 from tests.support import until
@@ -67,101 +67,111 @@
             self.assertEqual(1, len(found.unreadable), value)
         date = "Wed, 21 Oct 2026 07:28:00 GMT"
         found = self.decode(("Retry-After", date), status=503)
-        self.assertEqual(0.0, found.rest)
+        self.assertEqual(0.0, found.backoff)
         self.assertEqual(1, len(found.unreadable))
         self.assertFalse(self.decode(("Server-Leaving", "maybe")).is_leaving)
 
     def test_huge_values_are_bounded_and_the_strictest_of_several_counts(self):
         self.assertEqual(MAX_LIMIT, self.decode(("Server-Limit", "9" * 12)).limit)
-        rest = self.decode(("Retry-After", "9" * 12), status=503).rest
-        self.assertEqual(MAX_REST, rest)
+        backoff = self.decode(("Retry-After", "9" * 12), status=503).backoff
+        self.assertEqual(MAX_BACKOFF, backoff)
         two = (("Server-Limit", "5"), ("Server-Limit", "2"))
         self.assertEqual(2.0, self.decode(*two).limit)
 
-    def test_only_a_refusal_asks_for_rest(self):
-        self.assertEqual(0.0, self.decode(("Retry-After", "3")).rest)
-        self.assertEqual(3.0, self.decode(("Retry-After", "3"), status=503).rest)
+    def test_only_a_refusal_asks_for_backoff(self):
+        self.assertEqual(0.0, self.decode(("Retry-After", "3")).backoff)
+        self.assertEqual(3.0, self.decode(("Retry-After", "3"), status=503).backoff)
 
 
-def note_answer(needs, statement, *, asked_at, now):
-    needs.note_answer(statement, asked_at=asked_at, now=now, clock_ms=int(now * 1000))
+def note_answer(backpressure, statement, *, asked_at, now):
+    backpressure.note_answer(
+        statement, asked_at=asked_at, now=now, clock_ms=int(now * 1000)
+    )
 
 
-class NeedsTest(testtools.TestCase):
-    def needs(self, limit=2.0):
-        needs = Needs()
-        note_answer(needs, Statement(limit), asked_at=0.9, now=1.0)
-        return needs
+class BackpressureTest(testtools.TestCase):
+    def backpressure(self, limit=2.0):
+        backpressure = Backpressure()
+        note_answer(backpressure, Statement(limit), asked_at=0.9, now=1.0)
+        return backpressure
 
     def test_a_lower_limit_counts_at_once_and_a_higher_one_once_it_is_newer(self):
-        needs = self.needs()
-        note_answer(needs, Statement(1.0), asked_at=0.1, now=1.1)
-        self.assertEqual(1.0, needs.rate(1.1))
-        note_answer(needs, Statement(4.0), asked_at=1.05, now=1.2)
-        self.assertEqual(1.0, needs.rate(1.2))
-        note_answer(needs, Statement(4.0), asked_at=1.15, now=1.3)
-        self.assertEqual(4.0, needs.rate(1.3))
+        backpressure = self.backpressure()
+        note_answer(backpressure, Statement(1.0), asked_at=0.1, now=1.1)
+        self.assertEqual(1.0, backpressure.rate(1.1))
+        note_answer(backpressure, Statement(4.0), asked_at=1.05, now=1.2)
+        self.assertEqual(1.0, backpressure.rate(1.2))
+        note_answer(backpressure, Statement(4.0), asked_at=1.15, now=1.3)
+        self.assertEqual(4.0, backpressure.rate(1.3))
 
     def test_a_limit_ends_by_a_newer_answer_without_it_and_work_comes_back_by_steps(
         self,
     ):
-        needs = self.needs()
-        note_answer(needs, NOTHING_STATED, asked_at=0.5, now=1.5)
-        self.assertEqual(2.0, needs.rate(1.5))
-        note_answer(needs, NOTHING_STATED, asked_at=1.2, now=2.0)
-        rates = [needs.rate(2.0 + later) for later in (0.0, 0.5, 1.0, 2.9)]
+        backpressure = self.backpressure()
+        note_answer(backpressure, NOTHING_STATED, asked_at=0.5, now=1.5)
+        self.assertEqual(2.0, backpressure.rate(1.5))
+        note_answer(backpressure, NOTHING_STATED, asked_at=1.2, now=2.0)
+        rates = [backpressure.rate(2.0 + later) for later in (0.0, 0.5, 1.0, 2.9)]
         self.assertEqual([2.0, 4.0, 8.0, 64.0], rates)
-        self.assertIsNone(needs.rate(2.0 + RAMP_SECONDS))
+        self.assertIsNone(backpressure.rate(2.0 + RAMP_SECONDS))
 
     def test_a_refusal_that_names_no_limit_ends_none(self):
-        needs = self.needs()
-        needs.note_answer(
-            Statement(rest=1.0), asked_at=1.2, now=2.0, clock_ms=2000, is_served=False
+        backpressure = self.backpressure()
+        backpressure.note_answer(
+            Statement(backoff=1.0),
+            asked_at=1.2,
+            now=2.0,
+            clock_ms=2000,
+            is_served=False,
         )
-        self.assertEqual(2.0, needs.rate(9.0))
+        self.assertEqual(2.0, backpressure.rate(9.0))
 
     def test_an_upstream_that_is_silent_about_its_limit_when_asked_is_tried_only(self):
-        needs = self.needs(limit=0.0)
-        needs.note_report(NOTHING_STATED, 2.0, 2000)
-        self.assertEqual(0.0, needs.rate(2.0))
+        backpressure = self.backpressure(limit=0.0)
+        backpressure.note_report(NOTHING_STATED, 2.0, 2000)
+        self.assertEqual(0.0, backpressure.rate(2.0))
         later = 1.0 + UNCERTAIN_AFTER_SECONDS
-        self.assertEqual(TRIAL_RATE, needs.rate(later))
-        needs.note_report(Statement(0.0), later, 4000)
-        self.assertEqual(0.0, needs.rate(later + 9.0))
+        self.assertEqual(TRIAL_RATE, backpressure.rate(later))
+        backpressure.note_report(Statement(0.0), later, 4000)
+        self.assertEqual(0.0, backpressure.rate(later + 9.0))
 
     def test_what_others_have_heard_counts_where_it_is_newer(self):
-        needs = self.needs()
+        backpressure = self.backpressure()
 
         def told(limit, heard_ms, now):
             clock_ms = int(now * 1000)
-            return needs.note_told(limit, heard_ms=heard_ms, now=now, clock_ms=clock_ms)
+            return backpressure.note_told(
+                limit, heard_ms=heard_ms, now=now, clock_ms=clock_ms
+            )
 
         self.assertFalse(told(None, 900, 1.5))
         self.assertTrue(told(None, 1400, 1.5))
         self.assertFalse(told(5.0, 1300, 1.6))
         self.assertFalse(told(5.0, 99_000, 1.6))
-        self.assertEqual(2.0, needs.rate(1.5))
+        self.assertEqual(2.0, backpressure.rate(1.5))
 
     def test_a_word_that_comes_back_is_not_newer(self):
         # Two routers told one another of a limit of 0 again and again, each time a
         # little later, and neither ever took it for uncertain.
-        needs = self.needs(limit=0.0)
-        needs.note_report(NOTHING_STATED, 2.0, 2000)
+        backpressure = self.backpressure(limit=0.0)
+        backpressure.note_report(NOTHING_STATED, 2.0, 2000)
         for later in range(10):
             now = 2.0 + later
-            needs.note_told(0.0, heard_ms=1000, now=now, clock_ms=int(now * 1000))
-        self.assertEqual(TRIAL_RATE, needs.rate(12.0))
+            backpressure.note_told(
+                0.0, heard_ms=1000, now=now, clock_ms=int(now * 1000)
+            )
+        self.assertEqual(TRIAL_RATE, backpressure.rate(12.0))
 
-    def test_a_process_that_starts_again_is_not_in_need(self):
+    def test_a_process_that_starts_again_is_not_throttled(self):
         directory = Directory()
         upstream = Upstream("e", "pool", "127.0.0.1:1", "a", started_ms=1)
         directory.put(upstream)
         entry = directory.entries_by_id["e"]
         directory.note_statement(entry, Statement(1.0), asked_at=0.0, now=1.0)
-        self.assertEqual([entry], directory.needy("pool", 1.0))
+        self.assertEqual([entry], directory.throttled("pool", 1.0))
         directory.note_started(entry, 2, 2.0)
-        self.assertEqual([], directory.needy("pool", 2.0))
-        self.assertIsNone(directory.entries_by_id["e"].needs.rate(2.0))
+        self.assertEqual([], directory.throttled("pool", 2.0))
+        self.assertIsNone(directory.entries_by_id["e"].backpressure.rate(2.0))
 
 
 class RankTest(testtools.TestCase):
@@ -186,12 +196,12 @@
 
 class LimitFuzzTest(testtools.TestCase):
     def test_no_span_has_more_than_an_upstream_names(self):
-        run(150, 30, machine=NeedsMachine)
+        run(150, 30, machine=BackpressureMachine)
 
     def test_the_fuzzing_finds_each_decision_that_is_broken(self):
         self.patch(mutants, "EXAMPLES", 250)
         self.patch(mutants, "STEPS", 30)
-        for mutant in needs_mutants.MUTANTS:
+        for mutant in backpressure_mutants.MUTANTS:
             self.assertIsNotNone(mutants.is_caught(mutant), mutant.__name__)
 
 
@@ -289,7 +299,7 @@
 
         self.with_routers(scenario)
 
-    def test_where_all_are_in_need_what_they_do_not_take_is_refused_at_once(self):
+    def test_where_all_are_throttled_what_they_do_not_take_is_refused_at_once(self):
         async def scenario(deployment):
             for engine in deployment.engines:
                 engine.limit = 0.25
@@ -307,7 +317,7 @@
             for took, headers, problem in refused:
                 self.assertLess(took, 0.08)
                 self.assertEqual(
-                    "urn:lynxchute:problem:upstreams-in-need", problem["type"]
+                    "urn:lynxchute:problem:upstreams-throttled", problem["type"]
                 )
                 self.assertEqual("not_run", problem["run"])
                 # Two engines take one request in four seconds each.
--- a/tests/words_machine.py
+++ b/tests/words_machine.py
@@ -1,4 +1,4 @@
-"""One router, one upstream, and all that the upstream says of rest and of leaving."""
+"""One router, one upstream, and what the upstream says of backoff and of leaving."""
 
 import attrs
 from hypothesis import strategies as st
@@ -16,13 +16,13 @@
 
 
 class WordsMachine(RuleBasedStateMachine):
-    """Check that nothing is sent within a rest, or to a process that leaves."""
+    """Check that nothing is sent within a backoff, or to a process that leaves."""
 
     def __init__(self):
         super().__init__()
         self.now = 100.0
         self.started_ms = 1
-        self.rest_until = 0.0
+        self.backoff_until = 0.0
         self.is_leaving = False
         self.wrong = []
         self.directory = Directory()
@@ -38,28 +38,28 @@
         self.now += seconds
 
     @rule(
-        rest=st.sampled_from((0.0, 0.0, 0.3, 2.0)),
-        # Whatever leaves gets nothing, so that its rest shows no more.
+        backoff=st.sampled_from((0.0, 0.0, 0.3, 2.0)),
+        # Whatever leaves gets nothing, so that its backoff shows no more.
         is_leaving=st.sampled_from((False,) * 7 + (True,)),
         asked=st.sampled_from((0.0, 0.5, 3.0)),
     )
-    def answer(self, rest, is_leaving, asked):
+    def answer(self, backoff, is_leaving, asked):
         """Bring an answer to a request that was sent a while ago."""
-        statement = Statement(rest=rest, is_leaving=is_leaving)
+        statement = Statement(backoff=backoff, is_leaving=is_leaving)
         self.directory.note_statement(
             self.entry, statement, asked_at=self.now - asked, now=self.now
         )
-        self.rest_until = max(self.rest_until, self.now + rest)
+        self.backoff_until = max(self.backoff_until, self.now + backoff)
         self.is_leaving = self.is_leaving or is_leaving
 
     @rule(
-        rests=st.lists(st.sampled_from((0.0, 0.3, 2.0)), min_size=1, max_size=3),
+        backoffs=st.lists(st.sampled_from((0.0, 0.3, 2.0)), min_size=1, max_size=3),
         then=st.sampled_from((0.1, 0.4, 1.9, 2.1)),
     )
-    def turn_away(self, rests, then):
+    def turn_away(self, backoffs, then):
         """Turn several requests away at once, and have one more sent a little later."""
-        for rest in rests:
-            self.answer(rest, False, 0.1)
+        for backoff in backoffs:
+            self.answer(backoff, False, 0.1)
         self.advance(then)
         self.send()
 
@@ -88,13 +88,13 @@
             self.put_entry(1)
         else:
             self.directory.note_started(self.entry, self.started_ms, self.now)
-        self.rest_until, self.is_leaving = 0.0, False
+        self.backoff_until, self.is_leaving = 0.0, False
 
     @rule()
     def send(self):
         """Send a request that was placed before anything was said."""
         withheld = self.gate.withholds(self.entry, permit_until=0.0, now=self.now)
-        must_not = self.is_leaving or self.now < self.rest_until
+        must_not = self.is_leaving or self.now < self.backoff_until
         if withheld is None and must_not:
             self.wrong.append(self.now)
         if withheld is not None and not must_not:
