--- a/lynxchute/scheduling/rate_permits.py
+++ b/lynxchute/scheduling/rate_permits.py
@@ -27,7 +27,6 @@
 MOST_AGAIN_SECONDS = 1.0
 # The same at least, so that each request to a throttled upstream is not a question.
 LEAST_AGAIN_SECONDS = 0.05
-
 # Throttled upstreams of which it is remembered when to ask again.
 MOST_REMEMBERED = 256
 
