--- a/lynxchute/edge/settings.py
+++ b/lynxchute/edge/settings.py
@@ -37,6 +37,34 @@
     retry_window: float = 10.0
 
 
+@attrs.frozen
+class Features:
+    """The parts that a deployment's settings switch on; all are off otherwise.
+
+    Attributes
+    ----------
+    processor_guard
+        Send callers elsewhere while the VM's processor is full.
+    memory_guard
+        Bound what callers and upstreams that read slowly hold of the memory.
+    fair_shares
+        Divide what is scarce among client accounts.
+    demand_lines
+        Size grants and their lines by what accounts ask for at this router.
+    learned_speeds
+        Place work by how fast each upstream was seen to be.
+    hedging
+        Send a call that may be repeated to a second upstream where the first is slow.
+    """
+
+    processor_guard: bool = False
+    memory_guard: bool = False
+    fair_shares: bool = False
+    demand_lines: bool = False
+    learned_speeds: bool = False
+    hedging: bool = False
+
+
 # A VM's link in Mbit/s where nothing says what it carries: that of a data
 # centre's usual network card.
 USUAL_LINK_MBPS = 1000.0
@@ -73,6 +101,8 @@
     peers_reached_at
         Where the other routers reach this one; None where that is where it
         listens for them.
+    features
+        The parts that are switched on.
     """
 
     vm: str
@@ -92,3 +122,4 @@
     rate_sharing: str = "counted"
     peers_reached_at: Address | None = None
     bounds: Bounds = Bounds()
+    features: Features = Features()
--- a/lynxchute/platform/settings.py
+++ b/lynxchute/platform/settings.py
@@ -5,11 +5,12 @@
 from collections.abc import Mapping
 from typing import Any
 
+import attrs
 import yaml
 from expression import Error, Ok, Result
 
 from lynxchute.address import Address
-from lynxchute.edge.settings import USUAL_LINK_MBPS, Bounds, EdgeSettings
+from lynxchute.edge.settings import USUAL_LINK_MBPS, Bounds, EdgeSettings, Features
 from lynxchute.upstreams.cold_admission import ADMISSIONS_BY_NAME, FirstRegistered
 from lynxchute.upstreams.rate_sharing import SHARINGS_BY_NAME, MostlyCounted
 
@@ -24,6 +25,23 @@
 COLD_VARIABLE = "LYNXCHUTE_COLD_ADMISSION"
 RATE_VARIABLE = "LYNXCHUTE_RATE_SHARING"
 
+# Features that are on, by their names with commas between, in place of those that the
+# settings ask for; "none" for none of them.
+FEATURES_VARIABLE = "LYNXCHUTE_FEATURES"
+NO_FEATURES = "none"
+# What each entry under `contracts` in the settings asks for. A pool of upstreams is
+# shared by many accounts and routers; pressure is what slow readers do to memory.
+FEATURES_BY_CONTRACT = {
+    "pool": (
+        "processor_guard",
+        "fair_shares",
+        "demand_lines",
+        "learned_speeds",
+        "hedging",
+    ),
+    "pressure": ("memory_guard",),
+}
+
 # Which of the ports for traffic between the VMs the routers use; counted from
 # the first one.
 PEER_PORT_OFFSET = 0
@@ -72,6 +90,7 @@
         store_spans_parts=reader.flag("platform", "across"),
         peers_reached_at=_peers_reached_at(reader, environment),
         bounds=_bounds(reader),
+        features=_features(reader, environment),
     )
     if reader.findings:
         return Error(tuple(reader.findings))
@@ -103,6 +122,24 @@
     return name
 
 
+def _features(reader: _Reader, environment: Mapping[str, str]) -> Features:
+    """Return the features that the environment names, or that the contracts ask for."""
+    named = environment.get(FEATURES_VARIABLE, "")
+    wanted: list[str] = []
+    if not named:
+        for contract in reader.texts("contracts"):
+            wanted.extend(FEATURES_BY_CONTRACT.get(contract, ()))
+    elif named != NO_FEATURES:
+        wanted = named.split(",")
+    known = [field.name for field in attrs.fields(Features)]
+    listed = ", ".join(known)
+    for name in wanted:
+        if name not in known:
+            finding = f"{FEATURES_VARIABLE} has {name}, which is none of {listed}"
+            reader.findings.append(f"the variable {finding}")
+    return Features(**{name: True for name in known if name in wanted})
+
+
 def _peers_reached_at(
     reader: _Reader, environment: Mapping[str, str]
 ) -> Address | None:
@@ -173,6 +210,13 @@
             self.findings.append(f"{'.'.join(path)} is no number")
         return 0.0
 
+    def texts(self, name: str) -> list[str]:
+        """Return a list of texts; it is empty where nothing says so."""
+        found = self._document.get(name)
+        if not isinstance(found, list):
+            return []
+        return [item for item in found if isinstance(item, str)]
+
     def flag(self, section: str, name: str) -> bool:
         """Return whether something is on; it is off where nothing says so."""
         found = self._document.get(section)
