Tell from logs who pays under load

Cause: an operator could see why requests were lost by route and moment, not which data centre, VM or client account lost them; a refusal at admission named neither route nor account.

--- a/lynxchute/explain/command.py
+++ b/lynxchute/explain/command.py
@@ -16,10 +16,13 @@
 
 from lynxchute.explain.log_lines import LogLine, LogReader
 from lynxchute.explain.losses import Losses
+from lynxchute.explain.payers import Payers, Tally
 
 EXIT_DONE = 0
 EXIT_NOTHING = 1
 EXIT_STRANGE = 2
+# Rows of a table, those that lost most first; large fleets have hundreds of VMs.
+MAX_ROWS = 15
 # What each line says of itself and the story need not repeat.
 NOT_TOLD = frozenset({"time", "level", "event", "vm", "request_id"})
 
@@ -71,7 +74,40 @@
     console.print(f"{sum(losses.requests.values())} requests in all")
 
 
-def run(*file: Path, request: str = "", lost: bool = False, step: float = 4.0) -> None:
+def _print_payers(payers: Payers, console: Console) -> None:
+    tallies_by_dimension = {
+        "data centre": payers.by_data_centre(),
+        "VM": payers.by_vm,
+        "client account": payers.by_account,
+        "route": payers.by_route,
+    }
+    for dimension, tallies in tallies_by_dimension.items():
+        table = Table(title=f"by {dimension}")
+        for title in (dimension, "requests", "late", "not served", "why"):
+            is_text = title in (dimension, "why")
+            table.add_column(title, justify="left" if is_text else "right")
+        rows = sorted(tallies.items(), key=lambda row: -(row[1].lost + row[1].late))
+        for name, tally in rows[:MAX_ROWS]:
+            table.add_row(name, *_cells(tally))
+        console.print(table)
+        if len(rows) > MAX_ROWS:
+            console.print(f"and {len(rows) - MAX_ROWS} more that lost less")
+    console.print(f"{payers.probes} probes of the configuration")
+
+
+def _cells(tally: Tally) -> list[str]:
+    causes = tally.lost_by_cause.most_common()
+    told = ", ".join(f"{cause} {count}" for cause, count in causes)
+    return [str(tally.requests), str(tally.late), str(tally.lost), told]
+
+
+def run(
+    *file: Path,
+    request: str = "",
+    lost: bool = False,
+    payers: bool = False,
+    step: float = 4.0,
+) -> None:
     """Tell from routers' logs what became of requests.
 
     Parameters
@@ -82,12 +118,14 @@
         Tell the story of the request with this id.
     lost
         Count the requests that were not on time, by route, cause and moment.
+    payers
+        Count what became of requests by data centre, VM, client account and route.
     step
-        Seconds of a moment in that table.
+        Seconds of a moment in the table of those lost.
     """
     console = Console(width=None if sys.stdout.isatty() else 140)
-    if not request and not lost:
-        print("say --request ID or --lost", file=sys.stderr)
+    if not request and not lost and not payers:
+        print("say --request ID, --lost or --payers", file=sys.stderr)
         sys.exit(EXIT_STRANGE)
     reader = LogReader()
     is_found = True
@@ -95,6 +133,11 @@
         lines = _lines(list(file), reader, stack)
         if request:
             is_found = _tell(lines, request, console)
+        elif payers:
+            counts = Payers()
+            for line in lines:
+                counts.take(line)
+            _print_payers(counts, console)
         else:
             losses = Losses(step=step)
             for line in lines:
--- a/lynxchute/relay/admission.py
+++ b/lynxchute/relay/admission.py
@@ -98,10 +98,10 @@
             raise denial
         route = configuration.find_route(call.host, call.request.path)
         assert route is not None
-        self._check_load(route, respond)
         account = None
         if not route.is_public:
             account = configuration.accounts_by_key.get(call.key)
+        self._check_load(route, account, respond)
         if account is not None:
             self._count(configuration, account)
         self.open_requests += 1
@@ -133,12 +133,20 @@
             raise Refusal(Reason.NOT_CONFIGURED, title, retry_after=RETRY_UNCONFIGURED)
         return configuration
 
-    def _check_load(self, route: Route, respond: Responder) -> None:
+    def _check_load(
+        self, route: Route, account: ClientAccount | None, respond: Responder
+    ) -> None:
         """Send callers elsewhere while this router would serve them late."""
         if self._load.is_too_slow(route.latency_objective):
             respond.closing = True
             title = "This router's link is full. Send the request to another one."
-            raise Refusal(Reason.OVERLOADED, title, retry_after=RETRY_ELSEWHERE)
+            raise Refusal(
+                Reason.OVERLOADED,
+                title,
+                retry_after=RETRY_ELSEWHERE,
+                route=route.name,
+                account=account.name if account is not None else "",
+            )
         if self._load.ends_connection():
             respond.closing = True
 
--- a/lynxchute/relay/refusal.py
+++ b/lynxchute/relay/refusal.py
@@ -81,6 +81,8 @@
         Whether the request ran.
     retry_after
         Seconds after which to come back; None where that does not help.
+    route, account
+        What the request was for, for the log; empty where that is not known.
     """
 
     def __init__(
@@ -90,8 +92,12 @@
         *,
         run: Run = Run.NOT_RUN,
         retry_after: float | None = None,
+        route: str = "",
+        account: str = "",
     ) -> None:
         super().__init__(title)
+        self.route = route
+        self.account = account
         self.reason = reason
         self.title = title
         self.run = run
--- a/lynxchute/relay/request_log.py
+++ b/lynxchute/relay/request_log.py
@@ -33,6 +33,8 @@
             request_id=request_id,
             reason=refusal.reason.value,
             status=refusal.status,
+            route=refusal.route,
+            account=refusal.account,
         )
 
     def note_end(self, exchange: Exchange, outcome: str) -> None:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -14,6 +14,7 @@
 from lynxchute.explain import command
 from lynxchute.explain.log_lines import MAX_NAMED, LogReader
 from lynxchute.explain.losses import MAX_OPEN, ON_TIME, Losses, cause_of
+from lynxchute.explain.payers import NOT_NAMED, PROBE_REASONS, Payers
 from lynxchute.operators import client
 
 
@@ -140,7 +141,55 @@
         self.assertRegex(output, r"^lynxchute [0-9]+\.[0-9]+")
 
 
+def started(vm, data_centre):
+    fields = {"event": "started", "vm": vm, "data_centre": data_centre, "time": 1.0}
+    return json.dumps(fields)
+
+
+def refused(reason="overloaded", **more):
+    fields = {"event": "request refused", "vm": "a-1", "reason": reason, "time": 10.0}
+    return json.dumps({**fields, **more})
+
+
+class PayersTest(testtools.TestCase):
+    def payers(self, *lines):
+        payers = Payers()
+        for line in read(*lines):
+            payers.take(line)
+        return payers
+
+    def test_each_request_counts_once_by_each_dimension(self):
+        payers = self.payers(
+            ended(account="kanda"),
+            ended(account="kanda", first_byte=1.2),
+            ended(account="nara", vm="b-1", outcome="left"),
+            refused(account="kanda", route="ask"),
+            started("a-1", "a"),
+        )
+        kanda = payers.by_account["kanda"]
+        self.assertEqual((3, 1, 1), (kanda.requests, kanda.late, kanda.lost))
+        self.assertEqual({"refused: overloaded": 1}, kanda.lost_by_cause)
+        self.assertEqual(4, payers.by_route["ask"].requests)
+        by_data_centre = payers.by_data_centre()
+        self.assertEqual(3, by_data_centre["a"].requests)
+        self.assertEqual(1, by_data_centre[NOT_NAMED].lost)
+
+    def test_probes_of_the_configuration_count_apart(self):
+        lines = [refused(reason) for reason in sorted(PROBE_REASONS)]
+        payers = self.payers(*lines, refused())
+        self.assertEqual(len(PROBE_REASONS), payers.probes)
+        self.assertEqual(1, payers.by_vm["a-1"].requests)
+
+
 class CommandTest(testtools.TestCase):
+    def test_who_pays_is_told_by_each_dimension(self):
+        text = "\n".join([started("a-1", "a"), ended(account="kanda"), refused()])
+        status, output, _ = self.run_it(text, "--payers")
+        self.assertEqual(command.EXIT_DONE, status)
+        for title in ("by data centre", "by VM", "by client account", "by route"):
+            self.assertIn(title, output)
+        self.assertIn("refused: overloaded 1", output)
+
     def run_it(self, text, *arguments):
         output, errors = io.StringIO(), io.StringIO()
         with TemporaryDirectory() as folder:
