Drop no connection that was taken just before the way in closes

Cause: asyncio accepts a connection in one turn of the loop and attaches it to its server in the next one; where HttpServer.pause_accepting closes the server between the two, the assertion in Server._attach fails and the connection is dropped without an answer. Ruled out: what lies in the kernel's queue, which is served (tested before). Change: the listener's reader is removed first and a turn passes before the close. Figures: the new test fails before (TimeoutError, no answer) and passes after.

--- a/lynxchute/http/server.py
+++ b/lynxchute/http/server.py
@@ -109,6 +109,11 @@
         """
         if self._server is None or self._listener is None:
             return
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._listener)
+        # asyncio attaches an accepted connection to the server a turn later, which
+        # fails once the server is closed and drops the connection.
+        await asyncio.sleep(0)
         taken = []
         while True:
             try:
@@ -116,7 +121,6 @@
             except (BlockingIOError, InterruptedError):
                 break
         self._server.close()
-        loop = asyncio.get_running_loop()
         for connection in taken:
             connection.setblocking(False)
             await loop.connect_accepted_socket(
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -246,6 +246,34 @@
 
         self.run_async(scenario())
 
+    def test_whom_the_loop_has_just_taken_is_served_as_well(self):
+        # asyncio takes a connection in one turn of the loop and gives it a protocol in
+        # the next one; a server closed between the two drops it without an answer.
+        async def scenario():
+            async def answer(request, respond):
+                await respond.json(200, {})
+
+            server = HttpServer(answer)
+            await server.start("127.0.0.1", 0)
+            loop = asyncio.get_running_loop()
+            waiting = []
+            for _ in range(5):
+                connection = socket.create_connection(("127.0.0.1", server.port), 1.0)
+                connection.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                connection.setblocking(False)
+                waiting.append(connection)
+            for _ in range(2):
+                await asyncio.sleep(0)
+            await server.pause_accepting()
+            for connection in waiting:
+                async with asyncio.timeout(5):
+                    told = await loop.sock_recv(connection, 100)
+                self.assertIn(b"200", told)
+                connection.close()
+            await server.kill()
+
+        self.run_async(scenario())
+
 
 class HotAccountTest(testtools.TestCase):
     """What callers get while one account sends five times what a VM's link carries.
