Soak demanding load: a hot client account, and upstreams that slow down

Cause: the soak knew neither an account that presses on one router nor upstreams of uneven speed, and its routers asked for none of the parts for demanding load.

--- a/tests/router_process.py
+++ b/tests/router_process.py
@@ -29,6 +29,7 @@
         peers_at=0,
         peers_reached_at=0,
         module="lynxchute.platform",
+        contracts=(),
     ):
         self.module = module
         self.vm = vm
@@ -43,6 +44,8 @@
             self.ports["peers"] = peers_at
         self.peers_reached_at = peers_reached_at
         self.settings = self._settings(store_port)
+        if contracts:
+            self.settings["contracts"] = list(contracts)
 
     def _settings(self, store_port):
         return {
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -48,8 +48,9 @@
 class SoakFleet:
     """Start, change and end everything of one run."""
 
-    def __init__(self, folder, seed, *, routers, engines=3, apps=2):
+    def __init__(self, folder, seed, *, routers, engines=3, apps=2, contracts=()):
         self.folder = folder
+        self.contracts = contracts
         self.store = PlatformStoreStandin(seed=seed)
         self.routers_by_vm = {}
         self.upstreams = []
@@ -132,6 +133,7 @@
             peers_reached_at=peer_link.port,
             # To every other VM a pause is a suspension, to the others a freeze.
             module=ROUTER_MODULES[len(self.routers_by_vm) % 2],
+            contracts=self.contracts,
         )
         caller_link = Link(f"127.0.0.1:{process.ports['front']}")
         await caller_link.start()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,6 +12,7 @@
 from tests.platform_support import HOST
 from tests.soak.backpressure import BackpressureSetter
 from tests.soak.deadly import DeadlyCaller
+from tests.soak.demand import DemandSetter, contracts_of
 from tests.soak.evacuator import Evacuator
 from tests.soak.faults import Injector, Plan
 from tests.soak.fleet import AMPLE, SoakFleet
@@ -63,7 +64,7 @@
 
 async def _run(seed, folder, seconds, routers):
     rng = random.Random(seed)
-    fleet = SoakFleet(folder, seed, routers=routers)
+    fleet = SoakFleet(folder, seed, routers=routers, contracts=contracts_of(seed))
     callers = Callers(fleet, rng)
     checker = Checker(fleet, callers)
     plan = Plan(seconds, planned_only=seed % PLANNED_EVERY == 0)
@@ -72,6 +73,7 @@
     deadly = DeadlyCaller(fleet, callers, checker, seed)
     evacuator = Evacuator(fleet, callers, checker, injector, seed)
     backpressure = BackpressureSetter(fleet, callers, checker, injector, seed)
+    demand = DemandSetter(fleet, callers, seed)
     side_tasks = []
     try:
         await fleet.start()
@@ -86,9 +88,12 @@
         side_tasks.append(evacuations)
         needing = asyncio.create_task(backpressure.run(seconds))
         side_tasks.append(needing)
+        demanding = asyncio.create_task(demand.run(seconds))
+        side_tasks.append(demanding)
         await injector.run()
         await evacuations
         await needing
+        await demanding
         backpressure.clear()
         await _check_recovery(fleet, callers, checker)
         await callers.stop()
@@ -114,6 +119,7 @@
             "deadly": len(deadly.ended_at),
             "evacuations": len(evacuator.spans),
             **backpressure.counts,
+            **demand.counts,
         },
     )
 
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -54,6 +54,13 @@
         self._numbers = itertools.count(1)
         self._tasks = []
 
+    def beside(self, rng):
+        """Return callers that draw other numbers, with the same record."""
+        others = Callers(self._fleet, rng)
+        others.records = self.records
+        others._numbers = self._numbers
+        return others
+
     def start(self):
         for vm in self._fleet.routers_by_vm:
             for _ in range(CALLERS_PER_ROUTER):
