Weigh accounts, and put waiting requests in a fair order

Cause: nothing refuses by account, and nothing waits for an engine. Mutants: 9 of 9 caught. Interface: Ticket.due_at added (infinite where nobody says).

--- a/lynxchute/_structure.py
+++ b/lynxchute/_structure.py
@@ -4,6 +4,7 @@
 
 import difflib
 import enum
+import math
 import types
 import typing
 from typing import Any
@@ -192,6 +193,9 @@
     def _check_bounds(self, value: Any, metadata: Any, path: str) -> None:
         if not isinstance(value, int | float) or isinstance(value, bool):
             return
+        if math.isnan(value):
+            self.report(path, "This is no number.", "Give one.")
+            return
         low, high = metadata.get(LOW), metadata.get(HIGH)
         if low is not None and value < low:
             self.report(path, f"{value} is too small.", f"Give at least {low}.")
--- a/lynxchute/config/configuration.py
+++ b/lynxchute/config/configuration.py
@@ -142,11 +142,14 @@
         Rank of its requests where it differs from the route's.
     prepaid
         Tokens paid for so far; None where use is not limited.
+    weight
+        Its share where callers compete, as a multiple of that of the others.
     """
 
     name: str
     priority: int | None = None
     prepaid: int | None = None
+    weight: float = 1.0
 
 
 @attrs.frozen
--- a/lynxchute/config/document.py
+++ b/lynxchute/config/document.py
@@ -16,6 +16,12 @@
 from lynxchute._structure import option
 from lynxchute.address import Address
 from lynxchute.config.role import Role
+from lynxchute.overload.weights import (
+    LEAST_WEIGHT,
+    MOST_WEIGHT,
+    USUAL_WEIGHT,
+    usable_weight,
+)
 
 Report = Callable[[str, str, str], None]
 
@@ -43,6 +49,12 @@
         doc="SHA-256 of each API key, in hexadecimal; several during a rotation."
     )
     paid: int = option(default=0, low=0, doc="Tokens paid for so far.")
+    weight: float = option(
+        default=USUAL_WEIGHT,
+        low=LEAST_WEIGHT,
+        high=MOST_WEIGHT,
+        doc="Its share where callers compete, as a multiple of that of the others.",
+    )
 
 
 @attrs.frozen
@@ -176,6 +188,20 @@
 _CONVERTER = cattrs.Converter()
 
 
+def _structure_account(value: Any, cls: type[AccountDocument]) -> AccountDocument:
+    """Return a client account; a weight that is none counts as the usual one.
+
+    So one bad entry keeps no version, and no other account, from being taken.
+    """
+    if "weight" in value:
+        value = {**value, "weight": usable_weight(value["weight"])}
+    return _ACCOUNTS.structure(value, cls)
+
+
+_ACCOUNTS = cattrs.Converter()
+_CONVERTER.register_structure_hook(AccountDocument, _structure_account)
+
+
 @attrs.frozen
 class Version:
     """A version of the configuration as the store keeps it.
--- a/lynxchute/config/from_document.py
+++ b/lynxchute/config/from_document.py
@@ -38,7 +38,7 @@
     accounts_by_name: dict[str, ClientAccount] = {}
     accounts_by_key: dict[str, ClientAccount] = {}
     for item in document.accounts:
-        account = ClientAccount(item.name, prepaid=item.paid)
+        account = ClientAccount(item.name, prepaid=item.paid, weight=item.weight)
         accounts_by_name[account.name] = account
         for key_hash in item.key_hashes:
             accounts_by_key[key_hash] = account
--- a/lynxchute/overload/ticket.py
+++ b/lynxchute/overload/ticket.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
 
 import attrs
@@ -29,6 +30,8 @@
         When its caller gives up.
     is_return
         Whether its caller comes back as it was told after a refusal.
+    due_at
+        When its answer should begin for its caller to have it on time.
     """
 
     run_id: str
@@ -39,6 +42,7 @@
     arrived_at: float
     leaves_at: float
     is_return: bool = False
+    due_at: float = math.inf
 
 
 class TicketQueue(ABC):
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -6,11 +6,17 @@
 import json
 import sys
 
-from tests import backpressure_mutants, cold_mutants, ledger_mutants
+from tests import (
+    backpressure_mutants,
+    cold_mutants,
+    ledger_mutants,
+    tickets_mutants,
+)
 from tests.backpressure_machine import BackpressureMachine
 from tests.cold_machine import ColdMachine
 from tests.fuzz import run
 from tests.ledger_machine import LedgerMachine
+from tests.tickets_machine import TicketsMachine
 from tests.words_machine import WordsMachine
 
 EXAMPLES = 1500
@@ -20,6 +26,7 @@
     **dict.fromkeys(cold_mutants.MUTANTS, ColdMachine),
     **dict.fromkeys(backpressure_mutants.MUTANTS, BackpressureMachine),
     **dict.fromkeys(backpressure_mutants.WORD_MUTANTS, WordsMachine),
+    **dict.fromkeys(tickets_mutants.MUTANTS, TicketsMachine),
 }
 
 
--- /dev/null
+++ b/tests/tickets_mutants.py
@@ -0,0 +1,81 @@
+"""Break the decisions on shares and waiting requests one by one."""
+
+from unittest import mock
+
+from lynxchute.overload import returns, ticket_queue
+from lynxchute.overload.fair_shares import FadingUse
+from lynxchute.overload.returns import Returns
+from lynxchute.overload.ticket_queue import FairTicketQueue
+
+
+def keep_the_share_of_who_has_gone():
+    def drop_first(self, now):
+        _, use = self._use_by_account.popitem(last=False)
+        self._weights -= use.weight
+
+    return mock.patch.object(FadingUse, "_drop_first", drop_first)
+
+
+def keep_the_weight_of_who_has_gone():
+    def drop_first(self, now):
+        _, use = self._use_by_account.popitem(last=False)
+        self._total = self._total_of(now) - use.at(now)
+        self._total_at = now
+
+    return mock.patch.object(FadingUse, "_drop_first", drop_first)
+
+
+def give_lent_room_back_to_nobody():
+    return mock.patch.object(FadingUse, "_forget", lambda self, now: None)
+
+
+def keep_any_number_of_accounts():
+    init = FadingUse.__init__
+
+    def without_bound(self, weight_of, *, most):
+        init(self, weight_of, most=10**9)
+
+    return mock.patch.object(FadingUse, "__init__", without_bound)
+
+
+def keep_the_ticket_of_who_has_left():
+    return mock.patch.object(FairTicketQueue, "drop", lambda self, run_id: None)
+
+
+def serve_the_newest_first():
+    key = FairTicketQueue._key
+
+    def newest(self, ticket, number, now):
+        rank, band, is_new, at, number = key(self, ticket, number, now)
+        return (rank, band, is_new, -at, number)
+
+    return mock.patch.object(FairTicketQueue, "_key", newest)
+
+
+def let_all_pass_who_is_late():
+    return mock.patch.object(ticket_queue, "LATE_SECONDS", 1e6)
+
+
+def know_a_return_for_ever():
+    return mock.patch.object(returns, "KEPT_SECONDS", 1e6)
+
+
+def know_a_return_again_and_again():
+    def take(self, account, content, now):
+        told = self._told_by_caller.get((account, content))
+        return told is not None and now >= told.back_at - returns.EARLY_SECONDS
+
+    return mock.patch.object(Returns, "take", take)
+
+
+MUTANTS = (
+    keep_the_share_of_who_has_gone,
+    keep_the_weight_of_who_has_gone,
+    give_lent_room_back_to_nobody,
+    keep_any_number_of_accounts,
+    keep_the_ticket_of_who_has_left,
+    serve_the_newest_first,
+    let_all_pass_who_is_late,
+    know_a_return_for_ever,
+    know_a_return_again_and_again,
+)
