Give client accounts a weight

Cause: shares of accounts were equal, and customers differ. Change: weight of an account in the document and the language (set account NAME weight N), 0.01 to 100, 1 where none; check refuses others with their place, also what is no number at all, which passed every bound of a setting so far. A bad one from the store counts as 1 and harms no other account. Ruled out: a weight by key, which would let an account with many keys have more.

--- a/lynxchute/operators/changes.py
+++ b/lynxchute/operators/changes.py
@@ -21,8 +21,10 @@
     DropAccount,
     SetDraining,
     SetService,
+    SetWeight,
     TopUpStatement,
 )
+from lynxchute.overload.weights import LEAST_WEIGHT, MOST_WEIGHT, usable_weight
 
 Changed = Result[FleetDocument, str]
 
@@ -39,6 +41,8 @@
             return lambda before: _change_upstream(before, name, {"state": state})
         case SetService(name, service):
             return lambda before: _move_upstream(before, name, service)
+        case SetWeight(name, weight):
+            return lambda before: _set_weight(before, name, weight)
         case CreateAccount(name, key_hash):
             return lambda before: _add_key(before, name, key_hash)
         case DropAccount(name):
@@ -100,6 +104,19 @@
     return Ok(attrs.evolve(before, accounts=tuple(accounts_by_name.values())))
 
 
+def _set_weight(before: FleetDocument, name: str, weight: int) -> Changed:
+    if usable_weight(weight) != weight:
+        return Error(f"A weight is from {LEAST_WEIGHT:g} to {MOST_WEIGHT:g}.")
+    accounts = []
+    for account in before.accounts:
+        if account.name == name:
+            account = attrs.evolve(account, weight=float(weight))
+        accounts.append(account)
+    if name not in [account.name for account in accounts]:
+        return Error(_no_account(before, name))
+    return Ok(attrs.evolve(before, accounts=tuple(accounts)))
+
+
 def _drop_account(before: FleetDocument, name: str) -> Changed:
     accounts = tuple(a for a in before.accounts if a.name != name)
     if len(accounts) == len(before.accounts):
--- a/lynxchute/operators/collections.py
+++ b/lynxchute/operators/collections.py
@@ -153,7 +153,13 @@
         keys = [account.name for account in configuration.accounts_by_key.values()]
         rows = []
         for account in configuration.accounts_by_name.values():
-            rows.append({"account": account.name, "keys": keys.count(account.name)})
+            rows.append(
+                {
+                    "account": account.name,
+                    "keys": keys.count(account.name),
+                    "weight": account.weight,
+                }
+            )
         return rows
 
     async def _budgets(self) -> list[Row]:
@@ -273,7 +279,7 @@
 
 
 COLUMNS_BY_COLLECTION: dict[str, tuple[str, ...]] = {
-    "accounts": ("account", "keys"),
+    "accounts": ("account", "keys", "weight"),
     "budgets": ("account", "paid", "granted", "free", "used_at_most"),
     "data_centres": ("data_centre", "vms", "leaving"),
     "evacuations": EVACUATION_COLUMNS,
--- a/lynxchute/operators/language.py
+++ b/lynxchute/operators/language.py
@@ -12,6 +12,7 @@
 from expression import Error, Ok, Result
 
 from lynxchute.operators.statements import (
+    Command,
     Compare,
     Condition,
     CreateAccount,
@@ -20,6 +21,7 @@
     Release,
     SetDraining,
     SetService,
+    SetWeight,
     Show,
     Statement,
     TakeBack,
@@ -31,7 +33,7 @@
 KEYWORDS = (
     "show", "top", "up", "by", "as", "where", "and", "group", "order", "limit",
     "drain", "undrain", "vm", "upstream", "create", "drop", "account", "key",
-    "set", "service", "compare", "version", "with", "asc", "desc", "evacuate",
+    "set", "service", "weight", "compare", "version", "with", "asc", "desc", "evacuate",
     "take", "back", "data", "centre", "anyway",
 )  # fmt: skip
 
@@ -174,6 +176,9 @@
     def set_upstream(self, items: list[Any]) -> SetService:
         return SetService(str(items[0]), str(items[1]), items[2] or "")
 
+    def set_weight(self, items: list[Any]) -> SetWeight:
+        return SetWeight(str(items[0]), int(items[1]), items[2] or "")
+
     def release(self, items: list[Any]) -> Release:
         return Release(str(items[0]))
 
@@ -198,17 +203,26 @@
             return _evacuation_text(statement)
         case Release(content):
             return f"release request {content}"
-        case TopUpStatement(account, tokens, operation):
-            text = f"top up {account} by {tokens}"
-        case SetDraining(kind, name, draining, operation):
-            text = f"{'drain' if draining else 'undrain'} {kind} {name}"
-        case CreateAccount(account, key_hash, operation):
-            text = f"create account {account} key {key_hash}"
-        case DropAccount(account, operation):
-            text = f"drop account {account}"
-        case SetService(upstream, service, operation):
-            text = f"set upstream {upstream} service {service}"
-    return f"{text} as {operation}" if operation else text
+        case _:
+            text = _change_text(statement)
+    return f"{text} as {statement.operation}" if statement.operation else text
+
+
+def _change_text(statement: Command) -> str:
+    """Return an order that changes the configuration, without its id."""
+    match statement:
+        case TopUpStatement(account, tokens):
+            return f"top up {account} by {tokens}"
+        case SetDraining(kind, name, draining):
+            return f"{'drain' if draining else 'undrain'} {kind} {name}"
+        case CreateAccount(account, key_hash):
+            return f"create account {account} key {key_hash}"
+        case DropAccount(account):
+            return f"drop account {account}"
+        case SetWeight(account, weight):
+            return f"set account {account} weight {weight}"
+        case SetService(upstream, service):
+            return f"set upstream {upstream} service {service}"
 
 
 def _evacuation_text(statement: Evacuate | TakeBack) -> str:
--- a/lynxchute/operators/statements.py
+++ b/lynxchute/operators/statements.py
@@ -87,6 +87,15 @@
     operation: str = ""
 
 
+@attrs.frozen
+class SetWeight:
+    """Say how large a client account's share is where callers compete."""
+
+    account: str
+    weight: int
+    operation: str = ""
+
+
 @attrs.frozen
 class Release:
     """Send a request in quarantine to upstreams again.
@@ -129,5 +138,7 @@
     second: int
 
 
-Command = TopUpStatement | SetDraining | CreateAccount | DropAccount | SetService
+Command = (
+    TopUpStatement | SetDraining | CreateAccount | DropAccount | SetService | SetWeight
+)
 Statement = Show | Compare | Release | Evacuate | TakeBack | Command
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -1,23 +1,31 @@
 """Shares of accounts, and the queue of requests that wait for a place."""
 
+import json
 import math
+from pathlib import Path
 
 import testtools
 
 from lynxchute.bench.shares import LARGE, SCENES, NoShares, Play
+from lynxchute.config.document import AccountDocument, FleetDocument, Version
+from lynxchute.config.from_document import configuration_of
+from lynxchute.operators.changes import change_for
+from lynxchute.operators.language import parse, to_text
 from lynxchute.overload.drain import Drain
 from lynxchute.overload.fair_shares import (
     FADE_SECONDS,
     SHARES_BY_NAME,
     EqualDivision,
 )
-from lynxchute.overload.weights import usable_weight
 from lynxchute.overload.returns import Returns
 from lynxchute.overload.ticket import Ticket
 from lynxchute.overload.ticket_queue import LATE_SECONDS, FairTicketQueue
+from lynxchute.overload.weights import usable_weight
+from lynxchute.settings import load_router_settings
 from tests.fuzz import run
 from tests.tickets_machine import TicketsMachine
 
+ROOT = Path(__file__).parent.parent
 SCENES_BY_NAME = {scene.name: scene for scene in SCENES}
 FAST = 1e6
 
@@ -99,6 +107,50 @@
             self.assertEqual(1.0, usable_weight(value), value)
 
 
+class WeightTest(testtools.TestCase):
+    """Weights in the product's own configuration."""
+
+    def findings(self, weight):
+        text = (ROOT / "examples/amagumo/kyu-a-1.yaml").read_text(encoding="utf-8")
+        text = text.replace("paid: 40000}", f"paid: 40000, weight: {weight}}}", 1)
+        result = load_router_settings(text)
+        return result.error if result.is_error() else ()
+
+    def test_a_weight_is_taken(self):
+        for weight in ("3", "0.5", "100", "0.01"):
+            self.assertEqual((), self.findings(weight), weight)
+
+    def test_a_bad_weight_is_refused_with_its_place(self):
+        for weight in ("-1", "0", ".nan", ".inf", "-.inf", "1e9", "'3'", "many", "yes"):
+            (finding,) = self.findings(weight)
+            self.assertEqual("configuration.accounts[0].weight", finding.path, weight)
+            self.assertEqual(14, finding.line)
+
+    def test_a_bad_weight_in_the_store_harms_nothing_else(self):
+        accounts = tuple(
+            AccountDocument(name=name, key_hashes=(name,), weight=2.0) for name in "ab"
+        )
+        value = json.loads(Version(3, FleetDocument(accounts=accounts)).encode())
+        for weight in (-1, 0, "many", None, 1e300, [], {}, math.nan, True):
+            value["document"]["accounts"][0]["weight"] = weight
+            version = Version.decode(json.dumps(value).encode()).ok
+            found = configuration_of(version).accounts_by_name
+            self.assertEqual(1.0, found["a"].weight, weight)
+            self.assertEqual(2.0, found["b"].weight)
+        del value["document"]["accounts"][0]["weight"]
+        version = Version.decode(json.dumps(value).encode()).ok
+        self.assertEqual(1.0, version.document.accounts[0].weight)
+
+
+class WeightStatementTest(testtools.TestCase):
+    def test_an_operator_sets_a_weight(self):
+        accounts = tuple(AccountDocument(name=n, key_hashes=()) for n in "ab")
+        statement = parse("set account b weight 3 as op-7").ok
+        self.assertEqual("set account b weight 3 as op-7", to_text(statement))
+        changed = change_for(statement)(FleetDocument(accounts=accounts)).ok
+        self.assertEqual([1.0, 3.0], [a.weight for a in changed.accounts])
+
+
 class PlayedTest(testtools.TestCase):
     """Callers who compete for places, see `make bench-shares`."""
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -190,6 +190,10 @@
                 ("drain upstream u", "No upstream"),
                 ("drop account b", "No client account"),
                 ("set upstream u service s", "No service"),
+                ("set account b weight 2", "Known: a"),
+                ("set account a weight 0", "from 0.01 to 100"),
+                ("set account a weight -2", "from 0.01 to 100"),
+                ("set account a weight 1000000", "from 0.01 to 100"),
             ):
                 result = await order(history, text, text)
                 self.assertIn(said, result.error.reason)
