Let requests that find all engines full wait for their turn

Change, only with fair_shares: the scheduling router gives tickets where no engine has a place; the asking router asks again after 0.05 to 0.15 s; one that cannot reach the scheduling router asks the next one, then places at the better of two random engines, at a quarter of an engine's places at most, and refuses nothing by its own expectation.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -41,6 +41,7 @@
     ServerLimits,
     not_found,
 )
+from lynxchute.overload.weights import USUAL_WEIGHT
 from lynxchute.reachability import Reachability
 from lynxchute.relay.admission import Admission
 from lynxchute.relay.chooser import Chooser
@@ -51,6 +52,7 @@
 from lynxchute.scheduling.cold_watch import ColdWatch
 from lynxchute.scheduling.rate_permits import RatePermits
 from lynxchute.scheduling.scheduler import Scheduler
+from lynxchute.scheduling.turns import Turns
 from lynxchute.spending.balance import Balance
 from lynxchute.spending.final_use import FinalUses
 from lynxchute.spending.keeper import Keeper
@@ -191,6 +193,8 @@
         permits.serve(self.peer_server)
         plain = LeastOpen(settings.data_centre, rules.gate, permits, steady_seconds)
         engines = platform.make_engines(self.clients)
+        may_wait = settings.features.fair_shares
+        self.turns = Turns(self._weight_of, self.metrics) if may_wait else None
         scheduler = Scheduler(
             self.members,
             self.peers,
@@ -201,6 +205,7 @@
             rules.cold,
             meter,
             steady_seconds,
+            turns=self.turns,
         )
         silence = SilenceWatch(self.directory, engines, reachability, steady_seconds)
         backpressure = BackpressureWatch(
@@ -238,6 +243,7 @@
             reachability,
             rules.gate,
             steady_seconds,
+            may_wait=may_wait,
         )
         sender = Sender(
             chooser,
@@ -400,6 +406,12 @@
         found = current.services_by_name.get(service) if current else None
         return found.engine if found is not None else None
 
+    def _weight_of(self, account: str) -> float:
+        """Return the weight of a client account where callers compete."""
+        current = self.configurations.current
+        found = current.accounts_by_name.get(account) if current else None
+        return found.weight if found is not None else USUAL_WEIGHT
+
     def _limits(self) -> ServerLimits:
         return caller_limits(self.configurations.current, self.settings.memory_mb)
 
--- a/lynxchute/edge/state.py
+++ b/lynxchute/edge/state.py
@@ -30,6 +30,7 @@
         "upstreams": _upstreams(router, now),
         "budgets": _budgets(router),
         "quarantine": _quarantine(router),
+        "waiting": router.turns.describe(now) if router.turns is not None else [],
     }
 
 
--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -16,6 +16,7 @@
     StoreScanRequest,
     StoreWriteRequest,
 )
+from lynxchute.overload.claim import Claim
 
 
 class ReserveOutcome(enum.Enum):
@@ -216,6 +217,13 @@
         What was heard of the service's engines that are throttled.
     is_refused
         Whether there are engines and none may get the request now.
+    wait_ms
+        Milliseconds after which to ask again, where it waits for its turn.
+    ahead
+        How many wait before it.
+    retry_ms
+        Milliseconds after which its caller should come back, where its turn comes too
+        late.
     """
 
     upstream: str
@@ -225,6 +233,9 @@
     is_admitted: bool = False
     backpressure: tuple[BackpressureNews, ...] = ()
     is_refused: bool = False
+    wait_ms: float = 0.0
+    ahead: int = 0
+    retry_ms: float = 0.0
 
 
 @attrs.frozen
@@ -250,6 +261,8 @@
         Engines that name a limit, and to which the asking router may send by itself.
     backpressure
         What was heard of the service's engines that are throttled.
+    claim
+        Who asks and for how long it can wait; None where it cannot.
     """
 
     NAME = "place"
@@ -268,6 +281,7 @@
     pause_ms: float = math.inf
     own_turns: tuple[str, ...] = ()
     backpressure: tuple[BackpressureNews, ...] = ()
+    claim: Claim | None = None
 
 
 class RunStage(enum.Enum):
--- /dev/null
+++ b/lynxchute/overload/claim.py
@@ -0,0 +1,113 @@
+"""Who asks for a place at an upstream, and how long it can wait for one."""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+from lynxchute.overload.ticket import Ticket
+
+# Longer times than these, in seconds, and longer names are mistakes: no route lets a
+# request last so long.
+MOST_SECONDS = 3_600.0
+MOST_RANK = 1_000
+MOST_NAME = 256
+
+
+class BadClaim(ValueError):
+    """Report a claim that no router makes."""
+
+
+@attrs.frozen
+class Claim:
+    """Who asks for a place; times are in seconds before or after now.
+
+    Attributes
+    ----------
+    account
+        Who pays; empty on public routes.
+    rank
+        Urgency; 0 comes first.
+    content
+        Names what is asked for, the same for each attempt.
+    waited
+        How long ago its caller asked.
+    left
+        How long its caller waits for the answer to begin.
+    due_in
+        After how long the answer would be late; negative where it is.
+    """
+
+    account: str
+    rank: int
+    content: str
+    waited: float
+    left: float
+    due_in: float
+
+    def check(self) -> None:
+        """Refuse what cannot be true.
+
+        Raises
+        ------
+        BadClaim
+            Where something is not.
+        """
+        if not 0.0 <= self.waited <= MOST_SECONDS:
+            raise BadClaim("time waited")
+        if not 0.0 <= self.left <= MOST_SECONDS:
+            raise BadClaim("time left")
+        if not abs(self.due_in) <= MOST_SECONDS:
+            raise BadClaim("time due")
+        if not 0 <= self.rank <= MOST_RANK:
+            raise BadClaim("rank")
+        if len(self.account) > MOST_NAME or len(self.content) > MOST_NAME:
+            raise BadClaim("name")
+
+    def ticket(
+        self, run_id: str, router: str, cost: float, now: float, *, is_return: bool
+    ) -> Ticket:
+        """Return the ticket for a claim that is made now."""
+        return Ticket(
+            run_id=run_id,
+            router=router,
+            account=self.account,
+            rank=self.rank,
+            cost=cost,
+            arrived_at=now - self.waited,
+            leaves_at=now + self.left,
+            is_return=is_return,
+            due_at=now + self.due_in if math.isfinite(self.due_in) else math.inf,
+        )
+
+
+class NotYet(Exception):
+    """Tell a request to ask again for a place.
+
+    Parameters
+    ----------
+    seconds
+        After how long.
+    ahead
+        How many wait before it.
+    """
+
+    def __init__(self, seconds: float, ahead: int) -> None:
+        super().__init__(f"{ahead} wait before it")
+        self.seconds = seconds
+        self.ahead = ahead
+
+
+class NoTurn(Exception):
+    """Refuse a request whose turn for a place comes too late.
+
+    Parameters
+    ----------
+    retry_after
+        Seconds after which its caller should come back.
+    """
+
+    def __init__(self, retry_after: float) -> None:
+        super().__init__("its turn comes too late")
+        self.retry_after = retry_after
--- a/lynxchute/overload/ticket_queue.py
+++ b/lynxchute/overload/ticket_queue.py
@@ -89,6 +89,11 @@
     def __contains__(self, run_id: str) -> bool:
         return run_id in self._waiting_by_run
 
+    def get(self, run_id: str) -> Ticket | None:
+        """Return the ticket of a run that waits; None where it does not."""
+        waiting = self._waiting_by_run.get(run_id)
+        return waiting.ticket if waiting is not None else None
+
     @property
     def tickets(self) -> list[Ticket]:
         """Return those that wait, in no order."""
--- a/lynxchute/platform/engines.py
+++ b/lynxchute/platform/engines.py
@@ -12,7 +12,9 @@
     COLD_MS,
     COLD_REMAINING,
     REPORT_PATH,
+    RUNNING,
     STARTED,
+    WAITING,
 )
 from lynxchute.platform.statements import STATEMENT_HEADERS
 from lynxchute.store.row_value import RowValue, ValueUnreadable
@@ -57,7 +59,18 @@
         started_ms = value.count(STARTED, default=None)
     except ValueUnreadable:
         return Probe(cold_seconds=cold_ms / 1000.0)
-    return Probe(started_ms, max(cold_ms, told_ms) / 1000.0)
+    cold_seconds = max(cold_ms, told_ms) / 1000.0
+    return Probe(started_ms, cold_seconds, in_work=_in_work(value))
+
+
+def _in_work(report: RowValue) -> int | None:
+    """Return the requests that an engine says it has; None where it does not."""
+    try:
+        running = report.count(RUNNING, default=None)
+        waiting = report.count(WAITING, default=0)
+    except ValueUnreadable:
+        return None
+    return None if running is None else running + (waiting or 0)
 
 
 def _cold_ms(headers: Headers) -> float:
--- a/lynxchute/platform/names.py
+++ b/lynxchute/platform/names.py
@@ -60,5 +60,8 @@
 UPSTREAM_TABLE = "servers"
 # In all that an upstream says of itself: the Unix millisecond of its start.
 STARTED = "born"
+# The requests that run there, and those that wait.
+RUNNING = "running"
+WAITING = "waiting"
 # The milliseconds for which it is still cold.
 COLD_REMAINING = "cold_remaining_ms"
--- a/lynxchute/relay/chooser.py
+++ b/lynxchute/relay/chooser.py
@@ -5,9 +5,13 @@
 import asyncio
 from collections.abc import Callable, Iterable, Sequence
 
+import attrs
+
+from lynxchute.overload.claim import NoTurn, NotYet
 from lynxchute.reachability import Reachability
 from lynxchute.relay.exchange import MIN_RETRY_AFTER, Exchange
 from lynxchute.relay.refusal import Reason, Refusal, Run
+from lynxchute.relay.wait import Wait
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.entry import Entry
@@ -37,6 +41,8 @@
         Which upstreams get nothing new.
     clock
         Seconds on the loop's clock.
+    may_wait
+        Whether generations wait for their turn where all engines are full.
     """
 
     def __init__(
@@ -48,6 +54,8 @@
         reachability: Reachability,
         gate: SendGate,
         clock: Callable[[], float],
+        *,
+        may_wait: bool = False,
     ) -> None:
         self._directory = directory
         self._generations = generations
@@ -56,6 +64,7 @@
         self._gate = gate
         self._neighbourhood = neighbourhood
         self._clock = clock
+        self._may_wait = may_wait
         self._changed = asyncio.Event()
         directory.listeners.append(self._note_change)
 
@@ -69,9 +78,17 @@
         """
         patience = exchange.route.latency_objective * WAIT_SHARE
         until = min(self._clock() + patience, exchange.ends_at)
+        wait = Wait(exchange, self._clock())
         while True:
-            choice = await self._find(exchange)
+            try:
+                choice = await self._find(exchange)
+            except NotYet as turn:
+                await self._wait_for_turn(wait, turn)
+                continue
+            except NoTurn as error:
+                raise self._no_turn(wait, error) from None
             if choice is not None:
+                wait.note_placed(self._clock())
                 self._check_load(exchange, choice)
                 return choice
             self._changed.clear()
@@ -81,6 +98,23 @@
             except TimeoutError:
                 raise nothing_answered(exchange, self._clock()) from None
 
+    async def _wait_for_turn(self, wait: Wait, turn: NotYet) -> None:
+        """Wait until it is time to ask again; a caller who leaves gives its turn up."""
+        wait.note(turn)
+        try:
+            await asyncio.sleep(turn.seconds)
+        except asyncio.CancelledError:
+            self._generations.note_ended(wait.exchange.run_id, "", failed=False)
+            raise
+
+    def _no_turn(self, wait: Wait, error: NoTurn) -> Refusal:
+        """Refuse at once a request whose turn comes after its caller has left."""
+        now = self._clock()
+        wait.note_refused(error.retry_after, now)
+        title = "All engines are full for longer than the caller waits."
+        after = max(error.retry_after, MIN_RETRY_AFTER)
+        return wait.exchange.refuse(Reason.OVERLOADED, title, now, retry_after=after)
+
     def _check_load(self, exchange: Exchange, choice: Choice) -> None:
         """Refuse a request at once whose answer would begin too late for anyone.
 
@@ -122,6 +156,8 @@
         generation = exchange.call.generation
         placement = self._generations if generation is not None else self._plain
         aims = exchange.aims(now)
+        if self._may_wait and generation is not None:
+            aims = attrs.evolve(aims, claim=exchange.claim(now))
         choice = await placement.choose(exchange.run_id, generation, candidates, aims)
         if choice is None:
             raise self._none_takes_it(exchange, candidates)
--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -6,6 +6,7 @@
 
 from lynxchute.config import ClientAccount, Configuration, Route
 from lynxchute.http import Responder
+from lynxchute.overload.claim import Claim
 from lynxchute.quarantine import content_id
 from lynxchute.relay.call import Call
 from lynxchute.relay.events import EventOrder
@@ -142,6 +143,20 @@
         left = self.received_at + route.latency_objective - now
         return Aims(left * 1000.0, route.max_pause * 1000.0)
 
+    def claim(self, now: float) -> Claim:
+        """Return who asks for a place, and for how long it can wait for one."""
+        begin_by = self.ends_at
+        if not self.events:
+            begin_by = min(begin_by, self.received_at + self.longest_wait)
+        return Claim(
+            account=self.account.name if self.account is not None else "",
+            rank=self.priority,
+            content=self.content_id,
+            waited=max(now - self.received_at, 0.0),
+            left=max(begin_by - now, 0.0),
+            due_in=self.aims(now).first_event_ms / 1000.0,
+        )
+
     @property
     def has_paused(self) -> bool:
         """Return whether a pause was longer than is on time."""
--- a/lynxchute/scheduling/board.py
+++ b/lynxchute/scheduling/board.py
@@ -59,11 +59,14 @@
         where that does not pay.
     expected_ms
         When its first event is expected, in milliseconds from now.
+    is_full
+        Whether there is none since all engines are full.
     """
 
     upstream_id: str = ""
     fetch_from: str = ""
     expected_ms: float = 0.0
+    is_full: bool = False
 
 
 @attrs.frozen
@@ -101,6 +104,7 @@
         *,
         sources: Iterable[str] = (),
         fetch_tokens_per_ms: float = 0.0,
+        spares_full: bool = False,
     ) -> Place:
         """Return the engine for a request.
 
@@ -110,25 +114,39 @@
             Engines that can hand over what they keep.
         fetch_tokens_per_ms
             How fast they do; 0 where they do not.
+        spares_full
+            Whether engines without a free place get nothing.
         """
         newcomer = attrs.evolve(newcomer, weight=self._weights.of(newcomer))
         source, kept = self._best_source(newcomer.generation, sources)
         if not fetch_tokens_per_ms:
             kept = 0
         best: _Offer | None = None
-        chosen = ""
+        chosen, is_full = "", False
         for candidate in candidates:
+            if spares_full and not self._has_room(candidate, newcomer):
+                is_full = True
+                continue
             offer = self._offer(
                 candidate, newcomer, now, source, kept, fetch_tokens_per_ms
             )
             if best is None or offer.cost < best.cost:
                 best, chosen = offer, candidate.upstream_id
         if best is None:
-            return Place()
+            return Place(is_full=is_full)
         run = self._assign(newcomer, chosen, best, now, fetch_tokens_per_ms)
         self._crowding.note_placed(newcomer, run.expected_ms)
         return Place(chosen, best.fetch_from, run.expected_ms)
 
+    def free_places(self, newcomer: Newcomer, candidates: Iterable[Candidate]) -> int:
+        """Return how many requests more engines with room for this one can run."""
+        free = 0
+        for candidate in candidates:
+            if self._has_room(candidate, newcomer):
+                running = len(self._state(candidate).runs_by_id)
+                free += max(candidate.slots - running, 1)
+        return free
+
     def begun(
         self, upstream_id: str, run_id: str, now: float, *, took_ms: float | None = None
     ) -> None:
@@ -246,6 +264,19 @@
                 best, most = upstream_id, kept
         return best, most
 
+    def _has_room(self, candidate: Candidate, newcomer: Newcomer) -> bool:
+        """Return whether an engine can begin with a request at once.
+
+        One that runs nothing has room for whatever is sent there.
+        """
+        state = self._state(candidate)
+        if not state.runs_by_id:
+            return True
+        if 0 < candidate.slots <= len(state.runs_by_id):
+            return False
+        needed = state.occupied + newcomer.generation.most_tokens
+        return needed <= state.capacity
+
     def _offer(
         self,
         candidate: Candidate,
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
+import random
+from collections.abc import Callable, Sequence
 
 import attrs
 
 from lynxchute.application import Background, Tasks
 from lynxchute.config import EngineTraits
-from lynxchute.fleet.client import Peers, PeerUnreachable
+from lynxchute.fleet.client import Peers
 from lynxchute.fleet.members import Members
 from lynxchute.fleet.message import Done
 from lynxchute.fleet.messages import (
@@ -21,13 +22,14 @@
 )
 from lynxchute.fleet.server import PeerServer
 from lynxchute.http import LinkMeter
-from lynxchute.rendezvous import ranked
-from lynxchute.scheduling.backpressure_news import backpressure_of, take_backpressure
-from lynxchute.scheduling.board import Candidate, EngineBoard
+from lynxchute.overload.claim import NoTurn, NotYet
+from lynxchute.scheduling.alone import two_at_random, with_most_room
+from lynxchute.scheduling.asking import Asking
 from lynxchute.scheduling.cold_placements import ColdPlacements
-from lynxchute.scheduling.newcomer import Newcomer
 from lynxchute.scheduling.news import NewsOfRuns
-from lynxchute.scheduling.place_requests import newcomer_of, scheduling_key
+from lynxchute.scheduling.place_requests import scheduling_key
+from lynxchute.scheduling.placing import EnginePlacing
+from lynxchute.scheduling.turns import Turns
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.aims import NO_AIMS, Aims
 from lynxchute.upstreams.cold_admission import PERMIT_SECONDS
@@ -40,15 +42,13 @@
 from lynxchute.upstreams.send_gate import SendGate
 from lynxchute.upstreams.upstream import Upstream
 
-# Seconds that a request waits for a place; a router within the region answers
-# in a few ms.
-ASK_SECONDS = 0.1
 TIDY_SECONDS = 5.0
 # Engines that are asked for their caches at once: each takes a connection, and 3,000
 # together would have more than a small VM may open.
 ASKED_AT_ONCE = 100
-# Tokens of an engine's memory where its service does not say.
-USUAL_CAPACITY = 400_000
+# Milliseconds after which a caller should be back whose router has filled its part of
+# all engines: as long as it takes to reach another router.
+OWN_RETRY_MS = 50.0
 
 
 class Scheduler(Background, Placement):
@@ -75,6 +75,9 @@
         Tells how long questions wait for the VM's link.
     clock
         Seconds on the steady clock.
+    turns
+        Says who waits where engines are full; None where nothing waits, and a router
+        alone goes by its own figures.
 
     Attributes
     ----------
@@ -93,22 +96,37 @@
         cold: ColdPlacements,
         meter: LinkMeter,
         clock: Callable[[], float],
+        *,
+        turns: Turns | None = None,
     ) -> None:
         super().__init__()
-        self.board = EngineBoard()
         self._members = members
-        self._peers = peers
         self._directory = directory
         self._traits_of = traits_of
         self._engines = engines
         self._gate = gate
         self._cold = cold
         self.neighbourhood = Neighbourhood(directory)
+        self.placing = EnginePlacing(
+            directory, self.neighbourhood, traits_of, gate, cold, turns, clock
+        )
+        self.board = self.placing.board
+        self._random = random.Random()
         self._tasks = Tasks()
-        self._meter = meter
         self._clock = clock
         self._news = NewsOfRuns(members, peers)
-        self._asking = asyncio.Semaphore(ASKED_AT_ONCE)
+        self._asking = Asking(
+            members,
+            peers,
+            directory,
+            self.neighbourhood,
+            gate,
+            self._news,
+            meter,
+            clock,
+            may_wait=turns is not None,
+        )
+        self._cache_questions = asyncio.Semaphore(ASKED_AT_ONCE)
         self._scheduler_by_run: dict[str, str] = {}
 
     async def stop(self) -> None:
@@ -122,10 +140,13 @@
         Runs of routers that are gone are forgotten.
         """
         members = self._members.by_vm.values()
-        self.board.keep_runs_of({member.incarnation for member in members})
+        incarnations = {member.incarnation for member in members}
+        self.board.keep_runs_of(incarnations)
+        if self.placing.turns is not None:
+            self.placing.turns.keep_routers(incarnations)
         by_service: dict[str, list[Entry]] = {}
         for entry in self._directory.entries_by_id.values():
-            if self._takes_work(entry):
+            if self.placing.takes_work(entry):
                 by_service.setdefault(entry.upstream.service, []).append(entry)
         self._cold.look(by_service, self._clock())
         for service, entries in by_service.items():
@@ -133,7 +154,8 @@
                 continue
             if not self.schedules(service):
                 continue
-            candidates = self._candidates(entries, self._own_data_centre)
+            own = self._members.own.data_centre
+            candidates = self.placing.candidates(entries, own)
             for upstream_id in self.board.unknown(candidates):
                 entry = self._directory.entries_by_id[upstream_id]
                 # The question is one more request, and can be put later.
@@ -146,7 +168,7 @@
 
     async def _learn_cache(self, upstream: Upstream) -> None:
         try:
-            async with self._asking:
+            async with self._cache_questions:
                 parts = await self._engines.cached_parts(upstream)
         except EngineSilent as error:
             log_event("engine did not list its cache", reason=str(error))
@@ -172,31 +194,59 @@
         asked_at = self._clock()
         by_id = {entry.upstream.id: entry for entry in candidates}
         service = candidates[0].upstream.service
-        request = self._request(run_id, service, generation, by_id, aims)
-        own = self._members.own.vm
-        vm = self._scheduling_vm(service)
-        reply = PlaceReply("")
-        if vm != own:
-            reply = await self._ask(vm, request)
-        if reply.is_refused:
-            # Whoever schedules may know of cold engines what this one does not.
-            return None
-        if reply.upstream not in by_id:
-            vm = own
-            reply = self._place(request, newcomer_of(request), candidates)
+        request = self._asking.request(run_id, service, generation, by_id, aims)
+        vm, reply = await self._reply(request, candidates)
+        if reply.wait_ms or reply.upstream:
+            self._scheduler_by_run[run_id] = vm
+        if reply.wait_ms:
+            raise NotYet(reply.wait_ms / 1000.0, reply.ahead)
+        if reply.retry_ms:
+            raise NoTurn(reply.retry_ms / 1000.0)
         if not reply.upstream:
             return None
-        self._scheduler_by_run[run_id] = vm
         source = self._directory.entries_by_id.get(reply.fetch_from)
+        may_fetch = source is not None and self.placing.may_be_source(source)
         return Choice(
             by_id[reply.upstream],
-            source.upstream if source and self._may_be_source(source) else None,
+            source.upstream if source and may_fetch else None,
             reply.expected_ms / 1000.0,
             placed_by=vm,
             permit_until=asked_at + PERMIT_SECONDS if reply.is_counted else 0.0,
             admitted_until=asked_at + PERMIT_SECONDS if reply.is_admitted else 0.0,
         )
 
+    async def _reply(
+        self, request: PlaceRequest, candidates: Sequence[Entry]
+    ) -> tuple[str, PlaceReply]:
+        """Return the VM that decides on a request, and what it says."""
+        vm, reply = await self._asking.ask(request)
+        if reply is not None:
+            # Whoever schedules may know of cold engines what this one does not.
+            if reply.is_refused or reply.wait_ms or reply.retry_ms:
+                return vm, reply
+            if reply.upstream in [entry.upstream.id for entry in candidates]:
+                return vm, reply
+        own, service = self._members.own.vm, request.service
+        if self.placing.turns and not self._asking.schedules_for_others(service):
+            return own, self._place_alone(request, candidates)
+        return own, self.placing.decide(request, candidates)
+
+    def _place_alone(
+        self, request: PlaceRequest, candidates: Sequence[Entry]
+    ) -> PlaceReply:
+        """Place by what the engines say of themselves and what is open here."""
+        now = self._clock()
+        compared = two_at_random(candidates, self._random)
+        if not compared:
+            log_event("own places taken", request_id=request.run_id)
+            return PlaceReply("", retry_ms=OWN_RETRY_MS)
+        reply = self.placing.place(request, with_most_room(compared, now))
+        if not reply.upstream:
+            # Both are cold or throttled.
+            reply = self.placing.place(request, candidates)
+        # What is expected here leaves out all that others send there.
+        return attrs.evolve(reply, expected_ms=0.0)
+
     def note_begun(self, run_id: str, upstream_id: str, *, took_ms: float) -> None:
         """Note the first event of a run, so many milliseconds after its send."""
         self._note(run_id, upstream_id, RunStage.BEGUN, round(took_ms, 1))
@@ -208,6 +258,9 @@
     def note_ended(self, run_id: str, upstream_id: str, *, failed: bool) -> None:
         """Note that an engine no longer works on a run."""
         stage = RunStage.FAILED if failed else RunStage.ENDED
+        if not upstream_id:
+            # It has waited for a place and got none.
+            stage = RunStage.UNPLACED
         self._note(run_id, upstream_id, stage)
         self._scheduler_by_run.pop(run_id, None)
 
@@ -228,175 +281,21 @@
     def _scheduling_vm(self, service: str) -> str:
         return self._members.first_for(scheduling_key(service))
 
-    def _request(
-        self,
-        run_id: str,
-        service: str,
-        generation: Generation,
-        by_id: dict[str, Entry],
-        aims: Aims,
-    ) -> PlaceRequest:
-        """Return the question where a generation should go."""
-        key = generation.placing_key(run_id)
-        return PlaceRequest(
-            run_id=run_id,
-            service=service,
-            data_centre=self._members.own.data_centre,
-            passed_over=tuple(self._passed_over(service, key, by_id)),
-            prompt_tokens=generation.prompt_tokens,
-            output_tokens=generation.max_output_tokens,
-            parts=tuple((part.id, part.tokens) for part in generation.parts),
-            own_turns=self._own_turns(service, by_id),
-            backpressure=backpressure_of(self._directory, service, self._clock()),
-            router=self._members.own.incarnation,
-            expected_output_tokens=generation.expected_output_tokens,
-            first_event_ms=aims.first_event_ms,
-            pause_ms=aims.pause_ms,
-        )
-
-    def _own_turns(self, service: str, by_id: dict[str, Entry]) -> tuple[str, ...]:
-        """Return the throttled candidates to which this router may send by itself."""
-        now, found = self._clock(), []
-        for entry in self._directory.throttled(service, now):
-            upstream_id = entry.upstream.id
-            if upstream_id in by_id and self._gate.rates.has_turn(entry, now):
-                found.append(upstream_id)
-        return tuple(found)
-
-    async def _ask(self, vm: str, request: PlaceRequest) -> PlaceReply:
-        # Where no answer comes in time it may have placed the run all the same.
-        unplaced = [RunNews(request.run_id, "", RunStage.UNPLACED)]
-        try:
-            async with asyncio.timeout(ASK_SECONDS + self._meter.delay()):
-                reply = await self._peers.ask(vm, request)
-        except PeerUnreachable:
-            self._news.post(vm, unplaced)
-            return PlaceReply("")
-        except asyncio.CancelledError:
-            self._news.post(vm, unplaced)
-            raise
-        except TimeoutError:
-            self._news.post(vm, unplaced)
-            self._members.note_silence(vm, self._clock())
-            log_event("scheduling router too slow", peer=vm, request_id=request.run_id)
-            return PlaceReply("")
-        take_backpressure(self._directory, reply.backpressure, self._clock())
-        return reply
-
-    def _passed_over(
-        self, service: str, key: str, by_id: dict[str, Entry]
-    ) -> list[str]:
-        """Return the engines that are looked at and not among the candidates."""
-        found = []
-        for entry in self.neighbourhood.entries(service, key, self._clock()):
-            # The scheduling router knows by itself what is evacuated.
-            if entry.upstream.id not in by_id and not self._gate.is_evacuated(
-                entry.upstream
-            ):
-                found.append(entry.upstream.id)
-        return found
-
-    @property
-    def _own_data_centre(self) -> str:
-        return self._members.own.data_centre
-
-    def _place(
-        self, request: PlaceRequest, newcomer: Newcomer, entries: Iterable[Entry]
-    ) -> PlaceReply:
-        """Choose one of the entries; an empty name where none may get it."""
-        now = self._clock()
-        traits = self._traits_of(request.service)
-        # A rank of its own for each prompt spreads what costs the same.
-        admitting = self._cold.admitting(self._within_rate(request, entries), now)
-        by_id = {entry.upstream.id: entry for entry in admitting}
-        key = newcomer.generation.placing_key(request.run_id)
-        order = ranked(key, by_id)
-        in_order = [by_id[upstream_id] for upstream_id in order]
-        place = self.board.place(
-            newcomer,
-            self._candidates(in_order, request.data_centre),
-            now,
-            sources=self._sources(request.service, key, now),
-            fetch_tokens_per_ms=traits.fetch_tokens_per_ms if traits else 0.0,
-        )
-        is_counted = is_admitted = False
-        if place.upstream_id:
-            entry = by_id[place.upstream_id]
-            is_counted = self._cold.note_placed(entry, now)
-            # A turn that is not used is lost, so what is counted is kept for others.
-            if place.upstream_id not in request.own_turns:
-                is_admitted = self._gate.rates.take_count(entry, now)
-        return PlaceReply(
-            place.upstream_id,
-            place.fetch_from,
-            place.expected_ms,
-            is_counted,
-            is_admitted,
-            backpressure_of(self._directory, request.service, now),
-        )
-
-    def _within_rate(
-        self, request: PlaceRequest, entries: Iterable[Entry]
-    ) -> Iterable[Entry]:
-        """Return the engines that name no limit, or take one more request within it."""
-        now, rates = self._clock(), self._gate.rates
-        passed_over = set()
-        for entry in self._directory.throttled(request.service, now):
-            upstream_id = entry.upstream.id
-            if upstream_id in request.own_turns or rates.has_count(entry, now):
-                continue
-            passed_over.add(upstream_id)
-        if not passed_over:
-            return entries
-        return [entry for entry in entries if entry.upstream.id not in passed_over]
-
-    def _sources(self, service: str, key: str, now: float) -> list[str]:
-        """Return the engines that can hand over what they keep, leaving or not."""
-        entries_by_id = self._directory.entries_by_id
-        found = []
-        for upstream_id in self.neighbourhood.ids(service, key):
-            entry = entries_by_id.get(upstream_id)
-            if entry is not None and self._may_be_source(entry):
-                found.append(upstream_id)
-        return found
-
-    def _may_be_source(self, entry: Entry) -> bool:
-        return entry.gone_at is None and not self._gate.is_evacuated(entry.upstream)
-
-    def _takes_work(self, entry: Entry) -> bool:
-        return entry.takes_work and not self._gate.is_evacuated(entry.upstream)
-
-    def _candidates(
-        self, entries: Sequence[Entry], data_centre: str
-    ) -> list[Candidate]:
-        found = []
-        for entry in entries:
-            upstream = entry.upstream
-            traits = self._traits_of(upstream.service)
-            capacity = traits.cache_tokens if traits else USUAL_CAPACITY
-            is_far = upstream.data_centre != data_centre
-            found.append(Candidate(upstream.id, upstream.slots, capacity, is_far))
-        return found
-
-    async def _serve_place(self, request: PlaceRequest) -> PlaceReply:
-        take_backpressure(self._directory, request.backpressure, self._clock())
-        newcomer = newcomer_of(request)
-        key = newcomer.generation.placing_key(request.run_id)
-        entries = []
-        for entry in self.neighbourhood.entries(request.service, key, self._clock()):
-            if self._takes_work(entry) and entry.upstream.id not in request.passed_over:
-                entries.append(entry)
-        reply = self._place(request, newcomer, entries)
-        return attrs.evolve(reply, is_refused=bool(entries) and not reply.upstream)
-
     async def _serve_news(self, request: RunNewsRequest) -> Done:
         for news in request.news:
             self._take(news)
         return Done()
 
+    async def _serve_place(self, request: PlaceRequest) -> PlaceReply:
+        self._asking.answers.asked_at = self._clock()
+        return await self.placing.serve(request)
+
     def _take(self, news: RunNews) -> None:
+        turns = self.placing.turns
         if news.stage is RunStage.UNPLACED:
             self.board.drop(news.run_id)
+            if turns is not None:
+                turns.drop(news.run_id)
             return
         if news.stage is RunStage.BEGUN:
             took_ms = news.took_ms
@@ -405,6 +304,9 @@
         if news.stage is RunStage.PAUSED:
             self.board.paused(news.upstream, news.run_id, self._clock())
             return
+        entry = self._directory.entries_by_id.get(news.upstream)
+        if turns is not None and entry is not None:
+            turns.note_freed(entry.upstream.service, self._clock())
         if news.stage is RunStage.FAILED:
             self.board.failed(news.upstream, news.run_id, self._clock())
             return
@@ -418,4 +320,8 @@
                 continue
             tidied_at = self._clock()
             self.board.keep_only(self._directory.entries_by_id, tidied_at)
-            self._cold.keep_only(self._directory.entries_by_id)
+            entries_by_id = self._directory.entries_by_id
+            self._cold.keep_only(entries_by_id)
+            if self.placing.turns is not None:
+                services = {e.upstream.service for e in entries_by_id.values()}
+                self.placing.turns.keep_services(services)
--- /dev/null
+++ b/lynxchute/scheduling/turns.py
@@ -0,0 +1,266 @@
+"""Let requests that find all engines full wait for their turn, in a fair order.
+
+Answers loads where more generations come than the engines of a service have places
+for. What waits is a ticket; its request stays with its router, which asks again.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Collection
+from typing import Any
+
+import attrs
+
+from lynxchute.fleet.messages import PlaceReply, PlaceRequest
+from lynxchute.overload.claim import BadClaim, Claim
+from lynxchute.overload.drain import Drain
+from lynxchute.overload.fair_shares import EqualDivision
+from lynxchute.overload.returns import Returns
+from lynxchute.overload.ticket import Ticket
+from lynxchute.overload.ticket_queue import FairTicketQueue
+from lynxchute.telemetry import Metrics, log_event
+
+# Seconds after which a waiting request asks again, at least and at most: a place that
+# becomes free should not be idle for long, and who waits should notice within 0.3 s
+# that nobody answers, 0.1 s of which are the question's.
+LEAST_AGAIN = 0.05
+MOST_AGAIN = 0.15
+# Share of the expected wait after which it asks again.
+AGAIN_SHARE = 0.5
+# Seconds beyond the told time after which nobody asks for a ticket any more: a router
+# that has much to do may be as late as that.
+GRACE_SECONDS = 0.35
+# A token of an answer takes an engine as long as to read so many: its steps are shared
+# by some tens of streams.
+ANSWER_TOKEN_WEIGHT = 10.0
+# Seconds that a request has a place for, until it is seen how fast places become free.
+USUAL_RUN_SECONDS = 2.0
+# Accounts that metrics and the state tell apart.
+TOLD_ACCOUNTS = 50
+
+
+@attrs.define
+class _Line:
+    """The queue of one service.
+
+    Attributes
+    ----------
+    due_by_run
+        By when each waiting request should have asked again.
+    """
+
+    queue: FairTicketQueue
+    due_by_run: dict[str, float] = attrs.Factory(dict)
+    tidied_at: float = 0.0
+
+
+class Turns:
+    """Decide who is placed, who waits and who is refused where engines are full.
+
+    Parameters
+    ----------
+    weight_of
+        Returns the weight of a client account.
+    metrics
+        Where waiting and refused requests are counted.
+    """
+
+    def __init__(self, weight_of: Callable[[str], float], metrics: Metrics) -> None:
+        self.shares = EqualDivision(weight_of)
+        self._returns = Returns()
+        self._metrics = metrics
+        self._routers: Collection[str] = ()
+        self._line_by_service: dict[str, _Line] = {}
+        self._told_accounts: set[str] = set()
+
+    def keep_routers(self, incarnations: Collection[str]) -> None:
+        """Forget the tickets of router processes that are gone."""
+        self._routers = incarnations
+        for line in self._line_by_service.values():
+            for ticket in line.queue.tickets:
+                if ticket.router not in incarnations:
+                    self._forget(line, ticket.run_id)
+
+    def keep_services(self, services: Collection[str]) -> None:
+        """Forget the queues of services that are gone."""
+        for service in set(self._line_by_service) - set(services):
+            del self._line_by_service[service]
+
+    def check(self, request: PlaceRequest, claim: Claim) -> None:
+        """Refuse a claim of an unknown router, or one that cannot be true.
+
+        Raises
+        ------
+        BadClaim
+            Where it is one.
+        """
+        claim.check()
+        if request.router not in self._routers:
+            raise BadClaim("router")
+        line = self._line_by_service.get(request.service)
+        ticket = line.queue.get(request.run_id) if line is not None else None
+        if ticket is not None and ticket.router != request.router:
+            raise BadClaim("duplicate")
+
+    def is_idle(self, service: str, now: float) -> bool:
+        """Return whether nobody waits for a service's engines."""
+        line = self._line_by_service.get(service)
+        if line is None:
+            return True
+        self._tidy(line, now)
+        return not len(line.queue)
+
+    def wait(
+        self, request: PlaceRequest, claim: Claim, places: int, now: float
+    ) -> PlaceReply:
+        """Return when a request that has no place yet should ask again, if at all.
+
+        The answer says how many wait before it.
+
+        Parameters
+        ----------
+        places
+            Requests that the service's engines serve at once.
+        """
+        line = self._line(request.service, places)
+        run_id = request.run_id
+        if run_id in line.queue:
+            after = line.queue.refusal(run_id, now)
+        else:
+            after = line.queue.put(self._ticket(request, claim, now), now)
+        if after is not None:
+            line.due_by_run.pop(run_id, None)
+            self._refuse(claim, after, now)
+            return PlaceReply("", retry_ms=max(after * 1000.0, 1.0))
+        ahead = line.queue.ahead_of(run_id, now)
+        expected = line.queue.expected_wait(run_id, now)
+        again = min(max(expected * AGAIN_SHARE, LEAST_AGAIN), MOST_AGAIN)
+        line.due_by_run[run_id] = now + again + GRACE_SECONDS
+        self._tell_waiting()
+        return PlaceReply("", wait_ms=again * 1000.0, ahead=ahead)
+
+    def note_placed(self, request: PlaceRequest, claim: Claim, now: float) -> None:
+        """Note that a request has got a place."""
+        line = self._line_by_service.get(request.service)
+        if line is not None and request.run_id in line.queue:
+            line.due_by_run.pop(request.run_id, None)
+            line.queue.serve(request.run_id, now)
+            self._tell_waiting()
+            return
+        # What has waited was counted when it came.
+        self._count(request, claim, now)
+        if line is not None:
+            line.queue.note_passed(claim.rank, now)
+
+    def note_freed(self, service: str, now: float) -> None:
+        """Note that an engine's place has become free."""
+        line = self._line_by_service.get(service)
+        if line is not None:
+            line.queue.drain.note_freed(now)
+
+    def drop(self, run_id: str) -> None:
+        """Forget a request whose caller has left, or whose router asks elsewhere."""
+        for line in self._line_by_service.values():
+            if run_id in line.queue:
+                self._forget(line, run_id)
+
+    def describe(self, now: float) -> list[dict[str, Any]]:
+        """Return who waits, for the state dump."""
+        rows = []
+        for service, line in self._line_by_service.items():
+            tickets = line.queue.tickets
+            accounts = Counter(ticket.account for ticket in tickets)
+            ranks = Counter(str(ticket.rank) for ticket in tickets)
+            oldest = min((t.arrived_at for t in tickets), default=now)
+            rows.append(
+                {
+                    "service": service,
+                    "waiting": len(tickets),
+                    "oldest_s": round(now - oldest, 3),
+                    "places_a_second": round(line.queue.drain.per_second(now), 2),
+                    "by_rank": dict(ranks),
+                    "by_account": dict(accounts.most_common(TOLD_ACCOUNTS)),
+                }
+            )
+        return rows
+
+    def _line(self, service: str, places: int) -> _Line:
+        line = self._line_by_service.get(service)
+        if line is None:
+            drain = Drain(max(places, 1) / USUAL_RUN_SECONDS)
+            line = _Line(FairTicketQueue(self.shares, drain))
+            self._line_by_service[service] = line
+        return line
+
+    def _ticket(self, request: PlaceRequest, claim: Claim, now: float) -> Ticket:
+        is_return = self._count(request, claim, now)
+        cost = cost_of(request)
+        return claim.ticket(
+            request.run_id, request.router, cost, now, is_return=is_return
+        )
+
+    def _count(self, request: PlaceRequest, claim: Claim, now: float) -> bool:
+        """Count an attempt; return whether its caller comes back as told.
+
+        One that does was counted when it was refused, and whoever comes back sooner
+        pays for each attempt.
+        """
+        is_return = self._returns.take(claim.account, claim.content, now)
+        if claim.account and not is_return:
+            self.shares.note_use(claim.account, cost_of(request), now)
+        return is_return
+
+    def _refuse(self, claim: Claim, after: float, now: float) -> None:
+        self._returns.note_told(claim.account, claim.content, after, now)
+        account = claim.account
+        if account not in self._told_accounts:
+            if len(self._told_accounts) >= TOLD_ACCOUNTS:
+                account = "others"
+            else:
+                self._told_accounts.add(account)
+        self._metrics.turns_refused.inc(account)
+        self._tell_waiting()
+
+    def _tidy(self, line: _Line, now: float) -> None:
+        """Forget tickets that nobody asks for any more."""
+        if now - line.tidied_at < LEAST_AGAIN:
+            return
+        line.tidied_at = now
+        for run_id, due in list(line.due_by_run.items()):
+            if due < now or run_id not in line.queue:
+                self._forget(line, run_id)
+
+    def _forget(self, line: _Line, run_id: str) -> None:
+        line.due_by_run.pop(run_id, None)
+        line.queue.drop(run_id)
+        self._tell_waiting()
+
+    def _tell_waiting(self) -> None:
+        waiting = sum(len(line.queue) for line in self._line_by_service.values())
+        self._metrics.waiting.set(waiting)
+
+
+def cost_of(request: PlaceRequest) -> float:
+    """Return what a request takes of its engine, in tokens that it reads.
+
+    Examples
+    --------
+    >>> cost_of(PlaceRequest("r", "pool", "a", (), 1000, 60, (), "x"))
+    1600.0
+    """
+    answer = request.expected_output_tokens
+    if answer is None:
+        answer = request.output_tokens
+    return request.prompt_tokens + ANSWER_TOKEN_WEIGHT * answer
+
+
+def refused_claim(request: PlaceRequest, error: BadClaim) -> PlaceReply:
+    """Log a claim that cannot be taken; its router has to place by itself."""
+    log_event(
+        "claim not taken",
+        request_id=request.run_id,
+        router=request.router,
+        reason=str(error),
+    )
+    return PlaceReply("")
--- a/lynxchute/telemetry/metrics.py
+++ b/lynxchute/telemetry/metrics.py
@@ -37,6 +37,10 @@
         Requests that ends of upstreams were blamed on, by what came of it.
     quarantined
         Requests that are sent to no upstream.
+    waiting
+        Requests that wait for an engine, at the router that schedules them.
+    turns_refused
+        Requests refused there since their turn came too late, by client account.
     request_seconds, first_byte_seconds
         From a request's first byte to the end of its answer, and to the first
         byte of it.
@@ -76,6 +80,10 @@
         self.quarantined = self._gauge(
             "quarantined_requests", "Requests sent to no upstream."
         )
+        self.waiting = self._gauge("waiting_requests", "Wait for an engine.")
+        self.turns_refused = self._counter(
+            "turns_refused", "Their turn came too late.", "account"
+        )
         self.request_seconds = self._histogram("request", "Whole requests.")
         self.first_byte_seconds = self._histogram("first_byte", "First bytes.")
         self.reserve_seconds = self._histogram("reserve", "Reservations of tokens.")
--- a/lynxchute/upstreams/engines.py
+++ b/lynxchute/upstreams/engines.py
@@ -39,11 +39,14 @@
         How much longer it is cold; 0 where it is not, or does not say.
     statement
         What else it states of itself.
+    in_work
+        Requests that run or wait there; None where it does not say.
     """
 
     started_ms: int | None = None
     cold_seconds: float = 0.0
     statement: Statement = NOTHING_STATED
+    in_work: int | None = None
 
 
 class Engines(ABC):
--- a/lynxchute/upstreams/entry.py
+++ b/lynxchute/upstreams/entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import attrs
@@ -18,6 +19,11 @@
 OUTLIVED_SECONDS = 0.5
 
 
+# Seconds for which its word of what it has in work tells of its load: requests last so
+# long and longer.
+STATED_SECONDS = 2.0
+
+
 @attrs.define(eq=False)
 class OpenSend:
     """A request that an upstream has not answered whole.
@@ -98,6 +104,8 @@
         What its last answer stated.
     backpressure
         What it wants, by all that it has stated.
+    stated_work, work_stated_at
+        Requests that it said it had in work, and when, in seconds.
     """
 
     upstream: Upstream
@@ -113,6 +121,19 @@
     cold_until: float = 0.0
     stated: Statement = NOTHING_STATED
     backpressure: Backpressure = attrs.Factory(Backpressure)
+    stated_work: int = 0
+    work_stated_at: float = -math.inf
+
+    def note_work(self, in_work: int, now: float) -> None:
+        """Take the word of how many requests it has in work."""
+        self.stated_work = in_work
+        self.work_stated_at = now
+
+    def stated_use(self, now: float) -> float:
+        """Return the share of its places that it said are taken; 0 if that is old."""
+        if now - self.work_stated_at > STATED_SECONDS:
+            return 0.0
+        return self.stated_work / max(self.upstream.slots, 1)
 
     def note_cold(self, seconds: float, now: float) -> bool:
         """Take the word that it is cold for so long; return whether that is longer.
--- a/lynxchute/upstreams/load_report.py
+++ b/lynxchute/upstreams/load_report.py
@@ -46,6 +46,7 @@
         return Probe(
             cold_seconds=_cold_seconds(body),
             statement=self._headers.decode(response.status, response.headers),
+            in_work=_running(body),
         )
 
     def _listed(self, answer: Any) -> list[PromptPart]:
@@ -54,9 +55,21 @@
 
 def _cold_seconds(body: bytes) -> float:
     """Return what a report says; 0 where it does not, or is none."""
+    cold = _stated(body, "cold_seconds")
+    return cold if isinstance(cold, float) else 0.0
+
+
+def _running(body: bytes) -> int | None:
+    """Return the requests that run, as a report says; None where it does not."""
+    running = _stated(body, "running")
+    if isinstance(running, bool) or not isinstance(running, int) or running < 0:
+        return None
+    return running
+
+
+def _stated(body: bytes, name: str) -> Any:
     try:
         report = json.loads(body)
     except ValueError:
-        return 0.0
-    cold = report.get("cold_seconds") if isinstance(report, dict) else None
-    return cold if isinstance(cold, float) else 0.0
+        return None
+    return report.get(name) if isinstance(report, dict) else None
--- a/lynxchute/upstreams/probes.py
+++ b/lynxchute/upstreams/probes.py
@@ -14,6 +14,8 @@
         directory.changed()
     entry = directory.entries_by_id.get(entry.upstream.id, entry)
     directory.note_report(entry, probe.statement, now)
+    if probe.in_work is not None:
+        entry.note_work(probe.in_work, now)
     if entry.note_cold(probe.cold_seconds, now):
         log_event(
             "upstream cold",
