Pass over engines that fare badly where a router places alone

Change: well engines first; half of the places; a true Retry-After for what is refused as overloaded; the turns fuzzed as a state machine, 7 of 7 mutants caught.

--- a/lynxchute/relay/chooser.py
+++ b/lynxchute/relay/chooser.py
@@ -8,6 +8,7 @@
 import attrs
 
 from lynxchute.overload.claim import NoTurn, NotYet
+from lynxchute.overload.ticket_queue import MOST_RETRY_SHARE
 from lynxchute.reachability import Reachability
 from lynxchute.relay.exchange import MIN_RETRY_AFTER, Exchange
 from lynxchute.relay.refusal import Reason, Refusal, Run
@@ -132,7 +133,16 @@
             longest_wait_s=exchange.longest_wait,
         )
         title = "All engines are busy for longer than a caller waits."
-        raise exchange.refuse(Reason.OVERLOADED, title, self._clock())
+        now = self._clock()
+        after = self._busy_for(exchange, choice, now) if self._may_wait else None
+        raise exchange.refuse(Reason.OVERLOADED, title, now, retry_after=after)
+
+    def _busy_for(self, exchange: Exchange, choice: Choice, now: float) -> float:
+        """Return after how long an answer would begin while its caller waits."""
+        busy = choice.expected_seconds - exchange.longest_wait
+        left = max(exchange.ends_at - now, 0.0)
+        usual = exchange.retry_after(now, Reason.OVERLOADED)
+        return max(min(busy, MOST_RETRY_SHARE * left), usual)
 
     async def _find(self, exchange: Exchange) -> Choice | None:
         now = self._clock()
--- a/lynxchute/scheduling/alone.py
+++ b/lynxchute/scheduling/alone.py
@@ -15,8 +15,9 @@
 # Engines that are compared for each request: with two at random nobody's favourite
 # gets what all routers send, and busy ones are passed over all the same.
 COMPARED = 2
-# Share of an engine's places that one router alone fills: others may do likewise.
-OWN_SHARE = 0.25
+# Share of an engine's places that one router alone fills: others may do likewise, but
+# one of them may well have half of all callers.
+OWN_SHARE = 0.5
 # Engines whose taken share of their places differs by less than this are alike, and
 # what they keep of the prompt decides.
 LIKE_SHARE = 0.05
@@ -37,7 +38,7 @@
     Examples
     --------
     >>> most_own(48), most_own(1)
-    (12, 2)
+    (24, 2)
     """
     return max(int(slots * OWN_SHARE), LEAST_OWN)
 
@@ -45,13 +46,16 @@
 def two_at_random(candidates: Iterable[Entry], rng: random.Random) -> list[Entry]:
     """Return engines to compare, which this router has not filled by itself.
 
-    There is none where it has filled all.
+    There is none where it has filled all. Those that fare badly are taken only where
+    there is no other one.
     """
     free = []
     for entry in candidates:
         if entry.open_requests < most_own(entry.upstream.slots):
             free.append(entry)
-    return rng.sample(free, min(COMPARED, len(free)))
+    well = [entry for entry in free if not entry.health.bad_in_row]
+    chosen = well or free
+    return rng.sample(chosen, min(COMPARED, len(chosen)))
 
 
 def with_most_room(entries: Sequence[Entry], now: float) -> list[Entry]:
@@ -61,9 +65,7 @@
 
 
 def _use(entry: Entry, now: float) -> float:
-    """Return the share of an engine's places that is taken; 1 where it fares badly."""
-    if entry.health.bad_in_row > 0:
-        return 1.0
+    """Return the share of an engine's places that is taken, as far as is known."""
     own = entry.open_requests / max(entry.upstream.slots, 1)
     return max(own, entry.stated_use(now))
 
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -238,7 +238,12 @@
         now = self._clock()
         compared = two_at_random(candidates, self._random)
         if not compared:
-            log_event("own places taken", request_id=request.run_id)
+            log_event(
+                "own places taken",
+                request_id=request.run_id,
+                engines=len(candidates),
+                open_here=sum(entry.open_requests for entry in candidates),
+            )
             return PlaceReply("", retry_ms=OWN_RETRY_MS)
         reply = self.placing.place(request, with_most_room(compared, now))
         if not reply.upstream:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -11,12 +11,14 @@
     cold_mutants,
     ledger_mutants,
     tickets_mutants,
+    turns_mutants,
 )
 from tests.backpressure_machine import BackpressureMachine
 from tests.cold_machine import ColdMachine
 from tests.fuzz import run
 from tests.ledger_machine import LedgerMachine
 from tests.tickets_machine import TicketsMachine
+from tests.turns_machine import TurnsMachine
 from tests.words_machine import WordsMachine
 
 EXAMPLES = 1500
@@ -27,6 +29,7 @@
     **dict.fromkeys(backpressure_mutants.MUTANTS, BackpressureMachine),
     **dict.fromkeys(backpressure_mutants.WORD_MUTANTS, WordsMachine),
     **dict.fromkeys(tickets_mutants.MUTANTS, TicketsMachine),
+    **dict.fromkeys(turns_mutants.MUTANTS, TurnsMachine),
 }
 
 
