Look for room only at the engine that is best so far, and test waiting callers

Test: 24 requests at once for 16 places are all served, each run once, 8 of them waited; a caller who leaves while it waits gives its turn up and is not run.

--- a/lynxchute/scheduling/board.py
+++ b/lynxchute/scheduling/board.py
@@ -99,7 +99,7 @@
     def place(
         self,
         newcomer: Newcomer,
-        candidates: Iterable[Candidate],
+        candidates: Collection[Candidate],
         now: float,
         *,
         sources: Iterable[str] = (),
@@ -122,21 +122,22 @@
         if not fetch_tokens_per_ms:
             kept = 0
         best: _Offer | None = None
-        chosen, is_full = "", False
+        chosen: Candidate | None = None
         for candidate in candidates:
-            if spares_full and not self._has_room(candidate, newcomer):
-                is_full = True
-                continue
             offer = self._offer(
                 candidate, newcomer, now, source, kept, fetch_tokens_per_ms
             )
-            if best is None or offer.cost < best.cost:
-                best, chosen = offer, candidate.upstream_id
-        if best is None:
-            return Place(is_full=is_full)
-        run = self._assign(newcomer, chosen, best, now, fetch_tokens_per_ms)
+            if best is not None and offer.cost >= best.cost:
+                continue
+            # Few offers are the best so far, so that little is looked at twice.
+            if spares_full and not self._has_room(candidate, newcomer):
+                continue
+            best, chosen = offer, candidate
+        if best is None or chosen is None:
+            return Place(is_full=spares_full and bool(candidates))
+        run = self._assign(newcomer, chosen.upstream_id, best, now, fetch_tokens_per_ms)
         self._crowding.note_placed(newcomer, run.expected_ms)
-        return Place(chosen, best.fetch_from, run.expected_ms)
+        return Place(chosen.upstream_id, best.fetch_from, run.expected_ms)
 
     def free_places(self, newcomer: Newcomer, candidates: Iterable[Candidate]) -> int:
         """Return how many requests more engines with room for this one can run."""
--- /dev/null
+++ b/tests/test_waiting.py
@@ -0,0 +1,96 @@
+"""Callers who wait for an engine, from their sockets to the engines and back."""
+
+import asyncio
+from unittest import mock
+
+import attrs
+
+from lynxchute.edge.settings import Features
+from lynxchute.relay import wait
+from lynxchute.settings import RouterSettings
+from tests.support import (
+    ACCOUNT,
+    AsyncTestCase,
+    Caller,
+    engine_runs,
+    question,
+    until,
+    with_deployment,
+)
+
+# The places of the one engine, by the document's usual setting.
+PLACES = 16
+ASKED = 24
+SHAPE = {
+    "routers_by_data_centre": {"kyu-a": 2},
+    "budgets": {ACCOUNT: 1_000_000},
+    "engines": 1,
+    "token_delay": 0.01,
+}
+
+
+class WaitingTest(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        edge = RouterSettings.edge
+        features = Features(fair_shares=True)
+
+        def with_shares(settings):
+            return attrs.evolve(edge(settings), features=features)
+
+        patch = mock.patch.object(RouterSettings, "edge", with_shares)
+        self.addCleanup(patch.stop)
+        patch.start()
+        self.events = []
+        log = mock.patch.object(
+            wait, "log_event", lambda event, **_: self.events.append(event)
+        )
+        self.addCleanup(log.stop)
+        log.start()
+
+    def waiting(self, deployment):
+        routers = deployment.routers_by_vm.values()
+        return sum(sum_of(router.turns.describe(0.0)) for router in routers)
+
+    def test_more_than_the_engine_has_places_for_are_all_served_once(self):
+        async def scenario(deployment):
+            callers = [Caller(deployment, vm) for vm in deployment.routers_by_vm]
+            asks = []
+            for number in range(ASKED):
+                caller = callers[number % len(callers)]
+                asks.append(caller.ask(question(f"which road, {number}?")))
+            answers = await asyncio.gather(*asks)
+            self.assertEqual({200}, {status for status, _, _ in answers})
+            self.assertEqual(ASKED, len(engine_runs(deployment)))
+            self.assertEqual(0, self.waiting(deployment))
+
+        with_deployment(self, scenario, **SHAPE)
+        self.assertEqual(ASKED - PLACES, self.events.count("waits for an engine"))
+        self.assertEqual(
+            self.events.count("has waited for an engine"),
+            self.events.count("waits for an engine"),
+        )
+
+    def test_a_caller_who_leaves_while_it_waits_has_no_turn_and_no_run(self):
+        async def scenario(deployment):
+            vm = next(iter(deployment.routers_by_vm))
+            caller = Caller(deployment, vm)
+            asks = []
+            for number in range(PLACES):
+                ask = caller.ask(question(f"which road, {number}?"))
+                asks.append(asyncio.create_task(ask))
+            await until(lambda: len(engine_runs(deployment)) == PLACES)
+            leaver = Caller(deployment, vm)
+            leaving = asyncio.create_task(leaver.ask(question("who leaves?")))
+            await until(lambda: self.waiting(deployment) == 1)
+            leaving.cancel()
+            leaver.client.close()
+            await until(lambda: not self.waiting(deployment))
+            await asyncio.gather(*asks)
+            self.assertEqual(PLACES, len(engine_runs(deployment)))
+
+        with_deployment(self, scenario, **SHAPE)
+
+
+def sum_of(rows):
+    return sum(row["waiting"] for row in rows)
