--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -27,7 +27,7 @@
 from lynxchute.scheduling.asking import ASK_SECONDS
 from lynxchute.scheduling.cold_placements import ColdPlacements
 from lynxchute.scheduling.scheduler import Scheduler
-from lynxchute.scheduling.turns import GRACE_SECONDS, MOST_AGAIN, Turns
+from lynxchute.scheduling.turns import GRACE_SECONDS, MOST_AGAIN, TOLD_ACCOUNTS, Turns
 from lynxchute.telemetry import Metrics
 from lynxchute.upstreams.aims import Aims
 from lynxchute.upstreams.cold_admission import (
@@ -103,6 +103,7 @@
         self.fate_by_vm = {}
         self.asked = []
         self.members_by_vm = {}
+        self.metrics_by_vm = {}
         for vm in VMS:
             self.fleet[vm] = self.scheduler(vm)
         for scheduler in self.fleet.values():
@@ -116,6 +117,7 @@
         for other in VMS:
             members.put(member(other))
         self.members_by_vm[vm] = members
+        self.metrics_by_vm[vm] = Metrics()
         directory = Directory()
         for number in range(self.ENGINES):
             address = f"127.0.0.1:{number + 1}"
@@ -135,7 +137,7 @@
             ),
             LinkMeter(1e6),
             lambda: self.now,
-            turns=Turns(lambda account: 1.0, Metrics()),
+            turns=Turns(lambda account: 1.0, self.metrics_by_vm[vm]),
         )
 
     async def choose(self, scheduler, run_id, **more):
@@ -295,6 +297,29 @@
         self.run_fleet(scenario)
 
 
+class LabelsTest(TurnsTestCase):
+    def test_metrics_tell_a_bounded_number_of_accounts_apart(self):
+        async def scenario():
+            await self.fill()
+            await self.choose(self.asker, "first")
+            for number in range(3 * TOLD_ACCOUNTS):
+                account = f"acct-{number}"
+                refused = await self.choose(
+                    self.asker, f"r{number}", account=account, left=0.0
+                )
+                self.assertIsInstance(refused, NoTurn)
+            text, _ = self.metrics_by_vm[self.order[0]].exposition()
+            lines = [
+                line
+                for line in text.decode().splitlines()
+                if line.startswith("lynxchute_turns_refused_total")
+            ]
+            self.assertEqual(TOLD_ACCOUNTS + 1, len(lines))
+            self.assertIn("lynxchute_waiting_requests 1", text.decode())
+
+        self.run_fleet(scenario)
+
+
 class BadClaimTest(TurnsTestCase):
     def ask(self, bad, router=None, run_id="x"):
         router = router or member(self.order[1]).incarnation
