--- a/lynxchute/scheduling/alone.py
+++ b/lynxchute/scheduling/alone.py
@@ -23,9 +23,10 @@
 LIKE_SHARE = 0.05
 # One that has few places gets so many at least.
 LEAST_OWN = 2
-# Questions in a row without an answer after which nobody is asked for a while: each
-# costs its request 0.1 s.
-SILENT_IN_ROW = 2
+# Routers in a row without an answer after which nobody is asked for a while: each costs
+# its request 0.1 s. One may be slow for reasons of its own, and what is placed alone is
+# not known to those who schedule.
+SILENT_ROUTERS = 3
 PAUSE_SECONDS = 0.5
 # Seconds for which the question of another router shows that this one schedules for
 # others too.
@@ -81,17 +82,18 @@
 
     def __init__(self) -> None:
         self.asked_at = float("-inf")
-        self._silent = 0
+        self._silent: set[str] = set()
         self._paused_until = float("-inf")
 
     def note_answer(self) -> None:
         """Note that a question was answered."""
-        self._silent = 0
+        self._silent.clear()
 
-    def note_silence(self, now: float) -> None:
-        """Note that one was not."""
-        self._silent += 1
-        if self._silent >= SILENT_IN_ROW:
+    def note_silence(self, vm: str, now: float) -> None:
+        """Note that a router has not answered; many may have asked it at once."""
+        self._silent.add(vm)
+        if len(self._silent) >= SILENT_ROUTERS:
+            self._silent.clear()
             self._paused_until = now + PAUSE_SECONDS
 
     def may_ask(self, now: float) -> bool:
--- a/lynxchute/scheduling/asking.py
+++ b/lynxchute/scheduling/asking.py
@@ -150,7 +150,7 @@
                 reply = await self._peers.ask(vm, request)
         except PeerUnreachable:
             self._news.post(vm, unplaced)
-            self.answers.note_silence(self._clock())
+            self.answers.note_silence(vm, self._clock())
             return None
         except asyncio.CancelledError:
             self._news.post(vm, unplaced)
@@ -158,7 +158,7 @@
         except TimeoutError:
             self._news.post(vm, unplaced)
             self._members.note_silence(vm, self._clock())
-            self.answers.note_silence(self._clock())
+            self.answers.note_silence(vm, self._clock())
             log_event("scheduling router too slow", peer=vm, request_id=request.run_id)
             return None
         self.answers.note_answer()
