--- a/lynxchute/budgets/__init__.py
+++ b/lynxchute/budgets/__init__.py
@@ -9,10 +9,16 @@
 
 from lynxchute.budgets.ledger import Ledger, ReserveProblem
 from lynxchute.budgets.line import Line
-from lynxchute.budgets.policy import DemandPolicy, GrantPolicy, ShareView
+from lynxchute.budgets.policy import (
+    DemandLinePolicy,
+    DemandPolicy,
+    GrantPolicy,
+    ShareView,
+)
 from lynxchute.budgets.share import Release, Share
 
 __all__ = [
+    "DemandLinePolicy",
     "DemandPolicy",
     "GrantPolicy",
     "Ledger",
--- a/lynxchute/budgets/demand.py
+++ b/lynxchute/budgets/demand.py
@@ -43,6 +43,10 @@
         """Return the tokens a second of late."""
         return self._faded(now) / MEMORY
 
+    def weight(self, now: float) -> int:
+        """Return the tokens of late, the older ones in part."""
+        return int(self._faded(now))
+
     def largest(self, now: float) -> float:
         """Return the size of the largest request of late, in tokens."""
         age = max(now - self._largest_at, 0.0)
--- a/lynxchute/budgets/ledger.py
+++ b/lynxchute/budgets/ledger.py
@@ -19,6 +19,7 @@
     totals_id,
 )
 from lynxchute.budgets.share import RELEASE_PAUSE, Release, Share, Terms
+from lynxchute.budgets.standing import lent_to_keep
 from lynxchute.store import (
     Committed,
     Conflict,
@@ -250,12 +251,14 @@
         wanted: int,
         now_ms: int,
         now: float,
+        to_keep: bool = False,
     ) -> int:
         """Give tokens to another router; return how many.
 
         They count as used here from now on. The same loan is given once. All
         that there is goes for what a request needs; of what the borrower
-        would like, half of what the own demand leaves over.
+        would like, half of what the own demand leaves over, less of what it
+        would keep for later.
         """
         if loan_id in self._lent_by_id:
             return self._lent_by_id.get(loan_id)
@@ -263,9 +266,17 @@
         if share is None or not self._may_give:
             return 0
         available = max(share.available(now_ms) - share.releasing, 0)
-        tokens = self._spare(share, available, needed, wanted, now)
+        if to_keep:
+            spare = self._left_over(share, share.headroom, now)
+            tokens = min(lent_to_keep(wanted, spare), available)
+        else:
+            tokens = self._spare(share, available, needed, wanted, now)
         if tokens <= 0:
             return 0
+        if to_keep:
+            # Requests that the borrower serves do not ask here.
+            share.demand.add(tokens, now)
+            share.kept_elsewhere.add(tokens, now)
         share.settled += tokens
         self._lent_by_id.add(loan_id, tokens)
         return tokens
@@ -319,16 +330,25 @@
     def _spare(
         self, share: Share, unused: int, needed: int, wanted: int, now: float
     ) -> int:
-        kept = int(share.demand.rate(now) * KEPT_SECONDS)
-        spare = max(unused - kept, 0) // 2
+        spare = self._left_over(share, unused, now) // 2
         return max(min(needed, unused), min(wanted, spare))
 
-    def leftover(self, account: str, now_ms: int) -> int:
-        """Return the borrowed tokens that are at hand and not asked for here."""
+    def _left_over(self, share: Share, unused: int, now: float) -> int:
+        """Return what the own demand leaves over of what is not used."""
+        return max(unused - int(share.demand.rate(now) * KEPT_SECONDS), 0)
+
+    def leftover(self, account: str, now_ms: int, *, kept: int = 0) -> int:
+        """Return the borrowed tokens that are at hand and not asked for here.
+
+        Parameters
+        ----------
+        kept
+            Tokens that the router keeps for its callers.
+        """
         share = self.shares_by_account[account]
         if share.is_home or share.waiting:
             return 0
-        unused = share.borrowed - share.used
+        unused = share.borrowed - share.used - kept
         return max(min(unused, share.available(now_ms)), 0)
 
     def give(self, account: str, tokens: int) -> None:
@@ -353,6 +373,11 @@
             return 0
         return max(share.terms.granted + share.borrowed - share.settled, 0)
 
+    def kept_elsewhere(self, account: str, now: float) -> int:
+        """Return what others were lent to keep and may not have used yet."""
+        share = self.shares_by_account.get(account)
+        return share.kept_elsewhere.weight(now) if share is not None else 0
+
     @property
     def holds_anything(self) -> bool:
         """Return whether there is something that a death would lose."""
--- a/lynxchute/budgets/policy.py
+++ b/lynxchute/budgets/policy.py
@@ -154,3 +154,39 @@
         if view.is_home or headroom <= 2 * wanted + view.waiting:
             return view.granted
         return view.used + wanted
+
+
+@attrs.frozen
+class DemandLinePolicy(DemandPolicy):
+    """Size lines by demand also where it is high against the grant.
+
+    The load that it answers: an account that sends many times its usual at a router
+    that is slow to write, or that the store does not answer. Each of its requests
+    would wait for a write, and in the first seconds of an outage have nothing.
+
+    Attributes
+    ----------
+    ahead_seconds
+        Seconds of demand that the line starts above use: the longest that a write
+        takes at a router which is short of its processor.
+    most_share
+        How far the line starts above use, and grows in a second at first, at most, as
+        a share of what is granted and not used; what a dead router loses is then a
+        fifth of that at most.
+    """
+
+    ahead_seconds: float = 0.5
+    most_share: float = 0.08
+
+    def burst(self, view: ShareView) -> int:
+        """Return how far the line starts above what is used, in tokens."""
+        headroom = max(view.granted - view.used, 0)
+        ahead = min(view.demand * self.ahead_seconds, headroom * self.most_share)
+        return min(max(super().burst(view), int(ahead) + view.waiting), headroom)
+
+    def rate(self, view: ShareView) -> int:
+        """Return by how many tokens a second the line grows at first."""
+        headroom = max(view.granted - view.used, 0)
+        return max(
+            super().rate(view), int(min(view.demand, headroom * self.most_share))
+        )
--- a/lynxchute/budgets/share.py
+++ b/lynxchute/budgets/share.py
@@ -71,6 +71,8 @@
     is_home
         Whether the router is the one of its data centre that requests of this
         account go to.
+    kept_elsewhere
+        What others were lent to keep; it fades as they use it.
     """
 
     terms: Terms
@@ -83,6 +85,7 @@
     released_at: float = -RELEASE_PAUSE
     is_home: bool = False
     demand: Demand = attrs.Factory(Demand)
+    kept_elsewhere: Demand = attrs.Factory(Demand)
 
     @property
     def releasing(self) -> int:
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -11,7 +11,7 @@
 import attrs
 
 from lynxchute.application import Application, Component
-from lynxchute.budgets import DemandPolicy, Ledger
+from lynxchute.budgets import DemandLinePolicy, DemandPolicy, Ledger
 from lynxchute.clock import steady_seconds
 from lynxchute.config import EngineTraits
 from lynxchute.containment import Containment
@@ -54,8 +54,10 @@
 from lynxchute.spending.balance import Balance
 from lynxchute.spending.final_use import FinalUses
 from lynxchute.spending.keeper import Keeper
+from lynxchute.spending.lenders import Lenders
 from lynxchute.spending.reservations import FleetBudgets
 from lynxchute.spending.settlements import Settlements
+from lynxchute.spending.standing import Standing
 from lynxchute.store import TableFeed
 from lynxchute.store.counted import CountedStore
 from lynxchute.telemetry import Metrics, log_event
@@ -160,7 +162,7 @@
         ledger = Ledger(
             settings.vm,
             self.members.own.incarnation,
-            DemandPolicy(),
+            DemandLinePolicy() if settings.features.demand_lines else DemandPolicy(),
             parts=len(settings.data_centres),
             # A part takes some hundred writes a second; with a part for each
             # router their lines do not queue behind one another.
@@ -178,11 +180,22 @@
         )
         self.configurations.listeners.append(self.keeper.configure)
         self.settlements = Settlements(ledger, self.members, self.peers)
+        lenders = Lenders(self.keeper, self.members, self.peers, self.settlements)
+        standing = None
+        if settings.features.demand_lines:
+            standing = Standing(self.keeper, lenders, self.members)
+        standing_loops = [standing.loop] if standing is not None else []
         budgets = FleetBudgets(
-            self.keeper, self.members, self.peers, self.settlements, self.metrics
+            self.keeper,
+            self.members,
+            self.peers,
+            self.settlements,
+            self.metrics,
+            lenders,
+            standing,
         )
         budgets.serve(self.peer_server)
-        self.balance = Balance(self.keeper, budgets.lenders, self.members, self.peers)
+        self.balance = Balance(self.keeper, lenders, self.members, self.peers, standing)
         rng = random.Random()
         self.admission = Admission(self.configurations, rng, self.load)
         permits = RatePermits(
@@ -272,6 +285,7 @@
             self.keeper,
             self.settlements,
             self.balance.loop,
+            *standing_loops,
             scheduler,
             silence.tasks,
             silence.loop,
--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -129,6 +129,9 @@
         What the borrower would like, to ask less often.
     by_store
         Whether the borrower can take what is given back to the store.
+    kept_by
+        The VM that keeps it for requests that are yet to come; empty where it is
+        for one that waits.
     """
 
     NAME = "lend"
@@ -139,6 +142,7 @@
     needed: int
     wanted: int
     by_store: bool
+    kept_by: str = ""
 
 
 @attrs.frozen
--- a/lynxchute/spending/balance.py
+++ b/lynxchute/spending/balance.py
@@ -14,6 +14,7 @@
 from lynxchute.fleet.messages import GiveRequest
 from lynxchute.spending.keeper import Keeper
 from lynxchute.spending.lenders import Lenders
+from lynxchute.spending.standing import Standing
 from lynxchute.telemetry import log_event
 
 # Seconds between two looks.
@@ -52,11 +53,19 @@
         The other holders.
     members, peers
         The other routers.
+    standing
+        What this router keeps for its callers; None where it keeps nothing.
     """
 
     def __init__(
-        self, keeper: Keeper, lenders: Lenders, members: Members, peers: Peers
+        self,
+        keeper: Keeper,
+        lenders: Lenders,
+        members: Members,
+        peers: Peers,
+        standing: Standing | None = None,
     ) -> None:
+        self._standing = standing
         self.loop = Loop("balance", self._step, STEP_SECONDS)
         self._keeper = keeper
         self._ledger = keeper.ledger
@@ -73,7 +82,7 @@
             if share.is_home:
                 await self._fill(account)
                 continue
-            self._pass_on(account)
+            self._pass_on(account, kept=self._kept(account))
         for gift in list(self._gifts):
             await self._send(gift)
 
@@ -102,8 +111,11 @@
             self._pass_on(account)
         await asyncio.gather(*(self._send(gift) for gift in list(self._gifts)))
 
-    def _pass_on(self, account: str) -> None:
-        tokens = self._ledger.leftover(account, self._keeper.now_ms())
+    def _kept(self, account: str) -> int:
+        return self._standing.kept(account) if self._standing is not None else 0
+
+    def _pass_on(self, account: str, *, kept: int = 0) -> None:
+        tokens = self._ledger.leftover(account, self._keeper.now_ms(), kept=kept)
         if tokens <= 0:
             return
         self._ledger.give(account, tokens)
--- a/lynxchute/spending/keeper.py
+++ b/lynxchute/spending/keeper.py
@@ -186,7 +186,7 @@
                     return False
                 if not self.store_answers:
                     return False
-                if self._is_hopeless(account, tokens):
+                if self.is_hopeless(account, tokens):
                     return False
             return True
         finally:
@@ -229,7 +229,7 @@
         now = steady_seconds()
         await asyncio.sleep(max(min(self._grant_pause.until, until) - now, 0.0))
 
-    def _is_hopeless(self, account: str, tokens: int) -> bool:
+    def is_hopeless(self, account: str, tokens: int) -> bool:
         """Return whether a write can no longer bring the tokens."""
         share = self.ledger.share(account)
         return share.headroom + self.ledger.free(account) < tokens
@@ -392,7 +392,7 @@
 
     def _is_short(self) -> bool:
         for account, share in self.ledger.shares_by_account.items():
-            if share.waiting and self._is_hopeless(account, share.waiting):
+            if share.waiting and self.is_hopeless(account, share.waiting):
                 return True
         return False
 
--- a/lynxchute/spending/lenders.py
+++ b/lynxchute/spending/lenders.py
@@ -23,6 +23,11 @@
 # it back: one after the other, three or four were asked in the time that a request has,
 # and 78 of 100 that were refused beside unused tokens had not asked all of them.
 LENDERS_AT_ONCE = 6
+# Seconds after which a router that was lent tokens to keep has used them or passed
+# them on.
+KEPT_SECONDS = 20.0
+# Routers that are asked for tokens to keep, one after the other.
+MOST_ASKED = 4
 
 
 @attrs.define
@@ -75,6 +80,12 @@
         self._members = members
         self._peers = peers
         self._settlements = settlements
+        # When each router was last lent tokens to keep, by account, in seconds.
+        self._kept_at_by_vm: dict[str, dict[str, float]] = {}
+
+    def note_kept(self, account: str, vm: str) -> None:
+        """Note that a router was lent tokens to keep."""
+        self._kept_at_by_vm.setdefault(account, {})[vm] = steady_seconds()
 
     async def gather(self, account: str, tokens: int, until: float) -> Gathered:
         """Ask the other holders until a number of tokens is in reach.
@@ -117,11 +128,32 @@
             await self._ask_for(gathered, vm, account, 0, wanted - gathered.had)
         return gathered
 
+    async def fetch_to_keep(self, account: str, wanted: int) -> Gathered:
+        """Ask for tokens to keep: the account's homes here, then other holders."""
+        gathered = Gathered()
+        own = self._members.own.vm
+        nearest = [vm for vm in self._members.homes(account) if vm != own][:1]
+        for vm in list(dict.fromkeys([*nearest, *self.in_order(account)]))[:MOST_ASKED]:
+            if gathered.had >= wanted // 2:
+                break
+            await self._ask_for(
+                gathered, vm, account, 0, wanted - gathered.had, kept_by=own
+            )
+        return gathered
+
     async def _ask_for(
-        self, gathered: Gathered, vm: str, account: str, needed: int, wanted: int
+        self,
+        gathered: Gathered,
+        vm: str,
+        account: str,
+        needed: int,
+        wanted: int,
+        *,
+        kept_by: str = "",
     ) -> None:
+        by_store = self._keeper.store_answers and not kept_by
         loan = LendRequest(
-            secrets.token_hex(8), account, needed, wanted, self._keeper.store_answers
+            secrets.token_hex(8), account, needed, wanted, by_store, kept_by
         )
         # Where no answer comes, it may have lent all the same.
         void = VoidLoan(loan.loan_id, account)
@@ -148,7 +180,7 @@
 
         Those that the store is known to have granted one come first, near ones
         before far ones; then the other data centres' homes, which may have
-        been granted theirs since.
+        been granted theirs since, and who was lent some to keep.
         """
         known = self._ledger.totals_by_account.get(account)
         own = self._members.own
@@ -163,7 +195,16 @@
             near_by = member.data_centre == own.data_centre
             (near if near_by else far).append(vm)
         homes = self._members.homes_elsewhere(account)
-        return [*dict.fromkeys([*near, *far, *homes])]
+        return [*dict.fromkeys([*near, *far, *homes, *self._keeping(account)])]
+
+    def _keeping(self, account: str) -> list[str]:
+        """Return the routers that may still keep what they were lent."""
+        since = steady_seconds() - KEPT_SECONDS
+        found = []
+        for vm, kept_at in self._kept_at_by_vm.get(account, {}).items():
+            if kept_at >= since and self._members.is_reachable(vm):
+                found.append(vm)
+        return found
 
 
 def _of(reply: LendReply) -> dict[str, int]:
--- a/lynxchute/spending/reservations.py
+++ b/lynxchute/spending/reservations.py
@@ -34,6 +34,7 @@
 from lynxchute.spending.keeper import Keeper
 from lynxchute.spending.lenders import Gathered, Lenders
 from lynxchute.spending.settlements import Settlements
+from lynxchute.spending.standing import Standing
 from lynxchute.telemetry import Metrics, log_event
 
 # Seconds that a request waits for the store to cover it: some writes of 5 ms,
@@ -88,6 +89,8 @@
         Tells them what requests have used.
     metrics
         Where refusals are counted for which there were tokens somewhere.
+    standing
+        What this router keeps for its callers; None where it keeps nothing.
 
     Attributes
     ----------
@@ -102,14 +105,17 @@
         peers: Peers,
         settlements: Settlements,
         metrics: Metrics,
+        lenders: Lenders,
+        standing: Standing | None = None,
     ) -> None:
         self._metrics = metrics
+        self._standing = standing
         self._keeper = keeper
         self._ledger = keeper.ledger
         self._members = members
         self._peers = peers
         self._settlements = settlements
-        self.lenders = Lenders(keeper, members, peers, settlements)
+        self.lenders = lenders
 
     def serve(self, server: PeerServer) -> None:
         """Answer the questions of other routers."""
@@ -129,21 +135,19 @@
         # Callers may use an id twice; each request is counted all the same.
         reservation_id = f"{request_id}.{secrets.token_hex(NONCE_BYTES)}"
         request = ReserveRequest(reservation_id, account.name, tokens)
-        for vm in self._members.homes(account.name)[:MAX_HOMES]:
+        homes = self._members.homes(account.name)[:MAX_HOMES]
+        if self._try_kept(request, is_home=homes[:1] == [own]):
+            self._metrics.reservations_kept.inc()
+            self._log_reserved(request_id, request, own, "kept here")
+            return _HeldReservation(own, reservation_id, self._settlements)
+        for vm in homes:
             if vm == own:
                 reply = await self.reserve_here(request)
             else:
                 reply = await self._ask(vm, request)
             if reply.outcome is ReserveOutcome.RESERVED:
-                log_event(
-                    "tokens reserved",
-                    request_id=request_id,
-                    account=account.name,
-                    tokens=tokens,
-                    holder=vm,
-                    how=reply.detail or "granted",
-                    store_answers=self._keeper.store_answers,
-                )
+                how = reply.detail or "granted"
+                self._log_reserved(request_id, request, vm, how)
                 return _HeldReservation(vm, reservation_id, self._settlements)
             tried.append(f"{vm}: {reply.outcome.value} {reply.detail}".strip())
             unused = max(unused, reply.unused)
@@ -168,7 +172,7 @@
         if keeper.is_opening:
             await keeper.opened(started + OPEN_SECONDS)
         problem = self._try_here(request)
-        if problem is ReserveProblem.SHORT and keeper.store_answers:
+        if problem is ReserveProblem.SHORT and self._may_be_covered(request):
             until = steady_seconds() + COVER_SECONDS
             if await keeper.cover(account, tokens, until):
                 problem = self._try_here(request)
@@ -178,6 +182,19 @@
             return ReserveReply(ReserveOutcome.CLOSED)
         return await self._borrow_and_reserve(request, started)
 
+    def _try_kept(self, request: ReserveRequest, *, is_home: bool) -> bool:
+        if self._standing is None:
+            return False
+        return self._standing.try_reserve(request, is_home=is_home)
+
+    def _may_be_covered(self, request: ReserveRequest) -> bool:
+        """Return whether a write may bring what a request lacks."""
+        if not self._keeper.store_answers:
+            return False
+        if self._standing is None:
+            return True
+        return not self._keeper.is_hopeless(request.account, request.tokens)
+
     def _try_here(self, request: ReserveRequest) -> ReserveProblem | None:
         problem = self._ledger.reserve(
             request.reservation_id,
@@ -227,6 +244,7 @@
         unheard = self._granted_to_unheard(account, gathered)
         unused = self._ledger.unused(account) + gathered.left_elsewhere
         unused += max(self._ledger.free(account), 0) + sum(unheard.values())
+        unused += self._ledger.kept_elsewhere(account, steady_seconds())
         silent = ",".join(sorted({*gathered.silent, *unheard}))
         detail = f"unused={unused} silent={silent}"
         if unused < request.tokens and self._keeper.store_answers:
@@ -284,7 +302,10 @@
                 wanted=request.wanted,
                 now_ms=self._keeper.now_ms(),
                 now=steady_seconds(),
+                to_keep=bool(request.kept_by),
             )
+        if lent and request.kept_by:
+            self.lenders.note_kept(account, request.kept_by)
         self._keeper.touch()
         return LendReply(lent, released, self._ledger.unused(account))
 
@@ -295,6 +316,19 @@
     async def _serve_ping(self, request: PingRequest) -> Done:
         return Done()
 
+    def _log_reserved(
+        self, request_id: str, request: ReserveRequest, holder: str, how: str
+    ) -> None:
+        log_event(
+            "tokens reserved",
+            request_id=request_id,
+            account=request.account,
+            tokens=request.tokens,
+            holder=holder,
+            how=how,
+            store_answers=self._keeper.store_answers,
+        )
+
     def _log_refusal(
         self, request_id: str, request: ReserveRequest, tried: list[str], unused: int
     ) -> None:
--- a/lynxchute/telemetry/metrics.py
+++ b/lynxchute/telemetry/metrics.py
@@ -21,6 +21,8 @@
         Final answers of the router's own, by reason.
     refusals_with_tokens
         Requests refused for want of tokens though the fleet had as many unused.
+    reservations_kept
+        Reservations that no other router was asked for, of kept tokens.
     sends
         Sends to upstreams by how they ended.
     sends_withheld
@@ -57,6 +59,9 @@
         self.refusals_with_tokens = self._counter(
             "refusals_with_tokens", "Refused for tokens that others had."
         )
+        self.reservations_kept = self._counter(
+            "reservations_kept", "Reserved of what the router keeps for its callers."
+        )
         self.sends = self._counter("sends", "Sends to upstreams.", "fate")
         self.sends_withheld = self._counter(
             "sends_withheld", "Placed requests that were not sent.", "reason"
