--- a/tests/ledger_fleet.py
+++ b/tests/ledger_fleet.py
@@ -2,11 +2,13 @@
 
 import attrs
 
-from lynxchute.budgets import DemandPolicy, Ledger, Line
+from lynxchute.budgets import DemandLinePolicy, DemandPolicy, Ledger, Line
 from lynxchute.budgets.rows import HolderRow, Totals, holder_id, totals_id
 from lynxchute.store import Committed, Conflict, Row
 
 ACCOUNTS = ("a", "b")
+# Routers of both kinds share budgets while a feature is switched on.
+POLICIES_BY_VM = {"y": DemandLinePolicy(), "z": DemandLinePolicy()}
 # As it is before any mutant changes it.
 LINE_AT = Line.at
 
@@ -65,7 +67,8 @@
         self.routers = [self._start(vm, 0) for vm in vms]
 
     def _start(self, vm, runs):
-        ledger = Ledger(vm, f"{vm}{runs}", DemandPolicy(), parts=2)
+        policy = POLICIES_BY_VM.get(vm, DemandPolicy())
+        ledger = Ledger(vm, f"{vm}{runs}", policy, parts=2)
         ledger.prepaid_by_account.update(self.prepaid)
         ledger.learn_totals(
             row
@@ -124,7 +127,7 @@
         if router.runs == runs:
             router.ledger.settle(request_id, used)
 
-    def lend(self, lender, borrower, account, needed, wanted, reply):
+    def lend(self, lender, borrower, account, needed, wanted, reply, *, to_keep=False):
         if lender is borrower or not borrower.ledger.is_open:
             return
         self.loans += 1
@@ -134,6 +137,7 @@
             "wanted": wanted,
             "now_ms": self.time(lender),
             "now": self.seconds(),
+            "to_keep": to_keep,
         }
         if reply == "voided early":
             lender.ledger.void_loan(loan, account)
@@ -147,11 +151,11 @@
         if reply in ("taken", "twice", "voided early"):
             borrower.ledger.borrow(account, lent)
 
-    def give(self, giver, taker, account, fate):
+    def give(self, giver, taker, account, fate, *, kept=0):
         """Pass leftover borrowed tokens on, as the routers' messages do."""
         if giver is taker or account not in giver.ledger.shares_by_account:
             return
-        tokens = giver.ledger.leftover(account, self.time(giver))
+        tokens = giver.ledger.leftover(account, self.time(giver), kept=kept)
         if tokens <= 0:
             return
         self.loans += 1
--- a/tests/ledger_machine.py
+++ b/tests/ledger_machine.py
@@ -9,6 +9,15 @@
 TOKENS = st.integers(1, 200)
 # More than any budget here holds, so that a broken ledger ends as well.
 MAX_RESERVED = 40
+REPLIES = (
+    "taken",
+    "taken",
+    "lost",
+    "twice",
+    "voided",
+    "voided twice",
+    "voided early",
+)
 FATES = st.sampled_from(("answered",) * 4 + ("unanswered", "late", "lost"))
 
 
@@ -95,17 +104,7 @@
         account=st.sampled_from(ACCOUNTS),
         needed=TOKENS,
         more=TOKENS,
-        reply=st.sampled_from(
-            (
-                "taken",
-                "taken",
-                "lost",
-                "twice",
-                "voided",
-                "voided twice",
-                "voided early",
-            )
-        ),
+        reply=st.sampled_from(REPLIES),
     )
     def lend(self, lender, borrower, account, needed, more, reply):
         self.fleet.lend(
@@ -117,15 +116,59 @@
             reply,
         )
 
+    @rule(router=NUMBERS, account=st.sampled_from(ACCOUNTS), tokens=TOKENS)
+    def callers_ask(self, router, account, tokens):
+        share = self.router(router).ledger.share(account)
+        share.demand.add(tokens, self.fleet.seconds())
+
+    @rule(
+        lender=NUMBERS,
+        keeper=NUMBERS,
+        account=st.sampled_from(ACCOUNTS),
+        wanted=TOKENS,
+        times=st.integers(1, 4),
+        reply=st.sampled_from(REPLIES),
+    )
+    def keep_and_reserve_all(self, lender, keeper, account, wanted, times, reply):
+        """One router keeps tokens of another; both spend all they can."""
+        lenders, keepers = self.router(lender), self.router(keeper)
+        for _ in range(times):
+            self.fleet.lend(lenders, keepers, account, 0, wanted, reply, to_keep=True)
+        self.reserve_all_there_is(keeper, account)
+        self.reserve_all_there_is(lender, account)
+
+    @rule(
+        lender=NUMBERS,
+        account=st.sampled_from(ACCOUNTS),
+        wanted=TOKENS,
+        kept=st.sampled_from((0, 0, 2)),
+        fate=st.sampled_from(("lost", "taken", "twice")),
+    )
+    def keep_and_pass_on(self, lender, account, wanted, kept, fate):
+        """Tokens that one router kept go on to a third; all spend all they can."""
+        first, keeper, taker = (self.router(lender + n) for n in range(3))
+        self.fleet.now_ms += 400
+        self.fleet.write(first, "answered")
+        self.fleet.lend(first, keeper, account, 0, wanted, "taken", to_keep=True)
+        keeper.ledger.share(account).is_home = False
+        self.fleet.give(keeper, taker, account, fate, kept=kept)
+        for number in range(3):
+            self.reserve_all_there_is(lender + number, account)
+
     @rule(
         giver=NUMBERS,
         taker=NUMBERS,
         account=st.sampled_from(ACCOUNTS),
         fate=st.sampled_from(("lost", "taken", "twice")),
+        kept=st.sampled_from((0, 0, 5, 50)),
     )
-    def give(self, giver, taker, account, fate):
+    def give(self, giver, taker, account, fate, kept):
         self.router(giver).ledger.share(account).is_home = False
-        self.fleet.give(self.router(giver), self.router(taker), account, fate)
+        self.fleet.give(
+            self.router(giver), self.router(taker), account, fate, kept=kept
+        )
+        self.reserve_all_there_is(giver, account)
+        self.reserve_all_there_is(taker, account)
 
     @rule(
         lender=NUMBERS,
--- a/tests/ledger_mutants.py
+++ b/tests/ledger_mutants.py
@@ -177,6 +177,45 @@
     return mock.patch.object(Ledger, "void_loan", void)
 
 
+def keep_without_counting():
+    lend = Ledger.lend
+
+    def free_loan(self, loan_id, account, *, to_keep=False, **terms):
+        lent = lend(self, loan_id, account, to_keep=to_keep, **terms)
+        if lent and to_keep:
+            self.shares_by_account[account].settled -= lent
+        return lent
+
+    return mock.patch.object(Ledger, "lend", free_loan)
+
+
+def keep_beyond_the_line():
+    lend = Ledger.lend
+
+    def beyond(self, loan_id, account, *, wanted, to_keep=False, **terms):
+        lent = lend(self, loan_id, account, wanted=wanted, to_keep=to_keep, **terms)
+        share = self.shares_by_account.get(account)
+        if not to_keep or not lent or share is None:
+            return lent
+        more = min(wanted, share.headroom)
+        share.settled += more
+        return lent + more
+
+    return mock.patch.object(Ledger, "lend", beyond)
+
+
+def pass_on_without_counting():
+    return mock.patch.object(Ledger, "give", lambda self, account, tokens: None)
+
+
+def pass_on_what_is_reserved():
+    def leftover(self, account, now_ms, *, kept=0):
+        share = self.shares_by_account[account]
+        return 0 if share.is_home else max(share.borrowed - share.settled - kept, 0)
+
+    return mock.patch.object(Ledger, "leftover", leftover)
+
+
 class Both:
     """Two patches as one."""
 
@@ -210,4 +249,8 @@
     believe_old_divisions,
     write_lines_below_use,
     void_a_loan_twice,
+    keep_without_counting,
+    keep_beyond_the_line,
+    pass_on_without_counting,
+    pass_on_what_is_reserved,
 )
