--- a/lynxchute/bench/budget_scene.py
+++ b/lynxchute/bench/budget_scene.py
@@ -15,6 +15,15 @@
 # Shares of the trace at which the store goes away, and for how many seconds.
 OUTAGES_AT = (0.1, 0.3, 0.5, 0.7, 0.8)
 OUTAGE_SECONDS = 9.0
+# Shares of the trace at which all routers are apart, and for how many seconds.
+APART_AT = (0.15, 0.45, 0.75)
+APART_SECONDS = 8.0
+# Routers of a data centre; the first of them is the home of all accounts.
+FRONTS = 5
+# From when to when the largest account sends so many times its usual, all of it to one
+# router that is not its home, as shares of the trace.
+HOT_FROM, HOT_UNTIL, HOT_FACTOR = 0.42, 0.48, 5.0
+HOT_FRONT = 1
 
 
 @attrs.frozen
@@ -43,7 +52,8 @@
     Attributes
     ----------
     kind
-        ``cut``, ``heal``, ``kill`` or ``restart``.
+        ``cut``, ``heal``, ``kill``, ``restart``; ``apart`` and ``together`` for all
+        routers.
     """
 
     at: float
@@ -53,13 +63,20 @@
 
 @attrs.frozen
 class Arrival:
-    """A request of the trace."""
+    """A request of the trace.
+
+    Attributes
+    ----------
+    front
+        Which router of the data centre it comes to.
+    """
 
     at: float
     number: int
     data_centre: str
     account: str
     used: int
+    front: int = 0
 
     @property
     def reserved(self) -> int:
@@ -72,22 +89,41 @@
         return self.used / TOKENS_PER_SECOND
 
 
-def make_trace(deployment: Deployment, seconds: float, seed: int) -> list[Arrival]:
-    """Return seeded arrivals; a few accounts and places see most of them."""
+def make_trace(
+    deployment: Deployment, seconds: float, seed: int, *, hot: bool = False
+) -> list[Arrival]:
+    """Return seeded arrivals; a few accounts and places see most of them.
+
+    Parameters
+    ----------
+    hot
+        Whether one account sends many times its usual for a while.
+    """
     rng = random.Random(seed)
     accounts = list(deployment.budgets)
     weights = [deployment.budgets[account] for account in accounts]
     places = list(deployment.data_centres)
+    largest = max(accounts, key=lambda account: deployment.budgets[account])
+    hot_weights = [
+        weight * (HOT_FACTOR if account == largest else 1.0)
+        for account, weight in zip(accounts, weights, strict=True)
+    ]
+    hot_rate = deployment.rate * sum(hot_weights) / sum(weights)
     trace: list[Arrival] = []
     now = 0.0
     while True:
-        now += rng.expovariate(deployment.rate)
+        is_hot = hot and HOT_FROM <= now / seconds < HOT_UNTIL
+        now += rng.expovariate(hot_rate if is_hot else deployment.rate)
         if now >= seconds:
             return trace
         used = PROMPT + min(int(rng.expovariate(1 / MEAN_ANSWER)) + 1, MAX_ANSWER)
-        (account,) = rng.choices(accounts, weights)
+        (account,) = rng.choices(accounts, hot_weights if is_hot else weights)
         (place,) = rng.choices(places, range(len(places), 0, -1))
-        trace.append(Arrival(now, len(trace), place, account, used))
+        number = len(trace)
+        front = number % FRONTS
+        if is_hot and account == largest:
+            place, front = places[0], HOT_FRONT
+        trace.append(Arrival(now, number, place, account, used, front))
 
 
 def deployments() -> tuple[Deployment, ...]:
@@ -121,6 +157,8 @@
         ],
         "all_die": deaths,
         "store_away": _outages(deployment, seconds),
+        "apart": _apart(deployment, seconds),
+        "hot_apart": _apart(deployment, seconds),
     }
 
 
@@ -132,3 +170,13 @@
             faults.append(Fault(seconds * share, "cut", place))
             faults.append(Fault(seconds * share + OUTAGE_SECONDS, "heal", place))
     return faults
+
+
+def _apart(deployment: Deployment, seconds: float) -> list[Fault]:
+    """Cut all routers off from one another and from the store."""
+    faults = []
+    for share in APART_AT:
+        for place in deployment.data_centres:
+            faults.append(Fault(seconds * share, "apart", place))
+            faults.append(Fault(seconds * share + APART_SECONDS, "together", place))
+    return faults
--- a/lynxchute/bench/budget_schemes.py
+++ b/lynxchute/bench/budget_schemes.py
@@ -20,11 +20,18 @@
 
 @attrs.define
 class Tally:
-    """What a scheme did."""
+    """What a scheme did.
+
+    Attributes
+    ----------
+    lost
+        Tokens that count as used and were not; those of deaths, mostly.
+    """
 
     overspend: int = 0
     false_refusals: int = 0
     right_refusals: int = 0
+    lost: int = 0
     store_calls: int = 0
     messages: int = 0
     added_ms: list[float] = attrs.Factory(list)
@@ -37,9 +44,15 @@
     ----------
     deployment
         Where it runs.
+
+    Attributes
+    ----------
+    apart
+        Whether no router reaches any other one.
     """
 
     name = ""
+    apart = False
 
     def __init__(self, deployment: Deployment) -> None:
         self.deployment = deployment
@@ -63,6 +76,10 @@
     def restart(self, data_centre: str, now: float) -> None:
         """Start another one on the same VM."""
 
+    def counted(self) -> int:
+        """Return the tokens that count as used; 0 where nobody keeps count."""
+        return 0
+
     @property
     def round_trip_ms(self) -> float:
         """Return a round trip between data centres."""
@@ -150,7 +167,7 @@
 
     def reserve(self, arrival: Arrival) -> bool:
         """Reserve at the home; fetch tokens where it runs short."""
-        if arrival.data_centre in self._dead:
+        if arrival.data_centre in self._dead or (self.apart and arrival.front):
             return False
         home = self._homes[arrival.data_centre]
         share = home.share(arrival.account)
@@ -194,6 +211,22 @@
         self._dead.discard(data_centre)
         self._start(data_centre, now)
 
+    def counted(self) -> int:
+        """Return what the homes count as used, less what lies unused in loans."""
+        total = 0
+        for home in self._homes.values():
+            for share in home.shares_by_account.values():
+                total += share.settled + share.reserved
+        return total - self.at_hand()
+
+    def at_hand(self) -> int:
+        """Return what living routers hold of loans."""
+        return sum(
+            share.borrowed
+            for home in self._homes.values()
+            for share in home.shares_by_account.values()
+        )
+
     def _start(self, place: str, now: float) -> None:
         self._runs += 1
         ledger = Ledger(
--- a/lynxchute/bench/budgets.py
+++ b/lynxchute/bench/budgets.py
@@ -12,6 +12,7 @@
 
 import defopt
 
+from lynxchute.bench.budget_kept import KeptEscrow
 from lynxchute.bench.budget_scene import (
     Arrival,
     Fault,
@@ -23,6 +24,7 @@
 
 # Seconds between two writes of a router for which no request waits.
 WRITE_INTERVAL = 0.5
+SCHEMES_PLAYED: tuple[type[Scheme], ...] = (*SCHEMES, KeptEscrow)
 
 
 def play(scheme: Scheme, trace: list[Arrival], faults: list[Fault]) -> Tally:
@@ -50,7 +52,12 @@
             scheme.tally.false_refusals += 1
         else:
             scheme.tally.right_refusals += 1
+    while running:
+        ended, _, done = heapq.heappop(running)
+        scheme.settle(done, ended)
     scheme.tally.overspend = sum(max(-left, 0) for left in true_left.values())
+    used = sum(scheme.deployment.budgets.values()) - sum(true_left.values())
+    scheme.tally.lost = scheme.counted() - used
     return scheme.tally
 
 
@@ -59,6 +66,12 @@
         scheme.cut.add(fault.data_centre)
     elif fault.kind == "heal":
         scheme.cut.discard(fault.data_centre)
+    elif fault.kind == "apart":
+        scheme.cut.add(fault.data_centre)
+        scheme.apart = True
+    elif fault.kind == "together":
+        scheme.cut.discard(fault.data_centre)
+        scheme.apart = False
     elif fault.kind == "kill":
         scheme.kill(fault.data_centre, fault.at)
     else:
@@ -77,6 +90,7 @@
         "overspend_tokens": tally.overspend,
         "false_refusals": tally.false_refusals,
         "right_refusals": tally.right_refusals,
+        "lost_tokens": tally.lost,
         "store_calls_per_s": round(tally.store_calls / seconds, 2),
         "control_messages_per_request": round(tally.messages / requests, 2),
         "added_ms_p50": added[len(added) // 2],
@@ -95,9 +109,10 @@
         Seed of the trace.
     """
     for deployment in deployments():
-        trace = make_trace(deployment, seconds, seed)
         for scene, faults in scenes(deployment, seconds).items():
-            for cls in SCHEMES:
+            hot = scene.startswith("hot")
+            trace = make_trace(deployment, seconds, seed, hot=hot)
+            for cls in SCHEMES_PLAYED:
                 scheme = cls(deployment)
                 tally = play(scheme, trace, faults)
                 _report(scheme, scene, len(trace), seconds, tally)
--- a/lynxchute/budgets/standing.py
+++ b/lynxchute/budgets/standing.py
@@ -9,8 +9,9 @@
 # borrowed all is lost with it.
 LOW_SECONDS = 3.0
 FULL_SECONDS = 6.0
-# Tokens a second below which nothing is kept: less than a request in a minute.
-LEAST_RATE = 20.0
+# Requests a second below which nothing is kept: a cut would meet two or three, and what
+# is kept for each of them would have to be as large as the largest.
+LEAST_REQUESTS = 0.4
 # The part of what it has to spare that a lender gives to one router. Several ask.
 LENT_PART = 8
 # The part of a budget that one router keeps at most.
@@ -25,8 +26,8 @@
     ----------
     demand
         Tokens a second that callers here ask for.
-    largest
-        The largest request of late.
+    requests
+        Requests a second that they send.
     at_hand
         What the router can reserve now without asking.
     prepaid
@@ -34,7 +35,7 @@
     """
 
     demand: float
-    largest: float
+    requests: float
     at_hand: int
     prepaid: int
 
@@ -49,10 +50,9 @@
 
     def full(self, view: StandingView) -> int:
         """Return the tokens that the router keeps at most."""
-        if view.demand < LEAST_RATE:
+        if view.requests < LEAST_REQUESTS:
             return 0
-        wanted = int(max(view.demand * FULL_SECONDS, view.largest))
-        return min(wanted, view.prepaid // PREPAID_PART)
+        return min(int(view.demand * FULL_SECONDS), view.prepaid // PREPAID_PART)
 
     def missing(self, view: StandingView) -> int:
         """Return the tokens to ask for; 0 while enough is at hand."""
--- a/lynxchute/spending/standing.py
+++ b/lynxchute/spending/standing.py
@@ -20,16 +20,19 @@
 
 
 @attrs.define(eq=False)
-class _Arrivals:
+class Arrivals:
     """What callers of one account ask for at this router.
 
     Attributes
     ----------
+    demand, requests
+        Their tokens, and how many requests they are.
     ask_at
         When holders may be asked again, in seconds.
     """
 
     demand: Demand = attrs.Factory(Demand)
+    requests: Demand = attrs.Factory(Demand)
     ask_at: float = 0.0
 
 
@@ -58,7 +61,7 @@
         self._lenders = lenders
         self._members = members
         self._rule = StandingRule()
-        self._arrivals_by_account: dict[str, _Arrivals] = {}
+        self._arrivals_by_account: dict[str, Arrivals] = {}
 
     def try_reserve(self, request: ReserveRequest, *, is_home: bool) -> bool:
         """Set tokens for a caller's request aside of what is kept here.
@@ -69,8 +72,9 @@
             Whether this router is the account's home: nothing is kept then.
         """
         account, now = request.account, steady_seconds()
-        arrivals = self._arrivals_by_account.setdefault(account, _Arrivals())
+        arrivals = self._arrivals_by_account.setdefault(account, Arrivals())
         arrivals.demand.add(request.tokens, now)
+        arrivals.requests.add(1, now)
         if is_home:
             return False
         problem = self._ledger.reserve(
@@ -104,13 +108,13 @@
             if gathered.had < missing // 2:
                 arrivals.ask_at = steady_seconds() + AGAIN_SECONDS
 
-    def _missing(self, account: str, arrivals: _Arrivals, now: float) -> int:
+    def _missing(self, account: str, arrivals: Arrivals, now: float) -> int:
         return self._rule.missing(self._view(account, arrivals, now))
 
-    def _view(self, account: str, arrivals: _Arrivals, now: float) -> StandingView:
+    def _view(self, account: str, arrivals: Arrivals, now: float) -> StandingView:
         return StandingView(
             demand=arrivals.demand.rate(now),
-            largest=arrivals.demand.largest(now),
+            requests=arrivals.requests.rate(now),
             at_hand=self._ledger.available(account, self._keeper.now_ms()),
             prepaid=self._ledger.prepaid_by_account.get(account, 0),
         )
