--- a/lynxchute/budgets/standing.py
+++ b/lynxchute/budgets/standing.py
@@ -9,9 +9,9 @@
 # borrowed all is lost with it.
 LOW_SECONDS = 3.0
 FULL_SECONDS = 6.0
-# Requests a second below which nothing is kept: a cut would meet two or three, and what
-# is kept for each of them would have to be as large as the largest.
-LEAST_REQUESTS = 0.4
+# Requests a second below which nothing is kept: two that happen to come together are
+# no stream of requests, and what is kept may be lost.
+LEAST_REQUESTS = 0.7
 # The part of what it has to spare that a lender gives to one router. Several ask.
 LENT_PART = 8
 # The part of a budget that one router keeps at most.
