--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -18,7 +18,7 @@
 from lynxchute.edge.configurations import Configurations
 from lynxchute.edge.entrance import Entrance
 from lynxchute.edge.exposition import Exposition
-from lynxchute.edge.limits import caller_limits
+from lynxchute.edge.limits import caller_limits, held_bounds
 from lynxchute.edge.listener import Listener
 from lynxchute.edge.platform import Platform
 from lynxchute.edge.reload import Reader, SettingsWatcher
@@ -41,6 +41,7 @@
     ServerLimits,
     not_found,
 )
+from lynxchute.overload import Cut, MemoryGuard
 from lynxchute.reachability import Reachability
 from lynxchute.relay.admission import Admission
 from lynxchute.relay.chooser import Chooser
@@ -273,8 +274,16 @@
             self.metrics,
             steady_seconds,
         )
+        self.memory_guard = None
+        if settings.features.memory_guard:
+            bounds_held = held_bounds(settings.memory_mb)
+            self.memory_guard = MemoryGuard(bounds_held, self._note_cut)
         self.callers = HttpServer(
-            self.handle, limits=self._limits, check_head=self._check_head, meter=meter
+            self.handle,
+            limits=self._limits,
+            check_head=self._check_head,
+            meter=meter,
+            guard=self.memory_guard,
         )
         self.readiness = HttpServer(self._answer_readiness)
         self.exposition = HttpServer(Exposition(self, log_lines_dropped).answer)
@@ -414,6 +423,16 @@
         found = current.services_by_name.get(service) if current else None
         return found.engine if found is not None else None
 
+    def _note_cut(self, cut: Cut) -> None:
+        """Tell of an answer that was broken off for want of memory."""
+        self.metrics.answers_cut.inc()
+        log_event(
+            "answer cut for memory",
+            account=cut.account,
+            held=cut.held,
+            bytes_a_second=round(cut.speed),
+        )
+
     def _limits(self) -> ServerLimits:
         return caller_limits(self.configurations.current, self.settings.memory_mb)
 
--- a/lynxchute/edge/exposition.py
+++ b/lynxchute/edge/exposition.py
@@ -53,6 +53,8 @@
         metrics.upstreams.set(router.directory.count())
         metrics.store_answers.set(router.keeper.store_answers)
         metrics.routers.set(router.members.count)
+        if router.memory_guard is not None:
+            metrics.held_bytes.set(router.memory_guard.held)
         metrics.quarantined.set(len(router.containment.quarantine.by_content))
         metrics.evacuated.set(len(router.evacuations.by_data_centre))
         metrics.cold_upstreams.set(router.directory.count_cold(steady_seconds()))
--- a/lynxchute/edge/limits.py
+++ b/lynxchute/edge/limits.py
@@ -4,14 +4,29 @@
 
 from lynxchute.config import Configuration
 from lynxchute.http import ServerLimits
+from lynxchute.overload.memory_guard import HeldBounds
 
 # The part of the process's memory that bodies of requests may take.
 BODY_SHARE = 0.15
+# The part that answers may take while callers read them slowly. A body may be in memory
+# twice while its upstream reads it slowly; with both, half is left to the process.
+HELD_SHARE = 0.15
 # Seconds before the first configuration says them.
 FIRST_HEAD_TIMEOUT = 3.0
 FIRST_IDLE_TIMEOUT = 15.0
 
 
+def held_bounds(memory_mb: float) -> HeldBounds:
+    """Return what may wait for callers who read slowly.
+
+    Parameters
+    ----------
+    memory_mb
+        Memory of the process, in MB.
+    """
+    return HeldBounds.of_total(int(memory_mb * 1e6 * HELD_SHARE))
+
+
 def caller_limits(
     configuration: Configuration | None, memory_mb: float
 ) -> ServerLimits:
--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -11,9 +11,10 @@
 from absl import logging
 
 from lynxchute.http.headers import Headers
+from lynxchute.http.held_answer import HeldAnswer
 from lynxchute.http.messages import BadRequest, Request, RequestHead
 from lynxchute.http.responder import CallerLeft, Responder
-from lynxchute.http.sockets import apply_options
+from lynxchute.http.sockets import SocketOptions, apply_options
 
 if TYPE_CHECKING:
     from lynxchute.http.server import HttpServer
@@ -25,6 +26,8 @@
 MAX_PIPELINED_BYTES = 65536
 # A caller that reads slowly holds up at most this much of its answer here.
 WRITE_BUFFER_BYTES = 65536
+# Who reads slowly may leave its window shut for long; who reads nothing is ended here.
+SLOW_READERS = SocketOptions(user_timeout_ms=30_000)
 
 PROBLEM_TYPE = "application/problem+json"
 UNIQUE_HEADERS = ("content-length", "transfer-encoding", "host")
@@ -70,6 +73,7 @@
         self._received_at = 0.0
         self._responder: Responder | None = None
         self._writable: asyncio.Future[None] | None = None
+        self._held: HeldAnswer | None = None
         self._waiting_bytes = 0
 
     @property
@@ -83,7 +87,12 @@
         """Take a new connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        apply_options(transport)
+        if self._server.guard is None:
+            apply_options(transport)
+        else:
+            apply_options(transport, SLOW_READERS)
+            clock = self._loop.time
+            self._held = HeldAnswer(transport, self._server.guard, clock)
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._server.connections.add(self)
         self._set_timer(self._limits.idle_timeout)
@@ -117,6 +126,8 @@
         self._clear_timer()
         self._forget_body()
         self._wake_writer()
+        if self._held is not None:
+            self._held.end()
         if self.served is None or self._responder is None:
             return
         if not self._responder.finished and not self._responder.outlives_caller:
@@ -251,6 +262,7 @@
             head.method, self._protocol, self._write, self._drained, self.abort
         )
         self._responder.closing = self._server.closing
+        self._responder.held = self._held
         self.served = self._loop.create_task(self._run(request, self._responder))
 
     async def _run(self, request: Request, respond: Responder) -> None:
@@ -271,8 +283,14 @@
                 self._refuse(502, "The router failed while it served the request.")
                 return
         finally:
-            self.served = None
+            if self._held is None:
+                self.served = None
             self._forget_body()
+        if self._held is not None:
+            # What is left to do needs no body.
+            del request
+            await self._caught_up(self._held)
+            self.served = None
         self._end_exchange(respond)
 
     def _end_exchange(self, respond: Responder) -> None:
@@ -351,11 +369,31 @@
         if data:
             self._server.meter.note_sent(len(data))
             self._transport.write(data)
+            if self._held is not None:
+                self._held.note_written(len(data))
 
     async def _drained(self) -> None:
-        if self._writable is not None:
+        if self._writable is not None and not self._may_wait_here():
             await asyncio.shield(self._writable)
 
+    def _may_wait_here(self) -> bool:
+        """Return whether the caller need not have read what was written so far."""
+        if self._held is None or self._responder is None:
+            return False
+        return self._responder.finished or self._held.has_room
+
+    async def _caught_up(self, held: HeldAnswer) -> None:
+        """Wait until the caller has read its answer; end who reads nothing."""
+        while self._writable is not None:
+            read = held.read_bytes
+            try:
+                async with asyncio.timeout(self._limits.idle_timeout):
+                    await asyncio.shield(self._writable)
+            except TimeoutError:
+                if held.read_bytes == read:
+                    self.abort()
+                    return
+
     def _wake_writer(self) -> None:
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
--- a/lynxchute/http/responder.py
+++ b/lynxchute/http/responder.py
@@ -9,6 +9,7 @@
 import h11
 
 from lynxchute.http.headers import HeaderItems, encoded
+from lynxchute.http.held_answer import HeldAnswer
 
 JSON_TYPE = "application/json"
 BODILESS_STATUSES = frozenset({204, 304})
@@ -38,6 +39,8 @@
     ----------
     status
         The status that was sent; 0 before that.
+    held
+        What waits for the caller; None where it is not counted.
     outlives_caller
         Set where the request must be carried to its end although nobody waits
         for the answer any more; otherwise its handler is cancelled.
@@ -55,6 +58,7 @@
         self.finished = False
         self.outlives_caller = False
         self.closing = False
+        self.held: HeldAnswer | None = None
         self._protocol = protocol
         self._write = write
         self._drained = drained
@@ -66,6 +70,11 @@
         """Return whether the head of the answer has been sent."""
         return self.status != 0
 
+    def belongs_to(self, account: str) -> None:
+        """Count what waits for the caller with the other answers of an account."""
+        if self.held is not None:
+            self.held.account = account
+
     async def start(self, status: int, headers: HeaderItems = ()) -> None:
         """Send the head of the answer."""
         self._write(self._head(status, headers))
--- a/lynxchute/http/server.py
+++ b/lynxchute/http/server.py
@@ -15,6 +15,7 @@
 from lynxchute.http.messages import Request, RequestHead
 from lynxchute.http.responder import Responder
 from lynxchute.listening import BACKLOG, listen
+from lynxchute.overload.memory_guard import MemoryGuard
 
 
 @attrs.frozen
@@ -61,6 +62,9 @@
         Called before a body is read; raises `BadRequest` to refuse it.
     meter
         Counts what goes over the VM's link.
+    guard
+        Bounds what waits for callers who read slowly; where there is none, answers
+        wait for their callers.
     """
 
     def __init__(
@@ -70,7 +74,9 @@
         limits: Callable[[], ServerLimits] = ServerLimits,
         check_head: Callable[[RequestHead], None] = accept_all,
         meter: LinkMeter = AMPLE,
+        guard: MemoryGuard | None = None,
     ) -> None:
+        self.guard = guard
         self.connections: set[ServerConnection] = set()
         self.buffered_bytes = 0
         self.port = 0
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -99,6 +99,8 @@
             call = self._dialect.read(request)
             request_id = call.request_id
             exchange = await self._admission.admit(call, respond)
+            if exchange.account is not None:
+                respond.belongs_to(exchange.account.name)
         except Refusal as refusal:
             self._log.note_refusal(request_id, refusal)
             await refusal.send(respond)
--- a/lynxchute/telemetry/metrics.py
+++ b/lynxchute/telemetry/metrics.py
@@ -23,6 +23,8 @@
         Requests refused for want of tokens though the fleet had as many unused.
     reservations_kept
         Reservations that no other router was asked for, of kept tokens.
+    held_bytes, answers_cut
+        What waits for callers who read slowly, and what was broken off for it.
     sends
         Sends to upstreams by how they ended.
     sends_withheld
@@ -62,6 +64,12 @@
         self.reservations_kept = self._counter(
             "reservations_kept", "Reserved of what the router keeps for its callers."
         )
+        self.held_bytes = self._gauge(
+            "held_bytes", "Bytes of answers that wait for slow readers."
+        )
+        self.answers_cut = self._counter(
+            "answers_cut", "Answers broken off for want of memory."
+        )
         self.sends = self._counter("sends", "Sends to upstreams.", "fate")
         self.sends_withheld = self._counter(
             "sends_withheld", "Placed requests that were not sent.", "reason"
