--- a/lynxchute/overload/memory_guard.py
+++ b/lynxchute/overload/memory_guard.py
@@ -16,6 +16,8 @@
 # Once a bound is passed answers are cut until this share of it is left, so that not
 # each further piece finds it passed again.
 RELIEVED_SHARE = 0.9
+# Who holds less than this share of the mean is never cut: it would make no room.
+LARGE_SHARE = 0.5
 # Seconds after which it is known how fast an answer is read.
 SETTLED_SECONDS = 2.0
 
@@ -196,7 +198,7 @@
         """Cut the answer of an account that is read slowest among the large ones."""
         candidates = self._of(account)
         mean = sum(held.size for held in candidates) / len(candidates)
-        large = [held for held in candidates if held.size >= mean]
+        large = [held for held in candidates if held.size >= mean * LARGE_SHARE]
         settled = [held for held in large if held.is_settled(now)] or large
         slowest = min(settled, key=lambda held: (held.speed(now), -held.size))
         cut = Cut(account, slowest.size, slowest.speed(now))
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -107,7 +107,9 @@
         apps=2,
         events=6,
         features=None,
+        memory_mb=200,
     ):
+        self.memory_mb = memory_mb
         self.features = features or Features()
         self.store = PlatformStoreStandin()
         self.routers = {}
@@ -149,7 +151,7 @@
             readiness=Address("127.0.0.1", free_port()),
             peers=Address("127.0.0.1", free_port()),
             store=f"127.0.0.1:{self.store_ports[vm]}",
-            memory_mb=200,
+            memory_mb=self.memory_mb,
             store_spans_parts=True,
             bounds=Bounds(stop=4.0),
             features=self.features,
