--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -289,10 +289,10 @@
                 self._refuse(502, "The router failed while it served the request.")
                 return
         finally:
-            if self._held is None:
-                self.served = None
             self._forget_body()
-        if self._held is not None:
+            if self._held is None or not respond.finished:
+                self.served = None
+        if self._held is not None and respond.finished:
             # What is left to do needs no body.
             del request
             await self._caught_up(self._held)
