--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -11,14 +11,14 @@
 import attrs
 
 from lynxchute.application import Application, Component
-from lynxchute.budgets import DemandPolicy, Ledger
+from lynxchute.budgets import DemandLinePolicy, DemandPolicy, Ledger
 from lynxchute.clock import steady_seconds
 from lynxchute.config import EngineTraits
 from lynxchute.containment import Containment
 from lynxchute.edge.configurations import Configurations
 from lynxchute.edge.entrance import Entrance
 from lynxchute.edge.exposition import Exposition
-from lynxchute.edge.limits import caller_limits
+from lynxchute.edge.limits import caller_limits, held_bounds
 from lynxchute.edge.listener import Listener
 from lynxchute.edge.platform import Platform
 from lynxchute.edge.reload import Reader, SettingsWatcher
@@ -41,6 +41,7 @@
     ServerLimits,
     not_found,
 )
+from lynxchute.overload import Cut, MemoryGuard
 from lynxchute.overload.weights import USUAL_WEIGHT
 from lynxchute.reachability import Reachability
 from lynxchute.relay.admission import Admission
@@ -56,8 +57,10 @@
 from lynxchute.spending.balance import Balance
 from lynxchute.spending.final_use import FinalUses
 from lynxchute.spending.keeper import Keeper
+from lynxchute.spending.lenders import Lenders
 from lynxchute.spending.reservations import FleetBudgets
 from lynxchute.spending.settlements import Settlements
+from lynxchute.spending.standing import Standing
 from lynxchute.store import TableFeed
 from lynxchute.store.counted import CountedStore
 from lynxchute.telemetry import Metrics, log_event
@@ -162,7 +165,7 @@
         ledger = Ledger(
             settings.vm,
             self.members.own.incarnation,
-            DemandPolicy(),
+            DemandLinePolicy() if settings.features.demand_lines else DemandPolicy(),
             parts=len(settings.data_centres),
             # A part takes some hundred writes a second; with a part for each
             # router their lines do not queue behind one another.
@@ -180,11 +183,22 @@
         )
         self.configurations.listeners.append(self.keeper.configure)
         self.settlements = Settlements(ledger, self.members, self.peers)
+        lenders = Lenders(self.keeper, self.members, self.peers, self.settlements)
+        standing = None
+        if settings.features.demand_lines:
+            standing = Standing(self.keeper, lenders, self.members)
+        standing_loops = [standing.loop] if standing is not None else []
         budgets = FleetBudgets(
-            self.keeper, self.members, self.peers, self.settlements, self.metrics
+            self.keeper,
+            self.members,
+            self.peers,
+            self.settlements,
+            self.metrics,
+            lenders,
+            standing,
         )
         budgets.serve(self.peer_server)
-        self.balance = Balance(self.keeper, budgets.lenders, self.members, self.peers)
+        self.balance = Balance(self.keeper, lenders, self.members, self.peers, standing)
         rng = random.Random()
         self.admission = Admission(self.configurations, rng, self.load)
         permits = RatePermits(
@@ -266,8 +280,16 @@
             self.metrics,
             steady_seconds,
         )
+        self.memory_guard = None
+        if settings.features.memory_guard:
+            bounds_held = held_bounds(settings.memory_mb)
+            self.memory_guard = MemoryGuard(bounds_held, self._note_cut)
         self.callers = HttpServer(
-            self.handle, limits=self._limits, check_head=self._check_head, meter=meter
+            self.handle,
+            limits=self._limits,
+            check_head=self._check_head,
+            meter=meter,
+            guard=self.memory_guard,
         )
         self.readiness = HttpServer(self._answer_readiness)
         self.exposition = HttpServer(Exposition(self, log_lines_dropped).answer)
@@ -278,6 +300,7 @@
             self.keeper,
             self.settlements,
             self.balance.loop,
+            *standing_loops,
             scheduler,
             silence.tasks,
             silence.loop,
@@ -412,6 +435,16 @@
         found = current.accounts_by_name.get(account) if current else None
         return found.weight if found is not None else USUAL_WEIGHT
 
+    def _note_cut(self, cut: Cut) -> None:
+        """Tell of an answer that was broken off for want of memory."""
+        self.metrics.answers_cut.inc()
+        log_event(
+            "answer cut for memory",
+            account=cut.account,
+            held=cut.held,
+            bytes_a_second=round(cut.speed),
+        )
+
     def _limits(self) -> ServerLimits:
         return caller_limits(self.configurations.current, self.settings.memory_mb)
 
