--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -20,6 +20,7 @@
 from lynxchute.edge.exposition import Exposition
 from lynxchute.edge.limits import caller_limits
 from lynxchute.edge.listener import Listener
+from lynxchute.edge.own_load import make_own_load
 from lynxchute.edge.platform import Platform
 from lynxchute.edge.reload import Reader, SettingsWatcher
 from lynxchute.edge.settings import EdgeSettings
@@ -34,7 +35,6 @@
     BadRequest,
     ClientPool,
     HttpServer,
-    LinkMeter,
     Request,
     RequestHead,
     Responder,
@@ -44,7 +44,6 @@
 from lynxchute.reachability import Reachability
 from lynxchute.relay.admission import Admission
 from lynxchute.relay.chooser import Chooser
-from lynxchute.relay.load import RouterLoad
 from lynxchute.relay.relay import Relay
 from lynxchute.relay.sender import UPSTREAM_TIMEOUTS, Sender
 from lynxchute.relay.statement_reader import StatementReader
@@ -110,8 +109,8 @@
         super().__init__(settings.bounds.stop)
         self.settings = settings
         self.metrics = Metrics()
-        meter = LinkMeter(settings.link_mbps)
-        self.load = RouterLoad(meter, steady_seconds)
+        self.own_load = make_own_load(settings, self.metrics, lambda: self.callers)
+        meter, self.load = self.own_load.meter, self.own_load.load
         reachability = Reachability(settings.data_centre)
         self.members = Members(_own_member(settings), reachability)
         self.peers = HttpPeers(
@@ -237,6 +236,7 @@
             plain,
             reachability,
             rules.gate,
+            self.load,
             steady_seconds,
         )
         sender = Sender(
@@ -313,6 +313,11 @@
         watcher = SettingsWatcher(self.settings, read, stamp, self._reload)
         self.components.append(watcher)
 
+    async def start(self) -> None:
+        """Start the components in order."""
+        self.own_load.observe_loop()
+        await super().start()
+
     async def drain(self) -> None:
         """Take nothing new and let what is open end.
 
@@ -406,6 +411,7 @@
     def _check_head(self, head: RequestHead) -> None:
         if not head.target.startswith("/"):
             raise BadRequest(400, "Ask for a path.")
+        self.own_load.check_body(head, self.configurations.current)
 
 
 def _own_member(settings: EdgeSettings) -> Member:
--- a/lynxchute/edge/entrance.py
+++ b/lynxchute/edge/entrance.py
@@ -1,4 +1,4 @@
-"""Take no connections of callers while the VM's link is full."""
+"""Take no connections of callers while the VM is full."""
 
 from __future__ import annotations
 
@@ -7,13 +7,13 @@
 from lynxchute.relay.load import RouterLoad
 from lynxchute.telemetry import log_event
 
-# Seconds between two looks at the link: a caller whose account fills it opens some ten
+# Seconds between two looks: a caller whose account fills the VM opens some ten
 # connections in that time.
 LOOK_SECONDS = 0.05
 
 
 class Entrance(Loop):
-    """Close the way in while the link is full, and open it again.
+    """Close the way in while the VM is full, and open it again.
 
     Balancers send a caller's connections to one VM and notice after two seconds that
     it is not ready. What it refuses has crossed its link by then, and holds up what it
@@ -25,7 +25,7 @@
     server
         Takes the callers' connections.
     load
-        Tells whether the link is full.
+        Tells whether the VM is full.
     """
 
     def __init__(self, server: HttpServer, load: RouterLoad) -> None:
@@ -34,10 +34,15 @@
         self._load = load
 
     async def _look(self) -> None:
+        self._load.look()
         is_full = self._load.is_full
         if is_full and self._server.is_accepting:
+            full = self._load.full_resource
             await self._server.pause_accepting()
-            log_event("link full: no connections are taken")
+            if full == "link":
+                log_event("link full: no connections are taken")
+            else:
+                log_event("router full: no connections are taken", resource=full)
         elif not is_full and not self._server.is_accepting:
             await self._server.resume_accepting()
             log_event("connections are taken again")
--- a/lynxchute/edge/exposition.py
+++ b/lynxchute/edge/exposition.py
@@ -8,6 +8,7 @@
 from lynxchute.clock import steady_seconds
 from lynxchute.edge.state import state_of
 from lynxchute.http import Request, Responder, not_found
+from lynxchute.overload import IDLE
 
 if TYPE_CHECKING:
     from lynxchute.edge.application import EdgeApplication
@@ -57,5 +58,8 @@
         metrics.evacuated.set(len(router.evacuations.by_data_centre))
         metrics.cold_upstreams.set(router.directory.count_cold(steady_seconds()))
         metrics.limits.set(router.directory.count_limits())
+        processor = router.load.loads().get("processor", IDLE)
+        metrics.processor_use.set(processor.use)
+        metrics.processor_delay.set(processor.delay)
         metrics.log_lines_dropped.set(self._log_lines_dropped())
         return metrics.exposition()
--- a/lynxchute/edge/state.py
+++ b/lynxchute/edge/state.py
@@ -20,6 +20,7 @@
         "incarnation": router.members.own.incarnation,
         "ready": router.is_ready(),
         "open_requests": router.relay.open_requests,
+        "load": _load(router),
         "configuration": {
             "version": current.version if current is not None else None,
             "age": _age(router.configurations.unconfirmed_for()),
@@ -33,6 +34,13 @@
     }
 
 
+def _load(router: EdgeApplication) -> dict[str, Any]:
+    rows = {}
+    for name, load in router.load.loads().items():
+        rows[name] = {"use": round(load.use, 3), "delay": round(load.delay, 4)}
+    return rows
+
+
 def _age(seconds: float) -> float | None:
     """Return an age for JSON, which has no infinity."""
     return None if seconds == float("inf") else round(seconds, 3)
--- a/lynxchute/http/link_meter.py
+++ b/lynxchute/http/link_meter.py
@@ -103,6 +103,10 @@
         now = self._clock()
         return self._sending.delay(now) + self._receiving.delay(now)
 
+    def own_delay(self) -> float:
+        """Return the seconds that an answer waits for this process, where known."""
+        return 0.0
+
 
 # For peers and tests on links that are never full.
 AMPLE = LinkMeter(1e6)
--- a/lynxchute/overload/__init__.py
+++ b/lynxchute/overload/__init__.py
@@ -1,14 +1,35 @@
 """Decisions under load, without I/O: what is full, who waits, whose share is used."""
 
+from lynxchute.overload.guard import (
+    LINK,
+    MEMORY,
+    PROCESSOR,
+    Guard,
+    Limits,
+    Resource,
+)
 from lynxchute.overload.load import IDLE, Load, LoadSource
+from lynxchute.overload.local_shares import LocalShares
+from lynxchute.overload.processor import ProcessorMeter
 from lynxchute.overload.shares import AccountShares
+from lynxchute.overload.sources import MeasuredSource, share_of
 from lynxchute.overload.ticket import Ticket, TicketQueue
 
 __all__ = [
     "IDLE",
+    "LINK",
+    "MEMORY",
+    "PROCESSOR",
     "AccountShares",
+    "Guard",
+    "Limits",
     "Load",
     "LoadSource",
+    "LocalShares",
+    "MeasuredSource",
+    "ProcessorMeter",
+    "Resource",
     "Ticket",
     "TicketQueue",
+    "share_of",
 ]
--- /dev/null
+++ b/lynxchute/overload/guard.py
@@ -0,0 +1,258 @@
+"""What a router can still serve in time, and what goes elsewhere."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable, Sequence
+
+import attrs
+
+from lynxchute.overload.load import IDLE, Load, LoadSource
+from lynxchute.overload.shares import AccountShares
+
+# Times its share of the objective that a request of an account within its share may
+# wait: the account in excess goes first, and makes room.
+WITHIN_SHARE_PATIENCE = 1.5
+
+
+@attrs.frozen
+class Limits:
+    """How much of a resource is used before work goes elsewhere.
+
+    Attributes
+    ----------
+    passes
+        How often a request waits for the resource until its answer begins.
+    slow_share
+        Share of its latency objective that a request may wait for it; the rest is
+        for upstreams and the way.
+    shed_use, shed_delay
+        Use and seconds of waiting from which on work goes elsewhere: at more than that
+        a burst of one second makes callers late before anything can be moved.
+    kept_use
+        The use that is aimed at then: what is left bears such a burst.
+    full_use, full_delay
+        From which on no connection is taken.
+    open_use
+        Below which connections are taken again.
+    spell_seconds
+        For which the VM is then not ready at once: the balancer notices after two, and
+        the connections that end after that find another VM.
+    spell_share
+        Share of the time in which it may be not ready.
+    """
+
+    passes: float
+    slow_share: float
+    shed_use: float
+    shed_delay: float
+    kept_use: float
+    full_use: float
+    full_delay: float
+    open_use: float
+    spell_seconds: float
+    spell_share: float
+
+
+LINK = Limits(
+    passes=1.0,
+    slow_share=0.3,
+    shed_use=0.7,
+    shed_delay=0.2,
+    kept_use=0.55,
+    full_use=math.inf,
+    full_delay=0.4,
+    open_use=math.inf,
+    spell_seconds=8.0,
+    spell_share=1.0,
+)
+PROCESSOR = Limits(
+    passes=6.0,
+    slow_share=0.5,
+    shed_use=0.85,
+    shed_delay=0.02,
+    kept_use=0.65,
+    full_use=math.inf,
+    full_delay=math.inf,
+    open_use=math.inf,
+    spell_seconds=4.0,
+    spell_share=0.5,
+)
+MEMORY = Limits(
+    passes=1.0,
+    slow_share=0.3,
+    shed_use=0.7,
+    shed_delay=math.inf,
+    kept_use=0.55,
+    full_use=0.85,
+    full_delay=math.inf,
+    open_use=0.75,
+    spell_seconds=3.0,
+    spell_share=0.08,
+)
+
+
+@attrs.frozen
+class Resource:
+    """A resource of the VM and its limits."""
+
+    source: LoadSource
+    limits: Limits
+
+    @property
+    def name(self) -> str:
+        """Return the resource in one word."""
+        return self.source.name
+
+    def load(self) -> Load:
+        """Return its load; odd figures count as none."""
+        load = self.source.load()
+        return Load(_sound(load.use), _sound(load.delay))
+
+
+class Guard:
+    """Decide what a router serves, by the load of its resources.
+
+    The load that it answers is one VM that gets more than it carries while others
+    idle. Callers need an answer within their objective; where the VM cannot give it,
+    they need to know at once, and another VM has time left for them.
+
+    Parameters
+    ----------
+    resources
+        What the VM has.
+    clock
+        Seconds on the steady clock.
+    rng
+        Picks the requests and connections that go elsewhere.
+    shares
+        Tells which accounts use more than their share; None where all count alike.
+    """
+
+    def __init__(
+        self,
+        resources: Sequence[Resource],
+        clock: Callable[[], float],
+        rng: random.Random,
+        shares: AccountShares | None = None,
+    ) -> None:
+        self.shares = shares
+        self._resources = resources
+        self._clock = clock
+        self._random = rng
+        self._spell_ends = -math.inf
+        self._next_spell = -math.inf
+        self._full = ""
+
+    @property
+    def full(self) -> str:
+        """Return the resource for which no connection is taken, as of the last look.
+
+        What is open fills it already: a new connection would only make callers late.
+        """
+        return self._full
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the balancer should give new connections to this VM."""
+        return self._clock() >= self._spell_ends
+
+    def look(self) -> str:
+        """Look at all resources; return the one for which a spell begins.
+
+        In a spell the VM is not ready; an empty text where none begins.
+        """
+        now, begun = self._clock(), ""
+        for resource in self._resources:
+            load, limits = resource.load(), resource.limits
+            is_over = load.use >= limits.shed_use or load.delay >= limits.shed_delay
+            if not is_over or now < self._next_spell:
+                continue
+            self._spell_ends = now + limits.spell_seconds
+            self._next_spell = now + limits.spell_seconds / limits.spell_share
+            begun = resource.name
+        self._full = self._find_full()
+        return begun
+
+    def _find_full(self) -> str:
+        for resource in self._resources:
+            load, limits = resource.load(), resource.limits
+            is_shut = self._full == resource.name
+            most = limits.open_use if is_shut else limits.full_use
+            if load.use >= most or load.delay >= limits.full_delay:
+                return resource.name
+        return ""
+
+    def kept_share(self) -> float:
+        """Return the share of the present work that the VM can go on with."""
+        kept = 1.0
+        for resource in self._resources:
+            use = resource.load().use
+            if use > resource.limits.kept_use:
+                kept = min(kept, resource.limits.kept_use / use)
+        return kept
+
+    def ends_connection(self, account: str = "") -> bool:
+        """Return whether a connection ends with the answer that it gets now.
+
+        It would come back while new ones are taken.
+        """
+        if self.is_ready and not self._full:
+            return False
+        return self._goes_elsewhere(account)
+
+    def refuses(self, objective: float, account: str = "") -> str:
+        """Return the resource for which a request is refused, or an empty text.
+
+        Parameters
+        ----------
+        objective
+            Seconds within which its answer is on time.
+        """
+        found = self.refuses_all(objective)
+        if found:
+            return found
+        objective = objective if objective > 0.0 else math.inf
+        for resource in self._resources:
+            limits = resource.limits
+            wait = limits.passes * resource.load().delay
+            if wait > limits.slow_share * objective and self._goes_elsewhere(account):
+                return resource.name
+        return ""
+
+    def refuses_all(self, objective: float) -> str:
+        """Return the resource for which a request is refused whoever sends it.
+
+        That may be asked before the body is read.
+        """
+        objective = objective if objective > 0.0 else math.inf
+        for resource in self._resources:
+            limits = resource.limits
+            wait = limits.passes * resource.load().delay
+            if wait and wait > limits.slow_share * objective * WITHIN_SHARE_PATIENCE:
+                return resource.name
+        return ""
+
+    def loads(self) -> dict[str, Load]:
+        """Return the load of each resource by its name."""
+        return {resource.name: resource.load() for resource in self._resources}
+
+    def load_of(self, name: str) -> Load:
+        """Return the load of one resource."""
+        return self.loads().get(name, IDLE)
+
+    def _goes_elsewhere(self, account: str) -> bool:
+        """Return whether this one is of the share that is too much."""
+        kept = self.kept_share()
+        if kept >= 1.0:
+            return False
+        if self.shares is not None and account:
+            excess = self.shares.excess(account, self._clock())
+            kept = 1.0 / excess if excess > 1.0 else 1.0
+        return self._random.random() >= kept
+
+
+def _sound(value: float) -> float:
+    """Return a figure that can be compared: not negative, and a number."""
+    return max(value, 0.0) if value == value else 0.0
--- a/lynxchute/overload/processor.py
+++ b/lynxchute/overload/processor.py
@@ -20,7 +20,7 @@
     """Know the share of the time in which the loop works, and how long events wait.
 
     The load that it answers is requests that need more processor time than the VM has.
-    The time is that of the steady clock, so that what the VM's processor does for others
+    The time is that of the steady clock, so that what the processor does for others
     counts as work as well: to a caller it is the same. A loop that sleeps for longer
     than it asked to was not run meanwhile.
 
--- a/lynxchute/relay/admission.py
+++ b/lynxchute/relay/admission.py
@@ -137,17 +137,19 @@
         self, route: Route, account: ClientAccount | None, respond: Responder
     ) -> None:
         """Send callers elsewhere while this router would serve them late."""
-        if self._load.is_too_slow(route.latency_objective):
+        name = account.name if account is not None else ""
+        full = self._load.refuses(route.latency_objective, name)
+        if full:
             respond.closing = True
-            title = "This router's link is full. Send the request to another one."
             raise Refusal(
                 Reason.OVERLOADED,
-                title,
+                f"This router's {full} is full. Send the request to another one.",
                 retry_after=RETRY_ELSEWHERE,
                 route=route.name,
-                account=account.name if account is not None else "",
+                account=name,
             )
-        if self._load.ends_connection():
+        self._load.note_admitted(name)
+        if self._load.ends_connection(name):
             respond.closing = True
 
     def _count(self, configuration: Configuration, account: ClientAccount) -> None:
--- a/lynxchute/relay/chooser.py
+++ b/lynxchute/relay/chooser.py
@@ -7,6 +7,7 @@
 
 from lynxchute.reachability import Reachability
 from lynxchute.relay.exchange import MIN_RETRY_AFTER, Exchange
+from lynxchute.relay.load import RouterLoad
 from lynxchute.relay.refusal import Reason, Refusal, Run
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.directory import Directory
@@ -35,6 +36,8 @@
         Which data centres can be reached.
     gate
         Which upstreams get nothing new.
+    load
+        Tells whether this router itself is late.
     clock
         Seconds on the loop's clock.
     """
@@ -47,6 +50,7 @@
         plain: Placement,
         reachability: Reachability,
         gate: SendGate,
+        load: RouterLoad,
         clock: Callable[[], float],
     ) -> None:
         self._directory = directory
@@ -54,6 +58,7 @@
         self._plain = plain
         self._reachability = reachability
         self._gate = gate
+        self._load = load
         self._neighbourhood = neighbourhood
         self._clock = clock
         self._changed = asyncio.Event()
@@ -89,6 +94,9 @@
         """
         if choice.expected_seconds <= exchange.longest_wait:
             return
+        if choice.is_placed_alone and self._load.has_lagged():
+            # What it expects of engines then is its own lateness.
+            return
         upstream_id = choice.entry.upstream.id
         self._generations.note_ended(exchange.run_id, upstream_id, failed=False)
         log_event(
--- a/lynxchute/relay/load.py
+++ b/lynxchute/relay/load.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from lynxchute.http import LinkMeter
+from lynxchute.overload import Load
 from lynxchute.telemetry import log_event
 
 # A request crosses the link some times (its tokens, its place, its body, its
@@ -71,7 +72,45 @@
         """Return whether a new connection would only make those that are open late."""
         return self._meter.delay() >= FULL_DELAY
 
-    def ends_connection(self) -> bool:
+    @property
+    def full_resource(self) -> str:
+        """Return what is full, in one word."""
+        return "link"
+
+    def look(self) -> None:
+        """Take note of how full it is now."""
+
+    def note_admitted(self, account: str) -> None:
+        """Count an admitted request of a client account."""
+
+    def refuses(self, objective: float, account: str) -> str:
+        """Return the resource for which a request is refused, or an empty text.
+
+        Parameters
+        ----------
+        objective
+            Seconds within which its answer is on time.
+        account
+            Who pays; empty where nobody does.
+        """
+        return "link" if self.is_too_slow(objective) else ""
+
+    def refuses_all(self, objective: float) -> str:
+        """Return the resource for which a request of anybody is refused.
+
+        It is asked before the body is read.
+        """
+        return ""
+
+    def loads(self) -> dict[str, Load]:
+        """Return the load of each resource by its name."""
+        return {"link": Load(self._meter.use(), self._meter.delay())}
+
+    def has_lagged(self) -> bool:
+        """Return whether this router itself has been late just now."""
+        return False
+
+    def ends_connection(self, account: str = "") -> bool:
         """Return whether a connection is to end with the answer that it gets now.
 
         Only what the link carries too much goes elsewhere: if all of it went, the next
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -284,7 +284,9 @@
                 had_paused = exchange.has_paused
                 exchange.note_events(events.count, events.last_id, self._clock())
                 if exchange.has_paused and not had_paused:
-                    self._sender.note_paused(answer)
+                    self._sender.note_paused(
+                        answer, exchange.longest_pause, exchange.route.max_pause
+                    )
                 data = events.data
                 told = self._dialect.told_tokens(data)
                 if told is not None:
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -171,12 +171,21 @@
 
     def note_begun(self, answer: Answer) -> None:
         """Note the first event of a stream."""
-        took_ms = (self._clock() - answer.sent_at) * 1000.0
+        own = self._clients.meter.own_delay()
+        took_ms = max(self._clock() - answer.sent_at - own, 0.0) * 1000.0
         upstream_id = answer.entry.upstream.id
         self._generations.note_begun(answer.run_id, upstream_id, took_ms=took_ms)
 
-    def note_paused(self, answer: Answer) -> None:
-        """Note that a stream has paused for longer than is on time."""
+    def note_paused(self, answer: Answer, pause: float, longest: float) -> None:
+        """Note that a stream has paused for longer than is on time.
+
+        Parameters
+        ----------
+        pause, longest
+            How long it was, and may be on time, in seconds.
+        """
+        if pause - self._clients.meter.own_delay() <= longest:
+            return
         self._generations.note_paused(answer.run_id, answer.entry.upstream.id)
 
     def check_quarantine(self, exchange: Exchange) -> None:
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -195,6 +195,7 @@
             placed_by=vm,
             permit_until=asked_at + PERMIT_SECONDS if reply.is_counted else 0.0,
             admitted_until=asked_at + PERMIT_SECONDS if reply.is_admitted else 0.0,
+            is_placed_alone=vm == own and not self.schedules(service),
         )
 
     def note_begun(self, run_id: str, upstream_id: str, *, took_ms: float) -> None:
--- a/lynxchute/telemetry/metrics.py
+++ b/lynxchute/telemetry/metrics.py
@@ -46,6 +46,12 @@
         Calls to the store by what was called and how they ended.
     store_seconds
         How long the store took to answer writes and scans.
+    refused_by_resource
+        Requests refused early for the own VM, by the resource that was full.
+    connections_ended
+        Connections of callers that ended so that they connect elsewhere.
+    processor_use, processor_delay
+        Share of the time in which the router works, and seconds that an event waits.
     log_lines_dropped
         Log lines that nobody read in time.
     """
@@ -90,6 +96,16 @@
         self.upstreams = self._gauge("upstreams", "Upstreams that take work.")
         self.store_answers = self._gauge("store_answers", "1 while the store answers.")
         self.routers = self._gauge("routers", "Registered routers.")
+        self.refused_by_resource = self._counter(
+            "refused_by_resource", "Refused early for the own load.", "resource"
+        )
+        self.connections_ended = self._counter(
+            "connections_ended", "Connections ended for the own load."
+        )
+        self.processor_use = self._gauge("processor_use", "Share of the time at work.")
+        self.processor_delay = self._gauge(
+            "processor_delay_seconds", "How long an event waits for the router."
+        )
         self.log_lines_dropped = self._gauge("log_lines_dropped", "Lines dropped.")
 
     def exposition(self) -> tuple[bytes, str]:
--- a/lynxchute/upstreams/placement.py
+++ b/lynxchute/upstreams/placement.py
@@ -33,6 +33,8 @@
         clock in seconds; 0 where it may not.
     admitted_until
         Until when it may be sent though the upstream names a limit, likewise.
+    is_placed_alone
+        Whether this VM chose in place of the one that schedules.
     """
 
     entry: Entry
@@ -41,6 +43,7 @@
     placed_by: str = ""
     permit_until: float = 0.0
     admitted_until: float = 0.0
+    is_placed_alone: bool = False
 
 
 class Placement(ABC):
