--- a/lynxchute/overload/guard.py
+++ b/lynxchute/overload/guard.py
@@ -22,8 +22,9 @@
 
     Attributes
     ----------
-    passes
-        How often a request waits for the resource until its answer begins.
+    passes, brief_passes
+        How often a request waits for the resource until its answer begins; and one that
+        needs no place at an engine and no tokens.
     slow_share
         Share of its latency objective that a request may wait for it; the rest is
         for upstreams and the way.
@@ -44,6 +45,7 @@
     """
 
     passes: float
+    brief_passes: float
     slow_share: float
     shed_use: float
     shed_delay: float
@@ -57,6 +59,7 @@
 
 LINK = Limits(
     passes=1.0,
+    brief_passes=1.0,
     slow_share=0.3,
     shed_use=0.7,
     shed_delay=0.2,
@@ -69,10 +72,11 @@
 )
 PROCESSOR = Limits(
     passes=6.0,
-    slow_share=0.5,
-    shed_use=0.85,
+    brief_passes=2.0,
+    slow_share=0.8,
+    shed_use=0.7,
     shed_delay=0.02,
-    kept_use=0.65,
+    kept_use=0.5,
     full_use=math.inf,
     full_delay=math.inf,
     open_use=math.inf,
@@ -81,6 +85,7 @@
 )
 MEMORY = Limits(
     passes=1.0,
+    brief_passes=1.0,
     slow_share=0.3,
     shed_use=0.7,
     shed_delay=math.inf,
@@ -202,26 +207,31 @@
             return False
         return self._goes_elsewhere(account)
 
-    def refuses(self, objective: float, account: str = "") -> str:
+    def refuses(
+        self, objective: float, account: str = "", *, is_brief: bool = False
+    ) -> str:
         """Return the resource for which a request is refused, or an empty text.
 
         Parameters
         ----------
         objective
             Seconds within which its answer is on time.
+        is_brief
+            Whether it needs no place at an engine and no tokens.
         """
-        found = self.refuses_all(objective)
+        found = self.refuses_all(objective, is_brief=is_brief)
         if found:
             return found
         objective = objective if objective > 0.0 else math.inf
         for resource in self._resources:
             limits = resource.limits
-            wait = limits.passes * resource.load().delay
+            passes = limits.brief_passes if is_brief else limits.passes
+            wait = passes * resource.load().delay
             if wait > limits.slow_share * objective and self._goes_elsewhere(account):
                 return resource.name
         return ""
 
-    def refuses_all(self, objective: float) -> str:
+    def refuses_all(self, objective: float, *, is_brief: bool = False) -> str:
         """Return the resource for which a request is refused whoever sends it.
 
         That may be asked before the body is read.
@@ -229,7 +239,8 @@
         objective = objective if objective > 0.0 else math.inf
         for resource in self._resources:
             limits = resource.limits
-            wait = limits.passes * resource.load().delay
+            passes = limits.brief_passes if is_brief else limits.passes
+            wait = passes * resource.load().delay
             if wait and wait > limits.slow_share * objective * WITHIN_SHARE_PATIENCE:
                 return resource.name
         return ""
--- a/lynxchute/relay/admission.py
+++ b/lynxchute/relay/admission.py
@@ -101,7 +101,7 @@
         account = None
         if not route.is_public:
             account = configuration.accounts_by_key.get(call.key)
-        self._check_load(route, account, respond)
+        self._check_load(call, route, account, respond)
         if account is not None:
             self._count(configuration, account)
         self.open_requests += 1
@@ -134,11 +134,17 @@
         return configuration
 
     def _check_load(
-        self, route: Route, account: ClientAccount | None, respond: Responder
+        self,
+        call: Call,
+        route: Route,
+        account: ClientAccount | None,
+        respond: Responder,
     ) -> None:
         """Send callers elsewhere while this router would serve them late."""
         name = account.name if account is not None else ""
-        full = self._load.refuses(route.latency_objective, name)
+        full = self._load.refuses(
+            route.latency_objective, name, is_brief=call.generation is None
+        )
         if full:
             respond.closing = True
             raise Refusal(
--- a/lynxchute/relay/guarded_load.py
+++ b/lynxchute/relay/guarded_load.py
@@ -86,9 +86,9 @@
         if self._guard.shares is not None:
             self._guard.shares.note_use(account, 1.0, self._clock())
 
-    def refuses(self, objective: float, account: str) -> str:
+    def refuses(self, objective: float, account: str, *, is_brief: bool) -> str:
         """Return the resource for which a request is refused, or an empty text."""
-        return self._counted(self._guard.refuses(objective, account))
+        return self._counted(self._guard.refuses(objective, account, is_brief=is_brief))
 
     def refuses_all(self, objective: float) -> str:
         """Return the resource for which a request of anybody is refused."""
--- a/lynxchute/relay/load.py
+++ b/lynxchute/relay/load.py
@@ -83,7 +83,7 @@
     def note_admitted(self, account: str) -> None:
         """Count an admitted request of a client account."""
 
-    def refuses(self, objective: float, account: str) -> str:
+    def refuses(self, objective: float, account: str, *, is_brief: bool) -> str:
         """Return the resource for which a request is refused, or an empty text.
 
         Parameters
@@ -92,6 +92,8 @@
             Seconds within which its answer is on time.
         account
             Who pays; empty where nobody does.
+        is_brief
+            Whether it needs no place at an engine and no tokens.
         """
         return "link" if self.is_too_slow(objective) else ""
 
