--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -411,7 +411,7 @@
     def _check_head(self, head: RequestHead) -> None:
         if not head.target.startswith("/"):
             raise BadRequest(400, "Ask for a path.")
-        self.own_load.check_body(head, self.configurations.current)
+        self.own_load.check_head(head, self.configurations.current)
 
 
 def _own_member(settings: EdgeSettings) -> Member:
--- a/lynxchute/edge/own_load.py
+++ b/lynxchute/edge/own_load.py
@@ -28,12 +28,9 @@
 from lynxchute.relay.guarded_load import GuardedLoad
 from lynxchute.relay.load import RouterLoad
 from lynxchute.relay.own_delay import OwnDelayMeter
+from lynxchute.relay.refusal import Reason
 from lynxchute.telemetry import Metrics
 
-# Bodies from this size on are refused before they are read; smaller ones have come
-# with their head.
-LONG_BODY_BYTES = 4_096
-
 
 @attrs.frozen
 class OwnLoad:
@@ -51,6 +48,7 @@
 
     meter: LinkMeter
     load: RouterLoad
+    metrics: Metrics
     processor: ProcessorMeter | None = None
 
     def observe_loop(self) -> None:
@@ -59,21 +57,25 @@
         if self.processor is not None and isinstance(loop, SteadyEventLoop):
             loop.sleep_observers.append(self.processor.note_sleep)
 
-    def check_body(self, head: RequestHead, current: Configuration | None) -> None:
-        """Refuse a long body before it is read, where it would be refused after that.
+    def check_head(self, head: RequestHead, current: Configuration | None) -> None:
+        """Refuse a request before its body is read where anybody's would be.
 
         Raises
         ------
         BadRequest
             With a time after which to come back.
         """
-        length = head.headers.get("content-length", "0")
-        if current is None or not length.isdigit() or int(length) < LONG_BODY_BYTES:
+        if self.processor is None or current is None:
             return
         host = head.headers.get("host", "").partition(":")[0]
         route = current.find_route(host, head.path)
-        full = self.load.refuses_all(route.latency_objective) if route else ""
+        if route is None:
+            return
+        service = current.services_by_name.get(route.targets[0].service)
+        is_brief = service is None or service.engine is None
+        full = self.load.refuses_all(route.latency_objective, is_brief=is_brief)
         if full:
+            self.metrics.refusals.inc(Reason.OVERLOADED.value)
             reason = f"This router's {full} is full. Send the request to another one."
             raise BadRequest(503, reason, retry_after=RETRY_ELSEWHERE)
 
@@ -90,7 +92,7 @@
     """
     if not settings.features.processor_guard:
         meter = LinkMeter(settings.link_mbps)
-        return OwnLoad(meter, RouterLoad(meter, steady_seconds))
+        return OwnLoad(meter, RouterLoad(meter, steady_seconds), metrics)
     processor = ProcessorMeter(steady_seconds)
     own = OwnDelayMeter(settings.link_mbps, processor, steady_seconds)
     link = MeasuredSource("link", own.use, own.link_delay)
@@ -108,4 +110,4 @@
     shares = LocalShares(lambda: guard.kept_share())
     guard = Guard(resources, steady_seconds, random.Random(), shares)
     load = GuardedLoad(guard, own, steady_seconds, metrics)
-    return OwnLoad(own, load, processor)
+    return OwnLoad(own, load, metrics, processor)
--- a/lynxchute/overload/guard.py
+++ b/lynxchute/overload/guard.py
@@ -11,6 +11,13 @@
 from lynxchute.overload.load import IDLE, Load, LoadSource
 from lynxchute.overload.shares import AccountShares
 
+# Seconds for which a VM is not ready at least: the balancer notices after two, and the
+# connections that end after that find another VM.
+SPELL_SECONDS = 3.0
+# Seconds after which it is ready again, however full it is, and for how long then: what
+# took its place may be as full by then.
+LONGEST_SPELL = 8.0
+REST_SECONDS = 4.0
 # Times its share of the objective that a request of an account within its share may
 # wait: the account in excess goes first, and makes room.
 WITHIN_SHARE_PATIENCE = 1.5
@@ -35,13 +42,9 @@
         The use that is aimed at then: what is left bears such a burst.
     full_use, full_delay
         From which on no connection is taken.
-    open_use
-        Below which connections are taken again.
-    spell_seconds
-        For which the VM is then not ready at once: the balancer notices after two, and
-        the connections that end after that find another VM.
-    spell_share
-        Share of the time in which it may be not ready.
+    urgent_delay
+        Seconds of waiting from which on accounts in excess are refused whatever their
+        objectives: those of others may be short.
     """
 
     passes: float
@@ -52,9 +55,7 @@
     kept_use: float
     full_use: float
     full_delay: float
-    open_use: float
-    spell_seconds: float
-    spell_share: float
+    urgent_delay: float
 
 
 LINK = Limits(
@@ -66,22 +67,18 @@
     kept_use=0.55,
     full_use=math.inf,
     full_delay=0.4,
-    open_use=math.inf,
-    spell_seconds=8.0,
-    spell_share=1.0,
+    urgent_delay=math.inf,
 )
 PROCESSOR = Limits(
     passes=6.0,
     brief_passes=2.0,
     slow_share=0.8,
-    shed_use=0.7,
+    shed_use=0.6,
     shed_delay=0.02,
-    kept_use=0.5,
+    kept_use=0.45,
     full_use=math.inf,
     full_delay=math.inf,
-    open_use=math.inf,
-    spell_seconds=4.0,
-    spell_share=0.5,
+    urgent_delay=0.03,
 )
 MEMORY = Limits(
     passes=1.0,
@@ -92,9 +89,7 @@
     kept_use=0.55,
     full_use=0.85,
     full_delay=math.inf,
-    open_use=0.75,
-    spell_seconds=3.0,
-    spell_share=0.08,
+    urgent_delay=math.inf,
 )
 
 
@@ -146,8 +141,8 @@
         self._resources = resources
         self._clock = clock
         self._random = rng
-        self._spell_ends = -math.inf
-        self._next_spell = -math.inf
+        self._spell_began: float | None = None
+        self._rests_until = -math.inf
         self._full = ""
 
     @property
@@ -161,31 +156,36 @@
     @property
     def is_ready(self) -> bool:
         """Return whether the balancer should give new connections to this VM."""
-        return self._clock() >= self._spell_ends
+        return self._spell_began is None
 
     def look(self) -> str:
         """Look at all resources; return the one for which a spell begins.
 
         In a spell the VM is not ready; an empty text where none begins.
         """
-        now, begun = self._clock(), ""
+        self._full = self._find_full()
+        now = self._clock()
+        if self._spell_began is not None:
+            passed = now - self._spell_began
+            if passed < SPELL_SECONDS or self.kept_share() < 1.0:
+                if passed < LONGEST_SPELL:
+                    return ""
+                self._rests_until = now + REST_SECONDS
+            self._spell_began = None
+            return ""
+        if now < self._rests_until:
+            return ""
         for resource in self._resources:
             load, limits = resource.load(), resource.limits
-            is_over = load.use >= limits.shed_use or load.delay >= limits.shed_delay
-            if not is_over or now < self._next_spell:
-                continue
-            self._spell_ends = now + limits.spell_seconds
-            self._next_spell = now + limits.spell_seconds / limits.spell_share
-            begun = resource.name
-        self._full = self._find_full()
-        return begun
+            if load.use >= limits.shed_use or load.delay >= limits.shed_delay:
+                self._spell_began = now
+                return resource.name
+        return ""
 
     def _find_full(self) -> str:
         for resource in self._resources:
             load, limits = resource.load(), resource.limits
-            is_shut = self._full == resource.name
-            most = limits.open_use if is_shut else limits.full_use
-            if load.use >= most or load.delay >= limits.full_delay:
+            if load.use >= limits.full_use or load.delay >= limits.full_delay:
                 return resource.name
         return ""
 
@@ -222,12 +222,13 @@
         found = self.refuses_all(objective, is_brief=is_brief)
         if found:
             return found
-        objective = objective if objective > 0.0 else math.inf
         for resource in self._resources:
-            limits = resource.limits
+            limits, delay = resource.limits, resource.load().delay
             passes = limits.brief_passes if is_brief else limits.passes
-            wait = passes * resource.load().delay
-            if wait > limits.slow_share * objective and self._goes_elsewhere(account):
+            is_late = passes * delay > limits.slow_share * _objective(objective)
+            if not is_late and delay < limits.urgent_delay:
+                continue
+            if self._goes_elsewhere(account):
                 return resource.name
         return ""
 
@@ -236,12 +237,12 @@
 
         That may be asked before the body is read.
         """
-        objective = objective if objective > 0.0 else math.inf
+        patience = _objective(objective) * WITHIN_SHARE_PATIENCE
         for resource in self._resources:
             limits = resource.limits
             passes = limits.brief_passes if is_brief else limits.passes
             wait = passes * resource.load().delay
-            if wait and wait > limits.slow_share * objective * WITHIN_SHARE_PATIENCE:
+            if wait > limits.slow_share * patience:
                 return resource.name
         return ""
 
@@ -264,6 +265,11 @@
         return self._random.random() >= kept
 
 
+def _objective(seconds: float) -> float:
+    """Return an objective; one that means nothing is none."""
+    return seconds if seconds > 0.0 else math.inf
+
+
 def _sound(value: float) -> float:
     """Return a figure that can be compared: not negative, and a number."""
     return max(value, 0.0) if value == value else 0.0
--- a/lynxchute/relay/guarded_load.py
+++ b/lynxchute/relay/guarded_load.py
@@ -90,9 +90,9 @@
         """Return the resource for which a request is refused, or an empty text."""
         return self._counted(self._guard.refuses(objective, account, is_brief=is_brief))
 
-    def refuses_all(self, objective: float) -> str:
+    def refuses_all(self, objective: float, *, is_brief: bool) -> str:
         """Return the resource for which a request of anybody is refused."""
-        return self._counted(self._guard.refuses_all(objective))
+        return self._counted(self._guard.refuses_all(objective, is_brief=is_brief))
 
     def has_lagged(self) -> bool:
         """Return whether this router itself has been late just now."""
--- a/lynxchute/relay/load.py
+++ b/lynxchute/relay/load.py
@@ -97,7 +97,7 @@
         """
         return "link" if self.is_too_slow(objective) else ""
 
-    def refuses_all(self, objective: float) -> str:
+    def refuses_all(self, objective: float, *, is_brief: bool) -> str:
         """Return the resource for which a request of anybody is refused.
 
         It is asked before the body is read.
