Close new connections unread while the processor is full

A caller whose connection is refused does not come back; one whose connection is closed before anything of it is read does, at another VM. It costs a tenth of a request, a refusal of its head a third.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -261,7 +261,11 @@
             steady_seconds,
         )
         self.callers = HttpServer(
-            self.handle, limits=self._limits, check_head=self._check_head, meter=meter
+            self.handle,
+            limits=self._limits,
+            check_head=self._check_head,
+            meter=meter,
+            takes_connections=self.load.takes_connection,
         )
         self.readiness = HttpServer(self._answer_readiness)
         self.exposition = HttpServer(Exposition(self, log_lines_dropped).answer)
--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -83,6 +83,9 @@
         """Take a new connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        if not self._server.takes_connections():
+            transport.close()
+            return
         apply_options(transport)
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._server.connections.add(self)
--- a/lynxchute/http/server.py
+++ b/lynxchute/http/server.py
@@ -47,6 +47,11 @@
     """Refuse no request by its head."""
 
 
+def take_all() -> bool:
+    """Take each connection that comes."""
+    return True
+
+
 class HttpServer:
     """Accept connections and hand each request to a handler.
 
@@ -61,6 +66,9 @@
         Called before a body is read; raises `BadRequest` to refuse it.
     meter
         Counts what goes over the VM's link.
+    takes_connections
+        Returns whether a connection that has come is served; others are closed before
+        anything of them is read.
     """
 
     def __init__(
@@ -70,7 +78,9 @@
         limits: Callable[[], ServerLimits] = ServerLimits,
         check_head: Callable[[RequestHead], None] = accept_all,
         meter: LinkMeter = AMPLE,
+        takes_connections: Callable[[], bool] = take_all,
     ) -> None:
+        self.takes_connections = takes_connections
         self.connections: set[ServerConnection] = set()
         self.buffered_bytes = 0
         self.port = 0
--- a/lynxchute/relay/guarded_load.py
+++ b/lynxchute/relay/guarded_load.py
@@ -47,6 +47,7 @@
         self._metrics = metrics
         self._refused = 0
         self._ended = 0
+        self._closed = 0
         self._log_at = -math.inf
         self._lagged_at = -math.inf
 
@@ -57,8 +58,11 @@
 
     @property
     def is_full(self) -> bool:
-        """Return whether a new connection would only make those that are open late."""
-        return bool(self._guard.full)
+        """Return whether nobody is to reach this VM at all.
+
+        Whose connection is refused does not come back; it is taken and closed instead.
+        """
+        return False
 
     @property
     def full_resource(self) -> str:
@@ -81,6 +85,14 @@
             )
         self._log_counts()
 
+    def takes_connection(self) -> bool:
+        """Return whether a connection that has come just now is served."""
+        if not self._guard.full:
+            return True
+        self._closed += 1
+        self._metrics.connections_closed.inc()
+        return False
+
     def note_admitted(self, account: str) -> None:
         """Count an admitted request of a client account."""
         if self._guard.shares is not None:
@@ -121,7 +133,7 @@
 
     def _log_counts(self) -> None:
         """Tell what went elsewhere of late, in one line for many."""
-        if not self._refused and not self._ended:
+        if not self._refused and not self._ended and not self._closed:
             return
         now = self._clock()
         if now - self._log_at < LOG_SECONDS:
@@ -132,7 +144,8 @@
             "excess sent elsewhere",
             refused=self._refused,
             connections_ended=self._ended,
+            connections_closed=self._closed,
             processor_use=round(load.use, 3),
             processor_delay_s=round(load.delay, 4),
         )
-        self._refused = self._ended = 0
+        self._refused = self._ended = self._closed = 0
--- a/lynxchute/relay/load.py
+++ b/lynxchute/relay/load.py
@@ -80,6 +80,10 @@
     def look(self) -> None:
         """Take note of how full it is now."""
 
+    def takes_connection(self) -> bool:
+        """Return whether a connection that has come just now is served."""
+        return True
+
     def note_admitted(self, account: str) -> None:
         """Count an admitted request of a client account."""
 
--- a/lynxchute/telemetry/metrics.py
+++ b/lynxchute/telemetry/metrics.py
@@ -50,6 +50,8 @@
         Requests refused early for the own VM, by the resource that was full.
     connections_ended
         Connections of callers that ended so that they connect elsewhere.
+    connections_closed
+        New ones that were closed before anything of them was read.
     processor_use, processor_delay
         Share of the time in which the router works, and seconds that an event waits.
     log_lines_dropped
@@ -102,6 +104,9 @@
         self.connections_ended = self._counter(
             "connections_ended", "Connections ended for the own load."
         )
+        self.connections_closed = self._counter(
+            "connections_closed", "New connections closed for the own load."
+        )
         self.processor_use = self._gauge("processor_use", "Share of the time at work.")
         self.processor_delay = self._gauge(
             "processor_delay_seconds", "How long an event waits for the router."
