--- a/lynxchute/overload/guard.py
+++ b/lynxchute/overload/guard.py
@@ -18,6 +18,9 @@
 # took its place may be as full by then.
 LONGEST_SPELL = 8.0
 REST_SECONDS = 4.0
+# Seconds for which a request counts as one that was just asked: work that is done for
+# nobody, as at a start, sends nobody elsewhere.
+ASKED_SECONDS = 1.0
 # Times its share of the objective that a request of an account within its share may
 # wait: the account in excess goes first, and makes room.
 WITHIN_SHARE_PATIENCE = 1.5
@@ -33,63 +36,64 @@
         How often a request waits for the resource until its answer begins; and one that
         needs no place at an engine and no tokens.
     slow_share
-        Share of its latency objective that a request may wait for it; the rest is
-        for upstreams and the way.
+        How many times its latency objective a request may wait for it. For the
+        processor that is more than once: refusing takes a third of the work, and an
+        answer that is late is worth more to a caller than two refusals.
+    least_use
+        Use below which nothing is over, whatever the delay: one long event is no load.
     shed_use, shed_delay
-        Use and seconds of waiting from which on work goes elsewhere: at more than that
-        a burst of one second makes callers late before anything can be moved.
+        Use and seconds of waiting from which on the VM is not ready: the balancer takes
+        two seconds to notice, and a burst must not make callers late meanwhile.
     kept_use
-        The use that is aimed at then: what is left bears such a burst.
+        The use that open connections may make; those beyond end, so that callers find
+        another VM with their next request.
     full_use, full_delay
-        From which on no connection is taken.
-    urgent_delay
-        Seconds of waiting from which on accounts in excess are refused whatever their
-        objectives: those of others may be short.
+        From which on new connections are closed: what is open would be late for them.
     """
 
     passes: float
     brief_passes: float
     slow_share: float
+    least_use: float
     shed_use: float
     shed_delay: float
     kept_use: float
     full_use: float
     full_delay: float
-    urgent_delay: float
 
 
 LINK = Limits(
     passes=1.0,
     brief_passes=1.0,
     slow_share=0.3,
+    least_use=0.0,
     shed_use=0.7,
     shed_delay=0.2,
     kept_use=0.55,
     full_use=math.inf,
     full_delay=0.4,
-    urgent_delay=math.inf,
 )
 PROCESSOR = Limits(
     passes=6.0,
     brief_passes=2.0,
     slow_share=3.0,
-    shed_use=0.85,
+    least_use=0.6,
+    shed_use=0.75,
     shed_delay=0.02,
-    kept_use=0.75,
+    kept_use=0.8,
     full_use=math.inf,
-    full_delay=0.015,
-    urgent_delay=math.inf,
+    full_delay=0.02,
 )
 MEMORY = Limits(
     passes=1.0,
     brief_passes=1.0,
     slow_share=0.3,
+    least_use=0.0,
     shed_use=0.7,
     shed_delay=math.inf,
     kept_use=0.55,
     full_use=0.85,
     full_delay=math.inf,
-    urgent_delay=math.inf,
 )
 
 
@@ -110,6 +114,13 @@
         load = self.source.load()
         return Load(_sound(load.use), _sound(load.delay))
 
+    def is_over(self, use: float, delay: float) -> bool:
+        """Return whether as much is used, or waited for, as that."""
+        load = self.load()
+        if load.use < self.limits.least_use:
+            return False
+        return load.use >= use or load.delay >= delay
+
 
 class Guard:
     """Decide what a router serves, by the load of its resources.
@@ -137,13 +148,14 @@
         rng: random.Random,
         shares: AccountShares | None = None,
     ) -> None:
-        self.shares = shares
+        self._shares = shares
         self._resources = resources
         self._clock = clock
         self._random = rng
         self._spell_began: float | None = None
         self._rests_until = -math.inf
         self._full = ""
+        self._asked_at = -math.inf
 
     @property
     def full(self) -> str:
@@ -158,6 +170,12 @@
         """Return whether the balancer should give new connections to this VM."""
         return self._spell_began is None
 
+    def note_request(self, account: str) -> None:
+        """Count a request that is served."""
+        self._asked_at = self._clock()
+        if self._shares is not None:
+            self._shares.note_use(account, 1.0, self._asked_at)
+
     def look(self) -> str:
         """Look at all resources; return the one for which a spell begins.
 
@@ -173,19 +191,19 @@
                 self._rests_until = now + REST_SECONDS
             self._spell_began = None
             return ""
-        if now < self._rests_until:
+        if now < self._rests_until or now - self._asked_at > ASKED_SECONDS:
             return ""
         for resource in self._resources:
-            load, limits = resource.load(), resource.limits
-            if load.use >= limits.shed_use or load.delay >= limits.shed_delay:
+            limits = resource.limits
+            if resource.is_over(limits.shed_use, limits.shed_delay):
                 self._spell_began = now
                 return resource.name
         return ""
 
     def _find_full(self) -> str:
         for resource in self._resources:
-            load, limits = resource.load(), resource.limits
-            if load.use >= limits.full_use or load.delay >= limits.full_delay:
+            limits = resource.limits
+            if resource.is_over(limits.full_use, limits.full_delay):
                 return resource.name
         return ""
 
@@ -223,10 +241,10 @@
         if found:
             return found
         for resource in self._resources:
-            limits, delay = resource.limits, resource.load().delay
+            limits = resource.limits
             passes = limits.brief_passes if is_brief else limits.passes
-            is_late = passes * delay > limits.slow_share * _objective(objective)
-            if not is_late and delay < limits.urgent_delay:
+            wait = passes * resource.load().delay
+            if wait <= limits.slow_share * _objective(objective):
                 continue
             if self._goes_elsewhere(account):
                 return resource.name
@@ -259,8 +277,8 @@
         kept = self.kept_share()
         if kept >= 1.0:
             return False
-        if self.shares is not None and account:
-            excess = self.shares.excess(account, self._clock())
+        if self._shares is not None and account:
+            excess = self._shares.excess(account, self._clock())
             kept = 1.0 / excess if excess > 1.0 else 1.0
         return self._random.random() >= kept
 
--- a/lynxchute/overload/processor.py
+++ b/lynxchute/overload/processor.py
@@ -12,8 +12,9 @@
 FADE_SECONDS = 0.5
 # Timers fire a little late by themselves.
 USUAL_LATENESS = 0.002
-# Longer waits than this are not believed: a suspension is no load.
+# Longer turns than this are no load but a suspension, and count as so much.
 MAX_TURN_SECONDS = 1.0
+SUSPENDED_SECONDS = 0.25
 
 
 class ProcessorMeter(LoadSource):
@@ -83,8 +84,8 @@
         return Load(use, (self._waited + turn * turn) / FADE_SECONDS)
 
     def _fade(self, now: float) -> None:
-        passed = _bounded(now - self._at)
-        if passed:
+        passed = now - self._at
+        if passed > 0.0:
             kept = math.exp(-passed / FADE_SECONDS)
             self._work *= kept
             self._waited *= kept
@@ -95,4 +96,4 @@
     """Return a time that may count as work."""
     if not seconds > 0.0:
         return 0.0
-    return min(seconds, MAX_TURN_SECONDS)
+    return seconds if seconds <= MAX_TURN_SECONDS else SUSPENDED_SECONDS
--- a/lynxchute/relay/guarded_load.py
+++ b/lynxchute/relay/guarded_load.py
@@ -95,8 +95,7 @@
 
     def note_admitted(self, account: str) -> None:
         """Count an admitted request of a client account."""
-        if self._guard.shares is not None:
-            self._guard.shares.note_use(account, 1.0, self._clock())
+        self._guard.note_request(account)
 
     def refuses(self, objective: float, account: str, *, is_brief: bool) -> str:
         """Return the resource for which a request is refused, or an empty text."""
--- a/tests/load_play.py
+++ b/tests/load_play.py
@@ -3,8 +3,8 @@
 The VMs have the real decisions and meters. An event loop takes all events that are
 ready in one turn; a request is some events and a wait for its engine. The balancer and
 the callers are as the users' pages tell: an account's connections go to the first VM
-of an order that are ready, the balancer asks each second and gives a VM up after two
-misses, open connections stay, and a caller who is refused tries once more at another VM.
+of an order that is ready, the balancer asks each second and gives a VM up after two
+misses, open connections stay, and a caller who is refused tries once more elsewhere.
 """
 
 import heapq
@@ -15,7 +15,11 @@
 
 from lynxchute.overload import PROCESSOR, Guard, LocalShares, ProcessorMeter, Resource
 
-EVENT_SECONDS = 0.004
+EVENT_SECONDS = 0.003
+# What comes of a stream after its first event.
+LATER_EVENTS = 10
+LATER_SECONDS = 0.001
+STREAM_SECONDS = 1.5
 REFUSAL_SECONDS = 0.006
 CONNECT_SECONDS = 0.002
 CLOSE_SECONDS = 0.002
@@ -192,8 +196,7 @@
         ):
             vm.put(REFUSAL_SECONDS, lambda: self._refused(asked, number))
             return
-        if guard.shares is not None:
-            guard.shares.note_use(asked.account, 1.0, self.now)
+        guard.note_request(asked.account)
         ends = self.is_guarded and guard.ends_connection(asked.account)
         left = BRIEF_EVENTS if kind.is_brief else EVENTS
         self._go_on(asked, number, left - 1, ends)
@@ -203,8 +206,8 @@
         if left == 0:
             is_late = self.now - asked.at > asked.kind.objective
             asked.outcome = "late" if is_late else "served"
-            if not ends:
-                self._idle[asked.account].append(number)
+            later = 0 if asked.kind.is_brief else LATER_EVENTS
+            self._stream(asked, number, later, ends)
             return
         wait = 0.0
         if left == 2 and not asked.kind.is_brief:
@@ -214,6 +217,15 @@
         )
         self.at(self.now + wait + 0.002, step)
 
+    def _stream(self, asked, number, left, ends):
+        if left:
+            step = lambda: self.vms[number].put(  # noqa: E731
+                LATER_SECONDS, lambda: self._stream(asked, number, left - 1, ends)
+            )
+            self.at(self.now + STREAM_SECONDS / LATER_EVENTS, step)
+        elif not ends:
+            self._idle[asked.account].append(number)
+
     def _closed(self, asked, number):
         asked.outcome, asked.last_vm = "closed", number
         if asked.tries < 2:
