--- a/lynxchute/overload/guard.py
+++ b/lynxchute/overload/guard.py
@@ -48,7 +48,8 @@
         The use that open connections may make; those beyond end, so that callers find
         another VM with their next request.
     full_use, full_delay
-        From which on new connections are closed: what is open would be late for them.
+        About which new connections are closed, as what is open would be late for them:
+        none at half of it, each at one and a half.
     """
 
     passes: float
@@ -159,10 +160,7 @@
 
     @property
     def full(self) -> str:
-        """Return the resource for which no connection is taken, as of the last look.
-
-        What is open fills it already: a new connection would only make callers late.
-        """
+        """Return the resource that is full as of the last look, or an empty text."""
         return self._full
 
     @property
@@ -207,6 +205,21 @@
                 return resource.name
         return ""
 
+    def closes_connection(self) -> bool:
+        """Return whether a connection that has just come is closed.
+
+        The more of them the longer new work waits: if all went until it waits no more,
+        all that come next would be let in at once.
+        """
+        share = 0.0
+        for resource in self._resources:
+            load, limits = resource.load(), resource.limits
+            if load.use < limits.least_use:
+                continue
+            share = max(share, _ramp(load.use, limits.full_use))
+            share = max(share, _ramp(load.delay, limits.full_delay))
+        return self._random.random() < share
+
     def kept_share(self) -> float:
         """Return the share of the present work that the VM can go on with."""
         kept = 1.0
@@ -283,6 +296,13 @@
         return self._random.random() >= kept
 
 
+def _ramp(value: float, full: float) -> float:
+    """Return 0 up to half of a limit, 1 from one and a half of it on."""
+    if math.isinf(full):
+        return 0.0
+    return min(max(value / full - 0.5, 0.0), 1.0)
+
+
 def _objective(seconds: float) -> float:
     """Return an objective; one that means nothing is none."""
     return seconds if seconds > 0.0 else math.inf
--- a/lynxchute/overload/processor.py
+++ b/lynxchute/overload/processor.py
@@ -7,9 +7,11 @@
 
 from lynxchute.overload.load import Load, LoadSource
 
-# Seconds over which turns of the loop fade: long enough to average over a few
-# requests, short enough that a burst is known before the balancer's next question.
-FADE_SECONDS = 0.5
+# Seconds over which turns of the loop fade from the use: some requests, so that one
+# long event makes nobody busy.
+USE_SECONDS = 0.5
+# The same for the wait: a burst fills a VM within a few tenths of a second.
+DELAY_SECONDS = 0.25
 # Timers fire a little late by themselves.
 USUAL_LATENESS = 0.002
 # Longer turns than this are no load but a suspension, and count as so much.
@@ -80,15 +82,14 @@
         self._fade(now)
         # A turn that is under way is long before it has ended.
         turn = _bounded(now - self._woke_at) if self._woke_at is not None else 0.0
-        use = (self._work + turn) / FADE_SECONDS
-        return Load(use, (self._waited + turn * turn) / FADE_SECONDS)
+        use = (self._work + turn) / USE_SECONDS
+        return Load(use, (self._waited + turn * turn) / DELAY_SECONDS)
 
     def _fade(self, now: float) -> None:
         passed = now - self._at
         if passed > 0.0:
-            kept = math.exp(-passed / FADE_SECONDS)
-            self._work *= kept
-            self._waited *= kept
+            self._work *= math.exp(-passed / USE_SECONDS)
+            self._waited *= math.exp(-passed / DELAY_SECONDS)
         self._at = now
 
 
--- a/lynxchute/relay/guarded_load.py
+++ b/lynxchute/relay/guarded_load.py
@@ -82,7 +82,7 @@
 
     def takes_connection(self) -> bool:
         """Return whether a connection that has come just now is served."""
-        if not self._guard.full:
+        if not self._guard.closes_connection():
             return True
         self._closed += 1
         self._metrics.connections_closed.inc()
--- a/tests/load_play.py
+++ b/tests/load_play.py
@@ -174,7 +174,7 @@
             self.vms[number].put(EVENT_SECONDS, lambda: self._received(asked, number))
             return
         number = self._balance(asked)
-        if self.is_guarded and self.vms[number].guard.full:
+        if self.is_guarded and self.vms[number].guard.closes_connection():
             self.vms[number].put(CLOSE_SECONDS, lambda: self._closed(asked, number))
             return
         cost = CONNECT_SECONDS + EVENT_SECONDS
--- a/tests/test_router_load.py
+++ b/tests/test_router_load.py
@@ -181,6 +181,15 @@
             self.look()
             self.assertEqual("", self.guard.full)
 
+    def test_the_more_connections_are_closed_the_longer_work_waits(self):
+        closed = []
+        for delay in (0.01, 0.02, 0.03):
+            self.processor.now = Load(0.9, delay)
+            closed.append(sum(self.guard.closes_connection() for _ in range(1000)))
+        self.assertEqual(0, closed[0])
+        self.assertAlmostEqual(500, closed[1], delta=60)
+        self.assertEqual(1000, closed[2])
+
     def test_one_long_event_sends_nobody_elsewhere(self):
         self.processor.now = Load(0.3, 0.1)
         self.assertEqual("", self.look())
@@ -401,8 +410,8 @@
 
     def test_new_connections_are_closed_unread_and_open_ones_served(self):
         async def scenario(deployment, router, kept):
-            await until(lambda: not router.load.takes_connection())
-            self.assertFalse(router.is_ready())
+            await until(lambda: not router.is_ready())
+            await until(lambda: router.load.loads()["processor"].delay > 0.03)
             load = state_of(router)["load"]["processor"]
             self.assertGreater(load["use"], PROCESSOR.least_use)
             stranger = PlatformCaller(deployment)
