--- /dev/null
+++ b/lynxchute/edge/own_load.py
@@ -0,0 +1,113 @@
+"""Make what knows and limits a router's own load."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import attrs
+
+from lynxchute.clock import steady_seconds
+from lynxchute.config import Configuration
+from lynxchute.edge.settings import EdgeSettings
+from lynxchute.event_loop import SteadyEventLoop
+from lynxchute.http import BadRequest, HttpServer, LinkMeter, RequestHead
+from lynxchute.overload import (
+    LINK,
+    MEMORY,
+    PROCESSOR,
+    Guard,
+    LocalShares,
+    MeasuredSource,
+    ProcessorMeter,
+    Resource,
+    share_of,
+)
+from lynxchute.relay.admission import RETRY_ELSEWHERE
+from lynxchute.relay.guarded_load import GuardedLoad
+from lynxchute.relay.load import RouterLoad
+from lynxchute.relay.own_delay import OwnDelayMeter
+from lynxchute.relay.refusal import Reason
+from lynxchute.telemetry import Metrics
+
+
+@attrs.frozen
+class OwnLoad:
+    """What a router knows of its own load.
+
+    Attributes
+    ----------
+    meter
+        Counts what goes over the link, and tells how long answers are held up here.
+    load
+        Decides what goes elsewhere.
+    processor
+        Observes the event loop; None where the processor is not measured.
+    """
+
+    meter: LinkMeter
+    load: RouterLoad
+    metrics: Metrics
+    processor: ProcessorMeter | None = None
+
+    def observe_loop(self) -> None:
+        """Measure the running event loop from now on."""
+        loop = asyncio.get_running_loop()
+        if self.processor is not None and isinstance(loop, SteadyEventLoop):
+            loop.sleep_observers.append(self.processor.note_sleep)
+
+    def check_head(self, head: RequestHead, current: Configuration | None) -> None:
+        """Refuse a request before its body is read where anybody's would be.
+
+        Raises
+        ------
+        BadRequest
+            With a time after which to come back.
+        """
+        if self.processor is None or current is None:
+            return
+        host = head.headers.get("host", "").partition(":")[0]
+        route = current.find_route(host, head.path)
+        if route is None:
+            return
+        service = current.services_by_name.get(route.targets[0].service)
+        is_brief = service is None or service.engine is None
+        full = self.load.refuses_all(route.latency_objective, is_brief=is_brief)
+        if full:
+            self.metrics.refusals.inc(Reason.OVERLOADED.value)
+            reason = f"This router's {full} is full. Send the request to another one."
+            raise BadRequest(503, reason, retry_after=RETRY_ELSEWHERE)
+
+
+def make_own_load(
+    settings: EdgeSettings, metrics: Metrics, callers: Callable[[], HttpServer]
+) -> OwnLoad:
+    """Return what a router's settings ask for.
+
+    Parameters
+    ----------
+    callers
+        Returns the server that holds callers' bodies.
+    """
+    if not settings.features.processor_guard:
+        meter = LinkMeter(settings.link_mbps)
+        return OwnLoad(meter, RouterLoad(meter, steady_seconds), metrics)
+    processor = ProcessorMeter(steady_seconds)
+    own = OwnDelayMeter(settings.link_mbps, processor, steady_seconds)
+    link = MeasuredSource("link", own.use, own.link_delay)
+    memory = MeasuredSource(
+        "memory",
+        lambda: share_of(
+            callers().buffered_bytes, callers().limits().max_buffered_bytes
+        ),
+    )
+    resources = (
+        Resource(processor, PROCESSOR),
+        Resource(link, LINK),
+        Resource(memory, MEMORY),
+    )
+    shares = LocalShares(lambda: guard.kept_share())
+    guard = Guard(resources, steady_seconds, random.Random(), shares)
+    load = GuardedLoad(guard, own, steady_seconds, metrics)
+    return OwnLoad(own, load, metrics, processor)
--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -93,6 +93,9 @@
         """Take a new connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        if not self._server.takes_connections():
+            transport.close()
+            return
         if self._server.guard is None:
             apply_options(transport)
         else:
--- a/lynxchute/http/server.py
+++ b/lynxchute/http/server.py
@@ -48,6 +48,11 @@
     """Refuse no request by its head."""
 
 
+def take_all() -> bool:
+    """Take each connection that comes."""
+    return True
+
+
 class HttpServer:
     """Accept connections and hand each request to a handler.
 
@@ -65,6 +70,9 @@
     guard
         Bounds what waits for callers who read slowly; where there is none, answers
         wait for their callers.
+    takes_connections
+        Returns whether a connection that has come is served; others are closed before
+        anything of them is read.
     """
 
     def __init__(
@@ -75,8 +83,10 @@
         check_head: Callable[[RequestHead], None] = accept_all,
         meter: LinkMeter = AMPLE,
         guard: MemoryGuard | None = None,
+        takes_connections: Callable[[], bool] = take_all,
     ) -> None:
         self.guard = guard
+        self.takes_connections = takes_connections
         self.connections: set[ServerConnection] = set()
         self.buffered_bytes = 0
         self.port = 0
--- a/lynxchute/relay/chooser.py
+++ b/lynxchute/relay/chooser.py
@@ -11,6 +11,7 @@
 from lynxchute.overload.ticket_queue import MOST_RETRY_SHARE
 from lynxchute.reachability import Reachability
 from lynxchute.relay.exchange import MIN_RETRY_AFTER, Exchange
+from lynxchute.relay.load import RouterLoad
 from lynxchute.relay.refusal import Reason, Refusal, Run
 from lynxchute.relay.wait import Wait
 from lynxchute.telemetry import log_event
@@ -40,6 +41,8 @@
         Which data centres can be reached.
     gate
         Which upstreams get nothing new.
+    load
+        Tells whether this router itself is late.
     clock
         Seconds on the loop's clock.
     may_wait
@@ -54,6 +57,7 @@
         plain: Placement,
         reachability: Reachability,
         gate: SendGate,
+        load: RouterLoad,
         clock: Callable[[], float],
         *,
         may_wait: bool = False,
@@ -63,6 +67,7 @@
         self._plain = plain
         self._reachability = reachability
         self._gate = gate
+        self._load = load
         self._neighbourhood = neighbourhood
         self._clock = clock
         self._may_wait = may_wait
@@ -124,6 +129,9 @@
         """
         if choice.expected_seconds <= exchange.longest_wait:
             return
+        if choice.is_placed_alone and self._load.has_lagged():
+            # What it expects of engines then is its own lateness.
+            return
         upstream_id = choice.entry.upstream.id
         self._generations.note_ended(exchange.run_id, upstream_id, failed=False)
         log_event(
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -171,12 +171,21 @@
 
     def note_begun(self, answer: Answer) -> None:
         """Note the first event of a stream."""
-        took_ms = (self._clock() - answer.sent_at) * 1000.0
+        own = self._clients.meter.own_delay()
+        took_ms = max(self._clock() - answer.sent_at - own, 0.0) * 1000.0
         upstream_id = answer.entry.upstream.id
         self._generations.note_begun(answer.run_id, upstream_id, took_ms=took_ms)
 
-    def note_paused(self, answer: Answer) -> None:
-        """Note that a stream has paused for longer than is on time."""
+    def note_paused(self, answer: Answer, pause: float, longest: float) -> None:
+        """Note that a stream has paused for longer than is on time.
+
+        Parameters
+        ----------
+        pause, longest
+            How long it was, and may be on time, in seconds.
+        """
+        if pause - self._clients.meter.own_delay() <= longest:
+            return
         self._generations.note_paused(answer.run_id, answer.entry.upstream.id)
 
     def check_quarantine(self, exchange: Exchange) -> None:
@@ -308,7 +317,9 @@
         answer from another router. Where one account filled the link of a VM (5 Mbit/s)
         for six seconds, four requests came to an upstream 0.5 s and more after that.
         """
-        delay = self._clients.meter.delay()
+        meter = self._clients.meter
+        # What is sent goes to the link at once, whatever else the loop has to do.
+        delay = meter.delay() - meter.own_delay()
         left = exchange.ends_at - self._clock()
         if left > delay:
             return
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -213,6 +213,7 @@
             placed_by=vm,
             permit_until=asked_at + PERMIT_SECONDS if reply.is_counted else 0.0,
             admitted_until=asked_at + PERMIT_SECONDS if reply.is_admitted else 0.0,
+            is_placed_alone=vm == self._members.own.vm and not self.schedules(service),
         )
 
     async def _reply(
