--- a/lynxchute/upstreams/entry.py
+++ b/lynxchute/upstreams/entry.py
@@ -38,6 +38,11 @@
         Whether this router has broken it off.
     is_withdrawn
         Whether it did so for the request's sake, not for the upstream's.
+    sent_at
+        When its first byte left, in seconds; None before.
+    work
+        What it usually takes until the head of its answer, in seconds; 0 where that is
+        not known.
     """
 
     handle: AbortHandle
@@ -47,6 +52,16 @@
     answering_since: float | None = None
     is_left: bool = False
     is_withdrawn: bool = False
+    sent_at: float | None = None
+    work: float = 0.0
+
+    def overdue_ratio(self, now: float) -> float:
+        """Return how many times as long as usual it has waited for an answer."""
+        if self.sent_at is None or self.work <= 0:
+            return 0.0
+        if self.progress is not Progress.UNANSWERED:
+            return 0.0
+        return max(now - self.sent_at, 0.0) / self.work
 
     def note_answering(self, now: float) -> None:
         """Note a part of the answer."""
--- a/lynxchute/upstreams/health.py
+++ b/lynxchute/upstreams/health.py
@@ -67,12 +67,16 @@
         When that was, in seconds.
     paused_until
         Time before which it is passed over, in seconds.
+    lost_share
+        As `bad_share`, without what the upstream has declined: that has cost its caller
+        little, and ends when the upstream says so.
     """
 
     bad_in_row: int = 0
     bad_share: float = 0.0
     paused_until: float = 0.0
     noted_at: float = 0.0
+    lost_share: float = 0.0
 
     def note(self, fate: Fate, now: float) -> None:
         """Take the end of a send."""
@@ -80,9 +84,12 @@
             # It tells nothing of the upstream.
             return
         bad = fate is not Fate.SERVED
+        lost = bad and fate is not Fate.DECLINED
+        self.lost_share = self.recent_lost_share(now)
         self.bad_share = self.recent_bad_share(now)
         self.noted_at = now
         self.bad_share += NEWEST_WEIGHT * (float(bad) - self.bad_share)
+        self.lost_share += NEWEST_WEIGHT * (float(lost) - self.lost_share)
         if not bad:
             self.bad_in_row = 0
             self.paused_until = 0.0
@@ -96,8 +103,11 @@
 
     def recent_bad_share(self, now: float) -> float:
         """Return the share of bad ends, less what time has made of it."""
-        passed = max(now - self.noted_at, 0.0)
-        return float(self.bad_share * 0.5 ** (passed / HALVING_SECONDS))
+        return self.bad_share * self._left(now)
+
+    def recent_lost_share(self, now: float) -> float:
+        """Return the share of lost sends, less what time has made of it."""
+        return self.lost_share * self._left(now)
 
     def resume(self) -> None:
         """Try it again now: what kept it away is over."""
@@ -106,3 +116,7 @@
     def is_paused(self, now: float) -> bool:
         """Return whether it is passed over at the moment."""
         return now < self.paused_until
+
+    def _left(self, now: float) -> float:
+        passed = max(now - self.noted_at, 0.0)
+        return float(0.5 ** (passed / HALVING_SECONDS))
