Hedge slow calls and wire learned speeds

Cause: a plain call waited for its upstream for as long as that took, also where another would have answered in time. Change: with `hedging`, calls of routes that may be repeated are sent to a second upstream after the 95th percentile of the first one's times, between two and three usual times of the route, counted from the first byte; never while more than half are busy, for a tenth of the open calls at most, within four tenths of the retry budget and the route's attempts, through the send gate. The loser's connection is closed at once. A send that was declined no longer says 'not run' for another one that is open or lost. Conclusion: both act only where their features are on.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -20,6 +20,7 @@
 from lynxchute.edge.exposition import Exposition
 from lynxchute.edge.limits import caller_limits
 from lynxchute.edge.listener import Listener
+from lynxchute.edge.plain_calls import PlainCalls
 from lynxchute.edge.platform import Platform
 from lynxchute.edge.reload import Reader, SettingsWatcher
 from lynxchute.edge.settings import EdgeSettings
@@ -61,7 +62,6 @@
 from lynxchute.telemetry import Metrics, log_event
 from lynxchute.upstreams.backpressure_watch import BackpressureWatch
 from lynxchute.upstreams.directory import Directory
-from lynxchute.upstreams.placement import LeastOpen
 from lynxchute.upstreams.retry_budget import RetryBudget
 from lynxchute.upstreams.silence import SilenceWatch
 from lynxchute.upstreams.upstream import Upstream
@@ -189,7 +189,9 @@
             self.members, self.peers, self.directory, rules.rates, steady_seconds
         )
         permits.serve(self.peer_server)
-        plain = LeastOpen(settings.data_centre, rules.gate, permits, steady_seconds)
+        self.plain_calls = PlainCalls(
+            settings, self.directory, rules.gate, permits, rng, steady_seconds
+        )
         engines = platform.make_engines(self.clients)
         scheduler = Scheduler(
             self.members,
@@ -234,7 +236,7 @@
             self.directory,
             scheduler.neighbourhood,
             scheduler,
-            plain,
+            self.plain_calls.placement,
             reachability,
             rules.gate,
             steady_seconds,
@@ -251,6 +253,8 @@
             rules.gate,
             StatementReader(platform.dialect, self.directory, steady_seconds),
             steady_seconds,
+            times=self.plain_calls.times,
+            hedger=self.plain_calls.hedger(chooser, self.retries, self.metrics),
         )
         self.relay = Relay(
             platform.dialect,
--- a/lynxchute/edge/exposition.py
+++ b/lynxchute/edge/exposition.py
@@ -56,6 +56,8 @@
         metrics.quarantined.set(len(router.containment.quarantine.by_content))
         metrics.evacuated.set(len(router.evacuations.by_data_centre))
         metrics.cold_upstreams.set(router.directory.count_cold(steady_seconds()))
+        slowest = router.plain_calls.slowest_by_service(steady_seconds())
+        metrics.slowness.replace(slowest)
         metrics.limits.set(router.directory.count_limits())
         metrics.log_lines_dropped.set(self._log_lines_dropped())
         return metrics.exposition()
--- /dev/null
+++ b/lynxchute/edge/plain_calls.py
@@ -0,0 +1,119 @@
+"""How a router places calls of plain services, as its settings switch it on."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from lynxchute.edge.settings import EdgeSettings
+from lynxchute.relay.chooser import Chooser
+from lynxchute.relay.hedging import Hedger
+from lynxchute.telemetry import Metrics
+from lynxchute.upstreams.directory import Directory
+from lynxchute.upstreams.entry import Entry
+from lynxchute.upstreams.expected_finish import ExpectedFinish
+from lynxchute.upstreams.learned_speed import TwoMemories
+from lynxchute.upstreams.permits import Permits
+from lynxchute.upstreams.placement import LeastOpen, Placement
+from lynxchute.upstreams.retry_budget import RetryBudget
+from lynxchute.upstreams.send_gate import SendGate
+from lynxchute.upstreams.service_times import ServiceTimes
+from lynxchute.upstreams.upstream import Upstream
+
+
+class PlainCalls:
+    """What a router knows of plain upstreams, and how it sends calls to them.
+
+    Parameters
+    ----------
+    settings
+        Which features are on.
+    directory
+        The upstreams.
+    gate
+        Holds back what must not reach an upstream.
+    permits
+        Lets requests through to upstreams that name a limit.
+    rng
+        Draws among upstreams.
+    clock
+        Seconds on the steady clock.
+
+    Attributes
+    ----------
+    times
+        What calls took; None where no feature asks for it.
+    placement
+        Chooses the upstream of a call.
+    """
+
+    def __init__(
+        self,
+        settings: EdgeSettings,
+        directory: Directory,
+        gate: SendGate,
+        permits: Permits,
+        rng: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        features = settings.features
+        self.times: ServiceTimes | None = None
+        self.placement: Placement = LeastOpen(
+            settings.data_centre, gate, permits, clock
+        )
+        self._directory = directory
+        self._clock = clock
+        self._is_hedging = features.hedging
+        if not features.learned_speeds and not features.hedging:
+            return
+        times = ServiceTimes(TwoMemories())
+        self.times = times
+        self._finish = ExpectedFinish(
+            settings.data_centre, gate, permits, times.speeds, rng, clock
+        )
+        if features.learned_speeds:
+            self.placement = self._finish
+        directory.listeners.append(self._forget_gone)
+        directory.start_listeners.append(self._forget_start)
+
+    def hedger(
+        self, chooser: Chooser, retries: RetryBudget, metrics: Metrics
+    ) -> Hedger | None:
+        """Return what hedges slow calls; None where that is off."""
+        if not self._is_hedging or self.times is None:
+            return None
+        return Hedger(
+            chooser,
+            self._directory,
+            self.times,
+            retries,
+            self._finish.state_of,
+            metrics,
+            self._clock,
+        )
+
+    def slowness(self, entry: Entry, now: float) -> float:
+        """Return how many times as long as usual a plain upstream takes now."""
+        if self.times is None:
+            return 1.0
+        return self._finish.state_of(entry, now).slowness_now
+
+    def slowest_by_service(self, now: float) -> dict[str, float]:
+        """Return the greatest slowness among each service's upstreams."""
+        found: dict[str, float] = {}
+        if self.times is None:
+            return found
+        for entry in self._directory.entries_by_id.values():
+            if not self.times.knows(entry.upstream.id):
+                continue
+            service = entry.upstream.service
+            found[service] = max(found.get(service, 1.0), self.slowness(entry, now))
+        return found
+
+    def _forget_gone(self) -> None:
+        if self.times is not None:
+            self.times.keep_only(self._directory.entries_by_id)
+
+    def _forget_start(self, before: Upstream) -> None:
+        if self.times is not None:
+            self.times.forget(before.id)
--- a/lynxchute/edge/state.py
+++ b/lynxchute/edge/state.py
@@ -75,6 +75,7 @@
                 "rate": entry.backpressure.rate(now),
                 "bad_in_row": entry.health.bad_in_row,
                 "bad_share": round(entry.health.recent_bad_share(now), 3),
+                "slowness": round(router.plain_calls.slowness(entry, now), 2),
                 "paused_for": round(max(entry.health.paused_until - now, 0.0), 3),
             }
         )
--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -58,6 +58,10 @@
         How often it was sent to an upstream.
     run
         Whether it has run, as far as is known.
+    sent_at
+        When the first byte of the last of them left, in seconds.
+    may_have_run
+        Sends of which no upstream has said that they were not run.
     tried
         The upstreams that are not tried again for it.
     limited_rate
@@ -83,6 +87,8 @@
     respond: Responder
     ends_at: float
     sends: int = 0
+    sent_at: float = 0.0
+    may_have_run: int = 0
     run: Run = Run.NOT_RUN
     tried: set[str] = attrs.Factory(set)
     limited_rate: float | None = None
@@ -175,6 +181,26 @@
             return False
         return self.run is Run.NOT_RUN or self.route.is_repeatable
 
+    def note_sent(self, upstream_id: str, now: float) -> None:
+        """Count a send whose first byte is about to leave."""
+        self.sent_at = now
+        self.sends += 1
+        self.may_have_run += 1
+        self.run = Run.UNKNOWN
+        self.upstreams.append(upstream_id)
+
+    def note_declined(self, run_before: Run) -> None:
+        """Take an upstream's word that it did not run what it was sent.
+
+        Another send of it may still be open, or have been lost: what that one did
+        stays unknown.
+        """
+        self.may_have_run -= 1
+        if not self.may_have_run:
+            self.run = Run.NOT_RUN
+        elif self.run is Run.UNKNOWN and run_before is not Run.NOT_RUN:
+            self.run = run_before
+
     def note_events(self, count: int, last_event: str, now: float) -> None:
         """Count events that go to the caller."""
         if self.events:
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -10,6 +10,7 @@
 from lynxchute.config import RequestKind
 from lynxchute.http import ExchangeFailed, Request, Responder
 from lynxchute.relay.admission import Admission
+from lynxchute.relay.answer import Answer
 from lynxchute.relay.budgets import (
     BudgetExhausted,
     Budgets,
@@ -22,13 +23,12 @@
 from lynxchute.relay.exchange import Exchange
 from lynxchute.relay.refusal import Reason, Refusal, Run
 from lynxchute.relay.request_log import RequestLog, used_tokens
-from lynxchute.relay.sender import Answer, Sender
+from lynxchute.relay.sender import SERVER_ERROR, Sender
 from lynxchute.telemetry import Metrics, log_event
 from lynxchute.upstreams.health import Fate
 
 # Larger answers are passed on as they come.
 MAX_HELD_BYTES = 1_048_576
-SERVER_ERROR = 500
 EVENT_STREAM = "text/event-stream"
 
 
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -4,8 +4,6 @@
 
 from collections.abc import Callable
 
-import attrs
-
 from lynxchute.containment import Containment
 from lynxchute.http import (
     AbortHandle,
@@ -16,9 +14,11 @@
 )
 from lynxchute.quarantine import Progress
 from lynxchute.reachability import Reachability
+from lynxchute.relay.answer import Answer, SendWithheld
 from lynxchute.relay.chooser import Chooser, nothing_answered
 from lynxchute.relay.dialect import Dialect, Dispatch, Verdict
 from lynxchute.relay.exchange import Exchange
+from lynxchute.relay.hedging import Hedger
 from lynxchute.relay.refusal import Reason, Run
 from lynxchute.relay.statement_reader import StatementReader
 from lynxchute.telemetry import Metrics, log_event
@@ -27,6 +27,7 @@
 from lynxchute.upstreams.placement import Choice, Placement
 from lynxchute.upstreams.retry_budget import RetryBudget
 from lynxchute.upstreams.send_gate import SendGate, Withheld
+from lynxchute.upstreams.service_times import ServiceTimes
 
 # A connection within a region comes about in a few ms; a SYN that is lost is
 # repeated only after a second, so that another try is worth more.
@@ -35,43 +36,12 @@
 # upstream; the outcome of a request that meets its reset is unknown, which
 # only a request that may run again can afford.
 FRESH_WITHIN = 0.25
+SERVER_ERROR = 500
 UPSTREAM_TIMEOUTS = Timeouts(
     connect=CONNECT_TIMEOUT, first_byte=None, between_bytes=None, kept_idle=4.0
 )
 
 
-@attrs.frozen
-class Answer:
-    """An upstream's answer whose body is still to be read.
-
-    Attributes
-    ----------
-    sent_at
-        When the request was sent, in seconds.
-    """
-
-    response: Response
-    entry: Entry
-    cost: int
-    run_id: str
-    send: OpenSend
-    sent_at: float
-
-
-class SendWithheld(Exception):
-    """Report a request that was placed at an upstream and must not be sent there.
-
-    Parameters
-    ----------
-    reason
-        Why.
-    """
-
-    def __init__(self, reason: Withheld) -> None:
-        super().__init__(reason.value)
-        self.reason = reason
-
-
 class Sender:
     """Send exchanges to upstreams, and again where that is allowed.
 
@@ -99,6 +69,10 @@
         Takes what upstreams state in their answers.
     clock
         Seconds on the loop's clock.
+    times
+        Learns how long plain calls take; None where nobody asks.
+    hedger
+        Sends slow calls to a second upstream; None where that is not wanted.
     """
 
     def __init__(
@@ -114,6 +88,9 @@
         gate: SendGate,
         statements: StatementReader,
         clock: Callable[[], float],
+        *,
+        times: ServiceTimes | None = None,
+        hedger: Hedger | None = None,
     ) -> None:
         self._chooser = chooser
         self._dialect = dialect
@@ -126,6 +103,8 @@
         self._gate = gate
         self._statements = statements
         self._clock = clock
+        self._times = times
+        self._hedger = hedger
 
     async def send(self, exchange: Exchange) -> Answer:
         """Return the first answer of an upstream to an exchange.
@@ -141,7 +120,7 @@
             self.check_quarantine(exchange)
             choice = await self._chooser.choose(exchange)
             try:
-                answer = await self._try(exchange, choice)
+                answer = await self._try_or_hedge(exchange, choice)
             except SendWithheld as error:
                 # Nothing was sent: this is not one more send.
                 self._note_withheld(exchange, choice, error.reason)
@@ -152,6 +131,28 @@
             if exchange.sends and not self.may_send_again(exchange):
                 raise nothing_answered(exchange, self._clock())
 
+    async def _try_or_hedge(self, exchange: Exchange, choice: Choice) -> Answer | None:
+        if self._hedger is None or not self._hedger.may_hedge(exchange):
+            return await self._try(exchange, choice)
+        return await self._hedger.send(
+            exchange, choice, self._try_unless_withheld, self._drop
+        )
+
+    async def _try_unless_withheld(
+        self, exchange: Exchange, choice: Choice
+    ) -> Answer | None:
+        try:
+            return await self._try(exchange, choice)
+        except SendWithheld as error:
+            self._note_withheld(exchange, choice, error.reason)
+            return None
+
+    def _drop(self, answer: Answer) -> None:
+        """Give up an answer that nobody reads."""
+        failed = answer.response.status >= SERVER_ERROR
+        answer.response.close()
+        self.release(answer, Fate.FAILED if failed else Fate.ABANDONED)
+
     def may_send_again(self, exchange: Exchange) -> bool:
         """Return whether an exchange may be sent once more, and count it."""
         if not exchange.may_be_sent_again:
@@ -227,6 +228,10 @@
             entry.open_requests -= 1
             entry.open_tokens -= cost
             upstream_id = entry.upstream.id
+            if self._times is not None and send.sent_at is not None:
+                now = self._clock()
+                waited = now - send.sent_at
+                self._times.note_left(upstream_id, send.work, waited, now)
             self._generations.note_ended(exchange.run_id, upstream_id, failed=False)
             raise
         entry.heard_at = self._clock()
@@ -243,6 +248,7 @@
             )
         answer = Answer(response, entry, cost, exchange.run_id, send, sent_at)
         if verdict is Verdict.ANSWERED:
+            self._note_time(exchange, answer)
             send.progress = Progress.BEGUN
             exchange.run = Run.RAN
             return answer
@@ -250,7 +256,7 @@
         reason = f"{verdict.value}, status {response.status}"
         if verdict in (Verdict.NOT_RUN, Verdict.MOVED):
             await self._discard(response)
-            exchange.run = run_before
+            exchange.note_declined(run_before)
             self._failed(exchange, entry, cost, Fate.DECLINED, reason)
             return None
         response.close()
@@ -283,9 +289,8 @@
             if self._gate.rates.is_limited(entry, self._clock()):
                 part = "counted" if choice.admitted_until else "turn"
                 self._metrics.limited_sends.inc(part)
-            exchange.sends += 1
-            exchange.run = Run.UNKNOWN
-            exchange.upstreams.append(entry.upstream.id)
+            exchange.note_sent(entry.upstream.id, self._clock())
+            self._note_work(exchange, send)
             self._log_send(exchange, choice, dispatch)
 
         fresh_within = None if exchange.route.is_repeatable else FRESH_WITHIN
@@ -301,6 +306,30 @@
             abort_handle=send.handle,
         )
 
+    def _note_work(self, exchange: Exchange, send: OpenSend) -> None:
+        """Note what a plain call that is being sent usually takes."""
+        if self._times is None or exchange.call.generation is not None:
+            return
+        send.sent_at = self._clock()
+        send.work = self._times.usual(exchange.service, exchange.route.name) or 0.0
+
+    def _note_time(self, exchange: Exchange, answer: Answer) -> None:
+        """Learn from a plain call that was served."""
+        sent_at = answer.send.sent_at
+        if self._times is None or sent_at is None:
+            return
+        if answer.response.status >= SERVER_ERROR:
+            # A failure may come at once, and tells nothing of the work.
+            return
+        now = self._clock()
+        self._times.note(
+            exchange.service,
+            exchange.route.name,
+            answer.entry.upstream.id,
+            now - sent_at,
+            now,
+        )
+
     def _check_way(self, exchange: Exchange) -> None:
         """Refuse what would cross the VM's full link for longer than it has left.
 
--- a/lynxchute/telemetry/exposition.py
+++ b/lynxchute/telemetry/exposition.py
@@ -17,7 +17,13 @@
 )
 from prometheus_client.registry import Collector
 
-from lynxchute.telemetry.instruments import Counter, Gauge, Histogram, Instrument
+from lynxchute.telemetry.instruments import (
+    Counter,
+    Gauge,
+    Histogram,
+    Instrument,
+    LabelledGauge,
+)
 
 
 class InstrumentCollector(Collector):
@@ -41,6 +47,8 @@
                 yield GaugeMetricFamily(
                     instrument.name, instrument.text, value=instrument.value
                 )
+            elif isinstance(instrument, LabelledGauge):
+                yield _labelled_gauge(instrument)
             else:
                 yield _histogram(instrument)
 
@@ -63,6 +71,13 @@
     return family
 
 
+def _labelled_gauge(gauge: LabelledGauge) -> Metric:
+    family = GaugeMetricFamily(gauge.name, gauge.text, labels=list(gauge.label_names))
+    for labels, value in gauge.values_by_labels.items():
+        family.add_metric(list(labels), value)
+    return family
+
+
 def _histogram(histogram: Histogram) -> Metric:
     buckets: list[tuple[str, float]] = []
     count = 0
--- a/lynxchute/telemetry/instruments.py
+++ b/lynxchute/telemetry/instruments.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 
 import attrs
@@ -43,6 +43,22 @@
         self.value = float(value)
 
 
+@attrs.define(eq=False)
+class LabelledGauge:
+    """A number that goes up and down, for each set of labels."""
+
+    name: str
+    text: str
+    label_names: tuple[str, ...] = ()
+    values_by_labels: dict[tuple[str, ...], float] = attrs.Factory(dict)
+
+    def replace(self, values_by_label: Mapping[str, float]) -> None:
+        """Take new values of the one label; what is not among them goes."""
+        self.values_by_labels = {
+            (label,): float(value) for label, value in values_by_label.items()
+        }
+
+
 @attrs.define(eq=False)
 class Histogram:
     """How many values there were up to each bound; values in seconds.
@@ -80,4 +96,4 @@
             self.observe(steady_seconds() - began)
 
 
-Instrument = Counter | Gauge | Histogram
+Instrument = Counter | Gauge | LabelledGauge | Histogram
--- a/lynxchute/telemetry/metrics.py
+++ b/lynxchute/telemetry/metrics.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from lynxchute.telemetry.instruments import Counter, Gauge, Histogram, Instrument
+from lynxchute.telemetry.instruments import (
+    Counter,
+    Gauge,
+    Histogram,
+    Instrument,
+    LabelledGauge,
+)
 
 PREFIX = "lynxchute_"
 
@@ -25,6 +31,10 @@
         Sends to upstreams by how they ended.
     sends_withheld
         Requests that were placed at an upstream and not sent there, by reason.
+    hedges
+        Calls that were slow at their first upstream, by what came of a second send.
+    slowness
+        How many times as long as usual the slowest plain upstream takes, by service.
     evacuated, cold_upstreams
         Data centres that get nothing new, and upstreams that are cold.
     limits
@@ -61,6 +71,11 @@
         self.sends_withheld = self._counter(
             "sends_withheld", "Placed requests that were not sent.", "reason"
         )
+        self.hedges = self._counter("hedges", "Slow calls hedged or not.", "outcome")
+        self.slowness = LabelledGauge(
+            PREFIX + "slowness", "The slowest plain upstream.", ("service",)
+        )
+        self._instruments.append(self.slowness)
         self.evacuated = self._gauge("evacuated_data_centres", "Evacuated.")
         self.cold_upstreams = self._gauge("cold_upstreams", "Upstreams that are cold.")
         self.limits = self._gauge("upstream_limits", "Upstreams that name a limit.")
--- a/lynxchute/upstreams/retry_budget.py
+++ b/lynxchute/upstreams/retry_budget.py
@@ -66,13 +66,19 @@
         window.requests.append(now)
         self._forget(window, now)
 
-    def take(self, service: str, now: float) -> bool:
-        """Return whether a repeated send is permitted, and count it if so."""
+    def take(self, service: str, now: float, *, used_share: float = USED_SHARE) -> bool:
+        """Return whether a repeated send is permitted, and count it if so.
+
+        Parameters
+        ----------
+        used_share
+            The part of the allowance that may be used, counting this send.
+        """
         window = self._windows_by_service.setdefault(service, _Window())
         self._forget(window, now)
         permitted = self._extra / max(self.routers, 1)
         permitted += self._share * len(window.requests)
-        if len(window.repeats) + 1 > permitted * USED_SHARE:
+        if len(window.repeats) + 1 > permitted * min(used_share, USED_SHARE):
             return False
         window.repeats.append(now)
         return True
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -8,7 +8,7 @@
 
 from lynxchute.address import Address
 from lynxchute.edge.application import EdgeApplication
-from lynxchute.edge.settings import Bounds, EdgeSettings
+from lynxchute.edge.settings import Bounds, EdgeSettings, Features
 from lynxchute.http import ExchangeFailed, HttpClient, Timeouts
 from lynxchute.platform.daemon import make_platform
 from lynxchute.standins.platform_store import PlatformStoreStandin
@@ -19,6 +19,7 @@
 KEY = "key-of-kanda"
 ACCOUNT = "kanda"
 DATA_CENTRES = ("a", "b")
+NO_FEATURES = Features()
 # Below the ports that the kernel gives to connections; each process begins at
 # another one.
 FIRST_PORT, PORTS = 12_000, 18_000
@@ -100,12 +101,20 @@
 class PlatformDeployment:
     """Stand-ins of store and upstreams, and routers in this process."""
 
-    def __init__(self, routers=("a-1", "b-1"), engines=2, apps=2, events=6):
+    def __init__(
+        self,
+        routers=("a-1", "b-1"),
+        engines=2,
+        apps=2,
+        events=6,
+        features=NO_FEATURES,
+    ):
         self.store = PlatformStoreStandin()
         self.routers = {}
         self.store_ports = {}
         self.settings = {}
         self._vms = routers
+        self._features = features
         self.engines = [
             PlatformUpstreamStandin("pool", DATA_CENTRES[n % 2], events=events)
             for n in range(engines)
@@ -144,6 +153,7 @@
             memory_mb=200,
             store_spans_parts=True,
             bounds=Bounds(stop=4.0),
+            features=self._features,
         )
         router = EdgeApplication(settings, make_platform(settings.store))
         await router.start()
--- /dev/null
+++ b/tests/test_hedging.py
@@ -0,0 +1,467 @@
+"""Calls that may be repeated go to a second upstream where the first one is slow."""
+
+import asyncio
+import contextlib
+import itertools
+from unittest import mock
+
+import attrs
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lynxchute.edge.settings import Features
+from lynxchute.relay import hedging
+from lynxchute.relay.hedging import Hedger, has_room, hedge_delay
+from lynxchute.relay.refusal import Reason, Refusal, Run
+from lynxchute.standins.upstream_run import Fault
+from lynxchute.telemetry import Metrics
+from lynxchute.upstreams.expected_finish import UpstreamState
+from lynxchute.upstreams.learned_speed import TwoMemories
+from lynxchute.upstreams.retry_budget import RetryBudget
+from lynxchute.upstreams.service_times import ServiceTimes
+from tests.platform_support import PlatformCaller, PlatformTestCase
+from tests.support import AsyncTestCase, until
+
+HEDGING = Features(hedging=True)
+# Routes of the test configuration are late after 0.4 s; until anything is known, calls
+# are hedged after this.
+UNKNOWN_DELAY = 0.4 * hedging.UNKNOWN_SHARE
+SLOW = 0.6
+
+
+class HedgeDelayTest(testtools.TestCase):
+    @settings(max_examples=300, deadline=None)
+    @given(
+        st.none() | st.floats(0, 100),
+        st.none() | st.floats(0.0002, 100),
+        st.floats(allow_nan=True, allow_infinity=True),
+    )
+    def test_it_is_never_sooner_than_twice_the_usual_time(
+        self, longest, usual, objective
+    ):
+        delay = hedge_delay(longest, usual, objective)
+        if delay is None:
+            self.assertFalse(objective > 0)
+        elif usual is not None:
+            self.assertTrue(2 * usual <= delay <= 3 * usual)
+
+    def test_nothing_is_hedged_while_more_than_half_are_busy(self):
+        usual = UpstreamState(slots=6)
+        slow = UpstreamState(slots=6, slowness=2.5)
+        full = UpstreamState(slots=6, open_requests=6)
+        waiting = UpstreamState(slots=6, overdue=3.0)
+        self.assertTrue(has_room([usual, usual, slow], 0))
+        self.assertTrue(has_room([usual, waiting], 0))
+        self.assertFalse(has_room([usual, slow, full], 0))
+        self.assertFalse(has_room([waiting, slow], 0))
+        self.assertFalse(has_room([usual], 0))
+        self.assertFalse(has_room([], 0))
+
+    def test_few_open_calls_have_a_second_send_at_once(self):
+        open_here = [UpstreamState(slots=64, open_requests=20) for _ in range(2)]
+        self.assertTrue(has_room(open_here, 4))
+        self.assertFalse(has_room(open_here, 5))
+
+
+class RetryBudgetTest(testtools.TestCase):
+    def test_hedges_leave_most_of_it_to_tries_after_failures(self):
+        budget = RetryBudget(share=0.2, extra=0.0, window=10.0)
+        for _ in range(100):
+            budget.note_request("app", 1.0)
+        share = hedging.BUDGET_SHARE
+        hedges = sum(budget.take("app", 1.0, used_share=share) for _ in range(50))
+        self.assertEqual(8, hedges)
+        tries = sum(budget.take("app", 1.0) for _ in range(50))
+        self.assertEqual(8, tries)
+
+
+def warm(deployment, router):
+    """Let a router know that calls take 20 ms at each upstream."""
+    times = deployment.routers[router].plain_calls.times
+    now = asyncio.get_running_loop().time()
+    for route in ("safe", "unsafe"):
+        for app in deployment.apps:
+            for _ in range(25):
+                times.note("app", route, app.id, 0.02, now - 5.0)
+
+
+class HedgedCallsTest(PlatformTestCase):
+    def play(self, scenario, **more):
+        more = {"apps": 3, "features": HEDGING, "routers": ("a-1",), **more}
+        self.with_platform(scenario, **more)
+
+    def hedges(self, deployment):
+        values = deployment.routers["a-1"].metrics.hedges.values_by_labels
+        return {labels[0]: int(value) for labels, value in values.items()}
+
+    def assert_nothing_open(self, deployment):
+        for entry in deployment.routers["a-1"].directory.entries_by_id.values():
+            self.assertEqual((0, set()), (entry.open_requests, entry.open_sends))
+
+    def test_callers_of_a_slow_upstream_are_served_by_another(self):
+        async def scenario(deployment):
+            warm(deployment, "a-1")
+            deployment.apps[0].event_delay = SLOW
+            caller = PlatformCaller(deployment)
+            loop = asyncio.get_running_loop()
+            took = []
+            for number in range(12):
+                began = loop.time()
+                status, _, body = await caller.send("GET", f"/safe/{number}")
+                took.append(loop.time() - began)
+                self.assertEqual(200, status)
+                self.assertTrue(body.startswith(b"answer to"))
+            self.assertLess(max(took), SLOW / 2)
+            self.assertGreater(self.hedges(deployment)["won"], 0)
+            await asyncio.sleep(0)
+            self.assert_nothing_open(deployment)
+
+        self.play(scenario)
+
+    def test_without_the_feature_they_wait(self):
+        async def scenario(deployment):
+            for app in deployment.apps:
+                app.event_delay = SLOW
+            status, _, _ = await PlatformCaller(deployment).send("GET", "/safe/x")
+            self.assertEqual(200, status)
+            self.assertEqual(1, sum(len(app.arrivals) for app in deployment.apps))
+            self.assertEqual({}, self.hedges(deployment))
+
+        self.play(scenario, features=Features())
+
+    def test_the_loser_is_cut_off_at_once(self):
+        async def scenario(deployment):
+            near, far = deployment.apps
+            near.faults = [Fault.HANG]
+            status, _, body = await PlatformCaller(deployment).send(
+                "GET", "/safe/x", request_id="one"
+            )
+            self.assertEqual((200, b"answer to one"), (status, body))
+            await until(lambda: near.runs[0].caller_left)
+            self.assertEqual(["one"], far.arrivals)
+            self.assertEqual({"won": 1}, self.hedges(deployment))
+            self.assert_nothing_open(deployment)
+
+        self.play(scenario, apps=2)
+
+    def test_a_second_upstream_that_is_slower_changes_nothing(self):
+        async def scenario(deployment):
+            near, far = deployment.apps
+            near.event_delay = UNKNOWN_DELAY + 0.15
+            far.faults = [Fault.HANG]
+            status, _, body = await PlatformCaller(deployment).send(
+                "GET", "/safe/x", request_id="one"
+            )
+            self.assertEqual((200, b"answer to one"), (status, body))
+            self.assertEqual(1, len(near.runs))
+            await until(lambda: far.runs[0].caller_left)
+            self.assertEqual({"lost": 1}, self.hedges(deployment))
+            self.assert_nothing_open(deployment)
+
+        self.play(scenario, apps=2)
+
+    def test_the_first_dies_while_the_second_works(self):
+        async def scenario(deployment):
+            near, far = deployment.apps
+            near.faults = [Fault.HANG]
+            far.event_delay = 0.2
+            call = asyncio.create_task(PlatformCaller(deployment).send("GET", "/safe/"))
+            await until(lambda: far.runs)
+            await near.stop()
+            status, _, _ = await call
+            self.assertEqual(200, status)
+            self.assertEqual(1, len(far.runs))
+
+        self.play(scenario, apps=2)
+
+    def test_a_caller_that_leaves_frees_both(self):
+        async def scenario(deployment):
+            for app in deployment.apps:
+                app.faults = [Fault.HANG]
+            call = asyncio.create_task(PlatformCaller(deployment).send("GET", "/safe/"))
+            await until(lambda: all(app.runs for app in deployment.apps))
+            call.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await call
+            await until(lambda: all(app.runs[0].caller_left for app in deployment.apps))
+            await until(lambda: self.hedges(deployment) == {"left": 1})
+            self.assert_nothing_open(deployment)
+
+        self.play(scenario, apps=2)
+
+    def test_what_may_have_run_is_not_said_to_be_not_run(self):
+        async def scenario(deployment):
+            near, far = deployment.apps
+            near.faults, far.faults = [Fault.HANG], [Fault.DECLINE]
+            call = asyncio.create_task(PlatformCaller(deployment).send("GET", "/safe/"))
+            await until(lambda: far.arrivals)
+            await near.stop()
+            status, headers, _ = await call
+            self.assertEqual(502, status)
+            self.assertIsNone(headers.get("retry-after"))
+            self.assertEqual(1, len(far.arrivals))
+
+        self.play(scenario, apps=2)
+
+    def test_what_may_not_be_repeated_is_sent_once(self):
+        async def scenario(deployment):
+            warm(deployment, "a-1")
+            for app in deployment.apps:
+                app.event_delay = 0.3
+            status, _, _ = await PlatformCaller(deployment).send("POST", "/unsafe/x")
+            self.assertEqual(200, status)
+            self.assertEqual(1, sum(len(app.arrivals) for app in deployment.apps))
+
+        self.play(scenario)
+
+    def test_load_grows_by_a_tenth_at_most_where_all_are_slow(self):
+        async def scenario(deployment):
+            warm(deployment, "a-1")
+            for app in deployment.apps:
+                app.event_delay = 0.3
+            caller = PlatformCaller(deployment)
+            calls = [caller.send("GET", f"/safe/{number}") for number in range(40)]
+            answers = await asyncio.gather(*calls)
+            self.assertEqual({200}, {status for status, _, _ in answers})
+            arrivals = sum(len(app.arrivals) for app in deployment.apps)
+            self.assertLessEqual(arrivals, 44)
+            self.assertGreater(self.hedges(deployment)["busy"], 30)
+
+        self.play(scenario)
+
+
+@attrs.define(eq=False)
+class FakeEntry:
+    upstream: object
+
+
+@attrs.define(eq=False)
+class FakeUpstream:
+    id: str
+    slots: int = 6
+
+
+@attrs.define(eq=False)
+class FakeResponse:
+    status: int
+
+
+@attrs.define(eq=False)
+class FakeAnswer:
+    entry: FakeEntry
+    response: FakeResponse
+
+
+@attrs.define(eq=False)
+class FakeRoute:
+    name: str = "safe"
+    is_repeatable: bool = True
+    max_attempts: int = 2
+    latency_objective: float = 0.001
+
+
+@attrs.define(eq=False)
+class FakeCall:
+    request_id: str = "one"
+    generation: object = None
+
+
+@attrs.define(eq=False)
+class FakeExchange:
+    call: FakeCall = attrs.Factory(FakeCall)
+    route: FakeRoute = attrs.Factory(FakeRoute)
+    service: str = "app"
+    sends: int = 0
+    sent_at: float = 0.0
+    run: Run = Run.NOT_RUN
+    tried: set = attrs.Factory(set)
+
+    def refuse(self, reason, title, now):
+        return Refusal(reason, title, run=self.run)
+
+
+@attrs.define(eq=False)
+class FakeChoice:
+    entry: FakeEntry
+
+
+ENTRIES = tuple(FakeEntry(FakeUpstream(name)) for name in "ab")
+
+
+class FakeChooser:
+    async def choose(self, exchange):
+        for entry in ENTRIES:
+            if entry.upstream.id not in exchange.tried:
+                return FakeChoice(entry)
+        raise Refusal(Reason.NO_UPSTREAM, "none")
+
+
+class FakeDirectory:
+    def of_service(self, service, now):
+        return ENTRIES
+
+
+class Race:
+    """One race whose sends end as it is told, in the order that it is told."""
+
+    ENDS = ("good", "failed", "declined", "lost", "too late")
+
+    def __init__(self):
+        self.exchange = FakeExchange()
+        self.dropped, self.answers, self.open = [], [], {}
+        self.clock = asyncio.get_running_loop().time
+        self.hedger = Hedger(
+            FakeChooser(),
+            FakeDirectory(),
+            ServiceTimes(TwoMemories()),
+            RetryBudget(share=0.0, extra=10.0, window=10.0),
+            lambda entry, now: UpstreamState(slots=6),
+            Metrics(),
+            self.clock,
+        )
+
+    async def attempt(self, exchange, choice):
+        name = choice.entry.upstream.id
+        self.open[name] = asyncio.get_running_loop().create_future()
+        exchange.sends += 1
+        exchange.sent_at = self.clock()
+        exchange.run = Run.UNKNOWN
+        try:
+            end = await self.open[name]
+        finally:
+            del self.open[name]
+        if end in ("declined", "lost"):
+            return None
+        if end == "too late":
+            # Made before the other send began to leave.
+            raise Refusal(Reason.TOO_LATE, "late", run=Run.NOT_RUN)
+        status = 200 if end == "good" else 500
+        answer = FakeAnswer(choice.entry, FakeResponse(status))
+        self.answers.append(answer)
+        return answer
+
+    def begin(self):
+        choice = FakeChoice(ENTRIES[0])
+        work = self.hedger.send(
+            self.exchange, choice, self.attempt, self.dropped.append
+        )
+        return asyncio.create_task(work)
+
+
+async def turns(count=8):
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+async def play(ends, order, together, leaves):
+    """Play one race; return it, and its answer or None."""
+    race = Race()
+    task = race.begin()
+    while len(race.open) < 2:
+        await asyncio.sleep(0.0005)
+    if leaves:
+        task.cancel()
+    for name in order:
+        if name in race.open:
+            race.open[name].set_result(ends[name])
+        if not together:
+            await turns()
+    await turns()
+    answer = error = None
+    try:
+        answer = await task
+    except Refusal as refusal:
+        error = refusal
+    except asyncio.CancelledError:
+        error = leaves
+    await turns()
+    return race, answer, error
+
+
+def check(case, race, answer, error, ends, leaves):
+    case.assertEqual({}, race.open)
+    kept = [] if answer is None else [answer]
+    unread = [given for given in race.answers if given not in kept]
+    case.assertEqual(unread, race.dropped)
+    case.assertLessEqual(race.exchange.sends, 2)
+    if leaves:
+        case.assertTrue(error)
+        return
+    statuses = [given.response.status for given in race.answers]
+    if "good" in ends.values():
+        case.assertEqual(200, answer.response.status)
+    elif statuses:
+        case.assertEqual(500, answer.response.status)
+    else:
+        case.assertIsNone(answer)
+    if isinstance(error, Refusal):
+        case.assertIsNot(Run.NOT_RUN, error.run)
+
+
+def all_races():
+    pairs = itertools.product(Race.ENDS, Race.ENDS)
+    for (a, b), order, together, leaves in itertools.product(
+        pairs, ("ab", "ba"), (False, True), (False, True)
+    ):
+        yield {"a": a, "b": b}, order, together, leaves
+
+
+async def play_all(case):
+    for ends, order, together, leaves in all_races():
+        race, answer, error = await play(ends, order, together, leaves)
+        check(case, race, answer, error, ends, leaves)
+
+
+def keep_losers():
+    return mock.patch.object(hedging, "_leave", lambda *_: None)
+
+
+def cancel_without_a_look():
+    def leave(task, answer, drop):
+        task.cancel()
+
+    return mock.patch.object(hedging, "_leave", leave)
+
+
+def take_any_answer():
+    return mock.patch.object(hedging, "SERVER_ERROR", 600)
+
+
+def believe_an_old_refusal():
+    def nothing_answered(exchange, now):
+        return Refusal(Reason.TOO_LATE, "late", run=Run.NOT_RUN)
+
+    return mock.patch.object(hedging, "nothing_answered", nothing_answered)
+
+
+def read_the_loser():
+    def leave(task, answer, drop):
+        task.cancel()
+        if answer is not None:
+            drop(answer)
+
+    return mock.patch.object(hedging, "_leave", leave)
+
+
+MUTANTS = (
+    keep_losers,
+    cancel_without_a_look,
+    take_any_answer,
+    believe_an_old_refusal,
+    read_the_loser,
+)
+
+
+class RaceTest(AsyncTestCase):
+    def test_one_answer_is_passed_on_and_every_other_is_given_up(self):
+        self.run_async(play_all(self))
+
+    def test_each_broken_decision_is_found(self):
+        for mutant in MUTANTS:
+            with mutant():
+                try:
+                    self.run_async(play_all(self))
+                except AssertionError:
+                    continue
+            self.fail(f"{mutant.__name__} is not found")
--- /dev/null
+++ b/tests/test_uneven.py
@@ -0,0 +1,321 @@
+"""Plain calls go around upstreams that are slow, for good or for a moment."""
+
+import asyncio
+import math
+import random
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lynxchute.edge.plain_calls import PlainCalls
+from lynxchute.edge.settings import Features
+from lynxchute.http import AbortHandle
+from lynxchute.upstreams.cold_admission import ColdLimits
+from lynxchute.upstreams.directory import Directory
+from lynxchute.upstreams.entry import OpenSend
+from lynxchute.upstreams.evacuations import Evacuations
+from lynxchute.upstreams.expected_finish import (
+    ExpectedFinish,
+    UpstreamState,
+    weights,
+)
+from lynxchute.upstreams.health import Fate
+from lynxchute.upstreams.learned_speed import (
+    MAX_SLOWNESS,
+    MIN_SLOWNESS,
+    ChangeDetector,
+    TwoMemories,
+)
+from lynxchute.upstreams.permits import Permits
+from lynxchute.upstreams.placement import LeastOpen
+from lynxchute.upstreams.send_gate import SendGate
+from lynxchute.upstreams.service_times import MAX_ROUTES, ServiceTimes
+from lynxchute.upstreams.upstream import Upstream
+from tests.support import no_limits_kept
+
+WAYS = (TwoMemories, ChangeDetector)
+WORK = 0.045
+# What a clock or a configuration that is wrong may bring.
+ANY = st.one_of(
+    st.floats(allow_nan=True, allow_infinity=True), st.sampled_from((0.0, -1.0, 0.02))
+)
+COUNTS = st.integers(min_value=-5, max_value=10**9)
+STATES = st.builds(
+    UpstreamState,
+    open_requests=COUNTS,
+    slots=COUNTS,
+    slowness=ANY,
+    overdue=ANY,
+    lost_share=ANY,
+    is_far=st.booleans(),
+)
+
+
+class SpeedsTest(testtools.TestCase):
+    def test_a_lasting_speed_is_known_within_ten_calls(self):
+        for way in WAYS:
+            for ratio in (0.7, 1.7):
+                speeds, rng = way(), random.Random(1)
+                for number in range(10):
+                    seconds = WORK * ratio * rng.uniform(0.95, 1.05)
+                    speeds.note("u", WORK, seconds, number * 0.2)
+                seen = speeds.slowness("u", 2.0)
+                self.assertTrue(abs(seen - ratio) < 0.1 * ratio, (way, ratio, seen))
+
+    def test_a_slow_moment_counts_at_once_and_has_passed_a_second_later(self):
+        speeds = TwoMemories()
+        for number in range(20):
+            speeds.note("u", WORK, WORK, number * 0.1)
+        speeds.note("u", WORK, 2.5 * WORK, 2.0)
+        self.assertGreater(speeds.slowness("u", 2.01), 1.8)
+        self.assertLess(speeds.slowness("u", 3.0), 1.1)
+
+    def test_slow_moments_do_not_look_like_a_lasting_speed(self):
+        for way in WAYS:
+            speeds, rng = way(), random.Random(2)
+            now, seen = 0.0, []
+            for _ in range(300):
+                slow_until = now + 0.6 if rng.random() < 0.03 else 0.0
+                for _ in range(3):
+                    now += 0.1
+                    ratio = 2.5 if now < slow_until else 1.0
+                    speeds.note("u", WORK, ratio * WORK, now)
+                seen.append(speeds.slowness("u", now + 1.5))
+            self.assertLess(sorted(seen)[int(0.9 * len(seen))], 1.3, way)
+
+    def test_an_upstream_that_nobody_sends_to_is_usual_again(self):
+        for way in WAYS:
+            speeds = way()
+            for number in range(40):
+                speeds.note("u", WORK, 8 * WORK, number * 0.05)
+            self.assertGreater(speeds.slowness("u", 2.0), 6)
+            self.assertLess(speeds.slowness("u", 30.0), 1.2, way)
+            speeds.note("u", WORK, WORK, 30.0)
+            self.assertLess(speeds.slowness("u", 30.5), 1.2, way)
+
+    @settings(max_examples=300, deadline=None)
+    @given(
+        st.sampled_from(WAYS),
+        st.lists(st.tuples(ANY, ANY, ANY), max_size=40),
+        ANY,
+    )
+    def test_it_is_always_positive_and_finite(self, way, notes, now):
+        speeds = way()
+        for work, seconds, at in notes:
+            speeds.note("u", work, seconds, at)
+            seen = speeds.slowness("u", at)
+            self.assertTrue(MIN_SLOWNESS <= seen <= MAX_SLOWNESS, seen)
+        seen = speeds.slowness("u", now)
+        self.assertTrue(MIN_SLOWNESS <= seen <= MAX_SLOWNESS, seen)
+        speeds.forget("u")
+        self.assertEqual(1.0, speeds.slowness("u", 1.0))
+
+
+class ServiceTimesTest(testtools.TestCase):
+    def test_what_is_usual_is_the_median_of_a_route_over_all_upstreams(self):
+        times = ServiceTimes(TwoMemories())
+        self.assertIsNone(times.usual("app", "look"))
+        for number in range(30):
+            for upstream_id, ratio in (("a", 1.0), ("b", 1.0), ("c", 3.0)):
+                seconds = WORK * ratio
+                times.note("app", "look", upstream_id, seconds, number * 0.1)
+        self.assertEqual(WORK, times.usual("app", "look"))
+        self.assertIsNone(times.usual("app", "book"))
+        self.assertAlmostEqual(3.0, times.speeds.slowness("c", 2.9), 1)
+        self.assertEqual(3 * WORK, times.longest("c", 0.95))
+
+    def test_a_call_broken_off_early_tells_nothing_and_a_late_one_does(self):
+        times = ServiceTimes(TwoMemories())
+        times.note_left("a", WORK, 0.5 * WORK, 1.0)
+        self.assertEqual(1.0, times.speeds.slowness("a", 1.0))
+        times.note_left("a", WORK, 5 * WORK, 1.0)
+        self.assertGreater(times.speeds.slowness("a", 1.0), 2)
+
+    def test_bad_times_are_not_taken_and_few_routes_are_kept(self):
+        times = ServiceTimes(TwoMemories())
+        for seconds in (math.nan, math.inf, -1.0):
+            times.note("app", "look", "a", seconds, 1.0)
+        self.assertFalse(times.knows("a"))
+        for number in range(MAX_ROUTES + 50):
+            for _ in range(6):
+                times.note("app", f"r{number}", "a", 0.0, 1.0)
+        self.assertIsNone(times.usual("app", "r0"))
+        self.assertGreater(times.usual("app", f"r{MAX_ROUTES + 49}"), 0)
+
+    def test_what_was_learned_goes_with_the_process(self):
+        times = ServiceTimes(TwoMemories())
+        for _ in range(30):
+            times.note("app", "look", "a", WORK, 1.0)
+            times.note("app", "look", "b", 3 * WORK, 1.0)
+        times.forget("b")
+        self.assertEqual(1.0, times.speeds.slowness("b", 1.0))
+        times.keep_only({"b"})
+        self.assertFalse(times.knows("a"))
+
+
+class WeightsTest(testtools.TestCase):
+    @settings(max_examples=500, deadline=None)
+    @given(st.lists(STATES, min_size=1, max_size=8))
+    def test_each_gets_some_and_none_gets_all(self, states):
+        parts = weights(states)
+        self.assertAlmostEqual(1.0, sum(parts))
+        for part in parts:
+            self.assertTrue(math.isfinite(part) and part > 0, parts)
+
+    def test_a_slow_a_full_and_a_failing_one_get_less(self):
+        usual = UpstreamState(slots=6)
+        for worse in (
+            UpstreamState(slots=6, slowness=2.5),
+            UpstreamState(slots=6, overdue=2.5),
+            UpstreamState(slots=6, open_requests=6),
+            UpstreamState(slots=6, lost_share=0.5),
+        ):
+            part = weights([usual, worse])[1]
+            self.assertLess(part, 0.05, worse)
+        far = weights([usual, UpstreamState(slots=6, is_far=True)])[1]
+        self.assertTrue(0.1 < far < 0.4, far)
+
+    def test_a_far_one_gets_more_than_a_near_one_that_is_slow(self):
+        near = UpstreamState(slots=6, slowness=2.5)
+        self.assertGreater(weights([near, UpstreamState(slots=6, is_far=True)])[1], 0.9)
+
+
+class NoPermits(Permits):
+    async def ask(self, entry):
+        return 0.0
+
+
+class Clock:
+    now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+class Settings:
+    data_centre = "a"
+
+    def __init__(self, **features):
+        self.features = Features(**features)
+
+
+class Fleet:
+    """One router's view of three upstreams of six places, one of them near."""
+
+    def __init__(self, **features):
+        self.clock, self.directory = Clock(), Directory()
+        for name in "abc":
+            self.directory.put(Upstream(name, "app", f"127.0.0.1:{ord(name)}", name))
+            self.entry(name).upstream = Upstream(
+                name, "app", f"127.0.0.1:{ord(name)}", name, slots=6, started_ms=1
+            )
+        limits = ColdLimits(0.0, 0.0, 0.0, 0.0)
+        gate = SendGate(Evacuations(), lambda _: limits, no_limits_kept())
+        self.calls = PlainCalls(
+            Settings(**(features or {"learned_speeds": True})),
+            self.directory,
+            gate,
+            NoPermits(),
+            random.Random(3),
+            self.clock,
+        )
+
+    def entry(self, name):
+        return self.directory.entries_by_id[name]
+
+    def chosen(self, count=300):
+        entries = list(self.directory.entries_by_id.values())
+        found = dict.fromkeys("abc", 0)
+        for _ in range(count):
+            choice = asyncio.run(self.calls.placement.choose("r", None, entries))
+            found[choice.entry.upstream.id] += 1
+        return found
+
+    def serve(self, name, ratio=1.0, count=10, every=0.05):
+        for _ in range(count):
+            self.clock.now += every
+            seconds = ratio * WORK
+            self.calls.times.note("app", "look", name, seconds, self.clock.now)
+
+    def open(self, name, sent_ago):
+        send = OpenSend(AbortHandle(), lambda: True, work=WORK)
+        send.sent_at = self.clock.now - sent_ago
+        self.entry(name).open_sends.add(send)
+        return send
+
+
+class ExpectedFinishTest(testtools.TestCase):
+    def test_without_the_feature_open_requests_decide(self):
+        self.assertIsInstance(Fleet(hedging=True).calls.placement, LeastOpen)
+        self.assertIsNone(Fleet(fair_shares=True).calls.times)
+        self.assertIsInstance(Fleet().calls.placement, ExpectedFinish)
+
+    def test_the_near_one_gets_most_and_each_gets_some(self):
+        found = Fleet().chosen()
+        self.assertGreater(found["a"], 150)
+        self.assertGreater(min(found.values()), 20)
+
+    def test_one_that_lets_a_call_wait_is_avoided_before_its_answer(self):
+        fleet = Fleet()
+        fleet.serve("a")
+        send = fleet.open("a", sent_ago=0.1)
+        self.assertLess(fleet.chosen()["a"], 60)
+        fleet.entry("a").open_sends.discard(send)
+        self.assertGreater(fleet.chosen()["a"], 120)
+
+    def test_work_comes_back_when_a_slow_moment_has_passed(self):
+        fleet = Fleet()
+        for name in "abc":
+            fleet.serve(name)
+        fleet.serve("a", ratio=2.5, count=4)
+        self.assertLess(fleet.chosen()["a"], 30)
+        fleet.clock.now += 0.6
+        self.assertGreater(fleet.chosen()["a"], 90)
+        fleet.clock.now += 0.6
+        self.assertGreater(fleet.chosen()["a"], 150)
+
+    def test_lasting_speeds_divide_the_work(self):
+        fleet = Fleet()
+        for _ in range(10):
+            fleet.serve("a", 1.7, count=1)
+            fleet.serve("b", 1.0, count=1)
+            fleet.serve("c", 0.7, count=1)
+        found = fleet.chosen()
+        self.assertGreater(found["c"], found["b"])
+        self.assertGreater(found["b"], found["a"])
+
+    def test_the_fast_one_dies_and_what_it_was_is_forgotten(self):
+        fleet = Fleet()
+        for _ in range(10):
+            fleet.serve("b", 1.0, count=2)
+            fleet.serve("a", 0.3, count=1)
+        self.assertLess(fleet.calls.slowness(fleet.entry("a"), fleet.clock.now), 1.01)
+        self.assertGreater(fleet.chosen()["a"], 250)
+        entry = fleet.entry("a")
+        fleet.directory.note_started(entry, 2, fleet.clock.now)
+        self.assertFalse(fleet.calls.times.knows("a"))
+        for _ in range(4):
+            fleet.entry("a").health.note(Fate.UNREACHED, fleet.clock.now)
+        self.assertLess(fleet.chosen()["a"], 60)
+
+    def test_one_that_declined_for_seconds_gets_its_part_again(self):
+        fleet = Fleet()
+        before = fleet.chosen()["a"]
+        for number in range(50):
+            fleet.entry("a").health.note(Fate.DECLINED, fleet.clock.now + number * 0.1)
+        fleet.clock.now += 5.0
+        self.assertGreater(fleet.chosen()["a"], 0.8 * before)
+
+    def test_many_routers_that_see_the_same_do_not_go_one_way(self):
+        found = dict.fromkeys("abc", 0)
+        for seed in range(60):
+            fleet = Fleet()
+            fleet.calls.placement._rng = random.Random(seed)
+            for _ in range(6):
+                for name in "abc":
+                    fleet.serve(name, 2.5 if name == "a" else 1.0, count=1)
+            for name, count in fleet.chosen(count=5).items():
+                found[name] += count
+        self.assertGreater(min(found["b"], found["c"]), 90)
+        self.assertLess(found["a"], 60)
