Tell slow moments of engines from lasting speeds

Cause: the board kept an engine's slowness until its next first event, so that it stayed away from one that had been slow for a moment; a new engine was taken for one of 20 tokens a millisecond whatever the others read; a token's time took some twenty answers to learn. Change: with learned_speeds, what is beyond an engine's lasting slowness fades by half in a second, first events and answers of an engine count as their mean, a new engine begins like the others. The emulator gets slow moments and the scenario uneven-stands. Without the feature the board decides as before. Conclusion: wired with learned_speeds.

--- a/lynxchute/bench/emulator/play.py
+++ b/lynxchute/bench/emulator/play.py
@@ -132,6 +132,7 @@
             self._at(arrival.at, partial(self._send, request))
         for trouble in self._scenario.troubles:
             self._at(trouble.at, partial(self._strike, trouble))
+        self._plan_noise()
         while self._queue:
             now, _, action = heapq.heappop(self._queue)
             action(now)
@@ -284,6 +285,17 @@
 
     # Troubles.
 
+    def _plan_noise(self) -> None:
+        noise = self._scenario.noise
+        for number in range(len(self._engines)):
+            rng = random.Random(f"{self._seed} noise {number}")
+            for begin, end in noise.spans(self._scenario.seconds, rng):
+                self._at(begin, partial(self._slow_down, number, noise.times))
+                self._at(end, partial(self._slow_down, number, 1.0))
+
+    def _slow_down(self, number: int, times: float, now: float) -> None:
+        self._engines[number].slowness = self._usual[number] * times
+
     def _strike(self, trouble: Trouble, now: float) -> None:
         self._now = now
         self._at(now + trouble.seconds, partial(self._mend, trouble))
--- a/lynxchute/bench/emulator/policies.py
+++ b/lynxchute/bench/emulator/policies.py
@@ -146,11 +146,12 @@
 
     name = "board"
     may_fetch = True
+    tells_apart = False
     admission: ColdAdmission = FirstRegistered()
 
     def __init__(self, scenario: Scenario, rng: random.Random) -> None:
         super().__init__(scenario, rng)
-        self.board = EngineBoard(self.make_crowding())
+        self.board = EngineBoard(self.make_crowding(), tells_apart=self.tells_apart)
         limits = ColdLimits(per_second=scenario.cold_per_second)
         watch = StandingWatch(lambda service: 0)
         watch.look([SERVICE], -TAKE_OVER_SECONDS)
@@ -218,6 +219,13 @@
         return PauseWeights()
 
 
+class LearningBoard(Board):
+    """The board that tells slow moments from lasting speeds."""
+
+    name = "board_learning"
+    tells_apart = True
+
+
 class BoardWithoutFetch(Board):
     """The board where no engine hands over what it keeps."""
 
@@ -260,6 +268,7 @@
         PartAffinity,
         Board,
         WeightedBoard,
+        LearningBoard,
         BoardWithoutFetch,
         WarmBoard,
         SharingBoard,
--- a/lynxchute/bench/emulator/scenario.py
+++ b/lynxchute/bench/emulator/scenario.py
@@ -90,6 +90,27 @@
     )
 
 
+@attrs.frozen
+class Noise:
+    """Moments in which each engine is slower than it usually is."""
+
+    share: float = option(default=0.0, low=0.0, doc="Share of the time, below 1.")
+    times: float = option(default=2.5, low=0.01, doc="How many times slower.")
+    seconds: float = option(default=0.6, low=0.01, doc="How long each lasts.")
+
+    def spans(self, until: float, rng: random.Random) -> list[tuple[float, float]]:
+        """Return when they begin and end, in seconds."""
+        found: list[tuple[float, float]] = []
+        if not 0 < self.share < 1:
+            return found
+        between = self.seconds * (1.0 - self.share) / self.share
+        now = rng.expovariate(1.0 / between)
+        while now < until:
+            found.append((now, now + self.seconds))
+            now += self.seconds + rng.expovariate(1.0 / between)
+        return found
+
+
 @attrs.frozen
 class Scenario:
     """Engines, what they are asked, and what goes wrong."""
@@ -101,6 +122,7 @@
     slowness: tuple[float, ...] = option(
         default=(1.0,), doc="How slow they are, in turn."
     )
+    noise: Noise = option(factory=Noise, doc="When each is slower for a moment.")
     shape: EngineShape = option(factory=EngineShape, doc="What each engine can do.")
     kinds: tuple[Kind, ...] = option(doc="What is asked.")
     bursts: tuple[Burst, ...] = option(default=(), doc="When more comes.")
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -204,6 +204,7 @@
             meter,
             steady_seconds,
         )
+        scheduler.board.tells_apart = settings.features.learned_speeds
         silence = SilenceWatch(self.directory, engines, reachability, steady_seconds)
         backpressure = BackpressureWatch(
             self.directory, engines, rules.rates, rules.rank, steady_seconds
--- a/lynxchute/scheduling/board.py
+++ b/lynxchute/scheduling/board.py
@@ -8,7 +8,7 @@
 
 from lynxchute.scheduling.caller_weights import CallerWeights
 from lynxchute.scheduling.crowding import Crowding, LateCallersUnlessStrained
-from lynxchute.scheduling.engine_state import EngineState, Run
+from lynxchute.scheduling.engine_state import EngineState, Run, begin_like
 from lynxchute.scheduling.newcomer import Newcomer
 from lynxchute.scheduling.pauses import PauseRecord
 from lynxchute.scheduling.prefix_cache import PrefixCache
@@ -85,13 +85,19 @@
     ----------
     crowding
         Weighs who is harmed by a request at an engine.
+    tells_apart
+        Whether slow moments of engines are told from lasting speeds, and engines that
+        are new are taken for ones like the others.
     """
 
-    def __init__(self, crowding: Crowding | None = None) -> None:
+    def __init__(
+        self, crowding: Crowding | None = None, *, tells_apart: bool = False
+    ) -> None:
         self.engines_by_id: dict[str, EngineState] = {}
         self._crowding = crowding or LateCallersUnlessStrained()
         self._usual_pauses_by_limit: dict[float, PauseRecord] = {}
         self._weights = CallerWeights()
+        self.tells_apart = tells_apart
 
     def place(
         self,
@@ -147,7 +153,7 @@
             took_ms = (now - run.placed_at) * 1000.0
         state.note_begun(run_id, run, now)
         state.pass_overdue(run_id, now)
-        state.learn(run, took_ms)
+        state.learn(run, took_ms, now)
 
     def paused(self, upstream_id: str, run_id: str, now: float) -> None:
         """Note that a stream has paused for longer than is on time."""
@@ -223,8 +229,14 @@
         if state is None:
             cache = PrefixCache(candidate.capacity)
             state = EngineState(
-                candidate.slots, candidate.capacity, cache, self._usual_pauses
+                candidate.slots,
+                candidate.capacity,
+                cache,
+                self._usual_pauses,
+                tells_apart=self.tells_apart,
             )
+            if self.tells_apart:
+                begin_like(state, self.engines_by_id.values())
             self.engines_by_id[candidate.upstream_id] = state
         return state
 
@@ -300,6 +312,7 @@
             answer_tokens=newcomer.answer_tokens,
             weight=newcomer.weight,
             router=newcomer.router,
+            slowness=state.slowness_now(now),
         )
         state.begin_reading(offer.uncached, now)
         state.runs_by_id[newcomer.run_id] = run
--- a/lynxchute/scheduling/engine_state.py
+++ b/lynxchute/scheduling/engine_state.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+import statistics
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -31,6 +32,10 @@
 SLOWNESS_WEIGHT = 0.25
 MIN_SLOWNESS = 0.5
 MAX_SLOWNESS = 8.0
+# Weight of the newest first event in what lasts, and the seconds in which what is
+# beyond that is half forgotten while nothing new is heard.
+LASTING_WEIGHT = 0.05
+FADING_SECONDS = 1.0
 # Seconds that a token of an answer takes until it is known: of a large model on
 # today's accelerators, with some streams beside.
 USUAL_TOKEN_SECONDS = 0.01
@@ -64,6 +69,8 @@
         The process that sends it.
     begun_at
         When its first event came, in seconds.
+    slowness
+        How slow its engine was taken for when it was placed.
     is_passed
         Whether others that came later have begun long after it should have.
     has_paused
@@ -80,6 +87,7 @@
     answer_tokens: int = 0
     weight: float = 1.0
     router: str = ""
+    slowness: float = 1.0
     begun_at: float = 0.0
     has_begun: bool = False
     is_passed: bool = False
@@ -103,8 +111,15 @@
     ----------
     reading
         How fast it reads prompts.
-    slowness
-        How much longer than expected first events take of late.
+    slowness, slowness_at
+        How much longer than expected first events took when one last told, and when
+        that was, in seconds.
+    lasting
+        What that comes to over many first events.
+    tells_apart
+        Whether slow moments are told from lasting speeds: what is longer than lasting
+        fades while nothing new is heard, and the first events and answers count for
+        more than later ones.
     begun_at
         When a run last began there, in seconds.
     token_seconds
@@ -121,12 +136,25 @@
     usual_pauses: Callable[[float], PauseRecord]
     reading: ReadingSpeed = attrs.Factory(ReadingSpeed)
     slowness: float = 1.0
+    slowness_at: float = 0.0
+    lasting: float = 1.0
+    tells_apart: bool = False
     begun_at: float = 0.0
     token_seconds: float = USUAL_TOKEN_SECONDS
     avoided_until: float = 0.0
     reads_until: float = 0.0
     runs_by_id: dict[str, Run] = attrs.Factory(dict)
     _watches_by_limit: dict[float, PauseWatch] = attrs.Factory(dict)
+    _answers: int = 0
+    _first_events: int = 0
+
+    def slowness_now(self, now: float) -> float:
+        """Return how much longer than expected first events take now."""
+        if not self.tells_apart:
+            return self.slowness
+        passed = max(now - self.slowness_at, 0.0)
+        left = 0.5 ** (passed / FADING_SECONDS)
+        return float(self.lasting + (self.slowness - self.lasting) * left)
 
     @property
     def occupied(self) -> int:
@@ -161,12 +189,13 @@
     def waiting_tokens(self, now: float) -> float:
         """Return the tokens that it should still have to read."""
         left_ms = max(self.reads_until - now, 0.0) * 1000.0
-        return left_ms * self.reading.tokens_per_ms / self.slowness
+        return left_ms * self.reading.tokens_per_ms / self.slowness_now(now)
 
     def begin_reading(self, tokens: int, now: float) -> None:
         """Note that a prompt was sent whose tokens have to be read."""
         waiting = self.waiting_tokens(now)
-        reading_ms = self.reading.reading_ms(waiting + tokens) * self.slowness
+        reading_ms = self.reading.reading_ms(waiting + tokens)
+        reading_ms *= self.slowness_now(now)
         self.reads_until = now + reading_ms / 1000.0
         streams_by_limit: dict[float, list[str]] = {}
         for run_id, run in self.runs_by_id.items():
@@ -189,7 +218,9 @@
         if not run.has_begun or not run.answer_tokens:
             return
         seen = (now - run.begun_at) / run.answer_tokens
-        self.token_seconds += TOKEN_SECONDS_WEIGHT * (seen - self.token_seconds)
+        self._answers += 1
+        weight = self._weight(TOKEN_SECONDS_WEIGHT, self._answers)
+        self.token_seconds += weight * (seen - self.token_seconds)
 
     def backlog_ms(self, now: float) -> float:
         """Return how long it has to read the prompts that are still waiting."""
@@ -201,7 +232,7 @@
         backlog = sum(run.prefill_ms for run in waiting)
         backlog -= min(reading_ms, head.prefill_ms)
         overdue_ms = min(head.overdue_ms(now), MAX_OVERDUE_MS)
-        return backlog * self.slowness + overdue_ms
+        return backlog * self.slowness_now(now) + overdue_ms
 
     def pass_overdue(self, begun_id: str, now: float) -> None:
         """Wait no longer for runs that are overdue and came before another."""
@@ -218,16 +249,16 @@
         self.begun_at = now
         self.watch(run.max_pause_ms).note_begun(run_id, now)
 
-    def learn(self, run: Run, took_ms: float) -> None:
+    def learn(self, run: Run, took_ms: float, now: float) -> None:
         """Learn from how long the first event of a run took."""
         self._learn_speed(run, took_ms)
-        self._learn_slowness(run, took_ms)
+        self._learn_slowness(run, took_ms, now)
 
     def learn_from_no_event(self, run: Run, now: float) -> None:
         """Learn from a run that nobody waited for any longer."""
         waited_ms = (now - run.placed_at) * 1000.0
         if waited_ms > run.expected_ms:
-            self._learn_slowness(run, waited_ms)
+            self._learn_slowness(run, waited_ms, now)
 
     def expected_ms(self, uncached: int, now: float) -> float:
         """Return when a prompt's first event would come, in milliseconds.
@@ -237,7 +268,7 @@
         uncached
             Tokens of the prompt that have to be read.
         """
-        own_ms = self.reading.reading_ms(uncached) * self.slowness
+        own_ms = self.reading.reading_ms(uncached) * self.slowness_now(now)
         return self.backlog_ms(now) + own_ms + self.reading.first_event_ms
 
     def _learn_speed(self, run: Run, took_ms: float) -> None:
@@ -245,12 +276,33 @@
         if run.waited_ms <= ALONE_MS:
             self.reading.note(run.uncached, took_ms)
 
-    def _learn_slowness(self, run: Run, took_ms: float) -> None:
+    def _learn_slowness(self, run: Run, took_ms: float, now: float) -> None:
         """Learn how much longer first events take than was expected."""
         first_event_ms = self.reading.first_event_ms
         reading_ms = run.expected_ms - first_event_ms
         if reading_ms < TELLING_MS:
             return
         ratio = max(took_ms - first_event_ms, 0.0) / reading_ms
-        seen = min(max(self.slowness * ratio, MIN_SLOWNESS), MAX_SLOWNESS)
-        self.slowness += SLOWNESS_WEIGHT * (seen - self.slowness)
+        before = run.slowness if self.tells_apart else self.slowness
+        seen = min(max(before * ratio, MIN_SLOWNESS), MAX_SLOWNESS)
+        present = self.slowness_now(now)
+        self.slowness = present + SLOWNESS_WEIGHT * (seen - present)
+        self.slowness_at = now
+        self._first_events += 1
+        weight = self._weight(LASTING_WEIGHT, self._first_events)
+        self.lasting += weight * (seen - self.lasting)
+
+    def _weight(self, usual: float, count: int) -> float:
+        """Return what the newest of so many counts."""
+        return max(usual, 1.0 / (count + 1)) if self.tells_apart else usual
+
+
+def begin_like(state: EngineState, others: Iterable[EngineState]) -> None:
+    """Take an engine that is new for one like the others that are known."""
+    known = [other for other in others if other.reading.is_known]
+    if not known:
+        return
+    speeds = [other.reading.tokens_per_ms for other in known]
+    state.reading.tokens_per_ms = statistics.median(speeds)
+    seconds = [other.token_seconds for other in known]
+    state.token_seconds = statistics.median(seconds)
--- a/lynxchute/scheduling/reading_speed.py
+++ b/lynxchute/scheduling/reading_speed.py
@@ -16,6 +16,8 @@
 NEWEST_WEIGHT = 0.1
 # Prompts shorter than this tell nothing of the speed.
 TELLING_TOKENS = 1_500
+# Prompts after which an engine's speed tells what others are like.
+KNOWN_AFTER = 3
 
 
 @attrs.define
@@ -38,6 +40,11 @@
     first_event_ms: float = FIRST_EVENT_MS
     _seen: int = 0
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether enough long prompts have told of it."""
+        return self._seen >= KNOWN_AFTER
+
     def note(self, tokens: float, took_ms: float) -> None:
         """Take a first event that waited for nothing but its own prompt."""
         reading_ms = took_ms - self.first_event_ms
--- a/tests/test_uneven.py
+++ b/tests/test_uneven.py
@@ -1,16 +1,20 @@
-"""Plain calls go around upstreams that are slow, for good or for a moment."""
+"""Work goes around upstreams that are slow, for good or for a moment."""
 
 import asyncio
 import math
 import random
 
+import attrs
 import testtools
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from lynxchute.bench.emulator.scenario import Noise, read_scenario
 from lynxchute.edge.plain_calls import PlainCalls
 from lynxchute.edge.settings import Features
 from lynxchute.http import AbortHandle
+from lynxchute.scheduling.board import Candidate, EngineBoard
+from lynxchute.scheduling.newcomer import Newcomer
 from lynxchute.upstreams.cold_admission import ColdLimits
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.entry import OpenSend
@@ -20,6 +24,7 @@
     UpstreamState,
     weights,
 )
+from lynxchute.upstreams.generation import Generation
 from lynxchute.upstreams.health import Fate
 from lynxchute.upstreams.learned_speed import (
     MAX_SLOWNESS,
@@ -319,3 +324,112 @@
                 found[name] += count
         self.assertGreater(min(found["b"], found["c"]), 90)
         self.assertLess(found["a"], 60)
+
+
+ENGINE_SHAPE = Candidate("e", 64, 400_000, is_far=False)
+# What an engine of usual speed reads in a millisecond, and takes for a token.
+TOKENS_PER_MS, TOKEN_SECONDS = 90.0, 0.02
+
+
+class EngineSpeedTest(testtools.TestCase):
+    """Engines of 0.7 and 1.7 times the usual speed, and slow moments of them."""
+
+    def setUp(self):
+        super().setUp()
+        self.board = EngineBoard(tells_apart=True)
+        self.now = 10.0
+        self.count = 0
+
+    def run_alone(self, name, speed, prompt=8_000, answer=100):
+        """Serve one request at an engine that has nothing else to do."""
+        self.count += 1
+        run_id = f"r{self.count}"
+        generation = Generation("m", prompt, answer, (), expected_output_tokens=answer)
+        candidate = attrs.evolve(ENGINE_SHAPE, upstream_id=name)
+        place = self.board.place(Newcomer(run_id, generation), [candidate], self.now)
+        took_ms = 35.0 + prompt / (TOKENS_PER_MS * speed)
+        self.now += took_ms / 1000.0
+        self.board.begun(name, run_id, self.now, took_ms=took_ms)
+        self.now += answer * TOKEN_SECONDS / speed
+        self.board.ended(name, run_id, self.now)
+        return place.expected_ms, took_ms
+
+    def state(self, name):
+        return self.board.engines_by_id[name]
+
+    def test_a_speed_is_known_within_ten_requests_by_reading_and_by_token(self):
+        for name, speed in (("slow", 0.7), ("fast", 1.7)):
+            for _ in range(10):
+                self.run_alone(name, speed)
+            expected, took = self.run_alone(name, speed)
+            self.assertTrue(abs(expected - took) < 0.15 * took, (name, expected, took))
+            told = self.state(name).token_seconds * speed
+            self.assertTrue(abs(told - TOKEN_SECONDS) < 0.12 * TOKEN_SECONDS, told)
+
+    def test_a_slow_moment_fades_and_a_lasting_speed_does_not(self):
+        for _ in range(30):
+            self.run_alone("e", 1.0)
+        usual = self.state("e").slowness_now(self.now)
+        for _ in range(3):
+            self.run_alone("e", 0.4, answer=1)
+        slow = self.state("e").slowness_now(self.now)
+        self.assertGreater(slow, 1.4 * usual)
+        later = self.state("e").slowness_now(self.now + 4.0)
+        self.assertLess(later, 1.25 * usual)
+        for _ in range(40):
+            self.run_alone("e", 0.4, answer=1)
+        expected, took = self.run_alone("e", 0.4)
+        self.assertTrue(abs(expected - took) < 0.2 * took, (expected, took))
+        self.now += 10.0
+        expected, took = self.run_alone("e", 0.4)
+        self.assertTrue(abs(expected - took) < 0.2 * took, (expected, took))
+
+    def test_a_new_engine_is_taken_for_one_like_the_others(self):
+        for name in "abc":
+            for _ in range(10):
+                self.run_alone(name, 1.0)
+        expected, took = self.run_alone("new", 1.0)
+        self.assertTrue(abs(expected - took) < 0.2 * took, (expected, took))
+        self.board.forget("a")
+        expected, took = self.run_alone("a", 1.0)
+        self.assertTrue(abs(expected - took) < 0.2 * took, (expected, took))
+
+    def test_without_the_feature_the_last_first_events_count_until_the_next(self):
+        self.board = EngineBoard()
+        for _ in range(10):
+            self.run_alone("e", 1.0)
+        before = self.state("e").slowness_now(self.now)
+        self.assertEqual(before, self.state("e").slowness_now(self.now + 60.0))
+        self.run_alone("new", 1.0)
+        self.assertLess(self.state("new").reading.tokens_per_ms, 60.0)
+
+    @settings(max_examples=200, deadline=None)
+    @given(st.lists(st.tuples(st.integers(0, 30_000), ANY, ANY), max_size=30))
+    def test_bad_times_leave_expectations_finite(self, runs):
+        board = EngineBoard(tells_apart=True)
+        for number, (prompt, took_ms, at) in enumerate(runs):
+            now = at if math.isfinite(at) else 1.0
+            generation = Generation("m", prompt, 10, ())
+            run_id = str(number)
+            newcomer = Newcomer(run_id, generation)
+            place = board.place(newcomer, [ENGINE_SHAPE], now)
+            self.assertTrue(math.isfinite(place.expected_ms), place)
+            if math.isfinite(took_ms):
+                board.begun("e", run_id, now, took_ms=took_ms)
+            board.ended("e", run_id, now)
+            slowness = board.engines_by_id["e"].slowness_now(now)
+            self.assertTrue(0 < slowness < 100, slowness)
+
+
+class NoiseTest(testtools.TestCase):
+    def test_engines_are_slow_for_the_share_that_is_asked_for(self):
+        noise = Noise(share=0.15, times=2.5, seconds=0.6)
+        spans = noise.spans(10_000.0, random.Random(1))
+        slow = sum(end - begin for begin, end in spans)
+        self.assertTrue(1_350 < slow < 1_650, slow)
+        self.assertEqual([], Noise().spans(100.0, random.Random(1)))
+
+    def test_the_scenario_with_uneven_engines_can_be_read(self):
+        scenario = read_scenario("uneven-stands").ok
+        self.assertEqual((1.43, 1.43, 0.59), scenario.slowness)
+        self.assertEqual(0.15, scenario.noise.share)
