Count what waits for the own link to no upstream

Ruled out: queues at the upstreams, since other routers' calls were quick then. Change: the time of a send begins when its first byte has left the VM by the link's meter. Figures: one new test, which fails without the change. Conclusion: hedges wait accordingly.

--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -59,7 +59,7 @@
     run
         Whether it has run, as far as is known.
     sent_at
-        When the first byte of the last of them left, in seconds.
+        When the first byte of the last of them left the VM, in seconds.
     may_have_run
         Sends of which no upstream has said that they were not run.
     tried
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -230,7 +230,7 @@
             upstream_id = entry.upstream.id
             if self._times is not None and send.sent_at is not None:
                 now = self._clock()
-                waited = now - send.sent_at
+                waited = max(now - send.sent_at, 0.0)
                 self._times.note_left(upstream_id, send.work, waited, now)
             self._generations.note_ended(exchange.run_id, upstream_id, failed=False)
             raise
@@ -289,7 +289,9 @@
             if self._gate.rates.is_limited(entry, self._clock()):
                 part = "counted" if choice.admitted_until else "turn"
                 self._metrics.limited_sends.inc(part)
-            exchange.note_sent(entry.upstream.id, self._clock())
+            # What waits for this VM's link is not the upstream's time.
+            leaves_at = self._clock() + self._clients.meter.delay()
+            exchange.note_sent(entry.upstream.id, leaves_at)
             self._note_work(exchange, send)
             self._log_send(exchange, choice, dispatch)
 
@@ -310,7 +312,7 @@
         """Note what a plain call that is being sent usually takes."""
         if self._times is None or exchange.call.generation is not None:
             return
-        send.sent_at = self._clock()
+        send.sent_at = exchange.sent_at
         send.work = self._times.usual(exchange.service, exchange.route.name) or 0.0
 
     def _note_time(self, exchange: Exchange, answer: Answer) -> None:
@@ -326,7 +328,7 @@
             exchange.service,
             exchange.route.name,
             answer.entry.upstream.id,
-            now - sent_at,
+            max(now - sent_at, 0.0),
             now,
         )
 
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -215,6 +215,19 @@
 
         self.play(scenario)
 
+    def test_what_waits_for_the_own_link_is_not_the_upstreams_time(self):
+        async def scenario(deployment):
+            router = deployment.routers["a-1"]
+            router.clients.meter.delay = lambda: 0.12
+            for app in deployment.apps:
+                app.event_delay = UNKNOWN_DELAY + 0.05
+            status, _, _ = await PlatformCaller(deployment).send("GET", "/safe/x")
+            self.assertEqual(200, status)
+            self.assertEqual(1, sum(len(app.arrivals) for app in deployment.apps))
+            self.assertEqual({}, self.hedges(deployment))
+
+        self.play(scenario)
+
     def test_load_grows_by_a_tenth_at_most_where_all_are_slow(self):
         async def scenario(deployment):
             warm(deployment, "a-1")
