--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -21,6 +21,7 @@
 from lynxchute.edge.limits import caller_limits, held_bounds
 from lynxchute.edge.listener import Listener
 from lynxchute.edge.own_load import make_own_load
+from lynxchute.edge.plain_calls import PlainCalls
 from lynxchute.edge.platform import Platform
 from lynxchute.edge.reload import Reader, SettingsWatcher
 from lynxchute.edge.settings import EdgeSettings
@@ -65,7 +66,6 @@
 from lynxchute.telemetry import Metrics, log_event
 from lynxchute.upstreams.backpressure_watch import BackpressureWatch
 from lynxchute.upstreams.directory import Directory
-from lynxchute.upstreams.placement import LeastOpen
 from lynxchute.upstreams.retry_budget import RetryBudget
 from lynxchute.upstreams.silence import SilenceWatch
 from lynxchute.upstreams.upstream import Upstream
@@ -204,7 +204,9 @@
             self.members, self.peers, self.directory, rules.rates, steady_seconds
         )
         permits.serve(self.peer_server)
-        plain = LeastOpen(settings.data_centre, rules.gate, permits, steady_seconds)
+        self.plain_calls = PlainCalls(
+            settings, self.directory, rules.gate, permits, rng, steady_seconds
+        )
         engines = platform.make_engines(self.clients)
         may_wait = settings.features.fair_shares
         self.turns = Turns(self._weight_of, self.metrics) if may_wait else None
@@ -220,6 +222,7 @@
             steady_seconds,
             turns=self.turns,
         )
+        scheduler.board.tells_apart = settings.features.learned_speeds
         silence = SilenceWatch(self.directory, engines, reachability, steady_seconds)
         backpressure = BackpressureWatch(
             self.directory, engines, rules.rates, rules.rank, steady_seconds
@@ -252,7 +255,7 @@
             self.directory,
             scheduler.neighbourhood,
             scheduler,
-            plain,
+            self.plain_calls.placement,
             reachability,
             rules.gate,
             self.load,
@@ -271,6 +274,8 @@
             rules.gate,
             StatementReader(platform.dialect, self.directory, steady_seconds),
             steady_seconds,
+            times=self.plain_calls.times,
+            hedger=self.plain_calls.hedger(chooser, self.retries, self.metrics),
         )
         self.relay = Relay(
             platform.dialect,
