Measure what a request costs a router's processor

Cause: one request, one event, one start and rest each cost a router's processor, and no means told which part of the code takes it.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: test check format demo bench bench-budgets bench-routing bench-limits ablation soak fuzz fuzz-mutants slopes reference clean
+.PHONY: test check format demo bench bench-budgets bench-routing bench-limits bench-request ablation soak fuzz fuzz-mutants slopes reference clean
 
 $(READY): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -49,6 +49,9 @@
 bench-limits: $(READY)
 	$(BIN)/python -m lynxchute.bench.limits
 
+bench-request: $(READY)
+	$(BIN)/python -m lynxchute.bench.request_cost
+
 ablation: $(READY)
 	$(BIN)/python -m lynxchute.bench.experiment swap-stations swap-stations-crowded snow-dispatch --policy board board_with_weights board_without_fetch least_open part_affinity --seeds 3
 
