Pass events of a stream on as they are read

Cause: each event woke the task that serves its request: a future, a second turn of the loop with its call to the kernel, a timeout that never ran, two looks into h11 before the wait and two after it. Change: while a stream runs, what its connection reads is cut into events and written to the caller in the same call of the event loop; the task wakes at the end, at an error, and where the caller reads slower than events come. The head goes out in one write with the first event. The link's meter counts without further calls. The bench compiles the code as a deployment does, and takes the code of a checkout for each side.

--- a/lynxchute/bench/request_cost.py
+++ b/lynxchute/bench/request_cost.py
@@ -30,6 +30,7 @@
 from lynxchute.standins.platform_store import PlatformStoreStandin
 from lynxchute.standins.platform_upstream import PlatformUpstreamStandin
 
+OWN_CODE = Path(__file__).parents[2]
 ACCOUNT, KEY = "bench", "key-of-bench"
 SITE = "app.example"
 ENGINES, SERVICES = 4, 2
@@ -136,9 +137,7 @@
 
 
 @contextlib.asynccontextmanager
-async def scene(
-    folder: Path, code: Path | None, profile: Path | None
-) -> AsyncIterator[Scene]:
+async def scene(folder: Path, code: Path, profile: Path | None) -> AsyncIterator[Scene]:
     """Run two routers and their stand-ins."""
     store = PlatformStoreStandin()
     engines, apps = [], []
@@ -214,15 +213,13 @@
     return taken - rest * (loop.time() - begun)
 
 
-async def measure(
-    code: Path | None, requests: int, profile: Path | None = None
-) -> Costs:
+async def measure(code: Path, requests: int, profile: Path | None = None) -> Costs:
     """Return what one run of a router costs.
 
     Parameters
     ----------
     code
-        A checkout; None for the code of this process.
+        A checkout.
     requests
         Requests of each kind.
     profile
@@ -266,8 +263,8 @@
     )
 
 
-def _print(code: Path | None, found: list[Costs]) -> None:
-    line: dict[str, object] = {"code": str(code or "this"), "rounds": len(found)}
+def _print(code: Path, found: list[Costs]) -> None:
+    line: dict[str, object] = {"code": str(code), "rounds": len(found)}
     for field in attrs.fields(Costs):
         values = [getattr(costs, field.name) for costs in found]
         line[field.name] = round(statistics.median(values), 1)
@@ -276,7 +273,7 @@
 
 
 async def _measure_all(
-    codes: list[Path | None], rounds: int, requests: int, profile: Path | None
+    codes: list[Path], rounds: int, requests: int, profile: Path | None
 ) -> None:
     found: list[list[Costs]] = [[] for _ in codes]
     for _ in range(rounds):
@@ -307,7 +304,7 @@
         A file for the profile of the last run; its figures are of no use then.
     """
     logging.set_verbosity(logging.ERROR)
-    run_loop(_measure_all([None, *against], rounds, requests, profile))
+    run_loop(_measure_all([OWN_CODE, *against], rounds, requests, profile))
 
 
 def main() -> None:
--- a/lynxchute/bench/router_process.py
+++ b/lynxchute/bench/router_process.py
@@ -38,7 +38,7 @@
     store_port
         Where it reaches the store.
     code
-        The checkout whose code it runs; None for the code of this process.
+        The checkout whose code it runs.
     profile
         Where its profile goes; None for none.
     """
@@ -49,7 +49,7 @@
         vm: str,
         store_port: int,
         *,
-        code: Path | None = None,
+        code: Path,
         profile: Path | None = None,
     ) -> None:
         self.vm = vm
@@ -74,8 +74,9 @@
         # JSON is YAML.
         file.write_text(json.dumps(self._settings()), encoding="utf-8")
         environment = {**os.environ, SETTINGS_VARIABLE: str(file)}
-        if self._code is not None:
-            environment["PYTHONPATH"] = str(self._code)
+        # A deployed router's code is compiled before its start.
+        environment.pop("PYTHONDONTWRITEBYTECODE", None)
+        environment["PYTHONPATH"] = str(self._code)
         command = ["-m", "lynxchute.platform"]
         if self._profile is not None:
             command = ["-m", "cProfile", "-o", str(self._profile), *command]
--- a/lynxchute/http/client.py
+++ b/lynxchute/http/client.py
@@ -124,18 +124,53 @@
         if self._released:
             return None
         try:
-            async with asyncio.timeout(self._between_bytes):
+            if self._between_bytes is None:
                 piece = await self._connection.read_body()
-        except (ConnectionBroken, TimeoutError) as error:
-            self.close()
-            raise ExchangeFailed(f"the answer broke off: {error}", sent=True) from error
-        except BaseException:
-            self.close()
+            else:
+                async with asyncio.timeout(self._between_bytes):
+                    piece = await self._connection.read_body()
+        except BaseException as error:
+            self._break_off(error)
             raise
         if piece is None:
             self._release()
         return piece
 
+    async def read_each(self, take: Callable[[bytes], bool]) -> bool:
+        """Hand the body to a function piece by piece, each one as it arrives.
+
+        Parameters
+        ----------
+        take
+            Called from the event loop; returns whether it can take the next piece.
+
+        Returns
+        -------
+        bool
+            Whether the body has come to its end; otherwise the function wants no
+            more, and further calls go on where it stopped.
+
+        Raises
+        ------
+        ExchangeFailed
+            Where the answer broke off before its end.
+        """
+        if self._between_bytes is not None:
+            while (piece := await self.read()) is not None:
+                if not take(piece):
+                    return False
+            return True
+        if self._released:
+            return True
+        try:
+            is_whole = await self._connection.read_each(take)
+        except BaseException as error:
+            self._break_off(error)
+            raise
+        if is_whole:
+            self._release()
+        return is_whole
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; what arrived in one read comes as one piece.
 
@@ -189,6 +224,12 @@
             self._connection.abort()
             self._client._forget()
 
+    def _break_off(self, error: BaseException) -> None:
+        """Drop the connection; an answer that broke off is reported as such."""
+        self.close()
+        if isinstance(error, ConnectionBroken | TimeoutError):
+            raise ExchangeFailed(f"the answer broke off: {error}", sent=True) from error
+
     def _release(self) -> None:
         if not self._released:
             self._released = True
--- a/lynxchute/http/client_connection.py
+++ b/lynxchute/http/client_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+from collections.abc import Callable
 
 import attrs
 import h11
@@ -72,6 +73,8 @@
         self._ended = False
         self._unread_bytes = 0
         self._paused = False
+        self._take: Callable[[bytes], bool] | None = None
+        self._takes_more = True
 
     @property
     def alive(self) -> bool:
@@ -91,11 +94,12 @@
         """Take bytes from the peer."""
         self._meter.note_received(len(data))
         if not self._in_use:
-            # Bytes that answer nothing may be the start of an answer to an
-            # earlier request; the connection is not to be trusted.
+            # Bytes that answer nothing may begin an answer to an earlier request.
             self.abort()
             return
         self._protocol.receive_data(data)
+        if self._take is not None and self._hand_over(self._take):
+            return
         self._unread_bytes += len(data)
         if self._unread_bytes > MAX_UNREAD_BYTES and not self._paused:
             self._paused = True
@@ -169,6 +173,53 @@
                 return None
             await self._wait()
 
+    async def read_each(self, take: Callable[[bytes], bool]) -> bool:
+        """Hand what arrives of the answer's body to a function, as it arrives.
+
+        Parameters
+        ----------
+        take
+            Returns whether it can take the next piece.
+
+        Returns
+        -------
+        bool
+            Whether the body has come to its end.
+
+        Raises
+        ------
+        ConnectionBroken
+            Where the body breaks off.
+        """
+        self._takes_more = True
+        while self._takes_more:
+            piece = self._pieces_at_hand()
+            if piece:
+                self._takes_more = take(piece)
+                continue
+            if self._ended:
+                return True
+            self._take = take
+            try:
+                await self._wait()
+            finally:
+                self._take = None
+        return False
+
+    def _hand_over(self, take: Callable[[bytes], bool]) -> bool:
+        """Hand what is at hand over; return whether the reader can sleep on."""
+        waiter = self._waiter
+        if waiter is None or waiter.done():
+            return False
+        try:
+            piece = self._pieces_at_hand()
+            self._takes_more = not piece or take(piece)
+        except Exception as error:
+            # It ends whoever waits, as if that had taken the piece.
+            waiter.set_exception(error)
+            return True
+        return self._takes_more and not self._ended and self._broken is None
+
     def _pieces_at_hand(self) -> bytes:
         """Return what is at hand of the body; an error waits for its turn."""
         parts: list[bytes] = []
--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -345,12 +345,14 @@
 
     # Writing.
 
-    def _write(self, data: bytes) -> None:
+    def _write(self, data: bytes) -> bool:
+        """Write to the caller; return whether it reads fast enough for more."""
         if self._transport is None or self._phase is _Phase.CLOSED:
             raise CallerLeft("the caller left")
         if data:
             self._server.meter.note_sent(len(data))
             self._transport.write(data)
+        return self._writable is None
 
     async def _drained(self) -> None:
         if self._writable is not None:
--- a/lynxchute/http/link_meter.py
+++ b/lynxchute/http/link_meter.py
@@ -39,8 +39,13 @@
     _at: float = 0.0
 
     def add(self, size: int, now: float) -> None:
-        self._waiting = self._left(now) + size * WIRE_OVERHEAD
-        self._rate = self._rate_at(now) + size * WIRE_OVERHEAD / USE_SECONDS
+        # Called for each event of a stream, twice: no further calls from here.
+        elapsed = now - self._at
+        wire = size * WIRE_OVERHEAD
+        left = self._waiting - elapsed * self.bytes_per_s
+        self._waiting = left + wire if left > 0.0 else wire
+        kept = self._rate * math.exp(-elapsed / USE_SECONDS)
+        self._rate = kept + wire / USE_SECONDS
         self._at = now
 
     def use(self, now: float) -> float:
--- a/lynxchute/http/responder.py
+++ b/lynxchute/http/responder.py
@@ -28,7 +28,7 @@
     protocol
         The protocol state of the caller's connection.
     write
-        Takes bytes for the caller.
+        Takes bytes for the caller; returns whether the caller has read enough.
     drained
         Waits until the caller has read enough.
     abort
@@ -47,7 +47,7 @@
         self,
         method: str,
         protocol: h11.Connection,
-        write: Callable[[bytes], None],
+        write: Callable[[bytes], bool],
         drained: Callable[[], Any],
         abort: Callable[[], None],
     ) -> None:
@@ -79,7 +79,37 @@
         CallerLeft
             Where the connection is gone.
         """
-        self._write(self._protocol.send(h11.Data(data=data)) or b"")
+        self._write(self._framed(data))
+        await self._drained()
+
+    def begin(self, status: int, headers: HeaderItems, data: bytes) -> bool:
+        """Send the head of the answer and a piece of the body together.
+
+        Returns
+        -------
+        bool
+            Whether the caller has read enough for the next piece.
+        """
+        head = self._head(status, headers)
+        return self._write(head + self._framed(data))
+
+    def write(self, data: bytes) -> bool:
+        """Send a piece of the body without waiting.
+
+        Returns
+        -------
+        bool
+            Whether the caller has read enough for the next piece.
+
+        Raises
+        ------
+        CallerLeft
+            Where the connection is gone.
+        """
+        return self._write(self._framed(data))
+
+    async def drained(self) -> None:
+        """Wait until the caller has read enough for the next piece."""
         await self._drained()
 
     async def finish(self) -> None:
@@ -121,6 +151,9 @@
         """Drop the connection, so that a broken answer never looks whole."""
         self._abort()
 
+    def _framed(self, data: bytes) -> bytes:
+        return self._protocol.send(h11.Data(data=data)) or b""
+
     def _may_have_body(self, status: int) -> bool:
         return not self._to_head and status not in BODILESS_STATUSES
 
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -18,8 +18,9 @@
     Reservation,
 )
 from lynxchute.relay.dialect import Dialect
-from lynxchute.relay.events import EventsOutOfOrder, EventSplitter
+from lynxchute.relay.events import EventsOutOfOrder
 from lynxchute.relay.exchange import Exchange
+from lynxchute.relay.passing import EventPassing
 from lynxchute.relay.refusal import Reason, Refusal, Run
 from lynxchute.relay.request_log import RequestLog, used_tokens
 from lynxchute.relay.sender import Answer, Sender
@@ -266,32 +267,15 @@
 
     async def _pass_events(self, exchange: Exchange, answer: Answer) -> bool:
         """Pass events on; return whether the stream came to its end."""
-        splitter = EventSplitter()
+        passing = EventPassing(
+            self._dialect, self._sender, exchange, answer, self._clock
+        )
         fate = Fate.ABANDONED
         try:
-            while True:
-                data = await answer.response.read()
-                answer.entry.heard_at = self._clock()
-                if data is None:
-                    break
-                events = splitter.feed(data)
-                if events is None:
-                    continue
-                exchange.order.check(events)
-                answer.send.note_answering(self._clock())
-                if not exchange.respond.started:
-                    await self._start_stream(exchange, answer)
-                had_paused = exchange.has_paused
-                exchange.note_events(events.count, events.last_id, self._clock())
-                if exchange.has_paused and not had_paused:
-                    self._sender.note_paused(answer)
-                data = events.data
-                told = self._dialect.told_tokens(data)
-                if told is not None:
-                    exchange.told_tokens = told
-                    data = self._dialect.for_caller(exchange.call, data)
-                await exchange.respond.send(data)
-            if splitter.rest:
+            while not await answer.response.read_each(passing.take):
+                await exchange.respond.drained()
+            answer.entry.heard_at = self._clock()
+            if passing.is_within_event:
                 fate = Fate.BROKEN
                 return False
             fate = Fate.SERVED
@@ -314,12 +298,6 @@
             self._sender.release(answer, fate)
         return True
 
-    async def _start_stream(self, exchange: Exchange, answer: Answer) -> None:
-        headers = self._dialect.caller_headers(answer.response.headers)
-        exchange.first_byte_at = self._clock()
-        self._sender.note_begun(answer)
-        await exchange.respond.start(answer.response.status, headers)
-
 
 def _is_stream(answer: Answer) -> bool:
     content_type = answer.response.headers.get("content-type", "")
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -84,6 +84,26 @@
     return server, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
 
+async def chunks_from(*pieces):
+    """Return a server that answers each request with one chunk after the other."""
+
+    async def serve(reader, writer):
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for piece in pieces:
+                await asyncio.sleep(0.02)
+                writer.write(b"%x\r\n%s\r\n" % (len(piece), piece.encode()))
+            await asyncio.sleep(0.02)
+            writer.write(b"0\r\n\r\n")
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    return server, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
 def answer(body, *headers):
     lines = [b"HTTP/1.1 200 OK", *headers, b"Content-Length: %d" % len(body)]
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
@@ -339,6 +359,88 @@
 
         self.run_async(work())
 
+    def test_pieces_are_handed_over_as_they_arrive_and_when_asked_for(self):
+        async def work():
+            taken = []
+            server, address = await chunks_from("one", "two", "three", "four")
+            response = await HttpClient(address).request("GET", "/")
+
+            def take(piece):
+                taken.append(piece)
+                return len(taken) != 2
+
+            self.assertFalse(await response.read_each(take))
+            self.assertEqual([b"one", b"two"], taken)
+            # What comes meanwhile waits for the next call.
+            await asyncio.sleep(0.1)
+            self.assertEqual([b"one", b"two"], taken)
+            self.assertTrue(await response.read_each(take))
+            self.assertEqual(b"onetwothreefour", b"".join(taken))
+            self.assertTrue(await response.read_each(take))
+            server.close()
+
+        self.run_async(work())
+
+    def test_what_goes_wrong_while_a_piece_is_taken_ends_the_reader(self):
+        async def work():
+            for number in (1, 2):
+                taken = []
+
+                def take(piece, taken=taken, number=number):
+                    taken.append(piece)
+                    if len(taken) == number:
+                        raise ValueError("no such piece")
+                    return True
+
+                server, address = await chunks_from("one", "two", "three")
+                client = HttpClient(address)
+                response = await client.request("GET", "/")
+                with self.assertRaises(ValueError):
+                    await response.read_each(take)
+                self.assertEqual(number, len(taken))
+                # The rest of the answer is nobody else's.
+                opened = client.opened
+                await (await client.request("GET", "/")).body()
+                self.assertEqual(opened + 1, client.opened)
+                server.close()
+
+        self.run_async(work())
+
+    def test_pieces_before_a_break_are_handed_over_and_the_break_told(self):
+        async def work():
+            cut = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n"
+            for rest in (b"", b"no chunk\r\n"):
+                taken = []
+                server, address = await peer_that(cut + rest)
+                response = await HttpClient(address).request("GET", "/")
+                with self.assertRaises(ExchangeFailed):
+                    await response.read_each(
+                        lambda piece, taken=taken: taken.append(piece) or True
+                    )
+                self.assertEqual([b"one"], taken)
+                server.close()
+
+        self.run_async(work())
+
+    def test_a_reader_that_was_cancelled_is_handed_nothing(self):
+        async def work():
+            taken = []
+            server, address = await chunks_from("one", "two", "three")
+            response = await HttpClient(address).request("GET", "/")
+
+            def take(piece):
+                taken.append(piece)
+                reading.cancel()
+                return True
+
+            reading = asyncio.create_task(response.read_each(take))
+            await asyncio.sleep(0.2)
+            self.assertTrue(reading.cancelled())
+            self.assertEqual([b"one"], taken)
+            server.close()
+
+        self.run_async(work())
+
     def test_nothing_sent_is_said_only_where_no_connection_came_about(self):
         async def work():
             server, address = await peer_that()
