Let loops tick together and wake only for what is due

Cause: at rest a router woke 40 times a second for four looks that found nothing; each took a timeout that was cancelled, an error, and a second turn of the event loop for the task. Ruled out: longer intervals, which are times of reaction. Change: a loop's intervals end at shared ticks, with a phase of its own in each process; entrance, silence, cold and backpressure say whether a look would do anything, and their tasks are woken only then. What they look for and how soon is as before: an interval may be cut short by a tick, never lengthened beyond a hundredth.

--- a/lynxchute/application.py
+++ b/lynxchute/application.py
@@ -3,14 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import enum
+import random
 import signal
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 
 from absl import logging
 
+# Seconds that the ticks of this process are apart from those of others.
+_PHASE = random.random()
+# A tick that is nearer than this share of the interval is left out.
+TICK_MARGIN = 0.01
+
+
+def _always() -> bool:
+    return True
+
 
 class Component:
     """A part of an application; each hook does nothing by default."""
@@ -63,33 +72,85 @@
         Called each time.
     interval
         Seconds between the calls, at most.
+    is_due
+        Returns whether a call at the end of an interval would do anything.
     """
 
     def __init__(
-        self, name: str, step: Callable[[], Awaitable[None]], interval: float
+        self,
+        name: str,
+        step: Callable[[], Awaitable[None]],
+        interval: float,
+        is_due: Callable[[], bool] = _always,
     ) -> None:
         super().__init__()
         self._name = name
         self._step = step
         self._interval = interval
-        self._woken = asyncio.Event()
+        self._is_due = is_due
+        self._timer: asyncio.TimerHandle | None = None
+        self._is_woken = False
+        self._waiter: asyncio.Future[None] | None = None
 
     def wake(self) -> None:
         """Make the next call at once."""
-        self._woken.set()
+        self._is_woken = True
+        self._ring()
+
+    def _ring(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def _tick(self) -> None:
+        """Wake the task only for what is due: that takes another turn of the loop."""
+        try:
+            is_due = self._is_due()
+        except Exception:
+            logging.exception("the loop %s could not look", self._name)
+            is_due = True
+        if is_due:
+            self._ring()
+            return
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        loop = asyncio.get_running_loop()
+        tick = _next_tick(loop.time(), self._interval)
+        self._timer = loop.call_at(tick, self._tick)
+
+    async def _wait(self) -> None:
+        """Wait until an interval ends with something due, or until woken."""
+        if not self._is_woken:
+            self._waiter = asyncio.get_running_loop().create_future()
+            self._set_timer()
+            try:
+                await self._waiter
+            finally:
+                assert self._timer is not None
+                self._timer.cancel()
+                self._waiter = None
+        self._is_woken = False
 
     async def _run(self) -> None:
         while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._interval):
-                    await self._woken.wait()
-            self._woken.clear()
+            await self._wait()
             try:
                 await self._step()
             except Exception:
                 logging.exception("the loop %s failed once", self._name)
 
 
+def _next_tick(now: float, interval: float) -> float:
+    """Return when an interval ends next; short intervals end with longer ones.
+
+    Loops that wake together cost one wake-up. The phase differs by process, so that
+    the routers of a fleet do not look all at once.
+    """
+    tick = ((now - _PHASE) // interval + 1.0) * interval + _PHASE
+    # Rounding must not bring the tick back that has just been.
+    return tick if tick - now > interval * TICK_MARGIN else tick + interval
+
+
 class Tasks(Component):
     """Background tasks that end with the application."""
 
--- a/lynxchute/edge/entrance.py
+++ b/lynxchute/edge/entrance.py
@@ -29,10 +29,13 @@
     """
 
     def __init__(self, server: HttpServer, load: RouterLoad) -> None:
-        super().__init__("entrance", self._look, LOOK_SECONDS)
+        super().__init__("entrance", self._look, LOOK_SECONDS, self._is_wrong)
         self._server = server
         self._load = load
 
+    def _is_wrong(self) -> bool:
+        return self._load.is_full == self._server.is_accepting
+
     async def _look(self) -> None:
         is_full = self._load.is_full
         if is_full and self._server.is_accepting:
--- a/lynxchute/scheduling/cold_watch.py
+++ b/lynxchute/scheduling/cold_watch.py
@@ -53,7 +53,7 @@
         clock: Callable[[], float],
     ) -> None:
         self.tasks = Tasks()
-        self.loop = Loop("cold", self._step, STEP_SECONDS)
+        self.loop = Loop("cold", self._step, STEP_SECONDS, self._is_blind)
         self._directory = directory
         self._engines = engines
         self._limits_of = limits_of
@@ -61,10 +61,14 @@
         self._silent_for = silent_for
         self._clock = clock
 
+    def _is_blind(self) -> bool:
+        """Return whether the store does not tell."""
+        return self._silent_for(self._clock()) >= SILENT_SECONDS
+
     async def _step(self) -> None:
-        now = self._clock()
-        if self._silent_for(now) < SILENT_SECONDS:
+        if not self._is_blind():
             return
+        now = self._clock()
         watched = self._watched()
         again = len(watched) / MOST_PER_SECOND
         for entry in watched:
--- a/lynxchute/upstreams/backpressure_watch.py
+++ b/lynxchute/upstreams/backpressure_watch.py
@@ -49,13 +49,17 @@
         clock: Callable[[], float],
     ) -> None:
         self.tasks = Tasks()
-        self.loop = Loop("backpressure", self._step, STEP_SECONDS)
+        self.loop = Loop("backpressure", self._step, STEP_SECONDS, self._is_watching)
         self._directory = directory
         self._engines = engines
         self._rates = rates
         self._rank_of = rank_of
         self._clock = clock
 
+    def _is_watching(self) -> bool:
+        """Return whether any is throttled, or use of one is to be forgotten."""
+        return bool(self._directory.throttled_by_id) or self._rates.keeps_any
+
     async def _step(self) -> None:
         now = self._clock()
         throttled = list(self._directory.throttled_by_id.values())
--- a/lynxchute/upstreams/rate_limits.py
+++ b/lynxchute/upstreams/rate_limits.py
@@ -115,6 +115,11 @@
         rate = self._counted(entry, now)
         return rate > 0.0 and self._use(entry, now).count.take(rate, now)
 
+    @property
+    def keeps_any(self) -> bool:
+        """Return whether use of any upstream is kept."""
+        return bool(self._use_by_process)
+
     def keep_only(self, processes: Container[str]) -> None:
         """Forget upstreams whose processes are gone."""
         for process in list(self._use_by_process):
--- a/lynxchute/upstreams/silence.py
+++ b/lynxchute/upstreams/silence.py
@@ -55,13 +55,19 @@
         clock: Callable[[], float],
     ) -> None:
         self.tasks = Tasks()
-        self.loop = Loop("silence", self._step, STEP_SECONDS)
+        self.loop = Loop("silence", self._step, STEP_SECONDS, self._is_owed)
         self._directory = directory
         self._engines = engines
         self._reachability = reachability
         self._clock = clock
         self._asked_cut_at: dict[str, float] = {}
 
+    def _is_owed(self) -> bool:
+        """Return whether an upstream may have to be asked."""
+        if self._reachability.is_any_cut:
+            return True
+        return any(e.open_sends for e in self._directory.entries_by_id.values())
+
     async def _step(self) -> None:
         now = self._clock()
         is_any_cut = self._reachability.is_any_cut
