--- a/lynxchute/edge/entrance.py
+++ b/lynxchute/edge/entrance.py
@@ -29,12 +29,16 @@
     """
 
     def __init__(self, server: HttpServer, load: RouterLoad) -> None:
-        super().__init__("entrance", self._look, LOOK_SECONDS)
+        super().__init__("entrance", self._look, LOOK_SECONDS, self._is_due_now)
         self._server = server
         self._load = load
 
-    async def _look(self) -> None:
+    def _is_due_now(self) -> bool:
+        """Take note of the load; return whether the way in is to change."""
         self._load.look()
+        return self._load.is_full == self._server.is_accepting
+
+    async def _look(self) -> None:
         is_full = self._load.is_full
         if is_full and self._server.is_accepting:
             await self._server.pause_accepting()
--- a/lynxchute/http/client_connection.py
+++ b/lynxchute/http/client_connection.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import re
+from collections.abc import Callable
 
 import attrs
 import h11
 
-from lynxchute.http.headers import HeaderItems, encoded
 from lynxchute.http.link_meter import AMPLE, LinkMeter
 from lynxchute.http.sockets import apply_options
 
@@ -30,13 +30,11 @@
 
     method: str
     target: str
-    headers: HeaderItems
+    headers: list[tuple[bytes, bytes]]
 
     def event(self) -> h11.Request:
         """Return the head as `h11` takes it."""
-        return h11.Request(
-            method=self.method, target=self.target, headers=encoded(self.headers)
-        )
+        return h11.Request(method=self.method, target=self.target, headers=self.headers)
 
 
 class ClientConnection(asyncio.Protocol):
@@ -72,6 +70,8 @@
         self._ended = False
         self._unread_bytes = 0
         self._paused = False
+        self._take: Callable[[bytes], bool] | None = None
+        self._takes_more = True
 
     @property
     def alive(self) -> bool:
@@ -91,11 +91,12 @@
         """Take bytes from the peer."""
         self._meter.note_received(len(data))
         if not self._in_use:
-            # Bytes that answer nothing may be the start of an answer to an
-            # earlier request; the connection is not to be trusted.
+            # Bytes that answer nothing may begin an answer to an earlier request.
             self.abort()
             return
         self._protocol.receive_data(data)
+        if self._take is not None and self._hand_over(self._take):
+            return
         self._unread_bytes += len(data)
         if self._unread_bytes > MAX_UNREAD_BYTES and not self._paused:
             self._paused = True
@@ -153,7 +154,7 @@
                 continue
             raise ConnectionBroken("the peer closed without an answer")
 
-    async def read_body(self) -> bytes | None:
+    def body_at_hand(self) -> bytes | None:
         """Return what has arrived of the answer's body, or None at its end.
 
         Raises
@@ -161,13 +162,69 @@
         ConnectionBroken
             Where the body breaks off.
         """
-        while True:
+        piece = self._pieces_at_hand()
+        return piece if piece or not self._ended else None
+
+    async def read_body(self) -> bytes | None:
+        """Return what arrives next of the answer's body, or None at its end.
+
+        Raises
+        ------
+        ConnectionBroken
+            Where the body breaks off.
+        """
+        piece: bytes | None = b""
+        while piece == b"":
+            await self._wait()
+            piece = self.body_at_hand()
+        return piece
+
+    async def read_each(self, take: Callable[[bytes], bool]) -> bool:
+        """Hand what arrives of the answer's body to a function, as it arrives.
+
+        Parameters
+        ----------
+        take
+            Returns whether it can take the next piece.
+
+        Returns
+        -------
+        bool
+            Whether the body has come to its end.
+
+        Raises
+        ------
+        ConnectionBroken
+            Where the body breaks off.
+        """
+        self._takes_more = True
+        while self._takes_more:
             piece = self._pieces_at_hand()
             if piece:
-                return piece
+                self._takes_more = take(piece)
+                continue
             if self._ended:
-                return None
-            await self._wait()
+                return True
+            self._take = take
+            try:
+                await self._wait()
+            finally:
+                self._take = None
+        return False
+
+    def _hand_over(self, take: Callable[[bytes], bool]) -> bool:
+        """Hand what is at hand over; return whether the reader can sleep on."""
+        waiter = self._waiter
+        if waiter is None or waiter.done():
+            return False
+        try:
+            piece = self._pieces_at_hand()
+            self._takes_more = not piece or take(piece)
+        except Exception as error:
+            # It ends whoever waits, as if that had taken the piece.
+            waiter.set_exception(error)
+            return True
+        return self._takes_more and not self._ended and self._broken is None
 
     def _pieces_at_hand(self) -> bytes:
         """Return what is at hand of the body; an error waits for its turn."""
@@ -195,8 +252,9 @@
 
     async def skip_answer(self) -> None:
         """Read the rest of an answer to another request, and go on after it."""
-        while await self.read_body() is not None:
-            continue
+        while (piece := self.body_at_hand()) is not None:
+            if not piece:
+                await self._wait()
         trailing, closed = self._protocol.trailing_data
         assert self._request is not None
         self._protocol = h11.Connection(h11.CLIENT)
@@ -292,7 +350,6 @@
 
 def _declared_length(request: OutgoingRequest) -> int:
     for name, value in request.headers:
-        text = name if isinstance(name, str) else name.decode("latin-1")
-        if text.lower() == "content-length":
+        if name.lower() == b"content-length":
             return int(value)
     return 0
--- a/lynxchute/http/responder.py
+++ b/lynxchute/http/responder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable
 from typing import Any
 
@@ -10,6 +9,7 @@
 
 from lynxchute.http.headers import HeaderItems, encoded
 from lynxchute.http.held_answer import HeldAnswer
+from lynxchute.http.json_text import encode_json
 
 JSON_TYPE = "application/json"
 BODILESS_STATUSES = frozenset({204, 304})
@@ -29,7 +29,7 @@
     protocol
         The protocol state of the caller's connection.
     write
-        Takes bytes for the caller.
+        Takes bytes for the caller; returns whether the caller has read enough.
     drained
         Waits until the caller has read enough.
     abort
@@ -50,7 +50,7 @@
         self,
         method: str,
         protocol: h11.Connection,
-        write: Callable[[bytes], None],
+        write: Callable[[bytes], bool],
         drained: Callable[[], Any],
         abort: Callable[[], None],
     ) -> None:
@@ -64,6 +64,7 @@
         self._drained = drained
         self._abort = abort
         self._to_head = method == "HEAD"
+        self._in_chunks = False
 
     @property
     def started(self) -> bool:
@@ -88,7 +89,37 @@
         CallerLeft
             Where the connection is gone.
         """
-        self._write(self._protocol.send(h11.Data(data=data)) or b"")
+        self._write(self._framed(data))
+        await self._drained()
+
+    def begin(self, status: int, headers: HeaderItems, data: bytes) -> bool:
+        """Send the head of the answer and a piece of the body together.
+
+        Returns
+        -------
+        bool
+            Whether the caller has read enough for the next piece.
+        """
+        head = self._head(status, headers)
+        return self._write(head + self._framed(data))
+
+    def write(self, data: bytes) -> bool:
+        """Send a piece of the body without waiting.
+
+        Returns
+        -------
+        bool
+            Whether the caller has read enough for the next piece.
+
+        Raises
+        ------
+        CallerLeft
+            Where the connection is gone.
+        """
+        return self._write(self._framed(data))
+
+    async def drained(self) -> None:
+        """Wait until the caller has read enough for the next piece."""
         await self._drained()
 
     async def finish(self) -> None:
@@ -123,13 +154,25 @@
 
     async def json(self, status: int, value: Any, headers: HeaderItems = ()) -> None:
         """Send a value as JSON."""
-        body = json.dumps(value, separators=(",", ":")).encode()
+        body = encode_json(value)
         await self.whole(status, body, headers=headers)
 
     def abort(self) -> None:
         """Drop the connection, so that a broken answer never looks whole."""
         self._abort()
 
+    def _framed(self, data: bytes) -> bytes:
+        """Return a piece of the body as it goes over the wire.
+
+        `h11` says by the first piece whether the body goes in chunks. Its state is the
+        same before each further one, so that these need not pass through it.
+        """
+        if self._in_chunks and data and not self.finished:
+            return _chunk(data)
+        framed = self._protocol.send(h11.Data(data=data)) or b""
+        self._in_chunks = bool(data) and framed == _chunk(data)
+        return framed
+
     def _may_have_body(self, status: int) -> bool:
         return not self._to_head and status not in BODILESS_STATUSES
 
@@ -140,3 +183,7 @@
         response = h11.Response(status_code=status, headers=head)
         self.status = status
         return self._protocol.send(response) or b""
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -299,7 +299,8 @@
                 part = "counted" if choice.admitted_until else "turn"
                 self._metrics.limited_sends.inc(part)
             # What waits for this VM's link is not the upstream's time.
-            leaves_at = self._clock() + self._clients.meter.delay()
+            meter = self._clients.meter
+            leaves_at = self._clock() + meter.delay() - meter.own_delay()
             exchange.note_sent(entry.upstream.id, leaves_at)
             self._note_work(exchange, send)
             self._log_send(exchange, choice, dispatch)
