Ask a second router only for what has waited for its turn

A pause in asking after three silences kept requests from routers that would have answered, so it is gone. Change: what has just come is asked for once and placed alone then, as before.

--- a/lynxchute/scheduling/alone.py
+++ b/lynxchute/scheduling/alone.py
@@ -23,14 +23,6 @@
 LIKE_SHARE = 0.05
 # One that has few places gets so many at least.
 LEAST_OWN = 2
-# Routers in a row without an answer after which nobody is asked for a while: each costs
-# its request 0.1 s. One may be slow for reasons of its own, and what is placed alone is
-# not known to those who schedule.
-SILENT_ROUTERS = 3
-PAUSE_SECONDS = 0.5
-# Seconds for which the question of another router shows that this one schedules for
-# others too.
-ASKED_SECONDS = 1.0
 
 
 def most_own(slots: int) -> int:
@@ -69,37 +61,3 @@
     """Return the share of an engine's places that is taken, as far as is known."""
     own = entry.open_requests / max(entry.upstream.slots, 1)
     return max(own, entry.stated_use(now))
-
-
-class Answers:
-    """Tell whether it is of use to ask other routers for places.
-
-    Attributes
-    ----------
-    asked_at
-        When another router last asked this one for a place.
-    """
-
-    def __init__(self) -> None:
-        self.asked_at = float("-inf")
-        self._silent: set[str] = set()
-        self._paused_until = float("-inf")
-
-    def note_answer(self) -> None:
-        """Note that a question was answered."""
-        self._silent.clear()
-
-    def note_silence(self, vm: str, now: float) -> None:
-        """Note that a router has not answered; many may have asked it at once."""
-        self._silent.add(vm)
-        if len(self._silent) >= SILENT_ROUTERS:
-            self._silent.clear()
-            self._paused_until = now + PAUSE_SECONDS
-
-    def may_ask(self, now: float) -> bool:
-        """Return whether others are worth a question."""
-        return now >= self._paused_until
-
-    def is_asked(self, now: float) -> bool:
-        """Return whether another router has asked of late."""
-        return now - self.asked_at < ASKED_SECONDS
--- a/lynxchute/scheduling/asking.py
+++ b/lynxchute/scheduling/asking.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Members
 from lynxchute.fleet.messages import PlaceReply, PlaceRequest, RunNews, RunStage
 from lynxchute.http import LinkMeter
-from lynxchute.scheduling.alone import Answers
 from lynxchute.scheduling.backpressure_news import backpressure_of, take_backpressure
 from lynxchute.scheduling.news import NewsOfRuns
 from lynxchute.scheduling.place_requests import scheduling_key
@@ -24,9 +24,13 @@
 # Seconds that a request waits for a place; a router within the region answers
 # in a few ms.
 ASK_SECONDS = 0.1
-# Routers that are asked for a place before this one places by itself, where requests
-# may wait: a request is placed within 0.3 s though the first of them does not answer.
+# Routers that are asked for a request that waits for its turn, before this one places
+# it by itself: what has waited finds the next router within 0.3 s. One that has just
+# come may be in time yet, and what is slow may well be this VM's own link.
 ASKED_ROUTERS = 2
+# Seconds for which the question of another router shows that this one schedules for
+# others too.
+ASKED_SECONDS = 1.0
 
 
 class Asking:
@@ -53,8 +57,8 @@
 
     Attributes
     ----------
-    answers
-        Tells whether it is of use to ask.
+    asked_at
+        When another router last asked this one for a place, in seconds.
     """
 
     def __init__(
@@ -70,7 +74,7 @@
         *,
         may_wait: bool,
     ) -> None:
-        self.answers = Answers()
+        self.asked_at = -math.inf
         self._members = members
         self._peers = peers
         self._directory = directory
@@ -81,18 +85,23 @@
         self._clock = clock
         self._may_wait = may_wait
 
-    async def ask(self, request: PlaceRequest) -> tuple[str, PlaceReply | None]:
+    async def ask(
+        self, request: PlaceRequest, *, has_waited: bool
+    ) -> tuple[str, PlaceReply | None]:
         """Return the VM that schedules and what it says; None where that is this one.
 
         None as well where no router answers in time.
+
+        Parameters
+        ----------
+        has_waited
+            Whether another router has let the request wait for its turn.
         """
         own, key = self._members.own.vm, scheduling_key(request.service)
-        for _ in range(ASKED_ROUTERS if self._may_wait else 1):
+        for _ in range(ASKED_ROUTERS if has_waited else 1):
             vm = self._members.first_for(key)
             if vm == own:
                 break
-            if self._may_wait and not self.answers.may_ask(self._clock()):
-                break
             reply = await self._ask(vm, request)
             if reply is not None:
                 return vm, reply
@@ -103,7 +112,8 @@
         key = scheduling_key(service)
         if self._members.first_for(key) != self._members.own.vm:
             return False
-        return self._members.own_rank(key) == 0 or self.answers.is_asked(self._clock())
+        is_asked = self._clock() - self.asked_at < ASKED_SECONDS
+        return is_asked or self._members.own_rank(key) == 0
 
     def request(
         self,
@@ -150,7 +160,6 @@
                 reply = await self._peers.ask(vm, request)
         except PeerUnreachable:
             self._news.post(vm, unplaced)
-            self.answers.note_silence(vm, self._clock())
             return None
         except asyncio.CancelledError:
             self._news.post(vm, unplaced)
@@ -158,10 +167,8 @@
         except TimeoutError:
             self._news.post(vm, unplaced)
             self._members.note_silence(vm, self._clock())
-            self.answers.note_silence(vm, self._clock())
             log_event("scheduling router too slow", peer=vm, request_id=request.run_id)
             return None
-        self.answers.note_answer()
         take_backpressure(self._directory, reply.backpressure, self._clock())
         return reply
 
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -219,7 +219,9 @@
         self, request: PlaceRequest, candidates: Sequence[Entry]
     ) -> tuple[str, PlaceReply]:
         """Return the VM that decides on a request, and what it says."""
-        vm, reply = await self._asking.ask(request)
+        vm, reply = await self._asking.ask(
+            request, has_waited=request.run_id in self._scheduler_by_run
+        )
         if reply is not None:
             # Whoever schedules may know of cold engines what this one does not.
             if reply.is_refused or reply.wait_ms or reply.retry_ms:
@@ -292,7 +294,7 @@
         return Done()
 
     async def _serve_place(self, request: PlaceRequest) -> PlaceReply:
-        self._asking.answers.asked_at = self._clock()
+        self._asking.asked_at = self._clock()
         return await self.placing.serve(request)
 
     def _take(self, news: RunNews) -> None:
