Place by oneself where the scheduling router does not know one yet

Cause, found by reading: a claim that was not taken came back as a refusal of all engines, so that a router which had just registered refused its callers; routes with a timeout over an hour made claims out of bounds; a turn was kept where a request that waited was refused for another reason.

--- a/lynxchute/overload/claim.py
+++ b/lynxchute/overload/claim.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 import attrs
 
 from lynxchute.overload.ticket import Ticket
@@ -46,6 +44,35 @@
     left: float
     due_in: float
 
+    @classmethod
+    def of(
+        cls,
+        *,
+        account: str,
+        rank: int,
+        content: str,
+        waited: float,
+        left: float,
+        due_in: float,
+    ) -> Claim:
+        """Return a claim with its times within the bounds of what is taken.
+
+        Examples
+        --------
+        >>> Claim.of(
+        ...     account="a", rank=3, content="", waited=-0.1, left=1e9, due_in=math.inf
+        ... ).left
+        3600.0
+        """
+        return cls(
+            account=account[:MOST_NAME],
+            rank=min(max(rank, 0), MOST_RANK),
+            content=content[:MOST_NAME],
+            waited=min(max(waited, 0.0), MOST_SECONDS),
+            left=min(max(left, 0.0), MOST_SECONDS),
+            due_in=min(max(due_in, -MOST_SECONDS), MOST_SECONDS),
+        )
+
     def check(self) -> None:
         """Refuse what cannot be true.
 
@@ -78,7 +105,7 @@
             arrived_at=now - self.waited,
             leaves_at=now + self.left,
             is_return=is_return,
-            due_at=now + self.due_in if math.isfinite(self.due_in) else math.inf,
+            due_at=now + self.due_in,
         )
 
 
--- a/lynxchute/relay/chooser.py
+++ b/lynxchute/relay/chooser.py
@@ -80,11 +80,21 @@
         patience = exchange.route.latency_objective * WAIT_SHARE
         until = min(self._clock() + patience, exchange.ends_at)
         wait = Wait(exchange, self._clock())
+        try:
+            return await self._choose(exchange, until, wait)
+        except BaseException:
+            if wait.has_waited:
+                # Its turn is given up, also where its caller has left.
+                self._generations.note_ended(exchange.run_id, "", failed=False)
+            raise
+
+    async def _choose(self, exchange: Exchange, until: float, wait: Wait) -> Choice:
         while True:
             try:
                 choice = await self._find(exchange)
             except NotYet as turn:
-                await self._wait_for_turn(wait, turn)
+                wait.note(turn)
+                await asyncio.sleep(turn.seconds)
                 continue
             except NoTurn as error:
                 raise self._no_turn(wait, error) from None
@@ -99,15 +109,6 @@
             except TimeoutError:
                 raise nothing_answered(exchange, self._clock()) from None
 
-    async def _wait_for_turn(self, wait: Wait, turn: NotYet) -> None:
-        """Wait until it is time to ask again; a caller who leaves gives its turn up."""
-        wait.note(turn)
-        try:
-            await asyncio.sleep(turn.seconds)
-        except asyncio.CancelledError:
-            self._generations.note_ended(wait.exchange.run_id, "", failed=False)
-            raise
-
     def _no_turn(self, wait: Wait, error: NoTurn) -> Refusal:
         """Refuse at once a request whose turn comes after its caller has left."""
         now = self._clock()
--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -148,12 +148,12 @@
         begin_by = self.ends_at
         if not self.events:
             begin_by = min(begin_by, self.received_at + self.longest_wait)
-        return Claim(
+        return Claim.of(
             account=self.account.name if self.account is not None else "",
             rank=self.priority,
             content=self.content_id,
-            waited=max(now - self.received_at, 0.0),
-            left=max(begin_by - now, 0.0),
+            waited=now - self.received_at,
+            left=begin_by - now,
             due_in=self.aims(now).first_event_ms / 1000.0,
         )
 
--- a/lynxchute/relay/wait.py
+++ b/lynxchute/relay/wait.py
@@ -21,6 +21,11 @@
         self._begun_at = begun_at
         self._turns = 0
 
+    @property
+    def has_waited(self) -> bool:
+        """Return whether it had to wait."""
+        return self._turns > 0
+
     def note(self, turn: NotYet) -> None:
         """Note that it has to ask again."""
         self._turns += 1
--- a/lynxchute/scheduling/placing.py
+++ b/lynxchute/scheduling/placing.py
@@ -80,6 +80,17 @@
         for entry in self._neighbourhood.entries(request.service, key, self._clock()):
             if self.takes_work(entry) and entry.upstream.id not in request.passed_over:
                 entries.append(entry)
+        return self.decide_for_other(request, entries)
+
+    def decide_for_other(
+        self, request: PlaceRequest, entries: Sequence[Entry]
+    ) -> PlaceReply:
+        """Decide on the question of another router, unless none can have asked it."""
+        if request.claim is not None and self.turns is not None:
+            try:
+                self.turns.check(request, request.claim)
+            except BadClaim as error:
+                return refused_claim(request, error)
         reply = self.decide(request, entries)
         if reply.wait_ms or reply.retry_ms:
             return reply
@@ -87,14 +98,9 @@
 
     def decide(self, request: PlaceRequest, entries: Sequence[Entry]) -> PlaceReply:
         """Choose one of the entries, or have the request wait for its turn."""
-        claim, turns = request.claim, self.turns
-        if claim is None or turns is None:
+        if request.claim is None or self.turns is None:
             return self.place(request, entries)
-        try:
-            turns.check(request, claim)
-        except BadClaim as error:
-            return refused_claim(request, error)
-        return self._in_turn(request, entries, claim, turns)
+        return self._in_turn(request, entries, request.claim, self.turns)
 
     def place(self, request: PlaceRequest, entries: Iterable[Entry]) -> PlaceReply:
         """Choose one of the entries; an empty name where none may get it."""
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -342,18 +342,28 @@
             bad.append(attrs.evolve(good, account="a" * 10_000))
             for item in bad:
                 reply = await self.ask(item)
-                self.assertEqual(("", 0.0), (reply.upstream, reply.wait_ms), item)
+                self.assertEqual(PlaceReply(""), reply, item)
             for router in ("nobody", "run-of-a-1-before"):
                 reply = await self.ask(good, router)
-                self.assertEqual(("", 0.0), (reply.upstream, reply.wait_ms))
+                # Its router places by itself.
+                self.assertEqual(PlaceReply(""), reply)
             other = member(self.order[2]).incarnation
             duplicate = await self.ask(good, other, "r1")
-            self.assertEqual(("", 0.0), (duplicate.upstream, duplicate.wait_ms))
+            self.assertEqual(PlaceReply(""), duplicate)
             self.assertEqual(1, self.waiting())
             self.assertEqual(0, (await self.choose(self.asker, "r1")).ahead)
 
         self.run_fleet(scenario)
 
+    def test_a_router_that_is_not_known_yet_places_by_itself(self):
+        async def scenario():
+            self.members_by_vm[self.order[0]].remove(self.order[1])
+            self.first.look()
+            choice = await self.choose(self.asker, "r1")
+            self.assertEqual(self.order[1], choice.placed_by)
+
+        self.run_fleet(scenario)
+
 
 class FailureTest(TurnsTestCase):
     """The scheduling router fails while requests wait."""
--- a/tests/turns_machine.py
+++ b/tests/turns_machine.py
@@ -106,7 +106,7 @@
 
     def ask(self, run_id):
         self.waiting.pop(run_id, None)
-        reply = self.placing.decide(self.requests[run_id], self.entries)
+        reply = self.placing.decide_for_other(self.requests[run_id], self.entries)
         if reply.upstream:
             self.engine_by_run[run_id] = reply.upstream
         elif reply.wait_ms:
@@ -158,8 +158,9 @@
         request = PlaceRequest(
             "late", SERVICE, "a", (), 100, 10, (), f"run-{router}-old", claim=claim
         )
-        reply = self.placing.decide(request, self.entries)
+        reply = self.placing.decide_for_other(request, self.entries)
         assert not reply.upstream and not reply.wait_ms, "a place for nobody"
+        assert not reply.is_refused, "refused for a question that nobody asked"
 
     @rule()
     def all_ask(self):
