Look for sources of prompts where they are by now in a test

The sources of kept prompts moved from the scheduler to its placing; the test asked for them by their old name (AttributeError). What it asserts is unchanged.

--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -266,7 +266,7 @@
             await heard(deployment, "a")
             for vm in deployment.routers:
                 scheduler = deployment.routers[vm].relay._sender._generations
-                sources = scheduler._sources("pool", "key", 0.0)
+                sources = scheduler.placing._sources("pool", "key")
                 inside = [e.id for e in deployment.engines if e.data_centre == "a"]
                 self.assertEqual(set(), set(sources) & set(inside))
                 if scheduler._scheduling_vm("pool") == vm:
