Ask for a quarantine before a hedge too

Cause: a request may be quarantined while its first send is open; its hedge asked nobody. Change: both sends of a race ask. Figures: one new test, which fails without it. Conclusion: as every other send.

--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -141,6 +141,8 @@
     async def _try_unless_withheld(
         self, exchange: Exchange, choice: Choice
     ) -> Answer | None:
+        # The first of two sends may have ended upstreams meanwhile.
+        self.check_quarantine(exchange)
         try:
             return await self._try(exchange, choice)
         except SendWithheld as error:
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -204,6 +204,28 @@
 
         self.play(scenario, apps=2)
 
+    def test_what_has_been_quarantined_meanwhile_is_not_hedged(self):
+        async def scenario(deployment):
+            near, far = deployment.apps
+            near.faults = [Fault.HANG]
+            call = asyncio.create_task(PlatformCaller(deployment).send("GET", "/safe/"))
+            await until(lambda: near.runs)
+            router = deployment.routers["a-1"]
+            asked = []
+
+            def seconds_left(content):
+                asked.append(content)
+                return 5.0
+
+            router.containment.seconds_left = seconds_left
+            await until(lambda: asked or far.arrivals, timeout=2)
+            await near.stop()
+            status, _, _ = await call
+            self.assertEqual(502, status)
+            self.assertEqual([], far.arrivals)
+
+        self.play(scenario, apps=2)
+
     def test_what_may_not_be_repeated_is_sent_once(self):
         async def scenario(deployment):
             warm(deployment, "a-1")
