--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -159,7 +159,15 @@
         """Return whether an exchange may be sent once more, and count it."""
         if not exchange.may_be_sent_again:
             return False
-        return self._retries.take(exchange.service, self._clock())
+        if self._retries.take(exchange.service, self._clock()):
+            return True
+        log_event(
+            "retry budget used up",
+            request_id=exchange.call.request_id,
+            service=exchange.service,
+            send=exchange.sends,
+        )
+        return False
 
     def release(self, answer: Answer, fate: Fate) -> None:
         """Note that an upstream no longer works on a request."""
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from lynxchute.edge.settings import Features
-from lynxchute.relay import hedging
+from lynxchute.relay import hedging, sender
 from lynxchute.relay.hedging import Hedger, has_room, hedge_delay
 from lynxchute.relay.refusal import Reason, Refusal, Run
 from lynxchute.standins.upstream_run import Fault
@@ -86,6 +86,26 @@
                 times.note("app", route, app.id, 0.02, now - 5.0)
 
 
+class UsedUpTest(PlatformTestCase):
+    def test_a_try_that_the_retry_budget_forbids_is_logged(self):
+        async def scenario(deployment):
+            for app in deployment.apps:
+                app.faults = [Fault.FAIL, Fault.FAIL]
+            deployment.routers["a-1"].retries.change(share=0.0, extra=0.0, window=10.0)
+            with mock.patch.object(sender, "log_event") as logged:
+                status, _, _ = await PlatformCaller(deployment).send("GET", "/safe/x")
+            self.assertEqual(500, status)
+            self.assertEqual(1, sum(len(app.arrivals) for app in deployment.apps))
+            told = [call.kwargs for call in logged.call_args_list if call.args]
+            named = [call.args[0] for call in logged.call_args_list]
+            self.assertIn("retry budget used up", named)
+            self.assertEqual(
+                "app", told[named.index("retry budget used up")]["service"]
+            )
+
+        self.with_platform(scenario)
+
+
 class HedgedCallsTest(PlatformTestCase):
     def play(self, scenario, **more):
         more = {"apps": 3, "features": HEDGING, "routers": ("a-1",), **more}
