Take no late event loop for a silent upstream

Ruled out: upstreams that were down, which other routers reached meanwhile; the link, whose delay is counted. Change: a connect is waited for in four steps, each of which ends with a turn of the loop.

--- a/lynxchute/http/client.py
+++ b/lynxchute/http/client.py
@@ -22,6 +22,7 @@
 )
 from lynxchute.http.headers import HeaderItems, Headers, encoded
 from lynxchute.http.link_meter import AMPLE, LinkMeter
+from lynxchute.http.patience import unless_silent
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # An extra answer or two may stand before the right one; a peer that sends
@@ -349,10 +350,13 @@
             return kept
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(limits.connect + self._meter.delay()):
-                _, connection = await loop.create_connection(
+            _, connection = await unless_silent(
+                loop.create_connection(
                     lambda: ClientConnection(self._meter), self._host, self._port
-                )
+                ),
+                limits.connect + self._meter.delay(),
+                lambda made: made[1].abort(),
+            )
         except (OSError, TimeoutError) as error:
             raise ExchangeFailed(f"cannot connect: {error!r}", sent=False) from error
         self.opened += 1
--- a/lynxchute/upstreams/expected_finish.py
+++ b/lynxchute/upstreams/expected_finish.py
@@ -21,10 +21,10 @@
 # it takes and the bytes that it moves. A near upstream may have a third of its places
 # more in use before calls go to a far one.
 FAR_SHARE = 0.3
-# How steeply the part of an upstream falls with its expected time: one that takes 2.5
-# times as long gets a hundredth of what it would get, and one that has all places in
-# use a thirtieth.
-SHARPNESS = 5.0
+# How steeply the part of an upstream falls with its expected time: one that takes a
+# third longer gets a thirtieth of what it would get. A far one that is as good gets a
+# little, so that few connections are opened for calls that a near one could take.
+SHARPNESS = 12.0
 # What a send that is surely lost costs, as a multiple of the work: another try, after a
 # time that its caller may not have.
 LOST_COST = 8.0
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,8 +1,10 @@
 """The HTTP server and client against peers that misbehave."""
 
 import asyncio
+import time
 
 import hypothesis.strategies as st
+import testtools
 from hypothesis import given, settings
 
 from lynxchute.http import (
@@ -13,6 +15,7 @@
     ServerLimits,
     Timeouts,
 )
+from lynxchute.http.patience import unless_silent
 from tests.support import AsyncTestCase, until
 
 LIMITS = ServerLimits(
@@ -438,3 +441,76 @@
                 writer.transport.abort()
 
         self.run_async(scenario())
+
+
+def be_late():
+    time.sleep(0.15)
+
+
+class PatienceTest(AsyncTestCase):
+    def test_a_late_event_loop_is_not_a_silent_peer(self):
+        async def work():
+            async def answer(reader, writer):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+            server = await asyncio.start_server(answer, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            client = HttpClient(f"127.0.0.1:{port}", timeouts=Timeouts(connect=0.1))
+            call = asyncio.create_task(client.request("GET", "/"))
+            # Each turn of the loop takes longer than a connection may take.
+            for _ in range(6):
+                await asyncio.sleep(0)
+                be_late()
+            response = await call
+            self.assertEqual(b"ok", await response.body())
+            server.close()
+
+        self.run_async(work())
+
+    def test_a_silent_peer_is_given_up(self):
+        async def work():
+            ended = []
+
+            async def never():
+                try:
+                    await asyncio.Event().wait()
+                finally:
+                    ended.append(True)
+
+            with testtools.ExpectedException(TimeoutError):
+                await unless_silent(never(), 0.02, print)
+            await asyncio.sleep(0)
+            self.assertEqual([True], ended)
+
+        self.run_async(work())
+
+    def test_an_error_is_passed_on(self):
+        async def work():
+            async def fail():
+                raise ConnectionRefusedError
+
+            with testtools.ExpectedException(ConnectionRefusedError):
+                await unless_silent(fail(), 0.02, print)
+
+        self.run_async(work())
+
+    def test_what_comes_as_its_caller_leaves_is_given_up(self):
+        async def work():
+            made, dropped = asyncio.Event(), []
+
+            async def answer():
+                await made.wait()
+                return "answer"
+
+            call = asyncio.create_task(unless_silent(answer(), 5.0, dropped.append))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            made.set()
+            await asyncio.sleep(0)
+            call.cancel()
+            with testtools.ExpectedException(asyncio.CancelledError):
+                await call
+            self.assertEqual(["answer"], dropped)
+
+        self.run_async(work())
