--- a/lynxchute/bench/budget_schemes.py
+++ b/lynxchute/bench/budget_schemes.py
@@ -24,12 +24,15 @@
 
     Attributes
     ----------
+    apart_refusals
+        Those of the false refusals that came while no router reached any other one.
     lost
         Tokens that count as used and were not; those of deaths, mostly.
     """
 
     overspend: int = 0
     false_refusals: int = 0
+    apart_refusals: int = 0
     right_refusals: int = 0
     lost: int = 0
     store_calls: int = 0
--- a/lynxchute/bench/budgets.py
+++ b/lynxchute/bench/budgets.py
@@ -50,6 +50,7 @@
             continue
         if true_left[arrival.account] >= arrival.used:
             scheme.tally.false_refusals += 1
+            scheme.tally.apart_refusals += scheme.apart
         else:
             scheme.tally.right_refusals += 1
     while running:
@@ -89,6 +90,7 @@
         "requests": requests,
         "overspend_tokens": tally.overspend,
         "false_refusals": tally.false_refusals,
+        "false_refusals_while_apart": tally.apart_refusals,
         "right_refusals": tally.right_refusals,
         "lost_tokens": tally.lost,
         "store_calls_per_s": round(tally.store_calls / seconds, 2),
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 
 from lynxchute.bench import budget_scene
+from lynxchute.bench.budget_kept import KeptEscrow
 from lynxchute.bench.budget_schemes import Cached, Central, Escrow, Static
 from lynxchute.bench.budgets import play
 from lynxchute.budgets import DemandPolicy, ShareView
@@ -177,5 +178,21 @@
         escrow = self.play(Escrow, "no_faults")
         self.assertLessEqual(escrow.false_refusals, 1.05 * central.false_refusals)
 
+    def test_kept_tokens_are_never_overspent_and_few_are_lost(self):
+        for scene in ("no_faults", "cut_and_death", "all_die"):
+            escrow, kept = self.play(Escrow, scene), self.play(KeptEscrow, scene)
+            self.assertEqual(0, kept.overspend)
+            self.assertLessEqual(kept.lost, 1.15 * escrow.lost)
+            self.assertLessEqual(kept.store_calls, 1.2 * escrow.store_calls)
+
+    def test_a_hot_account_is_served_while_all_routers_are_apart(self):
+        (deployment, _) = budget_scene.deployments()
+        trace = budget_scene.make_trace(deployment, self.SECONDS, 1, hot=True)
+        faults = budget_scene.scenes(deployment, self.SECONDS)["hot_apart"]
+        escrow = play(Escrow(deployment), trace, faults)
+        kept = play(KeptEscrow(deployment), trace, faults)
+        self.assertEqual(0, kept.overspend)
+        self.assertLess(kept.apart_refusals, 0.9 * escrow.apart_refusals)
+
     def test_a_cached_total_overspends(self):
         self.assertGreater(self.play(Cached, "no_faults").overspend, 0)
