Send nothing for a caller whose close has arrived

Cause: an account whose tokens are at hand is reserved without a wait, so that on a router which is late to read a request whose caller has left is sent before its close is read. The new test brings it about and fails with no turn and with one.

--- a/lynxchute/spending/reservations.py
+++ b/lynxchute/spending/reservations.py
@@ -59,6 +59,9 @@
 # Seconds by which a line may be behind its time: the store's clock is only known from
 # below.
 LINE_MARGIN_SECONDS = 0.005
+# Turns of the event loop in which a caller's close that has arrived is seen: one reads
+# it, one ends the request. What is reserved without a wait would be sent before.
+TURNS_FOR_CLOSE = 2
 # How many homes are tried in turn.
 MAX_HOMES = 3
 
@@ -129,6 +132,9 @@
         self, request_id: str, account: ClientAccount, tokens: int
     ) -> Reservation:
         """Set tokens aside."""
+        if self._standing is not None:
+            for _ in range(TURNS_FOR_CLOSE):
+                await asyncio.sleep(0)
         own = self._members.own.vm
         tried = []
         unused = 0
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -1,5 +1,8 @@
 """Tokens that stand where an account's callers arrive."""
 
+import asyncio
+import socket
+
 import attrs
 import hypothesis.strategies as st
 import testtools
@@ -11,7 +14,7 @@
 from lynxchute.fleet.messages import LendRequest
 from lynxchute.relay.budgets import BudgetUnreachable
 from tests.ledger_fleet import LedgerFleet
-from tests.platform_support import ACCOUNT, PlatformTestCase
+from tests.platform_support import ACCOUNT, PlatformCaller, PlatformTestCase
 from tests.support import until
 from tests.test_spending import ROUTERS, cut_off_all, home_of, reserve
 
@@ -161,6 +164,24 @@
 
         self.with_platform(scenario, routers=ROUTERS, features=self.FEATURES)
 
+    def test_nothing_is_sent_for_a_caller_whose_close_has_arrived(self):
+        async def scenario(deployment):
+            router = deployment.routers["a-1"]
+            ledger = router.keeper.ledger
+            await until(lambda: ledger.available(ACCOUNT, router.keeper.now_ms()) > 900)
+            head = PlatformCaller(deployment).headers("left", tokens=(100, 60))
+            lines = "".join(f"{name}: {value}\r\n" for name, value in head)
+            request = f"POST /stream/x HTTP/1.1\r\n{lines}Content-Length: 1\r\n\r\nx"
+            # Both arrive before the router reads: its loop runs only after that.
+            with socket.create_connection(("127.0.0.1", router.callers.port)) as sock:
+                await until(lambda: router.callers.connections)
+                sock.sendall(request.encode())
+            await asyncio.sleep(0.2)
+            self.assertEqual([], [run for e in deployment.engines for run in e.runs])
+            self.assertEqual({}, ledger.open_by_request)
+
+        self.with_platform(scenario, routers=("a-1",), features=self.FEATURES)
+
     def test_without_the_feature_it_has_nothing(self):
         async def scenario(deployment):
             _, other = await self.serve_and_part(deployment)
