Let h11 frame each piece of a stream again

Cause: the pieces of a chunked answer after the first were framed by code of our own. The rule of the project is that h11 writes the syntax on both sides, also where it is slower. Conclusion: not kept.

--- a/lynxchute/http/responder.py
+++ b/lynxchute/http/responder.py
@@ -64,7 +64,6 @@
         self._drained = drained
         self._abort = abort
         self._to_head = method == "HEAD"
-        self._in_chunks = False
 
     @property
     def started(self) -> bool:
@@ -162,16 +161,8 @@
         self._abort()
 
     def _framed(self, data: bytes) -> bytes:
-        """Return a piece of the body as it goes over the wire.
-
-        `h11` says by the first piece whether the body goes in chunks. Its state is the
-        same before each further one, so that these need not pass through it.
-        """
-        if self._in_chunks and data and not self.finished:
-            return _chunk(data)
-        framed = self._protocol.send(h11.Data(data=data)) or b""
-        self._in_chunks = bool(data) and framed == _chunk(data)
-        return framed
+        """Return a piece of the body as it goes over the wire."""
+        return self._protocol.send(h11.Data(data=data)) or b""
 
     def _may_have_body(self, status: int) -> bool:
         return not self._to_head and status not in BODILESS_STATUSES
@@ -183,7 +174,3 @@
         response = h11.Response(status_code=status, headers=head)
         self.status = status
         return self._protocol.send(response) or b""
-
-
-def _chunk(data: bytes) -> bytes:
-    return b"%x\r\n%b\r\n" % (len(data), data)
