--- a/lynxchute/overload/claim.py
+++ b/lynxchute/overload/claim.py
@@ -60,7 +60,7 @@
         Examples
         --------
         >>> Claim.of(
-        ...     account="a", rank=3, content="", waited=-0.1, left=1e9, due_in=math.inf
+        ...     account="a", rank=3, content="", waited=-0.1, left=1e9, due_in=1.0
         ... ).left
         3600.0
         """
