Name the queue of a service by what it is

Cause: a budget's line and the queue of a service had one name in the code. Change: the second is a _ServiceQueue. Behaviour is as before; the tests of turns pass.

--- a/lynxchute/scheduling/turns.py
+++ b/lynxchute/scheduling/turns.py
@@ -41,7 +41,7 @@
 
 
 @attrs.define
-class _Line:
+class _ServiceQueue:
     """The queue of one service.
 
     Attributes
@@ -71,21 +71,21 @@
         self._returns = Returns()
         self._metrics = metrics
         self._routers: Collection[str] = ()
-        self._line_by_service: dict[str, _Line] = {}
+        self._queue_by_service: dict[str, _ServiceQueue] = {}
         self._told_accounts: set[str] = set()
 
     def keep_routers(self, incarnations: Collection[str]) -> None:
         """Forget the tickets of router processes that are gone."""
         self._routers = incarnations
-        for line in self._line_by_service.values():
-            for ticket in line.queue.tickets:
+        for served in self._queue_by_service.values():
+            for ticket in served.queue.tickets:
                 if ticket.router not in incarnations:
-                    self._forget(line, ticket.run_id)
+                    self._forget(served, ticket.run_id)
 
     def keep_services(self, services: Collection[str]) -> None:
         """Forget the queues of services that are gone."""
-        for service in set(self._line_by_service) - set(services):
-            del self._line_by_service[service]
+        for service in set(self._queue_by_service) - set(services):
+            del self._queue_by_service[service]
 
     def check(self, request: PlaceRequest, claim: Claim) -> None:
         """Refuse a claim of an unknown router, or one that cannot be true.
@@ -98,18 +98,18 @@
         claim.check()
         if request.router not in self._routers:
             raise BadClaim("router")
-        line = self._line_by_service.get(request.service)
-        ticket = line.queue.get(request.run_id) if line is not None else None
+        served = self._queue_by_service.get(request.service)
+        ticket = served.queue.get(request.run_id) if served is not None else None
         if ticket is not None and ticket.router != request.router:
             raise BadClaim("duplicate")
 
     def is_idle(self, service: str, now: float) -> bool:
         """Return whether nobody waits for a service's engines."""
-        line = self._line_by_service.get(service)
-        if line is None:
+        served = self._queue_by_service.get(service)
+        if served is None:
             return True
-        self._tidy(line, now)
-        return not len(line.queue)
+        self._tidy(served, now)
+        return not len(served.queue)
 
     def wait(
         self, request: PlaceRequest, claim: Claim, places: int, now: float
@@ -123,53 +123,53 @@
         places
             Requests that the service's engines serve at once.
         """
-        line = self._line(request.service, places)
+        served = self._queue_of(request.service, places)
         run_id = request.run_id
-        if run_id in line.queue:
-            after = line.queue.refusal(run_id, now)
+        if run_id in served.queue:
+            after = served.queue.refusal(run_id, now)
         else:
-            after = line.queue.put(self._ticket(request, claim, now), now)
+            after = served.queue.put(self._ticket(request, claim, now), now)
         if after is not None:
-            line.due_by_run.pop(run_id, None)
+            served.due_by_run.pop(run_id, None)
             self._refuse(claim, after, now)
             return PlaceReply("", retry_ms=max(after * 1000.0, 1.0))
-        ahead = line.queue.ahead_of(run_id, now)
-        expected = line.queue.expected_wait(run_id, now)
+        ahead = served.queue.ahead_of(run_id, now)
+        expected = served.queue.expected_wait(run_id, now)
         again = min(max(expected * AGAIN_SHARE, LEAST_AGAIN), MOST_AGAIN)
-        line.due_by_run[run_id] = now + again + GRACE_SECONDS
+        served.due_by_run[run_id] = now + again + GRACE_SECONDS
         self._tell_waiting()
         return PlaceReply("", wait_ms=again * 1000.0, ahead=ahead)
 
     def note_placed(self, request: PlaceRequest, claim: Claim, now: float) -> None:
         """Note that a request has got a place."""
-        line = self._line_by_service.get(request.service)
-        if line is not None and request.run_id in line.queue:
-            line.due_by_run.pop(request.run_id, None)
-            line.queue.serve(request.run_id, now)
+        served = self._queue_by_service.get(request.service)
+        if served is not None and request.run_id in served.queue:
+            served.due_by_run.pop(request.run_id, None)
+            served.queue.serve(request.run_id, now)
             self._tell_waiting()
             return
         # What has waited was counted when it came.
         self._count(request, claim, now)
-        if line is not None:
-            line.queue.note_passed(claim.rank, now)
+        if served is not None:
+            served.queue.note_passed(claim.rank, now)
 
     def note_freed(self, service: str, now: float) -> None:
         """Note that an engine's place has become free."""
-        line = self._line_by_service.get(service)
-        if line is not None:
-            line.queue.drain.note_freed(now)
+        served = self._queue_by_service.get(service)
+        if served is not None:
+            served.queue.drain.note_freed(now)
 
     def drop(self, run_id: str) -> None:
         """Forget a request whose caller has left, or whose router asks elsewhere."""
-        for line in self._line_by_service.values():
-            if run_id in line.queue:
-                self._forget(line, run_id)
+        for served in self._queue_by_service.values():
+            if run_id in served.queue:
+                self._forget(served, run_id)
 
     def describe(self, now: float) -> list[dict[str, Any]]:
         """Return who waits, for the state dump."""
         rows = []
-        for service, line in self._line_by_service.items():
-            tickets = line.queue.tickets
+        for service, served in self._queue_by_service.items():
+            tickets = served.queue.tickets
             accounts = Counter(ticket.account for ticket in tickets)
             ranks = Counter(str(ticket.rank) for ticket in tickets)
             oldest = min((t.arrived_at for t in tickets), default=now)
@@ -178,20 +178,20 @@
                     "service": service,
                     "waiting": len(tickets),
                     "oldest_s": round(now - oldest, 3),
-                    "places_a_second": round(line.queue.drain.per_second(now), 2),
+                    "places_a_second": round(served.queue.drain.per_second(now), 2),
                     "by_rank": dict(ranks),
                     "by_account": dict(accounts.most_common(TOLD_ACCOUNTS)),
                 }
             )
         return rows
 
-    def _line(self, service: str, places: int) -> _Line:
-        line = self._line_by_service.get(service)
-        if line is None:
+    def _queue_of(self, service: str, places: int) -> _ServiceQueue:
+        served = self._queue_by_service.get(service)
+        if served is None:
             drain = Drain(max(places, 1) / USUAL_RUN_SECONDS)
-            line = _Line(FairTicketQueue(self.shares, drain))
-            self._line_by_service[service] = line
-        return line
+            served = _ServiceQueue(FairTicketQueue(self.shares, drain))
+            self._queue_by_service[service] = served
+        return served
 
     def _ticket(self, request: PlaceRequest, claim: Claim, now: float) -> Ticket:
         is_return = self._count(request, claim, now)
@@ -222,22 +222,22 @@
         self._metrics.turns_refused.inc(account)
         self._tell_waiting()
 
-    def _tidy(self, line: _Line, now: float) -> None:
+    def _tidy(self, served: _ServiceQueue, now: float) -> None:
         """Forget tickets that nobody asks for any more."""
-        if now - line.tidied_at < LEAST_AGAIN:
+        if now - served.tidied_at < LEAST_AGAIN:
             return
-        line.tidied_at = now
-        for run_id, due in list(line.due_by_run.items()):
-            if due < now or run_id not in line.queue:
-                self._forget(line, run_id)
-
-    def _forget(self, line: _Line, run_id: str) -> None:
-        line.due_by_run.pop(run_id, None)
-        line.queue.drop(run_id)
+        served.tidied_at = now
+        for run_id, due in list(served.due_by_run.items()):
+            if due < now or run_id not in served.queue:
+                self._forget(served, run_id)
+
+    def _forget(self, served: _ServiceQueue, run_id: str) -> None:
+        served.due_by_run.pop(run_id, None)
+        served.queue.drop(run_id)
         self._tell_waiting()
 
     def _tell_waiting(self) -> None:
-        waiting = sum(len(line.queue) for line in self._line_by_service.values())
+        waiting = sum(len(served.queue) for served in self._queue_by_service.values())
         self._metrics.waiting.set(waiting)
 
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -396,7 +396,7 @@
                 turn = await self.choose(asker, run_id, waited=waited)
                 self.assertIsInstance(turn, NotYet, run_id)
             self.assertIn((line[0], "r0"), self.asked)
-            tickets = heir.placing.turns._line_by_service["pool"].queue
+            tickets = heir.placing.turns._queue_by_service["pool"].queue
             order = sorted(runs, key=lambda r: tickets.ahead_of(r, self.now + 1.0))
             self.assertEqual(runs, order)
             heir.note_ended("other0", "e0", failed=False)
