Let a kind that is hardly served wait for its turn instead of refusing it first

The fuzzing, with a rule for one that comes long after a late one, found besides that a ticket could be put behind a newer one of its kind by its turn. Change: the order is made anew where such a ticket comes, and no turn puts one back. Without that rule the mutant that lets all pass who is late was no longer caught; with it all are.

--- a/lynxchute/bench/shares.py
+++ b/lynxchute/bench/shares.py
@@ -79,6 +79,14 @@
         (*_small(20), *(Source(f"b-{n}", 5, times=2.6) for n in range(20))),
         40.0,
     ),
+    Scene(
+        "most urgent too many",
+        (
+            *_small(20, times=1.6),
+            *(Source(f"b-{n}", 5, times=0.3) for n in range(20)),
+        ),
+        20.0,
+    ),
     Scene(
         "one repeats at once",
         (
--- a/lynxchute/overload/ticket_queue.py
+++ b/lynxchute/overload/ticket_queue.py
@@ -82,6 +82,7 @@
         self._ordered_at = -math.inf
         self._numbers = 0
         self._kinds = KindsServed()
+        self._hardly_served: set[int] = set()
 
     def __len__(self) -> int:
         return len(self._waiting_by_run)
@@ -104,8 +105,10 @@
         if ticket.run_id in self._waiting_by_run:
             return self.refusal(ticket.run_id, now)
         self._kinds.note_asked(ticket.rank, now)
+        self._put_in_order(now)
         self._numbers += 1
-        waiting = _Waiting(ticket, self._numbers, self._key(ticket, self._numbers, now))
+        key = self._key(ticket, self._numbers, now)
+        waiting = _Waiting(ticket, self._numbers, key)
         if len(self._waiting_by_run) >= self._most:
             last_key, last = self._order[-1]
             if waiting.key >= last_key:
@@ -114,6 +117,9 @@
             self.drop(last)
         self._waiting_by_run[ticket.run_id] = waiting
         insort(self._order, (waiting.key, ticket.run_id))
+        if ticket.rank in self._hardly_served:
+            # At the end of the order it would be refused before its kind's turn comes.
+            self._ordered_at = -math.inf
         return self.refusal(ticket.run_id, now)
 
     def take(self, now: float) -> Ticket | None:
@@ -204,22 +210,23 @@
         if now - self._ordered_at < ORDER_SECONDS:
             return
         self._ordered_at = now
+        self._hardly_served = self._kinds.below(LEAST_SERVED, now)
         for run_id, waiting in list(self._waiting_by_run.items()):
             if waiting.ticket.leaves_at <= now:
                 del self._waiting_by_run[run_id]
                 continue
             waiting.key = self._key(waiting.ticket, waiting.number, now)
         self._sort()
-        if self._lift_the_least_served(now):
+        if self._lift_the_hardly_served():
             self._sort()
 
     def _sort(self) -> None:
         pairs = [(w.key, run_id) for run_id, w in self._waiting_by_run.items()]
         self._order = sorted(pairs)
 
-    def _lift_the_least_served(self, now: float) -> bool:
+    def _lift_the_hardly_served(self) -> bool:
         """Put tickets of kinds that are hardly served between the others."""
-        low = self._kinds.below(LEAST_SERVED, now)
+        low = self._hardly_served
         if not low:
             return False
         lifted = [run_id for key, run_id in self._order if key[0] in low]
@@ -228,5 +235,6 @@
             if turn * TURNS_APART >= len(others):
                 break
             waiting = self._waiting_by_run[run_id]
-            waiting.key = (*others[turn * TURNS_APART][:4], -waiting.number)
+            turn_key = (*others[turn * TURNS_APART][:4], -waiting.number)
+            waiting.key = min(waiting.key, turn_key)
         return bool(lifted)
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -176,6 +176,14 @@
             self.assertGreater(outcome.share("small"), 0.98, way)
             self.assertGreater(outcome.share("b-"), 0.25 * outcome.share(""), way)
 
+    def test_a_kind_behind_one_that_is_too_much_is_not_forgotten(self):
+        for way in SHARES_BY_NAME:
+            outcome = self.play("most urgent too many", way)
+            least = outcome.share("b-")
+            self.assertGreater(least, 0.25 * outcome.share(""), way)
+            self.assertLess(least, outcome.share("small") + 0.05, way)
+            self.assertGreater(outcome.busy, 0.98, way)
+
     def test_who_repeats_at_once_and_often_pays_for_it(self):
         for way in SHARES_BY_NAME:
             outcome = self.play("one repeats at once", way)
--- a/tests/tickets_machine.py
+++ b/tests/tickets_machine.py
@@ -109,6 +109,15 @@
                 self.gone.add(run_id)
                 self.queue.drop(run_id)
 
+    @rule(rank=st.integers(3, 5))
+    def come_long_after_one_that_is_late(self, rank):
+        """Let a caller who can be in time come long after one who cannot."""
+        self.put("a", rank, 60.0, 0.0, 0.0)
+        self.advance(5.0)
+        self.put("b", rank, 60.0, math.inf, 0.0)
+        self.advance(0.06)
+        self.take(1)
+
     @rule(count=st.integers(1, 3))
     def take(self, count):
         """Let places become free."""
