--- a/lynxchute/budgets/standing.py
+++ b/lynxchute/budgets/standing.py
@@ -5,8 +5,8 @@
 import attrs
 
 # Seconds of its callers' demand below which a router asks for more, and those that it
-# asks for: a VM that is cut off goes on for some seconds with them, and all that a router
-# has borrowed is lost with it.
+# asks for: a VM that is cut off goes on for some seconds with them, and all that a
+# router has borrowed is lost with it.
 LOW_SECONDS = 3.0
 FULL_SECONDS = 6.0
 # Requests a second below which nothing is kept: two that happen to come together are
