Ask for demand_lines by name only

Cause: with it an account's budget is exhausted some seconds sooner after the death of all routers: kept tokens and longer lines count as used then. Ruled out: the other parts, by when the loss comes; until the closing fault both codes served alike. Change: no contract of the users' platform asks for it; the part and its tests stay. Twins of one logic in placing plain calls and in the guard are one now (behaviour as before). Conclusion: built and off, until what is kept can be had back after a death.

--- a/lynxchute/overload/guard.py
+++ b/lynxchute/overload/guard.py
@@ -122,6 +122,12 @@
             return False
         return load.use >= use or load.delay >= delay
 
+    def is_too_slow(self, objective: float, *, is_brief: bool) -> bool:
+        """Return whether a request would wait too long for it, by its objective."""
+        limits = self.limits
+        passes = limits.brief_passes if is_brief else limits.passes
+        return passes * self.load().delay > limits.slow_share * objective
+
 
 class Guard:
     """Decide what a router serves, by the load of its resources.
@@ -254,10 +260,7 @@
         if found:
             return found
         for resource in self._resources:
-            limits = resource.limits
-            passes = limits.brief_passes if is_brief else limits.passes
-            wait = passes * resource.load().delay
-            if wait <= limits.slow_share * _objective(objective):
+            if not resource.is_too_slow(_objective(objective), is_brief=is_brief):
                 continue
             if self._goes_elsewhere(account):
                 return resource.name
@@ -270,10 +273,7 @@
         """
         patience = _objective(objective) * WITHIN_SHARE_PATIENCE
         for resource in self._resources:
-            limits = resource.limits
-            passes = limits.brief_passes if is_brief else limits.passes
-            wait = passes * resource.load().delay
-            if wait > limits.slow_share * patience:
+            if resource.is_too_slow(patience, is_brief=is_brief):
                 return resource.name
         return ""
 
--- a/lynxchute/upstreams/expected_finish.py
+++ b/lynxchute/upstreams/expected_finish.py
@@ -13,7 +13,7 @@
 from lynxchute.upstreams.generation import Generation
 from lynxchute.upstreams.learned_speed import MAX_SLOWNESS
 from lynxchute.upstreams.permits import Permits
-from lynxchute.upstreams.placement import Choice, Placement
+from lynxchute.upstreams.placement import Choice, Placement, admitted
 from lynxchute.upstreams.send_gate import SendGate
 from lynxchute.upstreams.speed import Speeds
 
@@ -160,13 +160,9 @@
             states = [self.state_of(entry, now) for entry in left]
             place = self._rng.choices(range(len(left)), weights(states))[0]
             entry = left.pop(place)
-            if not self._gate.rates.is_limited(entry, now):
-                return Choice(entry)
-            if self._gate.rates.has_turn(entry, now):
-                return Choice(entry)
-            admitted_until = await self._permits.ask(entry)
-            if admitted_until:
-                return Choice(entry, admitted_until=admitted_until)
+            choice = await admitted(entry, self._gate, self._permits, now)
+            if choice is not None:
+                return choice
         return None
 
     def state_of(self, entry: Entry, now: float) -> UpstreamState:
--- a/lynxchute/upstreams/placement.py
+++ b/lynxchute/upstreams/placement.py
@@ -135,16 +135,22 @@
             return None
         turned = [warm[(self._turn + offset) % count] for offset in range(count)]
         for entry in sorted(turned, key=lambda entry: self._cost(entry, now)):
-            if not self._gate.rates.is_limited(entry, now):
-                return Choice(entry)
-            if self._gate.rates.has_turn(entry, now):
-                return Choice(entry)
-            admitted_until = await self._permits.ask(entry)
-            if admitted_until:
-                return Choice(entry, admitted_until=admitted_until)
+            choice = await admitted(entry, self._gate, self._permits, now)
+            if choice is not None:
+                return choice
         return None
 
     def _cost(self, entry: Entry, now: float) -> float:
         far = entry.upstream.data_centre != self._data_centre
         cost = entry.open_requests + (self._near_bonus if far else 0)
         return cost + 20.0 * entry.health.recent_bad_share(now)
+
+
+async def admitted(
+    entry: Entry, gate: SendGate, permits: Permits, now: float
+) -> Choice | None:
+    """Return the choice of an upstream that takes one more request within its limit."""
+    if not gate.rates.is_limited(entry, now) or gate.rates.has_turn(entry, now):
+        return Choice(entry)
+    admitted_until = await permits.ask(entry)
+    return Choice(entry, admitted_until=admitted_until) if admitted_until else None
--- a/tests/test_features.py
+++ b/tests/test_features.py
@@ -32,6 +32,8 @@
         pooled = features(["base", "pool"]).ok.features
         self.assertTrue(pooled.processor_guard and pooled.fair_shares)
         self.assertFalse(pooled.memory_guard)
+        # It costs tokens where all routers die, and is named by hand only.
+        self.assertFalse(pooled.demand_lines)
         pressed = features(["pressure"]).ok.features
         self.assertEqual(Features(memory_guard=True), pressed)
 
