--- a/lynxchute/platform/settings.py
+++ b/lynxchute/platform/settings.py
@@ -30,8 +30,8 @@
 FEATURES_VARIABLE = "LYNXCHUTE_FEATURES"
 NO_FEATURES = "none"
 # What each entry under `contracts` in the settings asks for. A pool of upstreams is
-# shared by many accounts and routers; pressure is what slow readers do to memory. Nothing
-# asks for `demand_lines`: where all routers die, it loses tokens that were paid for.
+# shared by many accounts and routers; pressure is what slow readers do to memory.
+# `demand_lines` is named by hand only: where all routers die, it loses paid tokens.
 FEATURES_BY_CONTRACT = {
     "pool": ("processor_guard", "fair_shares", "learned_speeds", "hedging"),
     "pressure": ("memory_guard",),
