Close new connections sooner where the link is full

Its new connections were closed from 0.2 s of waiting on only; before that 47 to 59 requests a second crossed the link to be refused. Ruled out: the processor, whose events waited for 5 ms at most there; refusing less, since what is served there is late. Change: new connections are closed about 0.15 s of waiting, from which on none was taken before there was a guard.

--- a/lynxchute/overload/guard.py
+++ b/lynxchute/overload/guard.py
@@ -72,7 +72,7 @@
     shed_delay=0.2,
     kept_use=0.55,
     full_use=math.inf,
-    full_delay=0.4,
+    full_delay=0.15,
 )
 PROCESSOR = Limits(
     passes=6.0,
