--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -30,6 +30,8 @@
 SLOW_READERS = SocketOptions(user_timeout_ms=30_000)
 
 PROBLEM_TYPE = "application/problem+json"
+# What refusals of this server are called for programs; the others are malformed.
+PROBLEMS_BY_STATUS = {502: "broken", 503: "overloaded"}
 UNIQUE_HEADERS = ("content-length", "transfer-encoding", "host")
 
 
@@ -335,8 +337,9 @@
         if self._responder is not None and self._responder.started:
             self.abort()
             return
+        problem_name = PROBLEMS_BY_STATUS.get(status, "malformed")
         problem = {
-            "type": "urn:lynxchute:problem:malformed",
+            "type": f"urn:lynxchute:problem:{problem_name}",
             "title": reason,
             "status": status,
             "run": "not_run" if status != 502 else "unknown",
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -11,8 +11,9 @@
 from hypothesis import strategies as st
 
 from lynxchute.edge.settings import Features
-from lynxchute.relay import hedging, sender
-from lynxchute.relay.hedging import Hedger, has_room, hedge_delay
+from lynxchute.relay import hedge_rules, hedging, sender
+from lynxchute.relay.hedge_rules import has_room, hedge_delay
+from lynxchute.relay.hedging import Hedger
 from lynxchute.relay.refusal import Reason, Refusal, Run
 from lynxchute.standins.upstream_run import Fault
 from lynxchute.telemetry import Metrics
@@ -26,7 +27,7 @@
 HEDGING = Features(hedging=True)
 # Routes of the test configuration are late after 0.4 s; until anything is known, calls
 # are hedged after this.
-UNKNOWN_DELAY = 0.4 * hedging.UNKNOWN_SHARE
+UNKNOWN_DELAY = 0.4 * hedge_rules.UNKNOWN_SHARE
 SLOW = 0.6
 
 
@@ -69,7 +70,7 @@
         budget = RetryBudget(share=0.2, extra=0.0, window=10.0)
         for _ in range(100):
             budget.note_request("app", 1.0)
-        share = hedging.BUDGET_SHARE
+        share = hedge_rules.BUDGET_SHARE
         hedges = sum(budget.take("app", 1.0, used_share=share) for _ in range(50))
         self.assertEqual(8, hedges)
         tries = sum(budget.take("app", 1.0) for _ in range(50))
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -160,6 +160,7 @@
                 first = await server.raw(head, b"x" * 4000, read=False)
                 found, _, _ = await server.raw(head)
                 self.assertIn(b" 503 ", found)
+                self.assertIn(b"problem:overloaded", found)
                 self.assertIn(b"Retry-After", found)
                 first[2].write(b"x" * 500)
                 whole = await first[1].readuntil(b"\r\n\r\n")
