Log connections that are aborted with an incomplete answer

No decision changes. Evidence: test_http.ServerTest.test_abort_with_an_incomplete_answer_is_logged; tests.test_http, tests.test_edge and tests.test_docs: 61 passed, 0 failed.

--- a/lynxchute/application.py
+++ b/lynxchute/application.py
@@ -259,6 +259,7 @@
         if signal_count == 1:
             request_stop()
         else:
+            logging.info("further stop signal received; exiting at once")
             kill()
 
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -47,6 +47,17 @@
     CLOSED = "closed"
 
 
+class AbortCause(enum.Enum):
+    """Why the server reset a connection."""
+
+    CALLER_LEFT = "the caller closed its side"
+    BROKEN_OFF = "the handler broke off its response"
+    CANCELLED = "the handler was cancelled"
+    NOT_FINISHED = "the handler ended without a complete response"
+    NOT_READ = "the caller did not read its response"
+    STOPPED = "the server stopped"
+
+
 class ServerConnection(asyncio.Protocol):
     """Reads requests one at a time and passes each to the server's handler.
 
@@ -79,6 +90,7 @@
         self._writable: asyncio.Future[None] | None = None
         self._answer_buffer: TransportBuffer | None = None
         self._pipelined_bytes = 0
+        self._is_aborted = False
 
     @property
     def _is_disconnected(self) -> bool:
@@ -129,7 +141,7 @@
     def eof_received(self) -> bool:
         """Treat the end of the caller's stream as a disconnect."""
         if self._responder is not None and not self._responder.finished:
-            self.abort()
+            self.abort(AbortCause.CALLER_LEFT)
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -162,10 +174,33 @@
         if self._transport is not None:
             self._transport.close()
 
-    def abort(self) -> None:
-        """Abort the connection at once."""
-        if self._transport is not None:
-            self._transport.abort()
+    def abort(self, cause: AbortCause) -> None:
+        """Abort the connection at once; unsent bytes are lost."""
+        if self._transport is None or self._is_aborted:
+            return
+        self._is_aborted = True
+        if self._phase is not _Phase.CLOSED:
+            self._log_lost_answer(self._transport, cause)
+        self._transport.abort()
+
+    def _log_lost_answer(self, transport: asyncio.Transport, cause: AbortCause) -> None:
+        """Log that an abort leaves a complete request without a complete response."""
+        unsent = transport.get_write_buffer_size()
+        respond = self._responder
+        is_answered = respond is None or respond.finished
+        if is_answered and not unsent:
+            return
+        fields = {
+            "request_id": respond.request_id if respond is not None else "",
+            "cause": cause.value,
+            "status": respond.status if respond is not None else 0,
+            "is_answered": is_answered,
+            "unsent_bytes": unsent,
+            "seconds": round(self._loop.time() - self._received_at, 4),
+        }
+        logging.info(
+            "connection aborted with an incomplete answer", extra={"fields": fields}
+        )
 
     # Reading.
 
@@ -272,7 +307,11 @@
         )
         self._body = []
         self._responder = Responder(
-            head.method, self._protocol, self._write, self._wait_drained, self.abort
+            head.method,
+            self._protocol,
+            self._write,
+            self._wait_drained,
+            lambda: self.abort(AbortCause.BROKEN_OFF),
         )
         self._responder.close_after_response = self._server.close_after_response
         self._responder.answer_buffer = self._answer_buffer
@@ -290,7 +329,7 @@
             if not self._is_disconnected:
                 logging.warning("response could not be written: %r", error)
         except asyncio.CancelledError:
-            self.abort()
+            self.abort(AbortCause.CANCELLED)
             raise
         except Exception:
             logging.exception("unhandled error in a request handler")
@@ -312,7 +351,7 @@
         if self._phase is _Phase.CLOSED:
             return
         if not respond.finished:
-            self.abort()
+            self.abort(AbortCause.NOT_FINISHED)
             return
         done = {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
         if self._protocol.states != done:
@@ -338,7 +377,7 @@
     ) -> None:
         """Send an error response and close the connection."""
         if self._responder is not None and self._responder.started:
-            self.abort()
+            self.abort(AbortCause.NOT_FINISHED)
             return
         problem_name = PROBLEMS_BY_STATUS.get(status, "malformed")
         problem = {
@@ -362,7 +401,7 @@
             data += self._protocol.send(h11.EndOfMessage()) or b""
         except h11.LocalProtocolError as error:
             logging.info("error response could not be written: %r", error)
-            self.abort()
+            self.abort(AbortCause.NOT_FINISHED)
             return
         self._write(data)
         self._linger()
@@ -412,7 +451,7 @@
                     await asyncio.shield(self._writable)
             except TimeoutError:
                 if answer_buffer.read_bytes == read_before:
-                    self.abort()
+                    self.abort(AbortCause.NOT_READ)
                     return
 
     def _wake_writer(self) -> None:
--- a/lynxchute/http/responder.py
+++ b/lynxchute/http/responder.py
@@ -41,6 +41,8 @@
         The status that was sent; 0 if none was sent yet.
     finished
         Whether the response is complete.
+    request_id
+        Id of the request in log lines; empty until it is known.
     answer_buffer
         The unread part of the response; None if it is not tracked.
     close_after_response
@@ -59,6 +61,7 @@
         abort: Callable[[], None],
     ) -> None:
         self.status = 0
+        self.request_id = ""
         self.finished = False
         self.survives_disconnect = False
         self.close_after_response = False
--- a/lynxchute/http/server.py
+++ b/lynxchute/http/server.py
@@ -10,7 +10,7 @@
 from absl import logging
 
 from lynxchute.address import Address
-from lynxchute.http.connection import ServerConnection
+from lynxchute.http.connection import AbortCause, ServerConnection
 from lynxchute.http.link_meter import UNLIMITED_LINK, LinkMeter
 from lynxchute.http.messages import Request, RequestHead
 from lynxchute.http.responder import Responder
@@ -195,7 +195,7 @@
             if connection.handler_task is not None:
                 connection.handler_task.cancel()
                 tasks.append(connection.handler_task)
-            connection.abort()
+            connection.abort(AbortCause.STOPPED)
         results = await asyncio.gather(*tasks, return_exceptions=True)
         for result in results:
             if isinstance(result, Exception):
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -98,7 +98,7 @@
         request_id = ""
         try:
             call = self._dialect.read(request)
-            request_id = call.request_id
+            request_id = respond.request_id = call.request_id
             exchange = await self._admission.admit(call, respond)
             if exchange.account is not None:
                 respond.set_account(exchange.account.name)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -240,6 +240,38 @@
 
         self.run_async(work())
 
+    def test_abort_with_an_incomplete_answer_is_logged(self):
+        async def handler(request, respond):
+            respond.request_id = "q7"
+            await asyncio.sleep(9)
+
+        async def work():
+            async with EchoServer(handler) as server:
+                _, _, writer = await server.send_raw(
+                    b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", read=False
+                )
+                await until(lambda: server.requests)
+                with self.assertLogs("absl", level="INFO") as logs:
+                    await server.server.kill()
+                (record,) = logs.records
+                self.assertEqual(
+                    "connection aborted with an incomplete answer", record.getMessage()
+                )
+                found = {
+                    key: record.fields[key]
+                    for key in ("request_id", "cause", "status", "is_answered")
+                }
+                expected = {
+                    "request_id": "q7",
+                    "cause": "the server stopped",
+                    "status": 0,
+                    "is_answered": False,
+                }
+                self.assertEqual(expected, found)
+                writer.close()
+
+        self.run_async(work())
+
     def test_incomplete_response_is_detected_by_the_client(self):
         async def work():
             async def send_incomplete(request, respond):
