--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -179,7 +179,7 @@
         if self._transport is None or self._is_aborted:
             return
         self._is_aborted = True
-        if self._phase is not _Phase.CLOSED:
+        if cause is not AbortCause.CALLER_LEFT and self._phase is not _Phase.CLOSED:
             self._log_lost_answer(self._transport, cause)
         self._transport.abort()
 
