Answer every open request when a stop reaches its deadline

What callers saw: a request that still waited 1.2 s before the end of the grace period (for tokens, for an upstream, for a silent upstream) ended with its connection, without a status. Cause: at the deadline the handlers were cancelled and the connections aborted; nothing gave the requests a final answer. Change: the relay ends the time of all open requests at that moment. Each gets what it would get at its own timeout: 503 with Retry-After and `not_run` if it was not sent, otherwise 502 with `unknown`. Only a stream that has begun is broken off, which its caller can tell. Ruled out: waiting until SIGKILL, which also ends them without an answer. Conclusion: no way of waiting can be forgotten, as all run inside the one timeout.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -82,6 +82,8 @@
 # store or router that does not answer takes up to 0.7 s, and the waits are sequential.
 REPORT_MARGIN_SECONDS = 0.4
 DRAIN_POLL_SECONDS = 0.05
+# Seconds in which requests that are still open at the drain deadline get an answer.
+LAST_ANSWERS_SECONDS = 0.1
 
 
 class EdgeApplication(Application):
@@ -391,6 +393,9 @@
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         bounds = self.settings.bounds
         report_deadline = started + bounds.stop - REPORT_MARGIN_SECONDS
+        self.relay.end_open_requests()
+        # The tokens that these requests used are part of the final reports.
+        await self.callers.wait_answered(steady_seconds() + LAST_ANSWERS_SECONDS)
         try:
             async with asyncio.timeout_at(report_deadline):
                 await self._send_final_reports()
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -87,12 +87,21 @@
         self._metrics = metrics
         self._log = RequestLog(metrics, clock)
         self._clock = clock
+        self._open_timeouts: set[asyncio.Timeout] = set()
+        self._is_ending = False
 
     @property
     def open_requests(self) -> int:
         """Return the number of requests being served."""
         return self._admission.open_requests
 
+    def end_open_requests(self) -> None:
+        """Give every open request its final answer now, as the router stops."""
+        self._is_ending = True
+        now = asyncio.get_running_loop().time()
+        for timeout in self._open_timeouts:
+            timeout.reschedule(now)
+
     async def handle(self, request: Request, respond: Responder) -> None:
         """Serve one request."""
         request_id = ""
@@ -115,17 +124,26 @@
 
     async def _serve(self, exchange: Exchange) -> str:
         """Serve an admitted request; return its outcome for the log."""
+        timeout = asyncio.timeout_at(exchange.deadline)
         try:
-            async with asyncio.timeout_at(exchange.deadline):
+            async with timeout:
+                self._open_timeouts.add(timeout)
                 await self._reserve_and_send(exchange)
         except Refusal as refusal:
             return await self._refuse(exchange, refusal)
         except TimeoutError:
-            title = "The time for this request is over."
-            timeout_refusal = exchange.refuse(Reason.TIMEOUT, title, self._clock())
-            return await self._refuse(exchange, timeout_refusal)
+            return await self._refuse(exchange, self._timeout_refusal(exchange))
+        finally:
+            self._open_timeouts.discard(timeout)
         return "served"
 
+    def _timeout_refusal(self, exchange: Exchange) -> Refusal:
+        if self._is_ending:
+            reason, title = Reason.STOPPING, "This router stops. Send it again."
+        else:
+            reason, title = Reason.TIMEOUT, "The time for this request is over."
+        return exchange.refuse(reason, title, self._clock())
+
     async def _refuse(self, exchange: Exchange, refusal: Refusal) -> str:
         self._metrics.refusals.inc(refusal.reason.value)
         if exchange.respond.started:
