Show that a running answer is given up without a retry permit

Cause: when an upstream is taken for silent, its open sends are cancelled first; the retry permit is asked for afterwards, and asked for again when the next upstream cannot be reached. Ruled out: an error of the upstreams: they went on sending until their connections were closed by the router.

--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -5,13 +5,17 @@
 import socket
 from unittest import mock
 
+from lynxchute.http import ExchangeError, HttpClient
+from lynxchute.platform.engines import PlatformEngines
 from lynxchute.standins.upstream_run import Fault
+from lynxchute.upstreams.engines import EngineUnavailable
 from tests.platform_support import (
     HOST,
     KEY,
     PlatformCaller,
     PlatformTestCase,
     configuration,
+    event_ids,
 )
 from tests.support import until
 
@@ -154,3 +158,60 @@
             self.assertEqual((502, "unknown"), (status, json.loads(body)["run"]))
 
         self.with_platform(scenario, routers=("a-1",))
+
+
+async def probe_times_out(engines, upstream):
+    raise EngineUnavailable("no answer", is_timeout=True)
+
+
+def failing_once(send):
+    """Make the next send of a stream fail before anything is sent."""
+    failures = [ExchangeError("cannot connect", sent=False)]
+
+    async def request(client, method, target, **options):
+        if "before_send" in options and failures:
+            raise failures.pop()
+        return await send(client, method, target, **options)
+
+    return request
+
+
+class SilentUpstreamTest(PlatformTestCase):
+    def stream_while_probes_time_out(self, prepare, **options):
+        """Return the ids of a stream whose first upstream is slow."""
+
+        async def scenario(deployment):
+            router = deployment.routers["a-1"]
+            for engine in deployment.engines:
+                engine.events, engine.event_delay = 3, 0.8
+            caller = PlatformCaller(deployment)
+            with mock.patch.object(PlatformEngines, "probe", probe_times_out):
+                call = asyncio.create_task(caller.stream())
+                await until(lambda: any(e.runs for e in deployment.engines))
+                busy = next(e for e in deployment.engines if e.runs)
+                for engine in deployment.engines:
+                    engine.event_delay = 0.02
+                await prepare(deployment, router, busy)
+                _, _, body = await call
+            return event_ids(body)
+
+        return self.with_platform(scenario, routers=("a-1",), **options)
+
+    def test_running_answer_is_not_given_up_without_a_retry_permit(self):
+        async def prepare(deployment, router, busy):
+            router.retries.change(share=0.0, extra=0.0, window=10.0)
+
+        self.assertEqual([1, 2, 3], self.stream_while_probes_time_out(prepare))
+
+    def test_retry_permit_outlasts_an_upstream_that_is_not_reached(self):
+        async def prepare(deployment, router, busy):
+            # One permit, as a router uses four fifths of its allowance.
+            router.retries.change(share=0.0, extra=1.25, window=10.0)
+            patch = mock.patch.object(
+                HttpClient, "request", failing_once(HttpClient.request)
+            )
+            patch.start()
+            self.addCleanup(patch.stop)
+
+        events = self.stream_while_probes_time_out(prepare, engines=3)
+        self.assertEqual([1, 2, 3], events)
