Give up a running answer only with a permit to send it again

What callers saw: streams that broke off in the middle, or 502, while their engines were sound and still sending; on a VM with a full link all of them within seconds. Cause: an upstream whose probe times out is taken for silent. All sends there that their routes allow to be repeated were cancelled, and only then asked for a retry permit. Where the retry budget was used up, the answer was lost. A send that failed before its first byte also had the permit for it taken a second time. Change: the permit is claimed before a send is cancelled, and without one the send stays open until its own timeout. The permit belongs to the request until it is sent. Evidence: test_running_answer_is_not_given_up_without_a_retry_permit and test_retry_permit_outlasts_an_upstream_that_is_not_reached fail before and pass now; 85 tests of relay, faults, restarts and hedging pass. Ruled out: a longer probe timeout, which only moves the load at which the same is lost. Conclusion: false silence costs no answer any more; it may still cost a second run.

--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -65,6 +65,8 @@
     possible_runs
         Number of sends that may have run: all but those that an upstream reported as
         not run.
+    has_retry_permit
+        Whether another send is already counted in the retry budget.
     tried
         Ids of upstreams that are not tried again for this request.
     limited_rate
@@ -91,6 +93,7 @@
     sends: int = 0
     sent_at: float = 0.0
     possible_runs: int = 0
+    has_retry_permit: bool = False
     run_status: RunStatus = RunStatus.NOT_RUN
     tried: set[str] = attrs.Factory(set)
     limited_rate: float | None = None
@@ -200,6 +203,7 @@
     def record_send(self, upstream_id: str, now: float) -> None:
         """Record a send whose first byte is about to leave."""
         self.sent_at = now
+        self.has_retry_permit = False
         self.sends += 1
         self.possible_runs += 1
         self.run_status = RunStatus.UNKNOWN
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -158,10 +158,17 @@
         self.release(answer, SendOutcome.FAILED if failed else SendOutcome.ABANDONED)
 
     def claim_retry(self, exchange: Exchange) -> bool:
-        """Return whether an exchange may be sent again; spend retry budget if so."""
+        """Return whether an exchange may be sent again; spend retry budget if so.
+
+        A permit lasts until the next send, so a send that fails before its first byte
+        needs no further one.
+        """
         if not exchange.may_retry:
             return False
+        if exchange.has_retry_permit:
+            return True
         if self._retries.spend(exchange.service, self._clock()):
+            exchange.has_retry_permit = True
             return True
         log_event(
             "retry budget used up",
@@ -233,7 +240,10 @@
         entry.open_tokens += cost
         run_before = exchange.run_status
         send = OpenSend(
-            AbortHandle(), lambda: exchange.may_migrate, exchange.content_id
+            AbortHandle(),
+            lambda: exchange.may_migrate,
+            exchange.content_id,
+            claim_resend=lambda: self.claim_retry(exchange),
         )
         entry.open_sends.add(send)
         sent_at = self._clock()
--- a/lynxchute/upstreams/entry.py
+++ b/lynxchute/upstreams/entry.py
@@ -37,6 +37,8 @@
         Returns whether the request may be sent to another upstream instead.
     content
         Identifies the content of the request.
+    claim_resend
+        Returns whether the request gets a permit to be sent again.
     progress
         How far the upstream has processed the request.
     answering_since
@@ -54,6 +56,7 @@
     handle: AbortHandle
     may_resend: Callable[[], bool]
     content: str = ""
+    claim_resend: Callable[[], bool] = lambda: True
     progress: Progress = Progress.UNANSWERED
     answering_since: float | None = None
     is_cancelled: bool = False
--- a/lynxchute/upstreams/silence.py
+++ b/lynxchute/upstreams/silence.py
@@ -144,7 +144,12 @@
 
     def _cancel_sends(self, entry: UpstreamEntry, reason: str) -> None:
         entry.health.record(SendOutcome.UNREACHED, self._clock())
-        moving = [send for send in entry.open_sends if send.may_resend()]
+        # A send that may not be repeated stays open: its upstream may still respond.
+        moving = [
+            send
+            for send in entry.open_sends
+            if send.may_resend() and send.claim_resend()
+        ]
         if not moving:
             return
         log_event(
