Read no further request once a stop has ended

What callers saw: a request that reached a router in the last moments of its stop was read and its connection reset before the handler had begun. Cause: the listener and kept connections stayed open until all connections were aborted, while other components stopped. Change: a stop ends with the listener closed, the backlog served and idle connections closed, before the components stop; the gate for overload cannot open the listener again. Conclusion: after the stop nothing can arrive that nobody would answer.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -405,7 +405,7 @@
                 "stop deadline passed before all usage was reported",
                 seconds=steady_seconds() - started,
             )
-        await self.callers.wait_answered(report_deadline)
+        await self.callers.finish(report_deadline)
         log_event(
             "stopped",
             open_requests=self.relay.open_requests,
--- a/lynxchute/http/server.py
+++ b/lynxchute/http/server.py
@@ -101,6 +101,7 @@
         self._server: asyncio.Server | None = None
         self._listener: socket.socket | None = None
         self._host = ""
+        self._is_finishing = False
 
     async def start(self, host: str, port: int) -> None:
         """Listen on an address; port 0 selects a free port."""
@@ -127,8 +128,9 @@
         reset them, even if a request was already sent, and 30 callers of a simulated
         day got no response for that reason.
         """
-        if self._server is None or self._listener is None:
+        if not self.is_accepting:
             return
+        assert self._server is not None and self._listener is not None
         loop = asyncio.get_running_loop()
         loop.remove_reader(self._listener)
         # asyncio attaches an accepted connection to the server one iteration of the
@@ -150,6 +152,8 @@
 
     async def resume_accepting(self) -> None:
         """Accept connections again, on the same port."""
+        if self._is_finishing:
+            return
         if self._server is not None and not self._server.is_serving():
             await self.start(self._host, self.port)
 
@@ -180,6 +184,27 @@
         while self.unanswered and loop.time() < deadline:
             await asyncio.sleep(ANSWER_POLL_SECONDS)
 
+    async def finish(self, deadline: float) -> None:
+        """Stop accepting for good, and wait until all callers have got their answers.
+
+        Afterwards no request can arrive, unless the deadline has passed.
+
+        Parameters
+        ----------
+        deadline
+            Time on the clock of the event loop, in seconds.
+        """
+        self._is_finishing = True
+        self.disable_keep_alive()
+        await self.pause_accepting()
+        loop = asyncio.get_running_loop()
+        while True:
+            # Also lets connections from the backlog deliver what was sent already.
+            await asyncio.sleep(ANSWER_POLL_SECONDS)
+            self.close_idle()
+            if not self.unanswered or loop.time() >= deadline:
+                return
+
     async def kill(self) -> None:
         """Cancel all handlers and abort all connections."""
         if self._server is not None:
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -5,6 +5,8 @@
 import socket
 from unittest import mock
 
+import testtools
+
 from lynxchute.http import ExchangeError, HttpClient
 from lynxchute.platform.engines import PlatformEngines
 from lynxchute.standins.upstream_run import Fault
@@ -120,6 +122,26 @@
 
         self.with_platform(scenario, routers=("a-1",))
 
+    def test_stopped_router_reads_no_further_request(self):
+        async def scenario(deployment):
+            router = deployment.routers["a-1"]
+            idle = await connect(router)
+            await router.drain()
+            self.assertEqual(b"", await read_slowly(idle))
+            with testtools.ExpectedException(ConnectionRefusedError):
+                await connect(router)
+
+        self.with_platform(scenario, routers=("a-1",))
+
+    def test_router_stops_while_it_accepts_no_connections(self):
+        async def scenario(deployment):
+            router = deployment.routers["a-1"]
+            await router.callers.pause_accepting()
+            await stop(router)
+            self.assertFalse(router.callers.connections)
+
+        self.with_platform(scenario, routers=("a-1",))
+
     def test_stop_refuses_a_request_that_waits_at_the_deadline(self):
         async def scenario(deployment):
             router = deployment.routers["a-1"]
