Go on with a stop when SIGTERM comes again

What callers saw: all open answers of a router ended at once when it was told to stop twice. Cause: any second signal ended the process, meant for an operator at a terminal. Stops in turn that overlap reach a router that is stopping already. Change: a further SIGTERM is logged and ignored; a further interrupt still ends the process. Evidence: test_edge.ProcessTest.test_second_stop_signal_cuts_no_open_answer ends in a broken connection on the code before, and passes now. Conclusion: the deadline of the first signal holds; SIGKILL remains for a process that hangs.

--- a/lynxchute/application.py
+++ b/lynxchute/application.py
@@ -248,19 +248,23 @@
     request_stop
         Called at the first signal.
     kill
-        Called at each further signal.
+        Called at a further SIGINT; a further SIGTERM is ignored.
     """
     loop = asyncio.get_running_loop()
-    signal_count = 0
+    is_stopping = False
 
-    def handle() -> None:
-        nonlocal signal_count
-        signal_count += 1
-        if signal_count == 1:
+    def handle(number: signal.Signals) -> None:
+        nonlocal is_stopping
+        if not is_stopping:
+            is_stopping = True
             request_stop()
-        else:
-            logging.info("further stop signal received; exiting at once")
+            return
+        if number is signal.SIGINT:
+            logging.info("interrupted again during the stop; exiting at once")
             kill()
+            return
+        # Whoever stops a fleet in turn may reach a process that is stopping already.
+        logging.info("further stop signal ignored; the stop goes on")
 
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, handle)
+        loop.add_signal_handler(number, handle, number)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -128,6 +128,23 @@
 
         self.with_process(scenario)
 
+    def test_second_stop_signal_cuts_no_open_answer(self):
+        async def scenario(deployment):
+            for engine in deployment.engines:
+                engine.events, engine.event_delay = 20, 0.05
+            caller = deployment.caller()
+            stream = asyncio.create_task(caller.stream())
+            await until(lambda: any(engine.runs for engine in deployment.engines))
+            process = deployment.router.process
+            process.send_signal(signal.SIGTERM)
+            await until(lambda: deployment.router.events("stopping"))
+            process.send_signal(signal.SIGTERM)
+            status, _, body = await stream
+            self.assertEqual((200, 20), (status, len(event_ids(body))))
+            self.assertEqual(0, await process.wait())
+
+        self.with_process(scenario)
+
     def test_settings_are_reloaded_with_and_without_sighup(self):
         async def scenario(deployment):
             process = deployment.router.process
