Refuse a request whose handler fails instead of resetting its caller

What callers would see: a connection that ends without an answer, at any time, because of an error between the router and somebody else. Cause: the HTTP server took every OSError of a handler, and so every TimeoutError, for the failure of the caller's own connection, and a CancelledError that came from something the handler waited for as the handler's own cancellation. Change: only CallerDisconnected counts as the caller's. Evidence: test_handler_error_is_not_taken_for_a_failed_connection gets no bytes before and 502 now.

--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -334,16 +334,18 @@
         except BadRequest as error:
             self._refuse(error.status, error.reason, error.retry_after)
             return
-        except (OSError, h11.LocalProtocolError) as error:
-            if not self._is_disconnected:
-                logging.warning("response could not be written: %r", error)
+        except CallerDisconnected:
+            pass
         except asyncio.CancelledError:
-            self.abort(AbortCause.CANCELLED)
-            raise
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                self.abort(AbortCause.CANCELLED)
+                raise
+            # Something that the handler waited for was cancelled, not the handler.
+            if self._refuse_failed(respond):
+                return
         except Exception:
-            logging.exception("unhandled error in a request handler")
-            if not respond.started:
-                self._refuse(502, "The router failed while it served the request.")
+            if self._refuse_failed(respond):
                 return
         finally:
             self._discard_body()
@@ -356,6 +358,14 @@
             self.handler_task = None
         self._end_exchange(respond)
 
+    def _refuse_failed(self, respond: Responder) -> bool:
+        """Log the error of a handler; return whether its request is refused now."""
+        logging.exception("unhandled error in a request handler")
+        if respond.started or self._is_disconnected:
+            return False
+        self._refuse(502, "The router failed while it served the request.")
+        return True
+
     def _end_exchange(self, respond: Responder) -> None:
         if self._phase is _Phase.CLOSED:
             return
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -272,6 +272,28 @@
 
         self.run_async(work())
 
+    def test_handler_error_is_not_taken_for_a_failed_connection(self):
+        async def work():
+            errors = (
+                TimeoutError(),
+                ConnectionResetError(104, "upstream"),
+                # As from a shared task that another request has cancelled.
+                asyncio.CancelledError(),
+            )
+            for error in errors:
+
+                async def handler(request, respond, error=error):
+                    raise error
+
+                async with EchoServer(handler) as server:
+                    found, _, writer = await server.send_raw(
+                        b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+                    )
+                    self.assertEqual(b"HTTP/1.1 502", found[:12])
+                    writer.close()
+
+        self.run_async(work())
+
     def test_incomplete_response_is_detected_by_the_client(self):
         async def work():
             async def send_incomplete(request, respond):
