Deliver a complete answer after the timeout of its request

What callers would see: a complete answer that breaks off because they read it slowly. Cause: while the handler waited for a slow reader, the timeout of the request still ran. When it ended, the connection was aborted although the whole answer had been written. Change: a finished answer is left to its connection. A connection that is closing and whose bytes nobody has read for a further idle timeout is aborted, so that it cannot stay for ever.

--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -514,7 +514,11 @@
         if self._phase in (_Phase.HEAD, _Phase.BODY):
             self._refuse(408, "The request took too long to arrive.")
             return
+        if self._transport is not None and self._transport.is_closing():
+            self.abort(AbortCause.NOT_READ)
+            return
         self.close()
+        self._set_timer(self._limits.idle_timeout)
 
 
 def _check_framing(headers: Headers) -> None:
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -145,6 +145,9 @@
         return exchange.refuse(reason, title, self._clock())
 
     async def _refuse(self, exchange: Exchange, refusal: Refusal) -> str:
+        if exchange.respond.finished:
+            # Only the caller's reading is left, which may take longer than the timeout.
+            return "served"
         self._metrics.refusals.inc(refusal.reason.value)
         if exchange.respond.started:
             # The caller must be able to tell that the response is incomplete.
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -182,6 +182,31 @@
         self.with_platform(scenario, routers=("a-1",))
 
 
+class SlowReaderTest(PlatformTestCase):
+    def test_complete_answer_outlasts_the_timeout_of_its_request(self):
+        async def scenario(deployment):
+            router = deployment.routers["a-1"]
+            size = 4 * ANSWER_BYTES
+
+            async def send(exchange):
+                await exchange.respond.send_whole(200, b"x" * size)
+
+            router.relay._send = send
+            router.callers._listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES
+            )
+            sock = await connect(router, receive_buffer=SOCKET_BUFFER_BYTES)
+            sock.send(request_head("/public/x").replace(b"9000", b"100"))
+            await until(lambda: router.relay.open_requests)
+            await until(lambda: not router.relay.open_requests)
+            router.callers.disable_keep_alive()
+            router.callers.close_idle()
+            _, _, body = (await read_slowly(sock)).partition(b"\r\n\r\n")
+            self.assertEqual(size, len(body))
+
+        self.with_platform(scenario, routers=("a-1",))
+
+
 async def probe_times_out(engines, upstream):
     raise EngineUnavailable("no answer", is_timeout=True)
 
