Show that a restored store keeps configurations out of force

Cause: a replica of a table takes a version that it has seen for ever valid. A store that comes back from a copy gives versions out again; until its counter has passed the old one, each listing is refused as "an older state", and afterwards rows with smaller versions stay ignored. Change: the stand-in store comes back from a copy of any version (later writes gone, versions given out again, 410 for a version that it does not have, `Store-Era` one higher).

--- a/lynxchute/platform/names.py
+++ b/lynxchute/platform/names.py
@@ -50,6 +50,8 @@
 ROWS_WRITE = "/lynxchute/rows-tx"
 ROWS_READ = "/lynxchute/rows-get"
 ROWS_FEED = "/lynxchute/rows-feed"
+# Counts how often the store has come back from a copy, in all its answers.
+STORE_ERA = "Store-Era"
 
 # Table that the operator writes, and the key of its row with the newest configuration.
 OPERATOR_TABLE = "op"
--- a/lynxchute/standins/platform_store.py
+++ b/lynxchute/standins/platform_store.py
@@ -19,6 +19,7 @@
     ROWS_FEED,
     ROWS_READ,
     ROWS_WRITE,
+    STORE_ERA,
     UPSTREAM_TABLE,
 )
 
@@ -105,6 +106,8 @@
         The faults at each address, by its port.
     calls
         The number of requests so far.
+    era
+        How often it has come back from a copy; sent with each answer unless None.
     """
 
     def __init__(self, *, seed: int = 1, spans_parts: bool = True) -> None:
@@ -112,8 +115,11 @@
         self.rows: dict[RowKey, StoredRow] = {}
         self.version = 0
         self.calls = 0
+        self.era: int | None = 1
         self.faults_by_port: dict[int, StoreFaults] = {}
         self._history: list[StoredRow] = []
+        # Unlike the history, never discarded: copies of earlier versions come from it.
+        self._log: list[StoredRow] = []
         self._discarded_until = 0
         self._random = random.Random(seed)
         self._changed = asyncio.Condition()
@@ -164,6 +170,36 @@
         self._discarded_until = self.version
         self._history = []
 
+    async def restore_copy(
+        self, version: int, *, rewrites_outer_rows: bool = True
+    ) -> None:
+        """Come back from a copy: later writes are gone, and their versions are reused.
+
+        Parameters
+        ----------
+        version
+            The last version that the copy has.
+        rewrites_outer_rows
+            Whether the operator and the upstreams write their lost changes again.
+        """
+        lost = [row for row in self._log if row.version > version]
+        self._log = [row for row in self._log if row.version <= version]
+        self._history = [row for row in self._history if row.version <= version]
+        self._discarded_until = min(self._discarded_until, version)
+        self.version = version
+        self.rows = {}
+        for row in self._log:
+            if row.value is None:
+                self.rows.pop(row.key, None)
+            else:
+                self.rows[row.key] = row
+        if self.era is not None:
+            self.era += 1
+        if rewrites_outer_rows:
+            for row in lost:
+                if row.key[0] in READ_ONLY_TABLES:
+                    await self._apply({row.key: row.value})
+
     async def _handle(
         self, faults: StoreFaults, request: Request, respond: Responder
     ) -> None:
@@ -175,7 +211,7 @@
             return
         if faults.outage is not Outage.NONE:
             status = 503 if faults.outage is Outage.BUSY else 429
-            await respond.json(status, {"error": faults.outage.value})
+            await self._send(respond, status, {"error": faults.outage.value})
             return
         if faults.delay:
             await asyncio.sleep(faults.delay)
@@ -195,14 +231,14 @@
         puts, deletes = body.get("puts") or [], body.get("deletes") or []
         expected = body.get("expected_revision") or []
         if len(puts) + len(deletes) + len(expected) > MAX_ENTRIES:
-            await respond.json(400, {"error": "too many entries"})
+            await self._send(respond, 400, {"error": "too many entries"})
             return
         entries = [*puts, *deletes, *expected]
         if not self.spans_parts and len({item.get("part", "") for item in entries}) > 1:
-            await respond.json(400, {"error": "several parts"})
+            await self._send(respond, 400, {"error": "several parts"})
             return
         if any(item["table"] in READ_ONLY_TABLES for item in [*puts, *deletes]):
-            await respond.json(403, {"error": "not yours"})
+            await self._send(respond, 403, {"error": "not yours"})
             return
         if self._random.random() < faults.late_share:
             task = asyncio.create_task(self._write_late(body, faults.late_seconds))
@@ -214,7 +250,7 @@
         if self._random.random() < faults.lost_share:
             respond.abort()
             return
-        await respond.json(status, answer)
+        await self._send(respond, status, answer)
 
     async def _write_late(self, body: dict[str, Any], seconds: float) -> None:
         await asyncio.sleep(seconds)
@@ -251,7 +287,7 @@
                 continue
             matching.append(self.rows[key].to_json())
         answer = {"rows": matching[:limit], "has_more": len(matching) > limit}
-        await respond.json(200, {**answer, **self._version_fields()})
+        await self._send(respond, 200, {**answer, **self._version_fields()})
 
     async def _feed(
         self, faults: StoreFaults, request: Request, respond: Responder
@@ -263,20 +299,29 @@
             async with asyncio.timeout(wait), self._changed:
                 await self._changed.wait_for(
                     lambda: (
-                        after < self._discarded_until
+                        self._lacks_history(after)
                         or bool(self._changes_after(params["table"], after))
                     )
                 )
         except TimeoutError:
             # No changes within the wait: the answer is an empty list.
             pass
-        if after < self._discarded_until:
-            await respond.json(410, {"error": "the history is gone"})
+        if self._lacks_history(after):
+            await self._send(respond, 410, {"error": "the history is gone"})
             return
         rows = [row.to_json() for row in self._changes_after(params["table"], after)]
         if faults.hides_changes:
             rows = []
-        await respond.json(200, {"rows": rows, **self._version_fields()})
+        await self._send(respond, 200, {"rows": rows, **self._version_fields()})
+
+    def _lacks_history(self, after: int) -> bool:
+        return after < self._discarded_until or after > self.version
+
+    async def _send(
+        self, respond: Responder, status: int, answer: dict[str, Any]
+    ) -> None:
+        headers = [] if self.era is None else [(STORE_ERA, str(self.era))]
+        await respond.json(status, answer, headers)
 
     def _changes_after(self, table: str, after: int) -> list[StoredRow]:
         return [
@@ -288,6 +333,7 @@
         for key, value in changes.items():
             row = StoredRow(key, value, self.version)
             self._history.append(row)
+            self._log.append(row)
             if value is None:
                 self.rows.pop(key, None)
             else:
--- /dev/null
+++ b/tests/test_store_era.py
@@ -0,0 +1,166 @@
+"""The store comes back from a copy that lacks its last writes."""
+
+import asyncio
+
+from lynxchute.platform import names
+from lynxchute.standins.platform_store import Outage
+from tests.platform_support import (
+    PlatformCaller,
+    PlatformTestCase,
+    configuration,
+    route,
+)
+from tests.support import until
+
+# Seconds within which an acknowledged configuration must be in force.
+CONFIGURATION_BOUND = 2.0
+# Other writes between the copy and the restore; they are all lost.
+LOST_WRITES = 200
+# Seconds in which owners of rows write again what the copy lacks.
+REWRITE_SECONDS = 2.0
+
+
+async def write_rows(deployment, count=LOST_WRITES):
+    """Advance the store's version by writes that no router follows."""
+    for number in range(count):
+        await deployment.store.put("other", "row", str(number).encode())
+
+
+def newest(router):
+    return router.configurations.current.version
+
+
+def configuration_with(name, version):
+    """Return a configuration that adds a public route."""
+    added = route(name, f"/{name}/", "app", "safe", public=True)
+    routes = [*configuration()["routes"], added]
+    return {"version": version, "routes": routes}
+
+
+class ConfigurationTest(PlatformTestCase):
+    def test_configuration_acknowledged_after_a_restore_comes_into_force(self):
+        async def scenario(deployment):
+            router = deployment.routers["a-1"]
+            copy = deployment.store.version
+            await write_rows(deployment)
+            await deployment.configure(version=2)
+            await until(lambda: newest(router) == 2)
+            await deployment.store.restore_copy(copy)
+            await deployment.configure(**configuration_with("added", 3))
+            await until(lambda: newest(router) == 3, CONFIGURATION_BOUND)
+            status, _, _ = await PlatformCaller(deployment).send("GET", "/added/x")
+            self.assertEqual(200, status)
+
+        self.with_platform(scenario, routers=("a-1",))
+
+    def test_configuration_never_goes_back_to_that_of_the_copy(self):
+        async def scenario(deployment):
+            router = deployment.routers["a-1"]
+            copy = deployment.store.version
+            await deployment.configure(**configuration_with("added", 2))
+            await until(lambda: newest(router) == 2)
+            store = deployment.store
+            await store.restore_copy(copy, rewrites_outer_rows=False)
+            await until(lambda: router.configurations.feed.rows_by_key)
+            for _ in range(10):
+                status, _, _ = await PlatformCaller(deployment).send("GET", "/added/x")
+                self.assertEqual(200, status)
+                await asyncio.sleep(0.05)
+            self.assertEqual(2, newest(router))
+
+        self.with_platform(scenario, routers=("a-1",))
+
+    def test_router_behind_a_relay_follows_a_restored_store(self):
+        async def scenario(deployment):
+            router = deployment.routers["b-1"]
+            copy = deployment.store.version
+            await write_rows(deployment)
+            await deployment.configure(version=2)
+            await until(lambda: newest(router) == 2)
+            deployment.faults("b-1").outage = Outage.RESET
+            await until(lambda: router.platform.store._is_cut_off)
+            await deployment.store.restore_copy(copy)
+            await deployment.configure(version=3)
+            await until(lambda: newest(router) == 3, CONFIGURATION_BOUND)
+
+        self.with_platform(scenario)
+
+
+class UpstreamsTest(PlatformTestCase):
+    def test_leaving_upstream_of_the_copy_gets_no_new_work(self):
+        async def scenario(deployment):
+            router = deployment.routers["a-1"]
+            leaving = deployment.engines[0]
+            copy = deployment.store.version
+            leaving.state = "draining"
+            await leaving.register(deployment.store)
+            entry = router.directory.entries_by_id[leaving.id]
+            await until(lambda: entry.is_leaving)
+            await write_rows(deployment)
+            await deployment.store.restore_copy(copy, rewrites_outer_rows=False)
+            await deployment.configure(version=2)
+            await until(lambda: newest(router) == 2)
+            for _ in range(10):
+                await PlatformCaller(deployment).stream()
+                await asyncio.sleep(0.05)
+            self.assertEqual([], leaving.runs)
+
+        self.with_platform(scenario, routers=("a-1",))
+
+    def test_removed_upstream_of_the_copy_gets_no_new_work(self):
+        async def scenario(deployment):
+            router = deployment.routers["a-1"]
+            gone = deployment.engines[0]
+            copy = deployment.store.version
+            await deployment.store.drop(names.UPSTREAM_TABLE, gone.id)
+            await until(lambda: router.directory.entries_by_id[gone.id].removed_at)
+            await write_rows(deployment)
+            await deployment.store.restore_copy(copy, rewrites_outer_rows=False)
+            await deployment.configure(version=2)
+            await until(lambda: newest(router) == 2)
+            for _ in range(10):
+                await PlatformCaller(deployment).stream()
+                await asyncio.sleep(0.05)
+            self.assertEqual([], gone.runs)
+
+        self.with_platform(scenario, routers=("a-1",))
+
+
+class EvacuationTest(PlatformTestCase):
+    def test_evacuation_missing_in_the_copy_stays_in_force_until_it_is_rewritten(self):
+        async def scenario(deployment):
+            router, store = deployment.routers["a-1"], deployment.store
+            key = f"{names.EVACUATION_PREFIX}b"
+            copy = store.version
+            await store.put(names.OPERATOR_TABLE, key, b"{}")
+            await until(lambda: router.evacuations.is_evacuated("b"))
+            ended = []
+            router.evacuations.listeners.append(ended.append)
+            await write_rows(deployment)
+            await store.restore_copy(copy, rewrites_outer_rows=False)
+            await deployment.configure(version=2)
+            await until(lambda: newest(router) == 2)
+            await store.put(names.OPERATOR_TABLE, key, b"{}")
+            await asyncio.sleep(REWRITE_SECONDS + 1.0)
+            self.assertEqual(([], True), (ended, router.evacuations.is_evacuated("b")))
+
+        self.with_platform(scenario, routers=("a-1",))
+
+    def test_revoked_evacuation_of_the_copy_does_not_come_back(self):
+        async def scenario(deployment):
+            router, store = deployment.routers["a-1"], deployment.store
+            key = f"{names.EVACUATION_PREFIX}b"
+            await store.put(names.OPERATOR_TABLE, key, b"{}")
+            await until(lambda: router.evacuations.is_evacuated("b"))
+            copy = store.version
+            await store.drop(names.OPERATOR_TABLE, key)
+            await until(lambda: not router.evacuations.is_evacuated("b"))
+            begun = []
+            router.evacuations.listeners.append(begun.append)
+            await write_rows(deployment)
+            await store.restore_copy(copy, rewrites_outer_rows=False)
+            await deployment.configure(version=2)
+            await until(lambda: newest(router) == 2)
+            self.assertEqual([], begun)
+
+        self.with_platform(scenario, routers=("a-1",))
