Tell the versions of a restored store from those that it gave out before

What callers saw: 7.3 s after a drill a key that had been revoked was still accepted, a route that had been added got 404; four acknowledged configurations were never in force. Cause: the store came back from a copy and gave versions out again. Replicas compare versions by number: they refused its listings as older until the counter had passed the old one, and rows with smaller versions for ever. An empty answer for a version that the counter had passed meanwhile even confirmed the old state. Class: an acknowledgement of the store that is taken for valid for ever. Change: a version combines the store's era (`Store-Era`) with its number, in one place (store/era.py), so every comparison stays as it is and orders eras first. The adapter reads the header; answers of an earlier era are no news; a write that expects a version of an earlier era conflicts unsent, and one that met a restore unseen has an unknown outcome. A replica lists its table again in a new era, keeps rows that the copy lacks for the two seconds in which their owners write again, and does not take back what it knows as deleted. Messages between routers carry the era beside the numbers; builds that know none go on as before. Ruled out: comparing configurations by their own version alone, since upstreams, evacuations, routers and budgets take the same acknowledgements for granted.

--- a/lynxchute/fleet/relayed_store.py
+++ b/lynxchute/fleet/relayed_store.py
@@ -33,6 +33,7 @@
     StoreUnavailable,
     Write,
 )
+from lynxchute.store.era import era_of, join_version, number_of
 from lynxchute.telemetry import log_event
 
 ResultT = TypeVar("ResultT")
@@ -78,6 +79,7 @@
         clock: Callable[[], float] = steady_seconds,
     ) -> None:
         self.clock = direct.clock
+        self.era = direct.era
         self._direct = direct
         self._members = members
         self._peers = peers
@@ -105,12 +107,13 @@
                 raise
             except StoreUnavailable:
                 self._record_direct_failure()
-        reply = await self._call_relays(StoreWriteRequest.of(write))
+        reply, era = await self._call_relays(StoreWriteRequest.of(write))
         if reply.end is StoreStatus.DONE:
-            return Committed(reply.version)
+            return Committed(join_version(era, reply.version))
         rows_by_id: dict[RowId, Row | None] = {item.id: None for item in write.expected}
-        for row in reply.rows:
-            rows_by_id[row.decoded().id] = row.decoded()
+        for wire_row in reply.rows:
+            row = wire_row.decoded(era)
+            rows_by_id[row.id] = row
         return Conflict(rows_by_id)
 
     async def scan(self, table: str, *, part: str = "") -> Snapshot:
@@ -120,8 +123,9 @@
                 return await self._call_directly(self._direct.scan(table, part=part))
             except StoreUnavailable:
                 self._record_direct_failure()
-        reply = await self._call_relays(StoreScanRequest(table, part))
-        return Snapshot(tuple(row.decoded() for row in reply.rows), reply.version)
+        reply, era = await self._call_relays(StoreScanRequest(table, part))
+        rows = tuple(row.decoded(era) for row in reply.rows)
+        return Snapshot(rows, join_version(era, reply.version))
 
     async def changes(self, table: str, *, after: int, wait: float) -> Changes:
         """Return the changes of a table after a version."""
@@ -133,12 +137,14 @@
                 )
             except StoreUnavailable:
                 self._record_direct_failure()
-        reply = await self._call_relays(StoreChangesRequest(table, after))
-        if reply.end is StoreStatus.HISTORY_LOST:
+        message = StoreChangesRequest(table, number_of(after), era_of(after))
+        reply, era = await self._call_relays(message)
+        if reply.end is StoreStatus.HISTORY_LOST or era > era_of(after):
             raise HistoryLost
         if not reply.rows:
             await asyncio.sleep(min(wait, RELAYED_POLL_SECONDS))
-        return Changes(tuple(row.decoded() for row in reply.rows), reply.version)
+        rows = tuple(row.decoded(era) for row in reply.rows)
+        return Changes(rows, join_version(era, reply.version))
 
     def move(self, address: str) -> None:
         """Use a new address for the same store."""
@@ -180,8 +186,10 @@
 
     # Calls through relays.
 
-    async def _call_relays(self, message: Message[StoreReply]) -> StoreReply:
-        """Return the reply of the first relay that reaches the store.
+    async def _call_relays(
+        self, message: Message[StoreReply]
+    ) -> tuple[StoreReply, int]:
+        """Return the reply of the first relay that reaches the store, and its era.
 
         Raises
         ------
@@ -206,8 +214,16 @@
                 raise OutcomeUnknown(f"relayed through {vm}")
             if reply.end is StoreStatus.UNAVAILABLE:
                 continue
+            era = self.era.current if reply.era is None else reply.era
+            if not self.era.observe(era):
+                # The relay has not heard yet that the store came back from a copy.
+                if reply.end is StoreStatus.DONE and isinstance(
+                    message, StoreWriteRequest
+                ):
+                    raise OutcomeUnknown(f"relayed through {vm} in an earlier era")
+                continue
             self._record_relay(vm, reply, asked_at)
-            return reply
+            return reply, era
         self._relay_vm = ""
         self._relays_retry_at = self._now() + RELAYS_RETRY_SECONDS
         raise StoreUnavailable("no router that was tried reaches the store")
@@ -243,7 +259,8 @@
             return StoreReply(StoreStatus.UNAVAILABLE)
         try:
             async with asyncio.timeout(RELAYED_CALL_TIMEOUT):
-                outcome = await self._direct.write(request.decoded())
+                write = request.decoded(self.era.current)
+                outcome = await self._direct.write(write)
         except StoreUnavailable:
             return StoreReply(StoreStatus.UNAVAILABLE)
         except (OutcomeUnknown, TimeoutError):
@@ -251,10 +268,14 @@
         told_ms = self.clock.last_reported_ms
         if isinstance(outcome, Committed):
             return StoreReply(
-                StoreStatus.DONE, version=outcome.version, told_ms=told_ms
+                StoreStatus.DONE,
+                version=number_of(outcome.version),
+                told_ms=told_ms,
+                era=era_of(outcome.version),
             )
         rows = wire_rows(outcome.rows_by_id.values())
-        return StoreReply(StoreStatus.CONFLICT, rows, told_ms=told_ms)
+        era = _era_of_rows(outcome, self.era.current)
+        return StoreReply(StoreStatus.CONFLICT, rows, told_ms=told_ms, era=era)
 
     async def _handle_scan(self, request: StoreScanRequest) -> StoreReply:
         return await self._read_rows(
@@ -262,8 +283,10 @@
         )
 
     async def _handle_changes(self, request: StoreChangesRequest) -> StoreReply:
+        era = self.era.current if request.era is None else request.era
+        after = join_version(era, request.after)
         return await self._read_rows(
-            lambda: self._direct.changes(request.table, after=request.after, wait=0.0)
+            lambda: self._direct.changes(request.table, after=after, wait=0.0)
         )
 
     async def _read_rows(
@@ -277,10 +300,17 @@
         except (StoreUnavailable, TimeoutError):
             return StoreReply(StoreStatus.UNAVAILABLE)
         except HistoryLost:
-            return StoreReply(StoreStatus.HISTORY_LOST)
+            return StoreReply(StoreStatus.HISTORY_LOST, era=self.era.current)
         return StoreReply(
             StoreStatus.DONE,
             wire_rows(found.rows),
-            found.version,
+            number_of(found.version),
             self.clock.last_reported_ms,
+            era_of(found.version),
         )
+
+
+def _era_of_rows(conflict: Conflict, known: int) -> int:
+    """Return the era of a conflict's rows, or the known one if it has none."""
+    versions = [row.version for row in conflict.rows_by_id.values() if row is not None]
+    return era_of(max(versions)) if versions else known
--- a/lynxchute/fleet/store_messages.py
+++ b/lynxchute/fleet/store_messages.py
@@ -10,6 +10,7 @@
 
 from lynxchute.fleet.message import Message
 from lynxchute.store import Expected, Put, Row, RowId, Write
+from lynxchute.store.era import era_of, join_version, number_of
 
 
 class StoreStatus(enum.Enum):
@@ -56,7 +57,13 @@
 
 @attrs.frozen
 class WireRow:
-    """A row in a message; its value is in base64."""
+    """A row in a message; its value is in base64.
+
+    Attributes
+    ----------
+    version
+        The number of the version; its era is that of the message.
+    """
 
     id: WireId
     value: str
@@ -66,12 +73,14 @@
     @classmethod
     def of(cls, row: Row) -> WireRow:
         """Encode a row."""
-        return cls(WireId.of(row.id), _base64(row.value), row.version, row.deleted)
+        number = number_of(row.version)
+        return cls(WireId.of(row.id), _base64(row.value), number, row.deleted)
 
-    def decoded(self) -> Row:
+    def decoded(self, era: int) -> Row:
         """Return the row with its value decoded."""
         value = base64.b64decode(self.value)
-        return Row(self.id.decoded(), value, self.version, self.deleted)
+        version = join_version(era, self.version)
+        return Row(self.id.decoded(), value, version, self.deleted)
 
 
 @attrs.frozen
@@ -85,7 +94,9 @@
     rows
         The rows read, or the current rows after a conflict.
     version
-        The version of the rows written, or the version up to which rows were read.
+        The number of the version of the rows written, or up to which rows were read.
+    era
+        The era of all versions; None from a router that knows none.
     told_ms
         The store's time that it last reported to the relaying router, in milliseconds
         on its clock; 0 if unknown.
@@ -95,6 +106,7 @@
     rows: tuple[WireRow, ...] = ()
     version: int = 0
     told_ms: int = 0
+    era: int | None = None
 
 
 @attrs.frozen
@@ -109,6 +121,8 @@
         Row ids and new values, in base64.
     deletes
         Ids of the rows to delete.
+    era
+        The earliest era of the expected versions; None from a router that knows none.
     """
 
     NAME = "store-write"
@@ -117,20 +131,36 @@
     expected: tuple[tuple[WireId, int], ...]
     puts: tuple[tuple[WireId, str], ...]
     deletes: tuple[WireId, ...]
+    era: int | None = None
 
     @classmethod
     def of(cls, write: Write) -> StoreWriteRequest:
         """Encode a write."""
+        expected = []
+        for item in write.expected:
+            expected.append((WireId.of(item.id), number_of(item.version)))
+        eras = [era_of(item.version) for item in write.expected if item.version]
         return cls(
-            tuple((WireId.of(item.id), item.version) for item in write.expected),
+            tuple(expected),
             tuple((WireId.of(put.id), _base64(put.value)) for put in write.puts),
             tuple(WireId.of(row_id) for row_id in write.deletes),
+            min(eras, default=None),
         )
 
-    def decoded(self) -> Write:
-        """Return the write with its values decoded."""
+    def decoded(self, era: int = 0) -> Write:
+        """Return the write with its values decoded.
+
+        Parameters
+        ----------
+        era
+            The era of the expected versions, unless the message names it.
+        """
+        era = era if self.era is None else self.era
+        expected = []
+        for row_id, number in self.expected:
+            expected.append(Expected(row_id.decoded(), join_version(era, number)))
         return Write(
-            tuple(Expected(row_id.decoded(), v) for row_id, v in self.expected),
+            tuple(expected),
             tuple(
                 Put(row_id.decoded(), base64.b64decode(value))
                 for row_id, value in self.puts
@@ -152,13 +182,22 @@
 
 @attrs.frozen
 class StoreChangesRequest(Message[StoreReply]):
-    """Relay a request for changes of a table after a version, without long-polling."""
+    """Relay a request for changes of a table after a version, without long-polling.
+
+    Attributes
+    ----------
+    after
+        The number of the version.
+    era
+        The era of the version; None from a router that knows none.
+    """
 
     NAME = "store-changes"
     REPLY = StoreReply
 
     table: str
     after: int
+    era: int | None = None
 
 
 def wire_rows(rows: Iterable[Row | None]) -> tuple[WireRow, ...]:
--- a/lynxchute/platform/store.py
+++ b/lynxchute/platform/store.py
@@ -7,8 +7,9 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from lynxchute.http import ExchangeError, HttpClient, Timeouts
-from lynxchute.platform.names import ROWS_FEED, ROWS_READ, ROWS_WRITE
+from lynxchute.http import ExchangeError, HttpClient, Response, Timeouts
+from lynxchute.http.json_text import encode_json
+from lynxchute.platform.names import ROWS_FEED, ROWS_READ, ROWS_WRITE, STORE_ERA
 from lynxchute.store import (
     Changes,
     Committed,
@@ -25,6 +26,7 @@
     StoreUnavailable,
     Write,
 )
+from lynxchute.store.era import era_of, join_version, number_of
 
 # Seconds. The store normally answers in 4 ms; a store that is sixty times slower takes
 # 240 ms.
@@ -33,6 +35,7 @@
 # Maximum rows per response; the store enforces the same limit.
 PAGE_ROWS = 500
 MAX_CONNECTIONS = 8
+EARLIER_ERA = "the answer is older than the copy that the store came back from"
 
 
 class PlatformStore(Store):
@@ -49,43 +52,87 @@
         self._client = HttpClient(address, max_connections=MAX_CONNECTIONS)
 
     async def write(self, write: Write) -> Outcome:
-        """Apply a conditional write and return whether it was committed."""
+        """Apply a conditional write and return whether it was committed.
+
+        A version of an earlier era may have been given out again, so a write that
+        expects one conflicts without being sent.
+        """
+        planned_era = self.era.current
+        if any(_is_earlier(item.version, planned_era) for item in write.expected):
+            return await self._read_conflict(write)
         body = _encode_write(write)
         asked_at = asyncio.get_running_loop().time()
         try:
-            status, answer = await self._client.post_json(
-                ROWS_WRITE, body, timeouts=_timeouts(0.0)
+            response = await self._client.request(
+                "POST",
+                ROWS_WRITE,
+                headers=[("Content-Type", "application/json")],
+                body=encode_json(body),
+                timeouts=_timeouts(0.0),
             )
+            answer = await response.json()
         except ExchangeError as error:
             if error.sent:
                 raise OutcomeUnknown(
                     str(error), is_unresponsive=error.is_timeout
                 ) from error
             raise StoreUnavailable(str(error)) from error
-        if status in (429, 503):
-            raise StoreUnavailable(f"the store answered {status}")
+        return self._outcome(write, response, answer, asked_at, planned_era)
+
+    def _outcome(
+        self,
+        write: Write,
+        response: Response,
+        answer: Any,
+        asked_at: float,
+        planned_era: int,
+    ) -> Outcome:
+        """Return the outcome of a write that was sent.
+
+        Parameters
+        ----------
+        asked_at
+            When it was sent, in seconds on the clock of the event loop.
+        planned_era
+            The newest known era at that time.
+        """
+        status = response.status
+        era = _era(response, self.era.current)
+        is_newest = self.era.observe(era)
+        if status in (429, 503) or (status == 412 and not is_newest):
+            raise StoreUnavailable(f"the store answered {status} in era {era}")
+        if not is_newest:
+            raise OutcomeUnknown(EARLIER_ERA)
         self._record_time(answer, asked_at)
-        if status == 200:
-            return Committed(int(answer["ver"]))
         if status == 412:
-            return _decode_conflict(write, answer)
+            return _decode_conflict(write, answer, era)
         if 400 <= status < 500:
             raise StoreRefused(f"the store answered {status}: {answer}")
-        raise OutcomeUnknown(f"the store answered {status}")
+        if status != 200:
+            raise OutcomeUnknown(f"the store answered {status}")
+        if era > planned_era and any(item.version for item in write.expected):
+            # The expected versions may have been given out again for other values.
+            raise OutcomeUnknown("the store came back from a copy meanwhile")
+        return Committed(join_version(era, int(answer["ver"])))
 
     async def scan(self, table: str, *, part: str = "") -> Snapshot:
         """Read all rows of a table, or of one of its partitions, in pages."""
         rows: list[Row] = []
         version: int | None = None
+        first_era: int | None = None
         start_key = ""
         while True:
             query = {"table": table, "part": part, "limit": PAGE_ROWS}
             if start_key:
                 query["from"] = start_key
-            answer = await self._get(ROWS_READ, query, wait=0.0)
-            page = _decode_rows(answer, table)
+            answer, era = await self._get(ROWS_READ, query, wait=0.0)
+            first_era = era if first_era is None else first_era
+            if era != first_era:
+                raise StoreUnavailable("the store came back from a copy meanwhile")
+            page = _decode_rows(answer, table, era)
             rows.extend(page)
-            version = int(answer["ver"]) if version is None else version
+            if version is None:
+                version = join_version(era, int(answer["ver"]))
             if not answer.get("has_more") or not page:
                 return Snapshot(tuple(rows), version)
             # The smallest key that sorts after the last one received.
@@ -93,13 +140,18 @@
 
     async def changes(self, table: str, *, after: int, wait: float) -> Changes:
         """Long-poll for changes to a table after a version, at most `wait` seconds."""
+        if _is_earlier(after, self.era.current):
+            raise HistoryLost
         query = {
             "table": table,
-            "after_revision": after,
+            "after_revision": number_of(after),
             "wait_ms": int(wait * 1000),
         }
-        answer = await self._get(ROWS_FEED, query, wait=wait)
-        return Changes(tuple(_decode_rows(answer, table)), int(answer["ver"]))
+        answer, era = await self._get(ROWS_FEED, query, wait=wait)
+        if _is_earlier(after, era):
+            raise HistoryLost
+        rows = tuple(_decode_rows(answer, table, era))
+        return Changes(rows, join_version(era, int(answer["ver"])))
 
     def move(self, address: str) -> None:
         """Reconnect to the same store at another address."""
@@ -110,16 +162,36 @@
         """Close the idle connections."""
         self._client.close()
 
+    async def _read_conflict(self, write: Write) -> Conflict:
+        """Return the current rows of a write's preconditions."""
+        rows_by_id: dict[RowId, Row | None] = {}
+        for item in write.expected:
+            query = {
+                "table": item.id.table,
+                "part": item.id.part,
+                "from": item.id.key,
+                "to": item.id.key + "\0",
+            }
+            answer, era = await self._get(ROWS_READ, query, wait=0.0)
+            rows = _decode_rows(answer, item.id.table, era)
+            rows_by_id[item.id] = rows[0] if rows else None
+        return Conflict(rows_by_id)
+
     async def _get(
         self, path: str, query: dict[str, Any], *, wait: float
-    ) -> dict[str, Any]:
+    ) -> tuple[dict[str, Any], int]:
+        """Return the body of an answer, and the era of the store that gave it."""
         asked_at = asyncio.get_running_loop().time()
         try:
-            status, answer = await self._client.get_json(
-                f"{path}?{urlencode(query)}", timeouts=_timeouts(wait)
+            response = await self._client.request(
+                "GET", f"{path}?{urlencode(query)}", timeouts=_timeouts(wait)
             )
+            status, answer = response.status, await response.json()
         except ExchangeError as error:
             raise StoreUnavailable(str(error)) from error
+        era = _era(response, self.era.current)
+        if not self.era.observe(era):
+            raise StoreUnavailable(EARLIER_ERA)
         if status == 410:
             raise HistoryLost
         if status in (429, 503):
@@ -127,7 +199,7 @@
         if status != 200 or not isinstance(answer, dict):
             raise StoreRefused(f"the store answered {status}: {answer}")
         self._record_time(answer, asked_at)
-        return answer
+        return answer, era
 
     def _record_time(self, answer: Any, asked_at: float) -> None:
         if isinstance(answer, dict) and "now_ms" in answer:
@@ -136,6 +208,17 @@
             self.clock.observe(told_ms=now_ms, now=now, asked_at=asked_at)
 
 
+def _era(response: Response, known: int) -> int:
+    """Return the era that an answer names, or the known one if it names none."""
+    value = response.headers.get(STORE_ERA.lower(), "")
+    return int(value) if value.isascii() and value.isdigit() else known
+
+
+def _is_earlier(version: int, era: int) -> bool:
+    """Return whether a version was given out before an era."""
+    return version != 0 and era_of(version) < era
+
+
 def _timeouts(wait: float) -> Timeouts:
     limit = wait + ANSWER_TIMEOUT
     return Timeouts(connect=CONNECT_TIMEOUT, first_byte=limit, between_bytes=limit)
@@ -144,7 +227,7 @@
 def _encode_write(write: Write) -> dict[str, Any]:
     expected = []
     for item in write.expected:
-        expected.append({**_encode_id(item.id), "ver": item.version})
+        expected.append({**_encode_id(item.id), "ver": number_of(item.version)})
     puts = []
     for put in write.puts:
         value = base64.b64encode(put.value).decode("ascii")
@@ -157,20 +240,21 @@
     return {"table": row_id.table, "part": row_id.part, "key": row_id.key}
 
 
-def _decode_conflict(write: Write, answer: dict[str, Any]) -> Conflict:
+def _decode_conflict(write: Write, answer: dict[str, Any], era: int) -> Conflict:
     rows_by_id: dict[RowId, Row | None] = {item.id: None for item in write.expected}
-    for row in _decode_rows(answer, ""):
+    for row in _decode_rows(answer, "", era):
         if not row.deleted:
             rows_by_id[row.id] = row
     return Conflict(rows_by_id)
 
 
-def _decode_rows(answer: dict[str, Any], table: str) -> list[Row]:
+def _decode_rows(answer: dict[str, Any], table: str, era: int) -> list[Row]:
     rows = []
     for item in answer.get("rows", ()):
         row_id = RowId(item.get("table", table), item["key"], item.get("part", ""))
         value = base64.b64decode(item.get("value") or "")
         # The store reports a missing row with version 0.
         deleted = bool(item.get("deleted")) or not item.get("ver")
-        rows.append(Row(row_id, value, int(item.get("ver", 0)), deleted))
+        version = join_version(era, int(item.get("ver", 0)))
+        rows.append(Row(row_id, value, version, deleted))
     return rows
--- a/lynxchute/standins/platform_store.py
+++ b/lynxchute/standins/platform_store.py
@@ -115,7 +115,7 @@
         self.rows: dict[RowKey, StoredRow] = {}
         self.version = 0
         self.calls = 0
-        self.era: int | None = 1
+        self.era: int | None = 0
         self.faults_by_port: dict[int, StoreFaults] = {}
         self._history: list[StoredRow] = []
         # Unlike the history, never discarded: copies of earlier versions come from it.
--- a/lynxchute/store/counted.py
+++ b/lynxchute/store/counted.py
@@ -42,6 +42,7 @@
 
     def __init__(self, store: Store, calls: Counter, seconds: Histogram) -> None:
         self.clock = store.clock
+        self.era = store.era
         self._store = store
         self._calls = calls
         self._seconds = seconds
--- a/lynxchute/store/feed.py
+++ b/lynxchute/store/feed.py
@@ -10,6 +10,7 @@
 
 from lynxchute.application import BackgroundTask
 from lynxchute.clock import steady_seconds
+from lynxchute.store.era import era_of, number_of
 from lynxchute.store.rows import Changes, Row
 from lynxchute.store.store import HistoryLost, Store, StoreUnavailable
 
@@ -19,6 +20,9 @@
 # take six seconds, and the newest one alone takes a tenth of a second. After a shorter
 # outage few changes were missed, and a listing would fill such a link.
 MISSED_SECONDS = 3.0
+# Seconds in which the owners of rows write again what a store lacks that has come back
+# from a copy. Until then, a row that is missing does not count as deleted.
+REWRITE_SECONDS = 2.0
 
 
 @attrs.frozen
@@ -45,8 +49,9 @@
 class TableFeed(BackgroundTask):
     """Replicate a table of the store and follow its changes.
 
-    The version of a row never decreases, whatever order answers arrive in. Times are
-    seconds on the monotonic clock.
+    The version of a row never decreases, whatever order answers arrive in. When the
+    store comes back from a copy, its rows replace the known ones, apart from rows that
+    have been deleted since. Times are seconds on the monotonic clock.
 
     Parameters
     ----------
@@ -111,6 +116,10 @@
         self._on_batch = on_batch
         self._clock = clock
         self._is_listed = False
+        # The last live row of each deleted key, to recognise it in a copy.
+        self._live_row_by_deleted_key: dict[str, Row] = {}
+        # When rows that an era's first listing lacked count as deleted; None if none.
+        self._rewritten_at: float | None = None
         self._refreshing: asyncio.Task[bool] | None = None
 
     def seconds_since_answer(self, now: float) -> float:
@@ -173,10 +182,30 @@
             known = self.rows_by_key.get(row.id.key)
             if known is not None and known.version >= row.version:
                 continue
-            self.rows_by_key[row.id.key] = row
+            if self._is_deleted_since(row):
+                continue
+            self._replace(row)
             changed.append(row)
         self._notify(changed)
 
+    def _replace(self, row: Row) -> None:
+        """Put a row into the replica."""
+        key = row.id.key
+        known = self.rows_by_key.get(key)
+        if not row.deleted:
+            self._live_row_by_deleted_key.pop(key, None)
+        elif known is not None and not known.deleted:
+            self._live_row_by_deleted_key[key] = known
+        self.rows_by_key[key] = row
+
+    def _is_deleted_since(self, row: Row) -> bool:
+        """Return whether a row of a copy is one that is known to have been deleted."""
+        before = self._live_row_by_deleted_key.get(row.id.key)
+        if before is None or era_of(row.version) <= era_of(before.version):
+            return False
+        is_same = number_of(row.version) == number_of(before.version)
+        return is_same and row.value == before.value
+
     def live_rows(self) -> list[Row]:
         """Return the rows that are not deleted."""
         return [row for row in self.rows_by_key.values() if not row.deleted]
@@ -210,11 +239,15 @@
             and self._clock() - self.unavailable_since > MISSED_SECONDS
         ):
             self._is_listed = False
+        if self._rewritten_at is not None and self._clock() >= self._rewritten_at:
+            self._is_listed = False
         if not self._is_listed:
             await self._list()
         # After an outage, do not long-poll: the answer shows at once that the store is
         # back.
         wait = self._times.wait if self.unavailable_since is None else 0.0
+        if self._rewritten_at is not None:
+            wait = min(wait, max(self._rewritten_at - self._clock(), 0.0))
         changes = await self._fetch_changes(wait)
         if self._times.pause and changes.rows:
             await asyncio.sleep(self._times.pause)
@@ -240,8 +273,14 @@
         snapshot = await self._store.scan(self.table)
         self._record_answer()
         if snapshot.version < self.version:
-            raise StoreUnavailable("the store answered with an older state")
-        self._delete_missing(snapshot.rows, snapshot.version)
+            raise StoreUnavailable(
+                f"the store answered with version {number_of(snapshot.version)} of era "
+                f"{era_of(snapshot.version)}, older than {number_of(self.version)} of "
+                f"era {era_of(self.version)}"
+            )
+        self._check_era(snapshot.version)
+        if self._rewritten_at is None:
+            self._delete_missing(snapshot.rows, snapshot.version)
         self.version = snapshot.version
         self._is_listed = True
         self.listed_at = asked_at
@@ -249,6 +288,14 @@
         self.apply_rows(snapshot.rows)
         self.synced.set()
 
+    def _check_era(self, version: int) -> None:
+        """Keep missing rows for a while if the store has come back from a copy."""
+        now = self._clock()
+        if self.version and era_of(version) > era_of(self.version):
+            self._rewritten_at = now + REWRITE_SECONDS
+        elif self._rewritten_at is not None and now >= self._rewritten_at:
+            self._rewritten_at = None
+
     def _delete_missing(self, rows: tuple[Row, ...], version: int) -> None:
         """Mark rows as deleted that a listing no longer includes."""
         present = {row.id.key for row in rows}
@@ -258,7 +305,7 @@
                 continue
             deleted.append(attrs.evolve(row, version=version, deleted=True))
         for row in deleted:
-            self.rows_by_key[row.id.key] = row
+            self._replace(row)
         self._notify(deleted)
 
     def _notify(self, rows: list[Row]) -> None:
--- a/lynxchute/store/rows.py
+++ b/lynxchute/store/rows.py
@@ -30,7 +30,8 @@
     Attributes
     ----------
     version
-        The store-wide version of the change; it grows with each change to any row.
+        The store-wide version of the change; it grows with each change to any row, also
+        when the store comes back from a copy (see `lynxchute.store.era`).
     deleted
         Whether the change deleted the row.
     """
--- a/lynxchute/store/store.py
+++ b/lynxchute/store/store.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from functools import cached_property
 
 from lynxchute.store.clock import StoreClock
+from lynxchute.store.era import StoreEra
 from lynxchute.store.rows import Changes, Outcome, Snapshot, Write
 
 
@@ -48,6 +50,11 @@
 
     clock: StoreClock
 
+    @cached_property
+    def era(self) -> StoreEra:
+        """Return the newest era of the store that any of its answers has named."""
+        return StoreEra()
+
     @abstractmethod
     async def write(self, write: Write) -> Outcome:
         """Apply a write.
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -6,7 +6,7 @@
 from lynxchute.fleet.members import Member, Members
 from lynxchute.fleet.message import from_json, to_json
 from lynxchute.fleet.relayed_store import RelayedStore
-from lynxchute.fleet.store_messages import StoreWriteRequest
+from lynxchute.fleet.store_messages import StoreReply, StoreStatus, StoreWriteRequest
 from lynxchute.standins.platform_store import Outage
 from lynxchute.store import (
     Changes,
@@ -24,6 +24,7 @@
     StoreUnavailable,
     Write,
 )
+from lynxchute.store.era import join_version
 from tests.platform_support import PlatformCaller, PlatformTestCase
 from tests.support import AsyncTestCase, until
 
@@ -135,6 +136,45 @@
 
         self.with_stores(scenario)
 
+    def test_relay_that_has_not_heard_of_a_restore_is_passed_over(self):
+        async def scenario(stores, direct, peers):
+            store = stores["a-1"]
+            direct["a-1"].failure = StoreUnavailable("away")
+            store.era.observe(1)
+            for other in ("a-2", "a-3"):
+                direct[other].era.observe(0)
+            with self.assertRaises(StoreUnavailable):
+                await store.scan("t", part="p")
+
+        self.with_stores(scenario)
+
+    def test_relay_of_a_build_without_eras_answers_as_before(self):
+        async def scenario(stores, direct, peers):
+            store = stores["a-1"]
+            direct["a-1"].failure = StoreUnavailable("away")
+            store.era.observe(1)
+
+            async def ask(vm, message):
+                return StoreReply(StoreStatus.DONE, version=7)
+
+            peers.ask = ask
+            write = Write((Expected(ID, join_version(1, 3)),), (Put(ID, b"x"),))
+            self.assertEqual(Committed(join_version(1, 7)), await store.write(write))
+
+        self.with_stores(scenario)
+
+    def test_expected_versions_of_two_eras_are_sent_as_the_earlier_one(self):
+        write = Write(
+            (
+                Expected(ID, join_version(2, 3)),
+                Expected(RowId("t", "x"), join_version(1, 9)),
+                Expected(RowId("t", "y"), 0),
+            )
+        )
+        decoded = StoreWriteRequest.of(write).decoded(2)
+        expected = [join_version(1, 3), join_version(1, 9), 0]
+        self.assertEqual(expected, [item.version for item in decoded.expected])
+
     def test_a_write_of_unknown_outcome_is_not_repeated(self):
         async def scenario(stores, direct, peers):
             direct["a-1"].failure = OutcomeUnknown("no answer", is_unresponsive=True)
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -3,21 +3,34 @@
 import asyncio
 
 from lynxchute.platform import names
-from lynxchute.standins.platform_store import Outage
+from lynxchute.platform.store import PlatformStore
+from lynxchute.standins.platform_store import Outage, PlatformStoreStandin
+from lynxchute.store import (
+    Committed,
+    Conflict,
+    Expected,
+    HistoryLost,
+    OutcomeUnknown,
+    Put,
+    RowId,
+    StoreUnavailable,
+    TableFeed,
+    Write,
+)
+from lynxchute.store.era import join_version
+from lynxchute.store.feed import REWRITE_SECONDS, FeedTimes
 from tests.platform_support import (
     PlatformCaller,
     PlatformTestCase,
     configuration,
     route,
 )
-from tests.support import until
+from tests.support import AsyncTestCase, until
 
 # Seconds within which an acknowledged configuration must be in force.
 CONFIGURATION_BOUND = 2.0
 # Other writes between the copy and the restore; they are all lost.
 LOST_WRITES = 200
-# Seconds in which owners of rows write again what the copy lacks.
-REWRITE_SECONDS = 2.0
 
 
 async def write_rows(deployment, count=LOST_WRITES):
@@ -164,3 +177,104 @@
             self.assertEqual([], begun)
 
         self.with_platform(scenario, routers=("a-1",))
+
+
+class EraTest(AsyncTestCase):
+    """One client of the store, without a router."""
+
+    def with_store(self, scenario):
+        async def work():
+            standin = PlatformStoreStandin()
+            port = await standin.open_port()
+            try:
+                await scenario(standin, PlatformStore(f"127.0.0.1:{port}"))
+            finally:
+                await standin.close()
+
+        self.run_async(work())
+
+    async def reuse_version(self, standin):
+        """Restore a copy in which another value gets the version of a lost one."""
+        copy = standin.version
+        lost = await standin.put("own", "row", b"lost")
+        await standin.restore_copy(copy)
+        self.assertEqual(lost, await standin.put("own", "row", b"other"))
+        return Write(
+            (Expected(RowId("own", "row"), lost),), (Put(RowId("own", "row"), b"new"),)
+        )
+
+    def test_write_planned_on_a_reused_version_conflicts(self):
+        async def scenario(standin, store):
+            await store.scan("own")
+            write = await self.reuse_version(standin)
+            await store.scan("own")
+            outcome = await store.write(write)
+            self.assertIsInstance(outcome, Conflict)
+            row = outcome.rows_by_id[RowId("own", "row")]
+            self.assertEqual(b"other", row.value)
+            again = Write((Expected(row.id, row.version),), write.puts)
+            self.assertIsInstance(await store.write(again), Committed)
+
+        self.with_store(scenario)
+
+    def test_write_that_meets_an_unseen_restore_is_not_taken_for_committed(self):
+        async def scenario(standin, store):
+            await store.scan("own")
+            write = await self.reuse_version(standin)
+            with self.assertRaises(OutcomeUnknown):
+                await store.write(write)
+            self.assertIsInstance(await store.write(write), Conflict)
+
+        self.with_store(scenario)
+
+    def test_answers_of_an_earlier_era_are_not_applied(self):
+        async def scenario(standin, store):
+            version = (await store.scan("own")).version
+            store.era.observe(1)
+            with self.assertRaises(StoreUnavailable):
+                await store.scan("own")
+            with self.assertRaises(HistoryLost):
+                await store.changes("own", after=version or 1, wait=0.0)
+            with self.assertRaises(OutcomeUnknown):
+                await store.write(Write((), (Put(RowId("own", "row"), b""),)))
+
+        self.with_store(scenario)
+
+    def test_store_without_eras_goes_on_as_before(self):
+        async def scenario(standin, store):
+            standin.era = None
+            version = await standin.put("own", "row", b"1")
+            snapshot = await store.scan("own")
+            self.assertEqual(version, snapshot.rows[0].version)
+            write = Write(
+                (Expected(RowId("own", "row"), version),),
+                (Put(RowId("own", "row"), b"2"),),
+            )
+            self.assertEqual(Committed(version + 1), await store.write(write))
+
+        self.with_store(scenario)
+
+    def test_missing_row_counts_as_deleted_once_its_owner_had_time(self):
+        async def scenario(standin, store):
+            deleted = []
+            feed = TableFeed(
+                store,
+                "own",
+                times=FeedTimes(wait=0.5, retry=0.05),
+                on_row=lambda row: deleted.append(row.id.key) if row.deleted else None,
+            )
+            await feed.start()
+            await standin.put("own", "old", b"1")
+            copy = standin.version
+            await standin.put("own", "kept", b"2")
+            await standin.put("own", "lost", b"3")
+            await until(lambda: len(feed.live_rows()) == 3)
+            await standin.restore_copy(copy)
+            await until(lambda: feed.version >= join_version(1, 1))
+            await standin.put("own", "kept", b"2")
+            self.assertEqual((3, []), (len(feed.live_rows()), deleted))
+            await until(lambda: deleted, REWRITE_SECONDS + 1.0)
+            self.assertEqual(["lost"], deleted)
+            await feed.stop()
+
+        self.with_store(scenario)
