Write registrations and the fleet's secret again after a restore

What operators would see: routers that nobody knows any more, and a fleet whose new routers have another secret than its old ones. Change: a replica tells when it has listed a store that came back from a copy; the registry then registers its router as it is now, and puts the secret back unless there is one. The writes of a fleet are spread over 0.4 s. Evidence: three tests of FleetTest fail before (nothing is written within 10 s, the mark is gone) and pass now.

--- a/lynxchute/fleet/registry.py
+++ b/lynxchute/fleet/registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import secrets
 from collections.abc import Callable
 
@@ -42,6 +43,8 @@
 SECRET_BYTES = 24
 # Seconds within which all VMs of a new fleet start.
 FIRST_START_SECONDS = 1.5
+# Seconds over which the routers of a fleet spread the writes that restore their rows.
+REWRITE_SPREAD_SECONDS = 0.4
 
 
 class Registry(BackgroundTask):
@@ -86,7 +89,9 @@
             times=FEED_TIMES,
             on_row=self._handle_row,
             on_batch=self._notify_listeners,
+            on_restore=self._request_rewrite,
         )
+        self._rewrite_due = asyncio.Event()
         self._store = store
         self._members = members
         self._is_first_start = is_first_start
@@ -126,8 +131,38 @@
             await asyncio.sleep(FIRST_START_SECONDS)
         self.members_known.set()
         while True:
-            await asyncio.sleep(PING_SECONDS)
-            await self._ping_unreachable()
+            try:
+                async with asyncio.timeout(PING_SECONDS):
+                    await self._rewrite_due.wait()
+            except TimeoutError:
+                await self._ping_unreachable()
+                continue
+            self._rewrite_due.clear()
+            await self._rewrite()
+
+    def _request_rewrite(self) -> None:
+        self._rewrite_due.set()
+
+    async def _rewrite(self) -> None:
+        """Write again what a store that has come back from a copy may lack."""
+        await asyncio.sleep(random.uniform(0.0, REWRITE_SPREAD_SECONDS))
+        while not await self._restore_secret():
+            await asyncio.sleep(RETRY_SECONDS)
+        while not await self.register(self._members.own):
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _restore_secret(self) -> bool:
+        """Write the secret unless the store has one; return whether that is known."""
+        row_id = RowId(TABLE, SECRET_KEY)
+        write = Write((Expected(row_id, ABSENT),), (Put(row_id, self.secret.encode()),))
+        try:
+            outcome = await self._store.write(write)
+        except (StoreUnavailable, OutcomeUnknown) as error:
+            log_event("fleet secret not written; retrying", reason=str(error))
+            return False
+        if isinstance(outcome, Committed):
+            log_event("fleet secret written again")
+        return True
 
     async def _propose_secret(self) -> None:
         """Create the fleet secret unless one exists; the first one written is used."""
--- a/lynxchute/store/feed.py
+++ b/lynxchute/store/feed.py
@@ -66,6 +66,9 @@
         the other rows are still passed to it.
     on_batch
         Called after all rows of an answer have been passed to `on_row`.
+    on_restore
+        Called after the first listing of a store that has come back from a copy, so
+        that the owners of rows can write again what it lacks.
     clock
         Returns the time on the monotonic clock.
 
@@ -98,6 +101,7 @@
         times: FeedTimes,
         on_row: Callable[[Row], None],
         on_batch: Callable[[], None] = lambda: None,
+        on_restore: Callable[[], None] = lambda: None,
         clock: Callable[[], float] = steady_seconds,
     ) -> None:
         super().__init__()
@@ -114,6 +118,7 @@
         self._times = times
         self._on_row = on_row
         self._on_batch = on_batch
+        self._on_restore = on_restore
         self._clock = clock
         self._is_listed = False
         # The last live row of each deleted key, to recognise it in a copy.
@@ -278,7 +283,10 @@
                 f"{era_of(snapshot.version)}, older than {number_of(self.version)} of "
                 f"era {era_of(self.version)}"
             )
-        self._check_era(snapshot.version)
+        is_restored = bool(self.version) and (
+            era_of(snapshot.version) > era_of(self.version)
+        )
+        self._update_rewrite_time(is_restored=is_restored)
         if self._rewritten_at is None:
             self._delete_missing(snapshot.rows, snapshot.version)
         self.version = snapshot.version
@@ -287,11 +295,13 @@
         self.confirmed_at = max(self.confirmed_at, asked_at)
         self.apply_rows(snapshot.rows)
         self.synced.set()
+        if is_restored:
+            self._on_restore()
 
-    def _check_era(self, version: int) -> None:
-        """Keep missing rows for a while if the store has come back from a copy."""
+    def _update_rewrite_time(self, *, is_restored: bool) -> None:
+        """Keep missing rows for a while after the store came back from a copy."""
         now = self._clock()
-        if self.version and era_of(version) > era_of(self.version):
+        if is_restored:
             self._rewritten_at = now + REWRITE_SECONDS
         elif self._rewritten_at is not None and now >= self._rewritten_at:
             self._rewritten_at = None
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -99,6 +99,46 @@
         self.with_platform(scenario)
 
 
+class FleetTest(PlatformTestCase):
+    def test_registration_that_the_copy_lacks_is_written_again(self):
+        async def scenario(deployment):
+            store, router = deployment.store, deployment.routers["a-1"]
+            copy = store.version
+            await deployment.start_router("b-1")
+            await until(lambda: router.members.count == 2)
+            await store.restore_copy(copy)
+            self.assertIsNone(store.value("fleet", "router/b-1"))
+            await until(lambda: store.value("fleet", "router/b-1"))
+            await asyncio.sleep(REWRITE_SECONDS + 0.5)
+            self.assertEqual(2, router.members.count)
+
+        self.with_platform(scenario, routers=("a-1",))
+
+    def test_secret_that_the_copy_lacks_is_written_again(self):
+        async def scenario(deployment):
+            store, router = deployment.store, deployment.routers["a-1"]
+            secret = router.registry.secret
+            await store.restore_copy(0)
+            self.assertIsNone(store.value("fleet", "secret"))
+            await until(lambda: store.value("fleet", "secret"))
+            self.assertEqual(secret.encode(), store.value("fleet", "secret"))
+
+        self.with_platform(scenario)
+
+    def test_stop_mark_that_the_copy_lacks_is_written_again(self):
+        async def scenario(deployment):
+            store, router = deployment.store, deployment.routers["a-1"]
+            copy = store.version
+            await router.registry.register(router.members.mark_leaving())
+            await store.restore_copy(copy)
+            other = deployment.routers["b-1"]
+            await until(lambda: router.registry.feed.version > join_version(1, 0))
+            await asyncio.sleep(REWRITE_SECONDS)
+            self.assertTrue(other.members.by_vm["a-1"].is_leaving)
+
+        self.with_platform(scenario)
+
+
 class UpstreamsTest(PlatformTestCase):
     def test_leaving_upstream_of_the_copy_gets_no_new_work(self):
         async def scenario(deployment):
