Let operators put a draining upstream back into service

Cause: the mark that a copy of the store must not undo was kept for every process whose start is known, also for upstreams that operators list with a state of their own.

--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -64,6 +64,13 @@
         self.assertEqual(0, self.entry.open_requests)
         self.assertFalse(self.entry.health.is_paused(11.0))
 
+    def test_upstream_that_operators_named_can_return_from_draining(self):
+        named = attrs.evolve(FIRST, keeps_id=True)
+        self.directory.put(attrs.evolve(named, is_leaving=True))
+        self.assertTrue(self.entry.is_leaving)
+        self.directory.put(named)
+        self.assertFalse(self.entry.is_leaving)
+
     def test_repeated_start_time_is_no_restart(self):
         self.open_sends()
         old_entry = self.entry
