Let a stop close the listener whatever the overload gate is doing

Cause: found by the review: the gate's pause or resumption under way as a stop closes the listener raised OSError out of the stop, or opened the listener again after it. Change: the server knows that a pause is under way, and closes a listener that is opened late. Evidence: test_finish_wins_over_a_pause_or_a_resumption_under_way fails before (bad file descriptor) and passes now.

--- a/lynxchute/http/server.py
+++ b/lynxchute/http/server.py
@@ -102,6 +102,7 @@
         self._listener: socket.socket | None = None
         self._host = ""
         self._is_finishing = False
+        self._is_pausing = False
 
     async def start(self, host: str, port: int) -> None:
         """Listen on an address; port 0 selects a free port."""
@@ -115,11 +116,15 @@
             lambda: ServerConnection(self), sock=listener, backlog=BACKLOG
         )
         self._host, self.port = self._server.sockets[0].getsockname()[:2]
+        if self._is_finishing:
+            self._server.close()
 
     @property
     def is_accepting(self) -> bool:
         """Return whether the server accepts connections."""
-        return self._server is not None and self._server.is_serving()
+        if self._server is None or self._is_pausing:
+            return False
+        return self._server.is_serving()
 
     async def pause_accepting(self) -> None:
         """Stop accepting, so that new callers are refused before they send anything.
@@ -130,9 +135,11 @@
         """
         if not self.is_accepting:
             return
-        assert self._server is not None and self._listener is not None
+        server, listener = self._server, self._listener
+        assert server is not None and listener is not None
+        self._is_pausing = True
         loop = asyncio.get_running_loop()
-        loop.remove_reader(self._listener)
+        loop.remove_reader(listener)
         # asyncio attaches an accepted connection to the server one iteration of the
         # event loop later. If the server were closed before that, attaching would fail
         # and the connection would be dropped.
@@ -140,10 +147,11 @@
         accepted = []
         while True:
             try:
-                accepted.append(self._listener.accept()[0])
+                accepted.append(listener.accept()[0])
             except (BlockingIOError, InterruptedError):
                 break
-        self._server.close()
+        server.close()
+        self._is_pausing = False
         for connection in accepted:
             connection.setblocking(False)
             await loop.connect_accepted_socket(
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -272,6 +272,21 @@
 
         self.run_async(work())
 
+    def test_finish_wins_over_a_pause_or_a_resumption_under_way(self):
+        async def work():
+            for other in ("pause_accepting", "resume_accepting"):
+                async with EchoServer() as server:
+                    if other == "resume_accepting":
+                        await server.server.pause_accepting()
+                    change = getattr(server.server, other)
+                    deadline = asyncio.get_running_loop().time() + 1.0
+                    await asyncio.gather(change(), server.server.finish(deadline))
+                    self.assertFalse(server.server.is_accepting)
+                    with testtools.ExpectedException(ConnectionRefusedError):
+                        await server.send_raw()
+
+        self.run_async(work())
+
     def test_handler_error_is_not_taken_for_a_failed_connection(self):
         async def work():
             errors = (
