Disconnect a slow reader only once it has stopped reading

What callers would see: the end of an answer is missing although they read steadily. Change: a closing connection is aborted once an idle timeout passes without a byte read.

--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -91,6 +91,8 @@
         self._answer_buffer: TransportBuffer | None = None
         self._pipelined_bytes = 0
         self._is_aborted = False
+        # Bytes that were unsent when the closing connection was last checked.
+        self._unsent_at_check = 0
 
     @property
     def _is_disconnected(self) -> bool:
@@ -179,9 +181,16 @@
     # Called by the server.
 
     def close(self) -> None:
-        """Close the connection once the buffered bytes are sent."""
-        if self._transport is not None:
-            self._transport.close()
+        """Close the connection once the buffered bytes are sent.
+
+        A caller that reads none of them for an idle timeout is disconnected.
+        """
+        if self._transport is None:
+            return
+        self._transport.close()
+        self._unsent_at_check = self._transport.get_write_buffer_size()
+        if self._unsent_at_check:
+            self._set_timer(self._limits.idle_timeout)
 
     def abort(self, cause: AbortCause) -> None:
         """Abort the connection at once; unsent bytes are lost."""
@@ -514,10 +523,13 @@
         if self._phase in (_Phase.HEAD, _Phase.BODY):
             self._refuse(408, "The request took too long to arrive.")
             return
-        if self._transport is not None and self._transport.is_closing():
+        if self._transport is None or not self._transport.is_closing():
+            self.close()
+            return
+        if self._transport.get_write_buffer_size() >= self._unsent_at_check:
             self.abort(AbortCause.NOT_READ)
             return
-        self.close()
+        self._unsent_at_check = self._transport.get_write_buffer_size()
         self._set_timer(self._limits.idle_timeout)
 
 
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -8,7 +8,7 @@
 
 import testtools
 
-from lynxchute.http import ExchangeError, HttpClient
+from lynxchute.http import ExchangeError, HttpClient, HttpServer, ServerLimits
 from lynxchute.platform.engines import PlatformEngines
 from lynxchute.standins.upstream_run import Fault
 from lynxchute.upstreams.engines import EngineUnavailable
@@ -20,7 +20,7 @@
     configuration,
     event_ids,
 )
-from tests.support import until
+from tests.support import AsyncTestCase, until
 
 # Both are far below the size of the answer, most of which stays in the process.
 SOCKET_BUFFER_BYTES = 4096
@@ -233,6 +233,48 @@
         self.with_platform(scenario, routers=("a-1",))
 
 
+class ClosingConnectionTest(AsyncTestCase):
+    def answer_bytes(self, read):
+        """Return what a caller gets of an answer on a connection that is closing."""
+
+        async def handle(request, respond):
+            await respond.send_whole(200, b"x" * ANSWER_BYTES)
+
+        async def work():
+            limits = ServerLimits(idle_timeout=0.3)
+            server = HttpServer(handle, limits=lambda: limits)
+            await server.start("127.0.0.1", 0)
+            server._listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES
+            )
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(sock, ("127.0.0.1", server.port))
+            sock.send(request_head("/x"))
+            data = await read(sock, server)
+            await server.kill()
+            return len(data.partition(b"\r\n\r\n")[2])
+
+        return self.run_async(work())
+
+    def test_caller_that_reads_slowly_gets_its_whole_answer(self):
+        async def read(sock, server):
+            with mock.patch(f"{__name__}.READ_PAUSE_SECONDS", 0.08):
+                return await read_slowly(sock)
+
+        self.assertEqual(ANSWER_BYTES, self.answer_bytes(read))
+
+    def test_caller_that_reads_nothing_is_disconnected(self):
+        async def read(sock, server):
+            await until(lambda: server.connections)
+            await until(lambda: not server.connections, 3.0)
+            return b""
+
+        self.assertEqual(0, self.answer_bytes(read))
+
+
 async def probe_times_out(engines, upstream):
     raise EngineUnavailable("no answer", is_timeout=True)
 
