Answer the messages of other routers at the end of a stop

Change: the router's own port is closed like the callers' one, once callers have their answers and the final reports are out. The line of an aborted connection names its port, since a peer's message left the same line as a caller's request. Evidence: test_stop_answers_messages_of_other_routers fails before (no answer) and passes now.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -407,6 +407,7 @@
                 seconds=steady_seconds() - started,
             )
         await self.callers.finish(report_deadline)
+        await self.peer_server.server.finish(report_deadline)
         log_event(
             "stopped",
             open_requests=self.relay.open_requests,
--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -209,6 +209,7 @@
         if is_answered and not unsent:
             return
         fields = {
+            "port": self._server.port,
             "request_id": respond.request_id if respond is not None else "",
             "cause": cause.value,
             "status": respond.status if respond is not None else 0,
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -8,6 +8,8 @@
 
 import testtools
 
+from lynxchute.fleet.message import Ack
+from lynxchute.fleet.messages import PingRequest
 from lynxchute.http import ExchangeError, HttpClient, HttpServer, ServerLimits
 from lynxchute.platform.engines import PlatformEngines
 from lynxchute.standins.upstream_run import Fault
@@ -134,6 +136,24 @@
 
         self.with_platform(scenario, routers=("a-1",))
 
+    def test_stop_answers_messages_of_other_routers(self):
+        async def scenario(deployment):
+            stopping, other = deployment.routers["a-1"], deployment.routers["b-1"]
+            asked = asyncio.Event()
+
+            async def answer_slowly(request):
+                asked.set()
+                await asyncio.sleep(0.3)
+                return Ack()
+
+            stopping.peer_server.handlers_by_class[PingRequest] = answer_slowly
+            ping = asyncio.create_task(other.peers.ask("a-1", PingRequest()))
+            await asked.wait()
+            await stop(stopping)
+            self.assertEqual(Ack(), await ping)
+
+        self.with_platform(scenario)
+
     def test_router_stops_while_it_accepts_no_connections(self):
         async def scenario(deployment):
             router = deployment.routers["a-1"]
