Wait for transfers that are under way before reading the home's use

Change: it also waits until no transfer is pending; the check is the same. The failure was not brought about again.

--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -210,6 +210,8 @@
             await until(lambda: ledger.share(ACCOUNT).borrowed > 0)
             now_ms = other.ledger_sync.now_ms
             await until(lambda: not ledger.available(ACCOUNT, now_ms()), timeout=40)
+            # The tokens have left this ledger before the home has them.
+            await until(lambda: not other.balance._transfers)
             total = home.ledger_sync.ledger.share(ACCOUNT).own_use
             self.assertEqual(12 * 500, total)
 
