Write a live router's row and grants again after a restore of the store

What callers saw: a router whose row the store had lost, or that got back its own older row or its predecessor's, served on wrong terms or no more. It took an absent row for a conflict about another row for ever, adopted grants of seconds ago, or fenced itself for good, after which all routers answered 503. The totals lacked its grant, so that a budget was stuck at 402 with tokens left, or others were granted what it still held. Cause: the ledger did not know that a later era gives rows back that are older than its memory. Change: until this process has written its row in the newest era, an absent row, a row of its own and one of its predecessor are replaced: the ledger keeps its shares and only expects the row's version. The write lists its own grant wherever the totals of that era do not, also when grants may not change. A grant that a write of unknown outcome may have reduced is restored at the smaller size, since another router may have claimed the rest. A write that was planned in an earlier era and committed in a later one does not confirm its grants. A process that has not written yet keeps what it took over. A row of an unknown process fences as before, and within one era nothing changes. The sync looks at the store's era each second, so that a router without unused tokens writes again, too, and it reads the totals once in each era. Fleet: the model's store can come back from a copy and gives numbers out again. For a router that has not written since, the comparison of its row with the totals and with its use is left out, and the sum of all totals while any such router is left: in that moment the store holds what the copy held, by definition. Nothing overspent and nothing uncounted are checked throughout. Not covered: a process that died after the copy, and a late write whose expected numbers have been given out again by chance.

--- a/lynxchute/budgets/ledger.py
+++ b/lynxchute/budgets/ledger.py
@@ -30,6 +30,7 @@
     RowId,
     Write,
 )
+from lynxchute.store.era import era_of
 
 # When lending more than waiting requests need, a router holds back this many seconds of
 # its own demand, which covers all but a few outages of the store.
@@ -131,6 +132,9 @@
         self._policy = policy
         self._parts = max(parts, 1)
         self._row_version = 0
+        self._era = 0
+        self._confirmed_era = 0
+        self._unrestored_accounts: set[str] = set()
         self._predecessor_ended_ms = 0
         self._silent_ms: int | None = None
         self._sequence = 0
@@ -156,6 +160,8 @@
         self.predecessor = ""
         self.shares_by_account = {}
         self._row_version = row.version if row is not None else 0
+        self.observe_era(era_of(self._row_version))
+        self._confirmed_era = self._era
         if row is None:
             return
         previous = HolderRow.decode(row.value)
@@ -197,6 +203,7 @@
         then, because the write is conditional on the version last decoded.
         """
         for row in rows:
+            self.observe_era(era_of(row.version))
             known = self.totals_by_account.get(row.id.key)
             if known is not None and known.version >= row.version:
                 continue
@@ -208,6 +215,30 @@
             self.unreadable_accounts.discard(row.id.key)
             self.totals_by_account[row.id.key] = KnownTotals(totals, row.version)
 
+    def discard_totals_before(self, era: int) -> None:
+        """Discard totals of earlier eras, which a complete scan of the table lacked."""
+        for account, known in list(self.totals_by_account.items()):
+            if era_of(known.version) < era:
+                del self.totals_by_account[account]
+
+    # Restores of the store.
+
+    def observe_era(self, era: int) -> bool:
+        """Record the era of an answer of the store; return whether it is a new one."""
+        if era <= self._era:
+            return False
+        self._era = era
+        self._unrestored_accounts.update(self.shares_by_account)
+        return True
+
+    @property
+    def is_restored(self) -> bool:
+        """Return whether the store's newest era holds this router's row and grants."""
+        return (
+            self._confirmed_era == self._era
+            and self._unrestored_accounts <= self.unreadable_accounts
+        )
+
     # Reservations, loans and transfers.
 
     def available(self, account: str, now_ms: int) -> int:
@@ -469,10 +500,14 @@
         terms_by_account: dict[str, Terms] = {}
         totals_by_account: dict[str, Totals] = {}
         for account, share in self.shares_by_account.items():
-            granted = share.terms.granted
-            if with_grants and len(totals_by_account) < MAX_GRANTS_PER_WRITE:
-                granted = self._planned_grant(account, share, now)
-            if granted != share.terms.granted:
+            held = self._held_grant(share)
+            granted = held
+            is_full = len(totals_by_account) >= MAX_GRANTS_PER_WRITE
+            if with_grants and not is_full:
+                granted = self._planned_grant(account, share, held, now)
+            if not is_full and (
+                granted != share.terms.granted or self._is_grant_lost(account, granted)
+            ):
                 known = self.totals_by_account.get(account)
                 totals = known.totals if known is not None else Totals()
                 totals_by_account[account] = totals.with_grant(self.vm, granted)
@@ -481,7 +516,10 @@
             )
         row = HolderRow(self.incarnation, self._sequence, terms_by_account)
         self.pending = Plan(
-            self._build_write(row, totals_by_account), row, totals_by_account
+            self._build_write(row, totals_by_account),
+            row,
+            totals_by_account,
+            self._era,
         )
         for account, terms in terms_by_account.items():
             # Until the outcome is known the store may hold the old or the new terms,
@@ -495,10 +533,17 @@
         assert plan is not None
         self.pending = None
         if isinstance(outcome, Committed):
-            self._confirm_row(plan.row, outcome.version)
+            era = era_of(outcome.version)
+            self.observe_era(era)
             for account, totals in plan.totals_by_account.items():
                 known = KnownTotals(totals, outcome.version)
                 self.totals_by_account[account] = known
+            if era > plan.era:
+                # The write was planned on totals of an earlier era, so its grants do
+                # not count until they have been written again.
+                self._row_version = outcome.version
+                return True
+            self._confirm_row(plan.row, outcome.version)
             self.is_open = True
             return True
         self._apply_conflict(plan, outcome)
@@ -519,10 +564,35 @@
         """
         self.pending = None
 
-    def _planned_grant(self, account: str, share: Share, now: float) -> int:
-        if account not in self.prepaid_by_account:
+    def _held_grant(self, share: Share) -> int:
+        """Return the grant that is certainly this router's own.
+
+        Until a write of the newest era has been confirmed, a write whose outcome is
+        unknown may have reduced the grant, and another router may have claimed the
+        difference before the store came back from a copy.
+        """
+        if self._confirmed_era == self._era:
             return share.terms.granted
-        view = self._view(account, share, share.terms.granted, now)
+        grants = [terms.granted for terms in share.unconfirmed]
+        return max(min([share.terms.granted, *grants]), share.own_use)
+
+    def _is_grant_lost(self, account: str, granted: int) -> bool:
+        """Return whether the totals of the newest era may list another own grant."""
+        if account not in self._unrestored_accounts:
+            return False
+        if account in self.unreadable_accounts:
+            return False
+        known = self.totals_by_account.get(account)
+        if known is None:
+            return granted > 0
+        if era_of(known.version) < self._era:
+            return True
+        return known.totals.granted_by_vm.get(self.vm, 0) != granted
+
+    def _planned_grant(self, account: str, share: Share, held: int, now: float) -> int:
+        if account not in self.prepaid_by_account:
+            return held
+        view = self._view(account, share, held, now)
         if self.is_closing:
             return view.used
         if share.releasing:
@@ -575,6 +645,7 @@
     def _confirm_row(self, row: HolderRow, version: int) -> None:
         """Adopt this router's row as the store holds it."""
         self._row_version = version
+        self._confirmed_era = era_of(version)
         for account, share in self.shares_by_account.items():
             share.unconfirmed.clear()
             terms = row.terms_by_account.get(account)
@@ -582,9 +653,14 @@
                 continue
             share.record_returned(share.terms.granted - terms.granted)
             share.terms = terms
+        for account in self._unrestored_accounts - self.unreadable_accounts:
+            if not self._is_grant_lost(account, self.share(account).terms.granted):
+                self._unrestored_accounts.discard(account)
 
     def _apply_conflict(self, plan: Plan, conflict: Conflict) -> None:
         own_id = holder_id(self.vm, self.store_partition)
+        for current in conflict.rows_by_id.values():
+            self.observe_era(era_of(current.version) if current is not None else 0)
         totals = []
         for row_id, row in conflict.rows_by_id.items():
             if row_id == own_id:
@@ -596,6 +672,11 @@
         self.update_totals(totals)
 
     def _apply_own_row(self, plan: Plan, row: Row | None) -> None:
+        if self._is_row_of_copy(row):
+            # What this process knows is newer, so it replaces the row.
+            self._row_version = row.version if row is not None else 0
+            self._discard_terms(plan)
+            return
         if row is None or row.version == self._row_version:
             # The conflict is about another row; this router's row is unchanged. An
             # earlier write of unknown outcome may still change it.
@@ -614,6 +695,21 @@
         # A write of the previous process that arrived late.
         self.take_over(row, self._predecessor_ended_ms)
 
+    def _is_row_of_copy(self, row: Row | None) -> bool:
+        """Return whether the router's row is one that the store came back with.
+
+        That is so from a new era's first sign until this process has written its row
+        in that era, unless the row belongs to a process that it does not know.
+        """
+        if self._confirmed_era == self._era:
+            return False
+        if row is None:
+            return True
+        if era_of(row.version) <= self._confirmed_era:
+            return False
+        incarnation = HolderRow.decode(row.value).incarnation
+        return incarnation in (self.incarnation, self.predecessor)
+
     def _discard_terms(self, plan: Plan) -> None:
         for account, terms in plan.row.terms_by_account.items():
             self.shares_by_account[account].unconfirmed.remove(terms)
--- a/lynxchute/budgets/plan.py
+++ b/lynxchute/budgets/plan.py
@@ -18,11 +18,14 @@
         The router's own row after the write.
     totals_by_account
         The budget totals that the write changes.
+    era
+        The newest era of the store that was known to the ledger.
     """
 
     write: Write
     row: HolderRow
     totals_by_account: dict[str, Totals]
+    era: int = 0
 
 
 @attrs.frozen
--- a/lynxchute/spending/keeper.py
+++ b/lynxchute/spending/keeper.py
@@ -14,6 +14,7 @@
 from lynxchute.config import Configuration
 from lynxchute.spending.grant_pause import GrantBackoff
 from lynxchute.store import Outcome, OutcomeUnknown, Store, StoreUnavailable
+from lynxchute.store.era import era_of
 from lynxchute.telemetry import log_event
 
 # Seconds until use is written if no request waits for the write.
@@ -278,6 +279,7 @@
                 await self._write_due.wait()
         except TimeoutError:
             now = steady_seconds()
+            self._observe_era()
             if (
                 now - self._totals_read_at > UNDERGRANTED_POLL_SECONDS
                 and self.ledger.is_below_target_grant(now)
@@ -286,7 +288,13 @@
             # After failures it writes even without unused tokens: otherwise a home
             # that has spent its grant would not notice that the store is back, and
             # would keep refusing requests that a new grant could cover.
-            return self.ledger.has_headroom or self._failures > 0
+            # A store that came back from a copy may lack the row of a router without
+            # unused tokens, too.
+            return (
+                self.ledger.has_headroom
+                or self._failures > 0
+                or not self.ledger.is_restored
+            )
         try:
             async with asyncio.timeout(REFRESH_SECONDS):
                 await self._write_now.wait()
@@ -317,6 +325,7 @@
         for row in holders.rows:
             if row.id.key == self.ledger.vm:
                 own = row
+        self._observe_era()
         self.ledger.update_totals(totals.rows)
         ended_ms = self._store.clock.latest_ms(self._started_at)
         self.ledger.take_over(own, ended_ms)
@@ -344,8 +353,10 @@
         ledger = self.ledger
         if ledger.fenced:
             return
+        self._observe_era()
         if not await self._refresh_totals():
             return
+        self._observe_era()
         now = steady_seconds()
         with_grants = ledger.is_closing or self._grant_backoff.is_over(now)
         plan = ledger.plan(now_ms=self.now_ms(), now=now, with_grants=with_grants)
@@ -370,11 +381,21 @@
     def _apply_outcome(self, plan: Plan, outcome: Outcome) -> None:
         ledger = self.ledger
         self._record_answer()
-        if not ledger.apply_outcome(outcome):
+        self._observe_era()
+        committed = ledger.apply_outcome(outcome)
+        if not committed and plan.era < self._store.era.current:
+            log_event("budgets are written again after a restore of the store")
+            self.request_write()
+        elif not committed:
             # Conflict with another router's write; the conflict reply contains the
             # current rows.
             self._back_off_grants()
-            self.request_write()
+            if ledger.is_restored:
+                self.request_write()
+            else:
+                # Many routers write the same totals again; versions read just before
+                # the write conflict less often.
+                self._is_refresh_due = True
         elif plan.totals_by_account:
             self._grant_backoff.record_success()
             log_event(
@@ -385,9 +406,16 @@
                     for account in plan.totals_by_account
                 },
             )
+        if committed and not ledger.is_restored:
+            self.request_write()
         if ledger.fenced:
             log_event("fenced: another process of this VM holds the budgets")
 
+    def _observe_era(self) -> None:
+        """Tell the ledger of the store's newest era; read the totals again in it."""
+        if self.ledger.observe_era(self._store.era.current):
+            self._is_refresh_due = True
+
     def _back_off_grants(self) -> None:
         """Delay changes of grants after a conflict, and schedule the next write."""
         seconds = self._grant_backoff.record_conflict(steady_seconds())
@@ -422,6 +450,7 @@
             self._wake_waiters()
             return False
         self.ledger.update_totals(totals.rows)
+        self.ledger.discard_totals_before(era_of(totals.version))
         return True
 
     def _is_short_of_tokens(self) -> bool:
--- /dev/null
+++ b/tests/test_ledger_era.py
@@ -0,0 +1,224 @@
+"""Ledgers on a store that comes back from a copy, in a new era."""
+
+import testtools
+
+from lynxchute.budgets import LimitLine
+from lynxchute.budgets.rows import (
+    HOLDERS_TABLE,
+    HolderRow,
+    Totals,
+    holder_id,
+    totals_id,
+)
+from lynxchute.budgets.share import Terms
+from lynxchute.store import Conflict, Row
+from lynxchute.store.era import join_version
+from tests.ledger_fleet import LedgerFleet
+from tests.platform_support import ACCOUNT, PlatformTestCase
+from tests.support import until
+from tests.test_spending import granted, reserve
+
+
+def written_fleet(vms=("x", "y"), **options):
+    """Return a fleet that leaves a part of each budget free."""
+    fleet = LedgerFleet(vms, **options)
+    for router in fleet.routers:
+        fleet.write(router, "answered")
+        fleet.write(router, "answered")
+    return fleet
+
+
+def stored_grants(fleet, account="a"):
+    row = fleet.store.get(totals_id(account))
+    return Totals.decode(row.value).granted_by_vm if row else {}
+
+
+def stored_row(fleet, router):
+    return HolderRow.decode(fleet.store.get(holder_id(router.vm)).value)
+
+
+def claim(fleet, router, tokens, account="a"):
+    """Have a router's grant raised, as for a waiting request."""
+    share = router.ledger.share(account)
+    share.waiting += share.headroom + tokens
+    for _ in range(2):
+        fleet.write(router, "answered")
+    share.waiting = 0
+
+
+def write_after_restore(fleet, router, **options):
+    """Write three times: the first writes meet the own row and the totals."""
+    for _ in range(3):
+        fleet.write(router, "answered", **options)
+
+
+class RestoredRowTest(testtools.TestCase):
+    def assert_written_again(self, fleet, router):
+        """Check that the router's own row and the totals agree with its memory."""
+        share = router.ledger.share("a")
+        row = stored_row(fleet, router)
+        self.assertEqual(router.ledger.incarnation, row.incarnation)
+        self.assertEqual(share.terms, row.terms_by_account["a"])
+        self.assertEqual(share.terms.granted, stored_grants(fleet)[router.vm])
+
+    def test_a_row_that_the_copy_lacks_is_written_again(self):
+        fleet = written_fleet()
+        router = fleet.routers[0]
+        before = router.ledger.share("a").terms.granted
+        fleet.restore(fleet.store.number)
+        self.assertIsNone(fleet.store.get(holder_id("x")))
+        write_after_restore(fleet, router)
+        self.assertEqual(before, router.ledger.share("a").terms.granted)
+        self.assert_written_again(fleet, router)
+
+    def test_an_older_own_row_is_not_adopted(self):
+        fleet = written_fleet()
+        router = fleet.routers[0]
+        copy = fleet.store.number
+        claim(fleet, router, 100)
+        before = router.ledger.share("a").terms
+        fleet.restore(fleet.store.number - copy)
+        self.assertLess(stored_grants(fleet)["x"], before.granted)
+        fleet.write(router, "answered")
+        self.assertEqual(before, router.ledger.share("a").terms)
+        write_after_restore(fleet, router, with_grants=False)
+        self.assertEqual(before.granted, router.ledger.share("a").terms.granted)
+        self.assert_written_again(fleet, router)
+
+    def test_the_row_of_the_predecessor_is_replaced(self):
+        fleet = written_fleet()
+        fleet.restart(0)
+        router = fleet.routers[0]
+        fleet.write(router, "answered")
+        fleet.restore(1)
+        self.assertEqual("x0", stored_row(fleet, router).incarnation)
+        write_after_restore(fleet, router)
+        self.assertFalse(router.ledger.fenced)
+        self.assert_written_again(fleet, router)
+
+    def test_the_row_of_an_unknown_process_fences(self):
+        fleet = written_fleet()
+        router = fleet.routers[0]
+        row = HolderRow("other", 1, {"a": Terms(5, LimitLine.flat(5))})
+        fleet.restore(0)
+        plan = router.ledger.plan(now_ms=fleet.now_ms, now=fleet.seconds())
+        self.assertTrue(plan.write.expected[0].version)
+        version = join_version(1, 1)
+        own = holder_id("x")
+        router.ledger.apply_outcome(Conflict({own: Row(own, row.encode(), version)}))
+        self.assertTrue(router.ledger.fenced)
+
+    def test_the_row_of_the_predecessor_fences_within_an_era(self):
+        fleet = written_fleet()
+        fleet.restart(0)
+        router = fleet.routers[0]
+        fleet.write(router, "answered")
+        ledger = router.ledger
+        row = HolderRow(ledger.predecessor, 99, {})
+        own = holder_id("x")
+        ledger.plan(now_ms=fleet.now_ms, now=fleet.seconds())
+        ledger.apply_outcome(Conflict({own: Row(own, row.encode(), 999)}))
+        self.assertTrue(ledger.fenced)
+
+    def test_a_process_that_has_not_written_yet_keeps_what_it_took_over(self):
+        fleet = written_fleet()
+        copy = fleet.store.number
+        claim(fleet, fleet.routers[0], 100)
+        fleet.restart(0)
+        router = fleet.routers[0]
+        before = router.ledger.share("a").terms
+        fleet.store.restore(copy)
+        self.assertLess(stored_grants(fleet)["x"], before.granted)
+        write_after_restore(fleet, router)
+        self.assertTrue(router.ledger.is_open)
+        self.assertEqual(before.granted, router.ledger.share("a").terms.granted)
+        self.assert_written_again(fleet, router)
+
+    def test_a_grant_that_may_have_been_reduced_is_not_restored(self):
+        fleet = written_fleet()
+        lender, taker = fleet.routers[:2]
+        copy = fleet.store.number
+        before = lender.ledger.share("a").terms.granted
+        lender.ledger.release("a", needed=50, wanted=50, now=fleet.seconds())
+        fleet.write(lender, "answered")
+        lender.ledger.release("a", needed=50, wanted=50, now=fleet.seconds())
+        fleet.write(lender, "unanswered")
+        reduced = stored_row(fleet, lender).terms_by_account["a"].granted
+        claim(fleet, taker, 100)
+        fleet.restore(fleet.store.number - copy)
+        fleet.write_again()
+        self.assertLess(reduced, before)
+        self.assertEqual(reduced, lender.ledger.share("a").terms.granted)
+        self.assertEqual(0, lender.ledger.share("a").releasing)
+        fleet.check()
+
+
+class RestoredTotalsTest(testtools.TestCase):
+    def test_totals_that_the_copy_lacks_are_written_again(self):
+        fleet = written_fleet()
+        before = {account: stored_grants(fleet, account) for account in fleet.prepaid}
+        fleet.restore(fleet.store.number)
+        self.assertEqual({}, stored_grants(fleet))
+        fleet.write_again()
+        for account, grants in before.items():
+            self.assertEqual(grants, stored_grants(fleet, account))
+        fleet.check()
+
+    def test_totals_missing_from_a_scan_are_discarded(self):
+        ledger = written_fleet().routers[0].ledger
+        ledger.discard_totals_before(0)
+        self.assertEqual({"a", "b"}, set(ledger.totals_by_account))
+        ledger.discard_totals_before(1)
+        self.assertEqual({}, ledger.totals_by_account)
+
+    def test_unreadable_totals_do_not_delay_the_own_row(self):
+        fleet = written_fleet()
+        ledger = fleet.routers[0].ledger
+        fleet.restore(0)
+        broken = totals_id("a")
+        ledger.update_totals([Row(broken, b"[", join_version(1, 99))])
+        fleet.write(fleet.routers[0], "answered", with_grants=False)
+        fleet.write(fleet.routers[0], "answered", with_grants=False)
+        self.assertNotIn("x", fleet.unrestored)
+        self.assertTrue(ledger.is_restored)
+
+
+class RestoredSpendingTest(PlatformTestCase):
+    def test_a_router_restarted_after_the_copy_spends_on(self):
+        async def scenario(deployment):
+            store = deployment.store
+            await deployment.routers["a-1"].kill()
+            copy = store.version
+            router = await deployment.start_router("a-1")
+            ledger = router.ledger_sync.ledger
+            await until(lambda: ledger.is_open)
+            await reserve(router, 10_000, "r1")
+            await store.restore_copy(copy)
+
+            def is_written():
+                row = HolderRow.decode(store.value(HOLDERS_TABLE, "a-1", "a-1"))
+                return row.incarnation == ledger.incarnation
+
+            await until(is_written)
+            await until(lambda: ledger.is_restored)
+            self.assertFalse(ledger.fenced)
+            await reserve(router, 10_000, "r2")
+            self.assertEqual(
+                ledger.share(ACCOUNT).terms.granted, granted(deployment)["a-1"]
+            )
+
+        self.with_platform(scenario, routers=("a-1",))
+
+    def test_a_spent_grant_that_the_copy_lacks_is_written_again(self):
+        async def scenario(deployment):
+            store, router = deployment.store, deployment.routers["a-1"]
+            copy = store.version
+            before = granted(deployment)
+            for number in range(10):
+                await reserve(router, 100_000, f"r{number}")
+            self.assertFalse(router.ledger_sync.ledger.has_headroom)
+            await store.restore_copy(copy)
+            self.assertEqual(before, granted(deployment))
+            await until(lambda: granted(deployment) == {"a-1": 1_000_000})
+
+        self.with_platform(scenario, routers=("a-1",))
