Raise no grant until live routers have written again after a restore

What callers saw: nothing yet; the store showed tokens as free that live routers still held, and granted them again. Cause: the totals of a restored store lack the grants since the copy until each router has written them again, and no router can tell which of the others have. Change: from the first sign of a later era no grant of a router rises for GRANT_HOLD_SECONDS, 15 s. Spending on what it holds, releases and shrinking go on; what is listed twice in that time shrinks no grant. Requests beyond the grant ask other routers at once, and other routers lend rather than release to the store. A process that starts in a later era holds, too: it can't tell how long ago the store came back. 15 s: routers are cut off for up to 9 s at times, some for 12 s (the policy's reserve_seconds), and then need a retry (0.2 s), at most a second until the next write (IDLE_SECONDS) and a few writes delayed by conflicts (0.45 s each at most). Each router's hold starts at its own first sign, which is never before the restore. Here tests.test_ledger_era and tests.test_ledger: 45 passed. Conclusion: a router that is cut off for longer than about 13 s from the restore on is not covered. For 15 s after a restore free tokens are out of reach, also to a router's first grant.

--- a/lynxchute/budgets/ledger.py
+++ b/lynxchute/budgets/ledger.py
@@ -32,6 +32,10 @@
 )
 from lynxchute.store.era import era_of
 
+# Seconds after the first sign of a store that came back from a copy during which no
+# grant rises: longer than any live router needs to write its row again, also when it
+# is cut off from the store for a while.
+GRANT_HOLD_SECONDS = 15.0
 # When lending more than waiting requests need, a router holds back this many seconds of
 # its own demand, which covers all but a few outages of the store.
 LENDER_RESERVE_SECONDS = 8.0
@@ -134,6 +138,8 @@
         self._row_version = 0
         self._era = 0
         self._confirmed_era = 0
+        self._is_hold_due = False
+        self._held_until = -GRANT_HOLD_SECONDS
         self._unrestored_accounts: set[str] = set()
         self._predecessor_ended_ms = 0
         self._silent_ms: int | None = None
@@ -224,13 +230,23 @@
     # Restores of the store.
 
     def observe_era(self, era: int) -> bool:
-        """Record the era of an answer of the store; return whether it is a new one."""
+        """Record the era of an answer of the store; return whether it is a new one.
+
+        Grants that live routers were given since the copy are missing in the totals of
+        a new era until these routers have written again, so no grant rises for
+        `GRANT_HOLD_SECONDS` after its first sign.
+        """
         if era <= self._era:
             return False
         self._era = era
+        self._is_hold_due = True
         self._unrestored_accounts.update(self.shares_by_account)
         return True
 
+    def are_grants_held(self, now: float) -> bool:
+        """Return whether no grant rises since the store came back from a copy."""
+        return self._is_hold_due or now < self._held_until
+
     @property
     def is_restored(self) -> bool:
         """Return whether the store's newest era holds this router's row and grants."""
@@ -497,6 +513,9 @@
             router's write.
         """
         self._sequence += 1
+        if self._is_hold_due:
+            self._is_hold_due = False
+            self._held_until = now + GRANT_HOLD_SECONDS
         terms_by_account: dict[str, Terms] = {}
         totals_by_account: dict[str, Totals] = {}
         for account, share in self.shares_by_account.items():
@@ -590,9 +609,16 @@
         return known.totals.granted_by_vm.get(self.vm, 0) != granted
 
     def _planned_grant(self, account: str, share: Share, held: int, now: float) -> int:
+        granted = self._wanted_grant(account, share, held, now)
+        return min(granted, held) if self.are_grants_held(now) else granted
+
+    def _wanted_grant(self, account: str, share: Share, held: int, now: float) -> int:
         if account not in self.prepaid_by_account:
             return held
         view = self._view(account, share, held, now)
+        if self.are_grants_held(now):
+            # Grants that other routers have given back may be listed again.
+            view = attrs.evolve(view, free=max(view.free, 0))
         if self.is_closing:
             return view.used
         if share.releasing:
--- a/lynxchute/spending/keeper.py
+++ b/lynxchute/spending/keeper.py
@@ -106,8 +106,13 @@
 
     @property
     def may_change_grants(self) -> bool:
-        """Return whether the next write can change a grant."""
-        return self.store_answers and self._grant_backoff.is_over(steady_seconds())
+        """Return whether the next write can change a grant, up or down."""
+        now = steady_seconds()
+        return (
+            self.store_answers
+            and self._grant_backoff.is_over(now)
+            and not self.ledger.are_grants_held(now)
+        )
 
     def now_ms(self) -> int:
         """Return a lower bound of the store's clock, in milliseconds."""
@@ -244,9 +249,11 @@
         """Return whether too few tokens are left for a request.
 
         That is so if the unused grant and the free tokens of the budget together do
-        not cover the tokens.
+        not cover the tokens, or if the grant does not and must not rise yet.
         """
         share = self.ledger.share(account)
+        if self.ledger.are_grants_held(steady_seconds()):
+            return share.headroom < tokens
         return share.headroom + self.ledger.free(account) < tokens
 
     async def _run(self) -> None:
--- a/tests/test_ledger_era.py
+++ b/tests/test_ledger_era.py
@@ -1,23 +1,31 @@
 """Ledgers on a store that comes back from a copy, in a new era."""
 
+import asyncio
+import json
+
 import testtools
 
-from lynxchute.budgets import LimitLine
+from lynxchute.budgets import DemandPolicy, Ledger, LimitLine
+from lynxchute.budgets.ledger import GRANT_HOLD_SECONDS
 from lynxchute.budgets.rows import (
     HOLDERS_TABLE,
+    TOTALS_TABLE,
     HolderRow,
     Totals,
     holder_id,
     totals_id,
 )
 from lynxchute.budgets.share import Terms
-from lynxchute.store import Conflict, Row
+from lynxchute.clock import steady_seconds
+from lynxchute.store import Committed, Conflict, Row
 from lynxchute.store.era import join_version
 from tests.ledger_fleet import LedgerFleet
 from tests.platform_support import ACCOUNT, PlatformTestCase
 from tests.support import until
 from tests.test_spending import granted, reserve
 
+HELD_MS_AT_LEAST = int(GRANT_HOLD_SECONDS * 1000) - 1
+
 
 def written_fleet(vms=("x", "y"), **options):
     """Return a fleet that leaves a part of each budget free."""
@@ -183,6 +191,87 @@
         self.assertTrue(ledger.is_restored)
 
 
+class GrantHoldTest(testtools.TestCase):
+    def restored_fleet(self):
+        fleet = written_fleet()
+        fleet.restore(0)
+        fleet.write_again()
+        return fleet, fleet.routers[0]
+
+    def test_no_grant_rises_during_the_hold(self):
+        fleet, router = self.restored_fleet()
+        before = router.ledger.share("a").terms.granted
+        fleet.now_ms += HELD_MS_AT_LEAST
+        self.assertTrue(router.ledger.are_grants_held(fleet.seconds()))
+        claim(fleet, router, 100)
+        self.assertEqual(before, router.ledger.share("a").terms.granted)
+        fleet.now_ms += 1
+        self.assertFalse(router.ledger.are_grants_held(fleet.seconds()))
+        claim(fleet, router, 100)
+        self.assertLess(before, router.ledger.share("a").terms.granted)
+
+    def test_spending_and_releases_go_on_during_the_hold(self):
+        fleet, router = self.restored_fleet()
+        ledger = router.ledger
+        before = ledger.share("a").terms.granted
+        self.assertIsNone(ledger.reserve("r", "a", 20, now_ms=fleet.now_ms))
+        release = ledger.release("a", needed=50, wanted=50, now=fleet.seconds())
+        fleet.write(router, "answered")
+        fleet.write(router, "answered")
+        self.assertEqual(0, release.left)
+        self.assertEqual(before - release.tokens, ledger.share("a").terms.granted)
+        fleet.check()
+
+    def test_a_second_restore_extends_the_hold(self):
+        fleet, router = self.restored_fleet()
+        fleet.now_ms += HELD_MS_AT_LEAST
+        fleet.restore(0)
+        fleet.write_again()
+        fleet.now_ms += HELD_MS_AT_LEAST
+        self.assertTrue(router.ledger.are_grants_held(fleet.seconds()))
+
+    def test_grants_listed_twice_reduce_no_grant_during_the_hold(self):
+        fleet = written_fleet()
+        first, second = fleet.routers[:2]
+        copy = fleet.store.number
+        first.ledger.is_closing = True
+        fleet.write(first, "answered")
+        fleet.write(first, "answered")
+        claim(fleet, second, sum(fleet.prepaid.values()))
+        before = second.ledger.share("a").terms.granted
+        fleet.restore(fleet.store.number - copy)
+        for _ in range(3):
+            fleet.write(second, "answered")
+        self.assertLess(second.ledger.free("a"), 0)
+        self.assertEqual(before, second.ledger.share("a").terms.granted)
+        fleet.write_again()
+        fleet.check()
+
+    def test_a_grant_written_as_the_store_came_back_does_not_count(self):
+        ledger = Ledger("x", "run", DemandPolicy(), parts=1)
+        ledger.prepaid_by_account["a"] = 1_000
+        ledger.take_over(None, 0)
+        ledger.share("a").is_home = True
+        planned = ledger.plan(now_ms=0, now=1.0)
+        self.assertEqual(850, planned.row.terms_by_account["a"].granted)
+        self.assertTrue(ledger.apply_outcome(Committed(join_version(1, 1))))
+        self.assertEqual(0, ledger.available("a", 0))
+        again = ledger.plan(now_ms=0, now=2.0)
+        self.assertEqual(join_version(1, 1), again.write.expected[0].version)
+        self.assertEqual({}, again.totals_by_account["a"].granted_by_vm)
+        ledger.apply_outcome(Committed(join_version(1, 2)))
+        self.assertTrue(ledger.is_open)
+        self.assertTrue(ledger.is_restored)
+
+    def test_a_process_started_in_a_later_era_holds_its_grants(self):
+        fleet, _ = self.restored_fleet()
+        fleet.restart(0)
+        router = fleet.routers[0]
+        fleet.write(router, "answered")
+        self.assertTrue(router.ledger.are_grants_held(fleet.seconds()))
+        fleet.check_free_is_granted(router, "a")
+
+
 class RestoredSpendingTest(PlatformTestCase):
     def test_a_router_restarted_after_the_copy_spends_on(self):
         async def scenario(deployment):
@@ -222,3 +311,36 @@
             await until(lambda: granted(deployment) == {"a-1": 1_000_000})
 
         self.with_platform(scenario, routers=("a-1",))
+
+    def test_grants_lost_with_a_restore_are_restored_before_any_rises(self):
+        async def scenario(deployment):
+            store = deployment.store
+            copy = store.version
+            for number, router in enumerate(deployment.routers.values()):
+                await reserve(router, 300_000, f"before-{number}")
+            await store.restore_copy(copy)
+            ledgers = [r.ledger_sync.ledger for r in deployment.routers.values()]
+            await until(
+                lambda: all(
+                    ledger.are_grants_held(steady_seconds()) and ledger.is_restored
+                    for ledger in ledgers
+                )
+            )
+            self.assertLessEqual(sum(granted(deployment).values()), 1_000_000)
+            value = json.loads(store.value(TOTALS_TABLE, ACCOUNT))
+            held = {
+                ledger.vm: ledger.share(ACCOUNT).terms.granted for ledger in ledgers
+            }
+            self.assertEqual(held, {vm: value.get(vm, 0) for vm in held})
+            await deployment.configure(version=2, prepaid=2_000_000)
+            for _ in range(10):
+                self.assertEqual(held, granted(deployment))
+                await asyncio.sleep(1.0)
+            await until(
+                lambda: sum(granted(deployment).values()) > sum(held.values()),
+                GRANT_HOLD_SECONDS,
+            )
+            await reserve(deployment.routers["a-1"], 300_000, "after")
+            self.assertLessEqual(sum(granted(deployment).values()), 2_000_000)
+
+        self.with_platform(scenario)
