Fuzz the ledger with a store that comes back from a copy

Late writes arrive in the new era, too, if the numbers that they expect are those of the copy. Six mutants: the own older row adopted, an absent row waited for, the predecessor's row fences, the hold ignored, the own grant not written again, a possibly reduced grant restored in full. Conclusion: a late write that meets a number given out again by chance is not modelled.

--- a/tests/ledger_machine.py
+++ b/tests/ledger_machine.py
@@ -7,6 +7,8 @@
 
 NUMBERS = st.integers(0, 40)
 TOKENS = st.integers(1, 200)
+# Writes that a restore of the store loses.
+WRITES = st.integers(0, 12)
 # Ends the loop of reservations if a broken ledger never refuses; more reservations than
 # any budget here allows.
 MAX_RESERVED = 40
@@ -39,7 +41,7 @@
 
     @rule(ms=st.sampled_from((5, 50, 400, 2_000, 6_000, 20_000)))
     def wait(self, ms):
-        self.fleet.now_ms += ms
+        self.fleet.advance(ms)
 
     @rule(router=NUMBERS, lag_ms=st.integers(0, 300))
     def set_clock_lag(self, router, lag_ms):
@@ -152,7 +154,7 @@
     def lend_for_reserve_and_transfer(self, lender, account, wanted, retained, fate):
         """Transfer a borrowed reserve to a third router; all spend all they can."""
         first, holder, taker = (self.router(lender + n) for n in range(3))
-        self.fleet.now_ms += 400
+        self.fleet.advance(400)
         self.fleet.write(first, "answered")
         self.fleet.lend(first, holder, account, 0, wanted, "taken", for_reserve=True)
         holder.ledger.share(account).is_home = False
@@ -196,7 +198,7 @@
     def deliver_late_write_after_conflict(self, number, account):
         router, other = self.router(number), self.router(number + 1)
         self.fleet.write(router, "answered")
-        self.fleet.now_ms += 2_000
+        self.fleet.advance(2_000)
         self.fleet.write(router, "late")
         other.ledger.release(account, needed=9, wanted=9, now=self.fleet.seconds())
         self.fleet.write(other, "answered")
@@ -226,6 +228,60 @@
         self.reserve_all(number + 1, account)
         self.reserve_all(number, account)
 
+    @rule(writes=WRITES)
+    def restore_store(self, writes):
+        self.fleet.restore(writes)
+
+    @rule(writes=WRITES, account=st.sampled_from(ACCOUNTS))
+    def restore_store_and_reserve_all_everywhere(self, writes, account):
+        """Spend before and after a restore, also what a router could be granted."""
+        for _ in range(2):
+            self.reserve_all_everywhere(account)
+        self.fleet.restore(writes)
+        for number in range(len(self.fleet.routers)):
+            for _ in range(3):
+                self.fleet.write(self.router(number), "answered")
+            self.reserve_all(number, account)
+
+    @rule(number=NUMBERS, writes=WRITES, account=st.sampled_from(ACCOUNTS))
+    def restore_row_of_predecessor(self, number, writes, account):
+        self.fleet.restart(number)
+        for _ in range(2):
+            self.fleet.write(self.router(number), "answered")
+        self.fleet.restore(writes)
+        self.reserve_all(number, account)
+
+    @rule(number=NUMBERS, writes=WRITES, account=st.sampled_from(ACCOUNTS))
+    def restore_store_and_claim_free_tokens(self, number, writes, account):
+        self.fleet.restore(writes)
+        self.fleet.check_free_is_granted(self.router(number), account)
+        self.reserve_all(number, account)
+
+    @rule(
+        number=NUMBERS,
+        writes=WRITES,
+        account=st.sampled_from(ACCOUNTS),
+        needed=TOKENS,
+        fate=st.sampled_from(("answered", "unanswered")),
+    )
+    def restore_store_after_release(self, number, writes, account, needed, fate):
+        """Release tokens that another router claims; both spend all they can."""
+        lender, taker = self.router(number), self.router(number + 1)
+        lender.ledger.release(
+            account, needed=needed, wanted=needed, now=self.fleet.seconds()
+        )
+        self.fleet.write(lender, fate)
+        share = taker.ledger.share(account)
+        wanted = share.headroom + needed
+        share.waiting += wanted
+        for _ in range(2):
+            self.fleet.write(taker, "answered")
+        share.waiting -= wanted
+        self.reserve_all(number + 1, account)
+        self.fleet.restore(writes)
+        self.fleet.write_again()
+        self.reserve_all(number, account)
+
     @rule(router=NUMBERS)
     def start_closing(self, router):
         self.router(router).ledger.is_closing = True
--- a/tests/ledger_mutants.py
+++ b/tests/ledger_mutants.py
@@ -218,6 +218,57 @@
     return mock.patch.object(Ledger, "leftover", leftover)
 
 
+def writer_of(row):
+    return HolderRow.decode(row.value).incarnation
+
+
+def adopt_the_own_row_of_a_copy():
+    is_row_of_copy = Ledger._is_row_of_copy
+
+    def adopt(self, row):
+        if row is not None and writer_of(row) == self.incarnation:
+            return False
+        return is_row_of_copy(self, row)
+
+    return mock.patch.object(Ledger, "_is_row_of_copy", adopt)
+
+
+def wait_for_a_row_that_the_copy_lacks():
+    is_row_of_copy = Ledger._is_row_of_copy
+
+    def wait(self, row):
+        return row is not None and is_row_of_copy(self, row)
+
+    return mock.patch.object(Ledger, "_is_row_of_copy", wait)
+
+
+def fence_at_the_row_of_the_predecessor():
+    is_row_of_copy = Ledger._is_row_of_copy
+
+    def fence(self, row):
+        if row is not None and self.is_open and writer_of(row) == self.predecessor:
+            return False
+        return is_row_of_copy(self, row)
+
+    return mock.patch.object(Ledger, "_is_row_of_copy", fence)
+
+
+def raise_grants_right_after_a_restore():
+    return mock.patch.object(Ledger, "are_grants_held", lambda self, now: False)
+
+
+def forget_the_own_grant_after_a_restore():
+    return mock.patch.object(
+        Ledger, "_is_grant_lost", lambda self, account, granted: False
+    )
+
+
+def restore_a_grant_that_may_have_been_reduced():
+    return mock.patch.object(
+        Ledger, "_held_grant", lambda self, share: share.terms.granted
+    )
+
+
 class PatchGroup:
     """Several patches applied together."""
 
@@ -255,4 +306,10 @@
     lend_to_reserves_beyond_the_limit_line,
     transfer_without_counting,
     transfer_reserved_tokens,
+    adopt_the_own_row_of_a_copy,
+    wait_for_a_row_that_the_copy_lacks,
+    fence_at_the_row_of_the_predecessor,
+    raise_grants_right_after_a_restore,
+    forget_the_own_grant_after_a_restore,
+    restore_a_grant_that_may_have_been_reduced,
 )
--- a/tests/test_ledger_era.py
+++ b/tests/test_ledger_era.py
@@ -19,7 +19,10 @@
 from lynxchute.clock import steady_seconds
 from lynxchute.store import Committed, Conflict, Row
 from lynxchute.store.era import join_version
+from tests import ledger_mutants
+from tests.fuzz import run
 from tests.ledger_fleet import LedgerFleet
+from tests.ledger_machine import LedgerMachine
 from tests.platform_support import ACCOUNT, PlatformTestCase
 from tests.support import until
 from tests.test_spending import granted, reserve
@@ -272,6 +275,18 @@
         fleet.check_free_is_granted(router, "a")
 
 
+class RestoreFuzzTest(testtools.TestCase):
+    def test_fuzzing_detects_mutants_of_restores(self):
+        for mutant in (
+            ledger_mutants.adopt_the_own_row_of_a_copy,
+            ledger_mutants.fence_at_the_row_of_the_predecessor,
+            ledger_mutants.raise_grants_right_after_a_restore,
+            ledger_mutants.forget_the_own_grant_after_a_restore,
+        ):
+            with mutant(), self.assertRaises(AssertionError):
+                run(600, 50, shrink=False, machine=LedgerMachine)
+
+
 class RestoredSpendingTest(PlatformTestCase):
     def test_a_router_restarted_after_the_copy_spends_on(self):
         async def scenario(deployment):
