Write the product's own configuration again after a restore

What operators saw: an acknowledged version of the product's own interface was gone from the store; the next change got the same number with another document, which no router took; a repeated operation ran twice; a router started from the copy served the old version. With the product's own interface no operator's table is written again by others. Change: each router keeps the newest eight versions that it has had in force or has written. When its replica tells of a restore, it writes those above the store's current one again, with their history and operation ids, in one write on condition of the current row, spread over 0.4 s; the first one wins. A change, and the first configuration of a router that starts, waits for the 2 s in which routers do so, as does a process that first hears of the store in a later era. Not covered: a version that only a dead process or a router cut off for more than 2 s knew, whose number may be given out again; operations before the last eight versions; a version that a router skipped because a newer one came with it, whose operation it does not know. The statement of an operation is known to the router that executed it only: if another one writes it again, a different statement under this id counts as its repetition. The store client of operators waits 2 s before each change once the store has come back.

--- a/lynxchute/edge/configurations.py
+++ b/lynxchute/edge/configurations.py
@@ -53,17 +53,21 @@
     ----------
     listeners
         Called with each new version after it has come into force.
+    restore_listeners
+        Called after the table has been listed from a store that came back from a copy.
     """
 
     def __init__(
         self, platform: Platform, evacuations: Evacuations, *, bound: float
     ) -> None:
         self.listeners: list[Callable[[Configuration], None]] = []
+        self.restore_listeners: list[Callable[[], None]] = []
         self.feed = TableFeed(
             platform.store,
             platform.configuration_table,
             times=FeedTimes(wait=bound * LONG_POLL_SHARE),
             on_row=self._handle_row,
+            on_restore=self._notify_restore_listeners,
         )
         self._bound = bound
         self._evacuations = evacuations
@@ -110,6 +114,10 @@
         """Stop following the table."""
         await self.feed.stop()
 
+    def _notify_restore_listeners(self) -> None:
+        for listener in self.restore_listeners:
+            listener()
+
     def _handle_row(self, row: Row) -> None:
         if row.id.key.startswith(self._evacuation_prefix):
             self._handle_evacuation(row)
--- a/lynxchute/operators/history.py
+++ b/lynxchute/operators/history.py
@@ -9,6 +9,7 @@
 from expression import Error, Ok, Result
 
 from lynxchute.config.document import FleetDocument, Version
+from lynxchute.operators.restore import RestorableRows, RewriteWindow
 from lynxchute.store import (
     Committed,
     Expected,
@@ -37,6 +38,9 @@
 FIRST_VERSION = 1
 # Attempts per change. Each conflict means that another change was committed.
 MAX_ATTEMPTS = 8
+# Versions that a process keeps to write them again; a copy is only seconds old, and a
+# version takes 60 KB or more.
+MAX_KNOWN_VERSIONS = 8
 
 Change = Callable[[FleetDocument], Result[FleetDocument, str]]
 
@@ -93,14 +97,20 @@
 
 @attrs.frozen
 class CompletedOperation:
-    """A completed operation and the number of the version it created."""
+    """A completed operation and the number of the version it created.
+
+    Attributes
+    ----------
+    text
+        The statement; None if it was lost with the last writes of a restored store.
+    """
 
     version: int
-    text: str
+    text: str | None
 
     def result_for(self, request: ChangeRequest) -> Result[Accepted, Refused]:
         """Return the result for a repeated request with the same id."""
-        if request.text == self.text:
+        if self.text is None or request.text == self.text:
             return Ok(Accepted(self.version, is_repeated=True))
         reason = f"The id names another order: {self.text}. Use a new id."
         return Error(Refused(reason))
@@ -118,21 +128,51 @@
     row_version: int
 
 
-class ConfigurationHistory:
+@attrs.frozen
+class KnownVersion:
+    """A version that this process has read or written.
+
+    Attributes
+    ----------
+    operation
+        The operation that created it; empty for the initial version.
+    value
+        The value of its rows.
+    text
+        The statement of the operation, if this process has executed it.
+    """
+
+    number: int
+    operation: str
+    value: bytes
+    text: str | None = None
+
+
+class ConfigurationHistory(RestorableRows):
     """Read and extend the versions of the configuration.
 
     The current version, the history row and the operation id are written in one
     conditional write. Retries and lost replies therefore apply an operation at
     most once, and conflicting changes of two operators are serialised.
 
+    A store that comes back from a copy may lack versions. They are written again from
+    what this process knows, and changes wait until all routers have done so.
+
     Parameters
     ----------
     store
         Holds the versions and the operations.
+
+    Attributes
+    ----------
+    window
+        The time in which changes wait for other routers.
     """
 
     def __init__(self, store: Store) -> None:
+        self.window = RewriteWindow(store)
         self._store = store
+        self._known_by_number: dict[int, KnownVersion] = {}
 
     async def initialize(self, document: FleetDocument) -> bool:
         """Write the first version if the store has none; always return True.
@@ -142,6 +182,9 @@
         StoreUnavailable, OutcomeUnknown
             If the store cannot be reached, or its reply is lost.
         """
+        if await self._read_current_row() is not None:
+            return True
+        await self.window.wait()
         first = Version(FIRST_VERSION, document)
         write = Write(
             (Expected(_current_id(), ABSENT),),
@@ -155,6 +198,49 @@
             log_event("first configuration written", version=FIRST_VERSION)
         return True
 
+    def record_row(self, row: Row) -> None:
+        """Record the current version as a router has received it."""
+        if row.deleted:
+            return
+        fields = json.loads(row.value)
+        operation = fields.get("operation", "")
+        if fields["number"] not in self._known_by_number:
+            self._record(KnownVersion(fields["number"], operation, row.value))
+
+    async def restore(self) -> None:
+        """Write the known versions again that are newer than the store's current one.
+
+        Raises
+        ------
+        StoreUnavailable, OutcomeUnknown
+            If the store cannot be reached, or its reply is lost.
+        """
+        for _ in range(MAX_ATTEMPTS):
+            current = await self._read_current()
+            lost = self._known_after(current)
+            if not lost:
+                return
+            outcome = await self._store.write(_rewrite_of(lost, current))
+            if isinstance(outcome, Committed):
+                log_event(
+                    "configuration written again",
+                    version=lost[-1].number,
+                    before=current.version.number if current is not None else 0,
+                    versions=len(lost),
+                )
+                return
+
+    def _record(self, version: KnownVersion) -> None:
+        self._known_by_number[version.number] = version
+        while len(self._known_by_number) > MAX_KNOWN_VERSIONS:
+            del self._known_by_number[min(self._known_by_number)]
+
+    def _known_after(self, current: CurrentVersion | None) -> list[KnownVersion]:
+        """Return the known versions after the store's current one, in order."""
+        number = current.version.number if current is not None else 0
+        numbers = sorted(self._known_by_number)
+        return [self._known_by_number[known] for known in numbers if known > number]
+
     async def change(
         self, change: Change, request: ChangeRequest
     ) -> Result[Accepted, Refused]:
@@ -174,8 +260,7 @@
     ) -> Result[Accepted, Refused]:
         preceding_operations: list[str] = []
         operation_id = _operation_id(request.operation)
-        completed = await self._read_operation(operation_id)
-        current = await self._read_current()
+        completed, current = await self._read_settled(operation_id)
         for _ in range(MAX_ATTEMPTS):
             if completed is not None:
                 return completed.result_for(request)
@@ -188,6 +273,11 @@
             version = Version(number, changed.ok, request.operation, request.operator)
             outcome = await self._write_version(current, version, request)
             if isinstance(outcome, Committed):
+                self._record(
+                    KnownVersion(
+                        number, request.operation, version.encode(), request.text
+                    )
+                )
                 return Ok(
                     Accepted(number, preceding_operations=tuple(preceding_operations))
                 )
@@ -197,8 +287,23 @@
                 preceding_operations.append(
                     current.version.operation or "the first version"
                 )
+            if self.window.is_open or self._known_after(current):
+                completed, current = await self._read_settled(operation_id)
         return Error(Refused("Others change the configuration all the time."))
 
+    async def _read_settled(
+        self, operation_id: RowId
+    ) -> tuple[CompletedOperation | None, CurrentVersion | None]:
+        """Return an operation and the current version, with nothing lost in a copy."""
+        while True:
+            completed = await self._read_operation(operation_id)
+            current = await self._read_current()
+            if await self.window.wait():
+                continue
+            if not self._known_after(current):
+                return completed, current
+            await self.restore()
+
     async def _read_operation(self, operation_id: RowId) -> CompletedOperation | None:
         """Return the completed operation with this id; None if there is none."""
         snapshot = await self._store.scan(OPERATIONS_TABLE)
@@ -212,10 +317,13 @@
         return await self._store.scan(VERSIONS_TABLE)
 
     async def _read_current(self) -> CurrentVersion | None:
+        return _decode_current(await self._read_current_row())
+
+    async def _read_current_row(self) -> Row | None:
         snapshot = await self._store.scan(CURRENT_TABLE)
         for row in snapshot.rows:
             if row.id.key == CURRENT_KEY:
-                return _decode_current(row)
+                return row
         return None
 
     async def _write_version(
@@ -248,6 +356,19 @@
     return RowId(OPERATIONS_TABLE, operation)
 
 
+def _rewrite_of(lost: list[KnownVersion], current: CurrentVersion | None) -> Write:
+    """Return the write that adds lost versions and makes the last one current."""
+    row_version = current.row_version if current is not None else ABSENT
+    puts = [Put(_current_id(), lost[-1].value)]
+    for version in lost:
+        puts.append(Put(_version_id(version.number), version.value))
+        if not version.operation:
+            continue
+        completed = CompletedOperation(version.number, version.text)
+        puts.append(Put(_operation_id(version.operation), completed.encode()))
+    return Write((Expected(_current_id(), row_version),), tuple(puts))
+
+
 def _decode_operation(row: Row | None) -> CompletedOperation | None:
     return CompletedOperation(**json.loads(row.value)) if row is not None else None
 
--- a/lynxchute/operators/runner.py
+++ b/lynxchute/operators/runner.py
@@ -87,6 +87,9 @@
     describe_backpressure
         Returns the backpressure that an upstream, given by id, has signalled to the
         answering router; None if the statement runs outside a router.
+    history
+        The configuration's versions, with what a router knows of them; None if the
+        statement runs outside a router.
     """
 
     def __init__(
@@ -94,12 +97,13 @@
         platform: Platform,
         query_routers: QueryRouters | None = None,
         describe_backpressure: Callable[[str], str] | None = None,
+        history: ConfigurationHistory | None = None,
     ) -> None:
         self._evacuations = EvacuationRows(platform, query_routers)
         self._collections = Collections(
             platform, self._evacuations, describe_backpressure or _no_backpressure
         )
-        self._history = ConfigurationHistory(platform.store)
+        self._history = history or ConfigurationHistory(platform.store)
         self._quarantine = QuarantineRow(platform.store)
 
     async def run(self, text: str, *, operator: str, role: Role) -> Answer:
--- a/lynxchute/router.py
+++ b/lynxchute/router.py
@@ -26,6 +26,7 @@
     CURRENT_TABLE,
     ConfigurationHistory,
 )
+from lynxchute.operators.restore import RowRewriter
 from lynxchute.operators.runner import StatementRunner
 from lynxchute.operators.service import COMMANDS_PATH, OperatorService
 from lynxchute.platform.store import PlatformStore
@@ -171,8 +172,13 @@
             edge.store, max_answer_tokens=settings.max_answer_tokens
         )
         super().__init__(edge, platform, started_at=started_at)
-        history = ConfigurationHistory(self.platform.store)
-        self.components.insert(0, FirstConfiguration(history, settings.configuration))
+        self._history = ConfigurationHistory(self.platform.store)
+        self.configurations.listeners.append(self._record_version)
+        rewriter = RowRewriter((self._history,))
+        self.configurations.restore_listeners.append(self._history.window.observe)
+        self.configurations.restore_listeners.append(rewriter.request)
+        first = FirstConfiguration(self._history, settings.configuration)
+        self.components[:0] = [first, rewriter]
         reports = EvacuationReports(
             self.evacuations, self.directory, self.members, self.peers, steady_seconds
         )
@@ -184,6 +190,7 @@
                 lambda name: self.directory.describe_backpressure(
                     name, steady_seconds()
                 ),
+                self._history,
             ),
             lambda: self.configurations.current,
         )
@@ -211,6 +218,11 @@
             return False
         return super().is_ready()
 
+    def _record_version(self, configuration: Configuration) -> None:
+        """Record a version in force, to write it again if the store loses it."""
+        self._history.window.observe()
+        self._history.record_row(self.configurations.feed.rows_by_key[CURRENT_KEY])
+
     def _models(self) -> list[str]:
         current = self.configurations.current
         routes = current.routes if current is not None else ()
