Write evacuation orders and revocations again after a restore

What operators saw (product's own interface): an order that was in force ended 2 s after a restore, since nobody wrote its row again, and could not be taken back meanwhile ("is not evacuated"); a revoked order stood in the store again, for each router that starts. Change: after a restore each router writes the orders that it has in force and that the first listing lacks, on condition that there is no row, and deletes those of the copy that its replica knows as revoked. A revocation now keeps the revoked order in a row of its own (`revoked-evacuation/`), in the same write: a router that hears of the restore late, or missed the revocation, does not write that order again. Orders and revocations wait for the 2 s in which routers write again. Evidence: of the eight tests of EvacuationTest in tests/test_store_era_own.py seven fail before (no row within 2 s; not_done, "is not evacuated") and pass now. The one of the router that missed a lost revocation passes before as well, as nothing was written again; it guards the change.

--- a/lynxchute/operators/evacuation_rows.py
+++ b/lynxchute/operators/evacuation_rows.py
@@ -12,7 +12,10 @@
 from lynxchute.clock import steady_seconds
 from lynxchute.edge.platform import Platform
 from lynxchute.operators.query import suggest_name
+from lynxchute.operators.restore import RewriteWindow
 from lynxchute.store import (
+    Committed,
+    Expected,
     OutcomeUnknown,
     Put,
     Row,
@@ -27,6 +30,11 @@
 UNKNOWN_OUTCOME = "It may have been done. `show evacuations` tells; it can be repeated."
 NOT_WRITABLE = "The store takes no such orders from here; write its row instead."
 SINCE_KEY, OPERATOR_KEY = "since_ms", "operator"
+# Key prefix of the rows that hold the last revoked order of each data centre. Routers
+# that know the order do not write it again after a restore of the store.
+REVOKED_PREFIX = "revoked-evacuation/"
+# Attempts per revocation. Each conflict means that the order was replaced meanwhile.
+MAX_ATTEMPTS = 5
 
 
 @attrs.frozen
@@ -67,11 +75,18 @@
     query_routers
         Queries all routers for the state of an evacuation; None if there is no access
         to them.
+    window
+        The time after a restore of the store in which orders wait for other routers;
+        None to observe the store anew.
     """
 
     def __init__(
-        self, platform: Platform, query_routers: QueryRouters | None = None
+        self,
+        platform: Platform,
+        query_routers: QueryRouters | None = None,
+        window: RewriteWindow | None = None,
     ) -> None:
+        self._window = window or RewriteWindow(platform.store)
         self._platform = platform
         self._store = platform.store
         self._query_routers = query_routers
@@ -122,7 +137,8 @@
     async def _write_evacuation(
         self, name: str, known: set[str], operator: str, is_forced: bool
     ) -> Result[str, str]:
-        evacuated = {self._data_centre_name(row) for row in await self._read_rows()}
+        rows = await self._read_settled_rows()
+        evacuated = {self._data_centre_name(row) for row in rows}
         if not is_forced and not known - evacuated - {name}:
             return Error(
                 "Nothing would be served: all other data centres are evacuated. "
@@ -135,11 +151,29 @@
         return Ok(f"Nothing new is sent to {name}; what runs there goes on to its end.")
 
     async def _delete_evacuation(self, name: str) -> Result[str, str]:
-        evacuated = {self._data_centre_name(row) for row in await self._read_rows()}
-        if name not in evacuated:
-            return Error(f"{name!r} is not evacuated. {suggest_name(name, evacuated)}")
-        await self._store.write(Write(deletes=(self._row_id(name),)))
-        return Ok(f"{name} is used again, by what its upstreams bear.")
+        revoked_id = RowId(self._platform.configuration_table, REVOKED_PREFIX + name)
+        for _ in range(MAX_ATTEMPTS):
+            rows = await self._read_settled_rows()
+            row_by_name = {self._data_centre_name(row): row for row in rows}
+            row = row_by_name.get(name)
+            if row is None:
+                known = set(row_by_name)
+                return Error(f"{name!r} is not evacuated. {suggest_name(name, known)}")
+            write = Write(
+                (Expected(row.id, row.version),),
+                (Put(revoked_id, row.value),),
+                (row.id,),
+            )
+            if isinstance(await self._store.write(write), Committed):
+                return Ok(f"{name} is used again, by what its upstreams bear.")
+        return Error("The order changes all the time. Try again.")
+
+    async def _read_settled_rows(self) -> list[Row]:
+        """Return the rows after routers had time to write lost ones again."""
+        rows = await self._read_rows()
+        while await self._window.wait():
+            rows = await self._read_rows()
+        return rows
 
     async def _router_columns(self, name: str) -> dict[str, Any]:
         if self._query_routers is None:
--- a/lynxchute/operators/runner.py
+++ b/lynxchute/operators/runner.py
@@ -99,11 +99,13 @@
         describe_backpressure: Callable[[str], str] | None = None,
         history: ConfigurationHistory | None = None,
     ) -> None:
-        self._evacuations = EvacuationRows(platform, query_routers)
+        self._history = history or ConfigurationHistory(platform.store)
+        self._evacuations = EvacuationRows(
+            platform, query_routers, self._history.window
+        )
         self._collections = Collections(
             platform, self._evacuations, describe_backpressure or _no_backpressure
         )
-        self._history = history or ConfigurationHistory(platform.store)
         self._quarantine = QuarantineRow(platform.store)
 
     async def run(self, text: str, *, operator: str, role: Role) -> Answer:
--- a/lynxchute/router.py
+++ b/lynxchute/router.py
@@ -21,6 +21,7 @@
 from lynxchute.edge.platform import Platform
 from lynxchute.http import ClientPool, Request, Responder
 from lynxchute.operators.evacuation_reports import EvacuationReports
+from lynxchute.operators.evacuation_restore import EvacuationRestore
 from lynxchute.operators.history import (
     CURRENT_KEY,
     CURRENT_TABLE,
@@ -174,9 +175,15 @@
         super().__init__(edge, platform, started_at=started_at)
         self._history = ConfigurationHistory(self.platform.store)
         self.configurations.listeners.append(self._record_version)
-        rewriter = RowRewriter((self._history,))
-        self.configurations.restore_listeners.append(self._history.window.observe)
-        self.configurations.restore_listeners.append(rewriter.request)
+        evacuations = EvacuationRestore(self.platform, self.configurations.feed)
+        rewriter = RowRewriter((evacuations, self._history))
+        self.configurations.restore_listeners.extend(
+            (
+                self._history.window.observe,
+                evacuations.handle_restore,
+                rewriter.request,
+            )
+        )
         first = FirstConfiguration(self._history, settings.configuration)
         self.components[:0] = [first, rewriter]
         reports = EvacuationReports(
--- a/tests/test_store_era_own.py
+++ b/tests/test_store_era_own.py
@@ -1,5 +1,7 @@
 """A store without its last writes, and what the product's own interface wrote there."""
 
+import asyncio
+
 from lynxchute.config.document import Version
 from lynxchute.operators.client import StoreClient
 from lynxchute.operators.history import (
@@ -8,8 +10,9 @@
     OPERATIONS_TABLE,
     VERSIONS_TABLE,
 )
-from lynxchute.router import make_platform
+from lynxchute.router import EVACUATION_PREFIX, make_platform
 from lynxchute.standins.platform_store import Outage
+from lynxchute.store.feed import REWRITE_SECONDS
 from tests.support import ACCOUNT, AsyncTestCase, until, with_deployment
 
 ROUTERS = ("kyu-a-1", "kyu-a-2", "kyu-b-1", "kyu-b-2")
@@ -222,3 +225,162 @@
             await until(lambda: stored_number(deployment) == 2, 3 * RESTORE_BOUND)
 
         with_deployment(self, scenario)
+
+
+ORDER_KEY = f"{EVACUATION_PREFIX}kyu-a"
+
+
+def stored_order(deployment):
+    return deployment.store.value(CURRENT_TABLE, ORDER_KEY)
+
+
+def evacuated_at(deployment):
+    """Return the VMs whose routers send nothing new to the evacuated data centre."""
+    vms = set()
+    for vm, router in deployment.routers_by_vm.items():
+        if router.evacuations.is_evacuated("kyu-a"):
+            vms.add(vm)
+    return vms
+
+
+async def evacuate(deployment, vm=ROUTERS[0]):
+    _, answer = await deployment.operate(vm, "evacuate data centre kyu-a")
+    assert answer["state"] == "done", answer
+    await until(lambda: evacuated_at(deployment) == set(deployment.routers_by_vm))
+
+
+async def take_back(deployment, vm=ROUTERS[0]):
+    _, answer = await deployment.operate(vm, "take back data centre kyu-a")
+    assert answer["state"] == "done", answer
+
+
+def record_changes(deployment):
+    """Return a list that gets each order that begins or ends at any router."""
+    changes = []
+    for router in deployment.routers_by_vm.values():
+        router.evacuations.listeners.append(changes.append)
+    return changes
+
+
+class EvacuationTest(AsyncTestCase):
+    def test_order_missing_in_the_copy_is_written_again(self):
+        async def scenario(deployment):
+            copy = deployment.store.version
+            await evacuate(deployment)
+            order = stored_order(deployment)
+            changes = record_changes(deployment)
+            await deployment.store.restore_copy(copy)
+            self.assertIsNone(stored_order(deployment))
+            await until(lambda: stored_order(deployment), RESTORE_BOUND)
+            await asyncio.sleep(REWRITE_SECONDS + 1.0)
+            self.assertEqual(
+                (order, [], set(ROUTERS)),
+                (stored_order(deployment), changes, evacuated_at(deployment)),
+            )
+
+        with_deployment(self, scenario)
+
+    def test_order_missing_in_two_copies_is_written_again(self):
+        async def scenario(deployment):
+            copy = deployment.store.version
+            await evacuate(deployment)
+            order = stored_order(deployment)
+            changes = record_changes(deployment)
+            await deployment.store.restore_copy(copy)
+            await until(lambda: stored_order(deployment), RESTORE_BOUND)
+            await deployment.store.restore_copy(copy)
+            await until(lambda: stored_order(deployment), RESTORE_BOUND)
+            await asyncio.sleep(REWRITE_SECONDS + 1.0)
+            self.assertEqual((order, []), (stored_order(deployment), changes))
+
+        with_deployment(self, scenario)
+
+    def test_order_is_written_again_by_a_router_behind_a_relay(self):
+        async def scenario(deployment):
+            copy = deployment.store.version
+            await evacuate(deployment)
+            for vm in ROUTERS[:3]:
+                configurations = deployment.routers_by_vm[vm].configurations
+                configurations.restore_listeners.clear()
+            deployment.store_faults(ROUTERS[3]).outage = Outage.RESET
+            router = deployment.routers_by_vm[ROUTERS[3]]
+            await until(lambda: router.platform.store._is_cut_off)
+            await deployment.store.restore_copy(copy)
+            await until(lambda: stored_order(deployment), 3 * RESTORE_BOUND)
+
+        with_deployment(self, scenario)
+
+    def test_revoked_order_of_the_copy_is_removed(self):
+        async def scenario(deployment):
+            await evacuate(deployment)
+            copy = deployment.store.version
+            await take_back(deployment)
+            await until(lambda: not evacuated_at(deployment))
+            changes = record_changes(deployment)
+            await deployment.store.restore_copy(copy)
+            self.assertIsNotNone(stored_order(deployment))
+            await until(lambda: not stored_order(deployment), RESTORE_BOUND)
+            await asyncio.sleep(REWRITE_SECONDS + 1.0)
+            self.assertEqual((None, []), (stored_order(deployment), changes))
+
+        with_deployment(self, scenario)
+
+    def test_order_revoked_at_once_after_a_restore_does_not_come_back(self):
+        async def scenario(deployment):
+            copy = deployment.store.version
+            await evacuate(deployment)
+            await deployment.store.restore_copy(copy)
+            await take_back(deployment, ROUTERS[3])
+            await until(lambda: not evacuated_at(deployment))
+            await asyncio.sleep(REWRITE_SECONDS + 1.0)
+            self.assertEqual(
+                (None, set()), (stored_order(deployment), evacuated_at(deployment))
+            )
+
+        with_deployment(self, scenario)
+
+    def test_order_after_a_restore_is_not_taken_for_a_revoked_one(self):
+        async def scenario(deployment):
+            await evacuate(deployment)
+            copy = deployment.store.version
+            await take_back(deployment)
+            await until(lambda: not evacuated_at(deployment))
+            await deployment.store.restore_copy(copy)
+            await evacuate(deployment, ROUTERS[3])
+            await asyncio.sleep(REWRITE_SECONDS + 1.0)
+            self.assertIsNotNone(stored_order(deployment))
+            self.assertEqual(set(ROUTERS), evacuated_at(deployment))
+
+        with_deployment(self, scenario)
+
+    def test_router_that_hears_late_of_a_restore_does_not_undo_a_revocation(self):
+        async def scenario(deployment):
+            copy = deployment.store.version
+            await evacuate(deployment)
+            deployment.set_cut("kyu-b", True)
+            await deployment.store.restore_copy(copy)
+            await until(lambda: stored_order(deployment), RESTORE_BOUND)
+            await take_back(deployment)
+            deployment.set_cut("kyu-b", False)
+            await until(lambda: not evacuated_at(deployment), 20)
+            await asyncio.sleep(1.0)
+            self.assertIsNone(stored_order(deployment))
+
+        with_deployment(self, scenario)
+
+    def test_router_that_missed_a_lost_revocation_does_not_undo_it(self):
+        async def scenario(deployment):
+            copy = deployment.store.version
+            await evacuate(deployment)
+            deployment.set_cut("kyu-b", True)
+            await take_back(deployment)
+            await until(lambda: evacuated_at(deployment) == set(ROUTERS[2:]))
+            # The copy has neither the order nor the revocation.
+            await deployment.store.restore_copy(copy)
+            await asyncio.sleep(RESTORE_BOUND)
+            deployment.set_cut("kyu-b", False)
+            await until(lambda: not evacuated_at(deployment), 20)
+            await asyncio.sleep(1.0)
+            self.assertIsNone(stored_order(deployment))
+
+        with_deployment(self, scenario)
