Let a process that starts long after a restore get grants at once

What callers would see: for 15 s after each start of a router, and after a loss of all routers, no grant, if the store has ever come back from a copy before. Cause: found in reading the merge: a process that starts cannot know when the store last came back, so it held its grants as if it had been just now. Change: the routers that notice a restore write a row with the era and the store's time; the copy never has it. A process that starts takes the time since then off its hold, and a fleet that starts for the first time needs none. Evidence: test_router_that_starts_long_after_a_restore_may_get_grants_at_once (True before, False now) and test_router_that_starts_right_after_a_restore_holds_its_grants.

--- a/lynxchute/budgets/ledger.py
+++ b/lynxchute/budgets/ledger.py
@@ -243,6 +243,12 @@
         self._unrestored_accounts.update(self.shares_by_account)
         return True
 
+    def shorten_hold(self, seconds: float, now: float) -> None:
+        """Let grants rise earlier, as the store came back some seconds ago already."""
+        if self._is_hold_due:
+            self._is_hold_due = False
+            self._held_until = now + max(GRANT_HOLD_SECONDS - seconds, 0.0)
+
     def are_grants_held(self, now: float) -> bool:
         """Return whether no grant rises since the store came back from a copy."""
         return self._is_hold_due or now < self._held_until
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -183,6 +183,7 @@
             settled=self.registry.members_known,
             started_at=steady_seconds() if started_at is None else started_at,
             before_first_write=self.final_use_exchange.fetch_predecessor_use,
+            restored_seconds=lambda: self.registry.era_mark.seconds(steady_seconds()),
         )
         self.configurations.listeners.append(self.ledger_sync.configure)
         self.settlements = SettlementSender(ledger, self.members, self.peers)
--- a/lynxchute/fleet/registry.py
+++ b/lynxchute/fleet/registry.py
@@ -9,6 +9,7 @@
 
 from lynxchute.application import BackgroundTask
 from lynxchute.fleet.client import Peers, PeerUnreachable
+from lynxchute.fleet.era_mark import ERA_KEY, EraMark
 from lynxchute.fleet.members import Member, Members
 from lynxchute.fleet.messages import PingRequest
 from lynxchute.store import (
@@ -70,6 +71,8 @@
         Called after each batch of changed rows.
     peers
         Sends pings to unreachable routers; None until it is set.
+    era_mark
+        Tells since when the fleet has known the store's era.
     handlers_by_key
         Handlers of further rows of the table, by row key.
     feed
@@ -82,7 +85,10 @@
         self.members_known = asyncio.Event()
         self.listeners: list[Callable[[], None]] = []
         self.peers: Peers | None = None
-        self.handlers_by_key: dict[str, Callable[[Row], None]] = {}
+        self.era_mark = EraMark(store, TABLE, is_first_start=is_first_start)
+        self.handlers_by_key: dict[str, Callable[[Row], None]] = {
+            ERA_KEY: self.era_mark.handle_row
+        }
         self.feed = TableFeed(
             store,
             TABLE,
@@ -127,6 +133,7 @@
         await self.feed.synced.wait()
         while not self.secret:
             await self._propose_secret()
+        await self._mark_era()
         if self._is_first_start:
             await asyncio.sleep(FIRST_START_SECONDS)
         self.members_known.set()
@@ -146,11 +153,19 @@
     async def _rewrite(self) -> None:
         """Write again what a store that has come back from a copy may lack."""
         await asyncio.sleep(random.uniform(0.0, REWRITE_SPREAD_SECONDS))
+        await self._mark_era()
         while not await self._restore_secret():
             await asyncio.sleep(RETRY_SECONDS)
         while not await self.register(self._members.own):
             await asyncio.sleep(RETRY_SECONDS)
 
+    async def _mark_era(self) -> None:
+        try:
+            await self.era_mark.write()
+        except (StoreUnavailable, OutcomeUnknown) as error:
+            # Another router marks it, or processes that start wait longer for grants.
+            log_event("era mark not written", reason=str(error))
+
     async def _restore_secret(self) -> bool:
         """Write the secret unless the store has one; return whether that is known."""
         row_id = RowId(TABLE, SECRET_KEY)
--- a/lynxchute/spending/keeper.py
+++ b/lynxchute/spending/keeper.py
@@ -55,6 +55,8 @@
         process of this VM had ended by then.
     before_first_write
         Awaited once the previous process's row has been read.
+    restored_seconds
+        Returns for how many seconds the fleet has known the store's era.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         settled: asyncio.Event,
         started_at: float,
         before_first_write: Callable[[], Awaitable[None]],
+        restored_seconds: Callable[[], float] = lambda: 0.0,
     ) -> None:
         super().__init__()
         self.ledger = ledger
@@ -74,6 +77,7 @@
         self._members_known = settled
         self._started_at = started_at
         self._before_first_write = before_first_write
+        self._restored_seconds = restored_seconds
         self._write_due = asyncio.Event()
         self._write_now = asyncio.Event()
         self._waiters: set[asyncio.Future[None]] = set()
@@ -260,6 +264,7 @@
         while not await self._take_over():
             await asyncio.sleep(RETRY_SECONDS)
         await self._members_known.wait()
+        self.ledger.shorten_hold(self._restored_seconds(), steady_seconds())
         await self._before_first_write()
         while True:
             if not await self._wait_until_due():
--- a/tests/test_ledger_era.py
+++ b/tests/test_ledger_era.py
@@ -275,6 +275,31 @@
         fleet.check_free_is_granted(router, "a")
 
 
+class EraMarkTest(PlatformTestCase):
+    def grants_of_restarted_router(self, marked_ms_ago):
+        """Return a restarted router's grants after a second in a later era."""
+
+        async def scenario(deployment):
+            store = deployment.store
+            await store.restore_copy(store.version)
+            await until(lambda: store.value("fleet", "era"))
+            now_ms = store._version_fields()["now_ms"]
+            mark = {"era": store.era, "since_ms": now_ms - marked_ms_ago}
+            await store.put("fleet", "era", json.dumps(mark).encode())
+            await deployment.routers.pop("a-1").kill()
+            router = await deployment.start_router("a-1")
+            await until(lambda: router.ledger_sync.ledger.is_open)
+            return router.ledger_sync.ledger.are_grants_held(steady_seconds())
+
+        return self.with_platform(scenario, routers=("a-1",))
+
+    def test_router_that_starts_long_after_a_restore_may_get_grants_at_once(self):
+        self.assertFalse(self.grants_of_restarted_router(60_000))
+
+    def test_router_that_starts_right_after_a_restore_holds_its_grants(self):
+        self.assertTrue(self.grants_of_restarted_router(1_000))
+
+
 class DeathTest(testtools.TestCase):
     def test_what_a_router_used_before_it_died_outlives_a_restore(self):
         fleet = written_fleet(prepaid={"a": 1_000})
