Test that many routers restore their grants before any grant rises

What callers would see: grants that rise while live routers have not yet written theirs again, and tokens granted twice. Cause: all routers of a budget write the same totals again at once; each write whose version is older than its delay after a conflict meets another conflict.

--- a/tests/test_ledger_era.py
+++ b/tests/test_ledger_era.py
@@ -17,14 +17,23 @@
 )
 from lynxchute.budgets.share import Terms
 from lynxchute.clock import steady_seconds
-from lynxchute.store import Committed, Conflict, Row
+from lynxchute.spending.keeper import LedgerSync
+from lynxchute.store import (
+    Committed,
+    Conflict,
+    Row,
+    Snapshot,
+    Store,
+    StoreClock,
+    StoreUnavailable,
+)
 from lynxchute.store.era import join_version
 from tests import ledger_mutants
 from tests.fuzz import run
-from tests.ledger_fleet import HELD_MS, LedgerFleet
+from tests.ledger_fleet import HELD_MS, InMemoryStore, LedgerFleet
 from tests.ledger_machine import LedgerMachine
 from tests.platform_support import ACCOUNT, PlatformTestCase
-from tests.support import until
+from tests.support import AsyncTestCase, until
 from tests.test_spending import granted, reserve
 
 HELD_MS_AT_LEAST = int(GRANT_HOLD_SECONDS * 1000) - 1
@@ -297,6 +306,97 @@
         fleet.check()
 
 
+class SharedStore(Store):
+    """A router's client of an in-memory store that takes a while to answer."""
+
+    def __init__(self, shared):
+        self.clock = StoreClock()
+        self.conflicts = 0
+        self._shared = shared
+
+    async def write(self, write):
+        await self._answer()
+        outcome = self._shared.write(write)
+        self.conflicts += isinstance(outcome, Conflict)
+        return outcome
+
+    async def scan(self, table, *, part=""):
+        await self._answer()
+        rows = [
+            row for row in self._shared.rows_by_id.values() if row.id.table == table
+        ]
+        version = join_version(self._shared.era, self._shared.number)
+        return Snapshot(tuple(rows), version)
+
+    async def changes(self, table, *, after, wait):
+        raise StoreUnavailable("not used by this test")
+
+    async def _answer(self):
+        await asyncio.sleep(0.005)
+        self.era.observe(self._shared.era)
+        now = asyncio.get_running_loop().time()
+        self.clock.observe(told_ms=int(now * 1000), now=now, asked_at=now)
+
+
+class ContentionTest(AsyncTestCase):
+    ROUTERS = 200
+
+    def start_sync(self, store, number):
+        ledger = Ledger(f"x-{number}", "run", DemandPolicy(), parts=1)
+        ledger.prepaid_by_account["a"] = 1_000_000
+        members_known = asyncio.Event()
+        members_known.set()
+
+        async def no_wait():
+            return None
+
+        return LedgerSync(
+            ledger,
+            store,
+            lambda account: [],
+            settled=members_known,
+            started_at=0.0,
+            before_first_write=no_wait,
+        )
+
+    def test_many_routers_write_the_same_totals_again(self):
+        async def scenario():
+            shared = InMemoryStore()
+            stores = [SharedStore(shared) for _ in range(self.ROUTERS)]
+            syncs = [self.start_sync(store, n) for n, store in enumerate(stores)]
+            for sync in syncs:
+                await sync.start()
+                sync.request_write()
+                await until(lambda sync=sync: sync.ledger.is_open)
+                sync.ledger.share("a").waiting = 1_000
+                sync.request_write()
+            row = totals_id("a")
+            await until(
+                lambda: (
+                    len(Totals.decode(shared.get(row).value).granted_by_vm)
+                    == self.ROUTERS
+                ),
+                30,
+            )
+            for store in stores:
+                store.conflicts = 0
+            shared.restore(0)
+            await until(
+                lambda: (
+                    shared.get(row)
+                    and len(Totals.decode(shared.get(row).value).granted_by_vm)
+                    == self.ROUTERS
+                ),
+                GRANT_HOLD_SECONDS,
+            )
+            conflicts = sum(store.conflicts for store in stores)
+            self.assertLess(conflicts, 8 * self.ROUTERS)
+            for sync in syncs:
+                await sync.stop()
+
+        self.run_async(scenario(), 60)
+
+
 class RestoreFuzzTest(testtools.TestCase):
     def test_fuzzing_detects_mutants_of_restores(self):
         for mutant in (
