Let a home ask lenders while its grant must not rise

Cause: during the hold after a restore a home with free tokens in the totals waited for the store, which raises nothing then, instead of asking routers with spare tokens ahead of need. Change: it asks them; docs/design/budgets.md tells the hold, what was weighed and what is open. Evidence: test_a_home_asks_lenders_while_its_grant_must_not_rise fails before and passes now.

--- a/lynxchute/spending/balance.py
+++ b/lynxchute/spending/balance.py
@@ -98,7 +98,8 @@
         held = share.terms.granted + share.borrowed - share.used
         if demand <= 0 or held >= demand * REFILL_BELOW_SECONDS:
             return
-        if self._ledger.free(account) > 0 and self._ledger_sync.store_answers:
+        is_free = self._ledger.free(account) > 0 and self._ledger_sync.store_answers
+        if is_free and not self._ledger.are_grants_held(steady_seconds()):
             self._ledger_sync.request_write()
             return
         wanted = int(demand * REFILL_SECONDS) - held
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -5,10 +5,12 @@
 import attrs
 
 from lynxchute.budgets import DemandPolicy, Ledger
+from lynxchute.clock import steady_seconds
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Member, Members
 from lynxchute.fleet.messages import Ack
 from lynxchute.spending.balance import PendingTransfer, Rebalancer
+from lynxchute.spending.lenders import GatherResult
 from tests.support import AsyncTestCase
 
 
@@ -31,10 +33,37 @@
 class FakeLedgerSync:
     ledger: Ledger
 
+    store_answers: bool = True
+
     def now_ms(self):
         return 0
 
 
+@attrs.define
+class FakeLenders:
+    asked: int = 0
+
+    async def borrow_spare(self, account, wanted):
+        self.asked += 1
+        return GatherResult()
+
+
+class RefillTest(AsyncTestCase):
+    def test_a_home_asks_lenders_while_its_grant_must_not_rise(self):
+        async def scenario():
+            ledger = Ledger("a-1", "run", DemandPolicy(), parts=1)
+            ledger.prepaid_by_account["kanda"] = 1_000
+            ledger.share("kanda").demand.add(500, steady_seconds())
+            ledger.observe_era(1)
+            lenders = FakeLenders()
+            members = Members(Member("a-1", "a", "run", "x:1"))
+            rebalancer = Rebalancer(FakeLedgerSync(ledger), lenders, members, None)
+            await rebalancer._refill_home("kanda")
+            self.assertEqual(1, lenders.asked)
+
+        self.run_async(scenario())
+
+
 class TransferTest(AsyncTestCase):
     def rebalancer(self, lost):
         self.ledger = Ledger("a-1", "run", DemandPolicy(), parts=1)
