Write the quarantine row again after a restore

What callers saw: a request that crashes upstreams was sent again after a restore, since its quarantine was gone with the row's last writes. What operators saw: a request that was released or served since the copy was refused again until its quarantine expired. Change: when the store has come back, each router keeps for 2 s what the row lacks, and drops what it knows as cleared since (each keeps the last 500). The judge writes the row again at once; afterwards the row counts as it is. A release by an operator waits for these 2 s. Evidence: nine of the ten tests of QuarantineTest in tests/test_store_era_own.py fail before (the row is not written, or still has the cleared request, within 2 s or 10 s; a finding is gone) and pass now. Not covered: a judge that dies within the drill, or a new router that becomes the judge during it, writes nothing again; other routers then keep what the row lacks for 2 s only, apart from entries that they have not yet seen in the row.

--- a/lynxchute/containment/containment.py
+++ b/lynxchute/containment/containment.py
@@ -23,7 +23,9 @@
     QuarantineRecord,
     ServedContents,
 )
-from lynxchute.store import Row, Store
+from lynxchute.store import Row, Store, TableFeed
+from lynxchute.store.era import era_of
+from lynxchute.store.feed import REWRITE_SECONDS
 from lynxchute.telemetry import Metrics, log_event
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.entry import OpenSend
@@ -46,6 +48,9 @@
 # Maximum number of reported content ids that are remembered, so that the judge is told
 # if such a request is served later.
 MAX_REPORTED = 500
+# Seconds by which the end of the time for rewriting a lost row is checked too late
+# rather than too early.
+SETTLE_MARGIN_SECONDS = 0.05
 # Milliseconds for which a request that was served is not suspected. A request that is
 # sent many times a second is open during most crashes, and cannot be their cause while
 # other upstreams serve it. The time is short, because an upstream may be replaced by a
@@ -90,6 +95,7 @@
         broadcast.listeners.append(self._handle_update)
         self.judge = Judge(members, store, broadcast, metrics, clock)
         self.quarantine = Quarantine()
+        self.judge.restore_listeners.append(self._schedule_settle)
         self._members = members
         self._peers = peers
         self._directory = directory
@@ -101,6 +107,8 @@
         self._pending_runs: deque[BrokenRun] = deque(maxlen=MAX_PENDING)
         self._recent_evidence: deque[tuple[int, BrokenRun]] = deque(maxlen=MAX_PENDING)
         self._last_judge = members.own.incarnation
+        self._feed: TableFeed | None = None
+        self._settle_timer: asyncio.TimerHandle | None = None
         self._pending_survived: deque[str] = deque(maxlen=MAX_PENDING)
         self._loop = PeriodicTask("evidence", self._send_evidence, JUDGE_CHECK_SECONDS)
 
@@ -116,6 +124,7 @@
 
     def register_listeners(self, registry: Registry) -> None:
         """Follow the row in the store, and changes of the judge."""
+        self._feed = registry.feed
         registry.handlers_by_key[ROW_KEY] = self._handle_row
         registry.listeners.append(self._handle_members)
 
@@ -156,6 +165,8 @@
 
     def _handle_members(self) -> None:
         """Wake the loop if a new judge has to get its predecessor's evidence."""
+        if self._feed is not None:
+            self.judge.observe_era(era_of(self._feed.version))
         if self._has_backlog_for_judge:
             self._loop.wake()
 
@@ -167,18 +178,36 @@
 
     def _handle_row(self, row: Row) -> None:
         """Handle a new version of the row; a deleted row stands for an empty one."""
-        record = QuarantineRecord()
-        if not row.deleted:
-            result = QuarantineRecord.decode(row.value)
-            if result.is_error():
-                log_event("quarantine row unreadable", problem=result.error)
-                return
-            record = result.ok
+        record = _decode_row(row)
+        if record is None:
+            return
+        self.judge.observe_era(era_of(row.version))
         self.judge.merge_record(record, row.version)
+        if self.judge.is_restoring:
+            record = self.judge.without_cleared(self.judge.attribution.record())
+        self._apply_record(record)
+
+    def _apply_record(self, record: QuarantineRecord) -> None:
         self._suspects = {suspect.content for suspect in record.suspects}
         new = self.quarantine.replace(record.quarantined, self.judge.now_ms())
         self._apply_quarantine(new, source="store")
 
+    def _schedule_settle(self) -> None:
+        if self._settle_timer is not None:
+            self._settle_timer.cancel()
+        self._settle_timer = asyncio.get_running_loop().call_later(
+            REWRITE_SECONDS + SETTLE_MARGIN_SECONDS, self._settle
+        )
+
+    def _settle(self) -> None:
+        """Apply the row as it is, now that the judge had time to write it again."""
+        row = self._feed.rows_by_key.get(ROW_KEY) if self._feed is not None else None
+        record = _decode_row(row) if row is not None else None
+        if row is None or record is None:
+            return
+        if self.judge.settle(record, row.version):
+            self._apply_record(record)
+
     async def _send_evidence(self) -> None:
         await asyncio.sleep(BATCH_SECONDS)
         broken, survived = tuple(self._pending_runs), tuple(self._pending_survived)
@@ -231,6 +260,7 @@
         return Ack()
 
     def _handle_update(self, update: QuarantineUpdate) -> None:
+        self.judge.record_cleared(update.cleared)
         self.quarantine.clear(update.cleared)
         new = self.quarantine.add(update.quarantined, self.judge.now_ms())
         self._apply_quarantine(new, source="router")
@@ -276,3 +306,14 @@
         self._recent_evidence = deque(kept, maxlen=MAX_PENDING)
         self._pending_survived.append(content)
         self._loop.wake()
+
+
+def _decode_row(row: Row) -> QuarantineRecord | None:
+    """Return the record in the row, an empty one if it is deleted; None if invalid."""
+    if row.deleted:
+        return QuarantineRecord()
+    result = QuarantineRecord.decode(row.value)
+    if result.is_error():
+        log_event("quarantine row unreadable", problem=result.error)
+        return None
+    return result.ok
--- a/lynxchute/containment/judge.py
+++ b/lynxchute/containment/judge.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
 
 from lynxchute.application import Component, PeriodicTask, Tasks
 from lynxchute.containment.news import QuarantineBroadcast
@@ -21,6 +22,8 @@
     StoreUnavailable,
     Write,
 )
+from lynxchute.store.era import era_of
+from lynxchute.store.feed import REWRITE_SECONDS
 from lynxchute.store.rows import ABSENT
 from lynxchute.telemetry import Metrics, log_event
 
@@ -40,6 +43,9 @@
 WRITE_RETRY_SECONDS = 0.5
 # Attempts to write the row in one poll when another router has written it meanwhile.
 WRITE_ATTEMPTS = 3
+# Maximum number of cleared requests that are remembered, to recognise them in a copy
+# that the store has come back from.
+MAX_CLEARED = 500
 
 
 class Judge:
@@ -50,6 +56,10 @@
     so that a successor or a restarted router knows them. They are also sent to all
     routers, which can reach one another even while the store is unavailable.
 
+    When the store comes back from a copy, the judge writes the row again. Until it had
+    time to do so, requests that the row lacks count as lost, not as released, and those
+    that were cleared since the copy stay cleared.
+
     Parameters
     ----------
     members
@@ -67,6 +77,8 @@
     ----------
     attribution
         The crashes and the requests blamed for them.
+    restore_listeners
+        Called when the store has come back from a copy.
     """
 
     def __init__(
@@ -78,6 +90,7 @@
         clock: Callable[[], float],
     ) -> None:
         self.attribution = CrashAttribution()
+        self.restore_listeners: list[Callable[[], None]] = []
         self._loop = PeriodicTask("quarantine", self._poll, IDLE_SECONDS)
         self._tasks = Tasks()
         self._timer: asyncio.TimerHandle | None = None
@@ -88,6 +101,10 @@
         self._metrics = metrics
         self._clock = clock
         self._version = ABSENT
+        self._era: int | None = None
+        self._restored_until = float("-inf")
+        self._stored_contents: frozenset[str] = frozenset()
+        self._cleared_at_ms_by_content: OrderedDict[str, int] = OrderedDict()
         self._is_write_failing = False
         self._is_writing = False
         self._next_write_at = 0.0
@@ -114,18 +131,93 @@
             was_quarantined = content in self.attribution.quarantined_by_content
             if not self.attribution.clear(content):
                 continue
+            self.record_cleared((content,))
             log_event("request cleared", content=content, quarantined=was_quarantined)
             if was_quarantined:
                 self._broadcast.publish(cleared=(content,))
         self._loop.wake()
 
+    @property
+    def is_restoring(self) -> bool:
+        """Return whether the row may lack what was stored before a restore."""
+        return self._clock() < self._restored_until
+
+    def observe_era(self, era: int) -> None:
+        """Record the era of the store; a higher one means that it has come back."""
+        previous, self._era = self._era, max(era, self._era or 0)
+        if previous is None or era <= previous:
+            return
+        self._restored_until = self._clock() + REWRITE_SECONDS
+        self._keep_stored()
+        if self._version != ABSENT and self._is_judge():
+            self.attribution.has_unsaved_changes = True
+            self._loop.wake()
+        for listener in self.restore_listeners:
+            listener()
+
+    def record_cleared(self, contents: Iterable[str]) -> None:
+        """Record that requests were cleared of blame or released."""
+        now_ms = self.now_ms()
+        for content in contents:
+            self._cleared_at_ms_by_content[content] = now_ms
+            self._cleared_at_ms_by_content.move_to_end(content)
+        while len(self._cleared_at_ms_by_content) > MAX_CLEARED:
+            self._cleared_at_ms_by_content.popitem(last=False)
+
+    def without_cleared(self, record: QuarantineRecord) -> QuarantineRecord:
+        """Return a record without the entries that were cleared since."""
+        cleared_at_ms = self._cleared_at_ms_by_content
+        return QuarantineRecord(
+            tuple(
+                item
+                for item in record.quarantined
+                if item.since_ms > cleared_at_ms.get(item.content, -1)
+            ),
+            tuple(
+                suspect
+                for suspect in record.suspects
+                if suspect.since_ms > cleared_at_ms.get(suspect.content, -1)
+            ),
+        )
+
     def merge_record(self, record: QuarantineRecord, version: int) -> None:
         """Merge the record in the store, unless a newer version was merged before."""
         if version > self._version:
             self._version = version
             self._apply_record(record)
 
+    def settle(self, record: QuarantineRecord, version: int) -> bool:
+        """Drop what the row lacks, now that the judge had time to write it again.
+
+        Returns
+        -------
+        bool
+            False if the row is older than the last one that this router has written,
+            or if this router has not written its state yet.
+        """
+        if self.is_restoring or version < self._version:
+            return False
+        if self.attribution.has_unsaved_changes or self._is_writing:
+            return False
+        self.attribution.record_written(self.attribution.record())
+        self._apply_record(record)
+        return True
+
+    def _is_judge(self) -> bool:
+        return self._members.owner_of_key(JUDGE_KEY) == self._members.own.vm
+
+    def _keep_stored(self) -> None:
+        """Keep entries that the next row lacks; by default, they count as released."""
+        self._stored_contents = frozenset()
+        self.attribution.record_written(QuarantineRecord())
+
     def _apply_record(self, record: QuarantineRecord) -> None:
+        if self.is_restoring:
+            self._keep_stored()
+            record = self.without_cleared(record)
+        else:
+            self.record_cleared(self._stored_contents - record.contents)
+        self._stored_contents = record.contents
         self.attribution.merge_record(record)
         # Stop sending messages about requests that were released.
         self._broadcast.prune(self.attribution.quarantined_by_content.keys())
@@ -153,7 +245,7 @@
         for finding in self.attribution.judge(now_ms):
             self._report_finding(finding)
         expired = self.attribution.expire(now_ms)
-        if expired and self._members.owner_of_key(JUDGE_KEY) == self._members.own.vm:
+        if expired and self._is_judge():
             self.attribution.has_unsaved_changes = True
         is_due = self._clock() >= self._next_write_at and not self._is_writing
         if self.attribution.has_unsaved_changes and is_due:
@@ -204,6 +296,7 @@
                 log_event("quarantine row write failed", reason=str(error))
             self._is_write_failing = True
             return True
+        self.observe_era(self._store.era.current)
         if isinstance(outcome, Committed):
             self._record_written(record, outcome.version)
             return True
@@ -218,6 +311,10 @@
 
     def _record_written(self, record: QuarantineRecord, version: int) -> None:
         self._version = version
+        if era_of(version) == self._era:
+            # The row has all that this router knows, so what is removed is released.
+            self._restored_until = float("-inf")
+        self._stored_contents = record.contents
         self.attribution.record_written(record)
         self._is_write_failing = False
         log_event(
--- a/lynxchute/operators/quarantine_row.py
+++ b/lynxchute/operators/quarantine_row.py
@@ -9,6 +9,7 @@
 
 from lynxchute.clock import steady_seconds
 from lynxchute.containment.judge import QUARANTINE_ROW_ID
+from lynxchute.operators.restore import RewriteWindow
 from lynxchute.quarantine import QuarantineRecord
 from lynxchute.store import (
     Committed,
@@ -35,10 +36,14 @@
     ----------
     store
         Holds the row.
+    window
+        The time after a restore of the store in which a release waits for the judge;
+        None to observe the store anew.
     """
 
-    def __init__(self, store: Store) -> None:
+    def __init__(self, store: Store, window: RewriteWindow | None = None) -> None:
         self._store = store
+        self._window = window or RewriteWindow(store)
 
     async def rows(self) -> list[dict[str, Any]]:
         """Return one result row per quarantined request."""
@@ -60,6 +65,8 @@
         try:
             for _ in range(MAX_ATTEMPTS):
                 record, version = await self._read()
+                while await self._window.wait():
+                    record, version = await self._read()
                 remaining = _remove_content(record, content)
                 if remaining == record:
                     return Ok(f"No request {content!r} is in quarantine.")
--- a/lynxchute/operators/runner.py
+++ b/lynxchute/operators/runner.py
@@ -106,7 +106,7 @@
         self._collections = Collections(
             platform, self._evacuations, describe_backpressure or _no_backpressure
         )
-        self._quarantine = QuarantineRow(platform.store)
+        self._quarantine = QuarantineRow(platform.store, self._history.window)
 
     async def run(self, text: str, *, operator: str, role: Role) -> Answer:
         """Execute a statement, and return its answer.
--- a/tests/test_store_era_own.py
+++ b/tests/test_store_era_own.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
+import attrs
+
 from lynxchute.config.document import Version
+from lynxchute.containment.judge import JUDGE_KEY, QUARANTINE_ROW_ID
+from lynxchute.fleet.quarantine_messages import CrashEvidence
 from lynxchute.operators.client import StoreClient
 from lynxchute.operators.history import (
     CURRENT_KEY,
@@ -10,9 +14,17 @@
     OPERATIONS_TABLE,
     VERSIONS_TABLE,
 )
+from lynxchute.operators.quarantine_row import QuarantineRow
+from lynxchute.quarantine import (
+    BrokenRun,
+    Progress,
+    QuarantineEntry,
+    QuarantineRecord,
+)
 from lynxchute.router import EVACUATION_PREFIX, make_platform
 from lynxchute.standins.platform_store import Outage
 from lynxchute.store.feed import REWRITE_SECONDS
+from tests.platform_support import PlatformTestCase
 from tests.support import ACCOUNT, AsyncTestCase, until, with_deployment
 
 ROUTERS = ("kyu-a-1", "kyu-a-2", "kyu-b-1", "kyu-b-2")
@@ -384,3 +396,204 @@
             self.assertIsNone(stored_order(deployment))
 
         with_deployment(self, scenario)
+
+
+VMS = ("a-1", "a-2", "b-1")
+STORED_ENTRY = QuarantineEntry("stored", since_ms=1, until_ms=10**15)
+LOST_ENTRY = QuarantineEntry("lost", since_ms=2, until_ms=10**15)
+
+
+def stored_contents(deployment):
+    """Return the quarantined requests in the store's row."""
+    value = deployment.store.value(QUARANTINE_ROW_ID.table, QUARANTINE_ROW_ID.key)
+    if value is None:
+        return set()
+    return {item.content for item in QuarantineRecord.decode(value).ok.quarantined}
+
+
+def refused_contents(deployment):
+    """Return the requests that each router refuses."""
+    found = set()
+    for router in deployment.routers.values():
+        found.add(frozenset(router.containment.quarantine.by_content))
+    return found
+
+
+async def until_quarantined(deployment, *contents, timeout=10):
+    expected = set(contents)
+    await until(lambda: stored_contents(deployment) == expected, timeout)
+    await until(lambda: refused_contents(deployment) == {frozenset(expected)}, timeout)
+
+
+async def until_confirmed(deployment):
+    """Wait until all routers have received the row that the judge has written."""
+    routers = deployment.routers.values()
+    await until(
+        lambda: not any(r.containment.quarantine.unconfirmed() for r in routers)
+    )
+
+
+class QuarantineTest(PlatformTestCase):
+    def judge_vm(self, deployment):
+        return deployment.routers["a-1"].members.owner_of_key(JUDGE_KEY)
+
+    def judge(self, deployment):
+        return deployment.routers[self.judge_vm(deployment)].containment.judge
+
+    async def quarantine(self, deployment, *entries):
+        self.judge(deployment).handle_evidence(CrashEvidence(quarantined=entries))
+        await until(lambda: {e.content for e in entries} <= stored_contents(deployment))
+        await until_confirmed(deployment)
+
+    async def release(self, deployment, content):
+        row = QuarantineRow(deployment.routers["a-1"].platform.store)
+        self.assertTrue((await row.release(content)).is_ok())
+
+    def test_row_missing_in_the_copy_is_written_again(self):
+        async def scenario(deployment):
+            copy = deployment.store.version
+            await self.quarantine(deployment, LOST_ENTRY)
+            await until_quarantined(deployment, "lost")
+            await deployment.store.restore_copy(copy)
+            self.assertEqual(set(), stored_contents(deployment))
+            await until_quarantined(deployment, "lost", timeout=RESTORE_BOUND)
+            await asyncio.sleep(REWRITE_SECONDS + 1.0)
+            await until_quarantined(deployment, "lost", timeout=0.1)
+
+        self.with_platform(scenario, routers=VMS)
+
+    def test_finding_missing_in_the_copy_is_written_again(self):
+        async def scenario(deployment):
+            await self.quarantine(deployment, STORED_ENTRY)
+            copy = deployment.store.version
+            await self.quarantine(deployment, LOST_ENTRY)
+            await until_quarantined(deployment, "stored", "lost")
+            await deployment.store.restore_copy(copy)
+            for _ in range(20):
+                self.assertEqual(
+                    {frozenset(("stored", "lost"))}, refused_contents(deployment)
+                )
+                await asyncio.sleep(0.2)
+            await until_quarantined(deployment, "stored", "lost", timeout=0.1)
+
+        self.with_platform(scenario, routers=VMS)
+
+    def test_suspect_missing_in_the_copy_is_written_again(self):
+        async def scenario(deployment):
+            judge = self.judge(deployment)
+            copy = deployment.store.version
+            for process in ("e-1", "e-2"):
+                run = BrokenRun("suspect", process, Progress.BEGUN)
+                judge.handle_evidence(CrashEvidence((run,)))
+            store, (table, key) = deployment.store, attrs.astuple(QUARANTINE_ROW_ID)[:2]
+            await until(lambda: b"suspect" in (store.value(table, key) or b""))
+            await store.restore_copy(copy)
+            self.assertIsNone(store.value(table, key))
+            await until(lambda: store.value(table, key), RESTORE_BOUND)
+            self.assertIn(b'"e-2"', store.value(table, key))
+
+        self.with_platform(scenario, routers=VMS)
+
+    def test_request_that_was_served_since_the_copy_is_cleared_again(self):
+        async def scenario(deployment):
+            await self.quarantine(deployment, STORED_ENTRY, LOST_ENTRY)
+            await until_quarantined(deployment, "stored", "lost")
+            copy = deployment.store.version
+            self.judge(deployment).handle_evidence(CrashEvidence(survived=("lost",)))
+            await until_quarantined(deployment, "stored")
+            await deployment.store.restore_copy(copy)
+            await until_quarantined(deployment, "stored", timeout=RESTORE_BOUND)
+            await asyncio.sleep(REWRITE_SECONDS + 1.0)
+            await until_quarantined(deployment, "stored", timeout=0.1)
+
+        self.with_platform(scenario, routers=VMS)
+
+    def test_request_that_was_released_since_the_copy_is_released_again(self):
+        async def scenario(deployment):
+            await self.quarantine(deployment, STORED_ENTRY, LOST_ENTRY)
+            await until_quarantined(deployment, "stored", "lost")
+            copy = deployment.store.version
+            await self.release(deployment, "lost")
+            await until_quarantined(deployment, "stored")
+            await deployment.store.restore_copy(copy)
+            await until_quarantined(deployment, "stored", timeout=RESTORE_BOUND)
+            await asyncio.sleep(REWRITE_SECONDS + 1.0)
+            await until_quarantined(deployment, "stored", timeout=0.1)
+
+        self.with_platform(scenario, routers=VMS)
+
+    def test_release_at_once_after_a_restore_lasts(self):
+        async def scenario(deployment):
+            await self.quarantine(deployment, STORED_ENTRY)
+            copy = deployment.store.version
+            await self.quarantine(deployment, LOST_ENTRY)
+            await until_quarantined(deployment, "stored", "lost")
+            await deployment.store.restore_copy(copy)
+            await self.release(deployment, "lost")
+            await until_quarantined(deployment, "stored")
+            await asyncio.sleep(REWRITE_SECONDS + 1.0)
+            await until_quarantined(deployment, "stored", timeout=0.1)
+
+        self.with_platform(scenario, routers=VMS)
+
+    def test_finding_after_a_restore_is_kept(self):
+        async def scenario(deployment):
+            await self.quarantine(deployment, STORED_ENTRY)
+            await until_quarantined(deployment, "stored")
+            copy = deployment.store.version
+            await self.release(deployment, "stored")
+            await until_quarantined(deployment)
+            await deployment.store.restore_copy(copy)
+            await self.quarantine(deployment, LOST_ENTRY)
+            await until_quarantined(deployment, "lost")
+            await asyncio.sleep(REWRITE_SECONDS + 1.0)
+            await until_quarantined(deployment, "lost", timeout=0.1)
+
+        self.with_platform(scenario, routers=VMS)
+
+    def test_finding_missing_in_two_copies_is_written_again(self):
+        async def scenario(deployment):
+            await self.quarantine(deployment, STORED_ENTRY)
+            copy = deployment.store.version
+            await self.quarantine(deployment, LOST_ENTRY)
+            await until_quarantined(deployment, "stored", "lost")
+            for _ in range(2):
+                await deployment.store.restore_copy(copy)
+                expected = {"stored", "lost"}
+                await until(
+                    lambda expected=expected: stored_contents(deployment) == expected,
+                    RESTORE_BOUND,
+                )
+            await asyncio.sleep(REWRITE_SECONDS + 1.0)
+            await until_quarantined(deployment, "stored", "lost", timeout=0.1)
+
+        self.with_platform(scenario, routers=VMS)
+
+    def test_judge_behind_a_relay_writes_again(self):
+        async def scenario(deployment):
+            await self.quarantine(deployment, STORED_ENTRY)
+            copy = deployment.store.version
+            await self.quarantine(deployment, LOST_ENTRY)
+            await until_quarantined(deployment, "stored", "lost")
+            judge_vm = self.judge_vm(deployment)
+            deployment.faults(judge_vm).outage = Outage.RESET
+            store = deployment.routers[judge_vm].platform.store
+            await until(lambda: store._is_cut_off)
+            await deployment.store.restore_copy(copy)
+            await until_quarantined(deployment, "stored", "lost", timeout=RESTORE_BOUND)
+
+        self.with_platform(scenario, routers=VMS)
+
+    def test_router_started_during_the_drill_learns_what_the_copy_lacks(self):
+        async def scenario(deployment):
+            await self.quarantine(deployment, STORED_ENTRY)
+            copy = deployment.store.version
+            await self.quarantine(deployment, LOST_ENTRY)
+            await until_quarantined(deployment, "stored", "lost")
+            started = next(vm for vm in VMS if vm != self.judge_vm(deployment))
+            await deployment.routers.pop(started).kill()
+            await deployment.store.restore_copy(copy)
+            await deployment.start_router(started)
+            await until_quarantined(deployment, "stored", "lost", timeout=RESTORE_BOUND)
+
+        self.with_platform(scenario, routers=VMS)
