Remove an order of the copy that later revoked orders had replaced

What operators saw: an evacuation that was revoked, ordered and revoked again since the copy came back with the restore and stayed. Cause: a replica recognises a deleted row of a copy by its last live version, here a later order's. Change: an order that is older than the revoked one in the row of the revocation counts as revoked; routers delete it, and do not write it again. Evidence: test_order_that_was_followed_by_a_revoked_one_is_removed fails before (the order still stands after 2 s) and passes now. Not covered: the order is in force until it is deleted, as the replica itself does not recognise it.

--- a/lynxchute/operators/evacuation_restore.py
+++ b/lynxchute/operators/evacuation_restore.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from lynxchute.edge.platform import Platform
-from lynxchute.operators.evacuation_rows import REVOKED_PREFIX
+from lynxchute.operators.evacuation_rows import REVOKED_PREFIX, ordered_at_ms
 from lynxchute.operators.restore import RestorableRows
 from lynxchute.store import Committed, Expected, Put, Row, RowId, TableFeed, Write
 from lynxchute.store.era import era_of
@@ -66,17 +66,23 @@
         row_by_key = {row.id.key: row for row in snapshot.rows}
         for order in self._lost_orders:
             await self._restore_order(order, row_by_key)
-        for key in self._revoked_keys:
-            found = row_by_key.get(key)
-            if found is not None and found.version <= self._listed_version:
-                await self._restore_revocation(found)
+        for key, row in row_by_key.items():
+            if not key.startswith(self._prefix) or row.version > self._listed_version:
+                continue
+            revocation = row_by_key.get(self._revocation_id(row).key)
+            if key in self._revoked_keys or _is_revoked(row, revocation):
+                await self._restore_revocation(row, revocation)
+
+    def _revocation_id(self, order: Row) -> RowId:
+        name = order.id.key.removeprefix(self._prefix)
+        return RowId(self._table, REVOKED_PREFIX + name)
 
     async def _restore_order(self, order: Row, row_by_key: dict[str, Row]) -> None:
         """Write an order again unless the store has it, or has its revocation."""
         name = order.id.key.removeprefix(self._prefix)
-        revocation_id = RowId(self._table, REVOKED_PREFIX + name)
+        revocation_id = self._revocation_id(order)
         revocation = row_by_key.get(revocation_id.key)
-        if revocation is not None and revocation.value == order.value:
+        if _is_revoked(order, revocation):
             return
         expected = (
             Expected(order.id, ABSENT),
@@ -86,13 +92,23 @@
         if isinstance(await self._store.write(write), Committed):
             log_event("evacuation written again", data_centre=name)
 
-    async def _restore_revocation(self, order: Row) -> None:
+    async def _restore_revocation(self, order: Row, revocation: Row | None) -> None:
         """Delete an order of the copy that was revoked since."""
         name = order.id.key.removeprefix(self._prefix)
-        write = Write(
-            (Expected(order.id, order.version),),
-            (Put(RowId(self._table, REVOKED_PREFIX + name), order.value),),
-            (order.id,),
-        )
+        puts: tuple[Put, ...] = (Put(self._revocation_id(order), order.value),)
+        if _is_revoked(order, revocation):
+            # The row names this order already, or a later one.
+            puts = ()
+        write = Write((Expected(order.id, order.version),), puts, (order.id,))
         if isinstance(await self._store.write(write), Committed):
             log_event("evacuation revoked again", data_centre=name)
+
+
+def _is_revoked(order: Row, revocation: Row | None) -> bool:
+    """Return whether a revocation is one of this order or of a later one."""
+    if revocation is None:
+        return False
+    if revocation.value == order.value:
+        return True
+    ordered, revoked = ordered_at_ms(order), ordered_at_ms(revocation)
+    return ordered is not None and revoked is not None and ordered < revoked
--- a/lynxchute/operators/evacuation_rows.py
+++ b/lynxchute/operators/evacuation_rows.py
@@ -100,7 +100,7 @@
         found = []
         for row in await self._read_rows():
             name = self._data_centre_name(row)
-            since_ms = _since_ms(row)
+            since_ms = ordered_at_ms(row)
             age = None if since_ms is None else max(now_ms - since_ms, 0) / 1000.0
             columns: dict[str, Any] = {
                 "data_centre": name,
@@ -215,7 +215,7 @@
         return Error(UNKNOWN_OUTCOME)
 
 
-def _since_ms(row: Row) -> int | None:
+def ordered_at_ms(row: Row) -> int | None:
     """Return the time of the evacuation, or None if its row does not state it."""
     try:
         since_ms: int | None = RowValue.decode(row.value).count(SINCE_KEY, default=None)
--- a/tests/test_store_era_own.py
+++ b/tests/test_store_era_own.py
@@ -337,6 +337,26 @@
 
         with_deployment(self, scenario)
 
+    def test_order_that_was_followed_by_a_revoked_one_is_removed(self):
+        async def scenario(deployment):
+            await evacuate(deployment)
+            copy = deployment.store.version
+            for _ in range(2):
+                await take_back(deployment)
+                await until(lambda: not evacuated_at(deployment))
+                await evacuate(deployment)
+            await take_back(deployment)
+            await until(lambda: not evacuated_at(deployment))
+            await deployment.store.restore_copy(copy)
+            self.assertIsNotNone(stored_order(deployment))
+            await until(lambda: not stored_order(deployment), RESTORE_BOUND)
+            await asyncio.sleep(REWRITE_SECONDS + 1.0)
+            self.assertEqual(
+                (None, set()), (stored_order(deployment), evacuated_at(deployment))
+            )
+
+        with_deployment(self, scenario)
+
     def test_order_revoked_at_once_after_a_restore_does_not_come_back(self):
         async def scenario(deployment):
             copy = deployment.store.version
