Keep an upstream leaving only over a row that is older than its announcement

Cause: the mark that a copy must not undo was kept for the life of a process. Change: a replica knows which of its rows a copy shows in an older state than before, by their numbers; only over such a row the announcement holds. Evidence: test_unanswered_sends_are_withdrawn timed out before and passes now, as do both tests of upstreams in a copy; tests of quarantine, store eras, restarts, entries, upstreams and platform: 87 passed, 0 failed.

--- a/lynxchute/edge/upstreams.py
+++ b/lynxchute/edge/upstreams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import attrs
+
 from lynxchute.application import Component
 from lynxchute.clock import steady_seconds
 from lynxchute.edge.platform import Platform
@@ -96,6 +98,9 @@
         upstream = result.ok
         entry = self._directory.entries_by_id.get(upstream.id)
         was_leaving = entry is not None and entry.upstream.is_leaving
+        if was_leaving and row.id.key in self.feed.older_keys:
+            # The copy is older than the upstream's announcement, which still holds.
+            upstream = attrs.evolve(upstream, is_leaving=True)
         # The first listing has upstreams that already ran; a row in a later batch
         # belongs to an upstream that has started since.
         is_start = self.feed.synced.is_set()
--- a/lynxchute/store/feed.py
+++ b/lynxchute/store/feed.py
@@ -89,6 +89,8 @@
         listing. The replica includes all changes up to then.
     listed_at
         Send time of the last listing of the whole table.
+    older_keys
+        Keys of rows that a copy shows in an older state than the one known before.
     synced
         Set once the whole table has been listed for the first time.
     """
@@ -113,6 +115,7 @@
         self.recovered_at = 0.0
         self.confirmed_at = float("-inf")
         self.listed_at = float("-inf")
+        self.older_keys: set[str] = set()
         self.synced = asyncio.Event()
         self._store = store
         self._times = times
@@ -197,6 +200,10 @@
         """Put a row into the replica."""
         key = row.id.key
         known = self.rows_by_key.get(key)
+        if known is not None and _is_older_state(row, known):
+            self.older_keys.add(key)
+        else:
+            self.older_keys.discard(key)
         if not row.deleted:
             self._live_row_by_deleted_key.pop(key, None)
         elif known is not None and not known.deleted:
@@ -359,3 +366,10 @@
             "the store does not answer",
             extra={"fields": {"table": self.table, "reason": str(error)}},
         )
+
+
+def _is_older_state(row: Row, known: Row) -> bool:
+    """Return whether a row of a later era was written before the known one."""
+    if era_of(row.version) <= era_of(known.version):
+        return False
+    return number_of(row.version) < number_of(known.version)
--- a/lynxchute/upstreams/directory.py
+++ b/lynxchute/upstreams/directory.py
@@ -84,10 +84,6 @@
         if known_start_ms is not None and upstream.started_ms != known_start_ms:
             self._replace_process(entry, upstream, now)
             return True
-        if entry.upstream.is_leaving and not upstream.keeps_id:
-            # The entry may be an older one, from a copy of the store. Operators may
-            # put an upstream that they named back into service.
-            upstream = attrs.evolve(upstream, is_leaving=True)
         is_changed = entry.upstream != upstream or entry.removed_at is not None
         entry.upstream = upstream
         entry.removed_at = None
