Withhold what a router that died around a restore may have used

Cause: a row of a restored store was taken for the newest that its process had written. The next process counted 67 tokens where 410 were used (its predecessor's limit line of seconds ago), and the totals lacked what had been granted since, which was granted again.

Spending beyond the dead router's own line (third hypothesis) was never seen. Each half taken out as a mutant brings the overspend back.

Change: rows and registrations name the era up to which they are complete. A process that takes over an incomplete row counts the whole grant as used. After the hold, each router reads the rows of VMs whose registration lags, and withholds what is free in each budget under the names of the incomplete ones. Their next process counts that as used; a router that was cut off takes out its part and frees the rest, which closes the same hole for cuts longer than the hold.

MAX_SILENCE_MS (60 s) and KEEPALIVE_SECONDS (20 s) are chosen, not measured.

Three new mutants are caught.

--- a/lynxchute/budgets/ledger.py
+++ b/lynxchute/budgets/ledger.py
@@ -7,6 +7,12 @@
 
 import attrs
 
+from lynxchute.budgets.audit import (
+    MAX_SILENCE_MS,
+    RestoreAudit,
+    is_incomplete,
+    is_of_copy,
+)
 from lynxchute.budgets.line import LimitLine
 from lynxchute.budgets.plan import KnownTotals, Plan
 from lynxchute.budgets.policy import GrantPolicy, ShareView
@@ -108,6 +114,8 @@
         Incarnation of the previous process of this VM; empty if there was none.
     pending
         The write whose outcome is still awaited.
+    audit
+        VMs whose use is not known in full since the store came back from a copy.
     """
 
     def __init__(
@@ -133,6 +141,9 @@
         self.unreadable_accounts: set[str] = set()
         self.predecessor = ""
         self.pending: Plan | None = None
+        self.audit = RestoreAudit(vm)
+        self._incomplete_since: int | None = None
+        self._is_taken_from_copy = False
         self._policy = policy
         self._parts = max(parts, 1)
         self._row_version = 0
@@ -150,15 +161,24 @@
 
     # Taking over from the previous process.
 
-    def take_over(self, row: Row | None, ended_ms: int) -> None:
+    def take_over(
+        self, row: Row | None, ended_ms: int, *, restored_ms: int | None = None
+    ) -> None:
         """Start from the row that the previous process of this VM left.
 
+        If that process did not write in the store's newest era, the row is of a copy.
+        Its grants and limit lines may have risen since, so all that it grants counts as
+        used, and the row stays incomplete.
+
         Parameters
         ----------
         row
             The row; None if there is none.
         ended_ms
             A time by which that process had ended, on the store's clock.
+        restored_ms
+            When the fleet noticed the store's newest era, on the store's clock; None if
+            unknown.
         """
         self._predecessor_ended_ms = ended_ms
         self._silent_ms = None
@@ -168,13 +188,24 @@
         self._row_version = row.version if row is not None else 0
         self.observe_era(era_of(self._row_version))
         self._confirmed_era = self._era
+        self._incomplete_since = None
+        self._is_taken_from_copy = False
+        self.audit.reset_counted()
         if row is None:
+            is_new = restored_ms is not None and ended_ms > restored_ms + MAX_SILENCE_MS
+            if self._era and not is_new:
+                self._incomplete_since = self._era - 1
             return
         previous = HolderRow.decode(row.value)
         self.predecessor = previous.incarnation
+        self._is_taken_from_copy = is_of_copy(previous, self._era, restored_ms)
+        if is_incomplete(previous, self._era, restored_ms):
+            self._incomplete_since = previous.era
         for account, terms in previous.terms_by_account.items():
             # The previous process may have used all that its limit line allowed.
             used = terms.limit(ended_ms)
+            if self._is_taken_from_copy:
+                used = terms.granted
             slack = used - terms.limit(terms.line.start_ms)
             if slack > 0:
                 self.slack_by_account[account] = slack
@@ -196,12 +227,27 @@
         """Apply the final use that the previous process reported when it stopped."""
         if self.is_open or incarnation != self.predecessor:
             return
+        if self._is_taken_from_copy:
+            # That process may have given back a part of its grants since the copy.
+            return
         for account, used in used_by_account.items():
             share = self.shares_by_account.get(account)
             if share is not None:
                 share.settled = min(share.settled, used)
                 share.terms = Terms(share.terms.granted, LimitLine.flat(share.settled))
 
+    @property
+    def is_complete(self) -> bool:
+        """Return whether this router's row covers all that its VM has used."""
+        return self._incomplete_since is None
+
+    @property
+    def complete_era(self) -> int:
+        """Return the newest era whose rows are known to cover all that the VM used."""
+        if self._incomplete_since is not None:
+            return self._incomplete_since
+        return self._confirmed_era if self.is_open and self.is_restored else 0
+
     def update_totals(self, rows: Iterable[Row]) -> None:
         """Apply budget totals read from the store.
 
@@ -219,7 +265,22 @@
                 self.unreadable_accounts.add(row.id.key)
                 continue
             self.unreadable_accounts.discard(row.id.key)
-            self.totals_by_account[row.id.key] = KnownTotals(totals, row.version)
+            self._record_totals(row.id.key, KnownTotals(totals, row.version))
+
+    def _record_totals(self, account: str, known: KnownTotals) -> None:
+        self.totals_by_account[account] = known
+        self._update_completeness()
+
+    def _update_completeness(self) -> None:
+        """Treat the own row as complete once all budgets are accounted for."""
+        if self.is_complete or self.audit.era != self._era:
+            return
+        for account in self.prepaid_by_account:
+            if account in self.unreadable_accounts:
+                return
+            if not self.audit.is_counted(self._known_totals(account)):
+                return
+        self._incomplete_since = None
 
     def discard_totals_before(self, era: int) -> None:
         """Discard totals of earlier eras, which a complete scan of the table lacked."""
@@ -522,24 +583,27 @@
         if self._is_hold_due:
             self._is_hold_due = False
             self._held_until = now + GRANT_HOLD_SECONDS
+        self._add_shares_to_count()
         terms_by_account: dict[str, Terms] = {}
         totals_by_account: dict[str, Totals] = {}
         for account, share in self.shares_by_account.items():
-            held = self._held_grant(share)
-            granted = held
-            is_full = len(totals_by_account) >= MAX_GRANTS_PER_WRITE
-            if with_grants and not is_full:
-                granted = self._planned_grant(account, share, held, now)
-            if not is_full and (
-                granted != share.terms.granted or self._is_grant_lost(account, granted)
-            ):
-                known = self.totals_by_account.get(account)
-                totals = known.totals if known is not None else Totals()
-                totals_by_account[account] = totals.with_grant(self.vm, granted)
+            granted, totals = self._held_grant(share), None
+            if len(totals_by_account) < MAX_GRANTS_PER_WRITE:
+                granted, totals = self._plan_grant(account, share, now, with_grants)
+            if totals is not None:
+                totals_by_account[account] = totals
             terms_by_account[account] = self._planned_terms(
                 account, share, granted, now_ms, now
             )
-        row = HolderRow(self.incarnation, self._sequence, terms_by_account)
+        era = self._era if self._incomplete_since is None else self._incomplete_since
+        row = HolderRow(
+            self.incarnation,
+            self._sequence,
+            terms_by_account,
+            era=era,
+            written_ms=now_ms,
+            is_closing=self.is_closing and self.is_complete,
+        )
         self.pending = Plan(
             self._build_write(row, totals_by_account),
             row,
@@ -561,8 +625,7 @@
             era = era_of(outcome.version)
             self.observe_era(era)
             for account, totals in plan.totals_by_account.items():
-                known = KnownTotals(totals, outcome.version)
-                self.totals_by_account[account] = known
+                self._record_totals(account, KnownTotals(totals, outcome.version))
             if era > plan.era:
                 # The write was planned on totals of an earlier era, so its grants do
                 # not count until they have been written again.
@@ -601,6 +664,53 @@
         grants = [terms.granted for terms in share.unconfirmed]
         return max(min([share.terms.granted, *grants]), share.own_use)
 
+    def _add_shares_to_count(self) -> None:
+        """Create the shares in which withheld tokens will count as used."""
+        if self.is_complete:
+            return
+        for account, known in self.totals_by_account.items():
+            if any(known.totals.withheld_for(self.vm).values()):
+                self.share(account)
+
+    def _plan_grant(
+        self, account: str, share: Share, now: float, with_grants: bool
+    ) -> tuple[int, Totals | None]:
+        """Return the grant to write, and the totals if they change."""
+        held = self._held_grant(share)
+        totals = self._audited_totals(account, share, held, now, with_grants)
+        if totals is not None:
+            return totals.granted_by_vm.get(self.vm, 0), totals
+        granted = held
+        if with_grants:
+            granted = self._planned_grant(account, share, held, now)
+        if granted != share.terms.granted or self._is_grant_lost(account, granted):
+            totals = self._known_totals(account).with_grant(self.vm, granted)
+        return granted, totals
+
+    def _known_totals(self, account: str) -> Totals:
+        known = self.totals_by_account.get(account)
+        return known.totals if known is not None else Totals()
+
+    def _audited_totals(
+        self, account: str, share: Share, held: int, now: float, with_grants: bool
+    ) -> Totals | None:
+        """Return totals that account for use around a restore; None if none is due."""
+        totals = self._known_totals(account)
+        if any(totals.withheld_for(self.vm).values()):
+            if self.is_complete:
+                return totals.released_by(self.vm, held)
+            if not self.are_grants_held(now):
+                # During the hold, live routers may still take out what is theirs.
+                share.settled += self.audit.count(account, totals)
+            counted = totals.counted(self.audit.counted(account, totals))
+            if counted == totals:
+                return None
+            return counted.with_grant(self.vm, max(held, share.own_use))
+        if not with_grants or self.audit.era != self._era or self.are_grants_held(now):
+            return None
+        audited = self.audit.withhold(totals, self.free(account))
+        return audited.with_grant(self.vm, held) if audited is not None else None
+
     def _is_grant_lost(self, account: str, granted: int) -> bool:
         """Return whether the totals of the newest era may list another own grant."""
         if account not in self._unrestored_accounts:
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -59,6 +59,7 @@
 from lynxchute.spending.keeper import LedgerSync
 from lynxchute.spending.lenders import LoanClient
 from lynxchute.spending.reservations import FleetBudgets
+from lynxchute.spending.restore_auditor import RestoreAuditor
 from lynxchute.spending.settlements import SettlementSender
 from lynxchute.spending.standing import LocalReserve
 from lynxchute.store import TableFeed
@@ -184,6 +185,7 @@
             started_at=steady_seconds() if started_at is None else started_at,
             before_first_write=self.final_use_exchange.fetch_predecessor_use,
             restored_seconds=lambda: self.registry.era_mark.seconds(steady_seconds()),
+            auditor=RestoreAuditor(ledger, platform.store, self.members, self.registry),
         )
         self.configurations.listeners.append(self.ledger_sync.configure)
         self.settlements = SettlementSender(ledger, self.members, self.peers)
@@ -505,4 +507,5 @@
         incarnation=secrets.token_hex(6),
         address=str(settings.peers_reached_at or settings.peers),
         strength=serving_capacity(link_mbps=settings.link_mbps, cores=settings.cores),
+        budget_era=0,
     )
--- a/lynxchute/fleet/members.py
+++ b/lynxchute/fleet/members.py
@@ -40,6 +40,9 @@
         Whether it is shutting down and takes no new work.
     strength
         Capacity of its VM to serve other routers, from 0 to 1.
+    budget_era
+        Newest era of the store in which it has written all that its VM has used of the
+        budgets; None for builds that do not tell it.
     """
 
     vm: str
@@ -48,6 +51,7 @@
     address: str
     is_leaving: bool = False
     strength: float = 1.0
+    budget_era: int | None = None
 
     def encode(self) -> bytes:
         """Return the router's row value, as JSON."""
@@ -66,6 +70,7 @@
                     address=str(Address.parse(row.text("address"))),
                     is_leaving=row.flag("is_leaving", default=False),
                     strength=row.number("strength"),
+                    budget_era=row.count("budget_era", default=None),
                 )
             )
         except ValueError as error:
@@ -143,6 +148,11 @@
         self.changes += 1
         return self.own
 
+    def update_budget_era(self, era: int) -> None:
+        """Record an era in which this router has written its use of the budgets."""
+        self.own = attrs.evolve(self.own, budget_era=era)
+        self.by_vm[self.own.vm] = self.own
+
     def put(self, member: Member) -> None:
         """Add a router, or update its registration."""
         if member.vm == self.own.vm:
--- a/lynxchute/fleet/registry.py
+++ b/lynxchute/fleet/registry.py
@@ -62,6 +62,8 @@
 
     Attributes
     ----------
+    is_first_start
+        Whether the whole fleet is starting for the first time.
     secret
         The shared secret in the fleet's messages; empty until read from the store.
     members_known
@@ -98,9 +100,10 @@
             on_restore=self._request_rewrite,
         )
         self._rewrite_due = asyncio.Event()
+        self._is_restored = False
         self._store = store
         self._members = members
-        self._is_first_start = is_first_start
+        self.is_first_start = is_first_start
 
     async def start(self) -> None:
         """Start following the table and register this router."""
@@ -134,7 +137,7 @@
         while not self.secret:
             await self._propose_secret()
         await self._mark_era()
-        if self._is_first_start:
+        if self.is_first_start:
             await asyncio.sleep(FIRST_START_SECONDS)
         self.members_known.set()
         while True:
@@ -145,9 +148,19 @@
                 await self._ping_unreachable()
                 continue
             self._rewrite_due.clear()
-            await self._rewrite()
+            if self._is_restored:
+                self._is_restored = False
+                await self._rewrite()
+            while not await self.register(self._members.own):
+                await asyncio.sleep(RETRY_SECONDS)
+
+    def announce_budget_era(self, era: int) -> None:
+        """Register an era in which this router has written its use of the budgets."""
+        self._members.update_budget_era(era)
+        self._rewrite_due.set()
 
     def _request_rewrite(self) -> None:
+        self._is_restored = True
         self._rewrite_due.set()
 
     async def _rewrite(self) -> None:
@@ -156,8 +169,6 @@
         await self._mark_era()
         while not await self._restore_secret():
             await asyncio.sleep(RETRY_SECONDS)
-        while not await self.register(self._members.own):
-            await asyncio.sleep(RETRY_SECONDS)
 
     async def _mark_era(self) -> None:
         try:
--- a/lynxchute/operators/collections.py
+++ b/lynxchute/operators/collections.py
@@ -186,7 +186,8 @@
                 {
                     "account": account.name,
                     "paid": account.prepaid,
-                    "granted": totals.granted,
+                    "granted": sum(totals.granted_by_vm.values()),
+                    "withheld": sum(totals.withheld.values()),
                     "free": account.prepaid - totals.granted,
                     "used_at_most": used.get(account.name, 0),
                 }
@@ -289,7 +290,7 @@
 
 COLUMNS_BY_COLLECTION: dict[str, tuple[str, ...]] = {
     "accounts": ("account", "keys", "weight"),
-    "budgets": ("account", "paid", "granted", "free", "used_at_most"),
+    "budgets": ("account", "paid", "granted", "withheld", "free", "used_at_most"),
     "data_centres": ("data_centre", "vms", "leaving"),
     "evacuations": EVACUATION_COLUMNS,
     "grants": ("vm", "account", "granted", "used_at_most", "age_s"),
--- a/lynxchute/spending/keeper.py
+++ b/lynxchute/spending/keeper.py
@@ -8,12 +8,14 @@
 
 from lynxchute.application import BackgroundTask
 from lynxchute.budgets import Ledger
+from lynxchute.budgets.ledger import GRANT_HOLD_SECONDS
 from lynxchute.budgets.plan import Plan
 from lynxchute.budgets.rows import HOLDERS_TABLE, TOTALS_TABLE
 from lynxchute.clock import steady_seconds
 from lynxchute.config import Configuration
 from lynxchute.spending.grant_pause import GrantBackoff
-from lynxchute.store import Outcome, OutcomeUnknown, Store, StoreUnavailable
+from lynxchute.spending.restore_auditor import RestoreAuditor
+from lynxchute.store import Outcome, OutcomeUnknown, Row, Store, StoreUnavailable
 from lynxchute.store.era import era_of
 from lynxchute.telemetry import log_event
 
@@ -35,6 +37,12 @@
 # Seconds after which a router whose grants are below target reads the totals again,
 # in case other routers have released tokens.
 UNDERGRANTED_POLL_SECONDS = 2.0
+# Maximum seconds between two writes of any router: a row that is much older than a
+# restore of the store counts as that of a router which had ended before.
+KEEPALIVE_SECONDS = 20.0
+# Seconds after a restore of the store at which the totals are read once more, as other
+# routers may have withheld tokens on behalf of this one.
+TOTALS_RECHECK_SECONDS = 2 * GRANT_HOLD_SECONDS
 
 
 class LedgerSync(BackgroundTask):
@@ -57,6 +65,8 @@
         Awaited once the previous process's row has been read.
     restored_seconds
         Returns for how many seconds the fleet has known the store's era.
+    auditor
+        Audits the routers' rows before grants rise after a restore; None to trust them.
     """
 
     def __init__(
@@ -69,6 +79,7 @@
         started_at: float,
         before_first_write: Callable[[], Awaitable[None]],
         restored_seconds: Callable[[], float] = lambda: 0.0,
+        auditor: RestoreAuditor | None = None,
     ) -> None:
         super().__init__()
         self.ledger = ledger
@@ -78,6 +89,11 @@
         self._started_at = started_at
         self._before_first_write = before_first_write
         self._restored_seconds = restored_seconds
+        self._auditor = auditor
+        self._predecessor_row: Row | None = None
+        self._predecessor_ended_ms = 0
+        self._written_at = 0.0
+        self._recheck_at = 0.0
         self._write_due = asyncio.Event()
         self._write_now = asyncio.Event()
         self._waiters: set[asyncio.Future[None]] = set()
@@ -264,6 +280,7 @@
         while not await self._take_over():
             await asyncio.sleep(RETRY_SECONDS)
         await self._members_known.wait()
+        self._review_predecessor()
         self.ledger.shorten_hold(self._restored_seconds(), steady_seconds())
         await self._before_first_write()
         while True:
@@ -294,9 +311,13 @@
             self._observe_era()
             if (
                 now - self._totals_read_at > UNDERGRANTED_POLL_SECONDS
-                and self.ledger.is_below_target_grant(now)
+                and self._may_lack_tokens(now)
             ):
                 self._is_refresh_due = True
+            is_recheck_due = 0.0 < self._recheck_at < now
+            if is_recheck_due:
+                self._recheck_at = 0.0
+                self._is_refresh_due = True
             # After failures it writes even without unused tokens: otherwise a home
             # that has spent its grant would not notice that the store is back, and
             # would keep refusing requests that a new grant could cover.
@@ -306,6 +327,9 @@
                 self.ledger.has_headroom
                 or self._failures > 0
                 or not self.ledger.is_restored
+                or not self.ledger.is_complete
+                or is_recheck_due
+                or now - self._written_at > KEEPALIVE_SECONDS
             )
         try:
             async with asyncio.timeout(REFRESH_SECONDS):
@@ -317,6 +341,30 @@
         self._write_now.clear()
         return True
 
+    def _may_lack_tokens(self, now: float) -> bool:
+        """Return whether the totals may have tokens that this router should know of."""
+        return not self.ledger.is_complete or self.ledger.is_below_target_grant(now)
+
+    def _review_predecessor(self) -> None:
+        """Take over again once it is known when the store came back from a copy."""
+        ledger = self.ledger
+        if self._auditor is None or ledger.is_complete:
+            return
+        ledger.take_over(
+            self._predecessor_row,
+            self._predecessor_ended_ms,
+            restored_ms=self._auditor.restored_ms(),
+        )
+        log_event(
+            "budgets taken over after a restore of the store",
+            predecessor=ledger.predecessor,
+            complete=ledger.is_complete,
+            used_by_account={
+                account: share.settled
+                for account, share in ledger.shares_by_account.items()
+            },
+        )
+
     async def _take_over(self) -> bool:
         """Read the store and take over the row of the previous process.
 
@@ -340,6 +388,7 @@
         self._observe_era()
         self.ledger.update_totals(totals.rows)
         ended_ms = self._store.clock.latest_ms(self._started_at)
+        self._predecessor_row, self._predecessor_ended_ms = own, ended_ms
         self.ledger.take_over(own, ended_ms)
         log_event(
             "budgets read",
@@ -369,8 +418,13 @@
         if not await self._refresh_totals():
             return
         self._observe_era()
+        if not await self._audit():
+            return
         now = steady_seconds()
         with_grants = ledger.is_closing or self._grant_backoff.is_over(now)
+        if self._auditor is not None and not self._auditor.is_done:
+            # The audit comes first if the hold has ended just now.
+            with_grants = with_grants and ledger.are_grants_held(now)
         plan = ledger.plan(now_ms=self.now_ms(), now=now, with_grants=with_grants)
         self._writing_since = now
         try:
@@ -390,11 +444,27 @@
             self._writing_since = None
             self._wake_waiters()
 
+    async def _audit(self) -> bool:
+        """Audit the routers' rows if that is due; return whether the store answered."""
+        if self._auditor is None:
+            return True
+        try:
+            await self._auditor.audit()
+        except StoreUnavailable as error:
+            self._record_failure(error)
+            self._wake_waiters()
+            return False
+        return True
+
     def _apply_outcome(self, plan: Plan, outcome: Outcome) -> None:
         ledger = self.ledger
         self._record_answer()
         self._observe_era()
         committed = ledger.apply_outcome(outcome)
+        if committed:
+            self._written_at = steady_seconds()
+            if self._auditor is not None:
+                self._auditor.announce()
         if not committed and plan.era < self._store.era.current:
             log_event("budgets are written again after a restore of the store")
             self.request_write()
@@ -427,6 +497,9 @@
         """Tell the ledger of the store's newest era; read the totals again in it."""
         if self.ledger.observe_era(self._store.era.current):
             self._is_refresh_due = True
+            self._recheck_at = steady_seconds() + TOTALS_RECHECK_SECONDS
+            if self._auditor is not None:
+                self._auditor.record_restore()
 
     def _back_off_grants(self) -> None:
         """Delay changes of grants after a conflict, and schedule the next write."""
--- a/tests/ledger_machine.py
+++ b/tests/ledger_machine.py
@@ -3,7 +3,7 @@
 import hypothesis.strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from tests.ledger_fleet import ACCOUNTS, LedgerFleet
+from tests.ledger_fleet import ACCOUNTS, HELD_MS, LedgerFleet
 
 NUMBERS = st.integers(0, 40)
 TOKENS = st.integers(1, 200)
@@ -282,6 +282,43 @@
         self.fleet.write_again()
         self.reserve_all(number, account)
 
+    @rule(
+        number=NUMBERS,
+        writes=WRITES,
+        account=st.sampled_from(ACCOUNTS),
+        starts_late=st.booleans(),
+    )
+    def die_around_a_restore(self, number, writes, account, starts_late):
+        """Spend all that a router can be granted, then lose the record of it."""
+        dying = self.router(number)
+        if dying.ledger.fenced:
+            return
+        self.fleet.keep_alive()
+        self.claim_and_reserve_all(number, account)
+        self.fleet.kill_and_restore(dying, writes)
+        if not starts_late:
+            self.fleet.start_again(dying)
+            self.fleet.write(dying, "answered")
+        self.fleet.write_again()
+        self.fleet.advance(HELD_MS)
+        for other in range(1, len(self.fleet.routers)):
+            self.claim_and_reserve_all(number + other, account)
+        if starts_late:
+            self.fleet.start_again(dying)
+        for _ in range(2):
+            self.fleet.write(dying, "answered")
+        self.claim_and_reserve_all(number, account)
+
+    def claim_and_reserve_all(self, number, account):
+        router = self.router(number)
+        share = router.ledger.share(account)
+        wanted = self.fleet.prepaid[account]
+        share.waiting += wanted
+        for _ in range(3):
+            self.fleet.write(router, "answered")
+        share.waiting -= wanted
+        self.reserve_all(number, account)
+
     @rule(router=NUMBERS)
     def start_closing(self, router):
         self.router(router).ledger.is_closing = True
--- a/tests/ledger_mutants.py
+++ b/tests/ledger_mutants.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from lynxchute.budgets import Ledger, LimitLine, Share
+from lynxchute.budgets import Ledger, LimitLine, Share, ledger
+from lynxchute.budgets.audit import RestoreAudit
 from lynxchute.budgets.plan import KnownTotals
 from lynxchute.budgets.rows import HolderRow, Totals
 from lynxchute.budgets.share import Terms
@@ -269,6 +270,24 @@
     )
 
 
+def withhold_nothing():
+    return mock.patch.object(RestoreAudit, "withhold", lambda self, totals, free: None)
+
+
+def trust_a_row_of_a_copy():
+    def trust(row, era, restored_ms):
+        return False
+
+    return PatchGroup(
+        mock.patch.object(ledger, "is_incomplete", trust),
+        mock.patch.object(ledger, "is_of_copy", trust),
+    )
+
+
+def count_nothing_that_was_withheld():
+    return mock.patch.object(RestoreAudit, "count", lambda self, account, totals: 0)
+
+
 class PatchGroup:
     """Several patches applied together."""
 
@@ -312,4 +331,7 @@
     raise_grants_right_after_a_restore,
     forget_the_own_grant_after_a_restore,
     restore_a_grant_that_may_have_been_reduced,
+    withhold_nothing,
+    trust_a_row_of_a_copy,
+    count_nothing_that_was_withheld,
 )
--- a/tests/test_ledger_era.py
+++ b/tests/test_ledger_era.py
@@ -1,6 +1,7 @@
 """Ledgers on a store that comes back from a copy, in a new era."""
 
 import asyncio
+import contextlib
 import json
 
 import testtools
@@ -17,6 +18,7 @@
 )
 from lynxchute.budgets.share import Terms
 from lynxchute.clock import steady_seconds
+from lynxchute.relay.budgets import BudgetExhausted, BudgetUnreachable
 from lynxchute.spending.keeper import LedgerSync
 from lynxchute.store import (
     Committed,
@@ -330,6 +332,84 @@
                 fleet.write(router, "answered")
         fleet.check()
 
+    def restored_after_death(self):
+        """Return a fleet whose first router spent a grant that the copy lacks."""
+        fleet = written_fleet(prepaid={"a": 1_000})
+        dead = fleet.routers[0]
+        copy = fleet.store.number
+        fleet.now_ms += 2_000
+        claim(fleet, dead, 1_000)
+        self.spend_all(fleet, dead)
+        self.assertGreater(fleet.spent("a"), 560)
+        fleet.kill_and_restore(dead, fleet.store.number - copy)
+        self.assertEqual(425, stored_grants(fleet)["x"])
+        return fleet
+
+    def spend_all(self, fleet, router):
+        """Reserve until a write after a refusal does not help."""
+        for _ in range(200):
+            if fleet.reserve(router, "a", 10) is None:
+                continue
+            claim(fleet, router, 10)
+            if fleet.reserve(router, "a", 10) is not None:
+                return
+        self.fail("never refused")
+
+    def test_a_grant_raised_after_the_copy_is_not_granted_again(self):
+        for starts_late in (False, True):
+            fleet = self.restored_after_death()
+            dead, other = fleet.routers
+            if not starts_late:
+                fleet.start_again(dead)
+                write_after_restore(fleet, dead)
+            fleet.write_again()
+            fleet.advance(HELD_MS)
+            self.spend_all(fleet, other)
+            if starts_late:
+                fleet.start_again(dead)
+                write_after_restore(fleet, dead)
+                fleet.advance(HELD_MS)
+            write_after_restore(fleet, dead)
+            self.spend_all(fleet, dead)
+            fleet.check()
+            self.assertEqual(575, dead.ledger.share("a").own_use)
+            self.assertEqual({"x": 575, "y": 425}, stored_grants(fleet))
+
+    def test_what_a_router_that_stays_dead_may_have_used_is_withheld(self):
+        fleet = self.restored_after_death()
+        other = fleet.routers[1]
+        fleet.write_again()
+        fleet.advance(HELD_MS)
+        self.spend_all(fleet, other)
+        fleet.check()
+        self.assertEqual(1_000, fleet._totals("a").granted)
+        fleet.raise_prepaid("a", 500, 2)
+        self.spend_all(fleet, other)
+        fleet.check()
+        self.assertGreater(other.ledger.share("a").own_use, 900)
+
+    def test_a_router_that_was_cut_off_gets_the_withheld_tokens_back(self):
+        fleet = written_fleet(prepaid={"a": 1_000})
+        cut_off, other = fleet.routers
+        copy = fleet.store.number
+        fleet.now_ms += 2_000
+        claim(fleet, cut_off, 50)
+        held = cut_off.ledger.share("a").terms.granted
+        fleet.restore(fleet.store.number - copy)
+        write_after_restore(fleet, other)
+        fleet.now_ms += HELD_MS
+        fleet.unrestored.clear()
+        claim(fleet, other, 1_000)
+        self.assertEqual(425, other.ledger.share("a").terms.granted)
+        self.assertEqual(1_000, fleet._totals("a").granted)
+        fleet._read_totals(cut_off.ledger)
+        write_after_restore(fleet, cut_off)
+        self.assertEqual(held, stored_grants(fleet)["x"])
+        fleet._read_totals(other.ledger)
+        claim(fleet, other, 1_000)
+        self.assertEqual(1_000 - held, other.ledger.share("a").terms.granted)
+        fleet.check()
+
 
 class SharedStore(Store):
     """A router's client of an in-memory store that takes a while to answer."""
@@ -429,6 +509,9 @@
             ledger_mutants.fence_at_the_row_of_the_predecessor,
             ledger_mutants.raise_grants_right_after_a_restore,
             ledger_mutants.forget_the_own_grant_after_a_restore,
+            ledger_mutants.withhold_nothing,
+            ledger_mutants.trust_a_row_of_a_copy,
+            ledger_mutants.count_nothing_that_was_withheld,
         ):
             with mutant(), self.assertRaises(AssertionError):
                 run(600, 50, shrink=False, machine=LedgerMachine)
@@ -506,3 +589,33 @@
             self.assertLessEqual(sum(granted(deployment).values()), 2_000_000)
 
         self.with_platform(scenario)
+
+    def test_a_grant_of_a_router_that_died_is_not_granted_again(self):
+        async def scenario(deployment):
+            store = deployment.store
+            copy = store.version
+            dead, other = deployment.routers["a-1"], deployment.routers["b-1"]
+            for number in range(2):
+                await reserve(dead, 300_000, f"before-{number}")
+            await dead.kill()
+            used = 600_000
+            await store.restore_copy(copy)
+            ledger = other.ledger_sync.ledger
+            await until(lambda: ledger.audit.era == 1, 2 * GRANT_HOLD_SECONDS)
+            self.assertEqual({"a-1"}, ledger.audit.vms)
+            with contextlib.suppress(BudgetExhausted, BudgetUnreachable):
+                while True:
+                    await reserve(other, 50_000, f"after-{used}")
+                    used += 50_000
+            self.assertLessEqual(used, 1_000_000)
+            totals = Totals.decode(store.value(TOTALS_TABLE, ACCOUNT))
+            self.assertEqual(1_000_000, totals.granted)
+            router = await deployment.start_router("a-1")
+            own = router.ledger_sync.ledger
+            await until(lambda: own.is_open and own.is_complete, 2 * GRANT_HOLD_SECONDS)
+            self.assertGreaterEqual(own.share(ACCOUNT).own_use, 600_000)
+            await until(lambda: "a-1" not in ledger.audit.vms)
+            totals = Totals.decode(store.value(TOTALS_TABLE, ACCOUNT))
+            self.assertEqual(1_000_000, sum(totals.granted_by_vm.values()))
+
+        self.with_platform(scenario)
