Count a connection that ended before its first byte as not sent

Callers saw: 502 with "run: unknown" for a call that may not be repeated, though no byte of it had left the router; a permit to retry used up for others; a store write of unknown outcome.

Cause: a peer may close a connection right after it has accepted it (overloaded routers do). The client noticed that when it was about to send, and reported `sent=True`.

Evidence: found while tracing the listed failure "the connection had ended". Its caller has a connection that is idle for 1.80 s when the test runs alone; with the wait made 2.5 s longer the router had closed it (idle timeout 3 s), and the overloaded router closed the new one on accept. Nothing is awaited between the check of a reused connection and its use, so that is ruled out.

Change: a connection that is closed when it has been made is a failed connect.

Tests: the new test was red without the change ("True is not false"); test_http, test_relay, test_router_load and test_lost_answers pass (117).

Conclusion: the listed test is explained as far as could be provoked, and stays listed: it needs its wait to be shorter than the configured idle timeout, and its one failure left no log.

--- a/lynxchute/http/client.py
+++ b/lynxchute/http/client.py
@@ -429,6 +429,10 @@
         except (OSError, TimeoutError) as error:
             raise ExchangeError(f"cannot connect: {error!r}", sent=False) from error
         self.connections_opened += 1
+        if not connection.is_alive:
+            # A peer may close a connection right after it has accepted it.
+            connection.abort()
+            raise ExchangeError("cannot connect: closed by the peer", sent=False)
         return connection
 
     def _pop_idle(
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from unittest import mock
 
 import hypothesis.strategies as st
 import testtools
@@ -15,6 +16,7 @@
     ServerLimits,
     Timeouts,
 )
+from lynxchute.http import client as http_client
 from lynxchute.http.patience import lag_tolerant_wait
 from tests.support import AsyncTestCase, until
 
@@ -578,6 +580,31 @@
 
         self.run_async(work())
 
+    def test_connection_closed_before_its_first_byte_reports_that_nothing_was_sent(
+        self,
+    ):
+        async def connect_late(*arguments):
+            connected = await lag_tolerant_wait(*arguments)
+            await asyncio.sleep(0.05)
+            return connected
+
+        async def work():
+            server = await asyncio.start_server(
+                lambda reader, writer: writer.close(), "127.0.0.1", 0
+            )
+            address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            before_send = mock.Mock()
+            with (
+                mock.patch.object(http_client, "lag_tolerant_wait", connect_late),
+                self.assertRaises(ExchangeError) as caught,
+            ):
+                await HttpClient(address).request("GET", "/", before_send=before_send)
+            server.close()
+            self.assertFalse(caught.exception.sent)
+            before_send.assert_not_called()
+
+        self.run_async(work())
+
     def test_connection_that_was_idle_for_too_long_is_not_reused(self):
         async def work():
             server, address = await start_scripted_peer(*[make_response(b"x")] * 4)
