Let routers of a new fleet notice later restores

Callers would have seen: what a dead router had been granted since the copy, granted again, on a fleet whose routers still run since its first start.

Cause: a process of a first start counted every era of the store as known for ever, as the first one is. And the mark that they write for an era in which the fleet started said "just now", so a VM that is added within a minute would have counted as one whose row the copy lacks.

Found by reading the audit's callers.

Change: only the first era that such a process sees is one without a copy, and its mark says so.

--- a/lynxchute/fleet/era_mark.py
+++ b/lynxchute/fleet/era_mark.py
@@ -35,6 +35,7 @@
         self._store = store
         self._row_id = RowId(table, ERA_KEY)
         self._is_first_start = is_first_start
+        self._first_era: int | None = None
         self._version = ABSENT
         self._era = 0
         self._since_ms = 0
@@ -52,9 +53,16 @@
             return
         self._era, self._since_ms = era, since_ms
 
+    @property
+    def is_new_fleet(self) -> bool:
+        """Return whether the whole fleet has started for the first time in this era."""
+        first_era = self._first_era
+        is_first_era = first_era is None or first_era == self._store.era.current
+        return self._is_first_start and is_first_era
+
     def seconds(self, now: float) -> float:
         """Return for how many seconds the fleet has known the store's era, or 0."""
-        if self._is_first_start:
+        if self.is_new_fleet:
             return math.inf
         if self._era != self._store.era.current:
             return 0.0
@@ -69,9 +77,13 @@
             If the store cannot be reached, or its reply is lost.
         """
         era = self._store.era.current
+        if self._first_era is None:
+            self._first_era = era
         if not era or self._era == era:
             return
-        since_ms = self._store.clock.earliest_ms(steady_seconds())
+        since_ms = 0
+        if not self.is_new_fleet:
+            since_ms = self._store.clock.earliest_ms(steady_seconds())
         value = json.dumps({"era": era, "since_ms": since_ms}).encode()
         expected = Expected(self._row_id, self._version)
         await self._store.write(Write((expected,), (Put(self._row_id, value),)))
--- a/lynxchute/fleet/registry.py
+++ b/lynxchute/fleet/registry.py
@@ -62,8 +62,6 @@
 
     Attributes
     ----------
-    is_first_start
-        Whether the whole fleet is starting for the first time.
     secret
         The shared secret in the fleet's messages; empty until read from the store.
     members_known
@@ -103,7 +101,7 @@
         self._is_restored = False
         self._store = store
         self._members = members
-        self.is_first_start = is_first_start
+        self._is_first_start = is_first_start
 
     async def start(self) -> None:
         """Start following the table and register this router."""
@@ -137,7 +135,7 @@
         while not self.secret:
             await self._propose_secret()
         await self._mark_era()
-        if self.is_first_start:
+        if self._is_first_start:
             await asyncio.sleep(FIRST_START_SECONDS)
         self.members_known.set()
         while True:
--- a/lynxchute/spending/restore_auditor.py
+++ b/lynxchute/spending/restore_auditor.py
@@ -82,7 +82,7 @@
             self._registry.announce_budget_era(era)
 
     async def _incomplete_vms(self, era: int) -> list[str]:
-        if self._registry.is_first_start:
+        if self._registry.era_mark.is_new_fleet:
             return []
         vms = self._vms_behind(era)
         rows_by_vm = await self._read_rows(vms)
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -140,7 +140,7 @@
     async def configure(self, **options):
         await self.store.configure(configuration(**options))
 
-    async def start_router(self, vm):
+    async def start_router(self, vm, **more):
         if vm not in self.store_ports:
             self.store_ports[vm] = await self.store.open_port()
         settings = EdgeSettings(
@@ -155,6 +155,7 @@
             store_spans_parts=True,
             bounds=DeploymentBounds(stop=4.0),
             features=self.features,
+            **more,
         )
         router = EdgeApplication(settings, make_platform(settings.store))
         await router.start()
--- a/tests/test_ledger_era.py
+++ b/tests/test_ledger_era.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import math
 
 import testtools
 
@@ -18,6 +19,7 @@
 )
 from lynxchute.budgets.share import Terms
 from lynxchute.clock import steady_seconds
+from lynxchute.fleet.era_mark import EraMark
 from lynxchute.relay.budgets import BudgetExhausted, BudgetUnreachable
 from lynxchute.spending.keeper import LedgerSync
 from lynxchute.store import (
@@ -311,6 +313,30 @@
         self.assertTrue(self.grants_of_restarted_router(1_000))
 
 
+class EraMarkOfNewFleetTest(testtools.TestCase):
+    def marked(self, store):
+        """Return the milliseconds since which the store has its newest era."""
+        (put,) = store.writes[-1].puts
+        return json.loads(put.value)["since_ms"]
+
+    def test_only_the_first_era_of_a_new_fleet_is_known_forever(self):
+        async def work():
+            store = RecordingStore()
+            store.era.observe(3)
+            store.clock.observe(told_ms=50_000, now=steady_seconds(), asked_at=0.0)
+            mark = EraMark(store, "fleet", is_first_start=True)
+            await mark.write()
+            self.assertEqual(0, self.marked(store))
+            self.assertEqual(math.inf, mark.seconds(steady_seconds()))
+            store.era.observe(4)
+            self.assertFalse(mark.is_new_fleet)
+            self.assertEqual(0.0, mark.seconds(steady_seconds()))
+            await mark.write()
+            self.assertGreater(self.marked(store), 0)
+
+        asyncio.run(work())
+
+
 class DeathTest(testtools.TestCase):
     def test_what_a_router_used_before_it_died_outlives_a_restore(self):
         fleet = written_fleet(prepaid={"a": 1_000})
@@ -443,6 +469,18 @@
         self.clock.observe(told_ms=int(now * 1000), now=now, asked_at=now)
 
 
+class RecordingStore(SharedStore):
+    """Records writes and answers that they are committed."""
+
+    def __init__(self):
+        super().__init__(InMemoryStore())
+        self.writes = []
+
+    async def write(self, write):
+        self.writes.append(write)
+        return Committed(join_version(self.era.current, len(self.writes)))
+
+
 class ContentionTest(AsyncTestCase):
     ROUTERS = 200
 
@@ -593,8 +631,12 @@
     def test_a_grant_of_a_router_that_died_is_not_granted_again(self):
         async def scenario(deployment):
             store = deployment.store
+            await deployment.routers["b-1"].kill()
+            # One of a new fleet; what it starts with says nothing of later restores.
+            other = await deployment.start_router("b-1", is_first_start=True)
+            await until(lambda: other.ledger_sync.ledger.is_open)
+            dead = deployment.routers["a-1"]
             copy = store.version
-            dead, other = deployment.routers["a-1"], deployment.routers["b-1"]
             for number in range(2):
                 await reserve(dead, 300_000, f"before-{number}")
             await dead.kill()
