Name the parts of the audit by what they hold

Cause: a reading of the change as a newcomer. `_incomplete_since` held the era of the last complete row; `count` and `counted` on two classes meant three things. No behaviour has changed. Checked: formatter, linter, mypy; 59 tests of the ledger, entries and pages; the three mutants are caught.

--- a/lynxchute/budgets/audit.py
+++ b/lynxchute/budgets/audit.py
@@ -50,6 +50,11 @@
     totals. Once all other routers have written their grants again, it is at most what
     is free; these tokens are withheld until that VM has told its use.
 
+    Parameters
+    ----------
+    vm
+        The own VM.
+
     Attributes
     ----------
     era
@@ -95,7 +100,7 @@
         own = totals.withheld_for(self.vm)
         return any(key.era == self.era for key in own) and not any(own.values())
 
-    def count(self, account: str, totals: Totals) -> int:
+    def mark_counted(self, account: str, totals: Totals) -> int:
         """Mark what is withheld for the own VM as counted.
 
         Returns
@@ -110,7 +115,7 @@
                 tokens += held_back
         return tokens
 
-    def counted(self, account: str, totals: Totals) -> list[Withheld]:
+    def counted_keys(self, account: str, totals: Totals) -> list[Withheld]:
         """Return what is withheld for the own VM and counts as its use already."""
         own = totals.withheld_for(self.vm)
         return [withheld for withheld in own if (account, withheld) in self._counted]
--- a/lynxchute/budgets/ledger.py
+++ b/lynxchute/budgets/ledger.py
@@ -142,7 +142,9 @@
         self.predecessor = ""
         self.pending: Plan | None = None
         self.audit = RestoreAudit(vm)
-        self._incomplete_since: int | None = None
+        # Era of the last complete row of this VM; None while its row is complete.
+        self._complete_until: int | None = None
+        # Whether the row that was taken over is one with which the store came back.
         self._is_taken_from_copy = False
         self._policy = policy
         self._parts = max(parts, 1)
@@ -188,19 +190,19 @@
         self._row_version = row.version if row is not None else 0
         self.observe_era(era_of(self._row_version))
         self._confirmed_era = self._era
-        self._incomplete_since = None
+        self._complete_until = None
         self._is_taken_from_copy = False
         self.audit.reset_counted()
         if row is None:
             is_new = restored_ms is not None and ended_ms > restored_ms + MAX_SILENCE_MS
             if self._era and not is_new:
-                self._incomplete_since = self._era - 1
+                self._complete_until = self._era - 1
             return
         previous = HolderRow.decode(row.value)
         self.predecessor = previous.incarnation
         self._is_taken_from_copy = is_of_copy(previous, self._era, restored_ms)
         if is_incomplete(previous, self._era, restored_ms):
-            self._incomplete_since = previous.era
+            self._complete_until = previous.era
         for account, terms in previous.terms_by_account.items():
             # The previous process may have used all that its limit line allowed.
             used = terms.limit(ended_ms)
@@ -239,13 +241,13 @@
     @property
     def is_complete(self) -> bool:
         """Return whether this router's row covers all that its VM has used."""
-        return self._incomplete_since is None
+        return self._complete_until is None
 
     @property
     def complete_era(self) -> int:
         """Return the newest era whose rows are known to cover all that the VM used."""
-        if self._incomplete_since is not None:
-            return self._incomplete_since
+        if self._complete_until is not None:
+            return self._complete_until
         return self._confirmed_era if self.is_open and self.is_restored else 0
 
     def update_totals(self, rows: Iterable[Row]) -> None:
@@ -280,7 +282,7 @@
                 return
             if not self.audit.is_counted(self._known_totals(account)):
                 return
-        self._incomplete_since = None
+        self._complete_until = None
 
     def discard_totals_before(self, era: int) -> None:
         """Discard totals of earlier eras, which a complete scan of the table lacked."""
@@ -595,7 +597,7 @@
             terms_by_account[account] = self._planned_terms(
                 account, share, granted, now_ms, now
             )
-        era = self._era if self._incomplete_since is None else self._incomplete_since
+        era = self._era if self._complete_until is None else self._complete_until
         row = HolderRow(
             self.incarnation,
             self._sequence,
@@ -701,8 +703,8 @@
                 return totals.released_by(self.vm, held)
             if not self.are_grants_held(now):
                 # During the hold, live routers may still take out what is theirs.
-                share.settled += self.audit.count(account, totals)
-            counted = totals.counted(self.audit.counted(account, totals))
+                share.settled += self.audit.mark_counted(account, totals)
+            counted = totals.without(self.audit.counted_keys(account, totals))
             if counted == totals:
                 return None
             return counted.with_grant(self.vm, max(held, share.own_use))
--- a/lynxchute/budgets/rows.py
+++ b/lynxchute/budgets/rows.py
@@ -68,7 +68,7 @@
             if vm in withheld.vms
         }
 
-    def counted(self, withheld: Iterable[Withheld]) -> Totals:
+    def without(self, withheld: Iterable[Withheld]) -> Totals:
         """Return a copy without tokens that a router counts as used."""
         counted = dict.fromkeys(withheld, 0)
         return attrs.evolve(self, withheld={**self.withheld, **counted})
--- a/tests/ledger_mutants.py
+++ b/tests/ledger_mutants.py
@@ -285,7 +285,9 @@
 
 
 def count_nothing_that_was_withheld():
-    return mock.patch.object(RestoreAudit, "count", lambda self, account, totals: 0)
+    return mock.patch.object(
+        RestoreAudit, "mark_counted", lambda self, account, totals: 0
+    )
 
 
 class PatchGroup:
