Show that callers of a router without links to upstreams are refused

Cause: not mended here. The test takes away the links of one router, of a data centre and of three of four routers to all upstreams, in the four ways in which links fail, while callers, the store and the other routers reach them. The stand-ins' link learns these four ways; the pool of connections gets a mapping of addresses, which tests use to put a link between one router and an upstream, as there is one for other routers already. No decision changes.

Links that refuse at once lose as many as links that hang, so time is not the cause.

--- a/lynxchute/http/client.py
+++ b/lynxchute/http/client.py
@@ -98,6 +98,11 @@
     return True
 
 
+def same_address(address: str) -> str:
+    """Return the address itself."""
+    return address
+
+
 class Response:
     """A response whose body is streamed.
 
@@ -491,20 +496,27 @@
         Default timeouts of the clients.
     meter
         Estimates the queueing delay on the VM's link.
+    address_of
+        Returns the address that is connected to for an address.
     """
 
     timeouts: Timeouts = attrs.Factory(Timeouts)
     meter: LinkMeter = UNLIMITED_LINK
     clients_by_address: dict[str, HttpClient] = attrs.Factory(dict)
+    address_of: Callable[[str], str] = same_address
 
     def get(self, address: str) -> HttpClient:
         """Return the client for an address; create it on first use."""
         client = self.clients_by_address.get(address)
         if client is None:
-            client = HttpClient(address, timeouts=self.timeouts, meter=self.meter)
+            client = self._new_client(address)
             self.clients_by_address[address] = client
         return client
 
+    def _new_client(self, address: str) -> HttpClient:
+        connects_to = self.address_of(address)
+        return HttpClient(connects_to, timeouts=self.timeouts, meter=self.meter)
+
     def drop(self, address: str) -> None:
         """Discard the client for an address that is no longer used."""
         client = self.clients_by_address.pop(address, None)
--- a/lynxchute/standins/link.py
+++ b/lynxchute/standins/link.py
@@ -7,7 +7,12 @@
 import socket
 import struct
 
+from lynxchute.address import Address
+from lynxchute.listening import listen
+
 READ_SIZE = 65536
+# Connection attempts that fill the accept queue of a socket that nobody accepts from.
+QUEUE_FILLERS = 2
 # SO_LINGER value with which the kernel closes a connection by a reset, not a FIN.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -19,6 +24,27 @@
     FROM_TARGET = "from target"
 
 
+class Partition(enum.Enum):
+    """How a link fails, for open connections and for new ones.
+
+    Attributes
+    ----------
+    HANG
+        Both hang, without a signal to either end.
+    REFUSE
+        Open ones are reset, new ones refused.
+    HANG_REFUSE
+        Open ones hang, new ones are refused.
+    KEEP_REFUSE
+        Open ones work, new ones are refused.
+    """
+
+    HANG = "hang"
+    REFUSE = "refuse"
+    HANG_REFUSE = "hang, refuse"
+    KEEP_REFUSE = "keep, refuse"
+
+
 class Link:
     """Relay TCP connections to an address while the link is up.
 
@@ -40,7 +66,9 @@
         self.cut = False
         self.port = 0
         self.bytes_carried = 0
+        self._host = "127.0.0.1"
         self._server: asyncio.Server | None = None
+        self._unaccepted: list[socket.socket] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
         self._open_by_direction: dict[Direction, asyncio.Event] = {}
@@ -51,8 +79,41 @@
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Listen for connections."""
         self._server = await asyncio.start_server(self._accept, host, port)
+        self._host = host
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def partition(self, how: Partition) -> None:
+        """Make the link fail until it is restored."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        if how is Partition.REFUSE:
+            self.reset()
+        if how in (Partition.HANG, Partition.HANG_REFUSE):
+            self.hold(*Direction)
+        if how is Partition.HANG:
+            self._leave_unaccepted()
+
+    async def restore(self) -> None:
+        """End a partition; bytes that were held back are relayed then."""
+        for sock in self._unaccepted:
+            sock.close()
+        self._unaccepted = []
+        self.hold()
+        if self._server is None:
+            await self.start(self._host, self.port)
+
+    def _leave_unaccepted(self) -> None:
+        """Listen without accepting, so that connection attempts get no answer."""
+        listener = listen(Address(self._host, self.port))
+        listener.listen(0)
+        self._unaccepted = [listener]
+        for _ in range(QUEUE_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((self._host, self.port))
+            self._unaccepted.append(filler)
+
     def set_cut(self, cut: bool) -> None:
         """Cut the link, or restore it."""
         self.cut = cut
@@ -81,6 +142,8 @@
         """Close the listening port and all connections."""
         if self._server is not None:
             self._server.close()
+        for sock in self._unaccepted:
+            sock.close()
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -177,11 +177,16 @@
             headers.append((names.RETRY_AFTER, f"{backoff:.3f}"))
         return headers
 
+    @property
+    def address(self) -> str:
+        """Return the address that it registers."""
+        return f"127.0.0.1:{self.advertised_port or self.port}"
+
     async def register(self, store: PlatformStoreStandin) -> None:
         """Write its entry to the store."""
         entry: dict[str, object] = {
             "service": self.service,
-            "address": f"127.0.0.1:{self.advertised_port or self.port}",
+            "address": self.address,
             "zone": self.data_centre,
             "version": "v1",
             "slots": 64,
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -11,6 +11,7 @@
 from lynxchute.edge.settings import DeploymentBounds, EdgeSettings, Features
 from lynxchute.http import ExchangeError, HttpClient, Timeouts
 from lynxchute.platform.daemon import make_platform
+from lynxchute.standins.link import Link
 from lynxchute.standins.platform_store import PlatformStoreStandin
 from lynxchute.standins.platform_upstream import PlatformUpstreamStandin
 from tests.support import AsyncTestCase, until
@@ -108,7 +109,10 @@
         events=6,
         features=None,
         memory_mb=200,
+        has_upstream_links=False,
     ):
+        self.has_upstream_links = has_upstream_links
+        self.upstream_links_by_vm = {}
         self.memory_mb = memory_mb
         self.features = features or Features()
         self.store = PlatformStoreStandin()
@@ -158,11 +162,35 @@
             **more,
         )
         router = EdgeApplication(settings, make_platform(settings.store))
+        if self.has_upstream_links:
+            router.clients.address_of = await self._start_upstream_links(vm)
         await router.start()
         self.routers[vm] = router
         self.settings[vm] = settings
         return router
 
+    async def _start_upstream_links(self, vm):
+        """Start a link from a router to each upstream; return the address mapping."""
+        if vm not in self.upstream_links_by_vm:
+            links = [Link(upstream.address) for upstream in self.upstreams]
+            for link in links:
+                await link.start()
+            self.upstream_links_by_vm[vm] = links
+        links = self.upstream_links_by_vm[vm]
+        ports = {link.target: f"127.0.0.1:{link.port}" for link in links}
+        return ports.__getitem__
+
+    def partition(self, vms, how):
+        """Cut routers off from all upstreams."""
+        for vm in vms:
+            for link in self.upstream_links_by_vm[vm]:
+                link.partition(how)
+
+    async def restore(self, vms):
+        for vm in vms:
+            for link in self.upstream_links_by_vm[vm]:
+                await link.restore()
+
     def faults(self, vm):
         return self.store.faults_by_port[self.store_ports[vm]]
 
@@ -179,6 +207,9 @@
     async def stop(self):
         for router in self.routers.values():
             await router.kill()
+        for links in self.upstream_links_by_vm.values():
+            for link in links:
+                await link.stop()
         for upstream in self.upstreams:
             await upstream.stop()
         await self.store.close()
