Reach upstreams through other routers while own links are lost

Cause: a router had its own links to upstreams and no second way; a failed connection was always taken for a failed upstream. Class: an observer's own fault is blamed on what it observes, and with it the one way that would remain is not looked for.

Change: where a direct connection is refused or has no answer after 0.1 s, another router is asked for a tunnel; the first that connects is used. Lost paths are remembered, the others verified, checks every 0.3 s find the return. Only connecting differs, so billing, retries, run status, gate and deadline stay where they are. Also: a refused probe no longer breaks off a stream that goes on over an open connection; an upstream that nobody reaches costs no attempts; a router that helps ends its tunnels in order when it stops. The comment on socket options now says what the user timeout does to keep-alive probes.

Why it works: the other routers reach the upstreams, and answer within milliseconds whether they do.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -34,7 +34,6 @@
 from lynxchute.fleet.server import PeerServer
 from lynxchute.http import (
     BadRequest,
-    ClientPool,
     HttpServer,
     Request,
     RequestHead,
@@ -65,6 +64,14 @@
 from lynxchute.store import TableFeed
 from lynxchute.store.counted import InstrumentedStore
 from lynxchute.telemetry import Metrics, log_event
+from lynxchute.tunnels import (
+    PathState,
+    PathWatch,
+    Tunnels,
+    TunnelServer,
+    UpstreamClients,
+    UpstreamPaths,
+)
 from lynxchute.upstreams.backpressure_watch import BackpressureWatch
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.retry_budget import RetryBudget
@@ -149,7 +156,9 @@
         self.configurations = Configurations(
             platform, rules.evacuations, bound=settings.bounds.configuration
         )
-        self.clients = ClientPool(UPSTREAM_TIMEOUTS, meter)
+        paths = UpstreamPaths(random.Random())
+        tunnels = Tunnels(self.members, self.peers, paths, self.metrics)
+        self.clients = UpstreamClients(UPSTREAM_TIMEOUTS, meter, tunnels=tunnels)
         self._upstream_feed: TableFeed | None = None
         self.upstreams = self.make_upstreams()
         bounds = settings.bounds
@@ -165,6 +174,15 @@
         self.registry.listeners.append(self._handle_member_change)
         self.peer_server = PeerServer(lambda: self.registry.secret, meter)
         store.serve(self.peer_server)
+        self.tunnels = TunnelServer(
+            self.directory,
+            self.clients,
+            self.load,
+            meter,
+            self.metrics,
+            lambda: self.is_stopping,
+        )
+        self.tunnels.serve(self.peer_server)
         ledger = Ledger(
             settings.vm,
             self.members.own.incarnation,
@@ -235,6 +253,13 @@
         )
         scheduler.board.tracks_transients = settings.features.learned_speeds
         silence = SilenceWatch(self.directory, engines, reachability, steady_seconds)
+        path_watch = PathWatch(
+            self.clients,
+            self.directory,
+            self.metrics,
+            steady_seconds,
+            silence.give_up_direct_sends,
+        )
         backpressure = BackpressureWatch(
             self.directory, engines, rules.rates, rules.rank, steady_seconds
         )
@@ -272,6 +297,7 @@
             self.load,
             steady_seconds,
             may_wait=may_wait,
+            has_path=self.clients.has_path,
         )
         sender = Sender(
             chooser,
@@ -287,6 +313,7 @@
             steady_seconds,
             times=self.plain_calls.times,
             hedger=self.plain_calls.hedger(chooser, self.retries, self.metrics),
+            is_path_lost=lambda address: paths.state(address) is PathState.LOST,
         )
         self.relay = Relay(
             platform.dialect,
@@ -321,6 +348,9 @@
             scheduler,
             silence.tasks,
             silence.loop,
+            path_watch.tasks,
+            path_watch.loop,
+            self.tunnels,
             backpressure.tasks,
             backpressure.loop,
             cold.tasks,
@@ -378,6 +408,7 @@
         started = steady_seconds()
         log_event("stopping", open_requests=self.relay.open_requests)
         self.callers.disable_keep_alive()
+        self.tunnels.announce_stop()
         await self.registry.register(self.members.mark_leaving())
         # Other routers may need the unused grants now, and a store outage later in
         # the drain would prevent their return.
@@ -421,9 +452,11 @@
         """Return whether a request is open or a caller waits for its answer.
 
         The relay does not count requests that it has not admitted, nor bytes of
-        answers that have not left the process.
+        answers that have not left the process, nor requests of other routers.
         """
-        return self.relay.open_requests > 0 or self.callers.unanswered > 0
+        if self.relay.open_requests > 0 or self.callers.unanswered > 0:
+            return True
+        return self.tunnels.count > 0
 
     async def _send_final_reports(self) -> None:
         """Report used and lent tokens, and return unused grants."""
--- a/lynxchute/fleet/client.py
+++ b/lynxchute/fleet/client.py
@@ -63,6 +63,8 @@
     ----------
     address_of
         Returns the address at which this router connects to another one.
+    meter
+        Measures how long messages are queued for the VM's network link.
     """
 
     def __init__(
@@ -76,8 +78,14 @@
         self._members = members
         self._secret = secret
         self._clock = clock
+        self.meter = meter
         self._clients = ClientPool(TIMEOUTS, meter)
 
+    @property
+    def secret(self) -> str:
+        """Return the fleet's secret; empty while it is not known."""
+        return self._secret()
+
     async def ask(self, vm: str, message: Message[ReplyT]) -> ReplyT:
         """Send a message to the router on a VM and return its reply."""
         member = self._members.by_vm.get(vm)
--- a/lynxchute/fleet/members.py
+++ b/lynxchute/fleet/members.py
@@ -175,6 +175,10 @@
         """Return the number of registered routers that are not draining."""
         return sum(1 for member in self.by_vm.values() if not member.is_leaving)
 
+    def is_answering(self, vm: str) -> bool:
+        """Return whether a router answered the last message, if there was one."""
+        return vm not in self._backoff_by_vm
+
     def is_reachable(self, vm: str) -> bool:
         """Return whether a router counts as reachable.
 
--- a/lynxchute/fleet/server.py
+++ b/lynxchute/fleet/server.py
@@ -25,6 +25,7 @@
 )
 
 Handler = Callable[[Any], Awaitable[Any]]
+RequestHandler = Callable[[Request, Responder], Awaitable[None]]
 
 
 class PeerServer:
@@ -42,12 +43,15 @@
     ----------
     handlers_by_class
         The handlers by class of message.
+    handlers_by_path
+        The handlers of requests that are no messages, by path.
     server
         The underlying HTTP server.
     """
 
     def __init__(self, secret: Callable[[], str], meter: LinkMeter) -> None:
         self.handlers_by_class: dict[type[Message[Any]], Handler] = {}
+        self.handlers_by_path: dict[str, RequestHandler] = {}
         self.server = HttpServer(self._handle, meter=meter)
         self._secret = secret
 
@@ -57,6 +61,10 @@
         if not secret or not hmac.compare_digest(given.encode(), secret.encode()):
             await respond.json(401, {"error": "the fleet's secret is wrong"})
             return
+        handler = self.handlers_by_path.get(request.path)
+        if handler is not None:
+            await handler(request, respond)
+            return
         cls = MESSAGES_BY_NAME.get(request.path.removeprefix(PREFIX))
         if cls is None or cls not in self.handlers_by_class:
             await not_found(request, respond)
--- a/lynxchute/http/client.py
+++ b/lynxchute/http/client.py
@@ -87,6 +87,11 @@
 
     connection: ClientConnection | None = None
 
+    @property
+    def is_tunnelled(self) -> bool:
+        """Return whether another router forwards the bytes of the exchange."""
+        return self.connection is not None and bool(self.connection.via)
+
     def abort(self) -> None:
         """Abort the connection of the exchange, if it has one."""
         if self.connection is not None:
@@ -318,6 +323,7 @@
         matches_request: Callable[[h11.Response], bool] = accept_any_response,
         before_send: Callable[[], None] | None = None,
         abort_handle: AbortHandle | None = None,
+        label: str = "",
     ) -> Response:
         """Send a request and return the response once its head has arrived.
 
@@ -337,6 +343,8 @@
             Called just before the first byte is sent.
         abort_handle
             Receives the connection, so that another task can abort the exchange.
+        label
+            Id of the request for the logs of routers that forward it.
 
         Raises
         ------
@@ -358,6 +366,7 @@
         try:
             if before_send is not None:
                 before_send()
+            connection.announce(label)
             connection.send(outgoing, body)
             head = await self._read_head(connection, exchange_timeouts, matches_request)
         except (BrokenConnectionError, TimeoutError) as error:
@@ -422,13 +431,23 @@
         reused = self._pop_idle(exchange_timeouts, max_idle)
         if reused is not None:
             return reused
+        return await self._open_connection(exchange_timeouts.connect)
+
+    async def _open_connection(self, timeout: float) -> ClientConnection:
+        """Open a connection to the peer.
+
+        Raises
+        ------
+        ExchangeError
+            If the connection is not established within the timeout in seconds.
+        """
         loop = asyncio.get_running_loop()
         try:
             _, connection = await lag_tolerant_wait(
                 loop.create_connection(
                     lambda: ClientConnection(self._meter), self._host, self._port
                 ),
-                exchange_timeouts.connect + self._meter.delay(),
+                timeout + self._meter.delay(),
                 lambda created: created[1].abort(),
             )
         except (OSError, TimeoutError) as error:
@@ -485,6 +504,21 @@
     def _release_slot(self) -> None:
         self._slots.release()
 
+    def _keep_idle(self, connection: ClientConnection) -> None:
+        """Keep a new connection for the next request."""
+        connection.idle_since = asyncio.get_running_loop().time()
+        self._idle.append(connection)
+
+    def _close_idle(self, selects: Callable[[ClientConnection], bool]) -> None:
+        """Close the idle connections that a function selects."""
+        kept = []
+        for connection in self._idle:
+            if selects(connection):
+                connection.abort()
+            else:
+                kept.append(connection)
+        self._idle = kept
+
 
 @attrs.define
 class ClientPool:
--- a/lynxchute/http/client_connection.py
+++ b/lynxchute/http/client_connection.py
@@ -52,8 +52,12 @@
     keep_alive_seconds
         Seconds for which the peer keeps an idle connection open, less a margin; 0 if
         it sent no Keep-Alive header.
+    via
+        VM of the router that forwards the connection's bytes; empty if none does.
     """
 
+    via: str = ""
+
     def __init__(self, meter: LinkMeter = UNLIMITED_LINK) -> None:
         self.idle_since = 0.0
         self._meter = meter
@@ -65,6 +69,7 @@
         self._request: OutgoingRequest | None = None
         self._in_use = False
         self._closed = False
+        self._is_retired = False
         self._error: Exception | None = None
         self._deferred_error: BrokenConnectionError | None = None
         self._body_ended = False
@@ -119,6 +124,15 @@
 
     # Called by the client.
 
+    def announce(self, label: str) -> None:
+        """Name the next request to a router that forwards it; there is none here."""
+
+    def retire(self) -> None:
+        """Use the connection for no further request; close it if it is idle."""
+        self._is_retired = True
+        if not self._in_use:
+            self.abort()
+
     def send(self, request: OutgoingRequest, body: bytes) -> None:
         """Send a request.
 
@@ -276,7 +290,7 @@
     def reset_for_reuse(self) -> bool:
         """Prepare the connection for another request; return whether it is reusable."""
         done = {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
-        if not self.is_alive or self._protocol.states != done:
+        if not self.is_alive or self._is_retired or self._protocol.states != done:
             return False
         trailing, _ = self._protocol.trailing_data
         assert self._transport is not None
--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -13,7 +13,11 @@
 from lynxchute.http.headers import Headers
 from lynxchute.http.held_answer import TransportBuffer
 from lynxchute.http.messages import BadRequest, Request, RequestHead
-from lynxchute.http.responder import CallerDisconnected, Responder
+from lynxchute.http.responder import (
+    SWITCHING_PROTOCOLS,
+    CallerDisconnected,
+    Responder,
+)
 from lynxchute.http.sockets import SocketOptions, apply_options
 
 if TYPE_CHECKING:
@@ -331,6 +335,7 @@
             self._write,
             self._wait_drained,
             lambda: self.abort(AbortCause.BROKEN_OFF),
+            self._switch_protocol,
         )
         self._responder.close_after_response = self._server.close_after_response
         self._responder.answer_buffer = self._answer_buffer
@@ -445,6 +450,27 @@
             transport.write_eof()
         self._set_timer(LINGER_SECONDS)
 
+    def _switch_protocol(self, protocol: asyncio.Protocol, upgrade: str) -> None:
+        """Hand the transport over to another protocol, after an answer that says so."""
+        transport = self._transport
+        if transport is None or self._is_disconnected:
+            raise CallerDisconnected("the caller disconnected")
+        headers = [("Connection", "Upgrade"), ("Upgrade", upgrade)]
+        response = h11.InformationalResponse(
+            status_code=SWITCHING_PROTOCOLS, headers=headers
+        )
+        self._write(self._protocol.send(response) or b"")
+        early_bytes, _ = self._protocol.trailing_data
+        self._phase = _Phase.CLOSED
+        self._server.connections.discard(self)
+        self._cancel_timer()
+        transport.set_protocol(protocol)
+        protocol.connection_made(transport)
+        if self._pipelined_bytes:
+            transport.resume_reading()
+        if early_bytes:
+            protocol.data_received(early_bytes)
+
     # Writing.
 
     def _write(self, data: bytes) -> bool:
--- a/lynxchute/http/responder.py
+++ b/lynxchute/http/responder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -13,6 +14,8 @@
 
 JSON_TYPE = "application/json"
 BODILESS_STATUSES = frozenset({204, 304})
+SWITCHING_PROTOCOLS = 101
+ProtocolSwitch = Callable[[asyncio.Protocol, str], None]
 
 
 class CallerDisconnected(ConnectionError):
@@ -34,6 +37,8 @@
         Waits until more may be written.
     abort
         Aborts the connection.
+    switch_protocol
+        Hands the connection over to another protocol, with the headers of the answer.
 
     Attributes
     ----------
@@ -59,6 +64,7 @@
         write: Callable[[bytes], bool],
         wait_drained: Callable[[], Any],
         abort: Callable[[], None],
+        switch_protocol: ProtocolSwitch | None = None,
     ) -> None:
         self.status = 0
         self.request_id = ""
@@ -70,6 +76,7 @@
         self._write = write
         self._wait_drained = wait_drained
         self._abort = abort
+        self._switch_protocol = switch_protocol
         self._is_head_request = method == "HEAD"
 
     @property
@@ -163,6 +170,27 @@
         body = encode_json(value)
         await self.send_whole(status, body, headers=headers)
 
+    def switch_protocol(self, protocol: asyncio.Protocol, upgrade: str) -> None:
+        """Accept an upgrade: all further bytes belong to another protocol.
+
+        Parameters
+        ----------
+        protocol
+            Gets the transport, then the bytes that have arrived already.
+        upgrade
+            Name of the protocol, as in the request.
+
+        Raises
+        ------
+        CallerDisconnected
+            If the caller has disconnected.
+        """
+        if self._switch_protocol is None:
+            raise CallerDisconnected("this connection cannot be upgraded")
+        self.status = SWITCHING_PROTOCOLS
+        self.finished = True
+        self._switch_protocol(protocol, upgrade)
+
     def abort(self) -> None:
         """Abort the connection, so that the caller detects an incomplete response."""
         self._abort()
--- a/lynxchute/http/sockets.py
+++ b/lynxchute/http/sockets.py
@@ -18,10 +18,14 @@
     Attributes
     ----------
     user_timeout_ms
-        Milliseconds for which sent bytes may remain unacknowledged.
-    keepalive_idle_s, keepalive_interval_s, keepalive_count
-        Idle seconds before the first probe, seconds between probes, and the number of
-        unacknowledged probes after which the connection is closed.
+        Milliseconds for which sent bytes, or the probes of an idle connection, may
+        remain unacknowledged. Linux closes an idle connection at the first probe after
+        this time, whatever the number of probes is.
+    keepalive_idle_s, keepalive_interval_s
+        Idle seconds before the first probe, and seconds between probes.
+    keepalive_count
+        Unacknowledged probes after which systems without a user timeout close the
+        connection.
     """
 
     user_timeout_ms: int = 2500
--- a/lynxchute/relay/chooser.py
+++ b/lynxchute/relay/chooser.py
@@ -48,6 +48,8 @@
         Steady clock in seconds.
     may_wait
         Whether generations queue for admission when all engines are full.
+    has_path
+        Returns whether the upstream at an address may be reached in any way.
     """
 
     def __init__(
@@ -62,8 +64,10 @@
         clock: Callable[[], float],
         *,
         may_wait: bool = False,
+        has_path: Callable[[str], bool] = lambda address: True,
     ) -> None:
         self._directory = directory
+        self._has_path = has_path
         self._generations = generations
         self._plain = plain
         self._reachability = reachability
@@ -165,6 +169,10 @@
         considered = list(self._candidates(exchange, now))
         if considered and all(e.backpressure.is_backing_off(now) for e in considered):
             raise self._backing_off_refusal(exchange, considered, now)
+        if considered and not any(
+            self._has_path(entry.upstream.address) for entry in considered
+        ):
+            raise no_answer_refusal(exchange, now)
         eligible = [e for e in considered if e.upstream.id not in exchange.tried]
         eligible = [e for e in eligible if not e.backpressure.is_backing_off(now)]
         if not eligible and exchange.limited_rate is not None:
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -73,6 +73,8 @@
         Records the latency of plain calls; None if no feature needs it.
     hedger
         Hedges slow calls; None if hedging is disabled.
+    is_path_lost
+        Returns whether only other routers reach the upstream at an address.
     """
 
     def __init__(
@@ -91,7 +93,9 @@
         *,
         times: ServiceTimes | None = None,
         hedger: Hedger | None = None,
+        is_path_lost: Callable[[str], bool] = lambda address: False,
     ) -> None:
+        self._is_path_lost = is_path_lost
         self._chooser = chooser
         self._dialect = dialect
         self._clients = clients
@@ -258,8 +262,12 @@
             )
             if outcome is SendOutcome.BROKEN:
                 self._containment.record_broken(entry.upstream, send)
-            if outcome is SendOutcome.UNREACHED and error.is_timeout:
-                upstream = entry.upstream
+            upstream = entry.upstream
+            if (
+                outcome is SendOutcome.UNREACHED
+                and error.is_timeout
+                and not self._is_path_lost(upstream.address)
+            ):
                 self._reachability.record_timeout(
                     upstream.data_centre, upstream.id, self._clock(), is_upstream=True
                 )
@@ -336,7 +344,9 @@
             leaves_at = self._clock() + meter.delay() - meter.own_delay()
             exchange.record_send(entry.upstream.id, leaves_at)
             self._set_typical_seconds(exchange, send)
-            self._log_send(exchange, choice, parameters)
+            connection = send.handle.connection
+            via = connection.via if connection is not None else ""
+            self._log_send(exchange, choice, parameters, via)
 
         max_idle = None if exchange.route.is_repeatable else FRESH_WITHIN
         return await self._clients.get(entry.upstream.address).request(
@@ -349,6 +359,7 @@
             matches_request=lambda head: self._dialect.matches_request(call, head),
             before_send=before_send,
             abort_handle=send.handle,
+            label=call.request_id,
         )
 
     def _set_typical_seconds(self, exchange: Exchange, send: OpenSend) -> None:
@@ -423,7 +434,7 @@
         )
 
     def _log_send(
-        self, exchange: Exchange, choice: Choice, parameters: SendParameters
+        self, exchange: Exchange, choice: Choice, parameters: SendParameters, via: str
     ) -> None:
         entry = choice.entry
         log_event(
@@ -439,6 +450,7 @@
             time_left=round(parameters.time_left, 3),
             priority=parameters.priority,
             after_event=parameters.last_event_id,
+            via=via,
         )
 
     async def _read_to_end(self, response: Response) -> None:
@@ -457,7 +469,10 @@
         reason: str,
     ) -> None:
         self._record_outcome(entry, cost, outcome)
-        failed = outcome is not SendOutcome.ABANDONED
+        is_own_fault = outcome is SendOutcome.UNREACHED and self._is_path_lost(
+            entry.upstream.address
+        )
+        failed = outcome is not SendOutcome.ABANDONED and not is_own_fault
         self._generations.record_end(exchange.run_id, entry.upstream.id, failed=failed)
         log_event(
             "upstream attempt failed",
--- a/lynxchute/telemetry/metrics.py
+++ b/lynxchute/telemetry/metrics.py
@@ -87,6 +87,13 @@
     processor_use, processor_delay
         Share of time in which the router is busy, and seconds that an event waits for
         the event loop.
+    tunnels, tunnels_served
+        Tunnels to upstreams that this router asked others for, and that it served, by
+        outcome.
+    lost_paths
+        Upstreams that this router does not reach over its own links.
+    cut_off
+        1 while this router's own links to upstreams seem to be lost, otherwise 0.
     log_lines_dropped
         Log lines dropped because they were not read in time.
     """
@@ -162,6 +169,18 @@
         self.processor_delay = self._gauge(
             "processor_delay_seconds", "How long an event waits for the router."
         )
+        self.tunnels = self._counter(
+            "tunnels", "Tunnels through other routers.", "outcome"
+        )
+        self.tunnels_served = self._counter(
+            "tunnels_served", "Tunnels for other routers.", "outcome"
+        )
+        self.lost_paths = self._gauge(
+            "lost_paths", "Upstreams that are not reached directly."
+        )
+        self.cut_off = self._gauge(
+            "cut_off", "1 while this router's own links to upstreams seem to be lost."
+        )
         self.log_lines_dropped = self._gauge("log_lines_dropped", "Lines dropped.")
 
     def exposition(self) -> tuple[bytes, str]:
--- /dev/null
+++ b/lynxchute/tunnels/errors.py
@@ -0,0 +1,47 @@
+"""Errors of tunnels, and why a router refuses one."""
+
+from __future__ import annotations
+
+import enum
+
+
+class FrameError(ValueError):
+    """Raised when bytes that should be frames are none."""
+
+
+class TunnelRefusal(enum.Enum):
+    """Why a router does not open a tunnel.
+
+    Attributes
+    ----------
+    UNREACHABLE
+        It does not reach the upstream either.
+    UNKNOWN
+        It knows no upstream with that address.
+    OVERLOADED
+        It has no room for the traffic of other routers.
+    STOPPING
+        It stops.
+    NO_ANSWER
+        It gave no valid answer in time.
+    """
+
+    UNREACHABLE = "unreachable"
+    UNKNOWN = "unknown upstream"
+    OVERLOADED = "overloaded"
+    STOPPING = "stopping"
+    NO_ANSWER = "no answer"
+
+
+class TunnelRefused(Exception):
+    """Raised when a router opened no tunnel; no byte has reached the upstream.
+
+    Parameters
+    ----------
+    refusal
+        Why not.
+    """
+
+    def __init__(self, refusal: TunnelRefusal) -> None:
+        super().__init__(refusal.value)
+        self.refusal = refusal
--- /dev/null
+++ b/lynxchute/tunnels/pool.py
@@ -0,0 +1,430 @@
+"""Clients that reach an upstream directly or through another router."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+import attrs
+
+from lynxchute.address import Address
+from lynxchute.clock import steady_seconds
+from lynxchute.fleet.client import SECRET_HEADER, HttpPeers
+from lynxchute.fleet.members import Members
+from lynxchute.http import (
+    ClientPool,
+    ExchangeError,
+    HttpClient,
+    LinkMeter,
+    Timeouts,
+)
+from lynxchute.http.client_connection import ClientConnection
+from lynxchute.http.patience import lag_tolerant_wait
+from lynxchute.telemetry import Metrics, log_event
+from lynxchute.tunnels.connection import (
+    ORIGIN_HEADER,
+    TunnelledConnection,
+    TunnelProtocol,
+)
+from lynxchute.tunnels.errors import TunnelRefusal, TunnelRefused
+from lynxchute.tunnels.paths import Helper, PathState, UpstreamPaths
+
+# Seconds, and share of the connect timeout, after which a direct attempt without an
+# answer is joined by one through another router. Connecting takes a few milliseconds.
+HEAD_START_SECONDS = 0.1
+HEAD_START_SHARE = 1 / 3
+# Seconds within which a router must have opened a tunnel; it needs one round trip more
+# than a connection.
+TUNNEL_TIMEOUT = 0.2
+# Routers asked for a tunnel before a request is given up.
+MAX_ASKED = 6
+# Seconds for all routers that are asked while no request waits.
+CHECK_TIMEOUT = 1.0
+
+
+class Tunnels:
+    """Opens tunnels through other routers.
+
+    Parameters
+    ----------
+    members, peers
+        The other routers, and how they are reached.
+    paths
+        Which upstreams are reached how.
+    metrics
+        Counts tunnels by outcome.
+    """
+
+    def __init__(
+        self, members: Members, peers: HttpPeers, paths: UpstreamPaths, metrics: Metrics
+    ) -> None:
+        self.paths = paths
+        self._members = members
+        self._peers = peers
+        self._metrics = metrics
+
+    async def open(self, address: str, timeout: float) -> ClientConnection:
+        """Return a connection to an upstream through the first router that helps.
+
+        Parameters
+        ----------
+        timeout
+            Seconds for all routers together.
+
+        Raises
+        ------
+        TunnelRefused
+            If none of them helps; as unreachable if one of them does not reach the
+            upstream either, or if none could be asked.
+        """
+        refusals: set[TunnelRefusal] = set()
+        try:
+            async with asyncio.timeout(timeout):
+                candidates = self.paths.helpers_for(
+                    address, self._helpers(), steady_seconds()
+                )
+                for vm in candidates[:MAX_ASKED]:
+                    try:
+                        return await self._open_through(vm, address)
+                    except TunnelRefused as error:
+                        refusals.add(error.refusal)
+        except TimeoutError:
+            refusals.add(TunnelRefusal.NO_ANSWER)
+        if not refusals or TunnelRefusal.UNREACHABLE in refusals:
+            raise TunnelRefused(TunnelRefusal.UNREACHABLE)
+        raise TunnelRefused(TunnelRefusal.NO_ANSWER)
+
+    def _helpers(self) -> list[Helper]:
+        own, helpers = self._members.own, []
+        for member in self._members.by_vm.values():
+            if member.vm == own.vm or member.is_leaving:
+                continue
+            if self._members.is_answering(member.vm):
+                is_near = member.data_centre == own.data_centre
+                helpers.append(Helper(member.vm, is_near, member.strength))
+        return helpers
+
+    async def _open_through(self, vm: str, address: str) -> ClientConnection:
+        member = self._members.by_vm.get(vm)
+        if member is None or not self._peers.secret:
+            raise TunnelRefused(TunnelRefusal.NO_ANSWER)
+        try:
+            connection = await self._connect(
+                Address.parse(self._peers.address_of(member)), vm, address
+            )
+        except (OSError, TimeoutError, TunnelRefused) as error:
+            refusal = TunnelRefusal.NO_ANSWER
+            if isinstance(error, TunnelRefused):
+                refusal = error.refusal
+            self.paths.record_refused(
+                vm,
+                address,
+                steady_seconds(),
+                is_unreachable=refusal is TunnelRefusal.UNREACHABLE,
+            )
+            self._metrics.tunnels.inc(refusal.value)
+            raise TunnelRefused(refusal) from error
+        self._metrics.tunnels.inc("opened")
+        return connection
+
+    async def _connect(
+        self, router: Address, vm: str, address: str
+    ) -> TunnelledConnection:
+        connection = TunnelledConnection(self._peers.meter, vm)
+        headers = [
+            (ORIGIN_HEADER, self._members.own.vm),
+            (SECRET_HEADER, self._peers.secret),
+        ]
+        protocol = TunnelProtocol(
+            address, headers, connection, lambda: self.paths.record_tunnel(vm, -1)
+        )
+
+        async def connect() -> None:
+            loop = asyncio.get_running_loop()
+            transport, _ = await loop.create_connection(
+                lambda: protocol, router.host, router.port
+            )
+            try:
+                await protocol.opened
+            except BaseException:
+                transport.abort()
+                raise
+            self.paths.record_tunnel(vm, 1)
+
+        await lag_tolerant_wait(
+            connect(),
+            TUNNEL_TIMEOUT + self._peers.meter.delay(),
+            lambda _: connection.abort(),
+        )
+        return connection
+
+
+class UpstreamClient(HttpClient):
+    """Sends requests to one upstream, directly or through another router.
+
+    Only connecting differs: a request is sent once the upstream has been reached, so
+    whatever holds for requests on direct connections holds on the others too.
+
+    Parameters
+    ----------
+    address
+        Where this router connects to.
+    registered_address
+        The upstream's address, as it has registered it.
+    tunnels
+        Opens connections through other routers.
+
+    Attributes
+    ----------
+    used_at, verified_at
+        When a connection was last opened, and when the path was last verified.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        registered_address: str,
+        tunnels: Tunnels,
+        *,
+        timeouts: Timeouts,
+        meter: LinkMeter,
+    ) -> None:
+        super().__init__(address, timeouts=timeouts, meter=meter)
+        self.tunnels = tunnels
+        self.registered_address = registered_address
+        self.used_at = -math.inf
+        self.verified_at = -math.inf
+
+    @property
+    def paths(self) -> UpstreamPaths:
+        """Return how upstreams are reached."""
+        return self.tunnels.paths
+
+    async def check(self) -> None:
+        """Try the direct path, and keep the connection if it works."""
+        timeout = self._timeouts.connect
+        try:
+            connection = await super()._open_connection(timeout)
+        except ExchangeError as error:
+            now = steady_seconds()
+            self.paths.record_check_failed(
+                self.registered_address, now, hangs=error.is_timeout
+            )
+            if self.paths.state(self.registered_address) is PathState.UNREACHABLE:
+                await self._check_tunnel(hangs=error.is_timeout)
+            return
+        self.paths.record_direct(self.registered_address, steady_seconds())
+        self._keep_idle(connection)
+
+    async def verify(self) -> None:
+        """Find out how the upstream is reached, and keep the connection."""
+        try:
+            self._keep_idle(await self._open_connection(self._timeouts.connect))
+        except ExchangeError as error:
+            log_event(
+                "upstream not reached",
+                address=self.registered_address,
+                reason=str(error),
+            )
+
+    def close_direct(self) -> None:
+        """Close the idle connections that no other router forwards."""
+        self._close_idle(lambda connection: not connection.via)
+
+    def close_tunnels(self) -> None:
+        """Close the idle connections that other routers forward."""
+        self._close_idle(lambda connection: bool(connection.via))
+
+    async def _open_connection(self, timeout: float) -> ClientConnection:
+        self.used_at = steady_seconds()
+        state = self.paths.state(self.registered_address)
+        if state is PathState.DIRECT:
+            return await self._race(timeout)
+        if state is PathState.UNREACHABLE:
+            reason = "cannot connect: neither this router nor another one does"
+            raise ExchangeError(reason, sent=False)
+        try:
+            return await self.tunnels.open(self.registered_address, timeout)
+        except TunnelRefused as error:
+            if error.refusal is TunnelRefusal.UNREACHABLE:
+                self.paths.record_unreachable(
+                    self.registered_address, steady_seconds(), hangs=False
+                )
+            reason = f"cannot connect: no router helps: {error}"
+            raise ExchangeError(reason, sent=False) from error
+
+    async def _race(self, timeout: float) -> ClientConnection:
+        """Connect directly, and after a while through another router as well."""
+        direct = asyncio.ensure_future(super()._open_connection(timeout))
+        tunnel: asyncio.Future[ClientConnection] | None = None
+        chosen: ClientConnection | None = None
+        try:
+            head_start = min(HEAD_START_SECONDS, timeout * HEAD_START_SHARE)
+            await asyncio.wait((direct,), timeout=head_start + self._meter.delay())
+            if not direct.done() or _may_be_lost(direct):
+                tunnel = asyncio.ensure_future(
+                    self.tunnels.open(self.registered_address, timeout)
+                )
+                await _first_connection(direct, tunnel)
+            if tunnel is None or _has_connected(direct):
+                chosen = self._direct_result(direct)
+            elif _has_connected(tunnel):
+                chosen = self._tunnel_result(direct, tunnel)
+            else:
+                self._record_neither(direct, tunnel)
+                await direct
+            assert chosen is not None
+            return chosen
+        finally:
+            _discard(direct, chosen)
+            if tunnel is not None:
+                _discard(tunnel, chosen)
+
+    def _direct_result(
+        self, direct: asyncio.Future[ClientConnection]
+    ) -> ClientConnection:
+        connection = direct.result()
+        self.paths.record_direct(self.registered_address, steady_seconds())
+        return connection
+
+    def _tunnel_result(
+        self,
+        direct: asyncio.Future[ClientConnection],
+        tunnel: asyncio.Future[ClientConnection],
+    ) -> ClientConnection:
+        connection = tunnel.result()
+        hangs = not direct.done() or _is_timeout(direct)
+        log_event(
+            "upstream reached through another router only",
+            address=self.registered_address,
+            via=connection.via,
+            direct="no answer" if hangs else str(direct.exception()),
+        )
+        self.paths.record_lost(self.registered_address, steady_seconds(), hangs=hangs)
+        return connection
+
+    def _record_neither(
+        self,
+        direct: asyncio.Future[ClientConnection],
+        tunnel: asyncio.Future[ClientConnection],
+    ) -> None:
+        error = tunnel.exception() if tunnel.done() else None
+        if not isinstance(error, TunnelRefused):
+            return
+        if error.refusal is TunnelRefusal.UNREACHABLE:
+            self.paths.record_unreachable(
+                self.registered_address, steady_seconds(), hangs=_is_timeout(direct)
+            )
+
+    def _return_connection(self, connection: ClientConnection) -> None:
+        if connection.via and not self.paths.is_lost(self.registered_address):
+            connection.retire()
+        super()._return_connection(connection)
+
+    async def _check_tunnel(self, *, hangs: bool) -> None:
+        now = steady_seconds()
+        try:
+            connection = await self.tunnels.open(self.registered_address, CHECK_TIMEOUT)
+        except TunnelRefused:
+            self.paths.record_unreachable(self.registered_address, now, hangs=hangs)
+            return
+        self.paths.record_lost(self.registered_address, now, hangs=hangs)
+        self._keep_idle(connection)
+
+
+@attrs.define
+class UpstreamClients(ClientPool):
+    """Keeps one client per upstream address.
+
+    Attributes
+    ----------
+    tunnels
+        Opens connections through other routers.
+    """
+
+    tunnels: Tunnels = attrs.field(kw_only=True)
+
+    def __attrs_post_init__(self) -> None:
+        """Close connections that a change of their path makes useless."""
+        self.paths.listeners.append(self._handle_change)
+
+    @property
+    def paths(self) -> UpstreamPaths:
+        """Return how upstreams are reached."""
+        return self.tunnels.paths
+
+    def upstream_client(self, address: str) -> UpstreamClient | None:
+        """Return the client for an address, if there is one."""
+        client = self.clients_by_address.get(address)
+        return client if isinstance(client, UpstreamClient) else None
+
+    def has_path(self, address: str) -> bool:
+        """Return whether an upstream may be reached, directly or otherwise."""
+        return self.paths.state(address) is not PathState.UNREACHABLE
+
+    def drop(self, address: str) -> None:
+        """Discard the client for an address that is no longer used."""
+        super().drop(address)
+        self.paths.forget(address)
+
+    def _handle_change(self, address: str) -> None:
+        client = self.upstream_client(address)
+        if client is None:
+            return
+        if self.paths.is_lost(address):
+            client.close_direct()
+        else:
+            client.close_tunnels()
+
+    def _new_client(self, address: str) -> HttpClient:
+        return UpstreamClient(
+            self.address_of(address),
+            address,
+            self.tunnels,
+            timeouts=self.timeouts,
+            meter=self.meter,
+        )
+
+
+async def _first_connection(
+    direct: asyncio.Future[ClientConnection], tunnel: asyncio.Future[ClientConnection]
+) -> None:
+    """Wait for the first of two attempts that connects, or for both to fail.
+
+    The tunnel is not waited for once the direct attempt has timed out: it began little
+    later.
+    """
+    await asyncio.wait((direct, tunnel), return_when=asyncio.FIRST_COMPLETED)
+    if tunnel.done() and not _has_connected(tunnel):
+        await asyncio.wait((direct,))
+    elif direct.done() and not _has_connected(direct) and not _is_timeout(direct):
+        await asyncio.wait((tunnel,))
+
+
+def _has_connected(attempt: asyncio.Future[ClientConnection]) -> bool:
+    return attempt.done() and not attempt.cancelled() and attempt.exception() is None
+
+
+def _is_timeout(attempt: asyncio.Future[ClientConnection]) -> bool:
+    error = attempt.exception() if attempt.done() else None
+    return isinstance(error, ExchangeError) and error.is_timeout
+
+
+def _may_be_lost(attempt: asyncio.Future[ClientConnection]) -> bool:
+    """Return whether a direct attempt failed without having reached the upstream."""
+    error = attempt.exception()
+    return error is not None and isinstance(error.__cause__, OSError)
+
+
+def _discard(
+    attempt: asyncio.Future[ClientConnection], chosen: ClientConnection | None
+) -> None:
+    """End an attempt, and the connection that it established unless it was chosen."""
+
+    def close(done: asyncio.Future[ClientConnection]) -> None:
+        # Reading the exception also marks it as handled.
+        if _has_connected(done) and done.result() is not chosen:
+            done.result().abort()
+
+    attempt.cancel()
+    attempt.add_done_callback(close)
--- /dev/null
+++ b/lynxchute/tunnels/server.py
@@ -0,0 +1,311 @@
+"""The end of tunnels at the router that forwards their bytes to upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from lynxchute.address import Address
+from lynxchute.application import Component
+from lynxchute.fleet.server import PeerServer
+from lynxchute.http import CallerDisconnected, LinkMeter, Request, Responder
+from lynxchute.http.patience import lag_tolerant_wait
+from lynxchute.http.sockets import apply_options
+from lynxchute.relay.load import RouterLoad
+from lynxchute.telemetry import Metrics, log_event
+from lynxchute.tunnels.connection import (
+    ORIGIN_HEADER,
+    PROTOCOL_NAME,
+    TUNNEL_PATH,
+    UPSTREAM_HEADER,
+)
+from lynxchute.tunnels.errors import FrameError, TunnelRefusal
+from lynxchute.tunnels.frames import Frame, FrameDecoder, FrameKind, encode_data
+from lynxchute.tunnels.pool import UpstreamClients
+from lynxchute.upstreams.directory import Directory
+
+# Seconds within which a connection to an upstream must be established. The router that
+# asks waits for longer, so that it hears that this one does not reach the upstream.
+CONNECT_SECONDS = 0.12
+# Tunnels that a router serves at a time; its own callers need most of its descriptors.
+MAX_TUNNELS = 400
+
+
+class Tunnel:
+    """One tunnel: a connection of another router, and one to an upstream.
+
+    Parameters
+    ----------
+    origin
+        VM of the router whose requests it carries.
+    address
+        Address of the upstream, as registered.
+    meter
+        Counts the traffic on the VM's link.
+    on_end
+        Called when the tunnel has ended.
+    """
+
+    def __init__(
+        self,
+        origin: str,
+        address: str,
+        meter: LinkMeter,
+        on_end: Callable[[Tunnel], None],
+    ) -> None:
+        self.origin = origin
+        self.address = address
+        self.meter = meter
+        self.origin_side = OriginSide(self)
+        self.upstream_side = UpstreamSide(self)
+        self._on_end = on_end
+        self._has_ended = False
+
+    def announce_stop(self) -> None:
+        """Ask the other router to send no further request through this tunnel."""
+        transport = self.origin_side.transport
+        if transport is not None:
+            transport.write(Frame(FrameKind.CLOSING).encode())
+
+    def end(self, *, in_order: bool = False) -> None:
+        """Close both connections.
+
+        Parameters
+        ----------
+        in_order
+            Whether bytes for the other router that are not sent yet are still sent.
+        """
+        if self._has_ended:
+            return
+        self._has_ended = True
+        self._on_end(self)
+        for side in (self.origin_side, self.upstream_side):
+            if side.transport is None:
+                continue
+            if in_order and side is self.origin_side:
+                side.transport.close()
+            else:
+                side.transport.abort()
+
+
+class _Side(asyncio.Protocol):
+    """One connection of a tunnel; the other one is read only as fast as it writes."""
+
+    def __init__(self, tunnel: Tunnel) -> None:
+        self.transport: asyncio.Transport | None = None
+        self._tunnel = tunnel
+
+    @property
+    def _other(self) -> _Side:
+        raise NotImplementedError
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        apply_options(transport)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """End the tunnel."""
+        self._tunnel.end()
+
+    def pause_writing(self) -> None:
+        """Stop reading from the other side."""
+        other = self._other.transport
+        if other is not None and not other.is_closing():
+            other.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Read from the other side again."""
+        other = self._other.transport
+        if other is not None and not other.is_closing():
+            other.resume_reading()
+
+    def write(self, data: bytes) -> None:
+        """Write bytes unless the connection has ended."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        self._tunnel.meter.record_sent(len(data))
+        self.transport.write(data)
+
+
+class OriginSide(_Side):
+    """The connection of the router whose requests the tunnel carries."""
+
+    def __init__(self, tunnel: Tunnel) -> None:
+        super().__init__(tunnel)
+        self._decoder = FrameDecoder()
+
+    @property
+    def _other(self) -> _Side:
+        return self._tunnel.upstream_side
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to read from the upstream."""
+        super().connection_made(transport)
+        self.resume_writing()
+
+    def data_received(self, data: bytes) -> None:
+        """Pass bytes on to the upstream."""
+        self._tunnel.meter.record_received(len(data))
+        try:
+            frames = self._decoder.decode(data)
+        except FrameError as error:
+            log_event("invalid frame", origin=self._tunnel.origin, reason=str(error))
+            self._tunnel.end()
+            return
+        for frame in frames:
+            if frame.kind is FrameKind.DATA:
+                self._other.write(frame.payload)
+            elif frame.kind is FrameKind.LABEL:
+                log_event(
+                    "request forwarded",
+                    request_id=frame.payload.decode(errors="replace"),
+                    origin=self._tunnel.origin,
+                    address=self._tunnel.address,
+                )
+
+
+class UpstreamSide(_Side):
+    """The connection to the upstream; not read before the tunnel is open."""
+
+    def __init__(self, tunnel: Tunnel) -> None:
+        super().__init__(tunnel)
+        self._has_ended = False
+
+    @property
+    def _other(self) -> _Side:
+        return self._tunnel.origin_side
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Wait for the other connection before reading."""
+        super().connection_made(transport)
+        assert self.transport is not None
+        self.transport.pause_reading()
+
+    def data_received(self, data: bytes) -> None:
+        """Pass bytes on to the other router."""
+        self._tunnel.meter.record_received(len(data))
+        self._other.write(encode_data(data))
+
+    def eof_received(self) -> bool:
+        """Tell the other router that the upstream has closed in order."""
+        self._has_ended = True
+        self._other.write(Frame(FrameKind.END).encode())
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """End the tunnel; without an END frame the answer counts as broken."""
+        self._tunnel.end(in_order=self._has_ended and error is None)
+
+
+class TunnelServer(Component):
+    """Opens tunnels to upstreams for routers that do not reach them.
+
+    It connects to upstreams directly only, so no request takes more than one other
+    router, whichever routers are cut off.
+
+    Parameters
+    ----------
+    directory
+        The upstreams; tunnels lead nowhere else.
+    clients
+        This router's own connections to upstreams, and which of them are lost.
+    load
+        Tells whether this router itself is overloaded.
+    meter
+        Counts the traffic on the VM's link.
+    metrics
+        Counts tunnels by outcome.
+    is_stopping
+        Returns whether this router stops.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        clients: UpstreamClients,
+        load: RouterLoad,
+        meter: LinkMeter,
+        metrics: Metrics,
+        is_stopping: Callable[[], bool],
+    ) -> None:
+        self._directory = directory
+        self._clients = clients
+        self._load = load
+        self._meter = meter
+        self._metrics = metrics
+        self._is_stopping = is_stopping
+        self._tunnels: set[Tunnel] = set()
+        self._opening = 0
+
+    @property
+    def count(self) -> int:
+        """Return the number of open tunnels."""
+        return len(self._tunnels)
+
+    def serve(self, server: PeerServer) -> None:
+        """Register the handler of requests for tunnels."""
+        server.handlers_by_path[TUNNEL_PATH] = self._handle
+
+    def announce_stop(self) -> None:
+        """Ask the other routers to send no further requests through this one."""
+        for tunnel in self._tunnels:
+            tunnel.announce_stop()
+
+    async def stop(self) -> None:
+        """Close all tunnels."""
+        for tunnel in list(self._tunnels):
+            tunnel.end()
+
+    async def _handle(self, request: Request, respond: Responder) -> None:
+        address = request.headers.get(UPSTREAM_HEADER.lower(), "")
+        origin = request.headers.get(ORIGIN_HEADER.lower(), "")
+        refusal = self._refusal(address)
+        tunnel = Tunnel(origin, address, self._meter, self._discard)
+        if refusal is None:
+            self._opening += 1
+            try:
+                refusal = await self._connect(tunnel)
+            finally:
+                self._opening -= 1
+        outcome = "opened" if refusal is None else refusal.value
+        self._metrics.tunnels_served.inc(outcome)
+        log_event("tunnel requested", origin=origin, address=address, outcome=outcome)
+        if refusal is not None:
+            await respond.json(503, {"reason": refusal.value})
+            return
+        self._tunnels.add(tunnel)
+        try:
+            respond.switch_protocol(tunnel.origin_side, PROTOCOL_NAME)
+        except CallerDisconnected:
+            tunnel.end()
+
+    def _refusal(self, address: str) -> TunnelRefusal | None:
+        if self._is_stopping():
+            return TunnelRefusal.STOPPING
+        if not self._directory.has_address(address):
+            return TunnelRefusal.UNKNOWN
+        if self._clients.paths.is_lost(address):
+            return TunnelRefusal.UNREACHABLE
+        if self.count + self._opening >= MAX_TUNNELS or self._load.is_shedding:
+            return TunnelRefusal.OVERLOADED
+        return None
+
+    async def _connect(self, tunnel: Tunnel) -> TunnelRefusal | None:
+        """Connect a tunnel to its upstream; return why that failed, or None."""
+        target = Address.parse(self._clients.address_of(tunnel.address))
+        try:
+            await lag_tolerant_wait(
+                asyncio.get_running_loop().create_connection(
+                    lambda: tunnel.upstream_side, target.host, target.port
+                ),
+                CONNECT_SECONDS + self._meter.delay(),
+                lambda created: created[0].abort(),
+            )
+        except (OSError, TimeoutError):
+            return TunnelRefusal.UNREACHABLE
+        return None
+
+    def _discard(self, tunnel: Tunnel) -> None:
+        self._tunnels.discard(tunnel)
--- /dev/null
+++ b/lynxchute/tunnels/watch.py
@@ -0,0 +1,142 @@
+"""Notice lost links early, and their return at once."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from lynxchute.application import PeriodicTask, Tasks
+from lynxchute.telemetry import Metrics, log_event
+from lynxchute.tunnels.paths import PathState
+from lynxchute.tunnels.pool import UpstreamClient, UpstreamClients
+from lynxchute.upstreams.directory import Directory
+
+STEP_SECONDS = 0.1
+# Checks at a time, so that links that return do not bring all connections at once.
+MAX_CHECKS = 8
+# Seconds within which an upstream must have been connected to for its path to be
+# verified when another path is lost, and seconds between two verifications.
+RECENTLY_USED_SECONDS = 30.0
+VERIFY_SECONDS = 3.0
+
+
+class PathWatch:
+    """Check lost paths until they return, and the others when one is lost.
+
+    Parameters
+    ----------
+    clients
+        The clients of upstreams.
+    directory
+        The upstreams; their pauses end when their path changes.
+    metrics
+        Shows how many paths are lost.
+    clock
+        Seconds on the steady clock.
+    on_hanging
+        Called with an address whose open connections have to be given up.
+    """
+
+    def __init__(
+        self,
+        clients: UpstreamClients,
+        directory: Directory,
+        metrics: Metrics,
+        clock: Callable[[], float],
+        on_hanging: Callable[[str], None],
+    ) -> None:
+        self.tasks = Tasks()
+        self.loop = PeriodicTask("paths", self._step, STEP_SECONDS, self._is_due)
+        self._clients = clients
+        self._directory = directory
+        self._metrics = metrics
+        self._clock = clock
+        self._on_hanging = on_hanging
+        self._checks = asyncio.Semaphore(MAX_CHECKS)
+        self._checking: set[str] = set()
+        self._hanging: set[str] = set()
+        self._lost_since: dict[str, float] = {}
+        self._is_cut_off = False
+        clients.paths.listeners.append(self._handle_change)
+
+    def _is_due(self) -> bool:
+        return bool(self._lost_since)
+
+    def _handle_change(self, address: str) -> None:
+        now, state = self._clock(), self._clients.paths.state(address)
+        if state is not PathState.UNREACHABLE:
+            for entry in self._directory.at_address(address):
+                entry.health.resume()
+        if state is PathState.DIRECT:
+            since = self._lost_since.pop(address, now)
+            self._hanging.discard(address)
+            log_event(
+                "path to upstream restored",
+                address=address,
+                seconds=round(now - since, 3),
+            )
+        else:
+            self._lost_since.setdefault(address, now)
+            log_event("path to upstream lost", address=address, state=state.value)
+        if state is PathState.LOST:
+            self._verify_others(now)
+        self._update_cut_off()
+
+    def _update_cut_off(self) -> None:
+        paths = self._clients.paths
+        self._metrics.lost_paths.set(len(self._lost_since))
+        if paths.is_cut_off is self._is_cut_off:
+            return
+        self._is_cut_off = paths.is_cut_off
+        self._metrics.cut_off.set(float(self._is_cut_off))
+        event = (
+            "router cut off from upstreams"
+            if self._is_cut_off
+            else "router reaches upstreams again"
+        )
+        log_event(event, lost=paths.lost_addresses[:16], tunnels=paths.tunnel_count)
+
+    def _verify_others(self, now: float) -> None:
+        for client in list(self._clients.clients_by_address.values()):
+            if not isinstance(client, UpstreamClient):
+                continue
+            if now - client.used_at > RECENTLY_USED_SECONDS:
+                continue
+            if now - client.verified_at < VERIFY_SECONDS:
+                continue
+            if self._clients.paths.is_lost(client.registered_address):
+                continue
+            client.verified_at = now
+            self._start(client, client.verify)
+
+    async def _step(self) -> None:
+        paths, now = self._clients.paths, self._clock()
+        for address in list(self._lost_since):
+            if not self._directory.has_address(address):
+                paths.forget(address)
+                self._lost_since.pop(address, None)
+                self._hanging.discard(address)
+            elif paths.is_hanging(address) and address not in self._hanging:
+                self._hanging.add(address)
+                self._on_hanging(address)
+        for address in paths.checks_due(now):
+            client = self._clients.upstream_client(address)
+            if client is not None:
+                self._start(client, client.check)
+        self._update_cut_off()
+
+    def _start(
+        self, client: UpstreamClient, check: Callable[[], Awaitable[None]]
+    ) -> None:
+        if client.registered_address not in self._checking:
+            self._checking.add(client.registered_address)
+            self.tasks.spawn(self._check(client, check))
+
+    async def _check(
+        self, client: UpstreamClient, check: Callable[[], Awaitable[None]]
+    ) -> None:
+        try:
+            async with self._checks:
+                await check()
+        finally:
+            self._checking.discard(client.registered_address)
--- a/lynxchute/upstreams/directory.py
+++ b/lynxchute/upstreams/directory.py
@@ -284,6 +284,16 @@
             if entry.upstream.data_centre == data_centre:
                 entry.extend_cold(self.cold_seconds_of(entry.upstream.service), now)
 
+    def has_address(self, address: str) -> bool:
+        """Return whether any known upstream has an address."""
+        return any(True for _ in self.at_address(address))
+
+    def at_address(self, address: str) -> Iterator[UpstreamEntry]:
+        """Yield the upstreams with an address; it may be used again by another one."""
+        for entry in self.entries_by_id.values():
+            if entry.upstream.address == address:
+                yield entry
+
     def registered_ids(self, service: str) -> list[str]:
         """Return the ids of a service's registered upstreams, draining or not."""
         found = []
--- a/lynxchute/upstreams/silence.py
+++ b/lynxchute/upstreams/silence.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from lynxchute.application import PeriodicTask, Tasks
 from lynxchute.reachability import Reachability
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.engines import EngineClient, EngineUnavailable
-from lynxchute.upstreams.entry import UpstreamEntry
+from lynxchute.upstreams.entry import OpenSend, UpstreamEntry
 from lynxchute.upstreams.health import SendOutcome
 from lynxchute.upstreams.probes import handle_probe
 
@@ -183,14 +183,24 @@
         handle_probe(self._directory, other, probe, self._clock())
         return True
 
+    def give_up_direct_sends(self, address: str) -> None:
+        """Cancel sends on direct connections to an address, as these hang."""
+        for entry in self._directory.at_address(address):
+            self._move_sends(
+                entry,
+                [send for send in entry.open_sends if not send.handle.is_tunnelled],
+                reason="path to upstream lost",
+            )
+
     def _cancel_sends(self, entry: UpstreamEntry, reason: str) -> None:
         entry.health.record(SendOutcome.UNREACHED, self._clock())
+        self._move_sends(entry, entry.open_sends, reason)
+
+    def _move_sends(
+        self, entry: UpstreamEntry, sends: Iterable[OpenSend], reason: str
+    ) -> None:
         # A send that may not be repeated stays open: its upstream may still respond.
-        moving = [
-            send
-            for send in entry.open_sends
-            if send.may_resend() and send.claim_resend()
-        ]
+        moving = [send for send in sends if send.may_resend() and send.claim_resend()]
         if not moving:
             return
         log_event(
