Show that brittle upstreams fall over again and again

Cause: not mended here. Stand-ins get places (requests that run and wait) and fall over for 3 s when they reject more requests in a second than they say in Server-Brittle. No router reads the word.

--- a/lynxchute/platform/names.py
+++ b/lynxchute/platform/names.py
@@ -21,6 +21,8 @@
 RETRY_AFTER = "Retry-After"
 # Requests per second that the answering upstream accepts from all routers together.
 UPSTREAM_LIMIT = "Server-Limit"
+# Rejections for want of room in a second that the answering upstream survives.
+UPSTREAM_BRITTLE = "Server-Brittle"
 # "1" from a draining upstream, which accepts no new requests.
 UPSTREAM_LEAVING = "Server-Leaving"
 
--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -12,6 +12,7 @@
 from lynxchute.platform import names
 from lynxchute.platform.names import UPSTREAM_TABLE
 from lynxchute.standins.arrivals import ArrivalLog
+from lynxchute.standins.places import Places
 from lynxchute.standins.platform_store import PlatformStoreStandin
 from lynxchute.standins.upstream_exchange import UpstreamExchange
 from lynxchute.standins.upstream_run import (
@@ -23,6 +24,8 @@
 )
 
 _ids = itertools.count(1)
+# Seconds until an upstream is back after it fell over.
+FALL_SECONDS = 3.0
 
 
 class PlatformUpstreamStandin:
@@ -73,6 +76,10 @@
     announces_leaving
         Whether its answers announce that it is leaving, whatever its registered
         state.
+    places
+        How many requests it takes at a time; None for any number.
+    falls
+        How often it fell over as it rejected too many requests while it was brittle.
     """
 
     def __init__(
@@ -103,10 +110,13 @@
         self.backoff = 0.0
         self.backoff_until = 0.0
         self.announces_leaving = False
+        self.places: Places | None = None
+        self.falls = 0
         self.connections = 0
         self.started_ms: int | None = int(time.time() * 1000)
         self._is_unresponsive = False
         self._server: asyncio.Server | None = None
+        self._fall_task: asyncio.Task[None] | None = None
         self._crash_task: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         # Writers are kept because a connection without a reference would be closed.
@@ -168,6 +178,8 @@
         headers = []
         if self.limit is not None:
             headers.append((names.UPSTREAM_LIMIT, f"{self.limit:g}"))
+        if self.places is not None and self.places.max_rejections is not None:
+            headers.append((names.UPSTREAM_BRITTLE, str(self.places.max_rejections)))
         if self.announces_leaving:
             headers.append((names.UPSTREAM_LEAVING, "1"))
         backoff = max(
@@ -189,7 +201,7 @@
             "address": self.address,
             "zone": self.data_centre,
             "version": "v1",
-            "slots": 64,
+            "slots": self.places.slots if self.places is not None else 64,
             "state": self.state,
             names.COLD_REMAINING_FIELD: self._cold_ms,
             "sequence": 1,
@@ -257,12 +269,45 @@
                 writer,
                 self.backpressure_headers,
             )
-            if not await exchange.answer():
+            if not await self._answer(exchange):
                 if fault is Fault.CRASH:
                     self._crash()
                 return
             protocol.start_next_cycle()
 
+    async def _answer(self, exchange: UpstreamExchange) -> bool:
+        """Answer once a place is free; return whether the connection can be reused."""
+        places = self.places
+        if places is None:
+            return await exchange.answer()
+        if not places.admit():
+            exchange.fault = Fault.DECLINE
+            if places.falls():
+                self._fall()
+                return False
+            return await exchange.answer()
+        has_begun = False
+        try:
+            await places.begin()
+            has_begun = True
+            return await exchange.answer()
+        finally:
+            places.end(has_begun=has_begun)
+
+    def _fall(self) -> None:
+        """Crash, and come back under the same id after some seconds."""
+        if self._fall_task is not None and not self._fall_task.done():
+            return
+        self.falls += 1
+        self._fall_task = asyncio.create_task(self._fall_and_restart())
+
+    async def _fall_and_restart(self) -> None:
+        runs = self.runs
+        await self.stop()
+        await asyncio.sleep(FALL_SECONDS)
+        await self.restart()
+        self.runs = runs
+
     def _exceeds_cold_rate(self, request_id: str) -> bool:
         """Record a request; return whether it exceeds the rate of a cold process."""
         now = asyncio.get_running_loop().time()
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -110,6 +110,7 @@
         features=None,
         memory_mb=200,
         has_upstream_links=False,
+        places=None,
     ):
         self.has_upstream_links = has_upstream_links
         self.upstream_links_by_vm = {}
@@ -128,6 +129,10 @@
             PlatformUpstreamStandin("app", DATA_CENTRES[n % 2]) for n in range(apps)
         ]
 
+        if places is not None:
+            for upstream in self.upstreams:
+                upstream.places = places()
+
     @property
     def upstreams(self):
         return [*self.engines, *self.apps]
