Bound the open requests of all routers at brittle upstreams by their slots

Cause: Server-Brittle was read nowhere, and nothing bounds what all routers together have open at a plain upstream: each one fills it until it rejects. Class: feedback that is itself the harm.

Change: while the word stands, the slots of a service are dealt out to the registered routers by rank; the chooser waits for one's own share and then refuses, the send gate asks for it at each send.

Why it works: what is never sent cannot be rejected; each slot belongs to one router without a message, so it holds for routers apart.

Each slot belongs to exactly one router by hypothesis. Open: a router with more demand than its share cannot borrow."

--- a/lynxchute/edge/upstream_rules.py
+++ b/lynxchute/edge/upstream_rules.py
@@ -20,6 +20,7 @@
 from lynxchute.upstreams.rate_limits import RateLimits
 from lynxchute.upstreams.rate_sharing import SHARINGS_BY_NAME, TurnPosition
 from lynxchute.upstreams.send_gate import SendGate
+from lynxchute.upstreams.slot_shares import FleetPosition, SlotShares
 
 # Services that the configuration does not name have no limit while cold.
 NO_COLD_LIMITS = ColdLimits()
@@ -78,7 +79,8 @@
             store_ms,
             seconds_since_members,
         )
-        self.gate = SendGate(self.evacuations, self.cold_limits, self.rates)
+        shares = SlotShares(directory, self._fleet_position)
+        self.gate = SendGate(self.evacuations, self.cold_limits, self.rates, shares)
         self.cold = ColdPlacementLimiter(admission, rank_watch, self.cold_limits)
         self._settings = settings
         self._configuration = configuration
@@ -109,6 +111,11 @@
             return None
         return self._members.own_rank(scheduling_key(service))
 
+    def _fleet_position(self, service: str) -> FleetPosition | None:
+        """Return this router's position among the registered ones, or None."""
+        rank = self.rank(service)
+        return None if rank is None else FleetPosition(rank, self._members.count)
+
     def _turn_position(self, service: str) -> TurnPosition | None:
         """Return this router's position in the order of turns, or None if unknown."""
         rank = self.rank(service)
--- a/lynxchute/platform/statements.py
+++ b/lynxchute/platform/statements.py
@@ -1,6 +1,8 @@
-"""Headers in which the platform's upstreams send their rate limit and drain state."""
+"""Headers in which the platform's upstreams state what they bear."""
 
 from lynxchute.platform import names
 from lynxchute.upstreams.statement_headers import BackpressureHeaders
 
-STATEMENT_HEADERS = BackpressureHeaders(names.UPSTREAM_LIMIT, names.UPSTREAM_LEAVING)
+STATEMENT_HEADERS = BackpressureHeaders(
+    names.UPSTREAM_LIMIT, names.UPSTREAM_LEAVING, names.UPSTREAM_BRITTLE
+)
--- a/lynxchute/relay/chooser.py
+++ b/lynxchute/relay/chooser.py
@@ -77,7 +77,11 @@
         self._clock = clock
         self._may_wait = may_wait
         self._changed = asyncio.Event()
-        directory.listeners.append(self._wake_waiters)
+        directory.listeners.append(self.wake_waiters)
+
+    def wake_waiters(self) -> None:
+        """Let requests that wait for an upstream choose again."""
+        self._changed.set()
 
     async def choose(self, exchange: Exchange) -> Choice:
         """Return the upstream for an exchange, waiting briefly for one if needed.
@@ -182,6 +186,9 @@
         eligible = [e for e in eligible if not self._gate.is_evacuated(e.upstream)]
         if not eligible:
             raise self._evacuated_refusal(exchange, now)
+        eligible = [entry for entry in eligible if self._gate.has_room(entry, now)]
+        if not eligible:
+            return None
         unpaused = [entry for entry in eligible if not entry.health.is_paused(now)]
         reachable = [entry for entry in unpaused if self._is_reachable(entry)]
         # If all upstreams are paused after failures, the one whose pause ends first is
@@ -280,9 +287,6 @@
     def _is_reachable(self, entry: UpstreamEntry) -> bool:
         return not self._reachability.is_unreachable(entry.upstream.data_centre)
 
-    def _wake_waiters(self) -> None:
-        self._changed.set()
-
 
 def no_answer_refusal(exchange: Exchange, now: float) -> Refusal:
     """Return the refusal for an exchange that no upstream answered."""
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -491,6 +491,7 @@
         entry.open_requests -= 1
         entry.open_tokens -= cost
         entry.health.record(outcome, self._clock())
+        self._chooser.wake_waiters()
         self._metrics.sends.inc(outcome.value)
 
 
--- a/lynxchute/relay/statement_reader.py
+++ b/lynxchute/relay/statement_reader.py
@@ -66,5 +66,6 @@
             limit=declared.limit,
             backoff_s=declared.backoff,
             is_leaving=declared.is_leaving,
+            max_rejections=declared.max_rejections,
             unreadable=", ".join(declared.unreadable),
         )
--- a/lynxchute/upstreams/backpressure.py
+++ b/lynxchute/upstreams/backpressure.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from lynxchute.upstreams.statement import DeclaredBackpressure
@@ -43,6 +45,11 @@
         The limit that ended at `ended_at`.
     is_unconfirmed
         Whether the upstream did not repeat its limit in its last probe response.
+    max_rejections
+        Rejections in a second that the upstream says it survives; None if it is not
+        brittle.
+    brittle_at, rejected_at
+        When it last said so, and when it last rejected a request, in seconds.
     backoff_until
         Until when this router must send nothing to the upstream, in seconds.
     is_leaving
@@ -58,6 +65,9 @@
     is_unconfirmed: bool = False
     is_leaving: bool = False
     backoff_until: float = 0.0
+    max_rejections: int | None = None
+    brittle_at: float = -math.inf
+    rejected_at: float = -math.inf
 
     def record_answer(
         self,
@@ -81,6 +91,10 @@
             from a component in front of the upstream that does not know the limit.
         """
         self._record_lasting_state(statement, now)
+        if not is_served:
+            self.rejected_at = now
+        elif statement.max_rejections is None and asked_at > self.brittle_at:
+            self.max_rejections = None
         limit = statement.limit
         if limit is None and (self.limit is None or not is_served):
             return
@@ -142,6 +156,8 @@
         parts = []
         if self.is_leaving:
             parts.append("leaving")
+        if self.max_rejections is not None:
+            parts.append(f"at most {self.max_rejections} rejections/s")
         if self.is_backing_off(now):
             parts.append(f"backoff for {self.backoff_until - now:.1f} s")
         rate = self.rate(now)
@@ -171,6 +187,9 @@
     ) -> None:
         """Record draining and backoff, which a later response does not shorten."""
         self.is_leaving = self.is_leaving or statement.is_leaving
+        if statement.max_rejections is not None:
+            self.max_rejections = statement.max_rejections
+            self.brittle_at = now
         # Several requests may have been refused at once: the longest backoff applies.
         self.backoff_until = max(self.backoff_until, now + statement.backoff)
 
--- a/lynxchute/upstreams/directory.py
+++ b/lynxchute/upstreams/directory.py
@@ -26,6 +26,8 @@
     backpressured_by_id
         Upstreams with a rate limit, with one that ended a moment ago, or that are
         draining.
+    brittle_by_id
+        Upstreams that fall over if they have to reject many requests.
     listeners
         Called after upstreams have changed.
     restart_listeners
@@ -43,6 +45,7 @@
         self.clock_ms: Callable[[float], int] = lambda now: 0
         self.entries_by_id: dict[str, UpstreamEntry] = {}
         self.backpressured_by_id: dict[str, UpstreamEntry] = {}
+        self.brittle_by_id: dict[str, UpstreamEntry] = {}
         self.listeners: list[Callable[[], None]] = []
         self.restart_listeners: list[Callable[[Upstream], None]] = []
 
@@ -155,6 +158,10 @@
         """Add an upstream to `backpressured_by_id` or remove it, as appropriate."""
         upstream_id = entry.upstream.id
         is_known = self.entries_by_id.get(upstream_id) is entry
+        if is_known and entry.backpressure.max_rejections is not None:
+            self.brittle_by_id[upstream_id] = entry
+        elif self.brittle_by_id.get(upstream_id) is entry:
+            del self.brittle_by_id[upstream_id]
         if is_known and entry.backpressure.is_in_effect(now):
             self.backpressured_by_id[upstream_id] = entry
         elif self.backpressured_by_id.get(upstream_id) is entry:
@@ -204,6 +211,7 @@
         if (upstream.started_ms or 0) > known_start_ms:
             starts = (*entry.earlier_starts, known_start_ms)[-MAX_EARLIER_STARTS:]
             replacement = UpstreamEntry(upstream, earlier_starts=starts)
+            self.brittle_by_id.pop(upstream.id, None)
             replacement.extend_cold(self.cold_seconds_of(upstream.service), now)
             self.entries_by_id[upstream.id] = replacement
             # The previous process has ended. If its VM lost power, no connection reset
@@ -219,6 +227,7 @@
             entry.removed_at = None
             entry.health = Health()
             entry.backpressure = Backpressure()
+            self.brittle_by_id.pop(upstream.id, None)
         log_event(
             "upstream started again",
             upstream=upstream.id,
@@ -260,6 +269,7 @@
             ):
                 continue
             dropped.append(self.entries_by_id.pop(upstream_id).upstream)
+            self.brittle_by_id.pop(upstream_id, None)
         return dropped
 
     def count(self) -> int:
--- a/lynxchute/upstreams/send_gate.py
+++ b/lynxchute/upstreams/send_gate.py
@@ -9,6 +9,7 @@
 from lynxchute.upstreams.entry import UpstreamEntry
 from lynxchute.upstreams.evacuations import Evacuations
 from lynxchute.upstreams.rate_limits import RateLimits
+from lynxchute.upstreams.slot_shares import SlotShares
 from lynxchute.upstreams.upstream import Upstream
 
 
@@ -25,6 +26,8 @@
         It has refused a request of this router and asked for backoff.
     COLD
         It is cold, and the request has no valid permit for cold upstreams.
+    BRITTLE
+        It must not be overfilled, and this router has used its share of the slots.
     LIMITED
         It has a rate limit, and the request is neither admitted nor in this router's
         turn.
@@ -34,6 +37,7 @@
     LEAVING = "upstream leaving"
     BACKOFF = "upstream asked for backoff"
     COLD = "upstream cold"
+    BRITTLE = "upstream brittle"
     LIMITED = "upstream names a limit"
 
 
@@ -52,6 +56,8 @@
         Returns the limits for cold upstreams of a service.
     rates
         Enforces the rate limits of upstreams.
+    shares
+        Bounds the open requests at brittle upstreams; None for no bounds.
     """
 
     def __init__(
@@ -59,10 +65,12 @@
         evacuations: Evacuations,
         limits_of: Callable[[str], ColdLimits],
         rates: RateLimits,
+        shares: SlotShares | None = None,
     ) -> None:
         self._evacuations = evacuations
         self._limits_of = limits_of
         self.rates = rates
+        self.shares = shares
 
     def is_evacuated(self, upstream: Upstream) -> bool:
         """Return whether an upstream is in an evacuated data centre."""
@@ -72,6 +80,10 @@
         """Return whether an upstream is cold and therefore limited."""
         return self._limits_of(entry.upstream.service).is_active(entry.cold_until, now)
 
+    def has_room(self, entry: UpstreamEntry, now: float) -> bool:
+        """Return whether this router may open one more request at an upstream."""
+        return self.shares is None or self.shares.has_room(entry, now)
+
     def may_query(self, entry: UpstreamEntry, now: float) -> bool:
         """Return whether the router may send a query of its own to an upstream.
 
@@ -110,6 +122,13 @@
             return WithheldReason.BACKOFF
         if now >= cold_permit_until and self.is_cold(entry, now):
             return WithheldReason.COLD
+        if self._is_overfilled(entry, now):
+            return WithheldReason.BRITTLE
         if now < rate_permit_until or not self.rates.is_limited(entry, now):
             return None
         return None if self.rates.use_turn(entry, now) else WithheldReason.LIMITED
+
+    def _is_overfilled(self, entry: UpstreamEntry, now: float) -> bool:
+        """Return whether the open requests, with this one, exceed the share."""
+        share = None if self.shares is None else self.shares.share(entry, now)
+        return share is not None and entry.open_requests > share
--- a/lynxchute/upstreams/statement.py
+++ b/lynxchute/upstreams/statement.py
@@ -18,6 +18,9 @@
         Seconds for which the receiving router must send it nothing.
     is_leaving
         Whether it accepts no new work any more.
+    max_rejections
+        Rejections for want of room in a second that it survives; None if it does not
+        say that it is brittle.
     unreadable
         Invalid header values as text; they are ignored.
     """
@@ -25,6 +28,7 @@
     limit: float | None = None
     backoff: float = 0.0
     is_leaving: bool = False
+    max_rejections: int | None = None
     unreadable: tuple[str, ...] = ()
 
 
--- a/lynxchute/upstreams/statement_headers.py
+++ b/lynxchute/upstreams/statement_headers.py
@@ -33,6 +33,9 @@
         together.
     leaving
         Header that is "1" if the upstream accepts no new work.
+    brittle
+        Header with the rejections in a second that the upstream survives; empty if
+        there is none.
 
     Examples
     --------
@@ -47,6 +50,7 @@
 
     limit: str
     leaving: str
+    brittle: str = ""
 
     def decode(self, status: int, headers: Headers) -> DeclaredBackpressure:
         """Return what the head of a response declares.
@@ -59,7 +63,8 @@
             Status of the response. Only a refusal (503) requests backoff; with any
             other status Retry-After is meant for the caller.
         """
-        is_declared = self.limit.lower() in headers or self.leaving.lower() in headers
+        names = (self.limit, self.leaving, self.brittle)
+        is_declared = any(name.lower() in headers for name in names if name)
         if not is_declared and status != SERVICE_UNAVAILABLE:
             return NO_BACKPRESSURE
         unreadable: list[str] = []
@@ -67,6 +72,7 @@
         backoffs = [0.0]
         if status == SERVICE_UNAVAILABLE:
             backoffs += _numbers(headers, RETRY_AFTER, unreadable)
+        rejections = _numbers(headers, self.brittle, unreadable)
         leaving = _values(headers, self.leaving)
         for value in leaving:
             if value not in ("0", "1"):
@@ -75,6 +81,7 @@
             limit=min(*limits, MAX_LIMIT) if limits else None,
             backoff=min(max(backoffs), MAX_BACKOFF),
             is_leaving="1" in leaving,
+            max_rejections=int(min(rejections)) if rejections else None,
             unreadable=tuple(unreadable),
         )
 
