--- a/lynxchute/tunnels/watch.py
+++ b/lynxchute/tunnels/watch.py
@@ -14,6 +14,8 @@
 STEP_SECONDS = 0.1
 # Checks at a time, so that links that return do not bring all connections at once.
 MAX_CHECKS = 8
+# Lost paths that a log line names.
+MAX_LOGGED = 16
 # Seconds within which an upstream must have been connected to for its path to be
 # verified when another path is lost, and seconds between two verifications.
 RECENTLY_USED_SECONDS = 30.0
@@ -88,13 +90,12 @@
         if paths.is_cut_off is self._is_cut_off:
             return
         self._is_cut_off = paths.is_cut_off
+        lost, tunnels = paths.lost_addresses[:MAX_LOGGED], paths.tunnel_count
         self._metrics.cut_off.set(float(self._is_cut_off))
-        event = (
-            "router cut off from upstreams"
-            if self._is_cut_off
-            else "router reaches upstreams again"
-        )
-        log_event(event, lost=paths.lost_addresses[:16], tunnels=paths.tunnel_count)
+        if self._is_cut_off:
+            log_event("router cut off from upstreams", lost=lost, tunnels=tunnels)
+        else:
+            log_event("router reaches upstreams again", lost=lost, tunnels=tunnels)
 
     def _verify_others(self, now: float) -> None:
         for client in list(self._clients.clients_by_address.values()):
