Leave a running stream at an upstream that is silent for a second

What callers saw: a stream whose engine fell silent for a second and went on was broken off there and run again at another one: two runs, a retry used, and the first engine may still be at work.

Cause: 0.35 s of silence and one probe without an answer (0.4 s) were taken for the end of an upstream, for requests that it has not begun and for streams that it is in the middle of alike. A pause of over 0.4 s has made the stream late already, so moving it early wins nothing.

Change: a stream that has begun is moved from 1.3 s of silence on; what has not begun is moved as before. The value is chosen: above a second, below the two seconds after which callers leave.

--- a/lynxchute/upstreams/silence.py
+++ b/lynxchute/upstreams/silence.py
@@ -23,6 +23,10 @@
 # The same once another upstream of the same data centre has just been found silent. It
 # is still longer than the pause between two events of a stream.
 SUSPECT_SILENT_SECONDS = 0.1
+# A stream that has begun goes on at its upstream for this many seconds of silence: an
+# upstream may fall silent for a second and go on, and a second run costs more than the
+# pause.
+MAX_STREAM_SILENCE_SECONDS = 1.3
 # Seconds between two probes of an unreachable data centre.
 UNREACHABLE_PROBE_SECONDS = 0.5
 # Seconds until an upstream that stays silent is probed again.
@@ -194,7 +198,13 @@
 
     def _cancel_sends(self, entry: UpstreamEntry, reason: str) -> None:
         entry.health.record(SendOutcome.UNREACHED, self._clock())
-        self._move_sends(entry, entry.open_sends, reason)
+        silence = self._clock() - entry.heard_at
+        sends = [
+            send
+            for send in entry.open_sends
+            if send.answering_since is None or silence >= MAX_STREAM_SILENCE_SECONDS
+        ]
+        self._move_sends(entry, sends, reason)
 
     def _move_sends(
         self, entry: UpstreamEntry, sends: Iterable[OpenSend], reason: str
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -343,6 +343,30 @@
 
         self.with_links(scenario)
 
+    def test_a_silence_of_a_second_breaks_no_stream_off(self):
+        async def scenario(deployment):
+            for engine in deployment.engines:
+                engine.events, engine.event_delay = 20, 0.05
+            caller = PlatformCaller(deployment, "a-1")
+            running = asyncio.create_task(caller.stream())
+            await until(
+                lambda: any(
+                    e.runs and e.runs[0].events_sent > 2 for e in deployment.engines
+                )
+            )
+            links = [deployment.upstream_links_by_vm[vm] for vm in ROUTERS]
+            busy = 0 if deployment.engines[0].runs else 1
+            for link in links:
+                link[busy].hold(*Direction)
+            await asyncio.sleep(1.0)
+            for link in links:
+                link[busy].hold()
+            status, _, body = await running
+            self.assertEqual((200, list(range(1, 21))), (status, event_ids(body)))
+            self.assertEqual(1, sum(len(e.runs) for e in deployment.engines))
+
+        self.with_links(scenario)
+
     def test_an_upstream_that_is_down_is_not_taken_for_a_lost_path(self):
         async def scenario(deployment):
             await call_all(deployment, ROUTERS, plain, 0.3)
