--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -44,6 +44,8 @@
 
     Attributes
     ----------
+    first_pause
+        Seconds for which a stream pauses after its first event, in addition.
     faults
         The faults of the next requests, in order; later requests have none.
     arrivals
@@ -95,6 +97,7 @@
         self.data_centre = data_centre
         self.events = events
         self.event_delay = event_delay
+        self.first_pause = 0.0
         self.faults: list[Fault] = []
         self.arrivals: list[str] = []
         self.runs: list[Run] = []
@@ -268,6 +271,7 @@
                 reader,
                 writer,
                 self.backpressure_headers,
+                self.first_pause,
             )
             if not await self._answer(exchange):
                 if fault is Fault.CRASH:
--- a/lynxchute/standins/upstream_exchange.py
+++ b/lynxchute/standins/upstream_exchange.py
@@ -29,6 +29,8 @@
         The list to which the run is appended, unless the request is declined.
     events, event_delay
         Number of events of a stream, 0 for a plain answer, and seconds before each.
+    first_pause
+        Seconds for which a stream pauses after its first event, in addition.
     backpressure_headers
         Returns the backpressure headers of an answer.
     """
@@ -43,6 +45,7 @@
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     backpressure_headers: Callable[..., list[tuple[str, str]]] = lambda **_: []
+    first_pause: float = 0.0
 
     async def answer(self) -> bool:
         """Send the response; return whether the connection can be reused."""
@@ -128,6 +131,8 @@
         self._send_stream_head()
         for number in range(self.run.first_event, self.events + 1):
             await asyncio.sleep(self.event_delay)
+            if number == 2:
+                await asyncio.sleep(self.first_pause)
             if self._is_router_gone():
                 self.run.router_disconnected = True
                 return False
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -329,7 +329,8 @@
         async def scenario(deployment):
             router = deployment.routers["a-1"]
             for engine in deployment.engines:
-                engine.events, engine.event_delay = 3, 2.0
+                engine.events, engine.event_delay = 3, 0.02
+                engine.first_pause = 2.0
             silent_ids = None if all_are_silent else set()
             with probes_time_out(silent_ids):
                 call = asyncio.create_task(PlatformCaller(deployment).stream())
@@ -337,7 +338,7 @@
                 busy = next(e for e in deployment.engines if e.runs)
                 await until(lambda: busy.runs[0].events_sent)
                 for engine in deployment.engines:
-                    engine.event_delay = 0.02
+                    engine.first_pause = 0.0
                 # A router uses four fifths of its allowance.
                 router.retries.change(share=0.0, extra=extra, window=10.0)
                 prepare()
