--- a/lynxchute/tunnels/watch.py
+++ b/lynxchute/tunnels/watch.py
@@ -115,6 +115,8 @@
         for address in list(self._lost_since):
             if not self._directory.has_address(address):
                 paths.forget(address)
+            if not paths.is_lost(address):
+                # The upstream is gone, or its process has restarted.
                 self._lost_since.pop(address, None)
                 self._hanging.discard(address)
             elif paths.is_hanging(address) and address not in self._hanging:
