Show lost links and brittle engines on the product's own interface

Upstreams that speak the product's own protocol say X-Brittle. The deployment of the demo has a link between each router and each upstream; a scene takes those of a data centre away in three ways and counts first tries that are not served.

--- a/lynxchute/callers/dialect.py
+++ b/lynxchute/callers/dialect.py
@@ -37,7 +37,7 @@
     names.REQUEST_ID.lower(),
 }
 NOT_RETURNED = frozenset({"content-length"})
-STATEMENT_HEADERS = BackpressureHeaders(names.LIMIT, names.LEAVING)
+STATEMENT_HEADERS = BackpressureHeaders(names.LIMIT, names.LEAVING, names.BRITTLE)
 USAGE_PATTERN = re.compile(rb'"usage":\s*\{[^{}]*"total_tokens":\s*([0-9]{1,12})')
 
 
--- a/lynxchute/callers/names.py
+++ b/lynxchute/callers/names.py
@@ -15,6 +15,9 @@
 # Requests per second that an upstream accepts from all routers together, for as long as
 # its responses contain this header.
 LIMIT = "X-Rate-Limit"
+# Rejections for want of room in a second that an upstream survives, in all responses
+# while it is brittle.
+BRITTLE = "X-Brittle"
 # "1" in responses of an upstream that accepts no new work.
 LEAVING = "X-Leaving"
 
--- a/lynxchute/demo.py
+++ b/lynxchute/demo.py
@@ -28,6 +28,7 @@
     served_by_account,
 )
 from lynxchute.standins.deployment import MODEL, Deployment, Shape, caller_key
+from lynxchute.standins.link import Partition
 
 SCENE_SECONDS = 4.0
 # A message text that crashes each engine that starts to answer it, the account that
@@ -49,6 +50,10 @@
 # Seconds from the acceptance of an evacuation until all routers must know of it.
 EVACUATION_SECONDS = 1.0
 EVACUATED = "kyu-b"
+# Routers of this data centre lose their links to all upstreams, and must notice that
+# within NOTICE_SECONDS.
+CUT_OFF = "kyu-c"
+NOTICE_SECONDS = 3.0
 SEED = 7
 
 
@@ -99,6 +104,7 @@
     "wrong_or_partial_answers",
     "run_twice",
     "not_run_but_ran",
+    "refused_without_links",
     "engines_ended_by_what_is_known",
     "sent_to_evacuated",
     "cold_rate_passed",
@@ -184,6 +190,29 @@
     return sent
 
 
+async def _cut_off(deployment: Deployment, callers: Callers, rate: float) -> int:
+    """Take the links of a data centre's routers to all upstreams, in three ways.
+
+    Returns
+    -------
+    int
+        First tries there that were not answered, once the routers must have noticed.
+    """
+    vms = [vm for vm in deployment.routers_by_vm if vm.startswith(CUT_OFF)]
+    refused = 0
+    for how in (Partition.HANG, Partition.REFUSE, Partition.KEEP_REFUSE):
+        scene = asyncio.create_task(callers.run(2 * NOTICE_SECONDS, rate))
+        deployment.partition(vms, how)
+        await asyncio.sleep(NOTICE_SECONDS)
+        first = len(callers.sent)
+        await scene
+        for item in callers.sent[first:]:
+            attempt = item.attempts[0]
+            refused += attempt.vm in vms and attempt.status != 200
+        await deployment.restore(vms)
+    return refused
+
+
 async def _run_statement(deployment: Deployment, statement: str) -> None:
     _, answer = await deployment.operate("kyu-a-2", statement)
     _print_step(f"  {answer['state']}: {answer['detail']}")
@@ -277,6 +306,8 @@
     callers = Callers(deployment, random.Random(SEED))
     try:
         crashes = await _run_scenes(deployment, callers, rate)
+        _print_step(f"routers of {CUT_OFF} lose their links to all upstreams")
+        refused = await _cut_off(deployment, callers, rate)
         _print_step(
             f"{EVACUATED} is evacuated and taken back; its engines are then cold"
         )
@@ -289,6 +320,7 @@
         await _wait_until_settled(deployment, 8.0)
         result = measure(deployment, callers.sent)
         result["engines_ended_by_what_is_known"] = crashes
+        result["refused_without_links"] = refused
         result["sent_to_evacuated"] = sent_to_evacuated
         result["cold_rate_passed"] = _cold_rate_excess(deployment)
         result.update(attrs.asdict(violations))
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -152,6 +152,7 @@
             lambda now: self.registry.feed.seconds_since_answer(now),
         )
         self.rates = rules.rates
+        self.send_gate = rules.gate
         self.evacuations = rules.evacuations
         self.configurations = Configurations(
             platform, rules.evacuations, bound=settings.bounds.configuration
--- a/lynxchute/standins/deployment.py
+++ b/lynxchute/standins/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 
 import attrs
 
@@ -24,7 +25,7 @@
 from lynxchute.router import RouterApplication
 from lynxchute.settings import ListenSettings, RouterSettings
 from lynxchute.standins.engine import EngineServer
-from lynxchute.standins.link import Link
+from lynxchute.standins.link import Link, Partition
 from lynxchute.standins.platform_store import PlatformStoreStandin, StoreFaults
 from lynxchute.standins.service import ServiceServer
 from lynxchute.standins.upstream import UpstreamServer
@@ -84,12 +85,15 @@
     ----------
     peer_links_by_source
         The links to its port for other routers, by the data centre that uses them.
+    upstream_links_by_address
+        The links from it to the upstreams, by their address.
     """
 
     data_centre: str
     store_port: int
     store_link: Link
     peer_links_by_source: dict[str, Link]
+    upstream_links_by_address: dict[str, Link]
 
 
 class Deployment:
@@ -147,6 +151,7 @@
         router = RouterApplication(self._settings(vm))
         source = self._data_centre_by_vm[vm]
         router.peers.address_of = lambda member: self._peer_address(member.vm, source)
+        router.clients.address_of = lambda address: self._upstream_address(vm, address)
         self.routers_by_vm[vm] = router
         await router.start()
         for link in self._links_by_vm[vm].peer_links_by_source.values():
@@ -194,6 +199,18 @@
                 if (source == data_centre) != (links.data_centre == data_centre):
                     link.set_cut(cut)
 
+    def partition(self, vms: Iterable[str], how: Partition) -> None:
+        """Cut routers off from all upstreams."""
+        for vm in vms:
+            for link in self._links_by_vm[vm].upstream_links_by_address.values():
+                link.partition(how)
+
+    async def restore(self, vms: Iterable[str]) -> None:
+        """Connect routers with the upstreams again."""
+        for vm in vms:
+            for link in self._links_by_vm[vm].upstream_links_by_address.values():
+                await link.restore()
+
     def store_faults(self, vm: str) -> StoreFaults:
         """Return the faults that the store injects for one router, to be changed."""
         return self.store.faults_by_port[self._links_by_vm[vm].store_port]
@@ -206,6 +223,8 @@
             await links.store_link.stop()
             for link in links.peer_links_by_source.values():
                 await link.stop()
+            for link in links.upstream_links_by_address.values():
+                await link.stop()
         for upstream in self.upstreams:
             await upstream.server.kill()
         await self.store.close()
@@ -244,10 +263,24 @@
             link = Link(f"{HOST}:1")
             await link.start()
             peer_links_by_source[source] = link
+        upstream_links_by_address = {}
+        for upstream in self.document.upstreams:
+            link = Link(upstream.address)
+            await link.start()
+            upstream_links_by_address[upstream.address] = link
         self._links_by_vm[vm] = _RouterLinks(
-            data_centre, port, store_link, peer_links_by_source
+            data_centre,
+            port,
+            store_link,
+            peer_links_by_source,
+            upstream_links_by_address,
         )
 
+    def _upstream_address(self, vm: str, address: str) -> str:
+        """Return the address at which a router reaches an upstream, over its link."""
+        link = self._links_by_vm[vm].upstream_links_by_address.get(address)
+        return address if link is None else f"{HOST}:{link.port}"
+
     async def _start_upstreams(self) -> None:
         documents = []
         for data_centre in self.data_centres:
--- a/lynxchute/standins/upstream.py
+++ b/lynxchute/standins/upstream.py
@@ -30,6 +30,8 @@
     limit
         The rate limit for all routers together that its answers declare, in requests
         a second; None for none.
+    max_rejections
+        The rejections in a second that its answers say it survives; None for none.
     announces_leaving
         Whether its answers announce that it is leaving and accepts no new work.
     backoff_until
@@ -43,6 +45,7 @@
         self.faults = Faults()
         self.arrival_log = ArrivalLog()
         self.limit: float | None = None
+        self.max_rejections: int | None = None
         self.announces_leaving = False
         self.backoff_until = 0.0
         self.refusals: list[tuple[float, str]] = []
@@ -79,10 +82,12 @@
         await self.serve(request, respond)
 
     def backpressure_headers(self) -> list[tuple[str, str]]:
-        """Return the backpressure headers of an answer: limit and leaving."""
+        """Return the backpressure headers of an answer: limit, rejections and leaving."""
         headers = []
         if self.limit is not None:
             headers.append((names.LIMIT, f"{self.limit:g}"))
+        if self.max_rejections is not None:
+            headers.append((names.BRITTLE, str(self.max_rejections)))
         if self.announces_leaving:
             headers.append((names.LEAVING, "1"))
         return headers
--- a/tests/test_lost_upstream_links.py
+++ b/tests/test_lost_upstream_links.py
@@ -9,6 +9,7 @@
 from lynxchute.standins.link import Partition
 from tests.platform_support import PlatformCaller, PlatformTestCase
 from tests.press import plain, stream
+from tests.support import AsyncTestCase, Caller, question, with_deployment
 
 ROUTERS = ("a-1", "a-2", "b-1", "b-2")
 # A partition may take this many seconds to be noticed.
@@ -93,3 +94,26 @@
     def test_most_routers_with_old_connections_only_serve_calls(self):
         # Calls that may not be repeated use no connection that was idle for long.
         self.check_served(("a-1", "a-2", "b-1"), Partition.KEEP_REFUSE, unsafe, 0.4)
+
+
+class ProductApiTest(AsyncTestCase):
+    def test_routers_with_the_products_own_interface_serve(self):
+        async def scenario(deployment):
+            vms = [vm for vm in deployment.routers_by_vm if vm.startswith("kyu-a")]
+            callers = [Caller(deployment, vm) for vm in vms]
+            for how in Partition:
+                deployment.partition(vms, how)
+                await asyncio.sleep(0.5)
+                for is_stream in (False, True):
+                    for caller in callers:
+                        await caller.ask(question(stream=is_stream))
+                        await caller.send("GET", "/tickets/1")
+                for number in range(10):
+                    caller = callers[number % len(callers)]
+                    found = await caller.ask(question(stream=number % 2 == 0))
+                    self.assertEqual(200, found[0], how)
+                    found = await caller.send("GET", "/tickets/1")
+                    self.assertEqual(200, found[0], how)
+                await deployment.restore(vms)
+
+        with_deployment(self, scenario)
--- a/tests/test_stated_by_own.py
+++ b/tests/test_stated_by_own.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from lynxchute.clock import steady_seconds
 from lynxchute.standins.arrivals import max_in_window
 from tests.support import AsyncTestCase, Caller, question, until, with_deployment
 
@@ -63,6 +64,24 @@
 
         with_deployment(self, scenario)
 
+    def test_brittle_engines_are_shared_by_slots(self):
+        async def scenario(deployment):
+            for engine in deployment.engines_by_name.values():
+                engine.max_rejections = 4
+            await send_requests(deployment, 1.0)
+            routers = deployment.routers_by_vm.values()
+            for name in deployment.engines_by_name:
+                shares = []
+                for router in routers:
+                    entry = router.directory.entries_by_id[name]
+                    shares.append(
+                        router.send_gate.shares.share(entry, steady_seconds())
+                    )
+                slots = entry.upstream.slots
+                self.assertEqual(slots, sum(shares))
+
+        with_deployment(self, scenario)
+
     def test_a_backoff_is_respected(self):
         async def scenario(deployment):
             backing_off = next(iter(deployment.engines_by_name.values()))
