--- a/lynxchute/standins/upstream.py
+++ b/lynxchute/standins/upstream.py
@@ -82,7 +82,7 @@
         await self.serve(request, respond)
 
     def backpressure_headers(self) -> list[tuple[str, str]]:
-        """Return the backpressure headers of an answer: limit, rejections and leaving."""
+        """Return the backpressure headers of an answer."""
         headers = []
         if self.limit is not None:
             headers.append((names.LIMIT, f"{self.limit:g}"))
