--- /dev/null
+++ b/tests/linked_router.py
@@ -0,0 +1,35 @@
+"""A router that reaches each upstream over a link of its own, which tests can cut.
+
+The file named in LINKS_VARIABLE maps the upstreams' addresses to those of the links.
+"""
+
+import json
+import os
+import pathlib
+
+from lynxchute.platform.__main__ import main
+from lynxchute.tunnels import UpstreamClients
+
+LINKS_VARIABLE = "LYNXCHUTE_TEST_LINKS"
+
+
+def use_links():
+    """Let new routers of this process connect to the links, if there are any."""
+    name = os.environ.get(LINKS_VARIABLE)
+    if not name:
+        return
+    prepare = UpstreamClients.__attrs_post_init__
+
+    def address_of(address):
+        return json.loads(pathlib.Path(name).read_text()).get(address, address)
+
+    def prepare_with_links(clients):
+        prepare(clients)
+        clients.address_of = address_of
+
+    UpstreamClients.__attrs_post_init__ = prepare_with_links
+
+
+if __name__ == "__main__":
+    use_links()
+    main()
--- a/tests/router_process.py
+++ b/tests/router_process.py
@@ -9,6 +9,7 @@
 import yaml
 
 from lynxchute.http import ExchangeError, HttpClient
+from tests.linked_router import LINKS_VARIABLE
 from tests.platform_support import DATA_CENTRES, free_port
 
 READY_TIMEOUT = 20.0
@@ -30,6 +31,7 @@
         peers_reached_at=0,
         module="lynxchute.platform",
         contracts=(),
+        links_file=None,
     ):
         self.module = module
         self.vm = vm
@@ -43,6 +45,7 @@
         if peers_at:
             self.ports["peers"] = peers_at
         self.peers_reached_at = peers_reached_at
+        self.links_file = links_file
         self.settings = self._settings(store_port)
         if contracts:
             self.settings["contracts"] = list(contracts)
@@ -79,6 +82,8 @@
         if self.peers_reached_at:
             address = f"127.0.0.1:{self.peers_reached_at}"
             environment["LYNXCHUTE_PEERS_REACHED_AT"] = address
+        if self.links_file is not None:
+            environment[LINKS_VARIABLE] = str(self.links_file)
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", self.module, stdout=log, env=environment
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -7,6 +7,7 @@
 from lynxchute.standins.platform_upstream import PlatformUpstreamStandin
 from tests.platform_support import DATA_CENTRES, configuration, free_port, route
 from tests.router_process import RouterProcess
+from tests.soak.links import UpstreamLinks, has_links, places
 
 AMPLE_ACCOUNT, SCARCE_ACCOUNT = "ample", "scarce"
 AMPLE_TOKENS = 50_000_000
@@ -19,7 +20,7 @@
 # Each configuration version adds a route that identifies it; the routes of this many
 # latest versions are kept.
 MAX_VERSION_ROUTES = 50
-ROUTER_MODULES = ("lynxchute.platform", "tests.suspendable_router")
+ROUTER_MODULES = ("tests.linked_router", "tests.suspendable_router")
 
 
 @attrs.define(eq=False)
@@ -61,6 +62,9 @@
             SCARCE_ACCOUNT: SCARCE_TOKENS,
         }
         self._vms = [f"{DATA_CENTRES[n % 2]}-{n // 2 + 1}" for n in range(routers)]
+        self.upstream_links = None
+        if has_links(seed):
+            self.upstream_links = UpstreamLinks(folder, self._vms)
         self._services = ["pool"] * engines + ["app"] * apps
 
     async def start(self):
@@ -82,6 +86,8 @@
         for upstream in self.upstreams:
             await upstream.standin.stop()
             await upstream.link.stop()
+        if self.upstream_links is not None:
+            await self.upstream_links.stop()
         await self.store.close()
 
     async def configure(self):
@@ -119,6 +125,10 @@
         link = Link(f"127.0.0.1:{standin.port}")
         await link.start()
         standin.advertised_port = link.port
+        if self.upstream_links is not None:
+            await self.upstream_links.add(standin.address)
+            if service == "app":
+                standin.places = places()
         if self.version and service == "pool":
             # An engine that joins a running fleet starts cold.
             standin.become_cold(COLD_SECONDS)
@@ -144,6 +154,7 @@
             # VM, the others as a frozen process.
             module=ROUTER_MODULES[len(self.routers_by_vm) % 2],
             contracts=self.contracts,
+            links_file=self.upstream_links.file(vm) if self.upstream_links else None,
         )
         caller_link = Link(f"127.0.0.1:{process.ports['front']}")
         await caller_link.start()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,6 +16,7 @@
 from tests.soak.evacuator import Evacuator
 from tests.soak.faults import FaultInjector, FaultPlan
 from tests.soak.fleet import AMPLE_ACCOUNT, SoakFleet
+from tests.soak.links import LinkInjector
 from tests.soak.promises import Checker
 from tests.soak.traffic import REQUEST_KINDS, CallerPool
 
@@ -94,6 +95,7 @@
     backpressure_injector = BackpressureInjector(
         fleet, callers, checker, fault_injector, seed
     )
+    link_injector = LinkInjector(fleet, checker, seed)
     demand_injector = DemandInjector(fleet, callers, seed)
     side_tasks = []
     try:
@@ -109,12 +111,18 @@
         side_tasks.append(evacuation_task)
         backpressure_task = asyncio.create_task(backpressure_injector.run(seconds))
         side_tasks.append(backpressure_task)
+        link_task = None
+        if not fault_plan.planned_only:
+            link_task = asyncio.create_task(link_injector.run(seconds))
+            side_tasks.append(link_task)
         demand_task = asyncio.create_task(demand_injector.run(seconds))
         side_tasks.append(demand_task)
         await fault_injector.run()
         await evacuation_task
         await backpressure_task
         await demand_task
+        if link_task is not None:
+            await link_task
         backpressure_injector.clear()
         await _check_recovery(fleet, callers, checker)
         await callers.stop()
@@ -141,6 +149,7 @@
             "evacuations": len(evacuator.spans),
             **backpressure_injector.counts,
             **demand_injector.counts,
+            **link_injector.counts,
         },
     )
 
--- a/tests/suspendable_router.py
+++ b/tests/suspendable_router.py
@@ -8,6 +8,7 @@
 import time
 
 from lynxchute.platform.__main__ import main
+from tests.linked_router import use_links
 
 _monotonic = time.monotonic
 
@@ -29,6 +30,7 @@
 
 
 if __name__ == "__main__":
+    use_links()
     clock = SuspendableClock()
     time.monotonic = clock.read
     signal.signal(signal.SIGCONT, clock.resume)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 from lynxchute.standins.link import Direction, Link
 from tests.soak.evacuator import COLD_GUARANTEE
 from tests.soak.fleet import AMPLE_ACCOUNT, AMPLE_TOKENS, EVENTS_PER_STREAM
+from tests.soak.links import has_links
 from tests.soak.promises import Checker
 from tests.soak.run import run_seed
 from tests.soak.traffic import Record
@@ -20,6 +21,7 @@
 
 FAILED_SEEDS = pathlib.Path(__file__).parent / "soak" / "failed_seeds.yaml"
 SHORT_SEED = 11
+LINKED_SEED = 15
 SHORT_SECONDS = 5.0
 
 
@@ -197,6 +199,13 @@
     def test_short_seeded_run_has_no_violations(self):
         self.assert_no_violations(SHORT_SEED, SHORT_SECONDS)
 
+    def test_routers_without_links_and_brittle_upstreams_have_no_violations(self):
+        self.assertTrue(has_links(LINKED_SEED))
+        self.assert_no_violations(LINKED_SEED, SHORT_SECONDS)
+        faults = self.report(LINKED_SEED, SHORT_SECONDS).faults
+        self.assertGreater(faults["links lost"], 0)
+        self.assertGreater(faults["brittle"], 0)
+
     def test_seeds_that_failed_before_have_no_violations(self):
         for entry in yaml.safe_load(FAILED_SEEDS.read_text(encoding="utf-8")):
             with self.subTest(seed=entry["seed"]):
