--- a/lynxchute/standins/link.py
+++ b/lynxchute/standins/link.py
@@ -78,9 +78,10 @@
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Listen for connections."""
-        self._server = await asyncio.start_server(self._accept, host, port)
+        listener = listen(Address(host, port))
         self._host = host
-        self.port = self._server.sockets[0].getsockname()[1]
+        self.port = listener.getsockname()[1]
+        self._server = await asyncio.start_server(self._accept, sock=listener)
 
     def partition(self, how: Partition) -> None:
         """Make the link fail until it is restored."""
@@ -93,6 +94,8 @@
             self.hold(*Direction)
         if how is Partition.HANG:
             self._leave_unaccepted()
+        else:
+            self._reserve_port()
 
     async def restore(self) -> None:
         """End a partition; bytes that were held back are relayed then."""
@@ -103,6 +106,13 @@
         if self._server is None:
             await self.start(self._host, self.port)
 
+    def _reserve_port(self) -> None:
+        """Keep the port from being used by others, without listening."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((self._host, self.port))
+        self._unaccepted = [sock]
+
     def _leave_unaccepted(self) -> None:
         """Listen without accepting, so that connection attempts get no answer."""
         listener = listen(Address(self._host, self.port))
