Probe engines by the requests sent since they were last heard of

What callers saw: nothing; an engine that had just started cold got up to 57 requests in a second where 14 are borne, as an outage of the store began.

Cause: that an engine has grown cold is told by the store and by probes, and probes began after 1.6 s of the store's silence. How much is sent meanwhile depends on the load, and nothing bounded it. Class: a timeout where a count is meant.

Change: the router that schedules probes an engine once it has placed half of what a cold one may get in a second, since the store or the engine last said whether it is cold. Only services with a limit for cold upstreams; the probes by time go on. At rates below that, the store answers first and no probe is sent.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -271,6 +271,7 @@
             scheduler.is_scheduler_for,
             self.seconds_since_upstreams_confirmed,
             steady_seconds,
+            rules.cold,
         )
         scheduler.serve(self.peer_server)
         self.directory.listeners.append(scheduler.refresh)
--- a/lynxchute/scheduling/cold_placements.py
+++ b/lynxchute/scheduling/cold_placements.py
@@ -30,6 +30,11 @@
         Returns this router's rank among all registered routers.
     limits_of
         Returns the limits for cold upstreams of a service.
+
+    Attributes
+    ----------
+    listeners
+        Called with the upstream of each placement that counts against a limit.
     """
 
     def __init__(
@@ -41,6 +46,7 @@
         self.limits_of = limits_of
         self._admission = admission
         self._rank_watch = watch
+        self.listeners: list[Callable[[UpstreamEntry], None]] = []
         self._recent = RecentPlacements()
 
     def refresh(self, services: Iterable[str], now: float) -> None:
@@ -72,8 +78,14 @@
             return False
         is_counted = self._recent.count(upstream_id, now) < self._share(service, now)
         self._recent.record(upstream_id, now)
+        for listener in self.listeners:
+            listener(entry)
         return is_counted
 
+    def placed_since(self, upstream_id: str, since: float) -> int:
+        """Return the recent placements at an upstream that are newer than a time."""
+        return self._recent.count_since(upstream_id, since)
+
     def prune(self, live_ids: Container[str]) -> None:
         """Discard the state of upstreams that are not in `live_ids`."""
         self._recent.prune(live_ids)
--- a/lynxchute/scheduling/cold_watch.py
+++ b/lynxchute/scheduling/cold_watch.py
@@ -1,10 +1,11 @@
-"""Probe engines for cold starts during an outage of the store."""
+"""Probe engines for cold starts that the store has not reported."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
 from lynxchute.application import PeriodicTask, Tasks
+from lynxchute.scheduling.cold_placements import ColdPlacementLimiter
 from lynxchute.upstreams.cold_admission import ColdLimits
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.engines import EngineClient, EngineUnavailable
@@ -16,15 +17,21 @@
 # Seconds without a reply of the store after which an engine may have become cold
 # unnoticed; a working store answers every 1.3 s at the latest.
 STORE_SILENCE_SECONDS = 1.6
+# Share of what a cold engine may get in a second that is placed at one before it is
+# probed, since the store or the engine last said whether it is cold. The rest is left
+# for requests that are placed until the probe is answered.
+UNCONFIRMED_SHARE = 0.5
+MIN_PROBE_SECONDS = 0.05
 # Maximum number of probes per second: 70 engines are probed every 1.4 s.
 MAX_PROBES_PER_SECOND = 50.0
 
 
 class ColdProber:
-    """During an outage of the store, probe the engines that this router schedules.
+    """Probe the engines that this router schedules while the store may be silent.
 
     An engine may become cold at any time, and normally its entry in the store shows it.
-    While the store is unavailable, only the engine itself can report it. Nearly all
+    While the store is unavailable, only the engine itself can report it; a burst of
+    requests can be sent before the outage is noticed. Nearly all
     requests are placed by the scheduling router, so other routers need not probe.
 
     Parameters
@@ -41,6 +48,8 @@
         Returns the seconds since the store last listed the upstreams.
     clock
         Returns the time on the steady clock, in seconds.
+    placements
+        Counts the placements at each engine.
     """
 
     def __init__(
@@ -51,6 +60,7 @@
         is_scheduler_for: Callable[[str], bool],
         silent_for: Callable[[float], float],
         clock: Callable[[], float],
+        placements: ColdPlacementLimiter,
     ) -> None:
         self.tasks = Tasks()
         self.loop = PeriodicTask(
@@ -62,6 +72,24 @@
         self._is_scheduler_for = is_scheduler_for
         self._silent_for = silent_for
         self._clock = clock
+        self._placements = placements
+        placements.listeners.append(self._handle_placement)
+
+    def _handle_placement(self, entry: UpstreamEntry) -> None:
+        """Probe an engine that has got many requests since it was last heard of.
+
+        The store does not say that it is about to fall silent.
+        """
+        now = self._clock()
+        if now - entry.probed_at < MIN_PROBE_SECONDS or not entry.takes_work:
+            return
+        heard_at = max(entry.probed_at, now - self._silent_for(now))
+        placed = self._placements.placed_since(entry.upstream.id, heard_at)
+        limits = self._limits_of(entry.upstream.service)
+        if placed < limits.max_per_second * UNCONFIRMED_SHARE:
+            return
+        entry.probed_at = now
+        self.tasks.spawn(self._probe(entry))
 
     def _is_store_silent(self) -> bool:
         """Return whether the store has not answered for too long."""
--- a/lynxchute/upstreams/cold_admission.py
+++ b/lynxchute/upstreams/cold_admission.py
@@ -210,6 +210,11 @@
             del self._times_by_id[upstream_id]
         return len(times)
 
+    def count_since(self, upstream_id: str, since: float) -> int:
+        """Return how many of the recorded requests are newer than a time."""
+        times = self._times_by_id.get(upstream_id, ())
+        return sum(1 for at in times if at > since)
+
     def prune(self, upstream_ids: Container[str]) -> None:
         """Drop the counts of all other upstreams."""
         for upstream_id in list(self._times_by_id):
--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -38,6 +38,7 @@
     PlatformTestCase,
     configuration,
 )
+from tests.press import press, stream
 from tests.support import until
 
 LIMITS = ColdLimits(start_seconds=3.0, per_second=6.6, factor=1.5, extra=5.0)
@@ -299,6 +300,25 @@
 
         self.with_platform(scenario)
 
+    def test_engines_that_grow_cold_as_an_outage_begins_get_what_they_bear(self):
+        async def scenario(deployment):
+            await self.configure_cold_limit(deployment)
+            await asyncio.sleep(TAKE_OVER_SECONDS)
+            pressing = asyncio.create_task(
+                press(deployment, stream, seconds=3.0, pause=0.0)
+            )
+            await asyncio.sleep(1.0)
+            for vm in deployment.routers:
+                deployment.faults(vm).outage = Outage.SILENT
+            for engine in deployment.engines:
+                engine.become_cold(6.0)
+            statuses = await pressing
+            self.assertGreater(statuses.count(200), 30)
+            for engine in deployment.engines:
+                self.assertLessEqual(engine.arrival_log.peak_cold_rate(), 8)
+
+        self.with_platform(scenario)
+
     def test_upstreams_are_cold_after_an_evacuation_is_revoked(self):
         async def scenario(deployment):
             await self.configure_cold_limit(deployment)
