--- a/lynxchute/tunnels/errors.py
+++ b/lynxchute/tunnels/errors.py
@@ -15,7 +15,9 @@
     Attributes
     ----------
     UNREACHABLE
-        It does not reach the upstream either.
+        It tried to connect and does not reach the upstream either.
+    NO_PATH
+        It has lost its own links to the upstream, and did not try.
     UNKNOWN
         It knows no upstream with that address.
     OVERLOADED
@@ -27,12 +29,17 @@
     """
 
     UNREACHABLE = "unreachable"
+    NO_PATH = "no path"
     UNKNOWN = "unknown upstream"
     OVERLOADED = "overloaded"
     STOPPING = "stopping"
     NO_ANSWER = "no answer"
 
 
+# The router that refuses does not reach the upstream.
+NOT_REACHED = frozenset({TunnelRefusal.UNREACHABLE, TunnelRefusal.NO_PATH})
+
+
 class TunnelRefused(Exception):
     """Raised when a router opened no tunnel; no byte has reached the upstream.
 
--- a/lynxchute/tunnels/paths.py
+++ b/lynxchute/tunnels/paths.py
@@ -153,7 +153,8 @@
         ones do so too; a single attempt that hangs may only have lost a packet.
         """
         path = self._path_by_address.get(address)
-        if path is None or path.state is PathState.DIRECT or not path.hangs_in_row:
+        if path is None or path.state is not PathState.LOST or not path.hangs_in_row:
+            # An upstream that no router reaches may only be silent for a while.
             return False
         return path.hangs_in_row > 1 or self.is_cut_off
 
--- a/lynxchute/tunnels/pool.py
+++ b/lynxchute/tunnels/pool.py
@@ -26,7 +26,7 @@
     TunnelledConnection,
     TunnelProtocol,
 )
-from lynxchute.tunnels.errors import TunnelRefusal, TunnelRefused
+from lynxchute.tunnels.errors import NOT_REACHED, TunnelRefusal, TunnelRefused
 from lynxchute.tunnels.paths import Helper, PathState, UpstreamPaths
 
 # Seconds, and share of the connect timeout, after which a direct attempt without an
@@ -38,6 +38,9 @@
 TUNNEL_TIMEOUT = 0.2
 # Routers asked for a tunnel before a request is given up.
 MAX_ASKED = 6
+# Routers that try to reach an upstream in vain before it counts as unreachable: each
+# attempt is one more for an upstream that may only be full.
+MAX_TRIED = 2
 # Seconds for all routers that are asked while no request waits.
 CHECK_TIMEOUT = 1.0
 
@@ -77,7 +80,7 @@
             If none of them helps; as unreachable if one of them does not reach the
             upstream either, or if none could be asked.
         """
-        refusals: set[TunnelRefusal] = set()
+        refusals: list[TunnelRefusal] = []
         try:
             async with asyncio.timeout(timeout):
                 candidates = self.paths.helpers_for(
@@ -87,10 +90,12 @@
                     try:
                         return await self._open_through(vm, address)
                     except TunnelRefused as error:
-                        refusals.add(error.refusal)
+                        refusals.append(error.refusal)
+                    if refusals.count(TunnelRefusal.UNREACHABLE) >= MAX_TRIED:
+                        break
         except TimeoutError:
-            refusals.add(TunnelRefusal.NO_ANSWER)
-        if not refusals or TunnelRefusal.UNREACHABLE in refusals:
+            refusals.append(TunnelRefusal.NO_ANSWER)
+        if not refusals or not NOT_REACHED.isdisjoint(refusals):
             raise TunnelRefused(TunnelRefusal.UNREACHABLE)
         raise TunnelRefused(TunnelRefusal.NO_ANSWER)
 
@@ -120,7 +125,7 @@
                 vm,
                 address,
                 steady_seconds(),
-                is_unreachable=refusal is TunnelRefusal.UNREACHABLE,
+                is_unreachable=refusal in NOT_REACHED,
             )
             self._metrics.tunnels.inc(refusal.value)
             raise TunnelRefused(refusal) from error
--- a/lynxchute/tunnels/server.py
+++ b/lynxchute/tunnels/server.py
@@ -287,7 +287,7 @@
         if not self._directory.has_address(address):
             return TunnelRefusal.UNKNOWN
         if self._clients.paths.is_lost(address):
-            return TunnelRefusal.UNREACHABLE
+            return TunnelRefusal.NO_PATH
         if self.count + self._opening >= MAX_TUNNELS or self._load.is_shedding:
             return TunnelRefusal.OVERLOADED
         return None
--- a/lynxchute/tunnels/watch.py
+++ b/lynxchute/tunnels/watch.py
@@ -20,6 +20,8 @@
 # verified when another path is lost, and seconds between two verifications.
 RECENTLY_USED_SECONDS = 30.0
 VERIFY_SECONDS = 3.0
+# Paths that are verified when one is lost, those used last first.
+MAX_VERIFIED = 32
 
 
 class PathWatch:
@@ -98,15 +100,18 @@
             log_event("router reaches upstreams again", lost=lost, tunnels=tunnels)
 
     def _verify_others(self, now: float) -> None:
-        for client in list(self._clients.clients_by_address.values()):
+        due = []
+        for client in self._clients.clients_by_address.values():
             if not isinstance(client, UpstreamClient):
                 continue
             if now - client.used_at > RECENTLY_USED_SECONDS:
                 continue
             if now - client.verified_at < VERIFY_SECONDS:
                 continue
-            if self._clients.paths.is_lost(client.registered_address):
-                continue
+            if not self._clients.paths.is_lost(client.registered_address):
+                due.append(client)
+        due.sort(key=lambda client: client.used_at, reverse=True)
+        for client in due[:MAX_VERIFIED]:
             client.verified_at = now
             self._start(client, client.verify)
 
@@ -124,7 +129,7 @@
                 self._on_hanging(address)
         for address in paths.checks_due(now):
             client = self._clients.upstream_client(address)
-            if client is not None:
+            if client is not None and len(self._checking) < MAX_CHECKS:
                 self._start(client, client.check)
         self._update_cut_off()
 
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -47,6 +47,12 @@
         self.paths.record_check_failed("u1", 1.3, hangs=True)
         self.assertTrue(self.paths.is_hanging("u1"))
 
+    def test_an_upstream_that_nobody_reaches_may_only_be_silent(self):
+        for address in ("u1", "u2"):
+            self.paths.record_unreachable(address, 1.0, hangs=True)
+            self.paths.record_check_failed(address, 1.3, hangs=True)
+            self.assertFalse(self.paths.is_hanging(address))
+
     def test_a_returning_path_lets_the_others_be_checked_at_once(self):
         for address in ("u1", "u2"):
             self.paths.record_lost(address, 1.0, hangs=False)
