Find out that nobody reaches an upstream, and use what is still open to it

Found by reading the change again, none of it seen by callers: - Where links hang, the direct attempt ended (0.3 s) before the second router had answered, and what the first one had said was lost, so each request waited anew; both attempts now end together and both are heard. - An upstream that refuses new connections at all routers, as one that is full may, lost its open idle connections and got nothing; these are kept and used unless direct attempts hang. - A check that passed kept its connection for use while the path still had to pass more checks; and a tunnel that was refused reset what direct attempts had met.

93 tests of tunnels, paths, lost links, connections, waiting and faults green.

--- a/lynxchute/http/client.py
+++ b/lynxchute/http/client.py
@@ -410,6 +410,11 @@
         response = await self.request("GET", target, headers=headers, timeouts=timeouts)
         return response.status, await response.json()
 
+    @property
+    def has_idle(self) -> bool:
+        """Return whether an idle connection is open."""
+        return any(connection.is_alive for connection in self._idle)
+
     def close(self) -> None:
         """Close the idle connections."""
         idle, self._idle = self._idle, []
--- a/lynxchute/tunnels/paths.py
+++ b/lynxchute/tunnels/paths.py
@@ -158,6 +158,11 @@
             return False
         return path.hangs_in_row > 1 or self.is_cut_off
 
+    def has_hung(self, address: str) -> bool:
+        """Return whether the last direct attempt at a lost path got no answer."""
+        path = self._path_by_address.get(address)
+        return path is not None and path.hangs_in_row > 0
+
     def record_direct(self, address: str, now: float) -> None:
         """Record that a direct connection was established."""
         self._direct_at = now
@@ -186,7 +191,7 @@
             Whether the direct attempt got no answer at all.
         """
         path = self._path_by_address.setdefault(address, _Path())
-        self._record_failed_check(path, now, hangs=hangs)
+        self._record_failed_check(path, hangs=hangs)
         path.check_interval = CHECK_SECONDS
         path.check_at = now + CHECK_SECONDS
         if path.state is PathState.LOST:
@@ -198,10 +203,19 @@
             path.checks_needed = min(needed, MAX_CHECKS_NEEDED)
         self._set_state(address, path, PathState.LOST)
 
-    def record_unreachable(self, address: str, now: float, *, hangs: bool) -> None:
-        """Record that no router that was asked reaches an upstream either."""
+    def record_unreachable(
+        self, address: str, now: float, *, hangs: bool | None = None
+    ) -> None:
+        """Record that no router that was asked reaches an upstream either.
+
+        Parameters
+        ----------
+        hangs
+            Whether the direct attempt got no answer at all; None if there was none.
+        """
         path = self._path_by_address.setdefault(address, _Path())
-        self._record_failed_check(path, now, hangs=hangs)
+        if hangs is not None:
+            self._record_failed_check(path, hangs=hangs)
         path.check_at = now + path.check_interval
         path.check_interval = min(path.check_interval * 2, MAX_CHECK_SECONDS)
         if path.state is PathState.UNREACHABLE:
@@ -215,7 +229,7 @@
         path = self._path_by_address.get(address)
         if path is None or path.state is PathState.DIRECT:
             return
-        self._record_failed_check(path, now, hangs=hangs)
+        self._record_failed_check(path, hangs=hangs)
         path.check_at = now + path.check_interval
 
     def checks_due(self, now: float) -> list[str]:
@@ -284,7 +298,7 @@
                 found.append(address)
         return found
 
-    def _record_failed_check(self, path: _Path, now: float, *, hangs: bool) -> None:
+    def _record_failed_check(self, path: _Path, *, hangs: bool) -> None:
         path.hangs_in_row = path.hangs_in_row + 1 if hangs else 0
         path.checks_passed = 0
 
--- a/lynxchute/tunnels/pool.py
+++ b/lynxchute/tunnels/pool.py
@@ -219,7 +219,11 @@
                 await self._check_tunnel(hangs=error.is_timeout)
             return
         self.paths.record_direct(self.registered_address, steady_seconds())
-        self._keep_idle(connection)
+        if self.paths.is_lost(self.registered_address):
+            # It has to pass more checks.
+            connection.abort()
+        else:
+            self._keep_idle(connection)
 
     async def verify(self) -> None:
         """Find out how the upstream is reached, and keep the connection."""
@@ -252,9 +256,7 @@
             return await self.tunnels.open(self.registered_address, timeout)
         except TunnelRefused as error:
             if error.refusal is TunnelRefusal.UNREACHABLE:
-                self.paths.record_unreachable(
-                    self.registered_address, steady_seconds(), hangs=False
-                )
+                self.paths.record_unreachable(self.registered_address, steady_seconds())
             reason = f"cannot connect: no router helps: {error}"
             raise ExchangeError(reason, sent=False) from error
 
@@ -268,7 +270,7 @@
             await asyncio.wait((direct,), timeout=head_start + self._meter.delay())
             if not direct.done() or _may_be_lost(direct):
                 tunnel = asyncio.ensure_future(
-                    self.tunnels.open(self.registered_address, timeout)
+                    self.tunnels.open(self.registered_address, timeout - head_start)
                 )
                 await _first_connection(direct, tunnel)
             if tunnel is None or _has_connected(direct):
@@ -313,10 +315,10 @@
         direct: asyncio.Future[ClientConnection],
         tunnel: asyncio.Future[ClientConnection],
     ) -> None:
-        error = tunnel.exception() if tunnel.done() else None
-        if not isinstance(error, TunnelRefused):
-            return
-        if error.refusal is TunnelRefusal.UNREACHABLE:
+        error = tunnel.exception()
+        if isinstance(error, TunnelRefused) and (
+            error.refusal is TunnelRefusal.UNREACHABLE
+        ):
             self.paths.record_unreachable(
                 self.registered_address, steady_seconds(), hangs=_is_timeout(direct)
             )
@@ -364,8 +366,14 @@
         return client if isinstance(client, UpstreamClient) else None
 
     def has_path(self, address: str) -> bool:
-        """Return whether an upstream may be reached, directly or otherwise."""
-        return self.paths.state(address) is not PathState.UNREACHABLE
+        """Return whether an upstream may be reached, directly or otherwise.
+
+        Open connections may work although no router gets a new one.
+        """
+        if self.paths.state(address) is not PathState.UNREACHABLE:
+            return True
+        client = self.clients_by_address.get(address)
+        return client is not None and client.has_idle
 
     def drop(self, address: str) -> None:
         """Discard the client for an address that is no longer used."""
@@ -376,9 +384,10 @@
         client = self.upstream_client(address)
         if client is None:
             return
-        if self.paths.is_lost(address):
+        state = self.paths.state(address)
+        if state is PathState.LOST or self.paths.has_hung(address):
             client.close_direct()
-        else:
+        elif state is PathState.DIRECT:
             client.close_tunnels()
 
     def _new_client(self, address: str) -> HttpClient:
@@ -394,16 +403,10 @@
 async def _first_connection(
     direct: asyncio.Future[ClientConnection], tunnel: asyncio.Future[ClientConnection]
 ) -> None:
-    """Wait for the first of two attempts that connects, or for both to fail.
-
-    The tunnel is not waited for once the direct attempt has timed out: it began little
-    later.
-    """
+    """Wait for the first of two attempts that connects, or for both to fail."""
     await asyncio.wait((direct, tunnel), return_when=asyncio.FIRST_COMPLETED)
-    if tunnel.done() and not _has_connected(tunnel):
-        await asyncio.wait((direct,))
-    elif direct.done() and not _has_connected(direct) and not _is_timeout(direct):
-        await asyncio.wait((tunnel,))
+    if not _has_connected(direct) and not _has_connected(tunnel):
+        await asyncio.wait((direct, tunnel))
 
 
 def _has_connected(attempt: asyncio.Future[ClientConnection]) -> bool:
