Check an upstream whose client was dropped as it was found unreachable

What callers saw: at one router, all requests for a service refused for good, if each of its upstreams had restarted (which drops its client) while an attempt of the old client was under way that then found it unreachable.

Cause: the watch checked only addresses that have a client, and a client was made only for a request, which was refused before that.

Found by reading for what can keep a router from serving; the new test was red (503 for good), and is green.

Change: the watch makes the client.

--- a/lynxchute/tunnels/watch.py
+++ b/lynxchute/tunnels/watch.py
@@ -128,8 +128,9 @@
                 self._hanging.add(address)
                 self._on_hanging(address)
         for address in paths.checks_due(now):
-            client = self._clients.upstream_client(address)
-            if client is not None and len(self._checking) < MAX_CHECKS:
+            # The client may have been dropped while its last attempt was under way.
+            client = self._clients.get(address)
+            if isinstance(client, UpstreamClient) and len(self._checking) < MAX_CHECKS:
                 self._start(client, client.check)
         self._update_cut_off()
 
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from lynxchute.clock import steady_seconds
 from lynxchute.http import ExchangeError
 from lynxchute.standins.link import Direction, Partition
 from lynxchute.standins.platform_store import Outage
@@ -379,3 +380,20 @@
                 )
 
         self.with_links(scenario)
+
+
+class PathOfADroppedClientTest(PlatformTestCase):
+    def test_an_upstream_is_checked_whose_client_was_dropped_as_it_was_lost(self):
+        async def scenario(deployment):
+            router = deployment.routers["a-1"]
+            await call_all(deployment, ("a-1",), plain, 0.3)
+            for app in deployment.apps:
+                # A restart drops the client; an attempt of the old one ends later.
+                router.clients.drop(app.address)
+                router.clients.paths.record_unreachable(
+                    app.address, steady_seconds(), hangs=False
+                )
+            await asyncio.sleep(1.0)
+            self.assertEqual(200, (await plain(PlatformCaller(deployment)))[0])
+
+        self.with_platform(scenario)
