Let routers of the soak ignore SIGHUP while they start, as routers do

Cause: the soak's routers run in a test module since they have links, and it imported the server before the router's own entry point, which ignores SIGHUP until its handler is there. A reload within the first half second of a start ended the process without a line. Not a fault of the product: its entry point ignores the signal at once.

Change: the module imports the server only where links are asked for, after it ignores the signal.

--- a/tests/linked_router.py
+++ b/tests/linked_router.py
@@ -6,9 +6,9 @@
 import json
 import os
 import pathlib
+import signal
 
 from lynxchute.platform.__main__ import main
-from lynxchute.tunnels import UpstreamClients
 
 LINKS_VARIABLE = "LYNXCHUTE_TEST_LINKS"
 
@@ -18,6 +18,10 @@
     name = os.environ.get(LINKS_VARIABLE)
     if not name:
         return
+    # As a router does before its long imports, which come first here.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from lynxchute.tunnels import UpstreamClients
+
     prepare = UpstreamClients.__attrs_post_init__
 
     def address_of(address):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import pathlib
+import signal
+import tempfile
 import unittest
 from typing import ClassVar
 
@@ -11,8 +13,16 @@
 
 from lynxchute.event_loop import run as run_loop
 from lynxchute.standins.link import Direction, Link
+from lynxchute.standins.platform_store import PlatformStoreStandin
+from tests.platform_support import configuration
+from tests.router_process import RouterProcess
 from tests.soak.evacuator import COLD_GUARANTEE
-from tests.soak.fleet import AMPLE_ACCOUNT, AMPLE_TOKENS, EVENTS_PER_STREAM
+from tests.soak.fleet import (
+    AMPLE_ACCOUNT,
+    AMPLE_TOKENS,
+    EVENTS_PER_STREAM,
+    ROUTER_MODULES,
+)
 from tests.soak.links import has_links
 from tests.soak.promises import Checker
 from tests.soak.run import run_seed
@@ -174,6 +184,35 @@
         self.run_with_echo(scenario)
 
 
+class LinkedRouterTest(AsyncTestCase):
+    def test_a_reload_while_a_router_starts_does_not_end_it(self):
+        async def work():
+            store = PlatformStoreStandin()
+            port = await store.open_port()
+            await store.configure(configuration())
+            with tempfile.TemporaryDirectory() as name:
+                links = pathlib.Path(name) / "links.json"
+                links.write_text("{}")
+                for file in (None, links):
+                    for module in ROUTER_MODULES:
+                        router = RouterProcess(
+                            pathlib.Path(name),
+                            "a-1",
+                            port,
+                            module=module,
+                            links_file=file,
+                        )
+                        await router.start()
+                        # Python itself takes some hundredths of a second to start.
+                        await asyncio.sleep(0.25)
+                        router.send_signal(signal.SIGHUP)
+                        await router.ready()
+                        await router.kill()
+            await store.close()
+
+        self.run_async(work())
+
+
 class SoakTest(unittest.TestCase):
     """Router processes under injected faults."""
 
