Wait for all settlements in the test that counts tokens over a tunnel

Trace: five streams use 118 tokens each; the first reading was taken while one reservation at another router was open, which counts 160, so the difference lacked 42. The test waited for the reservations of one router and then for fixed times; it now waits until no router has an open reservation before each reading. The check is the same.

--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -148,27 +148,22 @@
     def test_tokens_are_counted_once_through_another_router(self):
         async def scenario(deployment):
             await self.cut_off(deployment, ("a-1",))
-            ledger = deployment.routers["a-1"].ledger_sync.ledger
+            ledgers = [r.ledger_sync.ledger for r in deployment.routers.values()]
 
-            def used():
-                return sum(
-                    router.ledger_sync.ledger.shares_by_account[ACCOUNT].own_use
-                    for router in deployment.routers.values()
-                )
+            async def used():
+                # An open reservation counts at its most.
+                await until(lambda: not any(x.reservations_by_id for x in ledgers))
+                return sum(x.shares_by_account[ACCOUNT].own_use for x in ledgers)
 
-            await until(lambda: not ledger.reservations_by_id)
-            before = used()
+            before = await used()
             for _ in range(5):
                 self.assertEqual(200, (await stream(PlatformCaller(deployment)))[0])
-            await asyncio.sleep(0.3)
-            after_five = used()
+            after_five = await used()
             await deployment.restore(("a-1",))
             await call_all(deployment, ("a-1",), plain, 1.5)
-            await asyncio.sleep(0.3)
             for _ in range(5):
                 self.assertEqual(200, (await stream(PlatformCaller(deployment)))[0])
-            await asyncio.sleep(0.3)
-            self.assertEqual(after_five - before, used() - after_five)
+            self.assertEqual(after_five - before, await used() - after_five)
 
         self.with_links(scenario)
 
