Split the clients of upstreams by what they do

pool.py had three classes and was the longest module of the change: opener.py asks other routers, client.py is one upstream's client, pool.py keeps them. Two callbacks that did nothing, as their base class does, go. No decision changes.

--- a/lynxchute/tunnels/__init__.py
+++ b/lynxchute/tunnels/__init__.py
@@ -1,7 +1,8 @@
 """Connections to upstreams through other routers, while direct ones fail."""
 
+from lynxchute.tunnels.opener import Tunnels
 from lynxchute.tunnels.paths import PathState, UpstreamPaths
-from lynxchute.tunnels.pool import Tunnels, UpstreamClients
+from lynxchute.tunnels.pool import UpstreamClients
 from lynxchute.tunnels.server import TunnelServer
 from lynxchute.tunnels.watch import PathWatch
 
--- a/lynxchute/tunnels/connection.py
+++ b/lynxchute/tunnels/connection.py
@@ -187,12 +187,6 @@
         elif not self.opened.done():
             self.opened.set_exception(TunnelRefused(TunnelRefusal.NO_ANSWER))
 
-    def pause_writing(self) -> None:
-        """Do nothing: requests are small, and their bodies are buffered anyway."""
-
-    def resume_writing(self) -> None:
-        """Do nothing, see `pause_writing`."""
-
     def _read_answer(self, http: h11.Connection) -> bytes:
         """Read the answer to the request; return the bytes of frames behind it."""
         try:
--- a/lynxchute/tunnels/watch.py
+++ b/lynxchute/tunnels/watch.py
@@ -7,8 +7,9 @@
 
 from lynxchute.application import PeriodicTask, Tasks
 from lynxchute.telemetry import Metrics, log_event
+from lynxchute.tunnels.client import UpstreamClient
 from lynxchute.tunnels.paths import PathState
-from lynxchute.tunnels.pool import UpstreamClient, UpstreamClients
+from lynxchute.tunnels.pool import UpstreamClients
 from lynxchute.upstreams.directory import Directory
 
 STEP_SECONDS = 0.1
