--- a/tests/test_brittle_upstreams.py
+++ b/tests/test_brittle_upstreams.py
@@ -130,10 +130,13 @@
             has_upstream_links=True,
         )
 
-    def press(self, *, pause, cut=()):
+    def press(self, *, pause, cut=(), apart=False):
         """Return falls and requests served in a second while upstreams are brittle."""
 
         async def scenario(deployment):
+            if apart:
+                for router in deployment.routers.values():
+                    router.peers.address_of = lambda member: "127.0.0.1:1"
             await call_all(deployment, ROUTERS, plain, 1.0, pause)
             for app in deployment.apps:
                 app.places.become_brittle(MAX_REJECTIONS)
@@ -169,3 +172,9 @@
     def test_upstreams_stay_up_while_some_routers_have_lost_their_links(self):
         falls, _, _ = self.press(pause=4 / 90, cut=("a-1",))
         self.assertLessEqual(falls, MAX_FALLS)
+
+    def test_upstreams_stay_up_while_routers_do_not_reach_one_another(self):
+        falls, served, _ = self.press(pause=4 / 90, apart=True)
+        self.assertLessEqual(falls, MAX_FALLS)
+        borne = UPSTREAMS * SLOTS / WORK_SECONDS
+        self.assertGreaterEqual(served, MIN_SERVED_SHARE * borne)
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -55,6 +55,14 @@
         self.assertEqual([FrameKind.DATA, FrameKind.END], [f.kind for f in frames])
 
 
+async def stream_begun(deployment, events=1):
+    """Wait until an engine has sent some events of its first run."""
+    engines = deployment.engines
+    await until(
+        lambda: any(e.runs and e.runs[0].events_sent >= events for e in engines)
+    )
+
+
 class TunnelTest(PlatformTestCase):
     def with_links(self, scenario, **options):
         options = {"routers": ROUTERS, "has_upstream_links": True, **options}
@@ -132,11 +140,7 @@
                 engine.events, engine.event_delay = 40, 0.05
             caller = PlatformCaller(deployment, "a-1")
             running = asyncio.create_task(caller.stream())
-            await until(
-                lambda: any(
-                    e.runs and e.runs[0].events_sent for e in deployment.engines
-                )
-            )
+            await stream_begun(deployment)
             deployment.partition(("a-1",), Partition.HANG)
             begun = time.monotonic()
             status, _, body = await running
@@ -174,11 +178,7 @@
                 engine.events, engine.event_delay = 200, 0.05
                 engine.runs.clear()
             running = asyncio.create_task(PlatformCaller(deployment).stream())
-            await until(
-                lambda: any(
-                    e.runs and e.runs[0].events_sent for e in deployment.engines
-                )
-            )
+            await stream_begun(deployment)
             running.cancel()
             await until(
                 lambda: any(
@@ -345,11 +345,7 @@
                 engine.events, engine.event_delay = 20, 0.05
             caller = PlatformCaller(deployment, "a-1")
             running = asyncio.create_task(caller.stream())
-            await until(
-                lambda: any(
-                    e.runs and e.runs[0].events_sent > 2 for e in deployment.engines
-                )
-            )
+            await stream_begun(deployment, events=3)
             links = [deployment.upstream_links_by_vm[vm] for vm in ROUTERS]
             busy = 0 if deployment.engines[0].runs else 1
             for link in links:
