Log the software version of upstreams and the attempt that a stream resumes

The version of an upstream's row is kept, and Resumes is read; both are only logged (request sent: resumes, began_at, software; upstream registered: software) and counted (lynxchute_streams_continued_total by software: same, other, unknown). No choice depends on them yet.

--- a/lynxchute/callers/dialect.py
+++ b/lynxchute/callers/dialect.py
@@ -97,6 +97,7 @@
             host=chat_request.model,
             key=key,
             last_event_id=request.headers.get(names.LAST_EVENT.lower(), ""),
+            resumes=request.headers.get(names.RESUMES.lower(), ""),
             generation=chat_request.generation(request_id, max_tokens),
             wants_usage=chat_request.wants_usage,
         )
--- a/lynxchute/callers/names.py
+++ b/lynxchute/callers/names.py
@@ -3,6 +3,8 @@
 REQUEST_ID = "X-Request-Id"
 AUTHORIZATION = "Authorization"
 LAST_EVENT = "Last-Event-Id"
+# Id of the attempt that brought the first event of the stream that is resumed.
+RESUMES = "Resumes"
 # Seconds that the upstream has to respond.
 TIME_LEFT = "X-Time-Left"
 ACCOUNT = "X-Account"
--- a/lynxchute/edge/upstreams.py
+++ b/lynxchute/edge/upstreams.py
@@ -115,6 +115,7 @@
                 service=upstream.service,
                 address=upstream.address,
                 version=row.version,
+                software=upstream.software_version,
             )
         return is_change
 
--- a/lynxchute/platform/dialect.py
+++ b/lynxchute/platform/dialect.py
@@ -27,6 +27,7 @@
     names.TOKENS,
     names.PROMPT_PARTS,
     names.LAST_EVENT,
+    names.RESUMES,
 )
 MAX_PROMPT_PARTS = 64
 # Each hop sets its own message framing; a forwarded length could contradict it.
@@ -59,6 +60,7 @@
             key=headers.get(names.KEY.lower(), ""),
             caller_timeout=_caller_timeout(headers),
             last_event_id=headers.get(names.LAST_EVENT.lower(), ""),
+            resumes=headers.get(names.RESUMES.lower(), ""),
             generation=_generation(headers),
         )
 
--- a/lynxchute/platform/names.py
+++ b/lynxchute/platform/names.py
@@ -16,6 +16,8 @@
 LENGTH_HINT = "X-Length-Hint"
 PRIORITY = "X-Request-Priority"
 LAST_EVENT = "Last-Event-Id"
+# Id of the attempt that brought the first event of the stream that is resumed.
+RESUMES = "Resumes"
 # Address of an engine from which the receiver fetches cached parts of the prompt.
 FETCH_CACHE = "Kv-Fetch"
 RETRY_AFTER = "Retry-After"
--- a/lynxchute/platform/upstreams.py
+++ b/lynxchute/platform/upstreams.py
@@ -25,9 +25,8 @@
     address = Address.parse(value.text("address"))
     if not address.port:
         raise ValueError("nobody listens at port 0")
-    # Every valid upstream row has these two fields. The router does not use them; the
-    # lookups raise if one is missing or has the wrong type.
-    value.text("version")
+    # Every valid upstream row has this field. The router does not use it; the lookup
+    # raises if it is missing or has the wrong type.
     value.count("sequence")
     return Upstream(
         # Only the row's key holds the id. A restarted process may reuse its old id; the
@@ -41,4 +40,5 @@
         slots=value.count("slots", least=1),
         warm_up=value.number(names.COLD_REMAINING_FIELD) / 1000.0,
         started_ms=value.count(names.START_TIME_FIELD, default=None),
+        software_version=value.text("version"),
     )
--- a/lynxchute/relay/call.py
+++ b/lynxchute/relay/call.py
@@ -22,6 +22,9 @@
         Seconds until the caller gives up; None if the caller does not state it.
     last_event_id
         Id of the last event received of an interrupted stream; empty for a new stream.
+    resumes
+        Id of the attempt that brought the first event of that stream; empty if the
+        caller does not name it.
     """
 
     request: Request
@@ -30,4 +33,5 @@
     key: str = ""
     caller_timeout: float | None = None
     last_event_id: str = ""
+    resumes: str = ""
     generation: Generation | None = None
--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -74,6 +74,9 @@
         requests per second; None if none is rate-limited.
     events, last_event
         Number of delivered events, and the id of the last one.
+    software_version
+        Version of the upstream software that produced the stream's first event; None if
+        not known.
     order
         Checks that events arrive in order.
     reported_tokens
@@ -100,6 +103,7 @@
     upstreams: list[str] = attrs.Factory(list)
     events: int = 0
     last_event: str = ""
+    software_version: str | None = None
     order: EventOrder = attrs.Factory(EventOrder)
     first_byte_at: float = 0.0
     last_event_at: float = 0.0
--- a/lynxchute/relay/passing.py
+++ b/lynxchute/relay/passing.py
@@ -71,6 +71,8 @@
             return True
         exchange.order.check(events)
         answer.send.record_answering(now)
+        if not exchange.events:
+            exchange.software_version = answer.entry.upstream.software_version
         was_paused = exchange.has_paused
         exchange.record_events(events.count, events.last_id, now)
         if exchange.has_paused and not was_paused:
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -346,6 +346,8 @@
             self._set_typical_seconds(exchange, send)
             connection = send.handle.connection
             via = connection.via if connection is not None else ""
+            if parameters.last_event_id:
+                self._count_continuation(exchange, entry)
             self._log_send(exchange, choice, parameters, via)
 
         max_idle = None if exchange.route.is_repeatable else FRESH_WITHIN
@@ -433,6 +435,16 @@
             rate=entry.backpressure.rate(self._clock()),
         )
 
+    def _count_continuation(self, exchange: Exchange, entry: UpstreamEntry) -> None:
+        """Count a send that continues a stream."""
+        version = exchange.software_version
+        if version is None:
+            relation = "unknown"
+        else:
+            is_same = version == entry.upstream.software_version
+            relation = "same" if is_same else "other"
+        self._metrics.streams_continued.inc(relation)
+
     def _log_send(
         self, exchange: Exchange, choice: Choice, parameters: SendParameters, via: str
     ) -> None:
@@ -450,6 +462,9 @@
             time_left=round(parameters.time_left, 3),
             priority=parameters.priority,
             after_event=parameters.last_event_id,
+            resumes=exchange.call.resumes,
+            began_at=exchange.software_version,
+            software=entry.upstream.software_version,
             via=via,
         )
 
--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -80,6 +80,8 @@
         state.
     places
         How many requests it takes at a time; None for any number.
+    software_version
+        The version of its software that it registers.
     falls
         How often it fell over as it rejected too many requests while it was brittle.
     """
@@ -114,6 +116,7 @@
         self.backoff_until = 0.0
         self.announces_leaving = False
         self.places: Places | None = None
+        self.software_version = "v1"
         self.falls = 0
         self.connections = 0
         self.started_ms: int | None = int(time.time() * 1000)
@@ -203,7 +206,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.data_centre,
-            "version": "v1",
+            "version": self.software_version,
             "slots": self.places.slots if self.places is not None else 64,
             "state": self.state,
             names.COLD_REMAINING_FIELD: self._cold_ms,
--- a/lynxchute/telemetry/metrics.py
+++ b/lynxchute/telemetry/metrics.py
@@ -36,6 +36,9 @@
         Attempts at upstreams, by outcome.
     sends_withheld
         Requests that were placed at an upstream but not sent, by reason.
+    streams_continued
+        Sends that continue a stream, by the software version of their upstream compared
+        with the one that began the stream: same, other or unknown.
     hedges
         Calls that were slow at their first upstream, by outcome of the hedge.
     slowness
@@ -118,6 +121,9 @@
         self.sends_withheld = self._counter(
             "sends_withheld", "Placed requests that were not sent.", "reason"
         )
+        self.streams_continued = self._counter(
+            "streams_continued", "Sends that continue a stream.", "software"
+        )
         self.hedges = self._counter("hedges", "Slow calls hedged or not.", "outcome")
         self.slowness = LabelledGauge(
             PREFIX + "slowness", "The slowest plain upstream.", ("service",)
--- a/lynxchute/upstreams/upstream.py
+++ b/lynxchute/upstreams/upstream.py
@@ -26,6 +26,9 @@
         not say.
     keeps_id
         Whether its next process will have the same id, because operators assigned it.
+    software_version
+        Version of its software, any text; None if its process has restarted and has not
+        reported its version yet.
     """
 
     id: str
@@ -37,6 +40,7 @@
     warm_up: float = attrs.field(default=0.0, eq=False)
     started_ms: int | None = None
     keeps_id: bool = False
+    software_version: str | None = ""
 
     @property
     def process(self) -> str:
