--- a/lynxchute/standins/engine.py
+++ b/lynxchute/standins/engine.py
@@ -50,6 +50,7 @@
     tokens: list[str]
     prompt_tokens: int
     created: int
+    software_version: str = ""
     done: int = 0
     state: str = "running"
 
@@ -80,6 +81,9 @@
         Message texts that crash the process as soon as it runs them.
     restarts
         The number of crashes so far.
+    software_version
+        The version of its software; each event of a stream names it. Empty if the
+        engine states none.
     """
 
     def __init__(
@@ -95,6 +99,7 @@
         self.runs: list[Generation] = []
         self.crash_texts: set[str] = set()
         self.restarts = 0
+        self.software_version = ""
         self._restart_task: asyncio.Task[None] | None = None
         self._cached_tokens_by_prefix: OrderedDict[str, int] = OrderedDict()
         self._first_token_delay = first_token_delay
@@ -140,6 +145,7 @@
             answer_tokens(question),
             prompt_tokens(question),
             int(time.time()),
+            software_version=self.software_version,
             done=int(last) if last.isdecimal() else 0,
         )
         self.runs.append(run)
@@ -225,6 +231,7 @@
         "object": "chat.completion.chunk",
         "created": run.created,
         "model": run.model,
+        "system_fingerprint": run.software_version,
         "choices": choices,
         **fields,
     }
--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -275,6 +275,7 @@
                 writer,
                 self.backpressure_headers,
                 self.first_pause,
+                self.software_version,
             )
             if not await self._answer(exchange):
                 if fault is Fault.CRASH:
--- a/lynxchute/standins/upstream_exchange.py
+++ b/lynxchute/standins/upstream_exchange.py
@@ -33,6 +33,8 @@
         Seconds for which a stream pauses after its first event, in addition.
     backpressure_headers
         Returns the backpressure headers of an answer.
+    software_version
+        The version of the software that answers; each event names it.
     """
 
     upstream_id: str
@@ -46,6 +48,7 @@
     writer: asyncio.StreamWriter
     backpressure_headers: Callable[..., list[tuple[str, str]]] = lambda **_: []
     first_pause: float = 0.0
+    software_version: str = "v1"
 
     async def answer(self) -> bool:
         """Send the response; return whether the connection can be reused."""
@@ -136,7 +139,10 @@
             if self._is_router_gone():
                 self.run.router_disconnected = True
                 return False
-            event = f"id: {number}\ndata: {self.run.request_id}.{number}\n\n"
+            event = (
+                f"id: {number}\nsoftware: {self.software_version}\n"
+                f"data: {self.run.request_id}.{number}\n\n"
+            )
             if self.fault is Fault.CUT and number == self.events // 2:
                 self._send(h11.Data(data=event.encode()[:9]))
                 await self.writer.drain()
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -111,6 +111,7 @@
         memory_mb=200,
         has_upstream_links=False,
         places=None,
+        versions=(),
     ):
         self.has_upstream_links = has_upstream_links
         self.upstream_links_by_vm = {}
@@ -129,6 +130,8 @@
             PlatformUpstreamStandin("app", DATA_CENTRES[n % 2]) for n in range(apps)
         ]
 
+        for engine, version in zip(self.engines, versions, strict=False):
+            engine.software_version = version
         if places is not None:
             for upstream in self.upstreams:
                 upstream.places = places()
