Answer a stream that is resumed after its last event

What callers saw: a caller that had all events but not the end of its stream took it up and got a closed connection, and LocalProtocolError was logged.

Cause: the head of an answer is sent with the first event; a stream without one was finished without a head. Found by a test that takes up streams again and again. The test was red before (ExchangeError); it passes now.

--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -333,6 +333,10 @@
                 self._sender.release(answer, SendOutcome.FAILED)
                 title = "The stream broke off and did not go on elsewhere."
                 raise exchange.refuse(Reason.BROKEN, title, self._clock())
+        if not exchange.respond.started:
+            # The stream was resumed after its last event.
+            headers = self._dialect.caller_headers(answer.response.headers)
+            await exchange.respond.start(answer.response.status, headers)
         await exchange.respond.finish()
 
     def _is_origin_certain(self, exchange: Exchange) -> bool:
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -37,6 +37,16 @@
 
         self.with_platform(scenario)
 
+    def test_stream_resumed_after_its_last_event_is_answered(self):
+        async def scenario(deployment):
+            extra = [("Last-Event-Id", "6")]
+            remote = PlatformCaller(deployment, "b-1")
+            status, headers, body = await remote.stream("/stream/x", extra=extra)
+            self.assertEqual((200, b""), (status, body))
+            self.assertIn("x-response-stamp", headers)
+
+        self.with_platform(scenario)
+
     def test_non_idempotent_call_is_not_retried(self):
         async def scenario(deployment):
             for app in deployment.apps:
