Roll out software in the soak, and take streams up there

Engines of a seed change their software forward and back, and restart under their id with other software; callers break streams off and take them up at other routers. A stream of two versions is a violation. Events of stand-ins name the version in a field after their data, and the check of events accepts just this field besides. Also: replies of routers that are not needed any more left exceptions that nobody retrieved (seen in the soak's output); each question now ends in a reply or none.

--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 from collections import OrderedDict
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import Callable, Sequence
 
 from lynxchute.application import PeriodicTask
 from lynxchute.fleet.client import Peers, PeerUnreachable
@@ -209,7 +209,8 @@
         order = owners_in_order(self._members, key)[:MAX_ASKED]
         sole_versions: set[str | None] = {self.sole_version(service)}
         for vms in (order[:FIRST_ASKED], order[FIRST_ASKED:]):
-            async for vm, reply in self._replies(vms, OriginQuery(key, service)):
+            replies_by_vm = await self._ask_all(vms, OriginQuery(key, service))
+            for vm, reply in replies_by_vm.items():
                 if reply.origin is not None:
                     known = from_message(reply.origin, self._clock())
                     return OriginLookup(known, "router", vm)
@@ -229,17 +230,17 @@
             return None
         return found.pop()
 
-    async def _replies(
+    async def _ask_all(
         self, vms: Sequence[str], query: OriginQuery
-    ) -> AsyncIterator[tuple[str, OriginReply]]:
-        """Yield the replies of routers as they arrive, until it takes too long."""
-        vm_by_task = {
-            asyncio.create_task(self._peers.ask(vm, query)): vm
+    ) -> dict[str, OriginReply]:
+        """Return the replies of routers, until one of them knows the origin."""
+        waiting = {
+            asyncio.create_task(self._ask(vm, query))
             for vm in vms
             if self._members.is_reachable(vm)
         }
         end = self._clock() + QUERY_SECONDS + self._meter.delay()
-        waiting = set(vm_by_task)
+        replies_by_vm: dict[str, OriginReply] = {}
         try:
             while waiting:
                 done, waiting = await asyncio.wait(
@@ -248,18 +249,28 @@
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 if not done:
-                    slow = sorted(vm_by_task[task] for task in waiting)
-                    log_event("routers too slow to say where a stream began", vms=slow)
-                    return
+                    log_event(
+                        "routers too slow to say where a stream began",
+                        count=len(waiting),
+                        replies=len(replies_by_vm),
+                    )
+                    break
                 for task in done:
-                    try:
-                        yield vm_by_task[task], task.result()
-                    except PeerUnreachable:
-                        # The peer client has logged the failure.
-                        continue
+                    replies_by_vm.update(task.result())
+                if any(reply.origin is not None for reply in replies_by_vm.values()):
+                    break
         finally:
             for task in waiting:
                 task.cancel()
+        return replies_by_vm
+
+    async def _ask(self, vm: str, query: OriginQuery) -> dict[str, OriginReply]:
+        """Return the reply of one router; empty if it gives none."""
+        try:
+            return {vm: await self._peers.ask(vm, query)}
+        except PeerUnreachable:
+            # The peer client has logged the failure.
+            return {}
 
     async def _handle_notice(self, notice: OriginNotice) -> Ack:
         now = self._clock()
--- a/lynxchute/standins/upstream_exchange.py
+++ b/lynxchute/standins/upstream_exchange.py
@@ -140,8 +140,8 @@
                 self.run.router_disconnected = True
                 return False
             event = (
-                f"id: {number}\nsoftware: {self.software_version}\n"
-                f"data: {self.run.request_id}.{number}\n\n"
+                f"id: {number}\ndata: {self.run.request_id}.{number}\n"
+                f"software: {self.software_version}\n\n"
             )
             if self.fault is Fault.CUT and number == self.events // 2:
                 self._send(h11.Data(data=event.encode()[:9]))
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -57,6 +57,7 @@
         self.routers_by_vm = {}
         self.upstreams = []
         self.version = 0
+        self.software_version = "v1"
         self.prepaid_by_account = {
             AMPLE_ACCOUNT: AMPLE_TOKENS,
             SCARCE_ACCOUNT: SCARCE_TOKENS,
@@ -121,6 +122,7 @@
         standin = PlatformUpstreamStandin(
             service, data_centre, events=events, event_delay=EVENT_DELAY
         )
+        standin.software_version = self.software_version
         await standin.start()
         link = Link(f"127.0.0.1:{standin.port}")
         await link.start()
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -7,6 +7,9 @@
 from tests.soak.traffic import GENERATION_KINDS, IDEMPOTENT_KINDS
 
 TOKENS_PER_EVENT = 3
+# Field of each event that names the software version of its engine.
+VERSION_FIELD = "software: "
+VERSION_GUARANTEE = "streams are of one version"
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Seconds after the caller's deadline by which the final answer must have arrived;
 # generous, since the machine may be busy.
@@ -100,6 +103,8 @@
         numbers = event_numbers(record)
         if numbers != list(range(1, len(numbers) + 1)):
             self.record_violation("events in order", f"{record.request_id}: {numbers}")
+        if len(versions := software_versions(record.body)) > 1:
+            self.record_violation(VERSION_GUARANTEE, f"{record.request_id}: {versions}")
         if record.is_complete and len(numbers) != EVENTS_PER_STREAM:
             self.record_violation(
                 "whole answer", f"{record.request_id}: {len(numbers)} events"
@@ -147,6 +152,13 @@
                 self.record_violation("no overspend", f"{account}: {tokens} of {paid}")
 
 
+def software_versions(body):
+    """Return the software versions of the engines that made the complete events."""
+    lines = body.decode(errors="replace").rpartition("\n\n")[0].split("\n")
+    prefix = VERSION_FIELD
+    return {line.removeprefix(prefix) for line in lines if line.startswith(prefix)}
+
+
 def event_numbers(record):
     """Return the ids of the complete events of an answer.
 
@@ -154,8 +166,10 @@
     """
     numbers = []
     for event in record.body.decode(errors="replace").split("\n\n")[:-1]:
-        id_line, _, data = event.partition("\n")
-        number = id_line.removeprefix("id: ")
-        is_own = data == f"data: {record.request_id}.{number}"
+        lines = event.split("\n")
+        if lines[-1].startswith(VERSION_FIELD):
+            lines.pop()
+        number = lines[0].removeprefix("id: ")
+        is_own = lines[1:] == [f"data: {record.request_id}.{number}"]
         numbers.append(int(number) if is_own and number.isdigit() else -1)
     return numbers
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -18,6 +18,7 @@
 from tests.soak.fleet import AMPLE_ACCOUNT, SoakFleet
 from tests.soak.links import LinkInjector
 from tests.soak.promises import Checker
+from tests.soak.rollouts import RolloutInjector
 from tests.soak.traffic import REQUEST_KINDS, CallerPool
 
 # Every 4th seed has planned work only, which must not interrupt any request.
@@ -97,6 +98,9 @@
     )
     link_injector = LinkInjector(fleet, checker, seed)
     demand_injector = DemandInjector(fleet, callers, seed)
+    rollout_injector = RolloutInjector(
+        fleet, callers, checker, seed, planned_only=fault_plan.planned_only
+    )
     side_tasks = []
     try:
         await fleet.start()
@@ -117,7 +121,10 @@
             side_tasks.append(link_task)
         demand_task = asyncio.create_task(demand_injector.run(seconds))
         side_tasks.append(demand_task)
+        rollout_task = asyncio.create_task(rollout_injector.run(seconds))
+        side_tasks.append(rollout_task)
         await fault_injector.run()
+        await rollout_task
         await evacuation_task
         await backpressure_task
         await demand_task
@@ -150,6 +157,7 @@
             **backpressure_injector.counts,
             **demand_injector.counts,
             **link_injector.counts,
+            **rollout_injector.counts,
         },
     )
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -106,6 +106,14 @@
         short = record("stream", body=event_stream("r1", 1, 2))
         self.assertIn("whole answer", self.violations(short))
 
+    def test_a_stream_of_two_versions_is_found(self):
+        body = event_stream("r1", 1, 2).replace(b"r1.1", b"r1.1\nsoftware: v1")
+        one = record("stream", body=body)
+        self.assertNotIn("streams are of one version", self.violations(one))
+        body = body.replace(b"r1.2", b"r1.2\nsoftware: v2")
+        two = record("stream", body=body)
+        self.assertIn("streams are of one version", self.violations(two))
+
     def test_duplicate_runs_and_false_not_run_statuses_are_found(self):
         self.assertIn("at most once", self.violations(record(), runs=("r1", "r1")))
         self.assertEqual(set(), self.violations(record("safe"), runs=("r1", "r1")))
