--- a/lynxchute/bench/emulator/play.py
+++ b/lynxchute/bench/emulator/play.py
@@ -13,7 +13,13 @@
 
 from lynxchute.bench.emulator.engine import EmulatedEngine, EngineRun
 from lynxchute.bench.emulator.policies import PlacementPolicy
-from lynxchute.bench.emulator.scenario import Arrival, Scenario, Trouble, make_trace
+from lynxchute.bench.emulator.scenario import (
+    Arrival,
+    Rollout,
+    Scenario,
+    Trouble,
+    make_trace,
+)
 from lynxchute.scheduling.newcomer import PendingRequest
 from lynxchute.standins.arrivals import ArrivalLog
 from lynxchute.upstreams.aims import LatencyObjectives
@@ -42,7 +48,13 @@
 
 @attrs.define(eq=False)
 class Request:
-    """A request with its state in the simulation."""
+    """A request with its state in the simulation.
+
+    Attributes
+    ----------
+    versions
+        Software versions of the engines that made its events.
+    """
 
     arrival: Arrival
     run_id: str
@@ -51,6 +63,7 @@
     run: EngineRun | None = None
     has_paused: bool = False
     outcome: Outcome | None = None
+    versions: set[str] = attrs.Factory(set)
 
     @property
     def objective_at(self) -> float:
@@ -75,6 +88,8 @@
         The most requests that reached a cold engine within one second.
     sent_to_evacuated
         Requests sent to an engine after its evacuation was known.
+    mixed_streams
+        Streams with events of several software versions.
     """
 
     requests: list[Request]
@@ -82,6 +97,7 @@
     fetched: int
     max_cold_rate: int = 0
     sent_to_evacuated: int = 0
+    mixed_streams: int = 0
 
 
 class Play:
@@ -111,6 +127,7 @@
             for _ in range(scenario.engines)
         ]
         self._usual_slowness = [engine.slowness for engine in self._engines]
+        self._versions = [scenario.software] * scenario.engines
         self._known_down: set[int] = set()
         self._evacuated: set[int] = set()
         self._arrivals_by_engine = [ArrivalLog() for _ in self._engines]
@@ -132,6 +149,8 @@
             self._schedule(arrival.at, partial(self._send, request))
         for trouble in self._scenario.troubles:
             self._schedule(trouble.at, partial(self._start_trouble, trouble))
+        for rollout in self._scenario.rollouts:
+            self._schedule(rollout.at, partial(self._roll_out, rollout))
         self._schedule_noise()
         while self._queue:
             now, _, action = heapq.heappop(self._queue)
@@ -146,6 +165,7 @@
             self._fetched,
             max_cold_rate,
             self._sent_to_evacuated,
+            sum(len(request.versions) > 1 for request in self._requests),
         )
 
     def _schedule(self, when: float, action: Callable[[float], None]) -> None:
@@ -166,7 +186,11 @@
         if request.outcome is not None:
             return
         unavailable = self._known_down | self._evacuated
-        engines = [n for n in range(len(self._engines)) if n not in unavailable]
+        engines = [
+            number
+            for number in range(len(self._engines))
+            if number not in unavailable and self._may_run(request, number)
+        ]
         if not engines:
             self._refuse(request, now)
             return
@@ -193,6 +217,12 @@
             when += self._fetch(choice.engine, choice.fetch_from, request)
         self._schedule(when, partial(self._arrive, request))
 
+    def _may_run(self, request: Request, number: int) -> bool:
+        """Return whether an engine has the software that a stream needs."""
+        if not request.versions or not self._scenario.is_version_bound:
+            return True
+        return self._versions[number] in request.versions
+
     def _fetch(self, engine: int, source: int, request: Request) -> float:
         """Copy a cached prompt prefix from another engine; return the seconds."""
         generation = request.arrival.generation
@@ -278,6 +308,8 @@
 
     def _record_event(self, request: Request, run: EngineRun) -> None:
         limit = request.arrival.kind.max_pause_ms / 1000.0
+        if run.events:
+            request.versions.add(self._versions[request.engine])
         if run.events == 1:
             assert run.first_at is not None
             took_ms = (run.first_at - run.arrived_at) * 1000.0
@@ -300,6 +332,14 @@
 
     # Faults.
 
+    def _roll_out(self, rollout: Rollout, now: float) -> None:
+        """Change the software of engines; what runs there is broken off."""
+        self._now = now
+        for number in rollout.engines:
+            self._versions[number] = rollout.version
+            for run in self._engines[number].clear():
+                self._fail_run(self._requests_by_run[run], run, now)
+
     def _schedule_noise(self) -> None:
         noise = self._scenario.noise
         for number in range(len(self._engines)):
--- a/lynxchute/bench/emulator/scenario.py
+++ b/lynxchute/bench/emulator/scenario.py
@@ -101,6 +101,15 @@
     )
 
 
+@attrs.frozen
+class Rollout:
+    """A change of the software of some engines."""
+
+    at: float = option(low=0.0, doc="Its time, in seconds.")
+    engines: tuple[int, ...] = option(doc="Indices of the engines, from 0.")
+    version: str = option(doc="Their software version from then on.")
+
+
 @attrs.frozen
 class Noise:
     """Random short periods in which an engine is slower than usual."""
@@ -146,6 +155,14 @@
         default=(), doc="Periods with more requests than usual."
     )
     troubles: tuple[Trouble, ...] = option(default=(), doc="Faults and evacuations.")
+    software: str = option(default="1", doc="Software version of the engines at first.")
+    rollouts: tuple[Rollout, ...] = option(
+        default=(), doc="Changes of the engines' software."
+    )
+    is_version_bound: bool = option(
+        default=True,
+        doc="Whether a broken stream goes on only at the version that began it.",
+    )
     news_ms: float = option(
         default=50.0,
         low=0.0,
@@ -196,12 +213,18 @@
 
 
 def _check(scenario: Scenario, report: Callable[[str, str, str], None]) -> None:
-    for number, trouble in enumerate(scenario.troubles):
-        for engine in trouble.engines:
+    engines_by_path = {
+        f"troubles[{number}].engines": trouble.engines
+        for number, trouble in enumerate(scenario.troubles)
+    }
+    for number, rollout in enumerate(scenario.rollouts):
+        engines_by_path[f"rollouts[{number}].engines"] = rollout.engines
+    for path, engines in engines_by_path.items():
+        for engine in engines:
             if not 0 <= engine < scenario.engines:
                 problem = f"There is no engine {engine}."
                 advice = f"Name engines from 0 to {scenario.engines - 1}."
-                report(f"troubles[{number}].engines", problem, advice)
+                report(path, problem, advice)
 
 
 def make_trace(scenario: Scenario, seed: int) -> list[Arrival]:
--- a/lynxchute/demo.py
+++ b/lynxchute/demo.py
@@ -54,6 +54,10 @@
 # within NOTICE_SECONDS.
 CUT_OFF = "kyu-c"
 NOTICE_SECONDS = 3.0
+# Software versions of engines; every third engine that changes its software breaks
+# streams off meanwhile.
+OLD_SOFTWARE, NEW_SOFTWARE = "1.9", "2.0"
+BREAKING_INTERVAL = 3
 SEED = 7
 
 
@@ -93,6 +97,7 @@
             max(counted[account] - tokens, 0) for account, tokens in served.items()
         ),
         "wrong_or_partial_answers": sum(not item.is_correct for item in answered),
+        "mixed_streams": sum(len(item.versions) > 1 for item in sent),
         "run_twice": sum(count > 1 for count in calls_run.values()),
         "not_run_but_ran": not_run_but_ran,
     }
@@ -102,6 +107,7 @@
     "overspend_tokens",
     "uncounted_tokens",
     "wrong_or_partial_answers",
+    "mixed_streams",
     "run_twice",
     "not_run_but_ran",
     "refused_without_links",
@@ -152,6 +158,8 @@
     deployment.set_cut("kyu-c", False)
     await deployment.start_router("kyu-a-1")
     await callers.run(SCENE_SECONDS, rate)
+    _print_step("engines get other software while they break streams off")
+    await _roll_out(deployment, callers, rate)
     _print_step(
         "one request crashes each engine that starts to answer it and is repeated"
     )
@@ -161,6 +169,20 @@
     return crashes
 
 
+async def _roll_out(deployment: Deployment, callers: Callers, rate: float) -> None:
+    """Change the software of engines one by one, forward and halfway back."""
+    engines = list(deployment.engines_by_name.values())
+    steps = [(engine, NEW_SOFTWARE) for engine in engines]
+    steps += [(engine, OLD_SOFTWARE) for engine in engines[: len(engines) // 2]]
+    scene = asyncio.create_task(callers.run(SCENE_SECONDS, rate))
+    for number, (engine, version) in enumerate(steps):
+        engine.software_version = version
+        engine.faults.break_streams = number % BREAKING_INTERVAL == 0
+        await asyncio.sleep(SCENE_SECONDS / len(steps))
+        engine.faults.break_streams = False
+    await scene
+
+
 async def _evacuate(deployment: Deployment, callers: Callers, rate: float) -> int:
     """Evacuate a data centre, then end the evacuation with cold engines.
 
@@ -303,6 +325,8 @@
     deployment = Deployment(_make_shape())
     _print_step("starting three data centres with eight routers on stand-ins")
     await deployment.start()
+    for engine in deployment.engines_by_name.values():
+        engine.software_version = OLD_SOFTWARE
     callers = Callers(deployment, random.Random(SEED))
     try:
         crashes = await _run_scenes(deployment, callers, rate)
--- a/lynxchute/edge/state.py
+++ b/lynxchute/edge/state.py
@@ -77,6 +77,7 @@
                 "upstream": entry.upstream.id,
                 "service": entry.upstream.service,
                 "address": entry.upstream.address,
+                "software": entry.upstream.software_version,
                 "takes_work": entry.takes_work,
                 "open_requests": entry.open_requests,
                 "cold_for": round(max(entry.cold_until - now, 0.0), 3),
--- a/lynxchute/explain/command.py
+++ b/lynxchute/explain/command.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import ExitStack
 from pathlib import Path
 
@@ -14,6 +14,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from lynxchute.explain.attempts import attempts_of_stream
 from lynxchute.explain.log_lines import LogLine, LogReader
 from lynxchute.explain.losses import Losses
 from lynxchute.explain.payers import OutcomeTallies, OutcomeTally
@@ -38,10 +39,26 @@
         yield from reader.read(opened, str(file))
 
 
-def _print_request(lines: Iterator[LogLine], request_id: str, console: Console) -> bool:
-    """Print a request's log lines by time; return whether any were found."""
+def _explain_request(
+    lines: Iterable[LogLine], files: list[Path], request_id: str, console: Console
+) -> bool:
+    """Print all attempts at the stream of a request; return whether any were found."""
+    if not files:
+        # Standard input can be read only once.
+        lines = list(lines)
+        return _print_request(lines, attempts_of_stream(lines, request_id), console)
+    attempts = attempts_of_stream(lines, request_id)
+    with ExitStack() as stack:
+        again = _read_lines(files, LogReader(), stack)
+        return _print_request(again, attempts, console)
+
+
+def _print_request(
+    lines: Iterable[LogLine], request_ids: set[str], console: Console
+) -> bool:
+    """Print the log lines of attempts by time; return whether any were found."""
     matching = sorted(
-        (line for line in lines if line.request_id == request_id),
+        (line for line in lines if line.request_id in request_ids),
         key=lambda line: line.time,
     )
     for line in matching:
@@ -50,8 +67,9 @@
         for name, value in line.fields.items():
             if name not in HIDDEN_FIELDS:
                 details.append(f"{name}={value}")
+        attempt = f"{line.request_id}  " if len(request_ids) > 1 else ""
         vm = line.fields.get("vm", "")
-        text = f"{elapsed:8.3f} s  {vm}  {line.event}: {', '.join(details)}"
+        text = f"{elapsed:8.3f} s  {attempt}{vm}  {line.event}: {', '.join(details)}"
         console.print(text, markup=False, soft_wrap=True)
     return bool(matching)
 
@@ -118,7 +136,8 @@
     file
         Log files of routers; standard input if none is given.
     request
-        Print all log lines of the request with this id.
+        Print all log lines of the request with this id, and of the other attempts at
+        the same stream.
     lost
         Count the requests that were not on time, by route, cause and time interval.
     payers
@@ -135,7 +154,7 @@
     with ExitStack() as stack:
         lines = _read_lines(list(file), reader, stack)
         if request:
-            has_lines = _print_request(lines, request, console)
+            has_lines = _explain_request(lines, list(file), request, console)
         elif payers:
             counts = OutcomeTallies()
             for line in lines:
--- a/lynxchute/operators/collections.py
+++ b/lynxchute/operators/collections.py
@@ -84,6 +84,9 @@
     describe_backpressure
         Returns the backpressure that an upstream, given by id, has signalled to the
         answering router.
+    software_version_of
+        Returns the software version that an upstream, given by id, has stated to the
+        answering router; empty if none.
     """
 
     def __init__(
@@ -91,8 +94,10 @@
         platform: Platform,
         evacuations: EvacuationRows,
         describe_backpressure: Callable[[str], str],
+        software_version_of: Callable[[str], str],
     ) -> None:
         self._platform = platform
+        self._software_version_of = software_version_of
         self._describe_backpressure = describe_backpressure
         self._store = platform.store
         self._history = ConfigurationHistory(platform.store)
@@ -261,6 +266,8 @@
                     "service": upstream.service,
                     "data_centre": upstream.data_centre,
                     "state": "leaving" if upstream.is_leaving else "active",
+                    "software": upstream.software_version
+                    or self._software_version_of(upstream.id),
                     "wants": self._describe_backpressure(upstream.id),
                     "address": upstream.address,
                 }
@@ -296,7 +303,15 @@
     "grants": ("vm", "account", "granted", "used_at_most", "age_s"),
     "quarantine": ("content", "left_s", "times"),
     "routes": ("route", "host", "prefix", "kind", "services", "priority"),
-    "upstreams": ("upstream", "service", "data_centre", "state", "wants", "address"),
+    "upstreams": (
+        "upstream",
+        "service",
+        "data_centre",
+        "state",
+        "software",
+        "wants",
+        "address",
+    ),
     "versions": ("version", "operation", "operator"),
     "vms": ("vm", "data_centre", "incarnation", "state", "address"),
 }
--- a/lynxchute/operators/runner.py
+++ b/lynxchute/operators/runner.py
@@ -70,7 +70,7 @@
         return {**attrs.asdict(self), "complete": not self.missing}
 
 
-def _no_backpressure(upstream_id: str) -> str:
+def _nothing_known(upstream_id: str) -> str:
     return ""
 
 
@@ -87,6 +87,9 @@
     describe_backpressure
         Returns the backpressure that an upstream, given by id, has signalled to the
         answering router; None if the statement runs outside a router.
+    software_version_of
+        Returns the software version that an upstream has stated to the answering
+        router; None if the statement runs outside a router.
     history
         The configuration's versions, with what a router knows of them; None if the
         statement runs outside a router.
@@ -98,13 +101,18 @@
         query_routers: QueryRouters | None = None,
         describe_backpressure: Callable[[str], str] | None = None,
         history: ConfigurationHistory | None = None,
+        *,
+        software_version_of: Callable[[str], str] | None = None,
     ) -> None:
         self._history = history or ConfigurationHistory(platform.store)
         self._evacuations = EvacuationRows(
             platform, query_routers, self._history.window
         )
         self._collections = Collections(
-            platform, self._evacuations, describe_backpressure or _no_backpressure
+            platform,
+            self._evacuations,
+            describe_backpressure or _nothing_known,
+            software_version_of or _nothing_known,
         )
         self._quarantine = QuarantineRow(platform.store, self._history.window)
 
--- a/lynxchute/router.py
+++ b/lynxchute/router.py
@@ -198,6 +198,7 @@
                     name, steady_seconds()
                 ),
                 self._history,
+                software_version_of=self.directory.software_version_of,
             ),
             lambda: self.configurations.current,
         )
--- a/lynxchute/standins/callers.py
+++ b/lynxchute/standins/callers.py
@@ -13,7 +13,8 @@
 from lynxchute.callers import names
 from lynxchute.config.from_document import CHAT_PATH
 from lynxchute.http import ExchangeError, HttpClient, Timeouts
-from lynxchute.relay.refusal import RunStatus
+from lynxchute.relay.events import SEPARATOR
+from lynxchute.relay.refusal import TYPE_PREFIX, Reason, RunStatus
 from lynxchute.standins.counts import paid_by_account, served_by_account
 from lynxchute.standins.deployment import MODEL, Deployment, caller_key
 from lynxchute.standins.text import answer_tokens
@@ -25,6 +26,11 @@
 MAX_REQUEST_TOKENS = 400
 PLAIN_SHARE, STREAM_SHARE = 0.25, 0.7
 RETRY_SECONDS, MAX_RETRY_SECONDS = 0.2, 0.5
+# Problem types of streams that can only be begun anew.
+UNRESUMABLE = (
+    TYPE_PREFIX + Reason.ORIGIN_UNKNOWN.value,
+    TYPE_PREFIX + Reason.VERSION_GONE.value,
+)
 
 
 @attrs.define
@@ -55,6 +61,10 @@
         ``answered``, ``refused`` or ``lost``.
     is_correct
         Whether the answer was complete and belonged to the request; None without one.
+    partial, first_attempt
+        Complete events of a broken stream, and the attempt that brought the first one.
+    versions
+        Software versions of the engines that made the stream's events.
     false_refusal
         Whether it was refused although its account's budget had tokens left.
     """
@@ -66,6 +76,9 @@
     outcome: str = "lost"
     is_correct: bool | None = None
     false_refusal: bool = False
+    partial: bytes = b""
+    first_attempt: str = ""
+    versions: set[str] = attrs.Factory(set)
 
     def may_retry(self) -> bool:
         """Return whether the caller may send it again.
@@ -79,11 +92,11 @@
 
 @attrs.frozen
 class Reply:
-    """A response with its complete body."""
+    """A response with its body, as far as it arrived."""
 
     status: int
     body: bytes
-    retry_after: float
+    retry_after: float = RETRY_SECONDS
 
 
 class Callers:
@@ -143,6 +156,10 @@
             (names.AUTHORIZATION, f"Bearer {caller_key(sent.account)}"),
             (names.REQUEST_ID, attempt.request_id),
         ]
+        if sent.partial:
+            last = sent.partial.rpartition(b"id: ")[2].partition(b"\n")[0].decode()
+            headers.append((names.LAST_EVENT, last))
+            headers.append((names.RESUMES, sent.first_attempt))
         target, value = CHAT_PATH, self._chat_request(sent, stream=stream)
         if sent.is_plain:
             target, value = self._deployment.shape.prefix, {"ticket": sent.name}
@@ -150,9 +167,15 @@
             response = await client.request(
                 "POST", target, headers=headers, body=json.dumps(value).encode()
             )
-            body = await response.body()
         except ExchangeError:
+            client.close()
             return None
+        body = b""
+        try:
+            while (chunk := await response.read()) is not None:
+                body += chunk
+        except ExchangeError:
+            return Reply(response.status, body)
         finally:
             client.close()
         wait = float(response.headers.get("retry-after", str(RETRY_SECONDS)))
@@ -172,6 +195,9 @@
     ) -> bool:
         """Record a reply; return whether the request is finished."""
         attempt.status = reply.status
+        if reply.status == 200 and stream and not sent.is_plain:
+            _add_events(sent, attempt, reply.body)
+            reply = attrs.evolve(reply, body=sent.partial)
         if reply.status == 200:
             is_complete, is_correct = self._check_answer(
                 sent, reply.body, stream=stream
@@ -181,7 +207,14 @@
             sent.outcome = "answered"
             sent.is_correct = is_correct
             return True
-        attempt.run = json.loads(reply.body).get("run", "")
+        try:
+            problem = json.loads(reply.body)
+        except ValueError:
+            return False
+        attempt.run = problem.get("run", "")
+        if problem.get("type") in UNRESUMABLE:
+            sent.partial, sent.first_attempt = b"", ""
+            sent.versions.clear()
         if reply.status in PERMANENT_REFUSALS:
             sent.outcome = "refused"
             sent.false_refusal = self._could_pay(sent, reply.status)
@@ -193,9 +226,14 @@
     ) -> tuple[bool, bool]:
         """Return whether an answer is complete, and whether its content is correct."""
         if sent.is_plain:
-            path = str(json.loads(body)["path"])
+            try:
+                path = str(json.loads(body)["path"])
+            except ValueError:
+                return False, False
             return True, path == self._deployment.shape.prefix
         expected = "".join(answer_tokens(self._chat_request(sent, stream=stream)))
+        if not stream and not body.endswith(b"}"):
+            return False, False
         if not stream:
             message = json.loads(body)["choices"][0]["message"]
             return True, str(message["content"]) == expected
@@ -214,6 +252,20 @@
         )
 
 
+def _add_events(sent: CallerRequest, attempt: Attempt, body: bytes) -> None:
+    """Add the complete events of an attempt to those of the attempts before."""
+    events = (
+        body[: body.rfind(SEPARATOR) + len(SEPARATOR)] if SEPARATOR in body else b""
+    )
+    if events and not sent.partial:
+        sent.first_attempt = attempt.request_id
+    sent.partial += events
+    for line in events.decode().split("\n"):
+        data = line.removeprefix("data: ")
+        if data not in (line, "[DONE]"):
+            sent.versions.add(json.loads(data)["system_fingerprint"])
+
+
 def streamed_text(body: bytes) -> str:
     """Return the concatenated text of a streamed answer."""
     text = ""
--- a/lynxchute/upstreams/directory.py
+++ b/lynxchute/upstreams/directory.py
@@ -191,6 +191,11 @@
         entry = self.entries_by_id.get(upstream_id)
         return "" if entry is None else entry.backpressure.describe(now)
 
+    def software_version_of(self, upstream_id: str) -> str:
+        """Return the software version of an upstream; empty if it is not known."""
+        entry = self.entries_by_id.get(upstream_id)
+        return entry.upstream.software_version or "" if entry is not None else ""
+
     def with_backpressure(self, service: str, now: float) -> list[UpstreamEntry]:
         """Return the upstreams of a service that have backpressure to report."""
         for entry in list(self.backpressured_by_id.values()):
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -221,6 +221,21 @@
         self.assertIn("no tokens for a request", first)
         self.assertIn("request ended", second)
 
+    def test_all_attempts_at_a_stream_are_printed(self):
+        resumed = {"event": "stream to be resumed", "vm": "b-1", "resumes": "q1"}
+        lines = [
+            request_ended("q1", at=10.0),
+            json.dumps({**resumed, "request_id": "q2", "time": 11.0}),
+            json.dumps({**resumed, "request_id": "q3", "time": 12.0}),
+            request_ended("q3", at=13.0),
+            request_ended("other", at=14.0),
+        ]
+        for request_id in ("q1", "q2", "q3"):
+            output = self.run_command("\n".join(lines), "--request", request_id)[1]
+            for found in ("q1", "q2", "q3"):
+                self.assertIn(found, output)
+            self.assertNotIn("other", output)
+
     def test_reports_an_unknown_request(self):
         status, _, errors = self.run_command(request_ended(), "--request", "other")
         self.assertEqual(command.EXIT_NOT_FOUND, status)
