Verify who began a stream, and do not take a silent store for a second version

The origin's process is now asked before a stream goes on, unless all restarts up to its first event are known. * With the store away no router could say that a service has one version, so callers who name no attempt would have been refused. A router's view now counts if another one has the same, and what a stale view is depends on the deployment's long poll. * A router of an older build answers the new messages with 404 and would have counted as unreachable; it counts as answering. Also: a stop waits at most 1 s until others have the origins.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -26,7 +26,7 @@
 from lynxchute.edge.reload import SettingsReader, SettingsWatcher
 from lynxchute.edge.settings import EdgeSettings
 from lynxchute.edge.upstream_rules import UpstreamSendRules
-from lynxchute.edge.upstreams import UpstreamWatcher
+from lynxchute.edge.upstreams import LONG_POLL_SHARE, UpstreamWatcher
 from lynxchute.fleet.client import HttpPeers
 from lynxchute.fleet.members import Member, Members, serving_capacity
 from lynxchute.fleet.registry import Registry
@@ -93,6 +93,8 @@
 # store or router that does not answer takes up to 0.7 s, and the waits are sequential.
 REPORT_MARGIN_SECONDS = 0.4
 DRAIN_POLL_SECONDS = 0.05
+# Seconds beyond the long poll in which the store answers, unless it is away.
+CONFIRM_MARGIN_SECONDS = 1.0
 # Seconds in which requests that are still open at the drain deadline get an answer.
 LAST_ANSWERS_SECONDS = 0.1
 
@@ -253,6 +255,7 @@
             max_age=self._max_stream_age,
             is_history_known=self.registry.feed.synced.is_set,
             unconfirmed_seconds=self.seconds_since_upstreams_confirmed,
+            max_unconfirmed=self._max_unconfirmed,
         )
         self.origins.serve(self.peer_server)
         versions = VersionRecord(
@@ -423,6 +426,10 @@
         feed = self._upstream_feed
         return feed.confirmed_at if feed is not None else steady_seconds()
 
+    def _max_unconfirmed(self) -> float:
+        """Return the seconds after which the store must have confirmed upstreams."""
+        return self.settings.bounds.drain * LONG_POLL_SHARE + CONFIRM_MARGIN_SECONDS
+
     def _max_stream_age(self) -> float:
         """Return the seconds after its begin for which a stream may be resumed."""
         current = self.configurations.current
--- a/lynxchute/fleet/client.py
+++ b/lynxchute/fleet/client.py
@@ -31,6 +31,10 @@
     """Raised when a router gave no valid reply; it may have processed the message."""
 
 
+class MessageUnknown(PeerUnreachable):
+    """Raised when a router of an older build does not know a message."""
+
+
 class Peers(ABC):
     """Interface for sending messages to other routers."""
 
@@ -99,9 +103,14 @@
                 to_json(message),
                 headers=[(SECRET_HEADER, self._secret())],
             )
+            if status == 404:
+                raise MessageUnknown(f"{vm} does not know the message {message.NAME}")
             if status != 200:
                 raise PeerUnreachable(f"{vm} answered with status {status}")
             reply = cast(ReplyT, from_json(value, message.REPLY))
+        except MessageUnknown:
+            self._members.record_success(vm)
+            raise
         except (ExchangeError, MessageDecodeError, PeerUnreachable) as error:
             if self._members.record_failure(vm, self._clock()):
                 log_event("router does not answer", peer=vm, reason=str(error))
--- a/lynxchute/fleet/origin_messages.py
+++ b/lynxchute/fleet/origin_messages.py
@@ -46,13 +46,16 @@
     ----------
     origin
         Where the stream began; None if not known.
-    sole_version
-        The only software version that the service has had for as long as a stream may
-        be resumed; None if that is not known.
+    versions
+        Software versions that the service has had for as long as a stream may be
+        resumed; None among them stands for one that is not known.
+    is_history_known
+        Whether the versions before the start of the router are known.
     """
 
     origin: KnownOrigin | None = None
-    sole_version: str | None = None
+    versions: tuple[str | None, ...] = ()
+    is_history_known: bool = False
 
 
 @attrs.frozen
--- a/lynxchute/relay/origins.py
+++ b/lynxchute/relay/origins.py
@@ -63,7 +63,7 @@
         """
 
     @abstractmethod
-    def is_certain(
+    async def verify(
         self, origin: StreamOrigin, *, heard_at: float | None = None
     ) -> bool:
         """Return whether the process at the origin is known to be the stated one.
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -323,7 +323,7 @@
     async def _stream(self, exchange: Exchange, answer: UpstreamResponse) -> None:
         while not await self._forward_events(exchange, answer):
             exchange.tried.add(answer.entry.upstream.id)
-            may_continue = self._is_origin_certain(exchange)
+            may_continue = await self._verify_origin(exchange)
             if not may_continue or not self._sender.claim_retry(exchange):
                 title = "The stream broke off and cannot go on elsewhere."
                 raise exchange.refuse(Reason.BROKEN, title, self._clock())
@@ -339,13 +339,13 @@
             await exchange.respond.start(answer.response.status, headers)
         await exchange.respond.finish()
 
-    def _is_origin_certain(self, exchange: Exchange) -> bool:
+    async def _verify_origin(self, exchange: Exchange) -> bool:
         """Return whether a broken stream is known to have begun at its version."""
         if not exchange.events:
             return True
         if exchange.origin is None:
             return False
-        return self._origins.is_certain(
+        return await self._origins.verify(
             exchange.origin, heard_at=exchange.last_event_at
         )
 
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -40,14 +40,14 @@
 MAX_ASKED = 16
 # Timeout in seconds for the answers of the routers that are asked together.
 QUERY_SECONDS = 0.3
+# Seconds for which a stop waits until other routers have the origins.
+HAND_OVER_SECONDS = 1.0
 # Seconds for which a router that has just started waits to know the upstreams.
 START_SECONDS = 0.3
 START_POLL_SECONDS = 0.02
 # Seconds of silence after which a stream's process counts as ended, once another one
 # was noticed at its upstream.
 SILENT_SECONDS = 0.3
-# Age in seconds from which the known entries of upstreams may lack a software version.
-MAX_UNCONFIRMED_SECONDS = 2.5
 
 
 class StreamOrigins(Origins):
@@ -76,6 +76,8 @@
         Returns whether the software versions before the start of this router are known.
     unconfirmed_seconds
         Returns the seconds since the store last confirmed the entries of upstreams.
+    max_unconfirmed
+        Returns the seconds after which the entries may lack a software version.
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         max_age: Callable[[], float],
         is_history_known: Callable[[], bool],
         unconfirmed_seconds: Callable[[float], float],
+        max_unconfirmed: Callable[[], float],
     ) -> None:
         self.memory = OriginMemory()
         self.send_loop = PeriodicTask(
@@ -106,6 +109,7 @@
         self._max_age = max_age
         self._is_history_known = is_history_known
         self._unconfirmed_seconds = unconfirmed_seconds
+        self._max_unconfirmed = max_unconfirmed
         self._replicator = OriginReplicator(members, peers, clock)
         # Keys of origins that were not sent because their service had one version.
         self._unsent_by_service: dict[str, OrderedDict[str, float]] = {}
@@ -136,18 +140,50 @@
 
     def sole_version(self, service: str) -> str | None:
         """Return the only version that may have begun streams; None if not known."""
-        now = self._clock()
-        if not self._is_history_known():
-            return None
-        if self._unconfirmed_seconds(now) > MAX_UNCONFIRMED_SECONDS:
+        if not self._is_history_known() or not self._is_confirmed():
             return None
-        since = now - self._max_age()
-        return self._directory.versions.sole_version(service, since=since)
+        versions = self._versions(service)
+        return versions.pop() if len(versions) == 1 else None
+
+    def _versions(self, service: str) -> set[str | None]:
+        """Return the versions that may have begun streams, as far as is known."""
+        since = self._clock() - self._max_age()
+        return self._directory.versions.versions(service, since=since)
 
-    def is_certain(
+    def _is_confirmed(self) -> bool:
+        """Return whether the known upstreams are up to date."""
+        seconds = self._unconfirmed_seconds(self._clock())
+        return seconds <= self._max_unconfirmed()
+
+    async def verify(
         self, origin: StreamOrigin, *, heard_at: float | None = None
     ) -> bool:
         """Return whether the process at the origin is known to be the stated one."""
+        if not self._is_certain(origin, heard_at):
+            return False
+        entry = self._directory.entries_by_id.get(origin.upstream)
+        if entry is None or entry.upstream.started_ms != origin.started_ms:
+            return True
+        is_settled = origin.began_at < self._directory.restarts_known_until()
+        if is_settled or not await self._may_have_restarted(entry):
+            return True
+        return self._is_certain(origin, heard_at)
+
+    async def _may_have_restarted(self, entry: UpstreamEntry) -> bool:
+        """Ask an upstream for its process; return whether it is another one."""
+        upstream = entry.upstream
+        if upstream.started_ms is None:
+            return False
+        if self.sole_version(upstream.service) == upstream.software_version:
+            return False
+        try:
+            probe = await self._engines.probe(upstream)
+        except EngineUnavailable:
+            return False
+        handle_probe(self._directory, entry, probe, self._clock())
+        return self._directory.entries_by_id.get(upstream.id) is not entry
+
+    def _is_certain(self, origin: StreamOrigin, heard_at: float | None) -> bool:
         entry = self._directory.entries_by_id.get(origin.upstream)
         if entry is None or entry.upstream.software_version == origin.software_version:
             return True
@@ -188,7 +224,7 @@
         """Return where the stream of an attempt began."""
         await self._wait_until_started()
         lookup = await self._find(origin_key(account, attempt), service)
-        if lookup.origin is not None and not self.is_certain(lookup.origin):
+        if lookup.origin is not None and not await self.verify(lookup.origin):
             lookup = OriginLookup(None, "nowhere")
         self._metrics.origin_lookups.inc(lookup.source)
         return lookup
@@ -207,28 +243,36 @@
         if origin is not None:
             return OriginLookup(origin, "here")
         order = owners_in_order(self._members, key)[:MAX_ASKED]
-        sole_versions: set[str | None] = {self.sole_version(service)}
+        replies: list[OriginReply] = []
         for vms in (order[:FIRST_ASKED], order[FIRST_ASKED:]):
             replies_by_vm = await self._ask_all(vms, OriginQuery(key, service))
             for vm, reply in replies_by_vm.items():
                 if reply.origin is not None:
                     known = from_message(reply.origin, self._clock())
                     return OriginLookup(known, "router", vm)
-                sole_versions.add(reply.sole_version)
-            version = self._agreed_version(service, sole_versions)
+                replies.append(reply)
+            version = self._agreed_version(service, replies)
             if version is not None:
                 return OriginLookup(StreamOrigin(service, version), "sole version")
         return OriginLookup(None, "nowhere")
 
     def _agreed_version(
-        self, service: str, sole_versions: set[str | None]
+        self, service: str, replies: Sequence[OriginReply]
     ) -> str | None:
-        """Return the only version of a service, if all routers who know one agree."""
-        found = sole_versions - {None}
-        known = self._directory.versions.versions(service)
-        if len(found) != 1 or not found.issuperset(known):
+        """Return the only version of a service as far as any router knows, if any.
+
+        While the store is away, a router's own view counts only if another one has the
+        same.
+        """
+        informed = [reply for reply in replies if reply.is_history_known]
+        versions = set[str | None]().union(*(reply.versions for reply in informed))
+        if self._is_history_known():
+            versions |= self._versions(service)
+        if len(versions) != 1:
+            return None
+        if not informed and self.sole_version(service) is None:
             return None
-        return found.pop()
+        return versions.pop()
 
     async def _ask_all(
         self, vms: Sequence[str], query: OriginQuery
@@ -282,18 +326,23 @@
     async def _handle_query(self, query: OriginQuery) -> OriginReply:
         now = self._clock()
         origin = self.memory.get(query.key, now)
-        if origin is not None and self.is_certain(origin):
+        if origin is not None and self._is_certain(origin, None):
             return OriginReply(to_message(query.key, origin, now, now))
-        return OriginReply(sole_version=self.sole_version(query.service))
+        versions = tuple(self._versions(query.service))
+        return OriginReply(None, versions, self._is_history_known())
 
     # Periodic work.
 
     async def hand_over(self) -> None:
         """Send all origins to the routers that remember them once this one is gone."""
         for key, origin, expires_at in self.memory.items(self._clock()):
-            self._replicator.enqueue(key, origin, expires_at)
-        self._unsent_by_service.clear()
-        await self._replicator.send_pending()
+            if self.sole_version(origin.service) is None:
+                self._replicator.enqueue(key, origin, expires_at)
+        try:
+            async with asyncio.timeout(HAND_OVER_SECONDS):
+                await self._replicator.send_pending()
+        except TimeoutError:
+            log_event("stream origins not handed over in time", count=len(self.memory))
 
     def _is_send_due(self) -> bool:
         return self._replicator.has_pending or any(
--- a/lynxchute/upstreams/directory.py
+++ b/lynxchute/upstreams/directory.py
@@ -229,6 +229,10 @@
         self._record_version(replacement, now)
         return True
 
+    def restarts_known_until(self) -> float:
+        """Return the time up to which all restarts of upstreams are known."""
+        return self.confirmed_at() - REGISTRATION_SECONDS
+
     def record_software_version(
         self, entry: UpstreamEntry, version: str, now: float
     ) -> None:
@@ -266,8 +270,7 @@
         """Discard all state of the previous process with an upstream's id."""
         before = entry.upstream
         known_start_ms = before.started_ms or 0
-        ran_until = min(now, self.confirmed_at()) - REGISTRATION_SECONDS
-        replaced = Replacement(before.started_ms, ran_until, now)
+        replaced = Replacement(before.started_ms, self.restarts_known_until(), now)
         replacements = (*entry.replacements, replaced)[-MAX_EARLIER_STARTS:]
         if (upstream.started_ms or 0) > known_start_ms:
             starts = (*entry.earlier_starts, known_start_ms)[-MAX_EARLIER_STARTS:]
--- a/lynxchute/upstreams/version_history.py
+++ b/lynxchute/upstreams/version_history.py
@@ -6,7 +6,7 @@
 
 
 class VersionHistory:
-    """Tells whether a service has had only one software version lately.
+    """Remembers which software versions each service has had lately.
 
     Times are seconds on the steady clock.
 
@@ -14,13 +14,11 @@
     --------
     >>> history = VersionHistory()
     >>> history.record("pool", "v1", 5.0)
-    >>> history.sole_version("pool", since=0.0)
-    'v1'
     >>> history.record("pool", "v2", 32.0)
-    >>> history.sole_version("pool", since=0.0) is None
-    True
-    >>> history.sole_version("pool", since=20.0)
-    'v2'
+    >>> sorted(history.versions("pool", since=0.0))
+    ['v1', 'v2']
+    >>> history.versions("pool", since=20.0)
+    {'v2'}
     """
 
     def __init__(self) -> None:
@@ -41,15 +39,10 @@
             if not seen_at_by_version:
                 del self._seen_at_by_service[service]
 
-    def versions(self, service: str) -> list[str]:
-        """Return the known versions of a service, in no order."""
-        seen = self._seen_at_by_service.get(service, {})
-        return [version for version in seen if version is not None]
-
-    def sole_version(self, service: str, *, since: float) -> str | None:
-        """Return the only version that a service has had since a time, if any."""
-        recent = []
+    def versions(self, service: str, *, since: float) -> set[str | None]:
+        """Return the versions that a service has had since a time."""
+        found = set()
         for version, seen_at in self._seen_at_by_service.get(service, {}).items():
             if seen_at >= since:
-                recent.append(version)
-        return recent[0] if len(recent) == 1 else None
+                found.add(version)
+        return found
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from lynxchute.standins.platform_store import PlatformStoreStandin
+from lynxchute.standins.platform_store import Outage, PlatformStoreStandin
 from lynxchute.standins.upstream_run import Fault
 from tests.platform_support import KEY, PlatformCaller, PlatformTestCase
 from tests.support import until
@@ -26,10 +26,12 @@
 STREAMS = 40
 # Streams that are taken up go on at least half as often as new ones begin.
 MIN_SHARE = 0.5
+# Seconds until routers know that the store or other routers are away.
+OUTAGE_SECONDS = 3.0
 OTHER_KEY = "key-of-another"
 
 
-class StreamVersionTest(PlatformTestCase):
+class StreamVersionCase(PlatformTestCase):
     def with_versions(self, scenario, *, versions=VERSIONS, routers=ROUTERS):
         async def prepared(deployment):
             prepare(deployment)
@@ -51,6 +53,39 @@
         self.assertGreaterEqual(whole_share(streams), MIN_SHARE * whole_share(new))
         self.assertGreater(whole_share(new), MIN_SHARE)
 
+    async def restart_with(
+        self, engine, version, store: PlatformStoreStandin, *, registers=True
+    ):
+        await engine.stop()
+        await asyncio.sleep(0.3)
+        engine.software_version = version
+        await engine.restart()
+        engine.faults = []
+        if registers:
+            await engine.register(store)
+
+    async def replace(self, deployment, engine):
+        """Replace an engine by a process with another id and other software."""
+        await deployment.store.drop("servers", engine.id)
+        await engine.stop()
+        engine.software_version = NEW
+        engine.faults = []
+        await engine.start_new_process(deployment.store)
+        routers = deployment.routers.values()
+        await until(
+            lambda: all(engine.id in r.directory.entries_by_id for r in routers)
+        )
+
+    async def restart_routers(self, deployment):
+        for vm in ROUTERS:
+            await deployment.routers[vm].kill()
+        for vm in ROUTERS:
+            await deployment.start_router(vm)
+        vms = deployment.routers
+        await until(lambda: all(deployment.routers[vm].is_ready() for vm in vms))
+
+
+class StreamVersionTest(StreamVersionCase):
     def test_a_stream_broken_off_by_its_engine_goes_on_at_its_version(self):
         async def scenario(deployment):
             for engine in deployment.engines:
@@ -98,17 +133,6 @@
 
         self.with_versions(scenario, versions=(OLD,) * 6)
 
-    async def restart_with(
-        self, engine, version, store: PlatformStoreStandin, *, registers=True
-    ):
-        await engine.stop()
-        await asyncio.sleep(0.3)
-        engine.software_version = version
-        await engine.restart()
-        engine.faults = []
-        if registers:
-            await engine.register(store)
-
     def test_a_stream_is_refused_once_no_engine_of_its_version_serves(self):
         async def scenario(deployment):
             streams = await begin(deployment, STREAMS)
@@ -214,22 +238,58 @@
 
         self.with_versions(scenario)
 
-    async def replace(self, deployment, engine):
-        """Replace an engine by a process with another id and other software."""
-        await deployment.store.drop("servers", engine.id)
-        await engine.stop()
-        engine.software_version = NEW
-        engine.faults = []
-        await engine.start_new_process(deployment.store)
-        routers = deployment.routers.values()
-        await until(
-            lambda: all(engine.id in r.directory.entries_by_id for r in routers)
-        )
 
-    async def restart_routers(self, deployment):
-        for vm in ROUTERS:
-            await deployment.routers[vm].kill()
+class StreamVersionOutageTest(StreamVersionCase):
+    """The store, other routers, or both are away when streams are taken up."""
+
+    async def lose_store(self, deployment):
         for vm in ROUTERS:
-            await deployment.start_router(vm)
-        vms = deployment.routers
-        await until(lambda: all(deployment.routers[vm].is_ready() for vm in vms))
+            deployment.faults(vm).outage = Outage.BUSY
+        await asyncio.sleep(OUTAGE_SECONDS)
+
+    def test_streams_go_on_without_the_store(self):
+        async def scenario(deployment):
+            streams = await begin(deployment, STREAMS)
+            await self.lose_store(deployment)
+            streams += await begin(deployment, STREAMS)
+            await take_up(deployment, streams)
+            await self.check(deployment, streams)
+
+        self.with_versions(scenario)
+
+    def test_streams_of_unnamed_attempts_go_on_without_the_store_at_one_version(self):
+        async def scenario(deployment):
+            streams = await begin(deployment, STREAMS)
+            await self.lose_store(deployment)
+            for stream in streams:
+                stream.first_attempt = ""
+            await take_up(deployment, streams)
+            await self.check(deployment, streams)
+
+        self.with_versions(scenario, versions=(OLD,) * 6)
+
+    def test_an_engine_back_with_new_software_without_the_store_gets_no_old_streams(
+        self,
+    ):
+        async def scenario(deployment):
+            streams = await begin(deployment, STREAMS)
+            await self.lose_store(deployment)
+            for engine in deployment.engines[:2]:
+                await self.restart_with(engine, NEW, deployment.store, registers=False)
+            streams += await begin(deployment, STREAMS)
+            await take_up(deployment, streams)
+            self.assertEqual(0, len(mixed(streams)), "streams of two versions")
+
+        self.with_versions(scenario, versions=(OLD,) * 6)
+
+    def test_streams_go_on_while_routers_do_not_reach_one_another(self):
+        async def scenario(deployment):
+            streams = await begin(deployment, STREAMS)
+            for router in deployment.routers.values():
+                router.peers.address_of = lambda member: "127.0.0.1:1"
+            await asyncio.sleep(OUTAGE_SECONDS)
+            streams += await begin(deployment, STREAMS)
+            await take_up(deployment, streams)
+            await self.check(deployment, streams)
+
+        self.with_versions(scenario)
