Find origins of streams in the store while routers do not reach one another

A router to which a third of the others do not answer writes the origins that it knows to a row of its own, at most twice a second, and reads the rows of others for a stream that it does not know. With other routers in reach nothing is written or read.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -247,6 +247,7 @@
         self.origins = StreamOrigins(
             self.members,
             self.peers,
+            platform.store,
             self.directory,
             engines,
             self.metrics,
@@ -391,6 +392,7 @@
             cold.loop,
             versions.loop,
             self.origins.send_loop,
+            self.origins.rows.loop,
             *self.containment.components,
             Listener(self.peer_server.server, settings.peers),
             # The caller port listens before the readiness port, so a ready router
--- a/lynxchute/relay/origins.py
+++ b/lynxchute/relay/origins.py
@@ -19,8 +19,8 @@
     origin
         Where the stream began; None if not known.
     source
-        Where that was known from: ``here``, ``router``, ``sole version`` or
-        ``nowhere``.
+        Where that was known from: ``here``, ``router``, ``store``, ``sole
+        version`` or ``nowhere``.
     peer
         The other router that knew it, if any.
     """
--- a/lynxchute/resumption/origin_memory.py
+++ b/lynxchute/resumption/origin_memory.py
@@ -29,6 +29,11 @@
     max_origins
         Number of origins beyond which the oldest ones are dropped.
 
+    Attributes
+    ----------
+    changes
+        Counts the origins that were put in.
+
     Examples
     --------
     >>> memory = OriginMemory(max_origins=1)
@@ -41,6 +46,7 @@
     """
 
     def __init__(self, max_origins: int = MAX_ORIGINS) -> None:
+        self.changes = 0
         self._max_origins = max_origins
         self._records_by_key: OrderedDict[str, _Record] = OrderedDict()
 
@@ -51,6 +57,7 @@
         self, key: str, origin: StreamOrigin, *, expires_at: float, now: float
     ) -> None:
         """Remember an origin; drop those that have expired or are too many."""
+        self.changes += 1
         self._records_by_key.pop(key, None)
         self._records_by_key[key] = _Record(origin, expires_at)
         while self._records_by_key:
--- a/lynxchute/resumption/origin_replicator.py
+++ b/lynxchute/resumption/origin_replicator.py
@@ -9,7 +9,8 @@
 
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Members
-from lynxchute.fleet.origin_messages import KnownOrigin, OriginNotice
+from lynxchute.fleet.origin_messages import OriginNotice
+from lynxchute.resumption.origin_messages import to_message
 from lynxchute.resumption.origin_owners import owners_in_order
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.stream_origin import StreamOrigin
@@ -123,29 +124,3 @@
                 return
             for item in batch:
                 item.told.add(vm)
-
-
-def to_message(
-    key: str, origin: StreamOrigin, expires_at: float, now: float
-) -> KnownOrigin:
-    """Return an origin as it is sent to another router."""
-    return KnownOrigin(
-        key=key,
-        service=origin.service,
-        software_version=origin.software_version,
-        upstream=origin.upstream,
-        started_ms=origin.started_ms,
-        age=max(now - origin.began_at, 0.0),
-        keep=max(expires_at - now, 0.0),
-    )
-
-
-def from_message(known: KnownOrigin, now: float) -> StreamOrigin:
-    """Return an origin that another router has sent."""
-    return StreamOrigin(
-        service=known.service,
-        software_version=known.software_version,
-        upstream=known.upstream,
-        started_ms=known.started_ms,
-        began_at=now - known.age,
-    )
--- /dev/null
+++ b/lynxchute/resumption/origin_rows.py
@@ -0,0 +1,150 @@
+"""Origins of streams in the store, while routers do not reach one another."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable, Sequence
+
+import attrs
+
+from lynxchute.application import PeriodicTask
+from lynxchute.fleet.members import Members
+from lynxchute.fleet.message import MessageDecodeError, from_json, to_json
+from lynxchute.fleet.origin_messages import KnownOrigin, OriginNotice
+from lynxchute.resumption.origin_memory import OriginMemory
+from lynxchute.resumption.origin_messages import from_message, to_message
+from lynxchute.store import OutcomeUnknown, Put, RowId, Store, StoreUnavailable, Write
+from lynxchute.telemetry import log_event
+from lynxchute.upstreams.stream_origin import StreamOrigin
+
+TABLE = "stream-origins"
+ROW_KEY = "origins"
+# Share of the other routers that must not answer for a router to use the store.
+APART_SHARE = 1 / 3
+# Seconds between two writes, and for which rows that were read are used again.
+PUBLISH_SECONDS = 0.5
+CACHE_SECONDS = 0.3
+# Seconds until the store must have answered.
+READ_SECONDS = 0.3
+# Newest origins in a row; some 180 bytes each.
+MAX_ROW_ORIGINS = 200
+
+
+class OriginRows:
+    """Writes the origins that this router knows, and reads those of others.
+
+    Each router has one row, in a partition of its own.
+
+    Parameters
+    ----------
+    store
+        The store.
+    members
+        The registered routers.
+    memory
+        The origins that this router knows.
+    is_sole_version
+        Returns whether a service is known to have one software version only.
+    clock
+        Steady clock in seconds.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        members: Members,
+        memory: OriginMemory,
+        is_sole_version: Callable[[str], bool],
+        clock: Callable[[], float],
+    ) -> None:
+        self.loop = PeriodicTask(
+            "rows of origins", self.publish, PUBLISH_SECONDS, self._is_due
+        )
+        self._store = store
+        self._members = members
+        self._memory = memory
+        self._is_sole_version = is_sole_version
+        self._clock = clock
+        self._published_changes = 0
+        self._read_at_by_vm: dict[str, float] = {}
+        self._origins_by_vm: dict[str, dict[str, KnownOrigin]] = {}
+
+    def is_apart(self) -> bool:
+        """Return whether many of the other routers do not answer."""
+        own = self._members.own.vm
+        staying = [
+            vm
+            for vm, member in self._members.by_vm.items()
+            if vm != own and not member.is_leaving
+        ]
+        silent = sum(not self._members.is_reachable(vm) for vm in staying)
+        return bool(staying) and silent >= APART_SHARE * len(staying)
+
+    def _is_due(self) -> bool:
+        return self._memory.changes != self._published_changes and self.is_apart()
+
+    async def publish(self) -> None:
+        """Write the newest origins to this router's row."""
+        now = self._clock()
+        now_ms = self._store.clock.earliest_ms(now)
+        if not now_ms:
+            return
+        changes, known = self._memory.changes, []
+        for key, origin, expires_at in self._memory.items(now):
+            if not self._is_sole_version(origin.service):
+                known.append(to_message(key, origin, expires_at, now))
+        notice = OriginNotice(tuple(known[-MAX_ROW_ORIGINS:]))
+        if notice.origins:
+            value = {"now_ms": now_ms, **to_json(notice)}
+            row_id = RowId(TABLE, ROW_KEY, self._members.own.vm)
+            put = Put(row_id, json.dumps(value, separators=(",", ":")).encode())
+            try:
+                await self._store.write(Write(puts=(put,)))
+            except (StoreUnavailable, OutcomeUnknown) as error:
+                log_event("stream origins not written", reason=str(error))
+                return
+        self._published_changes = changes
+
+    async def find(self, key: str, vms: Sequence[str]) -> StreamOrigin | None:
+        """Return an origin that one of some routers has written, if any."""
+        try:
+            async with asyncio.timeout(READ_SECONDS):
+                await asyncio.gather(*(self._read(vm) for vm in vms))
+        except TimeoutError:
+            log_event("stream origins not read in time", routers=len(vms))
+        for vm in vms:
+            known = self._origins_by_vm.get(vm, {}).get(key)
+            if known is None:
+                continue
+            elapsed = self._clock() - self._read_at_by_vm[vm]
+            if elapsed < known.keep:
+                return from_message(known, self._clock() - elapsed)
+        return None
+
+    async def _read(self, vm: str) -> None:
+        """Read the row of a router unless it was read just now."""
+        now = self._clock()
+        if now - self._read_at_by_vm.get(vm, -CACHE_SECONDS) < CACHE_SECONDS:
+            return
+        try:
+            snapshot = await self._store.scan(TABLE, part=vm)
+        except StoreUnavailable as error:
+            log_event("stream origins not read", peer=vm, reason=str(error))
+            return
+        now = self._clock()
+        now_ms = self._store.clock.earliest_ms(now)
+        self._read_at_by_vm[vm] = now
+        self._origins_by_vm[vm] = {}
+        for row in snapshot.rows:
+            try:
+                value = json.loads(row.value)
+                notice: OriginNotice = from_json(value, OriginNotice)
+                elapsed = max(now_ms - int(value["now_ms"]), 0) / 1000.0
+            except (ValueError, KeyError, TypeError, MessageDecodeError) as error:
+                log_event("stream origins not decoded", peer=vm, reason=repr(error))
+                continue
+            for known in notice.origins:
+                self._origins_by_vm[vm][known.key] = attrs.evolve(
+                    known, age=known.age + elapsed, keep=known.keep - elapsed
+                )
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -16,12 +16,11 @@
 from lynxchute.http import LinkMeter
 from lynxchute.relay.origins import OriginLookup, Origins
 from lynxchute.resumption.origin_memory import OriginMemory
+from lynxchute.resumption.origin_messages import from_message, to_message
 from lynxchute.resumption.origin_owners import owners_in_order
-from lynxchute.resumption.origin_replicator import (
-    OriginReplicator,
-    from_message,
-    to_message,
-)
+from lynxchute.resumption.origin_replicator import OriginReplicator
+from lynxchute.resumption.origin_rows import OriginRows
+from lynxchute.store import Store
 from lynxchute.telemetry import Metrics, log_event
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.engines import EngineClient, EngineUnavailable
@@ -60,6 +59,8 @@
     ----------
     members, peers
         The other routers.
+    store
+        Has the origins while routers do not reach one another.
     directory
         The upstreams.
     engines
@@ -84,6 +85,7 @@
         self,
         members: Members,
         peers: Peers,
+        store: Store,
         directory: Directory,
         engines: EngineClient,
         metrics: Metrics,
@@ -111,6 +113,13 @@
         self._unconfirmed_seconds = unconfirmed_seconds
         self._max_unconfirmed = max_unconfirmed
         self._replicator = OriginReplicator(members, peers, clock)
+        self.rows = OriginRows(
+            store,
+            members,
+            self.memory,
+            lambda service: self.sole_version(service) is not None,
+            clock,
+        )
         # Keys of origins that were not sent because their service had one version.
         self._unsent_by_service: dict[str, OrderedDict[str, float]] = {}
 
@@ -254,6 +263,10 @@
             version = self._agreed_version(service, replies)
             if version is not None:
                 return OriginLookup(StreamOrigin(service, version), "sole version")
+        if self.rows.is_apart():
+            origin = await self.rows.find(key, order)
+            if origin is not None:
+                return OriginLookup(origin, "store")
         return OriginLookup(None, "nowhere")
 
     def _agreed_version(
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -28,6 +28,7 @@
 MIN_SHARE = 0.5
 # Seconds until routers know that the store or other routers are away.
 OUTAGE_SECONDS = 3.0
+EIGHT_ROUTERS = (*ROUTERS, "a-3", "a-4", "b-3", "b-4")
 OTHER_KEY = "key-of-another"
 
 
@@ -293,3 +294,25 @@
             await self.check(deployment, streams)
 
         self.with_versions(scenario)
+
+    def test_eight_routers_that_do_not_reach_one_another_find_origins_in_the_store(
+        self,
+    ):
+        async def scenario(deployment):
+            streams = await begin(deployment, STREAMS, vms=EIGHT_ROUTERS)
+            for router in deployment.routers.values():
+                router.peers.address_of = lambda member: "127.0.0.1:1"
+            await asyncio.sleep(OUTAGE_SECONDS)
+            # What routers send one another tells them that they are apart.
+            streams += await begin(deployment, STREAMS, vms=EIGHT_ROUTERS)
+            await asyncio.sleep(OUTAGE_SECONDS)
+            await take_up(deployment, streams, vms=EIGHT_ROUTERS)
+            self.assertEqual(0, len(mixed(streams)), "streams of two versions")
+            # Budgets refuse some, as they do new streams.
+            reasons = "".join(reason for s in streams for reason in s.reasons)
+            self.assertNotIn("stream-origin-unknown", reasons)
+            begun = [stream for stream in streams if stream.first_attempt]
+            new = await begin(deployment, STREAMS, vms=EIGHT_ROUTERS, events=None)
+            self.assertGreaterEqual(whole_share(begun), MIN_SHARE * whole_share(new))
+
+        self.with_versions(scenario, routers=EIGHT_ROUTERS)
