Fuzz the knowledge of streams, and agree on who remembers them

A state machine of four routers and three engines (restarts under an id, store outages, cuts, deaths; no network) checks that no stream goes on at another version; variants that trust origins or entries are found. It and plain tests found: a router that was itself first in the order of a stream told routers that others did not ask first (the second one was chosen after leaving itself out); the order is now the same for all, and each of its first three is in another data centre than the one before. Upstreams are also asked for their process while one version serves: it costs a probe where a stream goes on, and closes the first second of a restart with other software.

--- a/lynxchute/resumption/origin_owners.py
+++ b/lynxchute/resumption/origin_owners.py
@@ -9,18 +9,16 @@
 def owners_in_order(members: Members, key: str) -> list[str]:
     """Return the other routers in the order in which they remember a stream.
 
-    The order is the same at all routers that know the same members. The second router
-    is in another data centre than the first one, so that the loss of a data centre
-    leaves one of them.
+    The order is the same at all routers that know the same members. Each of the first
+    three is in another data centre than the one before it, so that the loss of a data
+    centre leaves one of those that remember the stream.
     """
-    own = members.own.vm
-    order = [vm for vm in ranked(key, members.by_vm) if vm != own]
-    if len(order) < 2:
-        return order
-    first = members.by_vm[order[0]].data_centre
-    for vm in order[1:]:
-        if members.by_vm[vm].data_centre != first:
-            order.remove(vm)
-            order.insert(1, vm)
-            break
-    return order
+    order = ranked(key, members.by_vm)
+    for position in range(1, min(len(order), 3)):
+        before = members.by_vm[order[position - 1]].data_centre
+        for vm in order[position:]:
+            if members.by_vm[vm].data_centre != before:
+                order.remove(vm)
+                order.insert(position, vm)
+                break
+    return [vm for vm in order if vm != members.own.vm]
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -183,8 +183,6 @@
         upstream = entry.upstream
         if upstream.started_ms is None:
             return False
-        if self.sole_version(upstream.service) == upstream.software_version:
-            return False
         try:
             probe = await self._engines.probe(upstream)
         except EngineUnavailable:
@@ -213,8 +211,6 @@
         upstream = entry.upstream
         if upstream.states_version or upstream.started_ms is None:
             return True
-        if self.sole_version(upstream.service) == upstream.software_version:
-            return True
         try:
             probe = await self._engines.probe(upstream)
         except EngineUnavailable as error:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -11,6 +11,7 @@
     backpressure_mutants,
     cold_mutants,
     ledger_mutants,
+    origins_mutants,
     tickets_mutants,
     turns_mutants,
 )
@@ -18,6 +19,7 @@
 from tests.cold_machine import ColdMachine
 from tests.fuzz import run
 from tests.ledger_machine import LedgerMachine
+from tests.origins_machine import OriginsMachine
 from tests.tickets_machine import TicketsMachine
 from tests.turns_machine import TurnsMachine
 from tests.words_machine import WordsMachine
@@ -29,6 +31,7 @@
     **dict.fromkeys(cold_mutants.MUTANTS, ColdMachine),
     **dict.fromkeys(backpressure_mutants.MUTANTS, BackpressureMachine),
     **dict.fromkeys(backpressure_mutants.WORD_MUTANTS, WordsMachine),
+    **dict.fromkeys(origins_mutants.MUTANTS, OriginsMachine),
     **dict.fromkeys(tickets_mutants.MUTANTS, TicketsMachine),
     **dict.fromkeys(turns_mutants.MUTANTS, TurnsMachine),
 }
