Read each row of origins once for all streams that wait for it

Each stream read up to seven rows of its own: 80 streams taken up at once made over 500 reads, and those that took over 0.3 s were given up. That cause is read from the code, not traced in a failed run; reads of one row are now shared.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -392,6 +392,7 @@
             cold.loop,
             versions.loop,
             self.origins.send_loop,
+            self.origins.rows.tasks,
             self.origins.rows.loop,
             *self.containment.components,
             Listener(self.peer_server.server, settings.peers),
--- a/lynxchute/resumption/origin_rows.py
+++ b/lynxchute/resumption/origin_rows.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from lynxchute.application import PeriodicTask
+from lynxchute.application import PeriodicTask, Tasks
 from lynxchute.fleet.members import Members
 from lynxchute.fleet.message import MessageDecodeError, from_json, to_json
 from lynxchute.fleet.origin_messages import KnownOrigin, OriginNotice
@@ -61,12 +61,14 @@
         self.loop = PeriodicTask(
             "rows of origins", self.publish, PUBLISH_SECONDS, self._is_due
         )
+        self.tasks = Tasks()
         self._store = store
         self._members = members
         self._memory = memory
         self._is_sole_version = is_sole_version
         self._clock = clock
         self._published_changes = 0
+        self._reading_by_vm: dict[str, asyncio.Task[None]] = {}
         self._read_at_by_vm: dict[str, float] = {}
         self._origins_by_vm: dict[str, dict[str, KnownOrigin]] = {}
 
@@ -110,7 +112,7 @@
         """Return an origin that one of some routers has written, if any."""
         try:
             async with asyncio.timeout(READ_SECONDS):
-                await asyncio.gather(*(self._read(vm) for vm in vms))
+                await asyncio.gather(*(self._read_shared(vm) for vm in vms))
         except TimeoutError:
             log_event("stream origins not read in time", routers=len(vms))
         for vm in vms:
@@ -122,6 +124,14 @@
                 return from_message(known, self._clock() - elapsed)
         return None
 
+    async def _read_shared(self, vm: str) -> None:
+        """Read the row of a router once for all streams that wait for it."""
+        reading = self._reading_by_vm.get(vm)
+        if reading is None or reading.done():
+            reading = self.tasks.spawn(self._read(vm))
+            self._reading_by_vm[vm] = reading
+        await asyncio.shield(reading)
+
     async def _read(self, vm: str) -> None:
         """Read the row of a router unless it was read just now."""
         now = self._clock()
