Keep origins of streams in the store over the death of all routers

What callers saw (a test of ours): with two versions in service all streams were refused after all routers had restarted, though engines of their versions served (0 of 40 went on; with one version all did). Routers now write what they know to the store at all times in which a service may have two versions, not only while they are apart, bounded to 40 writes a second over the fleet; a router that finds nobody who knows a stream reads the rows.

--- a/lynxchute/resumption/origin_rows.py
+++ b/lynxchute/resumption/origin_rows.py
@@ -1,9 +1,10 @@
-"""Origins of streams in the store, while routers do not reach one another."""
+"""Origins of streams in the store, for routers that cannot ask one another."""
 
 from __future__ import annotations
 
 import asyncio
 import json
+import math
 from collections.abc import Callable, Sequence
 
 import attrs
@@ -20,13 +21,16 @@
 
 TABLE = "stream-origins"
 ROW_KEY = "origins"
-# Share of the other routers that must not answer for a router to use the store.
-APART_SHARE = 1 / 3
-# Seconds between two writes, and for which rows that were read are used again.
-PUBLISH_SECONDS = 0.5
+# Seconds between two checks for origins to write.
+CHECK_SECONDS = 0.05
+# Least seconds between two writes of a router, and the writes a second that all routers
+# make together at most.
+MIN_PUBLISH_SECONDS = 0.25
+MAX_WRITES_PER_SECOND = 40
+# Seconds for which rows that were read are used again.
 CACHE_SECONDS = 0.3
 # Seconds until the store must have answered.
-READ_SECONDS = 0.3
+READ_SECONDS = 0.6
 # Newest origins in a row; some 180 bytes each.
 MAX_ROW_ORIGINS = 200
 
@@ -34,7 +38,8 @@
 class OriginRows:
     """Writes the origins that this router knows, and reads those of others.
 
-    Each router has one row, in a partition of its own.
+    Each router has one row, in a partition of its own. The rows outlive the death of
+    all routers, and can be read while routers do not reach one another.
 
     Parameters
     ----------
@@ -46,6 +51,8 @@
         The origins that this router knows.
     is_sole_version
         Returns whether a service is known to have one software version only.
+    is_needed
+        Returns whether a service may have several.
     clock
         Steady clock in seconds.
     """
@@ -56,35 +63,30 @@
         members: Members,
         memory: OriginMemory,
         is_sole_version: Callable[[str], bool],
+        is_needed: Callable[[], bool],
         clock: Callable[[], float],
     ) -> None:
         self.loop = PeriodicTask(
-            "rows of origins", self.publish, PUBLISH_SECONDS, self._is_due
+            "rows of origins", self.publish, CHECK_SECONDS, self._is_due
         )
         self.tasks = Tasks()
         self._store = store
         self._members = members
         self._memory = memory
         self._is_sole_version = is_sole_version
+        self._is_needed = is_needed
         self._clock = clock
         self._published_changes = 0
+        self._published_at = -math.inf
         self._reading_by_vm: dict[str, asyncio.Task[None]] = {}
         self._read_at_by_vm: dict[str, float] = {}
         self._origins_by_vm: dict[str, dict[str, KnownOrigin]] = {}
 
-    def is_apart(self) -> bool:
-        """Return whether many of the other routers do not answer."""
-        own = self._members.own.vm
-        staying = [
-            vm
-            for vm, member in self._members.by_vm.items()
-            if vm != own and not member.is_leaving
-        ]
-        silent = sum(not self._members.is_reachable(vm) for vm in staying)
-        return bool(staying) and silent >= APART_SHARE * len(staying)
-
     def _is_due(self) -> bool:
-        return self._memory.changes != self._published_changes and self.is_apart()
+        if self._memory.changes == self._published_changes or not self._is_needed():
+            return False
+        interval = max(MIN_PUBLISH_SECONDS, self._members.count / MAX_WRITES_PER_SECOND)
+        return self._clock() - self._published_at >= interval
 
     async def publish(self) -> None:
         """Write the newest origins to this router's row."""
@@ -92,6 +94,7 @@
         now_ms = self._store.clock.earliest_ms(now)
         if not now_ms:
             return
+        self._published_at = now
         changes, known = self._memory.changes, []
         for key, origin, expires_at in self._memory.items(now):
             if not self._is_sole_version(origin.service):
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -59,7 +59,7 @@
     members, peers
         The other routers.
     store
-        Has the origins while routers do not reach one another.
+        Has the origins for routers that cannot ask one another.
     directory
         The upstreams.
     engines
@@ -118,8 +118,10 @@
             members,
             self.memory,
             lambda service: self.sole_version(service) is not None,
+            self._is_any_service_divided,
             clock,
         )
+        self._services: set[str] = set()
         # Keys of origins that were not sent because their service had one version.
         self._unsent_by_service: dict[str, OrderedDict[str, float]] = {}
 
@@ -138,6 +140,7 @@
         key = origin_key(account, attempt)
         expires_at = now + timeout + RETURN_SECONDS
         self.memory.put(key, origin, expires_at=expires_at, now=now)
+        self._services.add(origin.service)
         if self.sole_version(origin.service) is None:
             self._replicator.enqueue(key, origin, expires_at)
             self.send_loop.wake()
@@ -259,10 +262,9 @@
             version = self._agreed_version(service, replies)
             if version is not None:
                 return OriginLookup(StreamOrigin(service, version), "sole version")
-        if self.rows.is_apart():
-            origin = await self.rows.find(key, order)
-            if origin is not None:
-                return OriginLookup(origin, "store")
+        origin = await self.rows.find(key, [self._members.own.vm, *order])
+        if origin is not None:
+            return OriginLookup(origin, "store")
         return OriginLookup(None, "nowhere")
 
     def _agreed_version(
@@ -329,6 +331,7 @@
         now = self._clock()
         for known in notice.origins:
             origin = from_message(known, now)
+            self._services.add(origin.service)
             self.memory.put(known.key, origin, expires_at=now + known.keep, now=now)
         return Ack()
 
@@ -353,6 +356,10 @@
         except TimeoutError:
             log_event("stream origins not handed over in time", count=len(self.memory))
 
+    def _is_any_service_divided(self) -> bool:
+        """Return whether a service of known origins may have several versions."""
+        return any(self.sole_version(service) is None for service in self._services)
+
     def _is_send_due(self) -> bool:
         return self._replicator.has_pending or any(
             self.sole_version(service) is None for service in self._unsent_by_service
