--- a/tests/soak/rollouts.py
+++ b/tests/soak/rollouts.py
@@ -65,7 +65,10 @@
         if not upstream.is_up or engine.crashes != crashes:
             return
         engine.software_version = self._fleet.software_version
+        # Another process may have got the port; routers reach the engine by its link.
+        engine.port = 0
         await engine.restart()
+        upstream.link.target = f"127.0.0.1:{engine.port}"
         engine.runs = runs
         await engine.register(self._fleet.store)
         self.counts["engines restarted"] += 1
