--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -32,6 +32,8 @@
 MIN_CALLER_WAIT = 2.0
 CALLER_WAIT_SHARE = 0.9
 MIN_RETRY_AFTER = 0.05
+# Prompt parts of a request that are logged.
+MAX_LOGGED_PARTS = 8
 MAX_RETRY_AFTER = 1.0
 # Retry delays while tokens cannot be reserved. A store outage or network partition
 # lasts three to nine seconds, and callers have few attempts. A retry after one second
@@ -146,6 +148,14 @@
             )
         return self._content_id
 
+    @property
+    def logged_parts(self) -> list[str]:
+        """Return the ids of the first shared prompt parts, for the log."""
+        generation = self.call.generation
+        if generation is None:
+            return []
+        return list(generation.shared_part_ids[:MAX_LOGGED_PARTS])
+
     @property
     def received_at(self) -> float:
         """Return the time at which the request began to arrive, in seconds."""
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -291,6 +291,7 @@
                 request_id=exchange.call.request_id,
                 upstream=answer.entry.upstream.id,
                 content=exchange.content_id,
+                parts=exchange.logged_parts,
                 progress=answer.send.progress.value,
                 reason=str(error),
             )
@@ -374,6 +375,7 @@
                 request_id=exchange.call.request_id,
                 upstream=answer.entry.upstream.id,
                 content=exchange.content_id,
+                parts=exchange.logged_parts,
                 progress=answer.send.progress.value,
                 last_event=exchange.last_event,
                 reason=str(error),
--- a/lynxchute/relay/request_log.py
+++ b/lynxchute/relay/request_log.py
@@ -50,6 +50,7 @@
             "request ended",
             request_id=exchange.call.request_id,
             content=exchange.content_id,
+            parts=exchange.logged_parts,
             outcome=outcome,
             status=exchange.respond.status,
             run=exchange.run_status.value,
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -526,6 +526,7 @@
             request_id=exchange.call.request_id,
             upstream=entry.upstream.id,
             content=exchange.content_id,
+            parts=exchange.logged_parts,
             send=exchange.sends,
             fate=outcome.value,
             reason=reason,
--- a/lynxchute/upstreams/generation.py
+++ b/lynxchute/upstreams/generation.py
@@ -48,6 +48,11 @@
         """Return the parts that other prompts may begin with."""
         return self.parts[:-1]
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Return the ids of the shared parts in lower case, each once, in order."""
+        return tuple(dict.fromkeys(part.id.lower() for part in self.shared_parts))
+
     def affinity_key(self, run_id: str) -> str:
         """Return a key that is equal for prompts that should share engines."""
         shared = self.shared_parts
