--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -60,6 +60,15 @@
         The port that it registers if a relay is in front of it; 0 for its own.
     crash_bodies
         Request bodies that crash the process as soon as it runs them.
+    crash_parts
+        Ids of prompt parts that crash the process as soon as it runs a request with one
+        of them, unless it is the last part.
+    ends_with_connection
+        Whether answers have neither a length nor chunks and end with their connection.
+    resets_on_crash
+        Whether a crash resets its connections instead of closing them.
+    crash_runs
+        The requests that crashed it.
     crashes
         The number of crashes so far.
     arrival_log
@@ -108,6 +117,10 @@
         self.port = 0
         self.advertised_port = 0
         self.crash_bodies: set[bytes] = set()
+        self.crash_parts: set[str] = set()
+        self.ends_with_connection = False
+        self.resets_on_crash = True
+        self.crash_runs: list[Run] = []
         self.crashes = 0
         self.arrival_log = ArrivalLog()
         self.max_cold_rate = 0
@@ -229,7 +242,8 @@
             if self._is_unresponsive:
                 self._unresponsive_writers.append(writer)
                 return
-            writer.transport.abort()
+            if self.resets_on_crash:
+                writer.transport.abort()
         finally:
             self._tasks.discard(task)
             if not self._is_unresponsive:
@@ -257,9 +271,7 @@
             expected = run.headers.get(names.EXPECTED_UPSTREAM.lower(), self.id)
             if expected != self.id:
                 fault = Fault.MOVED
-            elif (
-                self._exceeds_cold_rate(run.request_id) or run.body in self.crash_bodies
-            ):
+            elif self._exceeds_cold_rate(run.request_id) or self._is_deadly(run):
                 fault = Fault.CRASH
             elif asyncio.get_running_loop().time() < self.backoff_until:
                 fault = Fault.DECLINE
@@ -276,9 +288,11 @@
                 self.backpressure_headers,
                 self.first_pause,
                 self.software_version,
+                self.ends_with_connection,
             )
             if not await self._answer(exchange):
                 if fault is Fault.CRASH:
+                    self.crash_runs.append(run)
                     self._crash()
                 return
             protocol.start_next_cycle()
@@ -324,6 +338,12 @@
             return False
         return len(self.arrival_log.since(now - 1.0)) > self.max_cold_rate
 
+    def _is_deadly(self, run: Run) -> bool:
+        """Return whether a request crashes the process that runs it."""
+        if run.body in self.crash_bodies:
+            return True
+        return not self.crash_parts.isdisjoint(run.shared_part_ids)
+
     def _crash(self) -> None:
         """Crash the process, which closes all connections."""
         self.crashes += 1
--- a/lynxchute/standins/upstream_exchange.py
+++ b/lynxchute/standins/upstream_exchange.py
@@ -35,6 +35,8 @@
         Returns the backpressure headers of an answer.
     software_version
         The version of the software that answers; each event names it.
+    ends_with_connection
+        Whether the answer has neither a length nor chunks.
     """
 
     upstream_id: str
@@ -49,6 +51,7 @@
     backpressure_headers: Callable[..., list[tuple[str, str]]] = lambda **_: []
     first_pause: float = 0.0
     software_version: str = "v1"
+    ends_with_connection: bool = False
 
     async def answer(self) -> bool:
         """Send the response; return whether the connection can be reused."""
@@ -94,7 +97,7 @@
             self._write_raw(b"half of it", self.run.request_id, declared=400)
             await self.writer.drain()
             return False
-        if self.fault is Fault.UNFRAMED:
+        if self.fault is Fault.UNFRAMED or self.ends_with_connection:
             return await self._send_unframed()
         await self._send_response(200, b"answer to " + self.run.request_id.encode())
         if self.fault is Fault.EXTRA:
@@ -124,12 +127,25 @@
         await self.writer.drain()
 
     async def _send_unframed(self) -> bool:
-        head = "".join(f"{name}: {value}\r\n" for name, value in self._headers())
-        body = b"answer to " + self.run.request_id.encode()
-        self.writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode() + body)
+        self._write_unframed_head(self._headers())
+        if self.run.method != "HEAD":
+            self.writer.write(b"answer to " + self.run.request_id.encode())
+        self.run.ended = True
         await self.writer.drain()
         return False
 
+    def _write_unframed_head(self, headers: list[tuple[str, str]]) -> None:
+        """Write the head of a response whose body ends with the connection."""
+        # h11 would add chunked framing.
+        head = "".join(f"{name}: {value}\r\n" for name, value in headers)
+        self.writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
+
+    def _send_data(self, data: bytes) -> None:
+        if self.ends_with_connection:
+            self.writer.write(data)
+        else:
+            self._send(h11.Data(data=data))
+
     async def _send_stream(self) -> bool:
         self._send_stream_head()
         for number in range(self.run.first_event, self.events + 1):
@@ -144,19 +160,23 @@
                 f"software: {self.software_version}\n\n"
             )
             if self.fault is Fault.CUT and number == self.events // 2:
-                self._send(h11.Data(data=event.encode()[:9]))
+                self._send_data(event.encode()[:9])
                 await self.writer.drain()
                 return False
-            self._send(h11.Data(data=event.encode()))
+            self._send_data(event.encode())
             self.run.events_sent += 1
             await self.writer.drain()
-        self._send(h11.EndOfMessage())
+        if not self.ends_with_connection:
+            self._send(h11.EndOfMessage())
         self.run.ended = True
         await self.writer.drain()
-        return True
+        return not self.ends_with_connection
 
     def _send_stream_head(self) -> None:
         headers = [*self._headers(), ("Content-Type", "text/event-stream")]
+        if self.ends_with_connection:
+            self._write_unframed_head(headers)
+            return
         headers.append(("Transfer-Encoding", "chunked"))
         self._send(h11.Response(status_code=200, headers=headers))
 
--- a/lynxchute/standins/upstream_run.py
+++ b/lynxchute/standins/upstream_run.py
@@ -77,6 +77,12 @@
     ended: bool = False
     router_disconnected: bool = False
 
+    @property
+    def shared_part_ids(self) -> list[str]:
+        """Return the ids of all prompt parts but the last, in lower case."""
+        parts = self.headers.get(names.PROMPT_PARTS.lower(), "").split(",")
+        return [part.partition(":")[0].strip().lower() for part in parts[:-1]]
+
 
 SILENT_FAULTS = frozenset({Fault.HANG, Fault.LOSE, Fault.RESET, Fault.GARBLE})
 
