Refuse prompt parts that crash engines, at all routers

Cause: blame for crashes was kept by the content of a request. Each request with the part has a content of its own, gathers two crashes at most and never comes again; what it has in common with the others was not looked at.

The router that judges crashes now attributes them to shared prompt parts as well. A part crashes each engine that runs it, so one that was served since its first crash is not the cause: the judge asks all routers after each crash. The others add up, by service, model and software version, and are quarantined after four crashes unless that many may be chance. Parts that cannot be told apart are refused only together. Refusals come before tokens are reserved, before each placement and before the first byte, so on all ways of sending.

--- a/lynxchute/containment/containment.py
+++ b/lynxchute/containment/containment.py
@@ -6,18 +6,27 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable
 
-from lynxchute.application import Component, PeriodicTask
+from lynxchute.application import Component, PeriodicTask, Tasks
 from lynxchute.containment.judge import JUDGE_KEY, ROW_KEY, Judge
 from lynxchute.containment.news import QuarantineBroadcast
+from lynxchute.containment.part_inquiry import PartInquirer
+from lynxchute.containment.parts import PartWatch
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Member, Members
 from lynxchute.fleet.message import Ack
-from lynxchute.fleet.quarantine_messages import CrashEvidence, QuarantineUpdate
+from lynxchute.fleet.quarantine_messages import (
+    CrashEvidence,
+    PartInquiry,
+    PartReport,
+    PartsServed,
+    QuarantineUpdate,
+)
 from lynxchute.fleet.registry import Registry
 from lynxchute.fleet.server import PeerServer
 from lynxchute.quarantine import (
     BrokenRun,
     Progress,
+    PromptParts,
     Quarantine,
     QuarantineEntry,
     QuarantineRecord,
@@ -80,6 +89,8 @@
         Judges crashes while this router does so for the fleet.
     quarantine
         The requests that are refused.
+    parts
+        What is known of prompt parts.
     """
 
     def __init__(
@@ -93,8 +104,15 @@
     ) -> None:
         broadcast = QuarantineBroadcast(members, peers, clock)
         broadcast.listeners.append(self._handle_update)
-        self.judge = Judge(members, store, broadcast, metrics, clock)
         self.quarantine = Quarantine()
+        tasks = Tasks()
+        inquirer = PartInquirer(
+            members, peers, lambda groups: self.parts.report(groups), tasks
+        )
+        self.judge = Judge(members, store, broadcast, inquirer, metrics, clock, tasks)
+        self.parts = PartWatch(
+            members, directory, self.quarantine, self.judge.now_ms, clock
+        )
         self.judge.restore_listeners.append(self._schedule_settle)
         self._members = members
         self._peers = peers
@@ -110,6 +128,7 @@
         self._feed: TableFeed | None = None
         self._settle_timer: asyncio.TimerHandle | None = None
         self._pending_survived: deque[str] = deque(maxlen=MAX_PENDING)
+        self._pending_parts_served: deque[PartsServed] = deque(maxlen=MAX_PENDING)
         self._loop = PeriodicTask("evidence", self._send_evidence, JUDGE_CHECK_SECONDS)
 
     @property
@@ -121,6 +140,7 @@
         """Register the handlers for messages from other routers."""
         server.handlers_by_class[CrashEvidence] = self._handle_evidence_message
         server.handlers_by_class[QuarantineUpdate] = self._handle_update_message
+        server.handlers_by_class[PartInquiry] = self._handle_inquiry
 
     def register_listeners(self, registry: Registry) -> None:
         """Follow the row in the store, and changes of the judge."""
@@ -134,6 +154,32 @@
         found = self.quarantine.find(content, now_ms)
         return None if found is None else (found.until_ms - now_ms) / 1000.0
 
+    def part_seconds_left(
+        self, prompt_of: Callable[[], PromptParts | None]
+    ) -> float | None:
+        """Return for how long a request is refused for its parts; None if it is not."""
+        if not self.quarantine.part_entries:
+            return None
+        prompt = prompt_of()
+        return None if prompt is None else self.parts.seconds_refused(prompt)
+
+    def record_send(self, send: OpenSend, request_id: str) -> None:
+        """Record that a request is about to be sent; it may be a trial of its parts."""
+        if not self.quarantine.part_entries or send.prompt is None:
+            return
+        entry_id = self.parts.record_send(send.prompt)
+        if entry_id:
+            log_event(
+                "quarantined prompt parts tried", request_id=request_id, entry=entry_id
+            )
+
+    def is_suspected(self, prompt_of: Callable[[], PromptParts | None]) -> bool:
+        """Return whether a request must not be sent again after a crash."""
+        if not self.parts.has_suspected:
+            return False
+        prompt = prompt_of()
+        return prompt is not None and self.parts.is_suspected(prompt)
+
     def record_broken(self, upstream: Upstream, send: OpenSend) -> None:
         """Record a run that broke off because its upstream crashed, or may have."""
         self._metrics.broken_runs.inc(send.progress.value)
@@ -143,8 +189,13 @@
             send.content, self.judge.now_ms() - SERVED_RECENTLY_MS
         ):
             return
+        prompt = send.prompt
         run = BrokenRun(
-            send.content, upstream.process, send.progress, upstream.is_start_known
+            send.content,
+            upstream.process,
+            send.progress,
+            upstream.is_start_known,
+            self.parts.without_served(prompt) if prompt is not None else None,
         )
         self._pending_runs.append(run)
         self._recent_evidence.append((self.judge.now_ms(), run))
@@ -153,9 +204,22 @@
             self._reported.popitem(last=False)
         self._loop.wake()
 
-    def record_end(self, send: OpenSend, *, is_whole: bool) -> None:
-        """Record the end of a run, with or without a complete answer."""
-        if not is_whole and not send.is_past_crash_window(self._clock()):
+    def record_end(
+        self, send: OpenSend, *, is_whole: bool, is_served: bool = False
+    ) -> None:
+        """Record the end of a run, with or without a complete answer.
+
+        Parameters
+        ----------
+        is_served
+            Whether it certainly ran to its end, so that its prompt crashes nothing.
+        """
+        is_past_crash_window = send.is_past_crash_window(self._clock())
+        if is_served or is_past_crash_window:
+            parts_served = self.parts.record_served(send)
+            if parts_served is not None:
+                self._report_parts_served(parts_served)
+        if not is_whole and not is_past_crash_window:
             return
         self._served.record_served(send.content, self.judge.now_ms())
         if send.content in self._reported or send.content in self._suspects:
@@ -211,13 +275,18 @@
     async def _send_evidence(self) -> None:
         await asyncio.sleep(BATCH_SECONDS)
         broken, survived = tuple(self._pending_runs), tuple(self._pending_survived)
+        parts_served = tuple(self._pending_parts_served)
         self._pending_runs.clear()
         self._pending_survived.clear()
-        if broken or survived or self._has_backlog_for_judge:
-            await self._send_to_judge(broken, survived)
+        self._pending_parts_served.clear()
+        if broken or survived or parts_served or self._has_backlog_for_judge:
+            await self._send_to_judge(broken, survived, parts_served)
 
     async def _send_to_judge(
-        self, broken: tuple[BrokenRun, ...], survived: tuple[str, ...]
+        self,
+        broken: tuple[BrokenRun, ...],
+        survived: tuple[str, ...],
+        parts_served: tuple[PartsServed, ...],
     ) -> None:
         """Send evidence to the fleet's judge; a new judge gets all recent evidence."""
         for _ in range(JUDGE_ATTEMPTS):
@@ -225,7 +294,7 @@
             quarantined: tuple[QuarantineEntry, ...] = ()
             if judge.incarnation != self._last_judge:
                 broken, quarantined = self._recent_runs(), self.quarantine.unconfirmed()
-            evidence = CrashEvidence(broken, survived, quarantined)
+            evidence = CrashEvidence(broken, survived, quarantined, parts_served)
             if judge.vm == self._members.own.vm:
                 break
             try:
@@ -255,6 +324,9 @@
         self.judge.handle_evidence(evidence)
         return Ack()
 
+    async def _handle_inquiry(self, inquiry: PartInquiry) -> PartReport:
+        return PartReport(self.parts.report(inquiry.groups))
+
     async def _handle_update_message(self, update: QuarantineUpdate) -> Ack:
         self._handle_update(update)
         return Ack()
@@ -262,6 +334,7 @@
     def _handle_update(self, update: QuarantineUpdate) -> None:
         self.judge.record_cleared(update.cleared)
         self.quarantine.clear(update.cleared)
+        self.parts.suspect(update.suspected)
         new = self.quarantine.add(update.quarantined, self.judge.now_ms())
         self._apply_quarantine(new, source="router")
 
@@ -271,6 +344,9 @@
             quarantined = self.quarantine.by_content.get(content)
             if quarantined is None:
                 continue
+            if quarantined.parts:
+                self._apply_part_quarantine(quarantined, source)
+                continue
             was_served = self._served.was_served_since(content, quarantined.since_ms)
             withdrawn = 0
             if was_served:
@@ -278,7 +354,7 @@
                 self.quarantine.clear([content])
                 self._record_survived(content)
             else:
-                withdrawn = self._withdraw_sends(content)
+                withdrawn = self._withdraw_content(content)
             # Logged as quarantined even if it was just cleared; see was_served.
             log_event(
                 "request quarantined",
@@ -290,12 +366,42 @@
                 withdrawn=withdrawn,
             )
 
-    def _withdraw_sends(self, content: str) -> int:
-        """Abort unanswered sends of a request; return their number."""
+    def _apply_part_quarantine(self, entry: QuarantineEntry, source: str) -> None:
+        """Withdraw the open sends of prompts with quarantined parts."""
+        parts_served = self.parts.served_since(entry)
+        if parts_served is not None:
+            # The judge decides which of the parts remain suspicious.
+            self._report_parts_served(parts_served)
+        withdrawn = self._withdraw_sends(
+            lambda send: send.prompt is not None and entry.matches(send.prompt)
+        )
+        log_event(
+            "prompt parts quarantined",
+            entry=entry.content,
+            parts=entry.parts,
+            scope=entry.scope,
+            version=entry.version,
+            accounts=entry.accounts,
+            source=source,
+            until_ms=entry.until_ms,
+            times=entry.times,
+            served=sorted(parts_served.at_ms) if parts_served is not None else [],
+            withdrawn=withdrawn,
+        )
+
+    def _report_parts_served(self, parts_served: PartsServed) -> None:
+        self._pending_parts_served.append(parts_served)
+        self._loop.wake()
+
+    def _withdraw_content(self, content: str) -> int:
+        return self._withdraw_sends(lambda send: send.content == content)
+
+    def _withdraw_sends(self, matches: Callable[[OpenSend], bool]) -> int:
+        """Abort unanswered sends of requests; return their number."""
         withdrawn = 0
         for entry in self._directory.entries_by_id.values():
             for send in list(entry.open_sends):
-                if send.content != content or send.progress is Progress.ANSWERING:
+                if send.progress is Progress.ANSWERING or not matches(send):
                     continue
                 send.withdraw()
                 withdrawn += 1
--- a/lynxchute/containment/judge.py
+++ b/lynxchute/containment/judge.py
@@ -3,15 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
 
 from lynxchute.application import Component, PeriodicTask, Tasks
 from lynxchute.containment.news import QuarantineBroadcast
+from lynxchute.containment.part_inquiry import PartInquirer
 from lynxchute.fleet.members import Members
-from lynxchute.fleet.quarantine_messages import CrashEvidence
+from lynxchute.fleet.quarantine_messages import CrashEvidence, PartsServed
 from lynxchute.fleet.registry import TABLE
-from lynxchute.quarantine import CrashAttribution, Finding, QuarantineRecord, Verdict
+from lynxchute.quarantine import (
+    CrashAttribution,
+    Finding,
+    PartGroup,
+    QuarantineEntry,
+    QuarantineRecord,
+    Verdict,
+)
 from lynxchute.store import (
     Committed,
     Expected,
@@ -46,6 +54,8 @@
 # Maximum number of cleared requests that are remembered, to recognise them in a copy
 # that the store has come back from.
 MAX_CLEARED = 500
+# Suspected prompt parts in one log line.
+MAX_LOGGED_PARTS = 16
 
 
 class Judge:
@@ -68,10 +78,14 @@
         The store that holds the row.
     broadcast
         Notifies the other routers.
+    inquirer
+        Asks routers which prompt parts they have served.
     metrics
         Counts the findings.
     clock
         Seconds on the steady clock.
+    tasks
+        Runs what must not delay the judging.
 
     Attributes
     ----------
@@ -86,18 +100,23 @@
         members: Members,
         store: Store,
         broadcast: QuarantineBroadcast,
+        inquirer: PartInquirer,
         metrics: Metrics,
         clock: Callable[[], float],
+        tasks: Tasks,
     ) -> None:
         self.attribution = CrashAttribution()
         self.restore_listeners: list[Callable[[], None]] = []
         self._loop = PeriodicTask("quarantine", self._poll, IDLE_SECONDS)
-        self._tasks = Tasks()
+        self._tasks = tasks
         self._timer: asyncio.TimerHandle | None = None
         self._send_task: asyncio.Task[None] | None = None
         self._members = members
         self._store = store
         self._broadcast = broadcast
+        self._inquirer = inquirer
+        self._inquiry_task: asyncio.Task[None] | None = None
+        self._asked_at_crash = 0
         self._metrics = metrics
         self._clock = clock
         self._version = ABSENT
@@ -135,6 +154,8 @@
             log_event("request cleared", content=content, quarantined=was_quarantined)
             if was_quarantined:
                 self._broadcast.publish(cleared=(content,))
+        for parts_served in evidence.parts_served:
+            self._record_parts_served(parts_served)
         self._loop.wake()
 
     @property
@@ -220,7 +241,7 @@
         self._stored_contents = record.contents
         self.attribution.merge_record(record)
         # Stop sending messages about requests that were released.
-        self._broadcast.prune(self.attribution.quarantined_by_content.keys())
+        self._broadcast.prune(self.attribution.entries_by_id.keys())
 
     async def _poll(self) -> None:
         self._judge_and_persist()
@@ -244,6 +265,8 @@
         now_ms = self.now_ms()
         for finding in self.attribution.judge(now_ms):
             self._report_finding(finding)
+        self._publish_parts(self.attribution.parts.take_renewed())
+        self._start_inquiry(now_ms)
         expired = self.attribution.expire(now_ms)
         if expired and self._is_judge():
             self.attribution.has_unsaved_changes = True
@@ -252,6 +275,75 @@
             self._is_writing = True
             self._tasks.spawn(self._write_row())
 
+    def _start_inquiry(self, now_ms: int) -> None:
+        """Ask routers about suspected prompt parts after each crash."""
+        parts = self.attribution.parts
+        is_asking = self._inquiry_task is not None and not self._inquiry_task.done()
+        if is_asking or parts.crashes == self._asked_at_crash:
+            return
+        self._asked_at_crash = parts.crashes
+        groups = parts.suspected(now_ms)
+        if groups:
+            self._inquiry_task = self._tasks.spawn(self._verify_parts(groups))
+
+    async def _verify_parts(self, groups: list[PartGroup]) -> None:
+        """Ask which suspected parts were served; quarantine those that are proven."""
+        parts = self.attribution.parts
+        runs_by_place: Counter[tuple[str, str]] = Counter()
+        for served in await self._inquirer.ask(groups):
+            runs_by_place[(served.scope, served.version)] += served.runs
+            self._record_parts_served(served)
+        for (scope, version), runs in runs_by_place.items():
+            parts.record_served_runs(scope, version, runs)
+        now_ms = self.now_ms()
+        self._publish_parts(parts.quarantine_proven(now_ms))
+        suspected = parts.suspected(now_ms)
+        if suspected:
+            for group in suspected:
+                log_event(
+                    "prompt parts suspected",
+                    scope=group.scope,
+                    version=group.version,
+                    parts=group.parts[:MAX_LOGGED_PARTS],
+                    count=len(group.parts),
+                )
+            self._broadcast.publish(suspected=tuple(suspected))
+        self._loop.wake()
+
+    def _record_parts_served(self, served: PartsServed) -> None:
+        removed, added = self.attribution.parts.record_served(
+            served.scope, served.version, served.at_ms, self.now_ms()
+        )
+        if not removed:
+            return
+        self.attribution.has_unsaved_changes = True
+        self.record_cleared(removed)
+        for entry_id in removed:
+            log_event(
+                "prompt parts cleared", entry=entry_id, served=sorted(served.at_ms)
+            )
+        self._broadcast.publish(quarantined=tuple(added), cleared=tuple(removed))
+
+    def _publish_parts(self, entries: list[QuarantineEntry]) -> None:
+        if not entries:
+            return
+        self.attribution.has_unsaved_changes = True
+        for entry in entries:
+            self._metrics.upstream_ends_blamed.inc("parts quarantined")
+            log_event(
+                "prompt parts blamed",
+                entry=entry.content,
+                parts=entry.parts,
+                scope=entry.scope,
+                version=entry.version,
+                accounts=entry.accounts,
+                processes=self.attribution.parts.crashed_processes(entry),
+                since_ms=entry.since_ms,
+                until_ms=entry.until_ms,
+                times=entry.times,
+            )
+        self._broadcast.publish(quarantined=tuple(entries))
+
     def _report_finding(self, finding: Finding) -> None:
         self._metrics.upstream_ends_blamed.inc(finding.verdict.value)
         quarantined = self.attribution.quarantined_by_content.get(finding.content)
--- a/lynxchute/containment/news.py
+++ b/lynxchute/containment/news.py
@@ -10,7 +10,7 @@
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Members
 from lynxchute.fleet.quarantine_messages import QuarantineUpdate
-from lynxchute.quarantine import QuarantineEntry
+from lynxchute.quarantine import PartGroup, QuarantineEntry
 from lynxchute.telemetry import log_event
 
 # Seconds for which a message is sent again to routers that have not received it; by
@@ -72,9 +72,10 @@
         *,
         quarantined: tuple[QuarantineEntry, ...] = (),
         cleared: tuple[str, ...] = (),
+        suspected: tuple[PartGroup, ...] = (),
     ) -> None:
         """Notify local listeners at once, and queue a message for all other routers."""
-        message = QuarantineUpdate(quarantined, cleared)
+        message = QuarantineUpdate(quarantined, cleared, suspected)
         for listener in self.listeners:
             listener(message)
         self._updates.append(_Update(message, self._clock() + DELIVERY_SECONDS))
--- a/lynxchute/edge/state.py
+++ b/lynxchute/edge/state.py
@@ -98,7 +98,14 @@
     rows = []
     for item in containment.quarantine.by_content.values():
         left = round((item.until_ms - now_ms) / 1000.0, 1)
-        rows.append({"content": item.content, "left": left, "times": item.times})
+        rows.append(
+            {
+                "content": item.content,
+                "left": left,
+                "times": item.times,
+                "parts": list(item.parts),
+            }
+        )
     return rows
 
 
--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -11,7 +11,11 @@
 from lynxchute.fleet.backpressure_messages import BackpressureReport, PermitRequest
 from lynxchute.fleet.message import Ack, Message
 from lynxchute.fleet.origin_messages import OriginNotice, OriginQuery
-from lynxchute.fleet.quarantine_messages import CrashEvidence, QuarantineUpdate
+from lynxchute.fleet.quarantine_messages import (
+    CrashEvidence,
+    PartInquiry,
+    QuarantineUpdate,
+)
 from lynxchute.fleet.store_messages import (
     StoreChangesRequest,
     StoreScanRequest,
@@ -413,6 +417,7 @@
         EvacuationRequest,
         PermitRequest,
         CrashEvidence,
+        PartInquiry,
         QuarantineUpdate,
         OriginNotice,
         OriginQuery,
--- a/lynxchute/http/client.py
+++ b/lynxchute/http/client.py
@@ -144,6 +144,11 @@
         self._between_bytes = between_bytes
         self._released = False
 
+    @property
+    def is_framed(self) -> bool:
+        """Return whether the body has a length or chunks that mark its end."""
+        return "content-length" in self.headers or "transfer-encoding" in self.headers
+
     async def read(self) -> bytes | None:
         """Return the next available part of the body, or None at its end.
 
--- a/lynxchute/operators/collections.py
+++ b/lynxchute/operators/collections.py
@@ -301,7 +301,7 @@
     "data_centres": ("data_centre", "vms", "leaving"),
     "evacuations": EVACUATION_COLUMNS,
     "grants": ("vm", "account", "granted", "used_at_most", "age_s"),
-    "quarantine": ("content", "left_s", "times"),
+    "quarantine": ("content", "left_s", "times", "parts", "scope", "accounts"),
     "routes": ("route", "host", "prefix", "kind", "services", "priority"),
     "upstreams": (
         "upstream",
--- a/lynxchute/operators/language.py
+++ b/lynxchute/operators/language.py
@@ -19,6 +19,7 @@
     DropAccount,
     Evacuate,
     Release,
+    ReleasePart,
     RevokeEvacuation,
     SetDraining,
     SetService,
@@ -182,6 +183,9 @@
     def release(self, items: list[Any]) -> Release:
         return Release(str(items[0]))
 
+    def release_part(self, items: list[Any]) -> ReleasePart:
+        return ReleasePart(str(items[0]))
+
     def evacuate(self, items: list[Any]) -> Evacuate:
         return Evacuate(str(items[0]), items[1] is not None)
 
@@ -203,6 +207,8 @@
             return _evacuation_text(statement)
         case Release(content):
             return f"release request {content}"
+        case ReleasePart(part):
+            return f"release part {part}"
         case _:
             text = _configuration_text(statement)
     return f"{text} as {statement.operation}" if statement.operation else text
--- a/lynxchute/operators/quarantine_row.py
+++ b/lynxchute/operators/quarantine_row.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -10,7 +11,7 @@
 from lynxchute.clock import steady_seconds
 from lynxchute.containment.judge import QUARANTINE_ROW_ID
 from lynxchute.operators.restore import RewriteWindow
-from lynxchute.quarantine import QuarantineRecord
+from lynxchute.quarantine import QuarantineRecord, part_key
 from lynxchute.store import (
     Committed,
     Expected,
@@ -53,7 +54,14 @@
         for item in record.quarantined:
             left = max((item.until_ms - now_ms) / 1000.0, 0.0)
             rows.append(
-                {"content": item.content, "left_s": round(left, 1), "times": item.times}
+                {
+                    "content": item.content,
+                    "left_s": round(left, 1),
+                    "times": item.times,
+                    "parts": list(item.parts),
+                    "scope": item.scope,
+                    "accounts": list(item.accounts),
+                }
             )
         return rows
 
@@ -62,14 +70,31 @@
 
         Releasing a request that is not in quarantine succeeds without a write.
         """
+        return await self._remove(
+            lambda record: _remove_content(record, content),
+            f"No request {content!r} is in quarantine.",
+        )
+
+    async def release_part(self, part_id: str) -> Result[str, str]:
+        """Release all entries with a prompt part; like `release` otherwise."""
+        part = part_key(part_id)
+        return await self._remove(
+            lambda record: _remove_part(record, part),
+            f"No part {part_id!r} is in quarantine.",
+        )
+
+    async def _remove(
+        self, remove: Callable[[QuarantineRecord], QuarantineRecord], not_found: str
+    ) -> Result[str, str]:
+        """Rewrite the row without what is released."""
         try:
             for _ in range(MAX_ATTEMPTS):
                 record, version = await self._read()
                 while await self._window.wait():
                     record, version = await self._read()
-                remaining = _remove_content(record, content)
+                remaining = remove(record)
                 if remaining == record:
-                    return Ok(f"No request {content!r} is in quarantine.")
+                    return Ok(not_found)
                 expected = Expected(QUARANTINE_ROW_ID, version)
                 write = Write(
                     (expected,), (Put(QUARANTINE_ROW_ID, remaining.encode()),)
@@ -103,3 +128,8 @@
         quarantined=tuple(q for q in record.quarantined if q.content != content),
         suspects=tuple(s for s in record.suspects if s.content != content),
     )
+
+
+def _remove_part(record: QuarantineRecord, part: str) -> QuarantineRecord:
+    entries = tuple(entry for entry in record.quarantined if part not in entry.parts)
+    return attrs.evolve(record, quarantined=entries)
--- a/lynxchute/operators/runner.py
+++ b/lynxchute/operators/runner.py
@@ -25,6 +25,7 @@
     Compare,
     Evacuate,
     Release,
+    ReleasePart,
     RevokeEvacuation,
     SetDraining,
     Show,
@@ -138,7 +139,7 @@
             return await self._show(statement)
         if isinstance(statement, Compare):
             return await self._compare(statement)
-        if isinstance(statement, Release):
+        if isinstance(statement, Release | ReleasePart):
             return await self._release(statement)
         if isinstance(statement, Evacuate):
             return await self._evacuate(statement, operator)
@@ -179,7 +180,9 @@
             detail += f" Came first: {', '.join(accepted.preceding_operations)}."
         return Answer(DONE, detail, operation)
 
-    async def _release(self, release: Release) -> Answer:
+    async def _release(self, release: Release | ReleasePart) -> Answer:
+        if isinstance(release, ReleasePart):
+            return _answer_from(await self._quarantine.release_part(release.part))
         return _answer_from(await self._quarantine.release(release.content))
 
     async def _evacuate(self, statement: Evacuate, operator: str) -> Answer:
@@ -225,7 +228,13 @@
     if isinstance(statement, Show | Compare):
         return Role.READ
     if isinstance(
-        statement, TopUpStatement | SetDraining | Release | Evacuate | RevokeEvacuation
+        statement,
+        TopUpStatement
+        | SetDraining
+        | Release
+        | ReleasePart
+        | Evacuate
+        | RevokeEvacuation,
     ):
         return Role.OPERATE
     return Role.CONFIGURE
--- a/lynxchute/operators/statements.py
+++ b/lynxchute/operators/statements.py
@@ -109,6 +109,19 @@
     content: str
 
 
+@attrs.frozen
+class ReleasePart:
+    """Release a prompt part from quarantine, alone or with the parts it stands with.
+
+    Attributes
+    ----------
+    part
+        Id of the part, in any letter case.
+    """
+
+    part: str
+
+
 @attrs.frozen
 class Evacuate:
     """Stop sending new requests to the upstreams of a data centre.
@@ -141,4 +154,6 @@
 Command = (
     TopUpStatement | SetDraining | CreateAccount | DropAccount | SetService | SetWeight
 )
-Statement = Show | Compare | Release | Evacuate | RevokeEvacuation | Command
+Statement = (
+    Show | Compare | Release | ReleasePart | Evacuate | RevokeEvacuation | Command
+)
--- a/lynxchute/quarantine/evidence.py
+++ b/lynxchute/quarantine/evidence.py
@@ -7,6 +7,7 @@
 import attrs
 
 from lynxchute.quarantine.progress import Progress
+from lynxchute.quarantine.prompt import PromptParts
 
 
 @attrs.frozen
@@ -23,12 +24,16 @@
         How far the run had progressed at the upstream.
     is_start_known
         Whether a restarted process of the upstream gets a different id.
+    prompt
+        Shared parts of its prompt; None for a request without a prompt. Parts that the
+        reporting router has served shortly before are left out.
     """
 
     content: str
     process: str
     progress: Progress
     is_start_known: bool = True
+    prompt: PromptParts | None = None
 
 
 class Verdict(enum.Enum):
--- a/lynxchute/quarantine/quarantine.py
+++ b/lynxchute/quarantine/quarantine.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from lynxchute.quarantine.prompt import PromptParts
 from lynxchute.quarantine.record import MAX_QUARANTINED, QuarantineEntry
 
 # Milliseconds for which an entry reported by a router is kept while the row in the
@@ -24,6 +25,8 @@
         Entries by content id; expired ones are removed on lookup.
     dropped
         Number of entries that were dropped for lack of room.
+    part_entries
+        Entries of prompt parts.
 
     Examples
     --------
@@ -37,6 +40,7 @@
     def __init__(self) -> None:
         self.by_content: dict[str, QuarantineEntry] = {}
         self.dropped = 0
+        self.part_entries: tuple[QuarantineEntry, ...] = ()
         self._reported_at_ms_by_content: dict[str, int] = {}
 
     def find(self, content: str, now_ms: int) -> QuarantineEntry | None:
@@ -49,6 +53,22 @@
             return None
         return found
 
+    def expire_parts(self, now_ms: int) -> None:
+        """Remove entries of prompt parts that are no longer needed."""
+        for entry in self.part_entries:
+            if now_ms >= entry.removed_ms:
+                self._discard(entry.content)
+
+    def find_parts(self, prompt: PromptParts) -> QuarantineEntry | None:
+        """Return the entry that refuses requests with these prompt parts.
+
+        It may have expired; then one router tries single requests.
+        """
+        for entry in self.part_entries:
+            if entry.matches(prompt):
+                return entry
+        return None
+
     def replace(self, quarantined: Iterable[QuarantineEntry], now_ms: int) -> list[str]:
         """Replace the entries with those in the store; return the new content ids."""
         stored = {item.content: item for item in quarantined}
@@ -85,13 +105,22 @@
         for item in items:
             if item.content not in self.by_content:
                 new.append(item.content)
-            self.by_content[item.content] = item
+            known = self.by_content.get(item.content, item)
+            # A row may be older than what the judge has sent.
+            is_older = item.parts and known.until_ms > item.until_ms
+            self.by_content[item.content] = known if is_older else item
         while len(self.by_content) > MAX_QUARANTINED:
             soonest = min(self.by_content.values(), key=lambda item: item.until_ms)
             self._discard(soonest.content)
             self.dropped += 1
+        self._index_parts()
         return new
 
     def _discard(self, content: str) -> None:
         self.by_content.pop(content, None)
         self._reported_at_ms_by_content.pop(content, None)
+        self._index_parts()
+
+    def _index_parts(self) -> None:
+        entries = self.by_content.values()
+        self.part_entries = tuple(entry for entry in entries if entry.parts)
--- a/lynxchute/quarantine/suspicion.py
+++ b/lynxchute/quarantine/suspicion.py
@@ -5,6 +5,7 @@
 import attrs
 
 from lynxchute.quarantine.evidence import BrokenRun, Finding, Verdict
+from lynxchute.quarantine.part_suspicion import PartAttribution
 from lynxchute.quarantine.progress import Progress
 from lynxchute.quarantine.record import (
     MAX_QUARANTINED,
@@ -63,6 +64,16 @@
     at_ms: int
     progress_by_content: dict[str, Progress] = attrs.Factory(dict)
     judged_weight: int | None = None
+    run_by_content: dict[str, BrokenRun] = attrs.Factory(dict)
+
+    @property
+    def possible_causes(self) -> list[BrokenRun]:
+        """Return the runs that had begun; without any, the only one that waited."""
+        runs = list(self.run_by_content.values())
+        begun = [run for run in runs if run.progress is not Progress.UNANSWERED]
+        if begun or len(runs) > 1:
+            return begun
+        return runs
 
 
 class CrashAttribution:
@@ -85,6 +96,9 @@
         Requests that are blamed for crashes.
     quarantined_by_content
         Requests that are not sent to any upstream.
+    parts
+        Attributes crashes to prompt parts. A crash under a request with quarantined
+        parts is blamed on no request.
     has_unsaved_changes
         Whether the state has changes that are not in the store.
 
@@ -100,10 +114,16 @@
     def __init__(self) -> None:
         self.suspects_by_content: dict[str, Suspect] = {}
         self.quarantined_by_content: dict[str, QuarantineEntry] = {}
+        self.parts = PartAttribution()
         self.has_unsaved_changes = False
         self._stored_contents: frozenset[str] = frozenset()
         self._crash_by_process: dict[str, _Crash] = {}
 
+    @property
+    def entries_by_id(self) -> dict[str, QuarantineEntry]:
+        """Return all entries: requests by content, and prompt parts."""
+        return {**self.quarantined_by_content, **self.parts.entries_by_id}
+
     def record_run(self, run: BrokenRun, now_ms: int) -> None:
         """Record a run that broke off when its upstream crashed."""
         process = run.process
@@ -117,6 +137,9 @@
         if known is Progress.BEGUN:
             return
         crash.progress_by_content[run.content] = run.progress
+        crash.run_by_content[run.content] = run
+        if crash.judged_weight is not None:
+            self.parts.record_crash(process, crash.possible_causes, now_ms)
         if (
             crash.judged_weight is not None
             and self._weight(run.content, run.progress) >= crash.judged_weight
@@ -144,12 +167,20 @@
         quarantined = self.quarantined_by_content.pop(content, None)
         for crash in self._crash_by_process.values():
             crash.progress_by_content.pop(content, None)
+            crash.run_by_content.pop(content, None)
+        if quarantined is None:
+            quarantined = self.parts.entries_by_id.get(content)
+            self.parts.remove(content)
         if quarantined is not None or (suspect is not None and _is_persisted(suspect)):
             self.has_unsaved_changes = True
         return suspect is not None or quarantined is not None
 
     def adopt_quarantine(self, quarantined: QuarantineEntry) -> bool:
         """Add an entry found by an earlier judge; return whether it is new."""
+        if quarantined.parts:
+            is_new = self.parts.adopt(quarantined)
+            self.has_unsaved_changes = self.has_unsaved_changes or is_new
+            return is_new
         if quarantined.content in self.quarantined_by_content:
             return False
         self.suspects_by_content.pop(quarantined.content, None)
@@ -166,8 +197,12 @@
         for content in self._stored_contents - stored:
             self.quarantined_by_content.pop(content, None)
             self.suspects_by_content.pop(content, None)
+            self.parts.remove(content)
         self._stored_contents = stored
         for quarantined in record.quarantined:
+            if quarantined.parts:
+                self.parts.adopt(quarantined)
+                continue
             known = self.quarantined_by_content.get(quarantined.content)
             if known is None or known.until_ms < quarantined.until_ms:
                 self._add_quarantine(quarantined)
@@ -179,7 +214,7 @@
 
         A request whose quarantine expires is quarantined again after one more crash.
         """
-        expired = False
+        expired = bool(self.parts.expire(now_ms))
         for content, quarantined in list(self.quarantined_by_content.items()):
             if now_ms >= quarantined.until_ms:
                 del self.quarantined_by_content[content]
@@ -203,7 +238,7 @@
         suspects = [s for s in self.suspects_by_content.values() if _is_persisted(s)]
         suspects.sort(key=lambda suspect: (len(suspect.ended), suspect.last_ms))
         return QuarantineRecord(
-            tuple(self.quarantined_by_content.values()),
+            tuple(self.entries_by_id.values()),
             tuple(suspects[-MAX_SUSPECTS_KEPT:]),
         )
 
@@ -219,8 +254,10 @@
         progress_by_content = crash.progress_by_content
         quarantined = progress_by_content.keys() & self.quarantined_by_content.keys()
         crash.judged_weight = 0
-        if quarantined or not progress_by_content:
-            # A copy of a quarantined request was still open, which explains the crash.
+        self.parts.record_crash(process, crash.possible_causes, now_ms)
+        is_explained = self.parts.is_explained(crash.possible_causes, now_ms)
+        if quarantined or is_explained or not progress_by_content:
+            # A request in quarantine was still open, which explains the crash.
             return []
         weights = {
             content: self._weight(content, progress)
--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -7,7 +7,7 @@
 from lynxchute.config import ClientAccount, Configuration, RequestKind, Route
 from lynxchute.http import Responder
 from lynxchute.overload.claim import Claim
-from lynxchute.quarantine import content_id
+from lynxchute.quarantine import PromptParts, content_id, prompt_scope
 from lynxchute.relay.call import Call
 from lynxchute.relay.events import EventOrder
 from lynxchute.relay.refusal import Reason, Refusal, RunStatus
@@ -148,6 +148,18 @@
             )
         return self._content_id
 
+    def prompt(self, software_version: str | None = None) -> PromptParts | None:
+        """Return the shared parts of the prompt, for a run at a software version."""
+        generation = self.call.generation
+        if generation is None:
+            return None
+        return PromptParts(
+            prompt_scope(self.service, generation.model),
+            software_version or "",
+            self.account.name if self.account is not None else "",
+            generation.shared_part_ids,
+        )
+
     @property
     def logged_parts(self) -> list[str]:
         """Return the ids of the first shared prompt parts, for the log."""
--- a/lynxchute/relay/refusal.py
+++ b/lynxchute/relay/refusal.py
@@ -37,6 +37,7 @@
     MALFORMED = "malformed"
     TOO_MANY = "too-many-open"
     QUARANTINED = "ends-upstreams"
+    PART_QUARANTINED = "crashing-prompt-part"
     EVACUATED = "evacuated"
     COLD = "upstreams-cold"
     LIMITED = "upstreams-throttled"
@@ -62,6 +63,7 @@
     Reason.MALFORMED: 400,
     Reason.TOO_MANY: 429,
     Reason.QUARANTINED: 503,
+    Reason.PART_QUARANTINED: 503,
     Reason.EVACUATED: 503,
     Reason.COLD: 503,
     Reason.LIMITED: 503,
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -142,6 +142,7 @@
                 return answer
             exchange.tried.add(choice.entry.upstream.id)
             if exchange.sends and not self.claim_retry(exchange):
+                self.check_quarantine(exchange)
                 raise no_answer_refusal(exchange, self._clock())
 
     async def _confirm_process(self, exchange: Exchange, choice: Choice) -> bool:
@@ -196,6 +197,15 @@
         """
         if not exchange.may_retry:
             return False
+        # A run that brought events is not the cause of its upstream's crash.
+        if not exchange.events and self._containment.is_suspected(exchange.prompt):
+            log_event(
+                "request with a suspected prompt part not sent again",
+                request_id=exchange.call.request_id,
+                parts=exchange.logged_parts,
+                send=exchange.sends,
+            )
+            return False
         if exchange.has_retry_permit:
             return True
         if self._retries.spend(exchange.service, self._clock()):
@@ -214,7 +224,11 @@
         answer.entry.open_sends.discard(answer.send)
         outcome = _attributed_outcome(answer.send, outcome)
         is_whole = outcome in (SendOutcome.SERVED, SendOutcome.FAILED)
-        self._containment.record_end(answer.send, is_whole=is_whole)
+        # The end of a connection may also be that of its upstream.
+        is_served = outcome is SendOutcome.SERVED and answer.response.is_framed
+        self._containment.record_end(
+            answer.send, is_whole=is_whole, is_served=is_served
+        )
         self._record_outcome(answer.entry, answer.cost, outcome)
         failed = outcome not in (SendOutcome.SERVED, SendOutcome.ABANDONED)
         upstream_id = answer.entry.upstream.id
@@ -244,9 +258,10 @@
         self._generations.record_pause(answer.run_id, answer.entry.upstream.id)
 
     def check_quarantine(self, exchange: Exchange) -> None:
-        """Refuse a request that has crashed the upstreams that ran it."""
+        """Refuse a request that crashes the upstreams that run it."""
         left = self._containment.quarantine_seconds_left(exchange.content_id)
         if left is None:
+            self._check_prompt_parts(exchange)
             return
         title = (
             "This request has ended several upstreams that ran it. Do not send it "
@@ -256,6 +271,19 @@
             Reason.QUARANTINED, title, self._clock(), retry_after=left
         )
 
+    def _check_prompt_parts(self, exchange: Exchange) -> None:
+        """Refuse a request with a prompt part that crashes upstreams."""
+        left = self._containment.part_seconds_left(exchange.prompt)
+        if left is None:
+            return
+        title = (
+            "A part of this prompt has crashed several upstreams. Requests with it are "
+            f"refused for {left:.0f} s more."
+        )
+        raise exchange.refuse(
+            Reason.PART_QUARANTINED, title, self._clock(), retry_after=left
+        )
+
     def record_broken(self, answer: UpstreamResponse) -> None:
         """Record an interrupted response, which may mean that its upstream crashed."""
         self._containment.record_broken(answer.entry.upstream, answer.send)
@@ -276,6 +304,7 @@
             exchange.content_id,
             # A request that has not been sent yet needs no permit.
             claim_resend=lambda: not exchange.sends or self.claim_retry(exchange),
+            prompt=exchange.prompt(entry.upstream.software_version),
         )
         entry.open_sends.add(send)
         sent_at = self._clock()
@@ -367,6 +396,8 @@
             )
             if withheld is not None:
                 raise SendWithheld(withheld)
+            self.check_quarantine(exchange)
+            self._containment.record_send(send, exchange.call.request_id)
             self._check_link(exchange)
             if self._gate.rates.is_limited(entry, self._clock()):
                 admitted_by = "counted" if choice.rate_permit_until else "turn"
--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import json
+import random
 import time
 
 import h11
@@ -63,6 +64,8 @@
     crash_parts
         Ids of prompt parts that crash the process as soon as it runs a request with one
         of them, unless it is the last part.
+    crash_share
+        Share of requests, 0 to 1, that crash the process by chance as it runs them.
     ends_with_connection
         Whether answers have neither a length nor chunks and end with their connection.
     resets_on_crash
@@ -118,6 +121,8 @@
         self.advertised_port = 0
         self.crash_bodies: set[bytes] = set()
         self.crash_parts: set[str] = set()
+        self.crash_share = 0.0
+        self._crash_random = random.Random(self.id)
         self.ends_with_connection = False
         self.resets_on_crash = True
         self.crash_runs: list[Run] = []
@@ -208,6 +213,11 @@
             headers.append((names.RETRY_AFTER, f"{backoff:.3f}"))
         return headers
 
+    @property
+    def open_connections(self) -> int:
+        """Return the number of its open connections."""
+        return len(self._tasks)
+
     @property
     def address(self) -> str:
         """Return the address that it registers."""
@@ -293,7 +303,7 @@
             if not await self._answer(exchange):
                 if fault is Fault.CRASH:
                     self.crash_runs.append(run)
-                    self._crash()
+                    self.crash()
                 return
             protocol.start_next_cycle()
 
@@ -342,9 +352,11 @@
         """Return whether a request crashes the process that runs it."""
         if run.body in self.crash_bodies:
             return True
+        if self.crash_share and self._crash_random.random() < self.crash_share:
+            return True
         return not self.crash_parts.isdisjoint(run.shared_part_ids)
 
-    def _crash(self) -> None:
+    def crash(self) -> None:
         """Crash the process, which closes all connections."""
         self.crashes += 1
         self._crash_task = asyncio.create_task(self.stop())
--- a/lynxchute/upstreams/entry.py
+++ b/lynxchute/upstreams/entry.py
@@ -8,7 +8,7 @@
 import attrs
 
 from lynxchute.http import AbortHandle
-from lynxchute.quarantine import Progress
+from lynxchute.quarantine import Progress, PromptParts
 from lynxchute.upstreams.backpressure import Backpressure
 from lynxchute.upstreams.health import Health
 from lynxchute.upstreams.statement import NO_BACKPRESSURE, DeclaredBackpressure
@@ -51,6 +51,8 @@
         When the first byte was sent, in seconds; None before.
     typical_seconds
         Typical time until the head of the response, in seconds; 0 if unknown.
+    prompt
+        Shared parts of its prompt; None for a request without a prompt.
     """
 
     handle: AbortHandle
@@ -63,6 +65,7 @@
     is_withdrawn: bool = False
     sent_at: float | None = None
     typical_seconds: float = 0.0
+    prompt: PromptParts | None = None
 
     def overdue_ratio(self, now: float) -> float:
         """Return the wait for a response as a multiple of the typical time."""
--- a/lynxchute/upstreams/generation.py
+++ b/lynxchute/upstreams/generation.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from lynxchute.quarantine import part_key
+
 
 @attrs.frozen
 class PromptPart:
@@ -50,8 +52,8 @@
 
     @property
     def shared_part_ids(self) -> tuple[str, ...]:
-        """Return the ids of the shared parts in lower case, each once, in order."""
-        return tuple(dict.fromkeys(part.id.lower() for part in self.shared_parts))
+        """Return the ids of the shared parts in short form, each once, in order."""
+        return tuple(dict.fromkeys(part_key(part.id) for part in self.shared_parts))
 
     def affinity_key(self, run_id: str) -> str:
         """Return a key that is equal for prompts that should share engines."""
--- a/tests/part_play.py
+++ b/tests/part_play.py
@@ -45,6 +45,8 @@
         Seconds between two requests.
     down_seconds
         Seconds for which an engine is down after a crash.
+    crash_interval
+        Seconds between crashes of the busiest engine, whatever it runs; 0 for none.
     """
 
     deployment: object
@@ -54,6 +56,7 @@
     sound_interval: float = 0.05
     down_seconds: float = 1.5
     path: str = "/stream/x"
+    crash_interval: float = 0.0
     crash_times: list = attrs.Factory(list)
     crash_times_by_part: dict = attrs.Factory(lambda: defaultdict(list))
     deadly_parts_by_id: dict = attrs.Factory(dict)
@@ -61,6 +64,8 @@
     sound_results: list = attrs.Factory(list)
     _tasks: set = attrs.Factory(set)
     _crashes_by_engine: dict = attrs.Factory(dict)
+    _crash_runs_by_engine: dict = attrs.Factory(dict)
+    _down: set = attrs.Factory(set)
 
     def prepare(self, *parts, **options):
         for engine in self.deployment.engines:
@@ -73,6 +78,7 @@
         """Play for some seconds, then wait for what is open."""
         loops = [
             asyncio.create_task(self._watch_crashes()),
+            asyncio.create_task(self._crash_busy_engines()),
             asyncio.create_task(self._send_regularly(self._send_sound, "sound")),
             asyncio.create_task(self._send_regularly(self._send_deadly, "deadly")),
         ]
@@ -184,6 +190,13 @@
         finally:
             caller.client.close()
 
+    async def _crash_busy_engines(self):
+        while self.crash_interval:
+            await asyncio.sleep(self.crash_interval)
+            up = [e for e in self.deployment.engines if e not in self._down]
+            if up:
+                max(up, key=lambda engine: engine.open_connections).crash()
+
     async def _watch_crashes(self):
         while True:
             await asyncio.sleep(0.01)
@@ -199,10 +212,14 @@
     def _record_crash(self, engine):
         now = asyncio.get_running_loop().time()
         self.crash_times.append(now)
-        parts = set(engine.crash_runs[-1].shared_part_ids)
-        for part in parts & engine.crash_parts:
-            self.crash_times_by_part[part].append(now)
+        self._down.add(engine)
+        runs = engine.crash_runs[self._crash_runs_by_engine.get(engine, 0) :]
+        self._crash_runs_by_engine[engine] = len(engine.crash_runs)
+        for part in {part for run in runs for part in run.shared_part_ids}:
+            if part in engine.crash_parts:
+                self.crash_times_by_part[part].append(now)
 
     async def _restart(self, engine):
         await asyncio.sleep(self.down_seconds)
         await engine.start_new_process(self.deployment.store)
+        self._down.discard(engine)
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -72,3 +72,41 @@
             seconds=PLAY_SECONDS + 2,
         )
         self.assert_contained(play)
+
+    def assert_nothing_quarantined(self, play):
+        self.assertThat(play.crashes, GreaterThan(19))
+        self.assertEqual([], play.refused_sound)
+        for router in play.deployment.routers.values():
+            entries = router.containment.quarantine.by_content
+            self.assertEqual([], [entry for entry in entries if "part" in entry])
+
+    def test_crashes_of_busy_engines_quarantine_no_part(self):
+        play = self.play(deadly_interval=0.0, crash_interval=0.4)
+        self.assert_nothing_quarantined(play)
+
+    def test_crashes_as_sound_requests_begin_quarantine_no_part(self):
+        play = self.play(
+            deadly_interval=0.0,
+            prepare=lambda play: play.prepare(crash_share=0.2),
+            sound_parts=lambda number: [("aa", 50), (f"b{number % 7}", 20)],
+        )
+        self.assert_nothing_quarantined(play)
+
+    def test_a_part_is_refused_beside_crashes_by_chance(self):
+        play = self.play(
+            deadly_parts=lambda number: [("aa", 50), (PART, 30)],
+            prepare=lambda play: play.prepare(crash_share=0.03),
+            sound_parts=lambda number: [("aa", 50), (f"b{number % 7}", 20)],
+        )
+        self.assertThat(play.late, LessThan(MAX_LATE + 1))
+        self.assertEqual([], play.refused_sound)
+
+    def test_parts_in_other_spelling_are_the_same(self):
+        play = self.play(
+            deadly_parts=lambda number: [
+                (PART.upper() if number % 2 else PART, 10 + number),
+                ("aa", 5),
+                (PART, 7),
+            ],
+        )
+        self.assert_contained(play)
