Do not take a connection that ends before the first event for a whole stream

An engine may answer with neither a length nor chunks; the answer then ends with its connection. Callers whose engine crashed before the first event got 200 and an empty stream as if it were whole, and each such run counted as proof that its prompt parts are sound: with them, engines crashed on and on.

Cause: the end of the connection was taken for the end of the stream unless an event was open. Such a stream is now broken off: it goes on at another engine, or ends in 502, and the run counts as open when its engine ended. A stream that goes on after an event may have none left, so a second empty answer ends it.

Found by giving stand-ins such answers; no report from callers.

--- a/lynxchute/relay/events.py
+++ b/lynxchute/relay/events.py
@@ -32,6 +32,10 @@
     last_id: str
 
 
+class StreamCut(Exception):
+    """Raised when a response ended though its stream had not."""
+
+
 class EventsOutOfOrder(Exception):
     """Raised when events do not directly follow the previous ones."""
 
--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -115,6 +115,7 @@
     last_event_at: float = 0.0
     longest_pause: float = 0.0
     reported_tokens: int | None = None
+    _empty_answers: int = 0
     _content_id: str = ""
 
     @property
@@ -280,6 +281,12 @@
         self.last_event = last_event
         self.last_event_at = now
 
+    def record_empty_answer(self) -> int:
+        """Count an answer without any event to a stream that goes on after one."""
+        if self.is_continued:
+            self._empty_answers += 1
+        return self._empty_answers
+
     def retry_after(self, now: float, reason: Reason) -> float:
         """Return the seconds after which the caller should retry."""
         share, cap = RETRY_SHARE, MAX_RETRY_AFTER
--- a/lynxchute/relay/passing.py
+++ b/lynxchute/relay/passing.py
@@ -6,12 +6,16 @@
 
 from lynxchute.relay.answer import UpstreamResponse
 from lynxchute.relay.dialect import Dialect
-from lynxchute.relay.events import EventSplitter
+from lynxchute.relay.events import EventSplitter, StreamCut
 from lynxchute.relay.exchange import Exchange
 from lynxchute.relay.origins import Origins
 from lynxchute.relay.sender import Sender
 from lynxchute.upstreams.stream_origin import StreamOrigin
 
+# Answers without a length or chunks, and without an event, after which a stream that
+# goes on after an event is taken as ended.
+EMPTY_ANSWERS_OF_ENDED_STREAM = 2
+
 
 class EventForwarder:
     """Forwards the events of one upstream response to the caller.
@@ -48,11 +52,23 @@
         self._answer = answer
         self._clock = clock
         self._splitter = EventSplitter()
+        self._has_events = False
+
+    def check_end(self) -> None:
+        """Check that the response may end here.
 
-    @property
-    def is_within_event(self) -> bool:
-        """Return whether the last received event is incomplete."""
-        return bool(self._splitter.rest)
+        Raises
+        ------
+        StreamCut
+            If the stream broke off, as far as its events show.
+        """
+        if self._splitter.rest:
+            raise StreamCut("the answer ended inside an event")
+        if self._answer.response.is_framed or self._has_events:
+            return
+        # The end of the connection may be that of the engine.
+        if self._exchange.record_empty_answer() < EMPTY_ANSWERS_OF_ENDED_STREAM:
+            raise StreamCut("the connection ended before the first event")
 
     def forward_events(self, data: bytes) -> bool:
         """Forward the events that are now complete.
@@ -77,6 +93,7 @@
             return True
         exchange.order.check(events)
         answer.send.record_answering(now)
+        self._has_events = True
         if not exchange.events:
             self._record_origin(now)
         was_paused = exchange.has_paused
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -19,7 +19,7 @@
     Reservation,
 )
 from lynxchute.relay.dialect import Dialect
-from lynxchute.relay.events import EventsOutOfOrder
+from lynxchute.relay.events import EventsOutOfOrder, StreamCut
 from lynxchute.relay.exchange import Exchange
 from lynxchute.relay.origins import Origins
 from lynxchute.relay.passing import EventForwarder
@@ -362,13 +362,11 @@
             while not await answer.response.deliver_body(forwarder.forward_events):
                 await exchange.respond.wait_drained()
             answer.entry.heard_at = self._clock()
-            if forwarder.is_within_event:
-                send_outcome = SendOutcome.BROKEN
-                return False
+            forwarder.check_end()
             send_outcome = SendOutcome.SERVED
-        except (ExchangeError, EventsOutOfOrder) as error:
+        except (ExchangeError, EventsOutOfOrder, StreamCut) as error:
             send_outcome = SendOutcome.BROKEN
-            if isinstance(error, ExchangeError):
+            if isinstance(error, ExchangeError) or not answer.response.is_framed:
                 self._sender.record_broken(answer)
             log_event(
                 "upstream stream interrupted",
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -110,3 +110,11 @@
             ],
         )
         self.assert_contained(play)
+
+    def test_a_part_is_refused_if_answers_end_with_their_connection(self):
+        play = self.play(
+            prepare=lambda play: play.prepare(
+                ends_with_connection=True, resets_on_crash=False
+            ),
+        )
+        self.assert_contained(play)
