--- a/tests/part_play.py
+++ b/tests/part_play.py
@@ -33,7 +33,7 @@
     body: bytes
 
 
-@attrs.define
+@attrs.define(slots=False)
 class PartPlay:
     """Sends requests to all routers in turn and restarts engines that crash.
 
@@ -45,6 +45,8 @@
         Seconds between two requests.
     down_seconds
         Seconds for which an engine is down after a crash.
+    vm_of
+        Returns the router for the request with a number; None sends to all in turn.
     crash_interval
         Seconds between crashes of the busiest engine, whatever it runs; 0 for none.
     """
@@ -56,6 +58,7 @@
     sound_interval: float = 0.05
     down_seconds: float = 1.5
     path: str = "/stream/x"
+    vm_of: object = None
     crash_interval: float = 0.0
     crash_times: list = attrs.Factory(list)
     crash_times_by_part: dict = attrs.Factory(lambda: defaultdict(list))
@@ -147,10 +150,10 @@
         }
 
     async def _send_regularly(self, send, kind):
-        interval = self.sound_interval if kind == "sound" else self.deadly_interval
-        if not interval:
-            return
         for number in itertools.count():
+            interval = self.sound_interval if kind == "sound" else self.deadly_interval
+            if not interval:
+                return
             task = asyncio.create_task(send(number))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -168,7 +171,7 @@
 
     async def _request(self, number, parts, kind):
         vms = [vm for vm in ROUTERS if vm in self.deployment.routers]
-        vm = vms[number % len(vms)]
+        vm = self.vm_of(number) if self.vm_of else vms[number % len(vms)]
         request_id = f"{kind}{next(_numbers)}"
         if kind == "deadly":
             self.deadly_parts_by_id[request_id] = {part for part, _ in parts}
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -1,7 +1,15 @@
 """A prompt part that crashes the engines is refused by all routers."""
 
+import asyncio
+
+import attrs
 from testtools.matchers import GreaterThan, LessThan
 
+from lynxchute.config.role import Role
+from lynxchute.containment.judge import JUDGE_KEY
+from lynxchute.operators.runner import StatementRunner
+from lynxchute.platform.daemon import make_platform
+from lynxchute.standins.platform_store import Outage
 from tests.part_play import (
     ENGINES,
     MAX_LATE,
@@ -11,19 +19,30 @@
     PartPlay,
 )
 from tests.platform_support import PlatformTestCase
+from tests.support import until
 
 PLAY_SECONDS = 11.0
 
 
 class CrashingPartTest(PlatformTestCase):
-    def play(self, *, seconds=PLAY_SECONDS, prepare=lambda play: None, **options):
+    def play(
+        self,
+        *,
+        seconds=PLAY_SECONDS,
+        prepare=lambda play: None,
+        disturb=None,
+        **options,
+    ):
         """Play requests with a crashing part beside sound ones; return the play."""
 
         async def scenario(deployment):
             play = PartPlay(deployment, **options)
             play.prepare()
             prepare(play)
-            await play.run(seconds)
+            running = asyncio.create_task(play.run(seconds))
+            if disturb is not None:
+                await disturb(deployment, play)
+            await running
             print(self.id().rpartition(".")[2], play.summary(), flush=True)
             return play
 
@@ -118,3 +137,120 @@
             ),
         )
         self.assert_contained(play)
+
+    def test_a_part_is_refused_after_the_judge_has_died(self):
+        async def kill_judge(deployment, play):
+            await until(lambda: play.crashes >= 2)
+            await restart(deployment, judge_of(deployment))
+
+        play = self.play(disturb=kill_judge)
+        self.assertThat(play.late, LessThan(MAX_LATE + 1))
+        self.assertThat(play.sound_share, GreaterThan(MIN_SOUND_SHARE))
+
+    def test_a_part_is_refused_after_all_routers_have_restarted(self):
+        async def restart_all(deployment, play):
+            await until(lambda: has_part_entry(deployment), timeout=8)
+            await asyncio.sleep(0.5)
+            crashes = play.crashes
+            for vm in list(deployment.routers):
+                await deployment.routers[vm].kill()
+            for vm in list(deployment.routers):
+                await deployment.start_router(vm)
+            await asyncio.sleep(3)
+            play.crashes_after_restart = play.crashes - crashes
+
+        play = self.play(disturb=restart_all, seconds=8)
+        self.assertEqual(0, play.crashes_after_restart)
+
+    def test_a_part_is_refused_while_the_store_is_away(self):
+        async def lose_store(deployment, play):
+            await asyncio.sleep(1.0)
+            for vm in deployment.routers:
+                deployment.faults(vm).outage = Outage.SILENT
+
+        play = self.play(
+            disturb=lose_store,
+            prepare=lambda play: setattr(play, "down_seconds", 0.3),
+        )
+        self.assertThat(play.late, LessThan(MAX_LATE + 1))
+
+    def test_an_operator_releases_a_part(self):
+        async def release(deployment, play):
+            await until(lambda: has_part_entry(deployment), timeout=8)
+            play.deadly_interval = 0.0
+            for engine in deployment.engines:
+                engine.crash_parts.clear()
+            await asyncio.sleep(1.0)
+            runner = StatementRunner(make_platform(deployment.settings["a-1"].store))
+            shown = await runner.run("show quarantine", operator="o", role=Role.READ)
+            play.shown_parts = [row["parts"] for row in shown.rows if row["parts"]]
+            answer = await runner.run(
+                f"release part {PART.upper()}", operator="o", role=Role.OPERATE
+            )
+            play.release_state = answer.state
+            await until(lambda: not has_part_entry(deployment), timeout=5)
+
+        play = self.play(disturb=release, seconds=8)
+        self.assertEqual([[PART]], play.shown_parts)
+        self.assertEqual("done", play.release_state)
+
+    def test_one_request_at_a_time_tries_a_part_whose_time_is_over(self):
+        async def expire(deployment, play):
+            await until(lambda: has_part_entry(deployment), timeout=8)
+            await asyncio.sleep(1.0)
+            play.crashes_before = play.crashes
+            for router in deployment.routers.values():
+                expire_parts(router.containment)
+            await until(lambda: play.crashes > play.crashes_before, timeout=10)
+            await asyncio.sleep(3.0)
+            play.crashes_in_trial = play.crashes - play.crashes_before
+
+        play = self.play(disturb=expire, seconds=8, deadly_interval=0.1)
+        self.assertEqual(1, play.crashes_in_trial)
+
+    def test_a_part_that_crashes_nothing_any_more_comes_free_by_a_trial(self):
+        async def mend(deployment, play):
+            await until(lambda: has_part_entry(deployment), timeout=8)
+            await asyncio.sleep(1.0)
+            for engine in deployment.engines:
+                engine.crash_parts.clear()
+            for router in deployment.routers.values():
+                expire_parts(router.containment)
+            await until(lambda: not has_part_entry(deployment), timeout=10)
+            play.answered_before = len(play.deadly_answers)
+            await asyncio.sleep(1.0)
+
+        play = self.play(disturb=mend, seconds=5, deadly_interval=0.1)
+        statuses = {status for status, _ in play.deadly_answers[play.answered_before :]}
+        self.assertEqual({200}, statuses)
+
+
+def has_part_entry(deployment):
+    """Return whether any router refuses a part."""
+    return any(
+        router.containment.quarantine.part_entries
+        for router in deployment.routers.values()
+    )
+
+
+def expire_parts(containment):
+    """Let the quarantine of all parts end now, at one router."""
+    now_ms = containment.judge.now_ms()
+    quarantine, parts = containment.quarantine, containment.judge.attribution.parts
+    for entries in (quarantine.by_content, parts.entries_by_id):
+        for entry_id, entry in list(entries.items()):
+            if entry.parts:
+                entries[entry_id] = attrs.evolve(entry, until_ms=now_ms)
+    quarantine._index_parts()
+
+
+def judge_of(deployment):
+    router = next(iter(deployment.routers.values()))
+    return router.members.owner_of_key(JUDGE_KEY)
+
+
+async def restart(deployment, vm, down_seconds=0.5):
+    router = deployment.routers.pop(vm)
+    await router.kill()
+    await asyncio.sleep(down_seconds)
+    await deployment.start_router(vm)
