Do not take a crash for the end of an answer without a length

Callers got the first part of a stream as a whole one if its engine crashed between two events of an answer with neither a length nor chunks, and half of a plain answer with 200.

Cause: such an answer ends with its connection, and so do all others of a process that ends. Before its end is passed on, the router now opens a connection to the upstream, which the next request uses; a crashed upstream takes none. An upstream that leaves may end right after, so its answers are not checked. Stand-ins can crash inside such answers.

Cost: a connection for each such answer, none for others.

--- a/lynxchute/http/client.py
+++ b/lynxchute/http/client.py
@@ -420,6 +420,14 @@
         """Return whether an idle connection is open."""
         return any(connection.is_alive for connection in self._idle)
 
+    async def is_listening(self) -> bool:
+        """Return whether the peer takes a new connection, which is kept for later."""
+        try:
+            self._keep_idle(await self._open_connection(self._timeouts.connect))
+        except ExchangeError:
+            return False
+        return True
+
     def close(self) -> None:
         """Close the idle connections."""
         idle, self._idle = self._idle, []
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -273,6 +273,7 @@
                 chunk = await answer.response.read()
                 answer.entry.heard_at = self._clock()
                 if chunk is None:
+                    await self._check_whole(answer)
                     send_outcome = SendOutcome.FAILED if failed else SendOutcome.SERVED
                     body = b"".join(chunks)
                     exchange.reported_tokens = self._dialect.reported_tokens(body)
@@ -303,6 +304,11 @@
             answer.response.close()
             self._sender.release(answer, send_outcome)
 
+    async def _check_whole(self, answer: UpstreamResponse) -> None:
+        """Raise `ExchangeError` if an unframed response ended with its upstream."""
+        if not await self._sender.has_ended_whole(answer):
+            raise ExchangeError("the upstream ended with the connection", sent=True)
+
     async def _forward_unbuffered(
         self, exchange: Exchange, answer: UpstreamResponse, chunks: list[bytes]
     ) -> None:
@@ -317,6 +323,7 @@
             await exchange.respond.send(buffered_chunk)
         while (chunk := await answer.response.read()) is not None:
             await exchange.respond.send(chunk)
+        await self._check_whole(answer)
         await exchange.respond.finish()
 
     # Streams.
@@ -363,6 +370,8 @@
                 await exchange.respond.wait_drained()
             answer.entry.heard_at = self._clock()
             forwarder.check_end()
+            if not await self._sender.has_ended_whole(answer):
+                raise StreamCut("the upstream ended with the connection")
             send_outcome = SendOutcome.SERVED
         except (ExchangeError, EventsOutOfOrder, StreamCut) as error:
             send_outcome = SendOutcome.BROKEN
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -284,6 +284,16 @@
             Reason.PART_QUARANTINED, title, self._clock(), retry_after=left
         )
 
+    async def has_ended_whole(self, answer: UpstreamResponse) -> bool:
+        """Return whether the end of a response is that of its body.
+
+        The connection of an unframed response ends with its body, or because its
+        upstream crashed; then it takes no further connection.
+        """
+        if answer.response.is_framed or answer.entry.is_leaving:
+            return True
+        return await self._clients.get(answer.entry.upstream.address).is_listening()
+
     def record_broken(self, answer: UpstreamResponse) -> None:
         """Record an interrupted response, which may mean that its upstream crashed."""
         self._containment.record_broken(answer.entry.upstream, answer.send)
--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -68,6 +68,8 @@
         Share of requests, 0 to 1, that crash the process by chance as it runs them.
     ends_with_connection
         Whether answers have neither a length nor chunks and end with their connection.
+    cuts_inside_event
+        Whether a crash ends such a stream inside an event.
     resets_on_crash
         Whether a crash resets its connections instead of closing them.
     crash_runs
@@ -124,6 +126,7 @@
         self.crash_share = 0.0
         self._crash_random = random.Random(self.id)
         self.ends_with_connection = False
+        self.cuts_inside_event = True
         self.resets_on_crash = True
         self.crash_runs: list[Run] = []
         self.crashes = 0
@@ -252,7 +255,7 @@
             if self._is_unresponsive:
                 self._unresponsive_writers.append(writer)
                 return
-            if self.resets_on_crash:
+            if self.resets_on_crash and not self.ends_with_connection:
                 writer.transport.abort()
         finally:
             self._tasks.discard(task)
@@ -299,9 +302,10 @@
                 self.first_pause,
                 self.software_version,
                 self.ends_with_connection,
+                self.cuts_inside_event,
             )
             if not await self._answer(exchange):
-                if fault is Fault.CRASH:
+                if fault in (Fault.CRASH, Fault.CUT_AND_CRASH):
                     self.crash_runs.append(run)
                     self.crash()
                 return
--- a/lynxchute/standins/upstream_exchange.py
+++ b/lynxchute/standins/upstream_exchange.py
@@ -37,6 +37,8 @@
         The version of the software that answers; each event names it.
     ends_with_connection
         Whether the answer has neither a length nor chunks.
+    cuts_inside_event
+        Whether a crash ends such a stream inside an event.
     """
 
     upstream_id: str
@@ -52,6 +54,7 @@
     first_pause: float = 0.0
     software_version: str = "v1"
     ends_with_connection: bool = False
+    cuts_inside_event: bool = True
 
     async def answer(self) -> bool:
         """Send the response; return whether the connection can be reused."""
@@ -64,6 +67,10 @@
             return await self._fail_without_answer()
         if fault is Fault.CRASH:
             return await self._run_until_crash()
+        if fault is Fault.CUT_AND_CRASH:
+            self._write_unframed_head(self._headers())
+            self.writer.write(b"half")
+            return False
         if fault is Fault.FAIL:
             await self._send_response(500, b"failed")
             return True
@@ -147,6 +154,14 @@
             self._send(h11.Data(data=data))
 
     async def _send_stream(self) -> bool:
+        try:
+            return await self._send_events()
+        except asyncio.CancelledError:
+            if self.ends_with_connection and self.cuts_inside_event:
+                self.writer.write(b"id: ")
+            raise
+
+    async def _send_events(self) -> bool:
         self._send_stream_head()
         for number in range(self.run.first_event, self.events + 1):
             await asyncio.sleep(self.event_delay)
--- a/lynxchute/standins/upstream_run.py
+++ b/lynxchute/standins/upstream_run.py
@@ -42,6 +42,8 @@
         Answer 421: another upstream has this address.
     EARLY
         Decline before the body has been read.
+    CUT_AND_CRASH
+        Run it, send half of an unframed answer, then crash the process.
     CRASH
         Start to run it, then crash the process and close all connections.
     """
@@ -60,6 +62,7 @@
     UNSIGNED = "unsigned"
     MOVED = "moved"
     EARLY = "early"
+    CUT_AND_CRASH = "cut and crash"
     CRASH = "crash"
 
 
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -11,6 +11,7 @@
     event_ids,
     settled,
 )
+from tests.support import until
 
 EVENTS = 6
 WHOLE = list(range(1, EVENTS + 1))
@@ -79,6 +80,30 @@
         ((status, _, _),) = self.play(scenario)
         self.assertEqual(502, status)
 
+    def test_a_crash_between_two_events_does_not_end_a_stream(self):
+        async def scenario(deployment):
+            for engine in deployment.engines:
+                engine.events, engine.event_delay = 30, 0.02
+                engine.cuts_inside_event = False
+            stream = asyncio.create_task(self.streams(deployment, 1))
+            await until(lambda: any(engine.runs for engine in deployment.engines))
+            (busy,) = [engine for engine in deployment.engines if engine.runs]
+            await until(lambda: busy.runs[0].events_sent > 3)
+            busy.crash()
+            return await stream
+
+        ((_, _, body),) = self.play(scenario)
+        self.assertEqual(list(range(1, 31)), event_ids(body))
+
+    def test_a_crash_inside_a_plain_answer_does_not_end_it(self):
+        async def scenario(deployment):
+            for app in deployment.apps:
+                app.faults = [Fault.CUT_AND_CRASH]
+            return await PlatformCaller(deployment).send("GET", "/safe/x")
+
+        status, _, _ = self.play(scenario)
+        self.assertEqual(502, status)
+
     def test_a_stream_resumed_after_its_last_event_gets_its_end(self):
         async def scenario(deployment):
             extra = [("Last-Event-Id", str(EVENTS))]
