Send crashing prompt parts, rushes and unframed answers in the soak

A rush of new connections to one router, and upstreams whose answers end with their connections, come with random generators of their own.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,7 +11,8 @@
 from lynxchute.http import ExchangeError
 from tests.platform_support import HOST
 from tests.soak.backpressure import BackpressureInjector
-from tests.soak.deadly import DeadlyCaller
+from tests.soak.connections import ConnectionInjector
+from tests.soak.deadly import DeadlyCaller, DeadlyPartCaller
 from tests.soak.demand import DemandInjector, contracts_for_seed
 from tests.soak.evacuator import Evacuator
 from tests.soak.faults import FaultInjector, FaultPlan
@@ -92,12 +93,14 @@
     checker.planned_only = fault_plan.planned_only
     fault_injector = FaultInjector(fleet, checker, rng, fault_plan)
     deadly_caller = DeadlyCaller(fleet, callers, checker, seed)
+    deadly_part_caller = DeadlyPartCaller(fleet, callers, checker, seed)
     evacuator = Evacuator(fleet, callers, checker, fault_injector, seed)
     backpressure_injector = BackpressureInjector(
         fleet, callers, checker, fault_injector, seed
     )
     link_injector = LinkInjector(fleet, checker, seed)
     demand_injector = DemandInjector(fleet, callers, seed)
+    connection_injector = ConnectionInjector(fleet, callers, seed)
     rollout_injector = RolloutInjector(
         fleet, callers, checker, seed, planned_only=fault_plan.planned_only
     )
@@ -111,6 +114,7 @@
         callers.start()
         if not fault_plan.planned_only:
             side_tasks.append(asyncio.create_task(deadly_caller.run()))
+            side_tasks.append(asyncio.create_task(deadly_part_caller.run()))
         evacuation_task = asyncio.create_task(evacuator.run(seconds))
         side_tasks.append(evacuation_task)
         backpressure_task = asyncio.create_task(backpressure_injector.run(seconds))
@@ -121,6 +125,8 @@
             side_tasks.append(link_task)
         demand_task = asyncio.create_task(demand_injector.run(seconds))
         side_tasks.append(demand_task)
+        connection_task = asyncio.create_task(connection_injector.run(seconds))
+        side_tasks.append(connection_task)
         rollout_task = asyncio.create_task(rollout_injector.run(seconds))
         side_tasks.append(rollout_task)
         await fault_injector.run()
@@ -128,6 +134,7 @@
         await evacuation_task
         await backpressure_task
         await demand_task
+        await connection_task
         if link_task is not None:
             await link_task
         backpressure_injector.clear()
@@ -136,6 +143,7 @@
         await asyncio.sleep(SETTLE_SECONDS)
         checker.check_finished()
         deadly_caller.check()
+        deadly_part_caller.check()
         evacuator.check_cold()
     finally:
         for task in side_tasks:
@@ -153,6 +161,8 @@
         {
             **fault_injector.counts,
             "deadly": len(deadly_caller.crash_times),
+            "deadly parts": len(deadly_part_caller.crash_times),
+            **connection_injector.counts,
             "evacuations": len(evacuator.spans),
             **backpressure_injector.counts,
             **demand_injector.counts,
