Tell crashes of an upstream apart that keeps its id and is back at once

On the product's own interface engines keep their ids.

Reports now say when the run was sent, and one that was sent after a crash broke off in a later one. Reports of older builds count as before. Test red before (a second crash had no record of its own).

--- a/lynxchute/containment/containment.py
+++ b/lynxchute/containment/containment.py
@@ -196,6 +196,7 @@
             send.progress,
             upstream.is_start_known,
             self.parts.without_served(prompt) if prompt is not None else None,
+            self._began_ms(send),
         )
         self._pending_runs.append(run)
         self._recent_evidence.append((self.judge.now_ms(), run))
@@ -204,6 +205,11 @@
             self._reported.popitem(last=False)
         self._loop.wake()
 
+    def _began_ms(self, send: OpenSend) -> int:
+        if send.began_at is None:
+            return 0
+        return self.judge.now_ms() - int((self._clock() - send.began_at) * 1000)
+
     def record_end(
         self, send: OpenSend, *, is_whole: bool, is_served: bool = False
     ) -> None:
--- a/lynxchute/quarantine/evidence.py
+++ b/lynxchute/quarantine/evidence.py
@@ -27,6 +27,8 @@
     prompt
         Shared parts of its prompt; None for a request without a prompt. Parts that the
         reporting router has served shortly before are left out.
+    began_ms
+        When it was sent, on the store's clock; 0 if not known.
     """
 
     content: str
@@ -34,6 +36,7 @@
     progress: Progress
     is_start_known: bool = True
     prompt: PromptParts | None = None
+    began_ms: int = 0
 
 
 class Verdict(enum.Enum):
--- a/lynxchute/quarantine/suspicion.py
+++ b/lynxchute/quarantine/suspicion.py
@@ -128,7 +128,7 @@
         """Record a run that broke off when its upstream crashed."""
         process = run.process
         if not run.is_start_known:
-            process = self._crash_key(process, now_ms)
+            process = self._crash_key(run, now_ms)
         crash = self._crash_by_process.get(process)
         if crash is None:
             self._evict_oldest_crash()
@@ -242,13 +242,15 @@
             tuple(suspects[-MAX_SUSPECTS_KEPT:]),
         )
 
-    def _crash_key(self, upstream: str, now_ms: int) -> str:
+    def _crash_key(self, run: BrokenRun, now_ms: int) -> str:
         """Return a key for one crash of an upstream whose processes share an id."""
         for name, crash in self._crash_by_process.items():
-            is_same_upstream = name.startswith(f"{upstream}{TIME_SEPARATOR}")
-            if is_same_upstream and now_ms - crash.at_ms < SAME_CRASH_MS:
+            if not name.startswith(f"{run.process}{TIME_SEPARATOR}"):
+                continue
+            # A run that was sent after a crash broke off in a later one.
+            if run.began_ms <= crash.at_ms and now_ms - crash.at_ms < SAME_CRASH_MS:
                 return name
-        return f"{upstream}{TIME_SEPARATOR}{now_ms}"
+        return f"{run.process}{TIME_SEPARATOR}{now_ms}"
 
     def _judge_crash(self, process: str, crash: _Crash, now_ms: int) -> list[Finding]:
         progress_by_content = crash.progress_by_content
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -315,6 +315,7 @@
             # A request that has not been sent yet needs no permit.
             claim_resend=lambda: not exchange.sends or self.claim_retry(exchange),
             prompt=exchange.prompt(entry.upstream.software_version),
+            began_at=self._clock(),
         )
         entry.open_sends.add(send)
         sent_at = self._clock()
--- a/lynxchute/upstreams/entry.py
+++ b/lynxchute/upstreams/entry.py
@@ -53,6 +53,8 @@
         Typical time until the head of the response, in seconds; 0 if unknown.
     prompt
         Shared parts of its prompt; None for a request without a prompt.
+    began_at
+        When this router began to send it, in seconds; None if not known.
     """
 
     handle: AbortHandle
@@ -66,6 +68,7 @@
     sent_at: float | None = None
     typical_seconds: float = 0.0
     prompt: PromptParts | None = None
+    began_at: float | None = None
 
     def overdue_ratio(self, now: float) -> float:
         """Return the wait for a response as a multiple of the typical time."""
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -145,6 +145,21 @@
             self.scenario.now_ms += SAME_CRASH_MS
         self.assertEqual({"q"}, self.scenario.quarantined)
 
+    def test_a_run_sent_after_a_crash_broke_off_in_another_one(self):
+        attribution = self.scenario.attribution
+        for number in range(3):
+            now_ms = self.scenario.now_ms
+            run = BrokenRun(
+                "q", "engine-1", BEGUN, is_start_known=False, began_ms=now_ms
+            )
+            self.scenario.now_ms += 50
+            attribution.record_run(run, self.scenario.now_ms)
+            self.scenario.now_ms += REPORT_WINDOW_MS
+            attribution.judge(self.scenario.now_ms)
+            crashes = len(attribution._crash_by_process)
+            self.assertEqual(number + 1, crashes)
+        self.assertEqual({"q"}, self.scenario.quarantined)
+
     def test_crashes_are_judged_after_the_report_window(self):
         attribution, now_ms = self.scenario.attribution, self.scenario.now_ms
         attribution.record_run(BrokenRun("waiting", "e", UNANSWERED), now_ms)
