--- a/lynxchute/demo.py
+++ b/lynxchute/demo.py
@@ -37,6 +37,11 @@
 CRASH_ACCOUNT = "road-2"
 CRASH_REQUESTS = 14
 CRASH_PAUSE_SECONDS = 0.25
+# A system message that crashes each engine that starts to answer a prompt with it; so
+# long that the beginning of such prompts is always the same.
+CRASH_PREFIX = "a document that no engine survives. " * 120
+# Number of crashes after which the prompt's beginning must be quarantined.
+CRASHES_TO_QUARANTINE_PREFIX = 5
 # Number of crashes after which the request must be quarantined, and the seconds within
 # which all routers must know that; each later crash violates a guarantee.
 CRASHES_TO_QUARANTINE = 3
@@ -164,7 +169,21 @@
         "one request crashes each engine that starts to answer it and is repeated"
     )
     scene = asyncio.create_task(callers.run(SCENE_SECONDS, rate))
-    crashes = await _send_crash_requests(deployment)
+    crashes = await _send_crash_requests(
+        deployment, [[("user", CRASH_TEXT)]] * CRASH_REQUESTS, CRASHES_TO_QUARANTINE
+    )
+    await scene
+    _print_step(
+        "requests of which no two are alike begin with a document that crashes engines"
+    )
+    scene = asyncio.create_task(callers.run(SCENE_SECONDS, rate))
+    prompts = [
+        [("system", CRASH_PREFIX), ("user", f"question {number}")]
+        for number in range(CRASH_REQUESTS)
+    ]
+    crashes += await _send_crash_requests(
+        deployment, prompts, CRASHES_TO_QUARANTINE_PREFIX
+    )
     await scene
     return crashes
 
@@ -247,42 +266,57 @@
     return max(peak - MAX_COLD_RATE, 0)
 
 
-async def _send_crash_requests(deployment: Deployment) -> int:
-    """Send the request that crashes engines to each router in turn, repeatedly.
+async def _send_crash_requests(
+    deployment: Deployment,
+    prompts: list[list[tuple[str, str]]],
+    crashes_to_quarantine: int,
+) -> int:
+    """Send prompts that crash engines to the routers in turn.
+
+    Parameters
+    ----------
+    prompts
+        The messages of each prompt, as role and text.
+    crashes_to_quarantine
+        Number of crashes after which they must be quarantined.
 
     Returns
     -------
     int
-        Number of crashes after all routers must know of its quarantine.
+        Number of crashes after all routers must know of the quarantine.
     """
     engines = list(deployment.engines_by_name.values())
     for engine in engines:
-        engine.crash_texts.add(CRASH_TEXT)
+        engine.crash_texts.update({CRASH_TEXT, CRASH_PREFIX})
+    before = sum(engine.restarts for engine in engines)
     vms = sorted(deployment.routers_by_vm)
     quarantined_at, crashes_allowed, last_status = float("inf"), 0, 0
-    for number in range(CRASH_REQUESTS):
-        last_status = await _send_crash_request(deployment, vms[number % len(vms)])
-        crashes = sum(engine.restarts for engine in engines)
+    for number, messages in enumerate(prompts):
+        vm = vms[number % len(vms)]
+        last_status = await _send_crash_request(deployment, vm, messages)
+        crashes = sum(engine.restarts for engine in engines) - before
         if time.monotonic() < quarantined_at + QUARANTINE_SECONDS:
             crashes_allowed = crashes
-        if crashes >= CRASHES_TO_QUARANTINE:
+        if crashes >= crashes_to_quarantine:
             quarantined_at = min(quarantined_at, time.monotonic())
         await asyncio.sleep(CRASH_PAUSE_SECONDS)
-    crashes = sum(engine.restarts for engine in engines)
+    crashes = sum(engine.restarts for engine in engines) - before
     _print_step(
-        f"  it crashed {crashes} engines; "
-        f"the last of {CRASH_REQUESTS} answers: {last_status}"
+        f"  {crashes} engines crashed; "
+        f"the last of {len(prompts)} answers: {last_status}"
     )
     return crashes - crashes_allowed
 
 
-async def _send_crash_request(deployment: Deployment, vm: str) -> int:
-    """Send the crashing request once; return its status, 0 without a response."""
+async def _send_crash_request(
+    deployment: Deployment, vm: str, messages: list[tuple[str, str]]
+) -> int:
+    """Send a crashing request once; return its status, 0 without a response."""
     client = HttpClient(f"127.0.0.1:{deployment.caller_port(vm)}")
     key = caller_key(CRASH_ACCOUNT)
     question = {
         "model": MODEL,
-        "messages": [{"role": "user", "content": CRASH_TEXT}],
+        "messages": [{"role": role, "content": text} for role, text in messages],
         "max_tokens": 64,
         "stream": True,
     }
--- a/lynxchute/standins/engine.py
+++ b/lynxchute/standins/engine.py
@@ -78,7 +78,7 @@
     Attributes
     ----------
     crash_texts
-        Message texts that crash the process as soon as it runs them.
+        Message texts that crash the process as soon as it runs a prompt with one.
     restarts
         The number of crashes so far.
     """
@@ -145,7 +145,8 @@
             done=int(last) if last.isdecimal() else 0,
         )
         self.runs.append(run)
-        if question["messages"][-1]["content"] in self.crash_texts:
+        texts = {str(message["content"]) for message in question["messages"]}
+        if not self.crash_texts.isdisjoint(texts):
             await self._crash(run, respond)
             return
         try:
