Emulate prompt parts that crash engines

A kind of request can have a part that crashes the engine which begins to answer it; crashes and served runs go to the same attribution as in routers.

--- a/lynxchute/bench/emulator/play.py
+++ b/lynxchute/bench/emulator/play.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from lynxchute.bench.emulator.crashes import EmulatedQuarantine
 from lynxchute.bench.emulator.engine import EmulatedEngine, EngineRun
 from lynxchute.bench.emulator.policies import PlacementPolicy
 from lynxchute.bench.emulator.scenario import (
@@ -34,6 +35,8 @@
 MAX_RETRIES = 1
 # Seconds until a router detects that an engine is down.
 DETECTION_SECONDS = 0.5
+# Seconds until the routers have judged a crash.
+JUDGE_SECONDS = 0.5
 
 
 class Outcome(enum.Enum):
@@ -90,6 +93,8 @@
         Requests sent to an engine after its evacuation was known.
     mixed_streams
         Streams with events of several software versions.
+    crashes
+        Engines that crashed under requests with a crashing prompt part.
     """
 
     requests: list[Request]
@@ -98,6 +103,7 @@
     max_cold_rate: int = 0
     sent_to_evacuated: int = 0
     mixed_streams: int = 0
+    crashes: int = 0
 
 
 class Play:
@@ -137,6 +143,8 @@
         self._fetched = 0
         self._requests: list[Request] = []
         self._requests_by_run: dict[EngineRun, Request] = {}
+        self._quarantine = EmulatedQuarantine(is_enabled=scenario.is_part_quarantined)
+        self._crashes = 0
         self._queue: list[tuple[float, int, Callable[[float], None]]] = []
         self._event_numbers = itertools.count()
         self._seed = seed
@@ -166,6 +174,7 @@
             max_cold_rate,
             self._sent_to_evacuated,
             sum(len(request.versions) > 1 for request in self._requests),
+            self._crashes,
         )
 
     def _schedule(self, when: float, action: Callable[[float], None]) -> None:
@@ -185,6 +194,9 @@
         self._now = now
         if request.outcome is not None:
             return
+        if self._quarantine.refuses(request.arrival, now):
+            request.outcome = Outcome.REFUSED
+            return
         unavailable = self._known_down | self._evacuated
         engines = [
             number
@@ -302,8 +314,15 @@
             # The engine went down and recovered after this step had been scheduled.
             self._schedule_step(number)
             return
+        has_crashed = False
         for run in engine.step(self._prefilled_parts):
-            self._record_event(self._requests_by_run[run], run)
+            request = self._requests_by_run[run]
+            if request.arrival.kind.crash_part:
+                has_crashed = True
+                continue
+            self._record_event(request, run)
+        if has_crashed:
+            self._crash(number, now)
         self._schedule_step(number)
 
     def _record_event(self, request: Request, run: EngineRun) -> None:
@@ -327,6 +346,7 @@
         if run.ended_at is None:
             return
         self._notify_policy(self._policy.record_end, request)
+        self._quarantine.record_served(request.arrival, self._now)
         if request.outcome is None:
             request.outcome = _outcome_on_end(request, run)
 
@@ -340,6 +360,31 @@
             for run in self._engines[number].clear():
                 self._fail_run(self._requests_by_run[run], run, now)
 
+    def _crash(self, number: int, now: float) -> None:
+        """Crash an engine under a request that has begun there."""
+        self._crashes += 1
+        engine = self._engines[number]
+        engine.is_down = True
+        self._known_down.add(number)
+        lost = engine.clear()
+        requests = [self._requests_by_run[run] for run in lost]
+        self._quarantine.record_crash(
+            [
+                (request.run_id, run, request.arrival)
+                for run, request in zip(lost, requests, strict=True)
+            ],
+            now,
+        )
+        self._schedule(now + JUDGE_SECONDS, self._quarantine.judge)
+        back_at = now + self._scenario.crash_seconds
+        self._schedule(back_at, partial(self._recover, number))
+        for run, request in zip(lost, requests, strict=True):
+            self._fail_run(request, run, now)
+
+    def _recover(self, number: int, now: float) -> None:
+        self._engines[number].is_down = False
+        self._known_down.discard(number)
+
     def _schedule_noise(self) -> None:
         noise = self._scenario.noise
         for number in range(len(self._engines)):
--- a/lynxchute/bench/emulator/scenario.py
+++ b/lynxchute/bench/emulator/scenario.py
@@ -14,6 +14,8 @@
 from lynxchute.upstreams.generation import Generation, PromptPart
 
 FOLDER = pathlib.Path(__file__).parent / "scenarios"
+# Tokens of the part of a prompt that crashes engines.
+CRASH_PART_TOKENS = 200
 
 
 @attrs.frozen
@@ -69,6 +71,13 @@
     accounts: int = option(
         default=10, low=1, doc="Number of client accounts that send it."
     )
+    crash_part: str = option(
+        default="",
+        doc="Shared part that it has too, and that crashes engines; empty for none.",
+    )
+    parts_of: str = option(
+        default="", doc="Kind whose shared parts it has instead of its own."
+    )
 
 
 @attrs.frozen
@@ -171,6 +180,12 @@
     ask_ms: float = option(
         default=3.0, low=0.0, doc="One-way delay to and from the scheduling router."
     )
+    crash_seconds: float = option(
+        default=5.0, low=0.0, doc="Seconds until a crashed engine is back."
+    )
+    is_part_quarantined: bool = option(
+        default=True, doc="Whether parts that crash engines are refused."
+    )
     fetch_tokens_per_ms: float = option(
         default=0.0,
         low=0.0,
@@ -231,8 +246,11 @@
     """Return the seeded requests of a scenario, in order of arrival."""
     rng = random.Random(seed)
     trace: list[Arrival] = []
+    choices_by_kind: dict[str, list[list[PromptPart]]] = {}
     for index, kind in enumerate(scenario.kinds):
         choices = _parts(kind, index, rng)
+        choices_by_kind[kind.name] = choices
+        choices = choices_by_kind.get(kind.parts_of, choices)
         highest = 1.0 + sum(max(b.times - 1.0, 0.0) for b in scenario.bursts)
         now = 0.0
         rate = kind.per_second * scenario.load * highest
@@ -279,6 +297,8 @@
     number = rng.randrange(max((len(row) for row in choices), default=1))
     for row in choices:
         parts.append(row[number % len(row)])
+    if kind.crash_part:
+        parts.append(PromptPart(kind.crash_part, CRASH_PART_TOKENS))
     own = kind.own.draw(rng)
     output = kind.output.draw(rng)
     hint = max(int(output * rng.lognormvariate(0.0, scenario.hint_spread)), 1)
