Do not blame one part of an entry for a single crash of another account

Parts that cannot be told apart are refused together, for the account whose requests crashed engines. One crash by chance under another account's request with only one of them had that part refused for all. An entry is now extended to all accounts only by a request with all of its parts.

The entries and the tally of crashes become modules of their own.

--- a/lynxchute/bench/emulator/crashes.py
+++ b/lynxchute/bench/emulator/crashes.py
@@ -66,7 +66,7 @@
         prompt = _prompt(arrival)
         return any(
             _ms(now) < entry.until_ms and entry.matches(prompt)
-            for entry in self._attribution.entries_by_id.values()
+            for entry in self._attribution.entries.by_id.values()
         )
 
 
--- a/lynxchute/quarantine/suspicion.py
+++ b/lynxchute/quarantine/suspicion.py
@@ -126,7 +126,7 @@
     @property
     def entries_by_id(self) -> dict[str, QuarantineEntry]:
         """Return all entries: requests by content, and prompt parts."""
-        return {**self.quarantined_by_content, **self.parts.entries_by_id}
+        return {**self.quarantined_by_content, **self.parts.entries.by_id}
 
     def record_run(self, run: BrokenRun, now_ms: int) -> None:
         """Record a run that broke off when its upstream crashed."""
@@ -173,7 +173,7 @@
             crash.progress_by_content.pop(content, None)
             crash.run_by_content.pop(content, None)
         if quarantined is None:
-            quarantined = self.parts.entries_by_id.get(content)
+            quarantined = self.parts.entries.by_id.get(content)
             self.parts.remove(content)
         if quarantined is not None or (suspect is not None and _is_persisted(suspect)):
             self.has_unsaved_changes = True
@@ -182,7 +182,7 @@
     def adopt_quarantine(self, quarantined: QuarantineEntry) -> bool:
         """Add an entry found by an earlier judge; return whether it is new."""
         if quarantined.parts:
-            is_new = self.parts.adopt(quarantined)
+            is_new = self.parts.entries.adopt(quarantined)
             self.has_unsaved_changes = self.has_unsaved_changes or is_new
             return is_new
         if quarantined.content in self.quarantined_by_content:
@@ -205,7 +205,7 @@
         self._stored_contents = stored
         for quarantined in record.quarantined:
             if quarantined.parts:
-                self.parts.adopt(quarantined)
+                self.parts.entries.adopt(quarantined)
                 continue
             known = self.quarantined_by_content.get(quarantined.content)
             if known is None or known.until_ms < quarantined.until_ms:
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -237,7 +237,7 @@
     """Let the quarantine of all parts end now, at one router."""
     now_ms = containment.judge.now_ms()
     quarantine, parts = containment.quarantine, containment.judge.attribution.parts
-    for entries in (quarantine.by_content, parts.entries_by_id):
+    for entries in (quarantine.by_content, parts.entries.by_id):
         for entry_id, entry in list(entries.items()):
             if entry.parts:
                 entries[entry_id] = attrs.evolve(entry, until_ms=now_ms)
--- a/tests/test_part_suspicion.py
+++ b/tests/test_part_suspicion.py
@@ -9,12 +9,14 @@
 from testtools.matchers import LessThan
 
 from lynxchute.quarantine import BrokenRun, PartAttribution, Progress, PromptParts
+from lynxchute.quarantine.part_entries import (
+    MAX_PART_QUARANTINE_MS,
+    PART_QUARANTINE_MS,
+)
 from lynxchute.quarantine.part_suspicion import (
     CRASH_EXPIRY_MS,
     CRASHES_TO_QUARANTINE_PART,
     MAX_CRASHES,
-    MAX_PART_QUARANTINE_MS,
-    PART_QUARANTINE_MS,
     SERVED_GRACE_MS,
 )
 from lynxchute.quarantine.record import (
@@ -66,13 +68,13 @@
 
     @property
     def quarantined(self):
-        return {entry.parts for entry in self.attribution.entries_by_id.values()}
+        return {entry.parts for entry in self.attribution.entries.by_id.values()}
 
     def is_refused(self, *parts, account="a", scope=SCOPE):
         prompt = PromptParts(scope, VERSION, account, tuple(parts))
         return any(
             entry.matches(prompt) and self.now_ms < entry.until_ms
-            for entry in self.attribution.entries_by_id.values()
+            for entry in self.attribution.entries.by_id.values()
         )
 
 
@@ -166,6 +168,14 @@
         self.scenario.crash("p", "x", account="b")
         self.assertTrue(self.scenario.is_refused("p", account="c"))
 
+    def test_one_crash_of_another_account_is_no_proof_against_a_part(self):
+        self.quarantine("p", "beside", account="a")
+        self.scenario.crash("beside", account="b")
+        self.assertFalse(self.scenario.is_refused("beside", account="b"))
+        self.assertFalse(self.scenario.is_refused("p", "beside", account="b"))
+        self.scenario.crash("p", "beside", account="b")
+        self.assertTrue(self.scenario.is_refused("p", "beside", account="c"))
+
     def test_a_part_is_refused_only_where_it_crashed_engines(self):
         self.quarantine("p")
         self.assertFalse(self.scenario.is_refused("p", scope="pool other"))
@@ -185,7 +195,7 @@
         self.quarantine("p")
         durations_ms = []
         for _ in range(6):
-            (entry,) = self.scenario.attribution.entries_by_id.values()
+            (entry,) = self.scenario.attribution.entries.by_id.values()
             self.scenario.now_ms = entry.until_ms
             self.assertEqual([], self.scenario.attribution.expire(entry.until_ms))
             (renewed,) = self.scenario.crash("p")
@@ -195,14 +205,14 @@
 
     def test_a_trial_that_is_served_clears_an_entry_at_any_version(self):
         self.quarantine("p")
-        (entry,) = self.scenario.attribution.entries_by_id.values()
+        (entry,) = self.scenario.attribution.entries.by_id.values()
         self.scenario.now_ms = entry.until_ms + 1
         self.scenario.serve("p", version="v2")
         self.assertEqual(set(), self.scenario.quarantined)
 
     def test_a_part_that_was_quarantined_before_needs_two_crashes(self):
         self.quarantine("p")
-        (entry,) = self.scenario.attribution.entries_by_id.values()
+        (entry,) = self.scenario.attribution.entries.by_id.values()
         self.scenario.now_ms = entry.until_ms + PART_TRIAL_MS
         self.assertEqual(
             [entry.content], self.scenario.attribution.expire(self.scenario.now_ms)
@@ -213,7 +223,7 @@
 
     def test_a_release_forgets_the_crashes(self):
         self.quarantine("p")
-        (entry_id,) = self.scenario.attribution.entries_by_id
+        (entry_id,) = self.scenario.attribution.entries.by_id
         self.scenario.attribution.remove(entry_id)
         for _ in range(CRASHES_TO_QUARANTINE_PART - 1):
             self.assertEqual([], self.scenario.crash("p"))
@@ -230,8 +240,8 @@
             many = [f"x{number}.{other}" for other in range(64)]
             self.quarantine(f"p{number}", *many)
         attribution = self.scenario.attribution
-        self.assertEqual(MAX_PART_ENTRIES, len(attribution.entries_by_id))
-        for entry in attribution.entries_by_id.values():
+        self.assertEqual(MAX_PART_ENTRIES, len(attribution.entries.by_id))
+        for entry in attribution.entries.by_id.values():
             self.assertThat(len(entry.parts), LessThan(MAX_PARTS_TOGETHER + 1))
         for _ in range(2 * MAX_CRASHES):
             self.scenario.crash(*many)
@@ -239,7 +249,7 @@
 
     def test_entries_round_trip_through_the_row(self):
         self.quarantine("p", "beside")
-        entries = tuple(self.scenario.attribution.entries_by_id.values())
+        entries = tuple(self.scenario.attribution.entries.by_id.values())
         record = QuarantineRecord(entries)
         self.assertEqual(record, QuarantineRecord.decode(record.encode()).ok)
 
