Weigh a suspected prompt part before a frequent request, over all versions

Which layer goes first: a run now weighs as many earlier crashes as its content or any of its prompt parts is suspected of, leaving out parts that all runs of the crash share.

--- a/lynxchute/bench/emulator/crashes.py
+++ b/lynxchute/bench/emulator/crashes.py
@@ -56,7 +56,7 @@
         self._served_at_ms = [at for at in self._served_at_ms if at >= oldest_ms]
         attribution = self._attribution
         attribution.record_served(SCOPE, VERSION, self._served_at_ms_by_part, now_ms)
-        attribution.record_served_runs(SCOPE, VERSION, len(self._served_at_ms))
+        attribution.record_served_runs({SCOPE: len(self._served_at_ms)})
         attribution.quarantine_proven(now_ms)
 
     def refuses(self, arrival: Arrival, now: float) -> bool:
--- a/lynxchute/quarantine/part_crashes.py
+++ b/lynxchute/quarantine/part_crashes.py
@@ -52,6 +52,7 @@
     processes: set[str] = attrs.Factory(set)
     accounts: set[str] = attrs.Factory(set)
     first_ms: int = 0
+    last_version: str = ""
     crashes_by_content: Counter[str] = attrs.Factory(Counter)
 
     def add(self, process: str, crash: PartCrash) -> None:
@@ -59,6 +60,7 @@
         if not self.processes:
             self.first_ms = crash.at_ms
         self.processes.add(process)
+        self.last_version = crash.version
         for content in crash.contents_by_part[self.part]:
             self.accounts.add(crash.prompts_by_content[content].account)
             self.crashes_by_content[content] += 1
--- a/lynxchute/quarantine/part_suspicion.py
+++ b/lynxchute/quarantine/part_suspicion.py
@@ -91,7 +91,7 @@
         self._crash_by_process: OrderedDict[str, PartCrash] = OrderedDict()
         self._served_ms_by_part: OrderedDict[tuple[str, str, str], int] = OrderedDict()
         self._renewed: list[QuarantineEntry] = []
-        self._served_runs: dict[tuple[str, str], int] = {}
+        self._served_runs_by_scope: dict[str, int] = {}
 
     # Evidence.
 
@@ -148,27 +148,28 @@
             self._forget_crashes(entry)
         return [entry.content for entry in removed], added
 
-    def record_served_runs(self, scope: str, version: str, runs: int) -> None:
+    def record_served_runs(self, runs_by_scope: Mapping[str, int]) -> None:
         """Record how many runs all routers served in the last `SHARE_WINDOW_MS`."""
-        self._served_runs[(scope, version)] = runs
+        self._served_runs_by_scope = dict(runs_by_scope)
 
     # Findings.
 
     def suspected(self, now_ms: int) -> list[PartGroup]:
         """Return the parts of several crashes that were not served since."""
         groups = []
-        for scope, version in self._places():
-            explained = self._explained(scope, version, now_ms)
+        for scope in self._scopes():
             known = self.entries.known_parts(scope)
             tallies = [
                 tally
-                for tally in self._tallies(scope, version, explained)
+                for tally in self._tallies(scope, self._explained(scope, now_ms))
                 if _is_suspected(tally, known)
             ]
             tallies.sort(key=lambda tally: -tally.count)
             parts = tuple(tally.part for tally in tallies[:MAX_SUSPECTED])
-            if parts:
-                since_ms = now_ms - SHARE_WINDOW_MS
+            if not parts:
+                continue
+            since_ms = now_ms - SHARE_WINDOW_MS
+            for version in self._versions(scope):
                 groups.append(PartGroup(scope, version, parts, since_ms))
         return groups
 
@@ -183,10 +184,10 @@
         Routers should have been asked before which of them they have served.
         """
         new = []
-        for scope, version in self._places():
+        for scope in self._scopes():
             for _ in range(MAX_ENTRIES_AT_ONCE):
-                explained = self._explained(scope, version, now_ms)
-                tallies = self._tallies(scope, version, explained)
+                explained = self._explained(scope, now_ms)
+                tallies = self._tallies(scope, explained)
                 if not tallies:
                     break
                 known = self.entries.known_parts(scope)
@@ -199,10 +200,10 @@
                 if best.count < needed:
                     break
                 if needed == CRASHES_TO_QUARANTINE_PART and self._may_be_chance(
-                    scope, version, best, explained, now_ms
+                    scope, best, explained, now_ms
                 ):
                     break
-                new.append(self._quarantine(scope, version, best, tallies, now_ms))
+                new.append(self._quarantine(scope, best, tallies, now_ms))
         return new
 
     def expire(self, now_ms: int) -> list[str]:
@@ -238,40 +239,48 @@
             for run in runs
         )
 
+    def crash_counts(self, scope: str) -> dict[str, int]:
+        """Return the crashes of each part that several requests had, unserved since."""
+        return {
+            tally.part: tally.count
+            for tally in self._tallies(scope, set())
+            if tally.is_of_several_requests
+        }
+
     # Internals.
 
     def _forget_crashes(self, entry: QuarantineEntry) -> None:
         for process in self.crashed_processes(entry):
             del self._crash_by_process[process]
 
-    def _places(self) -> list[tuple[str, str]]:
-        return list(
-            dict.fromkeys((c.scope, c.version) for c in self._crash_by_process.values())
-        )
+    def _scopes(self) -> list[str]:
+        return list(dict.fromkeys(c.scope for c in self._crash_by_process.values()))
+
+    def _versions(self, scope: str) -> list[str]:
+        """Return the software versions that crashed."""
+        crashes = self._crash_by_process.values()
+        return list(dict.fromkeys(c.version for c in crashes if c.scope == scope))
 
-    def _explained(self, scope: str, version: str, now_ms: int) -> set[str]:
+    def _explained(self, scope: str, now_ms: int) -> set[str]:
         """Return the processes that crashed under a request in quarantine."""
         return {
             process
             for process, crash in self._crash_by_process.items()
             if crash.scope == scope
-            and crash.version == version
             and any(
                 self.entries.refuses(prompt, now_ms)
                 for prompt in crash.prompts_by_content.values()
             )
         }
 
-    def _tallies(
-        self, scope: str, version: str, explained: set[str]
-    ) -> list[PartTally]:
+    def _tallies(self, scope: str, explained: set[str]) -> list[PartTally]:
         """Count the unexplained crashes of each part that was not served since."""
         tallies_by_part: dict[str, PartTally] = {}
         for process, crash in self._crash_by_process.items():
-            if (crash.scope, crash.version) != (scope, version) or process in explained:
+            if crash.scope != scope or process in explained:
                 continue
             for part in crash.contents_by_part:
-                served_ms = self._served_ms_by_part.get((scope, version, part))
+                served_ms = self._served_ms_by_part.get((scope, crash.version, part))
                 if served_ms is not None and crash.at_ms <= served_ms + SERVED_GRACE_MS:
                     continue
                 tally = tallies_by_part.setdefault(part, PartTally(part))
@@ -281,7 +290,6 @@
     def _may_be_chance(
         self,
         scope: str,
-        version: str,
         tally: PartTally,
         explained: set[str],
         now_ms: int,
@@ -290,11 +298,11 @@
         other_crashes = sum(
             process not in explained
             and process not in tally.processes
-            and (crash.scope, crash.version) == (scope, version)
+            and crash.scope == scope
             and now_ms - crash.at_ms < SHARE_WINDOW_MS
             for process, crash in self._crash_by_process.items()
         )
-        served = self._served_runs.get((scope, version), 0)
+        served = self._served_runs_by_scope.get(scope, 0)
         runs = served + other_crashes + PRIOR_SERVED
         crash_share = min((other_crashes + PRIOR_CRASHES) / runs, 1.0)
         # The expected number of times that as many runs in a row crash by chance.
@@ -304,7 +312,6 @@
     def _quarantine(
         self,
         scope: str,
-        version: str,
         best: PartTally,
         tallies: list[PartTally],
         now_ms: int,
@@ -328,7 +335,7 @@
             now_ms,
             parts=tuple(parts),
             scope=scope,
-            version=version,
+            version=best.last_version,
             # Requests of several accounts crash upstreams, so it is not the account.
             accounts=tuple(accounts) if len(accounts) == 1 else (),
         )
--- a/lynxchute/quarantine/suspicion.py
+++ b/lynxchute/quarantine/suspicion.py
@@ -84,7 +84,8 @@
     """Attribute upstream crashes to requests that were open during them.
 
     A crash is blamed on the runs with the greatest weight: a run that had just begun
-    has more weight, and so has a request that was blamed for earlier crashes. If all
+    has more weight, and so has a request that was blamed for earlier crashes, or one
+    with a prompt part that is suspected of them. If all
     weigh the same, all are blamed. A crash is blamed on nobody if a quarantined request
     was open there. A request is quarantined when it is blamed for
     ``CRASHES_TO_QUARANTINE`` crashes and was the only possible cause of at least one of
@@ -265,8 +266,9 @@
         if quarantined or is_explained or not progress_by_content:
             # A request in quarantine was still open, which explains the crash.
             return []
+        part_crashes = self._part_crashes(crash)
         weights = {
-            content: self._weight(content, progress)
+            content: self._weight(content, progress, part_crashes.get(content, 0))
             for content, progress in progress_by_content.items()
         }
         crash.judged_weight = max(weights.values())
@@ -284,10 +286,34 @@
             findings[0] = self._quarantine(findings[0], now_ms)
         return findings
 
-    def _weight(self, content: str, progress: Progress) -> int:
+    def _part_crashes(self, crash: _Crash) -> dict[str, int]:
+        """Return the crashes that each run's prompt parts may have caused.
+
+        Parts that all of the runs have tell nothing about which run is the cause.
+        """
+        prompts_by_content = {
+            run.content: run.prompt
+            for run in crash.possible_causes
+            if run.prompt is not None
+        }
+        if len(prompts_by_content) < 2:
+            return {}
+        prompts = list(prompts_by_content.values())
+        shared = set.intersection(*(set(prompt.ids) for prompt in prompts))
+        counts = self.parts.crash_counts(prompts[0].scope)
+        return {
+            content: max(
+                (counts.get(part, 0) for part in prompt.ids if part not in shared),
+                default=0,
+            )
+            for content, prompt in prompts_by_content.items()
+        }
+
+    def _weight(self, content: str, progress: Progress, part_crashes: int = 0) -> int:
         suspect = self.suspects_by_content.get(content)
         crashes = len(suspect.ended) if suspect is not None else 0
-        return crashes + (STARTED_WEIGHT if progress is Progress.BEGUN else 0)
+        earlier = max(crashes, part_crashes)
+        return earlier + (STARTED_WEIGHT if progress is Progress.BEGUN else 0)
 
     def _blame(
         self, content: str, process: str, now_ms: int, *, is_alone: bool
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -11,6 +11,7 @@
     BrokenRun,
     CrashAttribution,
     Progress,
+    PromptParts,
     Quarantine,
     QuarantineEntry,
     QuarantineRecord,
@@ -90,6 +91,24 @@
         self.scenario.crash(q=BEGUN)
         self.assertEqual({"q"}, self.scenario.quarantined)
 
+    def test_a_run_with_a_suspected_part_is_blamed_before_a_frequent_request(self):
+        # Each request with the part is new; the sound one is sent again and again.
+        for number in range(8):
+            for content, part in ((f"deadly{number}", "p"), ("sound", "s")):
+                prompt = PromptParts("pool m", "v1", "a", ("shared", part))
+                run = BrokenRun(content, f"e{number}", BEGUN, prompt=prompt)
+                self.scenario.attribution.record_run(run, self.scenario.now_ms)
+            self.scenario.now_ms += REPORT_WINDOW_MS
+            self.scenario.attribution.judge(self.scenario.now_ms)
+            self.scenario.attribution.parts.record_served(
+                "pool m", "v1", {"s": self.scenario.now_ms}, self.scenario.now_ms
+            )
+            if number == 0:
+                # One crash in which nothing else was seen.
+                alone = BrokenRun("sound", "alone", BEGUN)
+                self.scenario.attribution.record_run(alone, self.scenario.now_ms)
+        self.assertNotIn("sound", self.scenario.quarantined)
+
     def test_unanswered_runs_are_told_apart_by_earlier_crashes(self):
         # Plain services send no head before the answer, so all open runs look alike.
         self.scenario.crash(q=UNANSWERED, one=UNANSWERED)
