--- a/lynxchute/quarantine/part_suspicion.py
+++ b/lynxchute/quarantine/part_suspicion.py
@@ -75,7 +75,7 @@
 
     Examples
     --------
-    >>> from lynxchute.quarantine import Progress
+    >>> from lynxchute.quarantine import Progress, PromptParts
     >>> attribution = PartAttribution()
     >>> for number in range(4):
     ...     prompt = PromptParts("pool m", "v1", "a", ("p",))
