Let the longest entry of a prompt part decide, and forget served suspects

Two entries can hold for one request, one of two parts whose time was over and one of a single part. The first that matched decided, so the owner of the expired one could send a request that the other one refuses. Test red before (the entry of two parts was found). Parts that a router has served are no longer suspected there, and trials of entries that are gone are forgotten. Found by reading.

--- a/lynxchute/containment/parts.py
+++ b/lynxchute/containment/parts.py
@@ -79,6 +79,9 @@
             return None
         served_ms = self._served_ms(send)
         self._served.record_served(prompt, served_ms)
+        if self._suspected_until:
+            for part in prompt.ids:
+                self._suspected_until.pop((prompt.scope, part), None)
         watched = self._watched(prompt)
         if not watched:
             return None
@@ -167,7 +170,12 @@
         entry = self._quarantine.find_parts(prompt)
         if entry is None:
             return ""
-        self._trial_began_at[entry.content] = self._clock()
+        began_at = {
+            entry_id: time
+            for entry_id, time in self._trial_began_at.items()
+            if entry_id in self._quarantine.by_content
+        }
+        self._trial_began_at = {**began_at, entry.content: self._clock()}
         return entry.content
 
     # Internals.
--- a/lynxchute/quarantine/quarantine.py
+++ b/lynxchute/quarantine/quarantine.py
@@ -60,14 +60,12 @@
                 self._discard(entry.content)
 
     def find_parts(self, prompt: PromptParts) -> QuarantineEntry | None:
-        """Return the entry that refuses requests with these prompt parts.
+        """Return the entry that refuses requests with these parts for the longest.
 
         It may have expired; then one router tries single requests.
         """
-        for entry in self.part_entries:
-            if entry.matches(prompt):
-                return entry
-        return None
+        matching = [entry for entry in self.part_entries if entry.matches(prompt)]
+        return max(matching, key=lambda entry: entry.until_ms, default=None)
 
     def replace(self, quarantined: Iterable[QuarantineEntry], now_ms: int) -> list[str]:
         """Replace the entries with those in the store; return the new content ids."""
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -381,6 +381,15 @@
         quarantine.replace([], UNCONFIRMED_MS)
         self.assertIsNone(quarantine.find("a", 0))
 
+    def test_the_entry_of_parts_that_lasts_longest_counts(self):
+        quarantine = Quarantine()
+        short = QuarantineEntry("x", 0, 10, parts=("p", "q"), scope="pool m")
+        long = QuarantineEntry("y", 0, 20, parts=("p",), scope="pool m")
+        quarantine.add([short, long], 0)
+        found = quarantine.find_parts(PromptParts("pool m", "v1", "a", ("p", "q")))
+        self.assertEqual("y", found.content)
+        self.assertIsNone(quarantine.find_parts(PromptParts("pool", "", "a", ("p",))))
+
     def test_late_reports_do_not_outlive_the_row(self):
         # Guards against a released request that is refused for long afterwards: a
         # router's feed of the store may be faster than the judge's message.
