Know answers without a body as complete at their head

Answers to HEAD, and with 204 or 304, have no body and may have no length either. They were checked like answers that end with their connection, which took one more connection, and would have been given up if the upstream ended just then. Found by reading.

--- a/lynxchute/http/client.py
+++ b/lynxchute/http/client.py
@@ -28,6 +28,8 @@
 # Responses to earlier requests that may be skipped before the expected one. A peer
 # that sends more of them is treated as broken.
 MAX_SKIPPED_RESPONSES = 3
+# Their responses never have a body (RFC 9110, 6.4.1).
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
 @attrs.frozen
@@ -143,11 +145,17 @@
         self._connection = connection
         self._between_bytes = between_bytes
         self._released = False
+        self._method = connection.method
 
     @property
     def is_framed(self) -> bool:
-        """Return whether the body has a length or chunks that mark its end."""
-        return "content-length" in self.headers or "transfer-encoding" in self.headers
+        """Return whether the end of the body can be told from that of its connection.
+
+        The body has a length or chunks, or there never is one.
+        """
+        if "content-length" in self.headers or "transfer-encoding" in self.headers:
+            return True
+        return self.status in STATUSES_WITHOUT_BODY or self._method == "HEAD"
 
     async def read(self) -> bytes | None:
         """Return the next available part of the body, or None at its end.
--- a/lynxchute/http/client_connection.py
+++ b/lynxchute/http/client_connection.py
@@ -84,6 +84,11 @@
         transport = self._transport
         return not self._closed and transport is not None and not transport.is_closing()
 
+    @property
+    def method(self) -> str:
+        """Return the method of the request in progress; empty if there is none."""
+        return self._request.method if self._request is not None else ""
+
     # Callbacks of the event loop.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -126,6 +126,18 @@
         self.assertEqual([b"", b""], [bodies[1], bodies[3]])
         self.assertTrue(all(body.startswith(b"answer to") for body in bodies[::2]))
 
+    def test_answers_that_have_no_body_take_no_further_connection(self):
+        async def scenario(deployment):
+            caller = PlatformCaller(deployment)
+            before = sum(app.connections for app in deployment.apps)
+            answers = [await caller.send("HEAD", "/safe/x") for _ in range(6)]
+            opened = sum(app.connections for app in deployment.apps) - before
+            return [status for status, _, _ in answers], opened
+
+        statuses, opened = self.play(scenario)
+        self.assertEqual([200] * 6, statuses)
+        self.assertEqual(6, opened)
+
     def test_a_stream_that_may_not_be_resumed_is_not_ended_as_whole(self):
         async def scenario(deployment):
             for engine in deployment.engines:
