--- a/tests/test_ledger_era.py
+++ b/tests/test_ledger_era.py
@@ -552,7 +552,7 @@
             ledger_mutants.count_nothing_that_was_withheld,
         ):
             with mutant(), self.assertRaises(AssertionError):
-                run(600, 50, shrink=False, machine=LedgerMachine)
+                run(3000, 50, shrink=False, machine=LedgerMachine)
 
 
 class RestoredSpendingTest(PlatformTestCase):
