Let stand-ins fall silent and go on

Cause: a silent upstream could not be played; stand-ins hung for good or answered. Change: stand-ins and links fall silent for a while on open and new connections, one way if wanted; ports are not given out twice; fuzz examples do not depend on loaded modules.

--- a/lynxchute/standins/callers.py
+++ b/lynxchute/standins/callers.py
@@ -43,12 +43,16 @@
         The VM whose router it was sent to; empty before it is sent.
     run
         The run status that a refusal states; empty without a refusal.
+    is_broken_off
+        Whether the router ended the exchange before the answer was complete. A caller
+        that has waited too long ends it itself.
     """
 
     request_id: str
     vm: str = ""
     status: int = 0
     run: str = ""
+    is_broken_off: bool = False
 
 
 @attrs.define
@@ -167,14 +171,16 @@
             response = await client.request(
                 "POST", target, headers=headers, body=json.dumps(value).encode()
             )
-        except ExchangeError:
+        except ExchangeError as error:
+            attempt.is_broken_off = error.sent and not error.is_timeout
             client.close()
             return None
         body = b""
         try:
             while (chunk := await response.read()) is not None:
                 body += chunk
-        except ExchangeError:
+        except ExchangeError as error:
+            attempt.is_broken_off = not error.is_timeout
             return Reply(response.status, body)
         finally:
             client.close()
--- a/lynxchute/standins/deployment.py
+++ b/lynxchute/standins/deployment.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 import attrs
+from expression import Ok
 
 from lynxchute.address import Address
 from lynxchute.config.document import (
@@ -20,6 +21,7 @@
     hash_key,
 )
 from lynxchute.config.role import Role
+from lynxchute.edge.settings import EdgeSettings
 from lynxchute.http import HttpClient
 from lynxchute.operators.service import COMMANDS_PATH
 from lynxchute.router import RouterApplication
@@ -111,6 +113,7 @@
         self.engines_by_name: dict[str, EngineServer] = {}
         self.services_by_name: dict[str, ServiceServer] = {}
         self.routers_by_vm: dict[str, RouterApplication] = {}
+        self._settings_by_vm: dict[str, EdgeSettings] = {}
         self.document = FleetDocument()
         self._links_by_vm: dict[str, _RouterLinks] = {}
         self._data_centre_by_vm: dict[str, str] = {}
@@ -148,12 +151,21 @@
 
     async def start_router(self, vm: str) -> RouterApplication:
         """Start a new router process on a VM."""
-        router = RouterApplication(self._settings(vm))
+        settings = self._settings(vm)
+        router = RouterApplication(settings)
+        self._settings_by_vm[vm] = settings.edge()
+        router.watch_settings(
+            lambda: Ok(self._settings_by_vm[vm]), lambda: self._settings_by_vm[vm]
+        )
         source = self._data_centre_by_vm[vm]
         router.peers.address_of = lambda member: self._peer_address(member.vm, source)
         router.clients.address_of = lambda address: self._upstream_address(vm, address)
+        try:
+            await router.start()
+        except BaseException:
+            await router.kill()
+            raise
         self.routers_by_vm[vm] = router
-        await router.start()
         for link in self._links_by_vm[vm].peer_links_by_source.values():
             link.target = f"{HOST}:{router.peer_server.server.port}"
         return router
@@ -168,6 +180,13 @@
         await router.drain()
         await router.kill()
 
+    def reload_settings(self, vm: str, **bounds: float) -> None:
+        """Change bounds in a router's settings, which it reloads within a second."""
+        settings = self._settings_by_vm[vm]
+        self._settings_by_vm[vm] = attrs.evolve(
+            settings, bounds=attrs.evolve(settings.bounds, **bounds)
+        )
+
     async def wait_until_ready(self) -> None:
         """Wait until every router is ready, knows the others and has budget shares."""
         while not all(self._is_joined(vm) for vm in self.routers_by_vm):
@@ -211,6 +230,16 @@
             for link in self._links_by_vm[vm].upstream_links_by_address.values():
                 await link.restore()
 
+    def silence(self, names: Iterable[str]) -> None:
+        """Let upstreams fall silent towards all routers."""
+        for link in self._links_to(names):
+            link.partition(Partition.SILENT)
+
+    async def end_silence(self, names: Iterable[str]) -> None:
+        """Let silent upstreams go on."""
+        for link in self._links_to(names):
+            await link.restore()
+
     def store_faults(self, vm: str) -> StoreFaults:
         """Return the faults that the store injects for one router, to be changed."""
         return self.store.faults_by_port[self._links_by_vm[vm].store_port]
@@ -249,6 +278,15 @@
                     held.add(account)
         return held >= set(self.shape.budgets)
 
+    def _links_to(self, names: Iterable[str]) -> list[Link]:
+        """Return the links from all routers to some upstreams."""
+        found = []
+        for name in names:
+            address = self.document.upstreams_by_name[name].address
+            for links in self._links_by_vm.values():
+                found.append(links.upstream_links_by_address[address])
+        return found
+
     def _peer_address(self, vm: str, source: str) -> str:
         """Return the address at which a data centre reaches a router, over its link."""
         return f"{HOST}:{self._links_by_vm[vm].peer_links_by_source[source].port}"
--- a/lynxchute/standins/engine.py
+++ b/lynxchute/standins/engine.py
@@ -42,6 +42,8 @@
         Tokens of the answer so far, including those that another engine sent.
     state
         ``running``, ``finished`` or ``cancelled``.
+    is_stream
+        Whether its answer is a stream.
     """
 
     request_id: str
@@ -53,6 +55,12 @@
     software_version: str = ""
     done: int = 0
     state: str = "running"
+    is_stream: bool = False
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the run has not ended."""
+        return self.state == "running"
 
     def usage(self) -> dict[str, int]:
         """Return the token usage in the fields of the OpenAI API."""
@@ -81,6 +89,8 @@
         Message texts that crash the process as soon as it runs a prompt with one.
     restarts
         The number of crashes so far.
+    token_delay
+        Seconds between tokens.
     """
 
     def __init__(
@@ -99,7 +109,7 @@
         self._restart_task: asyncio.Task[None] | None = None
         self._cached_tokens_by_prefix: OrderedDict[str, int] = OrderedDict()
         self._first_token_delay = first_token_delay
-        self._token_delay = token_delay
+        self.token_delay = token_delay
 
     def records(self) -> list[dict[str, Any]]:
         """Return one record for each run."""
@@ -121,7 +131,7 @@
             await self._serve_chat(request, respond)
             return
         if request.path == LOAD_PATH:
-            running = sum(run.state == "running" for run in self.runs)
+            running = sum(run.is_running for run in self.runs)
             cached = list(self._cached_tokens_by_prefix.items())
             load = {"running": running, "cached": cached}
             await respond.json(200, load, self.backpressure_headers())
@@ -143,6 +153,7 @@
             int(time.time()),
             software_version=self.software_version,
             done=int(last) if last.isdecimal() else 0,
+            is_stream=bool(question.get("stream")),
         )
         self.runs.append(run)
         texts = {str(message["content"]) for message in question["messages"]}
@@ -150,12 +161,12 @@
             await self._crash(run, respond)
             return
         try:
-            if question.get("stream"):
+            if run.is_stream:
                 await self._stream(run, respond)
             else:
                 await self._answer(run, respond)
         finally:
-            if run.state == "running":
+            if run.is_running:
                 run.state = "cancelled"
 
     async def _crash(self, run: Generation, respond: Responder) -> None:
@@ -188,7 +199,7 @@
         await asyncio.sleep(self._first_token_delay)
         while run.done < len(run.tokens):
             run.done += 1
-            await asyncio.sleep(self._token_delay)
+            await asyncio.sleep(self.token_delay)
         run.state = "finished"
         headers = [(names.REQUEST_ID, run.request_id), *self.backpressure_headers()]
         await respond.json(200, _whole_answer(run), headers)
@@ -210,7 +221,7 @@
                 run.state = "cancelled"
                 respond.abort()
                 return
-            await asyncio.sleep(self._token_delay)
+            await asyncio.sleep(self.token_delay)
         run.state = "finished"
         final_events = (_stop_event(run), _usage_event(run), DONE)
         for number, event in enumerate(final_events, start=len(run.tokens) + 1):
--- a/lynxchute/standins/link.py
+++ b/lynxchute/standins/link.py
@@ -37,12 +37,16 @@
         Open ones hang, new ones are refused.
     KEEP_REFUSE
         Open ones work, new ones are refused.
+    SILENT
+        The target is silent: nothing that it sends arrives, while open connections
+        still carry what it is sent.
     """
 
     HANG = "hang"
     REFUSE = "refuse"
     HANG_REFUSE = "hang, refuse"
     KEEP_REFUSE = "keep, refuse"
+    SILENT = "silent"
 
 
 class Link:
@@ -92,7 +96,9 @@
             self.reset()
         if how in (Partition.HANG, Partition.HANG_REFUSE):
             self.hold(*Direction)
-        if how is Partition.HANG:
+        if how is Partition.SILENT:
+            self.hold(Direction.FROM_TARGET)
+        if how in (Partition.HANG, Partition.SILENT):
             self._leave_unaccepted()
         else:
             self._reserve_port()
--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -47,6 +47,9 @@
     ----------
     first_pause
         Seconds for which a stream pauses after its first event, in addition.
+    plain_pieces
+        Bytes of each piece of a plain answer, sent `event_delay` apart; empty for an
+        answer in one piece.
     faults
         The faults of the next requests, in order; later requests have none.
     arrivals
@@ -114,6 +117,7 @@
         self.events = events
         self.event_delay = event_delay
         self.first_pause = 0.0
+        self.plain_pieces: tuple[int, ...] = ()
         self.faults: list[Fault] = []
         self.arrivals: list[str] = []
         self.runs: list[Run] = []
@@ -303,6 +307,7 @@
                 self.software_version,
                 self.ends_with_connection,
                 self.cuts_inside_event,
+                self.plain_pieces,
             )
             if not await self._answer(exchange):
                 if fault in (Fault.CRASH, Fault.CUT_AND_CRASH):
--- a/lynxchute/standins/service.py
+++ b/lynxchute/standins/service.py
@@ -8,6 +8,7 @@
 from lynxchute.callers import names
 from lynxchute.http import Request, Responder
 from lynxchute.standins.upstream import UpstreamServer, account_of, request_id_of
+from lynxchute.upstreams.load_report import LOAD_PATH
 
 
 class ServiceServer(UpstreamServer):
@@ -24,6 +25,10 @@
     async def serve(self, request: Request, respond: Responder) -> None:
         """Record a request and answer with its path and the digest of its body."""
         request_id = request_id_of(request)
+        if request.path == LOAD_PATH and not request_id:
+            # Routers probe a silent upstream whatever its kind; a probe is no call.
+            await respond.json(200, {}, self.backpressure_headers())
+            return
         self.runs.append(
             {
                 "request_id": request_id,
--- a/lynxchute/standins/upstream_exchange.py
+++ b/lynxchute/standins/upstream_exchange.py
@@ -39,6 +39,8 @@
         Whether the answer has neither a length nor chunks.
     cuts_inside_event
         Whether a crash ends such a stream inside an event.
+    plain_pieces
+        Bytes of each piece of a plain answer; empty for an answer in one piece.
     """
 
     upstream_id: str
@@ -55,6 +57,7 @@
     software_version: str = "v1"
     ends_with_connection: bool = False
     cuts_inside_event: bool = True
+    plain_pieces: tuple[int, ...] = ()
 
     async def answer(self) -> bool:
         """Send the response; return whether the connection can be reused."""
@@ -78,6 +81,8 @@
             self._write_raw(b"another", "another-request")
         if self.events:
             return await self._send_stream()
+        if self.plain_pieces:
+            return await self._send_pieces()
         await asyncio.sleep(self.event_delay)
         return await self._send_plain()
 
@@ -114,6 +119,22 @@
             return False
         return True
 
+    async def _send_pieces(self) -> bool:
+        length = sum(self.plain_pieces)
+        headers = [*self._headers(), ("Content-Length", str(length))]
+        self._send(h11.Response(status_code=200, headers=headers))
+        for size in self.plain_pieces:
+            self._send(h11.Data(data=b"x" * size))
+            await self.writer.drain()
+            await asyncio.sleep(self.event_delay)
+            if self._is_router_gone():
+                self.run.router_disconnected = True
+                return False
+        self._send(h11.EndOfMessage())
+        self.run.ended = True
+        await self.writer.drain()
+        return True
+
     async def _refuse(self, fault: Fault) -> None:
         status = {Fault.DECLINE: 503, Fault.BUSY: 429, Fault.MOVED: 421}[fault]
         headers = [("Content-Length", "0"), (names.UPSTREAM_ID, self.upstream_id)]
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -9,6 +9,7 @@
 import testtools
 from hypothesis import HealthCheck, settings
 
+from tests.fuzz import load_product
 from tests.known_red import known_cause, load_known_red
 
 settings.register_profile(
@@ -19,6 +20,7 @@
     database=None,
 )
 settings.load_profile("ci")
+load_product()
 
 
 class PrintingResult(testtools.TextTestResult):
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -3,7 +3,10 @@
 Arguments: number of examples, steps of each example, seed.
 """
 
+import functools
+import importlib
 import json
+import pkgutil
 import sys
 import traceback
 
@@ -11,6 +14,7 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
+import lynxchute
 from tests.ledger_machine import LedgerMachine
 
 FAILURE_KINDS = (
@@ -22,8 +26,20 @@
 )
 
 
+@functools.cache
+def load_product():
+    """Import all modules of the product.
+
+    Hypothesis draws constants that it finds in the loaded modules, so the examples of a
+    test would depend on what other tests import.
+    """
+    for module in pkgutil.walk_packages(lynxchute.__path__, "lynxchute."):
+        importlib.import_module(module.name)
+
+
 def run(examples, steps, seed=None, shrink=True, machine=LedgerMachine):
     """Run a state machine with random steps; raise the first failure found."""
+    load_product()
     phases = [Phase.generate, Phase.shrink] if shrink else [Phase.generate]
     profile = settings(
         phases=phases,
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import errno
+import functools
 import itertools
 import os
 import socket
@@ -11,7 +13,7 @@
 from lynxchute.edge.settings import DeploymentBounds, EdgeSettings, Features
 from lynxchute.http import ExchangeError, HttpClient, Timeouts
 from lynxchute.platform.daemon import make_platform
-from lynxchute.standins.link import Link
+from lynxchute.standins.link import Link, Partition
 from lynxchute.standins.platform_store import PlatformStoreStandin
 from lynxchute.standins.platform_upstream import PlatformUpstreamStandin
 from tests.support import AsyncTestCase, until
@@ -20,11 +22,11 @@
 KEY = "key-of-kanda"
 ACCOUNT = "kanda"
 DATA_CENTRES = ("a", "b")
-# Below the kernel's ephemeral port range, which outgoing connections use; each test
-# process starts at a different port.
+# Below the kernel's ephemeral port range, which outgoing connections use.
 FIRST_PORT, PORTS = 12_000, 18_000
+# Each test process takes its ports from a block of its own.
+BLOCK_SIZE = 600
 _request_numbers = itertools.count(1)
-_ports = itertools.count(os.getpid() * 97)
 
 
 def route(name, prefix, service, kind, **options):
@@ -142,7 +144,7 @@
 
     async def start(self):
         for upstream in self.upstreams:
-            await upstream.start()
+            await upstream.start(free_port())
             await upstream.register(self.store)
         await self.configure()
         for vm in self._vms:
@@ -182,7 +184,7 @@
         if vm not in self.upstream_links_by_vm:
             links = [Link(upstream.address) for upstream in self.upstreams]
             for link in links:
-                await link.start()
+                await link.start(port=free_port())
             self.upstream_links_by_vm[vm] = links
         links = self.upstream_links_by_vm[vm]
         ports = {link.target: f"127.0.0.1:{link.port}" for link in links}
@@ -194,6 +196,19 @@
             for link in self.upstream_links_by_vm[vm]:
                 link.partition(how)
 
+    def silence(self, upstream):
+        """Let an upstream fall silent towards all routers."""
+        for link in self._links_to(upstream):
+            link.partition(Partition.SILENT)
+
+    async def end_silence(self, upstream):
+        for link in self._links_to(upstream):
+            await link.restore()
+
+    def _links_to(self, upstream):
+        index = self.upstreams.index(upstream)
+        return [links[index] for links in self.upstream_links_by_vm.values()]
+
     async def restore(self, vms):
         for vm in vms:
             for link in self.upstream_links_by_vm[vm]:
@@ -223,10 +238,30 @@
         await self.store.close()
 
 
+@functools.cache
+def _leased_block():
+    """Lease a block of ports until this process ends.
+
+    Returns the socket that holds the lease and an endless iterator of the ports. The
+    first port of a block is its lock: without SO_REUSEADDR, one process can bind it.
+    """
+    blocks = PORTS // BLOCK_SIZE
+    for number in range(blocks):
+        first = FIRST_PORT + (os.getpid() + number) % blocks * BLOCK_SIZE
+        lock = socket.socket()
+        try:
+            lock.bind(("127.0.0.1", first))
+        except OSError:
+            lock.close()
+            continue
+        return lock, itertools.cycle(range(first + 1, first + BLOCK_SIZE))
+    raise OSError(errno.EADDRINUSE, "other test runs have leased all blocks of ports")
+
+
 def free_port():
-    """Return a free port outside the ephemeral range."""
-    while True:
-        port = FIRST_PORT + next(_ports) % PORTS
+    """Return a free port outside the ephemeral range that no other test run finds."""
+    _, ports = _leased_block()
+    for port in itertools.islice(ports, BLOCK_SIZE):
         with socket.socket() as sock:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
@@ -234,6 +269,7 @@
             except OSError:
                 continue
         return port
+    raise OSError(errno.EADDRINUSE, "no port of this test run's block is free")
 
 
 class PlatformTestCase(AsyncTestCase):
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,20 +1,29 @@
 """Helpers that several test modules share."""
 
 import asyncio
+import ipaddress
 import json
+import os
+from unittest import mock
 
 import testtools
 
 from lynxchute.event_loop import run as run_loop
 from lynxchute.http import HttpClient
+from lynxchute.standins import deployment as standins
 from lynxchute.standins.callers import streamed_text
 from lynxchute.standins.counts import counted_by_account, served_by_account
 from lynxchute.standins.deployment import MODEL, Deployment, Shape, caller_key
+from lynxchute.standins.link import Link
+from lynxchute.standins.service import ServiceServer
 from lynxchute.upstreams.rate_limits import RateLimits
 from lynxchute.upstreams.rate_sharing import MostlyCentral
 
 ACCOUNT = "kanda"
 CHAT = "/v1/chat/completions"
+# Loopback address of this test process. A router of another run may still probe a port
+# that its upstream has left and that the kernel has given out again.
+OWN_HOST = str(ipaddress.IPv4Address("127.64.0.0") + os.getpid())
 
 
 def unlimited_rates():
@@ -43,11 +52,46 @@
     return Shape(**{**values, **changes})
 
 
+class IsolatedDeployment(Deployment):
+    """Deployment with plain services that routers of other test runs cannot reach."""
+
+    async def _start_upstreams(self):
+        start_upstream = standins._start_upstream
+
+        async def start(standin, service, data_centre):
+            if not isinstance(standin, ServiceServer):
+                return await start_upstream(standin, service, data_centre)
+            with mock.patch.object(standins, "HOST", OWN_HOST):
+                return await start_upstream(standin, service, data_centre)
+
+        with mock.patch.object(standins, "_start_upstream", start):
+            await super()._start_upstreams()
+
+    async def _start_links(self, vm, data_centre):
+        await super()._start_links(vm, data_centre)
+        links_by_address = self._links_by_vm[vm].upstream_links_by_address
+        for address in self._service_addresses:
+            await links_by_address[address].stop()
+            links_by_address[address] = Link(address)
+            await links_by_address[address].start(OWN_HOST)
+
+    def _upstream_address(self, vm, address):
+        reached_at = super()._upstream_address(vm, address)
+        if address not in self._service_addresses:
+            return reached_at
+        return f"{OWN_HOST}:{reached_at.rpartition(':')[2]}"
+
+    @property
+    def _service_addresses(self):
+        names = self.services_by_name
+        return [u.address for u in self.document.upstreams if u.name in names]
+
+
 def with_deployment(case, scenario, **changes):
     """Run a scenario on a new deployment, and stop the deployment afterwards."""
 
     async def work():
-        deployment = Deployment(small_shape(**changes))
+        deployment = IsolatedDeployment(small_shape(**changes))
         await deployment.start()
         try:
             return await scenario(deployment)
