Do not blame a shared prompt part once one cause is found

Cause: a part that many requests share was blamed for crashes of other parts; a run that was reported again ended the judging of crashes with a TypeError. Change: crashes that have a known cause no longer count for other parts; evidence for a new judge ends with what is new, each run once.

--- a/lynxchute/containment/containment.py
+++ b/lynxchute/containment/containment.py
@@ -6,6 +6,8 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable
 
+import attrs
+
 from lynxchute.application import Component, PeriodicTask, Tasks
 from lynxchute.containment.judge import JUDGE_KEY, ROW_KEY, Judge
 from lynxchute.containment.news import QuarantineBroadcast
@@ -297,10 +299,12 @@
         """Send evidence to the fleet's judge; a new judge gets all recent evidence."""
         for _ in range(JUDGE_ATTEMPTS):
             judge = self._current_judge()
+            runs = broken
             quarantined: tuple[QuarantineEntry, ...] = ()
             if judge.incarnation != self._last_judge:
-                broken, quarantined = self._recent_runs(), self.quarantine.unconfirmed()
-            evidence = CrashEvidence(broken, survived, quarantined, parts_served)
+                runs = self._recent_runs(broken)
+                quarantined = self.quarantine.unconfirmed()
+            evidence = CrashEvidence(runs, survived, quarantined, parts_served)
             if judge.vm == self._members.own.vm:
                 break
             try:
@@ -318,13 +322,16 @@
     def _current_judge(self) -> Member:
         return self._members.by_vm[self._members.owner_of_key(JUDGE_KEY)]
 
-    def _recent_runs(self) -> tuple[BrokenRun, ...]:
+    def _recent_runs(self, new: tuple[BrokenRun, ...]) -> tuple[BrokenRun, ...]:
+        """Return recent evidence for a new judge, ending with what is new."""
         oldest_ms = self.judge.now_ms() - EVIDENCE_RETENTION_MS
-        return tuple(
-            run
+        new_runs = set(new)
+        earlier = [
+            attrs.evolve(run, broke_ms=recorded_ms)
             for recorded_ms, run in self._recent_evidence
-            if recorded_ms >= oldest_ms
-        )
+            if recorded_ms >= oldest_ms and run not in new_runs
+        ]
+        return (*earlier, *new)
 
     async def _handle_evidence_message(self, evidence: CrashEvidence) -> Ack:
         self.judge.handle_evidence(evidence)
--- a/lynxchute/containment/parts.py
+++ b/lynxchute/containment/parts.py
@@ -17,6 +17,7 @@
     ServedParts,
 )
 from lynxchute.quarantine.part_suspicion import SERVED_GRACE_MS
+from lynxchute.quarantine.served_parts import ANY_VERSION
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.entry import CRASH_WINDOW_SECONDS, OpenSend
 
@@ -207,6 +208,7 @@
                     continue
                 served_ms = self._served_ms(send)
                 for part in prompt.ids:
-                    key = (prompt.scope, prompt.version, part)
-                    at_ms[key] = max(served_ms, at_ms.get(key, served_ms))
+                    for version in {prompt.version, ANY_VERSION}:
+                        key = (prompt.scope, version, part)
+                        at_ms[key] = max(served_ms, at_ms.get(key, served_ms))
         return at_ms
--- a/lynxchute/quarantine/evidence.py
+++ b/lynxchute/quarantine/evidence.py
@@ -29,6 +29,8 @@
         reporting router has served shortly before are left out.
     began_ms
         When it was sent, on the store's clock; 0 if not known.
+    broke_ms
+        When it broke off, on the store's clock; 0 if it has just done so.
     """
 
     content: str
@@ -37,6 +39,11 @@
     is_start_known: bool = True
     prompt: PromptParts | None = None
     began_ms: int = 0
+    broke_ms: int = 0
+
+    def broke_at_ms(self, now_ms: int) -> int:
+        """Return when it broke off, given the time at which it is reported."""
+        return min(self.broke_ms or now_ms, now_ms)
 
 
 class Verdict(enum.Enum):
--- a/lynxchute/quarantine/part_suspicion.py
+++ b/lynxchute/quarantine/part_suspicion.py
@@ -11,6 +11,7 @@
 from lynxchute.quarantine.part_crashes import PartCrash, PartTally
 from lynxchute.quarantine.part_entries import PartEntries
 from lynxchute.quarantine.record import MAX_PARTS_TOGETHER, QuarantineEntry
+from lynxchute.quarantine.served_parts import ANY_VERSION
 
 # Number of crashes after which a part may be quarantined.
 CRASHES_TO_QUARANTINE_PART = 4
@@ -36,6 +37,7 @@
 MAX_ENTRIES_AT_ONCE = 4
 MAX_SERVED = 4000
 MAX_SUSPECTED = 200
+MAX_RIVALS = 16
 
 
 @attrs.frozen
@@ -106,10 +108,12 @@
         for run in runs:
             if run.prompt is None or not run.prompt.ids:
                 continue
+            at_ms = run.broke_at_ms(now_ms)
             crash = self._crash_by_process.get(process)
             if crash is None:
-                crash = PartCrash(now_ms, run.prompt.scope, run.prompt.version)
+                crash = PartCrash(at_ms, run.prompt.scope, run.prompt.version)
                 self._crash_by_process[process] = crash
+            crash.at_ms = min(crash.at_ms, at_ms)
             if run.content not in crash.prompts_by_content:
                 self.crashes += 1
             crash.add(run)
@@ -155,7 +159,10 @@
     # Findings.
 
     def suspected(self, now_ms: int) -> list[PartGroup]:
-        """Return the parts of several crashes that were not served since."""
+        """Return the parts of several crashes that were not served since.
+
+        Each is asked for at the versions that crashed, and at any.
+        """
         groups = []
         for scope in self._scopes():
             known = self.entries.known_parts(scope)
@@ -169,7 +176,7 @@
             if not parts:
                 continue
             since_ms = now_ms - SHARE_WINDOW_MS
-            for version in self._versions(scope):
+            for version in dict.fromkeys([*self._versions(scope), ANY_VERSION]):
                 groups.append(PartGroup(scope, version, parts, since_ms))
         return groups
 
@@ -270,8 +277,66 @@
         }
 
     def _tallies(self, scope: str, explained: set[str]) -> list[PartTally]:
-        """Count the unexplained crashes of each part that was not served since."""
-        tallies_by_part: dict[str, PartTally] = {}
+        """Count the unexplained crashes of each part that was not served since.
+
+        A part that is in most requests is in most crashes, whatever their cause. If it
+        was served or answered somewhere since its first crash, crashes that a part of
+        other requests explains do not count, provided that nobody was served or
+        answered with that one. One crash under a part that is or was in quarantine is
+        enough for that.
+        """
+        tallies = self._count_crashes(scope, explained)
+        known = self.entries.known_parts(scope)
+        several = [
+            tally
+            for tally in tallies
+            if tally.count >= CRASHES_TO_SUSPECT or tally.part in known
+        ]
+        working = {tally.part for tally in several if tally.is_known_to_work}
+        rivals = [tally for tally in several if tally.part not in working]
+        if not working or not rivals:
+            return tallies
+        rivals.sort(key=lambda tally: (-tally.count, tally.part))
+        explained_by_rival = [
+            (set.intersection(*self._prompts_with(rival)), rival.processes)
+            for rival in rivals[:MAX_RIVALS]
+        ]
+        remaining = []
+        for tally in tallies:
+            if tally.part not in working:
+                remaining.append(tally)
+                continue
+            others: set[str] = set()
+            for common, processes in explained_by_rival:
+                if tally.part not in common:
+                    others |= processes
+            if tally.processes <= others:
+                continue
+            remaining.append(self._without_crashes(tally, others))
+        return remaining
+
+    def _without_crashes(self, tally: PartTally, processes: set[str]) -> PartTally:
+        """Return a tally without the crashes of some processes."""
+        if tally.processes.isdisjoint(processes):
+            return tally
+        rest = PartTally(tally.part)
+        for process, crash in self._crash_by_process.items():
+            if process in tally.processes and process not in processes:
+                rest.add(process, crash)
+        return rest
+
+    def _prompts_with(self, tally: PartTally) -> list[set[str]]:
+        """Return the parts of each request with a part that was open in its crashes."""
+        return [
+            set(prompt.ids)
+            for process in tally.processes
+            for prompt in self._crash_by_process[process].prompts_by_content.values()
+            if tally.part in prompt.ids
+        ]
+
+    def _count_crashes(self, scope: str, explained: set[str]) -> list[PartTally]:
+        """Count the unexplained crashes of each part after it was last served."""
+        crashes_by_part: dict[str, dict[str, PartCrash]] = {}
         for process, crash in self._crash_by_process.items():
             if crash.scope != scope or process in explained:
                 continue
@@ -279,9 +344,51 @@
                 served_ms = self._served_ms_by_part.get((scope, crash.version, part))
                 if served_ms is not None and crash.at_ms <= served_ms + SERVED_GRACE_MS:
                     continue
-                tally = tallies_by_part.setdefault(part, PartTally(part))
-                tally.add(process, crash)
-        return list(tallies_by_part.values())
+                crashes_by_part.setdefault(part, {})[process] = crash
+        versions = {*self._versions(scope), ANY_VERSION}
+        answered = self._answered_parts(scope)
+        return [
+            self._tally(scope, part, crashes, versions, is_answered=part in answered)
+            for part, crashes in crashes_by_part.items()
+        ]
+
+    def _answered_parts(self, scope: str) -> set[str]:
+        """Return the parts that had brought events, in explained crashes too."""
+        answered: set[str] = set()
+        for crash in self._crash_by_process.values():
+            if crash.scope == scope:
+                answered |= crash.answered_parts
+        return answered
+
+    def _tally(
+        self,
+        scope: str,
+        part: str,
+        crashes: Mapping[str, PartCrash],
+        versions: Iterable[str],
+        *,
+        is_answered: bool,
+    ) -> PartTally:
+        """Count the crashes of a part since its last service, or of one version."""
+        served_ms = max(
+            self._served_ms_by_part.get((scope, version, part), 0)
+            for version in versions
+        )
+        recent = PartTally(part)
+        by_version: dict[str, PartTally] = {}
+        for process, crash in crashes.items():
+            if crash.at_ms > served_ms + SERVED_GRACE_MS:
+                recent.add(process, crash)
+            by_version.setdefault(crash.version, PartTally(part)).add(process, crash)
+        tallies = [*by_version.values()]
+        if recent.processes:
+            tallies.insert(0, recent)
+        best = max(tallies, key=lambda tally: tally.count)
+        best.not_counted = set(crashes) - best.processes
+        best.is_known_to_work = is_answered or any(
+            crash.at_ms < served_ms for crash in crashes.values()
+        )
+        return best
 
     def _may_be_chance(
         self,
@@ -294,6 +401,7 @@
         other_crashes = sum(
             process not in explained
             and process not in tally.processes
+            and process not in tally.not_counted
             and crash.scope == scope
             and now_ms - crash.at_ms < SHARE_WINDOW_MS
             for process, crash in self._crash_by_process.items()
@@ -344,12 +452,7 @@
 
     def _alternatives(self, best: PartTally, tallies: list[PartTally]) -> list[str]:
         """Return a part and those that explain nearly as many of the same crashes."""
-        prompts = [
-            set(prompt.ids)
-            for process in best.processes
-            for prompt in self._crash_by_process[process].prompts_by_content.values()
-            if best.part in prompt.ids
-        ]
+        prompts = self._prompts_with(best)
         together = set.intersection(*prompts)
         parts = [best.part]
         for tally in sorted(tallies, key=lambda tally: -tally.count):
--- a/lynxchute/quarantine/served_parts.py
+++ b/lynxchute/quarantine/served_parts.py
@@ -6,8 +6,11 @@
 
 from lynxchute.quarantine.prompt import PromptParts
 
-# Parts that are remembered, at some 200 bytes each.
-MAX_REMEMBERED = 4000
+# Times that are remembered, at some 200 bytes each. A part has one for its version and
+# one for any.
+MAX_REMEMBERED = 8000
+# Stands for a version that is not known.
+ANY_VERSION = ""
 # Served runs whose times are remembered.
 MAX_RUNS = 1000
 
@@ -21,6 +24,8 @@
     >>> served.record_served(PromptParts("pool m", "v1", "a", ("p", "q")), 100)
     >>> served.last_ms("pool m", "v1", "p"), served.last_ms("pool m", "v2", "p")
     (100, None)
+    >>> served.last_ms("pool m", "", "p")
+    100
     >>> served.count_since("pool m", "v1", 100), served.count_since("pool m", "v1", 101)
     (1, 0)
     """
@@ -33,14 +38,18 @@
         """Record that a run with these parts did not crash its upstream."""
         self._runs.append((now_ms, prompt.scope, prompt.version))
         for part in prompt.ids:
-            key = (prompt.scope, prompt.version, part)
-            self._at_ms_by_part[key] = max(now_ms, self._at_ms_by_part.get(key, 0))
-            self._at_ms_by_part.move_to_end(key)
+            for version in {prompt.version, ANY_VERSION}:
+                key = (prompt.scope, version, part)
+                self._at_ms_by_part[key] = max(now_ms, self._at_ms_by_part.get(key, 0))
+                self._at_ms_by_part.move_to_end(key)
         while len(self._at_ms_by_part) > MAX_REMEMBERED:
             self._at_ms_by_part.popitem(last=False)
 
     def last_ms(self, scope: str, version: str, part: str) -> int | None:
-        """Return when a part was last served; None if that is not remembered."""
+        """Return when a part was last served; None if that is not remembered.
+
+        For an unknown version, this is when it was last served at any.
+        """
         return self._at_ms_by_part.get((scope, version, part))
 
     def count_since(self, scope: str, version: str, then_ms: int) -> int:
--- a/lynxchute/quarantine/suspicion.py
+++ b/lynxchute/quarantine/suspicion.py
@@ -70,14 +70,15 @@
     def possible_causes(self) -> list[BrokenRun]:
         """Return the runs that had begun; without any, the only one that waited.
 
-        Those without any event come first.
+        Those without any event come first. A run that waited is left out if it is
+        reported again: other runs may have been at routers that have ended.
         """
         runs = list(self.run_by_content.values())
         begun = [run for run in runs if run.progress is Progress.BEGUN]
         begun += [run for run in runs if run.progress is Progress.ANSWERING]
         if begun or len(runs) > 1:
             return begun
-        return runs
+        return [run for run in runs if not run.broke_ms]
 
 
 class CrashAttribution:
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 from testtools import TestCase
 
 from lynxchute.application import Tasks
@@ -27,11 +28,18 @@
 from lynxchute.platform.store import ANSWER_TIMEOUT
 from lynxchute.quarantine import (
     BrokenRun,
+    CrashAttribution,
+    PartAttribution,
     PartGroup,
     Progress,
     PromptParts,
     QuarantineEntry,
 )
+from lynxchute.quarantine.part_suspicion import (
+    CRASHES_TO_QUARANTINE_PART,
+    SERVED_GRACE_MS,
+)
+from lynxchute.quarantine.suspicion import REPORT_WINDOW_MS
 from lynxchute.store import StoreClock
 from lynxchute.telemetry import Metrics
 from lynxchute.upstreams.directory import Directory
@@ -171,7 +179,7 @@
         )
 
     def open_send(self, content="q", progress=Progress.BEGUN):
-        return OpenSend(AbortHandle(), lambda: True, content, progress)
+        return OpenSend(AbortHandle(), lambda: True, content, progress=progress)
 
     def sent_evidence(self, work):
         """Return the runs that are reported to the fleet's judge."""
@@ -252,6 +260,56 @@
 
         self.run_async(work())
 
+    def parts_blamed_by_the_next_judge(
+        self, *, is_served_since, progress=Progress.BEGUN
+    ):
+        """Return the parts that a new judge blames for crashes of some seconds ago."""
+        prompt = PromptParts("pool m", "v1", "a", ("p",))
+
+        async def work():
+            containment = self.containment()
+            for number in range(CRASHES_TO_QUARANTINE_PART):
+                engine = attrs.evolve(ENGINE, id=f"i-{number}")
+                send = self.open_send(f"q{number}")
+                send.prompt, send.progress = prompt, progress
+                containment.record_broken(engine, send)
+            await containment._send_evidence()
+            judge, _ = self.fleet.peers.messages[-1]
+            self.fleet.now += 1.0
+            if is_served_since:
+                served = self.open_send("served")
+                served.prompt = prompt
+                containment.record_end(served, is_whole=True, is_served=True)
+            self.fleet.now += 2 * SERVED_GRACE_MS / 1000.0
+            self.fleet.members.remove(judge)
+            await containment._send_evidence()
+            _, message = self.fleet.peers.messages[-1]
+            attribution, now_ms = CrashAttribution(), containment.judge.now_ms()
+            for run in message.broken:
+                attribution.record_run(run, now_ms)
+            now_ms += REPORT_WINDOW_MS
+            attribution.judge(now_ms)
+            parts = attribution.parts
+            for report in containment.parts.report(parts.suspected(now_ms)):
+                parts.record_served(report.scope, report.version, report.at_ms, now_ms)
+            return [entry.parts for entry in parts.quarantine_proven(now_ms)]
+
+        return self.run_async(work())
+
+    def test_the_next_judge_does_not_blame_parts_that_were_served_since(self):
+        self.assertEqual([], self.parts_blamed_by_the_next_judge(is_served_since=True))
+
+    def test_the_next_judge_blames_parts_for_earlier_crashes(self):
+        blamed = self.parts_blamed_by_the_next_judge(is_served_since=False)
+        self.assertEqual([("p",)], blamed)
+
+    def test_the_next_judge_blames_no_part_of_a_run_that_waited(self):
+        # The run that was the cause may have been at a router that has ended.
+        blamed = self.parts_blamed_by_the_next_judge(
+            is_served_since=False, progress=Progress.UNANSWERED
+        )
+        self.assertEqual([], blamed)
+
     def test_a_request_served_after_its_first_crash_is_cleared(self):
         async def work():
             containment = self.containment()
@@ -316,6 +374,76 @@
         self.assertEqual(299 - 10, len(served))
         self.assertLess(seconds, 2 * INQUIRY_SECONDS)
 
+    def blamed_parts(self, crashes, served=()):
+        """Return the parts that are blamed, given what one router has served.
+
+        Parameters
+        ----------
+        crashes
+            The version of each upstream that crashed, and the parts of its runs.
+        served
+            Parts that another version has served a second after the first crash.
+        """
+
+        async def work():
+            fleet, attribution = Fleet(), PartAttribution()
+            containment = Containment(
+                fleet.members,
+                fleet.peers,
+                FakeStore(),
+                Directory(),
+                Metrics(),
+                lambda: fleet.now,
+            )
+            for number, (version, prompts) in enumerate(crashes):
+                runs = [
+                    BrokenRun(
+                        f"q{number}.{run}",
+                        f"i-{number}",
+                        Progress.BEGUN,
+                        prompt=PromptParts("pool m", version, "a", parts),
+                    )
+                    for run, parts in enumerate(prompts)
+                ]
+                now_ms = containment.judge.now_ms()
+                attribution.record_crash(f"i-{number}", runs, now_ms)
+                fleet.now += 1.0
+                if not number and served:
+                    send = OpenSend(
+                        AbortHandle(),
+                        lambda: True,
+                        prompt=PromptParts("pool m", "v3", "a", served),
+                    )
+                    containment.record_end(send, is_whole=True, is_served=True)
+            now_ms = containment.judge.now_ms()
+            for report in containment.parts.report(attribution.suspected(now_ms)):
+                attribution.record_served(
+                    report.scope, report.version, report.at_ms, now_ms
+                )
+            return [e.parts for e in attribution.quarantine_proven(now_ms)]
+
+        return self.run_async(work())
+
+    def test_a_crash_at_an_unknown_version_is_cleared_by_any_version(self):
+        # A restarted engine names its version in its first response.
+        crashes = [(version, [("p",)]) for version in ("", "", "v1", "v1")]
+        self.assertEqual([("p",)], self.blamed_parts(crashes))
+        self.assertEqual([], self.blamed_parts(crashes, served=("p",)))
+
+    def test_a_crash_at_a_known_version_is_not_cleared_by_another_one(self):
+        crashes = [("v1", [("p",)])] * CRASHES_TO_QUARANTINE_PART
+        self.assertEqual([("p",)], self.blamed_parts(crashes, served=("p",)))
+
+    def test_a_part_is_known_to_work_where_a_version_without_crashes_serves_it(self):
+        crashes = [
+            ("v1", [("d",), ("shared",)]),
+            ("v1", [("shared", "p"), ("shared",)]),
+            ("v1", [("d",), ("shared",)]),
+            ("v1", [("p",), ("shared",)]),
+        ]
+        self.assertEqual([("shared",)], self.blamed_parts(crashes))
+        self.assertEqual([], self.blamed_parts(crashes, served=("shared",)))
+
     def test_a_router_reports_parts_that_it_serves_and_has_served(self):
         async def work():
             fleet = Fleet()
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -2,13 +2,13 @@
 
 import asyncio
 
-import attrs
 from testtools.matchers import GreaterThan, LessThan
 
 from lynxchute.config.role import Role
 from lynxchute.containment.judge import JUDGE_KEY
 from lynxchute.operators.runner import StatementRunner
 from lynxchute.platform.daemon import make_platform
+from lynxchute.quarantine import part_entries
 from lynxchute.standins.platform_store import Outage
 from tests.part_play import (
     ENGINES,
@@ -22,6 +22,8 @@
 from tests.support import until
 
 PLAY_SECONDS = 11.0
+# Duration of the first quarantine of a part in tests that wait for its end.
+SHORT_QUARANTINE_MS = 3_000
 
 
 class CrashingPartTest(PlatformTestCase):
@@ -195,32 +197,34 @@
         self.assertEqual("done", play.release_state)
 
     def test_one_request_at_a_time_tries_a_part_whose_time_is_over(self):
+        self.patch(part_entries, "PART_QUARANTINE_MS", SHORT_QUARANTINE_MS)
+
         async def expire(deployment, play):
             await until(lambda: has_part_entry(deployment), timeout=8)
             await asyncio.sleep(1.0)
+            assert_refused(deployment)
             play.crashes_before = play.crashes
-            for router in deployment.routers.values():
-                expire_parts(router.containment)
             await until(lambda: play.crashes > play.crashes_before, timeout=10)
             await asyncio.sleep(3.0)
             play.crashes_in_trial = play.crashes - play.crashes_before
 
-        play = self.play(disturb=expire, seconds=8, deadly_interval=0.1)
+        play = self.play(disturb=expire, seconds=PLAY_SECONDS, deadly_interval=0.1)
         self.assertEqual(1, play.crashes_in_trial)
 
     def test_a_part_that_crashes_nothing_any_more_comes_free_by_a_trial(self):
+        self.patch(part_entries, "PART_QUARANTINE_MS", SHORT_QUARANTINE_MS)
+
         async def mend(deployment, play):
             await until(lambda: has_part_entry(deployment), timeout=8)
             await asyncio.sleep(1.0)
             for engine in deployment.engines:
                 engine.crash_parts.clear()
-            for router in deployment.routers.values():
-                expire_parts(router.containment)
+            assert_refused(deployment)
             await until(lambda: not has_part_entry(deployment), timeout=10)
             play.answered_before = len(play.deadly_answers)
             await asyncio.sleep(1.0)
 
-        play = self.play(disturb=mend, seconds=5, deadly_interval=0.1)
+        play = self.play(disturb=mend, seconds=8, deadly_interval=0.1)
         statuses = {status for status, _ in play.deadly_answers[play.answered_before :]}
         self.assertEqual({200}, statuses)
 
@@ -233,15 +237,11 @@
     )
 
 
-def expire_parts(containment):
-    """Let the quarantine of all parts end now, at one router."""
-    now_ms = containment.judge.now_ms()
-    quarantine, parts = containment.quarantine, containment.judge.attribution.parts
-    for entries in (quarantine.by_content, parts.entries.by_id):
-        for entry_id, entry in list(entries.items()):
-            if entry.parts:
-                entries[entry_id] = attrs.evolve(entry, until_ms=now_ms)
-    quarantine._index_parts()
+def assert_refused(deployment):
+    """Assert that the quarantine of a part is not over yet at any router."""
+    for router in deployment.routers.values():
+        (entry,) = router.containment.quarantine.part_entries
+        assert router.containment.judge.now_ms() < entry.until_ms
 
 
 def judge_of(deployment):
--- a/tests/test_part_suspicion.py
+++ b/tests/test_part_suspicion.py
@@ -43,19 +43,46 @@
         self.served_at_ms = []
         self._numbers = itertools.count()
 
-    def run(self, *parts, process=None, content=None, account="a", version=VERSION):
+    def run(
+        self,
+        *parts,
+        process=None,
+        content=None,
+        account="a",
+        version=VERSION,
+        progress=Progress.BEGUN,
+    ):
         number = next(self._numbers)
         return BrokenRun(
             content or f"q{number}",
             process or f"e{number}",
-            Progress.BEGUN,
+            progress,
             prompt=PromptParts(SCOPE, version, account, tuple(parts)),
         )
 
-    def crash(self, *parts, beside=(), **options):
-        """Crash an engine under a request with these parts; return new entries."""
-        run = self.run(*parts, **options)
-        runs = [run, *(self.run(*other, process=run.process) for other in beside)]
+    def crash(self, *parts, beside=(), answering=(), version=VERSION, **options):
+        """Crash an engine under a request with these parts; return new entries.
+
+        Parameters
+        ----------
+        beside, answering
+            Parts of other requests that had begun there, and that had brought events.
+        """
+        run = self.run(*parts, version=version, **options)
+        runs = [run]
+        for progress, others in (
+            (Progress.BEGUN, beside),
+            (Progress.ANSWERING, answering),
+        ):
+            for other in others:
+                runs.append(
+                    self.run(
+                        *other,
+                        process=run.process,
+                        version=version,
+                        progress=progress,
+                    )
+                )
         self.attribution.record_crash(run.process, runs, self.now_ms)
         self.now_ms += 100
         since_ms = self.now_ms - SHARE_WINDOW_MS
@@ -197,12 +224,102 @@
             self.scenario.crash("p", version=f"v{number % 2}")
         self.assertEqual({("p",)}, self.scenario.quarantined)
 
+    def test_crashes_before_and_after_a_service_at_another_version_do_not_add_up(self):
+        # No version has crashed more than twice, and the part was served in between.
+        self.scenario.crash("p", version="v2")
+        self.scenario.crash("p", version="v2")
+        self.scenario.serve("p", version="v1")
+        self.scenario.now_ms += SERVED_GRACE_MS
+        self.scenario.crash("p", version="v1")
+        self.scenario.crash("p", version="v1")
+        self.assertEqual(set(), self.scenario.quarantined)
+        self.scenario.crash("p", version="v1")
+        self.scenario.crash("p", version="v1")
+        self.assertEqual({("p",)}, self.scenario.quarantined)
+
     def test_a_part_that_one_version_serves_is_blamed_for_crashes_of_another(self):
         for _ in range(CRASHES_TO_QUARANTINE_PART):
             self.scenario.serve("p", version="v1")
             self.scenario.crash("p", version="v2")
         self.assertEqual({("p",)}, self.scenario.quarantined)
 
+    def assert_cause_is_found(self, *causes):
+        """Crash engines under the causes in turn; only these must be blamed."""
+        self.scenario.served = 40
+        for _ in range(8):
+            for cause in causes:
+                if not self.scenario.is_refused(cause):
+                    self.scenario.crash(cause, beside=[("shared",)])
+            self.assertFalse(self.scenario.is_refused("shared"))
+        self.assertEqual({(cause,) for cause in causes}, self.scenario.quarantined)
+
+    def test_two_causes_are_not_taken_for_a_part_that_another_version_serves(self):
+        # All sound requests have the shared part. No engine of v1 lives long enough to
+        # serve one.
+        shared = [("shared",), ("shared",)]
+        self.scenario.crash("d", beside=shared)
+        self.scenario.crash("shared", "p", beside=shared)
+        self.scenario.now_ms += 1_000
+        self.scenario.serve("shared", version="v2")
+        self.scenario.now_ms += SERVED_GRACE_MS
+        self.scenario.crash("d", beside=shared)
+        self.scenario.crash("p", beside=shared, version="v2")
+        self.assertEqual(set(), self.scenario.quarantined)
+        self.assert_cause_is_found("d", "p")
+
+    def test_two_causes_are_not_taken_for_a_part_that_engines_had_answered(self):
+        shared = [("shared",), ("shared",)]
+        self.scenario.crash("d", beside=shared)
+        self.scenario.crash("shared", "p", answering=shared)
+        self.scenario.crash("p", answering=shared)
+        self.scenario.crash("d", beside=shared)
+        self.assertEqual(set(), self.scenario.quarantined)
+        self.assert_cause_is_found("d", "p")
+
+    def test_a_cause_is_found_among_many_runs_that_had_begun(self):
+        shared = [("shared",)] * 12
+        for _ in range(CRASHES_TO_QUARANTINE_PART):
+            self.scenario.crash("shared", beside=[*shared, ("p",)])
+            self.scenario.now_ms += SERVED_GRACE_MS
+            self.scenario.serve("shared")
+        self.scenario.crash("shared", beside=[*shared, ("p",)])
+        self.assertEqual({("p",)}, self.scenario.quarantined)
+
+    def test_a_shared_part_is_not_blamed_alone_after_one_with_the_cause(self):
+        for _ in range(CRASHES_TO_QUARANTINE_PART - 1):
+            self.scenario.crash("shared", "p")
+        self.scenario.crash("d", beside=[("shared",)], answering=[("shared",)])
+        self.assertEqual([{"shared", "p"}], [set(p) for p in self.scenario.quarantined])
+        self.scenario.crash("p", beside=[("shared",)])
+        self.assertFalse(self.scenario.is_refused("shared"))
+        self.scenario.crash("p", beside=[("shared",)])
+        self.assertTrue(self.scenario.is_refused("p"))
+        self.assertFalse(self.scenario.is_refused("shared"))
+
+    def test_a_shared_part_is_not_blamed_once_one_of_two_causes_is_found(self):
+        shared = [("shared",)]
+        self.scenario.served = 40
+        for _ in range(CRASHES_TO_QUARANTINE_PART - 1):
+            self.scenario.crash("p", answering=shared)
+        # One request that crashes engines, which is counted twice at most.
+        for _ in range(5):
+            self.scenario.crash("d", content="d", beside=shared)
+        self.assertEqual(set(), self.scenario.quarantined)
+        for _ in range(6):
+            if not self.scenario.is_refused("p"):
+                self.scenario.crash("p", answering=shared)
+        self.assertTrue(self.scenario.is_refused("p"))
+        self.assertFalse(self.scenario.is_refused("shared"))
+
+    def test_a_part_of_requests_that_another_version_serves_is_still_found(self):
+        # Each request has a part of its own besides, which comes twice.
+        self.scenario.crash("p", "x0", version="v2")
+        self.scenario.serve("p", version="v1")
+        for number in range(1, CRASHES_TO_QUARANTINE_PART):
+            self.scenario.crash("p", f"x{number // 2}", version="v2")
+        self.assertTrue(self.scenario.is_refused("p", "x0"))
+        self.assertTrue(self.scenario.is_refused("p", "x1"))
+
     def test_runs_served_before_the_first_crash_do_not_clear_a_part(self):
         self.scenario.serve("p")
         self.scenario.now_ms += SERVED_GRACE_MS
@@ -253,6 +370,17 @@
         self.scenario.attribution.expire(self.scenario.now_ms)
         self.assertEqual([], self.scenario.crash("p"))
 
+    def test_a_run_that_is_reported_again_with_fewer_parts_is_judged(self):
+        # A router leaves out the parts that it has served just before.
+        attribution = self.scenario.attribution
+        for number in range(CRASHES_TO_QUARANTINE_PART):
+            options = {"process": f"e{number}", "content": f"q{number}"}
+            for parts in (("p", "beside"), ("beside",)):
+                run = self.scenario.run(*parts, **options)
+                attribution.record_crash(run.process, [run], self.scenario.now_ms)
+            self.scenario.now_ms += 100
+        self.assertEqual(1, len(attribution.quarantine_proven(self.scenario.now_ms)))
+
     def test_state_is_bounded(self):
         for number in range(MAX_PART_ENTRIES + 4):
             many = [f"x{number}.{other}" for other in range(64)]
