Probe engines sooner where a router places alone, and let queued requests wait

Cause: a router whose scheduling router answers late places requests alone: it refused queued ones at once, and found out late that engines were cold. Change: queued requests wait on; engines are probed after two unconfirmed placements.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -300,6 +300,7 @@
             engines,
             rules.cold_limits,
             scheduler.is_scheduler_for,
+            scheduler.places_alone,
             self.seconds_since_upstreams_confirmed,
             steady_seconds,
             rules.cold,
--- a/lynxchute/scheduling/cold_watch.py
+++ b/lynxchute/scheduling/cold_watch.py
@@ -22,6 +22,8 @@
 # for requests that are placed until the probe is answered.
 UNCONFIRMED_SHARE = 0.5
 MIN_PROBE_SECONDS = 0.05
+# The same in requests, for a router that places alone beside the scheduling router.
+MAX_UNCONFIRMED_ALONE = 2
 # Maximum number of probes per second: 70 engines are probed every 1.4 s.
 MAX_PROBES_PER_SECOND = 50.0
 
@@ -32,7 +34,8 @@
     An engine may become cold at any time, and normally its entry in the store shows it.
     While the store is unavailable, only the engine itself can report it; a burst of
     requests can be sent before the outage is noticed. Nearly all
-    requests are placed by the scheduling router, so other routers need not probe.
+    requests are placed by the scheduling router, so other routers probe only where they
+    place requests alone.
 
     Parameters
     ----------
@@ -44,6 +47,9 @@
         Returns the limits for cold upstreams of a service.
     is_scheduler_for
         Returns whether this router places the requests of a service.
+    places_alone
+        Returns whether this router places requests of a service that the scheduling
+        router does not know of.
     silent_for
         Returns the seconds since the store last listed the upstreams.
     clock
@@ -58,6 +64,7 @@
         engines: EngineClient,
         limits_of: Callable[[str], ColdLimits],
         is_scheduler_for: Callable[[str], bool],
+        places_alone: Callable[[str], bool],
         silent_for: Callable[[float], float],
         clock: Callable[[], float],
         placements: ColdPlacementLimiter,
@@ -70,6 +77,7 @@
         self._engines = engines
         self._limits_of = limits_of
         self._is_scheduler_for = is_scheduler_for
+        self._places_alone = places_alone
         self._silent_for = silent_for
         self._clock = clock
         self._placements = placements
@@ -81,16 +89,26 @@
         The store does not say that it is about to fall silent.
         """
         now = self._clock()
-        if now - entry.probed_at < MIN_PROBE_SECONDS or not entry.takes_work:
+        if not entry.takes_work:
             return
-        heard_at = max(entry.probed_at, now - self._silent_for(now))
-        placed = self._placements.placed_since(entry.upstream.id, heard_at)
-        limits = self._limits_of(entry.upstream.service)
-        if placed < limits.max_per_second * UNCONFIRMED_SHARE:
+        service = entry.upstream.service
+        most = self._limits_of(service).max_per_second * UNCONFIRMED_SHARE
+        if self._places_alone(service):
+            most = min(most, MAX_UNCONFIRMED_ALONE)
+        if self._placed_unconfirmed(entry, now) >= most:
+            self._start_probe(entry, now)
+
+    def _start_probe(self, entry: UpstreamEntry, now: float) -> None:
+        if now - entry.probed_at < MIN_PROBE_SECONDS:
             return
         entry.probed_at = now
         self.tasks.spawn(self._probe(entry))
 
+    def _placed_unconfirmed(self, entry: UpstreamEntry, now: float) -> int:
+        """Return the placements at an engine since it was asked whether it is cold."""
+        heard_at = max(entry.probed_at, now - self._silent_for(now))
+        return self._placements.placed_since(entry.upstream.id, heard_at)
+
     def _is_store_silent(self) -> bool:
         """Return whether the store has not answered for too long."""
         return self._silent_for(self._clock()) >= STORE_SILENCE_SECONDS
@@ -103,8 +121,7 @@
         interval = len(entries) / MAX_PROBES_PER_SECOND
         for entry in entries:
             if now - entry.probed_at >= interval:
-                entry.probed_at = now
-                self.tasks.spawn(self._probe(entry))
+                self._start_probe(entry, now)
 
     def _entries_to_probe(self) -> list[UpstreamEntry]:
         """Return the engines to probe: scheduled here, with a limit while cold."""
--- a/lynxchute/scheduling/scheduler.py
+++ b/lynxchute/scheduling/scheduler.py
@@ -46,8 +46,9 @@
 # Maximum number of concurrent cache queries. Each one uses a connection, and queries to
 # 3,000 engines would exceed the connection limit of a small VM.
 MAX_CACHE_QUERIES = 100
-# Retry delay in milliseconds for requests refused because this router has used up its
-# share of all engines: about the time that it takes to reach another router.
+# Delay in milliseconds after which a request asks again, or its caller retries, if this
+# router has used up its share of all engines: about the time that it takes to reach
+# another router.
 LOCAL_RETRY_MS = 50.0
 
 
@@ -235,11 +236,8 @@
                 return vm, reply
             if reply.upstream in [entry.upstream.id for entry in candidates]:
                 return vm, reply
-        own, service = self._members.own.vm, request.service
-        if (
-            self.placing.admission_queue
-            and not self._placement_client.is_scheduling_for_others(service)
-        ):
+        own = self._members.own.vm
+        if self.placing.admission_queue and self.places_alone(request.service):
             return own, self._place_locally(request, candidates)
         return own, self.placing.decide(request, candidates)
 
@@ -256,6 +254,8 @@
                 engines=len(candidates),
                 open_here=sum(entry.open_requests for entry in candidates),
             )
+            if self._may_wait_locally(request):
+                return PlacementReply("", wait_ms=LOCAL_RETRY_MS)
             return PlacementReply("", retry_ms=LOCAL_RETRY_MS)
         reply = self.placing.place(request, least_loaded(sampled, now))
         if not reply.upstream:
@@ -264,6 +264,17 @@
         # The expected latency would ignore the requests of other routers.
         return attrs.evolve(reply, expected_ms=0.0)
 
+    def _may_wait_locally(self, request: PlacementRequest) -> bool:
+        """Return whether a queued request keeps waiting without a scheduling router.
+
+        A late reply of the scheduling router says nothing about the engines. At least
+        half of the caller's time is left for a retry at another router.
+        """
+        claim = request.claim
+        if claim is None or request.run_id not in self._scheduler_by_run:
+            return False
+        return claim.waited + LOCAL_RETRY_MS / 1000.0 <= claim.left
+
     def record_first_event(
         self, run_id: str, upstream_id: str, *, took_ms: float
     ) -> None:
@@ -293,6 +304,10 @@
             return
         self._update_sender.enqueue(vm, [update])
 
+    def places_alone(self, service: str) -> bool:
+        """Return whether this router would place requests of a service alone now."""
+        return not self._placement_client.is_scheduling_for_others(service)
+
     def is_scheduler_for(self, service: str) -> bool:
         """Return whether this router is the scheduling router of a service."""
         return self._scheduling_vm(service) == self._members.own.vm
--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -15,7 +15,9 @@
 from lynxchute.bench.emulator.play import Outcome, Play
 from lynxchute.bench.emulator.policies import POLICIES_BY_NAME
 from lynxchute.bench.emulator.scenario import read_scenario
+from lynxchute.platform.engines import PlatformEngines
 from lynxchute.scheduling.cold_placements import ColdPlacementLimiter
+from lynxchute.scheduling.placing import EnginePlacer
 from lynxchute.standins.arrivals import ArrivalLog
 from lynxchute.standins.platform_store import Outage
 from lynxchute.upstreams.cold_admission import (
@@ -300,6 +302,42 @@
 
         self.with_platform(scenario)
 
+    def place_alone(self):
+        """Delay the replies of the scheduling router, and of probes."""
+        handle, probe = EnginePlacer.handle_request, PlatformEngines.probe
+
+        async def handle_late(placer, request):
+            await asyncio.sleep(0.3)
+            return await handle(placer, request)
+
+        async def probe_slowly(engines, upstream):
+            await asyncio.sleep(0.1)
+            return await probe(engines, upstream)
+
+        self.patch(EnginePlacer, "handle_request", handle_late)
+        self.patch(PlatformEngines, "probe", probe_slowly)
+
+    def test_a_burst_placed_alone_does_not_exceed_what_cold_engines_bear(self):
+        async def scenario(deployment):
+            await self.configure_cold_limit(deployment)
+            await asyncio.sleep(TAKE_OVER_SECONDS)
+            for vm in deployment.routers:
+                deployment.faults(vm).outage = Outage.BUSY
+            await asyncio.sleep(2.0)
+            for engine in deployment.engines:
+                engine.become_cold(6.0)
+            await asyncio.sleep(1.0)
+            self.place_alone()
+            for engine in deployment.engines:
+                engine.max_cold_rate = 8
+            answers = await self.burst(deployment, 40)
+            self.assertIn(200, {answer[0] for answer in answers})
+            for engine in deployment.engines:
+                self.assertEqual(0, engine.crashes)
+                self.assertLessEqual(engine.arrival_log.peak_cold_rate(), 8)
+
+        self.with_platform(scenario)
+
     def test_engines_that_grow_cold_as_an_outage_begins_get_what_they_bear(self):
         async def scenario(deployment):
             await self.configure_cold_limit(deployment)
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -6,8 +6,11 @@
 import attrs
 
 from lynxchute.edge.settings import Features
+from lynxchute.fleet.messages import PlacementRequest
 from lynxchute.relay import wait
+from lynxchute.scheduling.place_requests import scheduling_key
 from lynxchute.settings import RouterSettings
+from lynxchute.standins.deployment import ENGINES
 from tests.support import (
     ACCOUNT,
     AsyncTestCase,
@@ -21,6 +24,8 @@
 # Slots of the one engine, as configured by default.
 SLOTS = 16
 REQUESTS = 24
+# More than a router waits for the scheduling router, and less than a request takes.
+LATE_SECONDS = 0.4
 SHAPE = {
     "routers_by_data_centre": {"kyu-a": 2},
     "budgets": {ACCOUNT: 1_000_000},
@@ -73,6 +78,35 @@
             self.events.count("request queued for an engine"),
         )
 
+    def test_queued_requests_wait_on_if_the_scheduling_router_is_late(self):
+        async def scenario(deployment):
+            vms = set(deployment.routers_by_vm)
+            members = deployment.routers_by_vm[min(vms)].members
+            vm = members.owner_of_key(scheduling_key(ENGINES))
+            scheduling = deployment.routers_by_vm[vm]
+            (other,) = vms - {vm}
+            caller = Caller(deployment, other)
+            calls = [
+                asyncio.create_task(caller.ask(question(f"which road, {number}?")))
+                for number in range(REQUESTS)
+            ]
+            await until(lambda: self.waiting(deployment) == REQUESTS - SLOTS)
+            handlers = scheduling.peer_server.handlers_by_class
+            answer = handlers[PlacementRequest]
+
+            async def answer_late(request):
+                await asyncio.sleep(LATE_SECONDS)
+                return await answer(request)
+
+            handlers[PlacementRequest] = answer_late
+            await asyncio.sleep(LATE_SECONDS)
+            handlers[PlacementRequest] = answer
+            answers = await asyncio.gather(*calls)
+            self.assertEqual({200}, {status for status, _, _ in answers})
+            self.assertEqual(REQUESTS, len(engine_runs(deployment)))
+
+        with_deployment(self, scenario, **SHAPE)
+
     def test_a_caller_that_disconnects_while_queued_is_not_run(self):
         async def scenario(deployment):
             vm = next(iter(deployment.routers_by_vm))
