End answers at a stop no sooner than in the last sixth of the grace period

Cause: a fixed margin of 1.2 s cut answers up to 0.4 s before the last sixth of a grace period below 7.2 s. Change: the margin is at most a sixth of the grace period. Result: red before, green after: tests.test_edge.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -89,6 +89,8 @@
 # The drain stops waiting for open requests this many seconds before the platform kills
 # the process, so that unused grants can still be released.
 STOP_MARGIN_SECONDS = 1.2
+# The same as a share of a short grace period: answers that end before it are not cut.
+MAX_STOP_MARGIN_SHARE = 1 / 6
 # Final reports are abandoned this many seconds before the kill, since each wait for a
 # store or router that does not answer takes up to 0.7 s, and the waits are sequential.
 REPORT_MARGIN_SECONDS = 0.4
@@ -473,7 +475,9 @@
             await self.final_use_exchange.announce()
         await self.balance.transfer_borrowed()
         serving_deadline = started + SERVE_AFTER_STOP_SECONDS
-        drain_deadline = started + self.settings.bounds.stop - STOP_MARGIN_SECONDS
+        grace = self.settings.bounds.stop
+        margin = min(STOP_MARGIN_SECONDS, grace * MAX_STOP_MARGIN_SHARE)
+        drain_deadline = started + grace - margin
         while steady_seconds() < drain_deadline:
             if steady_seconds() >= serving_deadline:
                 self.admission.stopping = True
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -15,6 +15,7 @@
     PlatformCaller,
     PlatformDeployment,
     PlatformTestCase,
+    configuration,
     event_ids,
 )
 from tests.router_process import RouterProcess
@@ -354,6 +355,25 @@
     partitioned, was therefore still running at the end of its grace period.
     """
 
+    def test_a_stream_that_ends_before_the_last_sixth_of_the_grace_is_not_cut(self):
+        async def scenario(deployment):
+            routes = configuration()["routes"]
+            for route in routes:
+                route["timeout_ms"] = 6000
+            await deployment.configure(version=2, routes=routes)
+            router = deployment.routers["a-1"]
+            await until(lambda: router.configurations.current.version == 2)
+            for engine in deployment.engines:
+                engine.events, engine.event_delay = 31, 0.1
+            caller = PlatformCaller(deployment)
+            stream = asyncio.create_task(caller.stream(deadline_ms=6000))
+            await until(lambda: router.relay.open_requests)
+            await router.drain()
+            status, _, body = await stream
+            self.assertEqual((200, 31), (status, len(event_ids(body))))
+
+        self.with_platform(scenario)
+
     def test_unanswered_final_reports_do_not_delay_the_stop(self):
         async def scenario(deployment):
             router = deployment.routers["a-1"]
