--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -47,6 +47,7 @@
 from lynxchute.relay.admission import Admission
 from lynxchute.relay.chooser import Chooser
 from lynxchute.relay.relay import Relay
+from lynxchute.relay.resend_planner import ResendPlanner
 from lynxchute.relay.sender import UPSTREAM_TIMEOUTS, Sender
 from lynxchute.relay.statement_reader import BackpressureRecorder
 from lynxchute.resumption import StreamOrigins
@@ -348,6 +349,15 @@
             BackpressureRecorder(platform.dialect, self.directory, steady_seconds),
             steady_seconds,
             origins=self.origins,
+            planner=ResendPlanner(
+                chooser,
+                scheduler,
+                self.origins,
+                self.directory,
+                engines,
+                self.metrics,
+                steady_seconds,
+            ),
             times=self.plain_calls.times,
             hedger=self.plain_calls.hedger(chooser, self.retries, self.metrics),
             is_path_lost=lambda address: paths.state(address) is PathState.LOST,
--- a/lynxchute/http/client.py
+++ b/lynxchute/http/client.py
@@ -428,12 +428,15 @@
         """Return whether an idle connection is open."""
         return any(connection.is_alive for connection in self._idle)
 
-    async def is_listening(self) -> bool:
-        """Return whether the peer takes a new connection, which is kept for later."""
+    async def is_listening(self) -> bool | None:
+        """Return whether the peer takes a new connection, which is kept for later.
+
+        None if the attempt gets no answer at all.
+        """
         try:
             self._keep_idle(await self._open_connection(self._timeouts.connect))
-        except ExchangeError:
-            return False
+        except ExchangeError as error:
+            return None if error.is_timeout else False
         return True
 
     def close(self) -> None:
--- a/lynxchute/relay/answer.py
+++ b/lynxchute/relay/answer.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import attrs
 
 from lynxchute.http import Response
 from lynxchute.upstreams.entry import OpenSend, UpstreamEntry
+from lynxchute.upstreams.placement import Choice
 from lynxchute.upstreams.send_gate import WithheldReason
 
 
@@ -26,6 +29,33 @@
     send: OpenSend
     sent_at: float
 
+    def record_heard(self, now: float) -> None:
+        """Record that bytes of the response have arrived, at a time in seconds."""
+        self.entry.heard_at = now
+        self.send.heard_at = now
+
+
+@attrs.frozen(eq=False)
+class BegunResend:
+    """A send that takes the place of one that is about to be given up.
+
+    Attributes
+    ----------
+    choice
+        Where the request was sent.
+    attempt
+        The send; None if there is no response to forward.
+    after_event
+        Id of the last event that the caller had as it was sent.
+    earlier_sends
+        Number of times that the request had been sent before.
+    """
+
+    choice: Choice
+    attempt: asyncio.Future[UpstreamResponse | None]
+    after_event: str
+    earlier_sends: int
+
 
 class SendWithheld(Exception):
     """Raised when a request was assigned to an upstream but must not be sent to it.
--- a/lynxchute/relay/chooser.py
+++ b/lynxchute/relay/chooser.py
@@ -94,20 +94,22 @@
         wait_limit = exchange.route.latency_objective * MAX_WAIT_SHARE
         wait_until = min(self._clock() + wait_limit, exchange.deadline)
         wait = QueueWaitLog(exchange, self._clock())
+        # Another send of the request may fail meanwhile, which changes the next run id.
+        run_id = exchange.run_id
         try:
-            return await self._choose_or_wait(exchange, wait_until, wait)
+            return await self._choose_or_wait(exchange, run_id, wait_until, wait)
         except BaseException:
             if wait.has_waited:
                 # Leave the admission queue, also if the caller has disconnected.
-                self._generations.record_end(exchange.run_id, "", failed=False)
+                self._generations.record_end(run_id, "", failed=False)
             raise
 
     async def _choose_or_wait(
-        self, exchange: Exchange, wait_until: float, wait: QueueWaitLog
+        self, exchange: Exchange, run_id: str, wait_until: float, wait: QueueWaitLog
     ) -> Choice:
         while True:
             try:
-                choice = await self._choose_now(exchange)
+                choice = await self._choose_now(exchange, run_id)
             except AdmissionPending as pending:
                 wait.record_queued(pending)
                 await asyncio.sleep(pending.seconds)
@@ -144,8 +146,7 @@
             # A lagging router measures engines as slow, so the estimate only reflects
             # its own delay.
             return
-        upstream_id = choice.entry.upstream.id
-        self._generations.record_end(exchange.run_id, upstream_id, failed=False)
+        self._generations.release(choice)
         log_event(
             "engines overloaded",
             request_id=exchange.call.request_id,
@@ -168,16 +169,18 @@
         default_delay = exchange.retry_after(now, Reason.OVERLOADED)
         return max(min(busy_delay, MOST_RETRY_SHARE * remaining), default_delay)
 
-    async def _choose_now(self, exchange: Exchange) -> Choice | None:
+    async def _choose_now(self, exchange: Exchange, run_id: str) -> Choice | None:
         now = self._clock()
-        considered = self._candidates(exchange, now)
+        considered = self._candidates(exchange, run_id, now)
         if considered and all(e.backpressure.is_backing_off(now) for e in considered):
             raise self._backing_off_refusal(exchange, considered, now)
         if considered and not any(
             self._has_path(entry.upstream.address) for entry in considered
         ):
-            raise no_answer_refusal(exchange, now)
-        eligible = [e for e in considered if e.upstream.id not in exchange.tried]
+            title = "No router reaches an upstream that serves this. Send it again."
+            raise no_answer_refusal(exchange, now, title=title)
+        excluded = exchange.excluded
+        eligible = [e for e in considered if e.upstream.id not in excluded]
         eligible = [e for e in eligible if not e.backpressure.is_backing_off(now)]
         if not eligible and exchange.limited_rate is not None:
             raise self._throttled_refusal(exchange, exchange.limited_rate, now)
@@ -205,19 +208,21 @@
             aims = attrs.evolve(aims, claim=exchange.claim(now))
         if generation is not None:
             generation = exchange.constrained(generation)
-        choice = await placement.choose(exchange.run_id, generation, candidates, aims)
+        choice = await placement.choose(run_id, generation, candidates, aims)
         if choice is None:
             raise self._no_capacity_refusal(exchange, candidates)
-        return choice
+        return attrs.evolve(choice, run_id=run_id)
 
-    def _candidates(self, exchange: Exchange, now: float) -> list[UpstreamEntry]:
+    def _candidates(
+        self, exchange: Exchange, run_id: str, now: float
+    ) -> list[UpstreamEntry]:
         """Return the upstreams to consider for an exchange."""
         generation, version = exchange.call.generation, exchange.software_version
         if generation is None:
             available = self._directory.available(exchange.service, now)
             found = [entry for entry in available if entry.upstream.may_run(version)]
         else:
-            key = generation.affinity_key(exchange.run_id)
+            key = generation.affinity_key(run_id)
             found = self._neighbourhood.entries(
                 exchange.service, key, now, software_version=version
             )
@@ -307,11 +312,17 @@
         return not self._reachability.is_unreachable(entry.upstream.data_centre)
 
 
-def no_answer_refusal(exchange: Exchange, now: float) -> Refusal:
-    """Return the refusal for an exchange that no upstream answered."""
+def no_answer_refusal(exchange: Exchange, now: float, *, title: str = "") -> Refusal:
+    """Return the refusal for an exchange that no upstream answered.
+
+    Parameters
+    ----------
+    title
+        One sentence on the cause; empty if nothing more is known.
+    """
     if exchange.run_status is RunStatus.NOT_RUN:
         reason = Reason.DECLINED if exchange.sends else Reason.NO_UPSTREAM
-        title = "No upstream could take the request. Send it again."
+        title = title or "No upstream could take the request. Send it again."
         return exchange.refuse(reason, title, now)
-    title = "The upstream gave no whole answer; the request may have run."
+    title = title or "The upstream gave no whole answer; the request may have run."
     return exchange.refuse(Reason.BROKEN, title, now)
--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import attrs
 
 from lynxchute.config import ClientAccount, Configuration, RequestKind, Route
 from lynxchute.http import Responder
 from lynxchute.overload.claim import Claim
 from lynxchute.quarantine import PromptParts, content_id, prompt_scope
+from lynxchute.relay.answer import BegunResend
 from lynxchute.relay.call import Call
 from lynxchute.relay.events import EventOrder
 from lynxchute.relay.refusal import Reason, Refusal, RunStatus
 from lynxchute.upstreams.aims import LatencyObjectives
 from lynxchute.upstreams.generation import Generation
+from lynxchute.upstreams.placement import Choice
 from lynxchute.upstreams.stream_origin import StreamOrigin
 
 # Seconds before the caller's timeout at which a response must be sent to reach it.
@@ -73,6 +77,8 @@
         Whether another send is already counted in the retry budget.
     tried
         Ids of upstreams that are not tried again for this request.
+    passed_over
+        Ids of further upstreams that are not considered for the planned resend.
     limited_rate
         Sum of the rate limits of upstreams that could not accept the request, in
         requests per second; None if none is rate-limited.
@@ -88,6 +94,19 @@
         Token usage reported by the upstream; None until it is reported.
     last_event_at, longest_pause
         Time of the last event and longest time between two events, in seconds.
+    refusal
+        Why the request was refused or its response broken off; None if neither.
+    planned
+        Where it goes on if its running send is given up; None if that is not known.
+    begun
+        The send that takes the place of the running one; None if there is none.
+    planning
+        Done once it is known whether it can go on elsewhere; None unless that is
+        being found out.
+    planning_refusal
+        Why it could not go on elsewhere when that was last tried.
+    has_ended
+        Whether it has its final answer.
     """
 
     call: Call
@@ -104,6 +123,7 @@
     has_retry_permit: bool = False
     run_status: RunStatus = RunStatus.NOT_RUN
     tried: set[str] = attrs.Factory(set)
+    passed_over: set[str] = attrs.Factory(set)
     limited_rate: float | None = None
     upstreams: list[str] = attrs.Factory(list)
     events: int = 0
@@ -115,6 +135,12 @@
     last_event_at: float = 0.0
     longest_pause: float = 0.0
     reported_tokens: int | None = None
+    refusal: Refusal | None = None
+    planned: Choice | None = None
+    begun: BegunResend | None = None
+    planning: asyncio.Future[None] | None = None
+    planning_refusal: Reason | None = None
+    has_ended: bool = False
     _empty_answers: int = 0
     _content_id: str = ""
 
@@ -224,7 +250,22 @@
     @property
     def run_id(self) -> str:
         """Return the identifier of the current or next run of the request."""
-        return f"{self.call.request_id}.{len(self.tried)}"
+        return f"{self.call.request_id}.{len(self.excluded)}"
+
+    @property
+    def excluded(self) -> set[str]:
+        """Return the ids of upstreams that are not considered for the next send."""
+        return self.tried | self.passed_over
+
+    @property
+    def is_resumable(self) -> bool:
+        """Return whether what the caller has got so far can be continued elsewhere."""
+        return not self.respond.started or self.is_continued
+
+    @property
+    def has_valid_resend(self) -> bool:
+        """Return whether a send has begun that goes on after the last event."""
+        return self.begun is not None and self.begun.after_event == self.last_event
 
     @property
     def priority(self) -> int:
@@ -314,15 +355,16 @@
             Seconds after which to retry; None for a share of the caller's remaining
             time.
         """
+        cause = reason
         if self.run_status is RunStatus.NOT_RUN:
             if reason in (Reason.BROKEN, Reason.TIMEOUT):
                 reason = Reason.NO_UPSTREAM
             if retry_after is None:
                 retry_after = self.retry_after(now, reason)
-            return Refusal(reason, title, retry_after=retry_after)
+            return Refusal(reason, title, retry_after=retry_after, cause=cause)
         if reason is not Reason.TIMEOUT:
             reason = Reason.BROKEN
-        return Refusal(reason, title, run=RunStatus.UNKNOWN)
+        return Refusal(reason, title, run=RunStatus.UNKNOWN, cause=cause)
 
 
 def deadline_for(call: Call, route: Route) -> float:
--- a/lynxchute/relay/hedging.py
+++ b/lynxchute/relay/hedging.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 
 from lynxchute.relay.answer import UpstreamResponse
+from lynxchute.relay.attempts import Attempt, Discard, cancel_attempt
 from lynxchute.relay.chooser import Chooser, no_answer_refusal
 from lynxchute.relay.exchange import Exchange
 from lynxchute.relay.hedge_rules import (
@@ -34,8 +35,6 @@
 # the event loop until it can be used, and a response one more.
 MAX_POSTPONEMENTS = 4
 
-Attempt = Callable[[Exchange, Choice], Awaitable[UpstreamResponse | None]]
-
 
 @attrs.define(eq=False)
 class _Race:
@@ -121,7 +120,7 @@
         exchange: Exchange,
         choice: Choice,
         attempt: Attempt,
-        drop: Callable[[UpstreamResponse], None],
+        discard: Discard,
     ) -> UpstreamResponse | None:
         """Return the first successful response, or None if neither upstream responded.
 
@@ -129,8 +128,8 @@
         ----------
         attempt
             Sends the call once.
-        drop
-            Discards a response that is not needed.
+        discard
+            Closes a response that is not needed.
 
         Raises
         ------
@@ -151,7 +150,7 @@
             return answer
         finally:
             for task in tasks:
-                _cancel(task, answer, drop)
+                cancel_attempt(task, discard, used=answer)
             if race.hedge is not None:
                 self._record_end(race, outcome)
 
@@ -236,6 +235,8 @@
         except Refusal:
             # The first send is still open and may get a response.
             return None, "no upstream"
+        if exchange.begun is not None:
+            return None, "sent elsewhere"
         now = self._clock()
         if self._state_of(hedge.entry, now).is_busy:
             return None, "busy"
@@ -301,24 +302,3 @@
     except Refusal as refusal:
         race.refusal = refusal
         return None
-
-
-def _cancel(
-    task: asyncio.Future[UpstreamResponse | None],
-    answer: UpstreamResponse | None,
-    drop: Callable[[UpstreamResponse], None],
-) -> None:
-    """Cancel a task, and drop its response unless that is the one in use."""
-
-    def drop_unread(ended: asyncio.Future[UpstreamResponse | None]) -> None:
-        if ended.cancelled() or ended.exception() is not None:
-            return
-        unread = ended.result()
-        if unread is not None and unread is not answer:
-            drop(unread)
-
-    if not task.done():
-        task.cancel()
-        task.add_done_callback(drop_unread)
-    else:
-        drop_unread(task)
--- a/lynxchute/relay/origins.py
+++ b/lynxchute/relay/origins.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
 
 import attrs
 
 from lynxchute.upstreams.entry import UpstreamEntry
 from lynxchute.upstreams.stream_origin import StreamOrigin
 
+if TYPE_CHECKING:
+    from lynxchute.relay.exchange import Exchange
+
 
 @attrs.frozen
 class OriginLookup:
@@ -75,6 +79,14 @@
             clock; None if it came over another router.
         """
 
+    async def verify_begun(self, exchange: Exchange) -> bool:
+        """Return whether a stream that has begun is known to have a stated origin."""
+        if not exchange.events:
+            return True
+        if exchange.origin is None:
+            return False
+        return await self.verify(exchange.origin, heard_at=exchange.last_event_at)
+
     @abstractmethod
     def record_stated_version(self, entry: UpstreamEntry, version: str) -> None:
         """Record the software version that an upstream states in a response."""
--- a/lynxchute/relay/passing.py
+++ b/lynxchute/relay/passing.py
@@ -87,7 +87,7 @@
         """
         exchange, answer = self._exchange, self._answer
         now = self._clock()
-        answer.entry.heard_at = now
+        answer.record_heard(now)
         events = self._splitter.feed(data)
         if events is None:
             return True
--- a/lynxchute/relay/refusal.py
+++ b/lynxchute/relay/refusal.py
@@ -89,6 +89,8 @@
         Seconds after which to retry; None if a retry does not help.
     route, account
         Route and client account of the request, for the log; empty if unknown.
+    cause
+        Why the request could not go on; None for the reason itself.
     """
 
     def __init__(
@@ -100,8 +102,10 @@
         retry_after: float | None = None,
         route: str = "",
         account: str = "",
+        cause: Reason | None = None,
     ) -> None:
         super().__init__(title)
+        self.cause = cause or reason
         self.route = route
         self.account = account
         self.reason = reason
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -125,6 +125,7 @@
         try:
             outcome = await self._serve(exchange)
         finally:
+            self._sender.end(exchange)
             self._admission.record_end(exchange)
             self._log.record_end(exchange, outcome)
 
@@ -157,6 +158,7 @@
             # Only the caller's reading is left, which may take longer than the timeout.
             return "served"
         self._metrics.refusals.inc(refusal.reason.value)
+        exchange.refusal = refusal
         if exchange.respond.started:
             # The caller must be able to tell that the response is incomplete.
             exchange.respond.abort()
@@ -271,7 +273,7 @@
         try:
             while size <= MAX_BUFFERED_BYTES:
                 chunk = await answer.response.read()
-                answer.entry.heard_at = self._clock()
+                answer.record_heard(self._clock())
                 if chunk is None:
                     await self._check_whole(answer)
                     send_outcome = SendOutcome.FAILED if failed else SendOutcome.SERVED
@@ -322,6 +324,7 @@
         for buffered_chunk in chunks:
             await exchange.respond.send(buffered_chunk)
         while (chunk := await answer.response.read()) is not None:
+            answer.record_heard(self._clock())
             await exchange.respond.send(chunk)
         await self._check_whole(answer)
         await exchange.respond.finish()
@@ -331,8 +334,10 @@
     async def _stream(self, exchange: Exchange, answer: UpstreamResponse) -> None:
         while not await self._forward_events(exchange, answer):
             exchange.tried.add(answer.entry.upstream.id)
-            may_continue = await self._verify_origin(exchange)
-            if not may_continue or not self._sender.claim_retry(exchange):
+            if not await self._origins.verify_begun(exchange):
+                title = "The stream broke off, and where it began is not known."
+                raise exchange.refuse(Reason.ORIGIN_UNKNOWN, title, self._clock())
+            if not self._sender.claim_retry(exchange):
                 title = "The stream broke off and cannot go on elsewhere."
                 raise exchange.refuse(Reason.BROKEN, title, self._clock())
             answer = await self._sender.send(exchange)
@@ -347,16 +352,6 @@
             await exchange.respond.start(answer.response.status, headers)
         await exchange.respond.finish()
 
-    async def _verify_origin(self, exchange: Exchange) -> bool:
-        """Return whether a broken stream is known to have begun at its version."""
-        if not exchange.events:
-            return True
-        if exchange.origin is None:
-            return False
-        return await self._origins.verify(
-            exchange.origin, heard_at=exchange.last_event_at
-        )
-
     async def _forward_events(
         self, exchange: Exchange, answer: UpstreamResponse
     ) -> bool:
@@ -368,7 +363,7 @@
         try:
             while not await answer.response.deliver_body(forwarder.forward_events):
                 await exchange.respond.wait_drained()
-            answer.entry.heard_at = self._clock()
+            answer.record_heard(self._clock())
             forwarder.check_end()
             if not await self._sender.has_ended_whole(answer):
                 raise StreamCut("the upstream ended with the connection")
--- a/lynxchute/relay/request_log.py
+++ b/lynxchute/relay/request_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 from lynxchute.relay.exchange import Exchange
 from lynxchute.relay.refusal import Refusal, RunStatus
@@ -52,6 +53,7 @@
             content=exchange.content_id,
             parts=exchange.logged_parts,
             outcome=outcome,
+            **_refusal_fields(exchange.refusal),
             status=exchange.respond.status,
             run=exchange.run_status.value,
             route=exchange.route.name,
@@ -60,6 +62,7 @@
             configuration_age=round(exchange.configuration_age, 2),
             upstreams=exchange.upstreams,
             sends=exchange.sends,
+            attempts=exchange.route.max_attempts,
             events=exchange.events,
             tokens=used_tokens(exchange),
             seconds=round(seconds, 4),
@@ -70,6 +73,13 @@
         )
 
 
+def _refusal_fields(refusal: Refusal | None) -> dict[str, Any]:
+    """Return why a request was refused, or its answer broken off."""
+    if refusal is None:
+        return {}
+    return {"cause": refusal.cause.value, "title": refusal.title}
+
+
 def used_tokens(exchange: Exchange) -> int:
     """Return an upper bound of the budget tokens that a request has used."""
     generation = exchange.call.generation
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -21,9 +21,11 @@
 from lynxchute.relay.hedging import Hedger
 from lynxchute.relay.origins import Origins
 from lynxchute.relay.refusal import Reason, RunStatus
+from lynxchute.relay.resend_planner import ResendPlanner
+from lynxchute.relay.resender import Resender
 from lynxchute.relay.statement_reader import BackpressureRecorder
 from lynxchute.telemetry import Metrics, log_event
-from lynxchute.upstreams.entry import OpenSend, UpstreamEntry
+from lynxchute.upstreams.entry import OpenSend, ResendObstacle, UpstreamEntry
 from lynxchute.upstreams.health import SendOutcome
 from lynxchute.upstreams.placement import Choice, Placement
 from lynxchute.upstreams.retry_budget import RetryBudget
@@ -38,6 +40,9 @@
 # requests that are safe to repeat use such a connection.
 FRESH_WITHIN = 0.25
 SERVER_ERROR = 500
+# Seconds for which an upstream is asked again after the end of an answer of which only
+# the upstream's existence tells whether it is whole.
+MAX_END_CHECK_SECONDS = 2.0
 UPSTREAM_TIMEOUTS = Timeouts(
     connect=CONNECT_TIMEOUT, first_byte=None, between_bytes=None, keepalive_expiry=4.0
 )
@@ -72,6 +77,8 @@
         Steady clock in seconds.
     origins
         Knows which software versions began streams.
+    planner
+        Secures what a request needs to go on before its send is given up.
     times
         Records the latency of plain calls; None if no feature needs it.
     hedger
@@ -95,6 +102,7 @@
         clock: Callable[[], float],
         *,
         origins: Origins,
+        planner: ResendPlanner,
         times: ServiceTimes | None = None,
         hedger: Hedger | None = None,
         is_path_lost: Callable[[str], bool] = lambda address: False,
@@ -112,6 +120,10 @@
         self._backpressure = backpressure
         self._clock = clock
         self._origins = origins
+        self._planner = planner
+        self._resender = Resender(
+            planner, self._attempt_unless_withheld, self._discard_answer
+        )
         self._times = times
         self._hedger = hedger
 
@@ -127,13 +139,15 @@
             self._retries.record_request(exchange.service, self._clock())
         while True:
             self.check_quarantine(exchange)
-            choice = await self._chooser.choose(exchange)
-            if exchange.is_continued and not await self._confirm_process(
-                exchange, choice
-            ):
+            begun = self._resender.take(exchange)
+            choice = begun.choice if begun else await self._next_choice(exchange)
+            if choice is None:
                 continue
             try:
-                answer = await self._attempt_or_hedge(exchange, choice)
+                if begun is not None:
+                    answer = await self._resender.result(begun)
+                else:
+                    answer = await self._attempt_or_hedge(exchange, choice)
             except SendWithheld as error:
                 # Nothing was sent, so this does not count as a send.
                 self._record_withheld(exchange, choice, error.reason)
@@ -145,24 +159,29 @@
                 self.check_quarantine(exchange)
                 raise no_answer_refusal(exchange, self._clock())
 
+    async def _next_choice(self, exchange: Exchange) -> Choice | None:
+        """Return the next upstream; None if it runs another process than known."""
+        planned = await self._planner.take(exchange)
+        if planned is not None:
+            return planned
+        choice = await self._chooser.choose(exchange)
+        if exchange.is_continued and not await self._confirm_process(exchange, choice):
+            return None
+        return choice
+
     async def _confirm_process(self, exchange: Exchange, choice: Choice) -> bool:
         """Return whether an upstream has the software that a stream continues at."""
         try:
             is_confirmed = await self._origins.confirm_process(choice.entry)
         except BaseException:
-            self._release_choice(exchange, choice)
+            self._generations.release(choice)
             raise
         if not is_confirmed:
-            self._release_choice(exchange, choice)
+            self._generations.release(choice)
             # The next attempt needs a new run id, which counts the tried upstreams.
             exchange.tried.add(choice.entry.upstream.id)
         return is_confirmed
 
-    def _release_choice(self, exchange: Exchange, choice: Choice) -> None:
-        """Release a placement that is not used."""
-        upstream_id = choice.entry.upstream.id
-        self._generations.record_end(exchange.run_id, upstream_id, failed=False)
-
     async def _attempt_or_hedge(
         self, exchange: Exchange, choice: Choice
     ) -> UpstreamResponse | None:
@@ -189,12 +208,56 @@
         answer.response.close()
         self.release(answer, SendOutcome.FAILED if failed else SendOutcome.ABANDONED)
 
+    async def _plan_resend(
+        self, exchange: Exchange, entry: UpstreamEntry, send: OpenSend
+    ) -> ResendObstacle | None:
+        """Secure what a request needs to go on elsewhere, unless it was not sent."""
+        if not exchange.sends or send.handle.connection is None:
+            return None
+        now = self._clock()
+        if not exchange.has_retry_permit and not self._retries.is_available(
+            exchange.service, now
+        ):
+            return ResendObstacle.NO_PERMIT
+        return await self._planner.plan(exchange, entry)
+
+    async def _begin_resend(
+        self, exchange: Exchange, send: OpenSend
+    ) -> ResendObstacle | None:
+        """Send a request where it is planned to go on, unless it was not sent."""
+        if not exchange.sends or send.handle.connection is None:
+            return None
+        if not self.claim_retry(exchange):
+            self._resender.release(exchange)
+            return ResendObstacle.NO_PERMIT
+        if self._has_other_send(exchange, send):
+            # The other one stays open, and must not run beside a third one.
+            return None
+        return await self._resender.begin(exchange)
+
+    def _has_other_send(self, exchange: Exchange, send: OpenSend) -> bool:
+        """Return whether another send of a request is open that is not given up."""
+        request_id = exchange.call.request_id
+        for entry in self._planner.directory.entries_by_id.values():
+            for other in entry.open_sends:
+                if other.request_id != request_id or other.is_cancelled:
+                    continue
+                if other is not send:
+                    return True
+        return False
+
+    def end(self, exchange: Exchange) -> None:
+        """Release what is held for a request that has its final answer."""
+        self._resender.end(exchange)
+
     def claim_retry(self, exchange: Exchange) -> bool:
         """Return whether an exchange may be sent again; spend retry budget if so.
 
         A permit lasts until the next send, so a send that fails before its first byte
-        needs no further one.
+        needs no further one. None is needed for a send that has begun already.
         """
+        if exchange.has_valid_resend:
+            return True
         if not exchange.may_retry:
             return False
         # A run that brought events is not the cause of its upstream's crash.
@@ -292,7 +355,13 @@
         """
         if answer.response.is_framed or answer.entry.is_leaving:
             return True
-        return await self._clients.get(answer.entry.upstream.address).is_listening()
+        client = self._clients.get(answer.entry.upstream.address)
+        until = self._clock() + MAX_END_CHECK_SECONDS
+        while (is_listening := await client.is_listening()) is None:
+            # The upstream is silent, which says nothing about the answer.
+            if self._clock() >= until:
+                return False
+        return is_listening
 
     def record_broken(self, answer: UpstreamResponse) -> None:
         """Record an interrupted response, which may mean that its upstream crashed."""
@@ -307,19 +376,22 @@
         cost = generation.max_total_tokens if generation is not None else 0
         entry.open_requests += 1
         entry.open_tokens += cost
-        run_before = exchange.run_status
+        run_before, run_id = exchange.run_status, choice.run_id
         send = OpenSend(
             AbortHandle(),
             lambda: exchange.may_migrate,
             exchange.content_id,
-            # A request that has not been sent yet needs no permit.
-            claim_resend=lambda: not exchange.sends or self.claim_retry(exchange),
+            plan_resend=lambda: self._plan_resend(exchange, entry, send),
+            begin_resend=lambda: self._begin_resend(exchange, send),
+            release_resend=lambda: self._resender.release(exchange),
             prompt=exchange.prompt(entry.upstream.software_version),
             began_at=self._clock(),
+            request_id=exchange.call.request_id,
         )
         entry.open_sends.add(send)
         sent_at = self._clock()
         entry.heard_at = max(entry.heard_at, sent_at)
+        send.heard_at = sent_at
         try:
             response = await self._send_request(exchange, choice, send)
         except ExchangeError as error:
@@ -338,7 +410,7 @@
                 self._reachability.record_timeout(
                     upstream.data_centre, upstream.id, self._clock(), is_upstream=True
                 )
-            self._record_failure(exchange, entry, cost, outcome, str(error))
+            self._record_failure(exchange, run_id, entry, cost, outcome, str(error))
             return None
         except BaseException:
             entry.open_sends.discard(send)
@@ -349,9 +421,9 @@
                 now = self._clock()
                 waited = max(now - send.sent_at, 0.0)
                 self._times.record_abort(upstream_id, send.typical_seconds, waited, now)
-            self._generations.record_end(exchange.run_id, upstream_id, failed=False)
+            self._generations.record_end(run_id, upstream_id, failed=False)
             raise
-        entry.heard_at = self._clock()
+        entry.heard_at = send.heard_at = self._clock()
         self._reachability.record_response(entry.upstream.data_centre)
         response_kind = self._dialect.response_kind(response.status, response.headers)
         if response_kind is not ResponseKind.MOVED:
@@ -366,7 +438,7 @@
             if entry.upstream.states_version:
                 stated = self._dialect.software_version(response.headers)
                 self._origins.record_stated_version(entry, stated)
-        answer = UpstreamResponse(response, entry, cost, exchange.run_id, send, sent_at)
+        answer = UpstreamResponse(response, entry, cost, run_id, send, sent_at)
         is_usable = _has_expected_version(exchange, entry)
         if response_kind is ResponseKind.ANSWERED and is_usable:
             self._record_latency(exchange, answer)
@@ -376,12 +448,14 @@
         entry.open_sends.discard(send)
         reason = f"{response_kind.value}, status {response.status}"
         if response_kind in (ResponseKind.NOT_RUN, ResponseKind.MOVED):
-            await self._read_to_end(response)
             exchange.record_declined(run_before)
-            self._record_failure(exchange, entry, cost, SendOutcome.DECLINED, reason)
+            self._record_failure(
+                exchange, run_id, entry, cost, SendOutcome.DECLINED, reason
+            )
+            await self._read_to_end(response)
             return None
         response.close()
-        self._record_failure(exchange, entry, cost, SendOutcome.BROKEN, reason)
+        self._record_failure(exchange, run_id, entry, cost, SendOutcome.BROKEN, reason)
         return None
 
     async def _send_request(
@@ -552,6 +626,7 @@
     def _record_failure(
         self,
         exchange: Exchange,
+        run_id: str,
         entry: UpstreamEntry,
         cost: int,
         outcome: SendOutcome,
@@ -562,7 +637,7 @@
             entry.upstream.address
         )
         failed = outcome is not SendOutcome.ABANDONED and not is_own_fault
-        self._generations.record_end(exchange.run_id, entry.upstream.id, failed=failed)
+        self._generations.record_end(run_id, entry.upstream.id, failed=failed)
         log_event(
             "upstream attempt failed",
             request_id=exchange.call.request_id,
--- a/lynxchute/telemetry/metrics.py
+++ b/lynxchute/telemetry/metrics.py
@@ -41,6 +41,8 @@
         with the one that began the stream: same, other or unknown.
     origin_lookups
         Lookups of where a stream began, by where it was known from.
+    resends_planned
+        Running requests of silent upstreams, by whether they can go on elsewhere.
     hedges
         Calls that were slow at their first upstream, by outcome of the hedge.
     slowness
@@ -129,6 +131,9 @@
         self.origin_lookups = self._counter(
             "origin_lookups", "Streams taken up by their callers.", "source"
         )
+        self.resends_planned = self._counter(
+            "resends_planned", "Requests of silent upstreams.", "outcome"
+        )
         self.hedges = self._counter("hedges", "Slow calls hedged or not.", "outcome")
         self.slowness = LabelledGauge(
             PREFIX + "slowness", "The slowest plain upstream.", ("service",)
--- a/lynxchute/tunnels/client.py
+++ b/lynxchute/tunnels/client.py
@@ -19,6 +19,8 @@
 HEAD_START_SHARE = 1 / 3
 # Seconds for all routers that are asked while no request waits.
 CHECK_TIMEOUT = 1.0
+# Seconds for a direct connection of a check; connecting takes a few milliseconds.
+CHECK_CONNECT_SECONDS = 0.15
 
 
 class UpstreamClient(HttpClient):
@@ -64,13 +66,16 @@
 
     async def check(self) -> None:
         """Try the direct path, and keep the connection if it works."""
-        timeout = self._timeouts.connect
+        began_at = steady_seconds()
         try:
-            connection = await super()._open_connection(timeout)
+            connection = await super()._open_connection(CHECK_CONNECT_SECONDS)
         except ExchangeError as error:
             now = steady_seconds()
             self.paths.record_check_failed(
-                self.registered_address, now, hangs=error.is_timeout
+                self.registered_address,
+                now,
+                hangs=error.is_timeout,
+                began_at=began_at,
             )
             if self.paths.state(self.registered_address) is PathState.UNREACHABLE:
                 await self._check_tunnel(hangs=error.is_timeout)
@@ -93,6 +98,24 @@
                 reason=str(error),
             )
 
+    async def is_listening(self) -> bool | None:
+        """Return whether the upstream takes a new connection; None without an answer.
+
+        An upstream that no router reaches may only be silent.
+        """
+        state = self.paths.state(self.registered_address)
+        if state is PathState.DIRECT:
+            return await super().is_listening()
+        if state is PathState.LOST and await super().is_listening():
+            return True
+        try:
+            connection = await super()._open_connection(self._timeouts.connect)
+        except ExchangeError as error:
+            return None if error.is_timeout else False
+        self.paths.record_direct(self.registered_address, steady_seconds())
+        connection.abort()
+        return True
+
     def close_direct(self) -> None:
         """Close the idle connections that no other router forwards."""
         self._close_idle(lambda connection: not connection.via)
@@ -192,7 +215,7 @@
         except TunnelRefused:
             self.paths.record_unreachable(self.registered_address, now, hangs=hangs)
             return
-        self.paths.record_lost(self.registered_address, now, hangs=hangs)
+        self.paths.record_lost(self.registered_address, steady_seconds(), hangs=hangs)
         self._keep_idle(connection)
 
 
--- a/lynxchute/tunnels/paths.py
+++ b/lynxchute/tunnels/paths.py
@@ -53,9 +53,12 @@
     Attributes
     ----------
     hangs_in_row
-        Direct attempts without any answer, since the last one that was answered.
+        Direct attempts without any answer, since the last one that was answered. Of a
+        lost path the one that showed it, and those that began later.
     checks_needed, checks_passed
         Direct attempts that must succeed until the path is used, and that have.
+    reached_at
+        When another router was first found to reach the upstream of a lost path.
     """
 
     state: PathState = PathState.DIRECT
@@ -64,6 +67,7 @@
     hangs_in_row: int = 0
     checks_needed: int = 1
     checks_passed: int = 0
+    reached_at: float = -math.inf
     check_at: float = math.inf
     check_interval: float = CHECK_SECONDS
 
@@ -150,13 +154,14 @@
         """Return whether open connections to an upstream have to be given up.
 
         Connections may live on while new ones are refused. Where new ones hang, open
-        ones do so too; a single attempt that hangs may only have lost a packet.
+        ones do so too; a single attempt that hangs may only have lost a packet, or the
+        upstream was silent and answered another router just afterwards.
         """
         path = self._path_by_address.get(address)
-        if path is None or path.state is not PathState.LOST or not path.hangs_in_row:
+        if path is None or path.state is not PathState.LOST:
             # An upstream that no router reaches may only be silent for a while.
             return False
-        return path.hangs_in_row > 1 or self.is_cut_off
+        return path.hangs_in_row > 1
 
     def has_hung(self, address: str) -> bool:
         """Return whether the last direct attempt at a lost path got no answer."""
@@ -191,11 +196,15 @@
             Whether the direct attempt got no answer at all.
         """
         path = self._path_by_address.setdefault(address, _Path())
-        self._record_failed_check(path, hangs=hangs)
         path.check_interval = CHECK_SECONDS
-        path.check_at = now + CHECK_SECONDS
         if path.state is PathState.LOST:
+            path.checks_passed = 0
             return
+        path.hangs_in_row = int(hangs)
+        path.checks_passed = 0
+        path.reached_at = now
+        # If the upstream was only silent, a check at once shows it.
+        path.check_at = now if hangs else now + CHECK_SECONDS
         if path.state is PathState.DIRECT:
             path.lost_at = now
             is_flapping = now - path.restored_at < FLAP_SECONDS
@@ -224,12 +233,27 @@
             path.lost_at = now
         self._set_state(address, path, PathState.UNREACHABLE)
 
-    def record_check_failed(self, address: str, now: float, *, hangs: bool) -> None:
-        """Record that a check of a lost path got no connection."""
+    def record_check_failed(
+        self,
+        address: str,
+        now: float,
+        *,
+        hangs: bool,
+        began_at: float | None = None,
+    ) -> None:
+        """Record that a check of a lost path got no connection.
+
+        Parameters
+        ----------
+        began_at
+            When it began; None for now. One that began before another router reached
+            the upstream is no evidence against the path.
+        """
         path = self._path_by_address.get(address)
         if path is None or path.state is PathState.DIRECT:
             return
-        self._record_failed_check(path, hangs=hangs)
+        if began_at is None or began_at >= path.reached_at:
+            self._record_failed_check(path, hangs=hangs)
         path.check_at = now + path.check_interval
 
     def checks_due(self, now: float) -> list[str]:
--- a/lynxchute/tunnels/watch.py
+++ b/lynxchute/tunnels/watch.py
@@ -39,7 +39,7 @@
     clock
         Seconds on the steady clock.
     on_hanging
-        Called with an address whose open connections have to be given up.
+        Called repeatedly with an address whose open connections seem to hang.
     """
 
     def __init__(
@@ -59,7 +59,6 @@
         self._on_hanging = on_hanging
         self._checks = asyncio.Semaphore(MAX_CHECKS)
         self._checking: set[str] = set()
-        self._hanging: set[str] = set()
         self._lost_since: dict[str, float] = {}
         self._is_cut_off = False
         clients.paths.listeners.append(self._handle_change)
@@ -74,7 +73,6 @@
                 entry.health.resume()
         if state is PathState.DIRECT:
             since = self._lost_since.pop(address, now)
-            self._hanging.discard(address)
             log_event(
                 "path to upstream restored",
                 address=address,
@@ -84,6 +82,8 @@
             self._lost_since.setdefault(address, now)
             log_event("path to upstream lost", address=address, state=state.value)
         if state is PathState.LOST:
+            if self._clients.paths.has_hung(address):
+                self._check_now(address)
             self._verify_others(now)
         self._update_cut_off()
 
@@ -124,9 +124,7 @@
             if not paths.is_lost(address):
                 # The upstream is gone, or its process has restarted.
                 self._lost_since.pop(address, None)
-                self._hanging.discard(address)
-            elif paths.is_hanging(address) and address not in self._hanging:
-                self._hanging.add(address)
+            elif paths.is_hanging(address):
                 self._on_hanging(address)
         for address in paths.checks_due(now):
             # The client may have been dropped while its last attempt was under way.
@@ -135,6 +133,11 @@
                 self._start(client, client.check)
         self._update_cut_off()
 
+    def _check_now(self, address: str) -> None:
+        client = self._clients.get(address)
+        if isinstance(client, UpstreamClient):
+            self._start(client, client.check)
+
     def _start(
         self, client: UpstreamClient, check: Callable[[], Awaitable[None]]
     ) -> None:
--- a/lynxchute/upstreams/directory.py
+++ b/lynxchute/upstreams/directory.py
@@ -9,7 +9,11 @@
 
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.backpressure import Backpressure
-from lynxchute.upstreams.entry import Replacement, UpstreamEntry
+from lynxchute.upstreams.entry import (
+    Replacement,
+    UpstreamEntry,
+    logged_request_ids,
+)
 from lynxchute.upstreams.health import Health
 from lynxchute.upstreams.statement import DeclaredBackpressure
 from lynxchute.upstreams.upstream import Upstream
@@ -32,6 +36,8 @@
         draining.
     brittle_by_id
         Upstreams that fall over if they have to reject many requests.
+    replaced_entries
+        How the processes were replaced to whose entries sends are still open, by entry.
     listeners
         Called after upstreams have changed.
     restart_listeners
@@ -57,6 +63,7 @@
         self.backpressured_by_id: dict[str, UpstreamEntry] = {}
         self.brittle_by_id: dict[str, UpstreamEntry] = {}
         self.listeners: list[Callable[[], None]] = []
+        self.replaced_entries: dict[UpstreamEntry, Replacement] = {}
         self.restart_listeners: list[Callable[[Upstream], None]] = []
 
     def put(
@@ -280,11 +287,8 @@
             self.brittle_by_id.pop(upstream.id, None)
             replacement.extend_cold(self.cold_seconds_of(upstream.service), now)
             self.entries_by_id[upstream.id] = replacement
-            # The previous process has ended. If its VM lost power, no connection reset
-            # arrives, and each of these sends would wait for its timeout unless
-            # aborted.
-            for send in list(entry.open_sends):
-                send.handle.abort()
+            self.replaced_entries[entry] = replaced
+            self.abort_replaced(now)
         else:
             # Either the process's clock was set back, or this is a late report of an
             # earlier process that this router never knew: it is uncertain whether the
@@ -301,10 +305,26 @@
             started_ms=upstream.started_ms,
             before_ms=known_start_ms,
             open_sends=len(entry.open_sends),
+            request_ids=logged_request_ids(entry.open_sends),
         )
         for listener in self.restart_listeners:
             listener(before)
 
+    def abort_replaced(self, now: float) -> None:
+        """Abort sends to replaced processes, unless their answers still arrive.
+
+        A process whose VM lost power resets no connections, so each of these sends
+        would wait for its timeout. Sends that may have reached the new process, whose
+        start was not known yet, stay open: for a while if they have no answer yet.
+        """
+        for entry, replacement in list(self.replaced_entries.items()):
+            for send in list(entry.open_sends):
+                if send.is_arriving(now) or replacement.may_run(send, now):
+                    continue
+                send.handle.abort()
+            if not entry.open_sends:
+                del self.replaced_entries[entry]
+
     def remove(self, upstream_id: str, now: float, *, expires_at: float = 0.0) -> bool:
         """Record that an upstream's entry has vanished; return whether that is new.
 
--- a/lynxchute/upstreams/entry.py
+++ b/lynxchute/upstreams/entry.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import enum
+import itertools
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import attrs
 
@@ -23,6 +25,58 @@
 # Seconds for which a reported number of active requests is valid; requests last at
 # least as long.
 REPORT_VALID_SECONDS = 2.0
+# An answer that has begun goes on at its upstream for this many seconds of silence: an
+# upstream may fall silent for a second and go on, and a second run costs more than the
+# pause.
+MAX_ANSWER_SILENCE_SECONDS = 1.3
+# An answer of which bytes have arrived within this many seconds does not come from a
+# process that had ended before the start of another one became known.
+ARRIVING_SECONDS = 0.5
+# Seconds for which a send that may have reached a new process stays open after the news
+# of its start, without the head of its answer.
+RESTART_DOUBT_SECONDS = 1.3
+# Requests that one log line names.
+MAX_LOGGED_REQUESTS = 16
+
+
+class ResendObstacle(enum.Enum):
+    """Why a request cannot go on at another upstream.
+
+    Attributes
+    ----------
+    NO_ATTEMPT
+        Its route allows no further attempt.
+    NOT_RESUMABLE
+        A part of its answer has been forwarded, and the rest is to be had nowhere else.
+    ORIGIN_UNKNOWN
+        It is not known which software version began its stream.
+    NO_UPSTREAM
+        No other upstream can take it now and answers.
+    NO_PERMIT
+        The retry budget is used up.
+    PLANNED
+        Another send of the same request is about to go on here.
+    DECLINED
+        The other upstream did not take it.
+    ENDED
+        It has ended meanwhile.
+    HEARD
+        Its upstream has gone on meanwhile.
+    """
+
+    NO_ATTEMPT = "no attempt left"
+    NOT_RESUMABLE = "not resumable"
+    ORIGIN_UNKNOWN = "origin unknown"
+    NO_UPSTREAM = "no upstream"
+    NO_PERMIT = "no permit"
+    PLANNED = "already planned"
+    DECLINED = "declined"
+    ENDED = "ended"
+    HEARD = "upstream goes on"
+
+
+async def _no_obstacle() -> ResendObstacle | None:
+    return None
 
 
 @attrs.define(eq=False)
@@ -37,8 +91,13 @@
         Returns whether the request may be sent to another upstream instead.
     content
         Identifies the content of the request.
-    claim_resend
-        Returns whether the request gets a permit to be sent again.
+    plan_resend
+        Secures what the request needs to go on at another upstream; returns why it
+        cannot, or None.
+    begin_resend
+        Sends the request there; returns why this send has to be kept, or None.
+    release_resend
+        Gives up what was secured or begun.
     progress
         How far the upstream has processed the request.
     answering_since
@@ -55,12 +114,22 @@
         Shared parts of its prompt; None for a request without a prompt.
     began_at
         When this router began to send it, in seconds; None if not known.
+    request_id
+        Id of the request in log lines.
+    heard_at
+        When a byte last arrived on its connection, or when it was begun if none has, in
+        seconds.
+    obstacle, planned_at
+        Why the request could not go on elsewhere when that was last tried, and when
+        that was, in seconds.
     """
 
     handle: AbortHandle
     may_resend: Callable[[], bool]
     content: str = ""
-    claim_resend: Callable[[], bool] = lambda: True
+    begin_resend: Callable[[], Awaitable[ResendObstacle | None]] = _no_obstacle
+    plan_resend: Callable[[], Awaitable[ResendObstacle | None]] = _no_obstacle
+    release_resend: Callable[[], None] = lambda: None
     progress: Progress = Progress.UNANSWERED
     answering_since: float | None = None
     is_cancelled: bool = False
@@ -69,6 +138,10 @@
     typical_seconds: float = 0.0
     prompt: PromptParts | None = None
     began_at: float | None = None
+    request_id: str = ""
+    heard_at: float = 0.0
+    obstacle: ResendObstacle | None = None
+    planned_at: float = -math.inf
 
     def overdue_ratio(self, now: float) -> float:
         """Return the wait for a response as a multiple of the typical time."""
@@ -89,6 +162,27 @@
         since = self.answering_since
         return since is not None and now - since >= CRASH_WINDOW_SECONDS
 
+    def is_overly_silent(self, now: float) -> bool:
+        """Return whether it may be given up, as its upstream seems unreachable."""
+        if self.answering_since is None:
+            return True
+        return now - self.heard_at >= MAX_ANSWER_SILENCE_SECONDS
+
+    def is_arriving(self, now: float) -> bool:
+        """Return whether bytes of the answer have arrived a moment ago."""
+        if self.answering_since is None:
+            return False
+        return now - self.heard_at < ARRIVING_SECONDS
+
+    def has_answered_since(self, at: float) -> bool:
+        """Return whether its answer comes from a process that runs after a time.
+
+        Bytes that arrive shortly after it may be those of a process that has ended.
+        """
+        if self.answering_since is None:
+            return False
+        return self.heard_at - at >= ARRIVING_SECONDS
+
     def cancel(self) -> None:
         """Abort the send; this does not count against the upstream."""
         self.is_cancelled = True
@@ -100,6 +194,11 @@
         self.cancel()
 
 
+def logged_request_ids(sends: Iterable[OpenSend]) -> list[str]:
+    """Return the ids of the first requests, for the log."""
+    return [send.request_id for send in itertools.islice(sends, MAX_LOGGED_REQUESTS)]
+
+
 @attrs.frozen
 class Replacement:
     """A process that was replaced by a later one with the same upstream id.
@@ -119,6 +218,21 @@
     ran_until: float
     noticed_at: float
 
+    def may_run(self, send: OpenSend, now: float) -> bool:
+        """Return whether the next process may run a request of the replaced one."""
+        if send.has_answered_since(self.noticed_at) or self.is_before(send):
+            return True
+        began_at = -math.inf if send.began_at is None else send.began_at
+        if began_at <= self.ran_until:
+            return False
+        if send.progress is not Progress.UNANSWERED:
+            return True
+        return now - self.noticed_at < RESTART_DOUBT_SECONDS
+
+    def is_before(self, send: OpenSend) -> bool:
+        """Return whether a send began after the next process was noticed."""
+        return send.began_at is not None and send.began_at >= self.noticed_at
+
 
 @attrs.define(eq=False)
 class UpstreamEntry:
@@ -171,6 +285,13 @@
     reported_requests: int = 0
     reported_at: float = -math.inf
 
+    def has_been_heard_since(self, at: float) -> bool:
+        """Return whether bytes of an open answer have arrived since a time."""
+        return any(
+            send.answering_since is not None and send.heard_at > at
+            for send in self.open_sends
+        )
+
     def record_active_requests(self, active_requests: int, now: float) -> None:
         """Record the number of requests that the upstream reports."""
         self.reported_requests = active_requests
--- a/lynxchute/upstreams/health.py
+++ b/lynxchute/upstreams/health.py
@@ -109,6 +109,10 @@
         """Return the share of lost sends, decayed by the time since the last one."""
         return self.lost_share * self._decay(now)
 
+    def extend_pause(self, until: float) -> None:
+        """Pause until a time at least, in seconds."""
+        self.paused_until = max(self.paused_until, until)
+
     def resume(self) -> None:
         """End the pause at once, because its cause is over."""
         self.paused_until = 0.0
--- a/lynxchute/upstreams/placement.py
+++ b/lynxchute/upstreams/placement.py
@@ -35,6 +35,8 @@
         Until when it may be sent although the upstream has a rate limit, likewise.
     is_placed_alone
         Whether this VM chose without the VM that schedules for the service.
+    run_id
+        Run that has the place at the upstream; empty if no place is held.
     """
 
     entry: UpstreamEntry
@@ -44,6 +46,7 @@
     cold_permit_until: float = 0.0
     rate_permit_until: float = 0.0
     is_placed_alone: bool = False
+    run_id: str = ""
 
 
 class Placement(ABC):
@@ -87,6 +90,10 @@
             Whether the upstream is the cause.
         """
 
+    def release(self, choice: Choice) -> None:
+        """Give up a choice that is not used."""
+        self.record_end(choice.run_id, choice.entry.upstream.id, failed=False)
+
 
 class LeastOpen(Placement):
     """Choose the upstream with the fewest open requests.
--- a/lynxchute/upstreams/retry_budget.py
+++ b/lynxchute/upstreams/retry_budget.py
@@ -76,14 +76,20 @@
         used_share
             Part of the allowance that may be used, including this retry.
         """
+        if not self.is_available(service, now, used_share=used_share):
+            return False
+        self._windows_by_service[service].retries.append(now)
+        return True
+
+    def is_available(
+        self, service: str, now: float, *, used_share: float = MAX_USED_SHARE
+    ) -> bool:
+        """Return whether a retry would be permitted."""
         window = self._windows_by_service.setdefault(service, _Window())
         self._prune(window, now)
         permitted = self._extra / max(self.routers, 1)
         permitted += self._share * len(window.requests)
-        if len(window.retries) + 1 > permitted * min(used_share, MAX_USED_SHARE):
-            return False
-        window.retries.append(now)
-        return True
+        return len(window.retries) + 1 <= permitted * min(used_share, MAX_USED_SHARE)
 
     def _prune(self, window: _Window, now: float) -> None:
         oldest = now - self._window
--- a/lynxchute/upstreams/silence.py
+++ b/lynxchute/upstreams/silence.py
@@ -5,12 +5,19 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
+import attrs
+
 from lynxchute.application import PeriodicTask, Tasks
 from lynxchute.reachability import Reachability
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.engines import EngineClient, EngineUnavailable
-from lynxchute.upstreams.entry import OpenSend, UpstreamEntry
+from lynxchute.upstreams.entry import (
+    MAX_ANSWER_SILENCE_SECONDS,
+    OpenSend,
+    ResendObstacle,
+    UpstreamEntry,
+)
 from lynxchute.upstreams.health import SendOutcome
 from lynxchute.upstreams.probes import handle_probe
 
@@ -23,24 +30,38 @@
 # The same once another upstream of the same data centre has just been found silent. It
 # is still longer than the pause between two events of a stream.
 SUSPECT_SILENT_SECONDS = 0.1
-# A stream that has begun goes on at its upstream for this many seconds of silence: an
-# upstream may fall silent for a second and go on, and a second run costs more than the
-# pause.
-MAX_STREAM_SILENCE_SECONDS = 1.3
 # Seconds between two probes of an unreachable data centre.
 UNREACHABLE_PROBE_SECONDS = 0.5
-# Seconds until an upstream that stays silent is probed again.
+# Seconds until an upstream that stays silent is probed again, and until it is tried
+# again whether a request that runs there can go on elsewhere.
 REPROBE_SECONDS = 0.6
+# Seconds for which a silent upstream is paused at least: the next probe may time out
+# only after as long.
+MIN_PAUSE_SECONDS = REPROBE_SECONDS + 0.5
+# Seconds of silence on a lost path after which an answer that has begun is given up; it
+# is longer than the pause between two events.
+LOST_PATH_SILENT_SECONDS = 0.5
+# Upstreams that are probed, the last heard first, until one answers.
+MAX_ALTERNATIVES = 3
+
+
+@attrs.frozen
+class _Verdict:
+    """When an upstream was found silent, and until when it is paused for that."""
+
+    at: float
+    paused_until: float
 
 
 class SilenceWatch:
     """Probe silent upstreams, and cancel sends to those that do not respond.
 
     TCP takes seconds to notice a VM without power or behind a partition. Requests that
-    may run elsewhere are cancelled, so that they are retried there; others wait for
-    their response until their timeout. If no other upstream of the service answers a
-    probe either, the cause is this router's own link or load: nothing is cancelled
-    then, as nothing could be retried.
+    may run elsewhere are cancelled once another upstream that answers has a place for
+    them, so that they are retried there; others wait for their response until their
+    timeout. If no other upstream of the service answers a probe either, the cause is
+    this router's own link or load: nothing is cancelled then, as nothing could be
+    retried.
 
     Parameters
     ----------
@@ -69,17 +90,21 @@
         self._engines = engines
         self._reachability = reachability
         self._clock = clock
+        self._moving: set[OpenSend] = set()
+        self._verdicts_by_entry: dict[UpstreamEntry, _Verdict] = {}
         self._unreachable_probed_at: dict[str, float] = {}
         self._alternative_probes_by_service: dict[str, asyncio.Task[bool]] = {}
 
     def _may_need_probe(self) -> bool:
         """Return whether an upstream may have to be probed."""
-        if self._reachability.is_any_unreachable:
+        if self._reachability.is_any_unreachable or self._directory.replaced_entries:
             return True
         return any(e.open_sends for e in self._directory.entries_by_id.values())
 
     async def _step(self) -> None:
         now = self._clock()
+        self._resume_heard(now)
+        self._move_replaced(now)
         is_any_unreachable = self._reachability.is_any_unreachable
         for entry in self._directory.entries_by_id.values():
             # Most upstreams have no open sends. Skipping them reduces a step over 3,000
@@ -91,6 +116,31 @@
             elif self._reachability.is_unreachable(entry.upstream.data_centre):
                 self._probe_unreachable(entry, now)
 
+    def _resume_heard(self, now: float) -> None:
+        """End the pauses of silent upstreams that have sent something since."""
+        for entry, verdict in list(self._verdicts_by_entry.items()):
+            is_over = not entry.health.is_paused(now)
+            if is_over or entry.health.paused_until != verdict.paused_until:
+                # The pause is over, or has another cause by now.
+                del self._verdicts_by_entry[entry]
+                continue
+            if entry.has_been_heard_since(verdict.at):
+                self._resume(entry)
+
+    def _move_replaced(self, now: float) -> None:
+        """Cancel sends that may be at processes which have ended."""
+        self._directory.abort_replaced(now)
+        for entry, replacement in self._directory.replaced_entries.items():
+            sends = []
+            for send in entry.open_sends:
+                if not send.is_overly_silent(now):
+                    continue
+                is_new = now - send.heard_at < MAX_ANSWER_SILENCE_SECONDS
+                if replacement.is_before(send) and is_new:
+                    continue
+                sends.append(send)
+            self._move_sends(entry, sends, reason="upstream started again")
+
     def _is_probe_due(self, entry: UpstreamEntry, now: float, seconds: float) -> bool:
         """Return whether an upstream with pending responses is due for a probe."""
         if not entry.open_sends or now - entry.heard_at < seconds:
@@ -135,11 +185,21 @@
                     return
                 if entry.heard_at >= asked_at:
                     return
-            self._cancel_sends(entry, str(error))
+            self._cancel_sends(entry, str(error), is_timeout=error.is_timeout)
             return
+        entry.heard_at = max(entry.heard_at, self._clock())
         self._record_reachable(entry.upstream.data_centre)
+        self._resume(entry)
         handle_probe(self._directory, entry, probe, self._clock())
 
+    def _resume(self, entry: UpstreamEntry) -> None:
+        """End the pause of an upstream that was silent, unless it has another cause."""
+        verdict = self._verdicts_by_entry.pop(entry, None)
+        if verdict is None or entry.health.paused_until != verdict.paused_until:
+            return
+        entry.health.resume()
+        log_event("upstream goes on", upstream=entry.upstream.id)
+
     def _record_reachable(self, data_centre: str) -> None:
         if not self._reachability.is_unreachable(data_centre):
             return
@@ -177,48 +237,103 @@
                 continue
             if not self._reachability.is_unreachable(entry.upstream.data_centre):
                 others.append(entry)
-        if not others:
-            return False
-        other = max(others, key=lambda entry: entry.heard_at)
-        try:
-            probe = await self._engines.probe(other.upstream)
-        except EngineUnavailable:
-            return False
-        handle_probe(self._directory, other, probe, self._clock())
-        return True
+        others.sort(key=lambda entry: entry.heard_at, reverse=True)
+        for other in others[:MAX_ALTERNATIVES]:
+            try:
+                probe = await self._engines.probe(other.upstream)
+            except EngineUnavailable:
+                continue
+            handle_probe(self._directory, other, probe, self._clock())
+            return True
+        return False
 
     def give_up_direct_sends(self, address: str) -> None:
-        """Cancel sends on direct connections to an address, as these hang."""
+        """Cancel silent sends on direct connections to an address, as these hang."""
+        now = self._clock()
         for entry in self._directory.at_address(address):
-            self._move_sends(
-                entry,
-                [send for send in entry.open_sends if not send.handle.is_tunnelled],
-                reason="path to upstream lost",
-            )
-
-    def _cancel_sends(self, entry: UpstreamEntry, reason: str) -> None:
-        entry.health.record(SendOutcome.UNREACHED, self._clock())
-        silence = self._clock() - entry.heard_at
-        sends = [
-            send
-            for send in entry.open_sends
-            if send.answering_since is None or silence >= MAX_STREAM_SILENCE_SECONDS
-        ]
+            sends = []
+            for send in entry.open_sends:
+                if send.handle.is_tunnelled:
+                    continue
+                silent_seconds = now - send.heard_at
+                if send.answering_since is None or (
+                    silent_seconds >= LOST_PATH_SILENT_SECONDS
+                ):
+                    sends.append(send)
+            self._move_sends(entry, sends, reason="path to upstream lost")
+
+    def _cancel_sends(
+        self, entry: UpstreamEntry, reason: str, *, is_timeout: bool
+    ) -> None:
+        now = self._clock()
+        entry.health.record(SendOutcome.UNREACHED, now)
+        if is_timeout:
+            entry.health.extend_pause(now + MIN_PAUSE_SECONDS)
+        self._verdicts_by_entry[entry] = _Verdict(now, entry.health.paused_until)
+        sends = [send for send in entry.open_sends if send.is_overly_silent(now)]
         self._move_sends(entry, sends, reason)
 
     def _move_sends(
         self, entry: UpstreamEntry, sends: Iterable[OpenSend], reason: str
     ) -> None:
         # A send that may not be repeated stays open: its upstream may still respond.
-        moving = [send for send in sends if send.may_resend() and send.claim_resend()]
-        if not moving:
+        now = self._clock()
+        for send in sends:
+            if send in self._moving or now - send.planned_at < REPROBE_SECONDS:
+                continue
+            if not send.may_resend():
+                continue
+            self._moving.add(send)
+            send.planned_at = now
+            self.tasks.spawn(self._move_send(entry, send, send.heard_at, reason))
+
+    async def _move_send(
+        self, entry: UpstreamEntry, send: OpenSend, heard_at: float, reason: str
+    ) -> None:
+        """Cancel a send once its request goes on elsewhere."""
+        try:
+            obstacle = await self._begin_elsewhere(entry, send, heard_at)
+        finally:
+            self._moving.discard(send)
+        if send not in entry.open_sends:
+            # It has ended by itself, and its request goes on as planned.
             return
+        if obstacle is send.obstacle and obstacle is not None:
+            return
+        send.obstacle = obstacle
         log_event(
             "upstream silent",
             upstream=entry.upstream.id,
-            open_sends=len(entry.open_sends),
-            moving=len(moving),
+            request_id=send.request_id,
+            decision="kept" if obstacle is not None else "given up",
+            obstacle=obstacle.value if obstacle is not None else "",
+            progress=send.progress.value,
+            silent_s=round(self._clock() - heard_at, 3),
             reason=reason,
         )
-        for send in moving:
+        if obstacle is None:
             send.cancel()
+
+    async def _begin_elsewhere(
+        self, entry: UpstreamEntry, send: OpenSend, heard_at: float
+    ) -> ResendObstacle | None:
+        """Begin a request elsewhere while its send stays open; return why not."""
+        while True:
+            obstacle = await self._try_elsewhere(entry, send, heard_at)
+            if obstacle is not ResendObstacle.DECLINED:
+                return obstacle
+            if send not in entry.open_sends or send.heard_at > heard_at:
+                return obstacle
+            # The upstream that declined is excluded now; another one may take it.
+
+    async def _try_elsewhere(
+        self, entry: UpstreamEntry, send: OpenSend, heard_at: float
+    ) -> ResendObstacle | None:
+        for step in (send.plan_resend, send.begin_resend):
+            obstacle = await step()
+            if obstacle is not None or send not in entry.open_sends:
+                return obstacle
+            if send.heard_at > heard_at:
+                send.release_resend()
+                return ResendObstacle.HEARD
+        return None
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -366,6 +366,7 @@
     sent_at: float = 0.0
     run_status: RunStatus = RunStatus.NOT_RUN
     tried: set = attrs.Factory(set)
+    begun: None = None
 
     def refuse(self, reason, title, now):
         return Refusal(reason, title, run=self.run_status)
@@ -506,14 +507,14 @@
 
 
 def mutant_keep_losers():
-    return mock.patch.object(hedging, "_cancel", lambda *_: None)
+    return mock.patch.object(hedging, "cancel_attempt", lambda *_, used: None)
 
 
 def mutant_cancel_without_drop():
-    def cancel_task(task, answer, drop):
+    def cancel_task(task, discard, *, used):
         task.cancel()
 
-    return mock.patch.object(hedging, "_cancel", cancel_task)
+    return mock.patch.object(hedging, "cancel_attempt", cancel_task)
 
 
 def mutant_accept_any_status():
@@ -528,12 +529,12 @@
 
 
 def mutant_drop_the_winner():
-    def cancel_task(task, answer, drop):
+    def cancel_task(task, discard, *, used):
         task.cancel()
-        if answer is not None:
-            drop(answer)
+        if used is not None:
+            discard(used)
 
-    return mock.patch.object(hedging, "_cancel", cancel_task)
+    return mock.patch.object(hedging, "cancel_attempt", cancel_task)
 
 
 MUTANTS = (
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -132,6 +132,50 @@
 
         self.run_async(work())
 
+    def test_an_answer_outlasts_the_back_off_of_tcp_after_a_second_of_silence(self):
+        async def work():
+            # Segments that are lost in a second of silence are sent again after 1.4 s.
+            begun = self.now
+            self.open_send("b1", begun)
+            (send,) = self.entry("b1").open_sends
+            send.answering_since = send.heard_at = begun
+            for step in range(1, 19):
+                self.now = begun + step / 10
+                await self.step()
+                if step <= 14:
+                    self.assertEqual([], self.aborted, step)
+            self.assertEqual(["b1"], self.aborted)
+
+        self.run_async(work())
+
+    def test_no_send_is_cancelled_if_a_later_probe_was_answered(self):
+        async def work():
+            found = asyncio.Event()
+
+            async def probe(upstream):
+                self.engines.probed.append(upstream.id)
+                if self.engines.probed == ["b1"]:
+                    raise EngineUnavailable(upstream.id, is_timeout=True)
+                if upstream.id != "b1":
+                    await found.wait()
+                return Probe()
+
+            self.engines.probe = probe
+            self.open_send("b1", self.now - 0.4)
+            for _ in range(2):
+                await self.watch._step()
+                for _ in range(5):
+                    await asyncio.sleep(0)
+                self.now += 0.7
+            found.set()
+            while self.watch.tasks._tasks:
+                await asyncio.sleep(0)
+            self.assertEqual(2, self.engines.probed.count("b1"))
+            self.assertEqual([], self.aborted)
+            self.assertFalse(self.entry("b1").health.is_paused(self.now))
+
+        self.run_async(work())
+
     def test_no_send_is_cancelled_while_no_upstream_answers(self):
         async def work():
             self.engines.cut = {"a", "b"}
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -5,6 +5,7 @@
 import attrs
 from testtools import TestCase
 
+from lynxchute.quarantine import Progress
 from lynxchute.scheduling.board import Candidate, EngineBoard
 from lynxchute.scheduling.newcomer import PendingRequest
 from lynxchute.upstreams.aims import NO_OBJECTIVES
@@ -64,6 +65,24 @@
         self.assertEqual(0, self.entry.open_requests)
         self.assertFalse(self.entry.health.is_paused(11.0))
 
+    def test_a_send_that_began_after_the_news_of_a_start_is_not_aborted(self):
+        old_entry = self.entry
+        old_entry.open_sends.add(OpenSend(self, lambda: False, began_at=9.0))
+        self.directory.put(started(2000), 10.0)
+        # Its place was chosen before the news.
+        old_entry.open_sends.add(OpenSend(self, lambda: False, began_at=10.1))
+        for now in (10.1, 11.0, 15.0):
+            self.directory.abort_replaced(now)
+        self.assertEqual(1, self.aborted)
+
+    def test_an_answer_whose_head_has_arrived_is_not_aborted_by_later_news(self):
+        send = OpenSend(self, lambda: False, began_at=9.0, progress=Progress.BEGUN)
+        self.entry.open_sends.add(send)
+        # The process that was replaced is not known to have run at 9.0.
+        self.directory.put(started(2000), 10.0)
+        self.directory.abort_replaced(15.0)
+        self.assertEqual(0, self.aborted)
+
     def test_upstream_that_operators_named_can_return_from_draining(self):
         named = attrs.evolve(FIRST, keeps_id=True)
         self.directory.put(attrs.evolve(named, is_leaving=True))
