--- a/lynxchute/bench/emulator/engine.py
+++ b/lynxchute/bench/emulator/engine.py
@@ -131,6 +131,10 @@
         """Return the number of waiting and running requests."""
         return len(self.waiting) + len(self.reading) + len(self.running)
 
+    def open_runs_in_order(self) -> list[EngineRun]:
+        """Return the waiting and running requests."""
+        return [*self.waiting, *self.reading, *self.running]
+
     def submit(self, run: EngineRun, now: float, prefilled_parts: set[str]) -> None:
         """Queue a request, and start a step if the engine is idle.
 
@@ -174,7 +178,7 @@
 
     def clear(self) -> list[EngineRun]:
         """Discard requests and cache, as in a crash; return the open requests."""
-        lost = [*self.waiting, *self.reading, *self.running]
+        lost = self.open_runs_in_order()
         self.waiting.clear()
         self.reading.clear()
         self.running.clear()
--- a/lynxchute/bench/emulator/play.py
+++ b/lynxchute/bench/emulator/play.py
@@ -57,6 +57,15 @@
     ----------
     versions
         Software versions of the engines that made its events.
+    events
+        Number of events that its caller has received.
+    heard_at
+        When its caller received the latest event, in seconds; None before that.
+    first_at
+        When its caller received the first event, if an earlier run sent it.
+    longest_silence
+        The longest time between two events at its caller, in seconds, of those that a
+        silence of its engine delayed.
     """
 
     arrival: Arrival
@@ -67,6 +76,17 @@
     has_paused: bool = False
     outcome: Outcome | None = None
     versions: set[str] = attrs.Factory(set)
+    events: int = 0
+    heard_at: float | None = None
+    first_at: float | None = None
+    longest_silence: float = 0.0
+
+    @property
+    def began_at(self) -> float | None:
+        """Return when its caller received the first event, in seconds."""
+        if self.first_at is not None or self.run is None:
+            return self.first_at
+        return self.run.first_at
 
     @property
     def objective_at(self) -> float:
@@ -95,6 +115,8 @@
         Streams with events of several software versions.
     crashes
         Engines that crashed under requests with a crashing prompt part.
+    second_runs
+        Streams that had begun and ran again, as their engine was silent.
     """
 
     requests: list[Request]
@@ -104,6 +126,7 @@
     sent_to_evacuated: int = 0
     mixed_streams: int = 0
     crashes: int = 0
+    second_runs: int = 0
 
 
 class Play:
@@ -145,6 +168,8 @@
         self._requests_by_run: dict[EngineRun, Request] = {}
         self._quarantine = EmulatedQuarantine(is_enabled=scenario.is_part_quarantined)
         self._crashes = 0
+        self._second_runs = 0
+        self._held_events_by_engine: dict[int, dict[EngineRun, int]] = {}
         self._queue: list[tuple[float, int, Callable[[float], None]]] = []
         self._event_numbers = itertools.count()
         self._seed = seed
@@ -160,6 +185,7 @@
         for rollout in self._scenario.rollouts:
             self._schedule(rollout.at, partial(self._roll_out, rollout))
         self._schedule_noise()
+        self._schedule_silences()
         while self._queue:
             now, _, action = heapq.heappop(self._queue)
             action(now)
@@ -175,6 +201,7 @@
             self._sent_to_evacuated,
             sum(len(request.versions) > 1 for request in self._requests),
             self._crashes,
+            self._second_runs,
         )
 
     def _schedule(self, when: float, action: Callable[[float], None]) -> None:
@@ -250,7 +277,12 @@
         self._now = now
         engine = self._engines[request.engine]
         arrival = request.arrival
-        run = EngineRun(request.run_id, arrival.generation, now, arrival.output_tokens)
+        # A stream that runs again goes on after the last event that arrived.
+        output_tokens = arrival.output_tokens
+        if request.first_at is not None:
+            received = request.events * self._scenario.shape.tokens_per_event
+            output_tokens = max(output_tokens - received, 1)
+        run = EngineRun(request.run_id, arrival.generation, now, output_tokens)
         request.run = run
         self._requests_by_run[run] = request
         self._arrivals_by_engine[request.engine].record(now)
@@ -261,6 +293,12 @@
             return
         engine.submit(run, now, self._prefilled_parts)
         self._schedule_step(request.engine)
+        if request.engine in self._held_events_by_engine:
+            self._schedule(
+                now + DETECTION_SECONDS, partial(self._resend_silent, request, run)
+            )
+        if request.first_at is not None:
+            return
         waits_until = arrival.at + request.longest_wait
         self._schedule(waits_until, partial(self._time_out, request, run))
 
@@ -320,16 +358,30 @@
             if request.arrival.kind.crash_part:
                 has_crashed = True
                 continue
+            held_events = self._held_events_by_engine.get(number)
+            if held_events is not None:
+                held_events[run] = held_events.get(run, 0) + 1
+                continue
             self._record_event(request, run)
         if has_crashed:
             self._crash(number, now)
         self._schedule_step(number)
 
-    def _record_event(self, request: Request, run: EngineRun) -> None:
+    def _record_event(
+        self, request: Request, run: EngineRun, *, events: int = 1
+    ) -> None:
+        """Record the events of a run that arrive at its caller together."""
         limit = request.arrival.kind.max_pause_ms / 1000.0
+        if request.first_at is not None and run.events == events:
+            assert request.heard_at is not None
+            pause = self._now - request.heard_at
+            run.longest_pause = max(run.longest_pause, pause)
+            request.longest_silence = max(request.longest_silence, pause)
+        request.events += events
+        request.heard_at = self._now
         if run.events:
             request.versions.add(self._versions[request.engine])
-        if run.events == 1:
+        if run.events == events:
             assert run.first_at is not None
             took_ms = (run.first_at - run.arrived_at) * 1000.0
             run_id, engine = request.run_id, request.engine
@@ -348,10 +400,80 @@
         self._notify_policy(self._policy.record_end, request)
         self._quarantine.record_served(request.arrival, self._now)
         if request.outcome is None:
-            request.outcome = _outcome_on_end(request, run)
+            request.outcome = _outcome_on_end(request)
 
     # Faults.
 
+    def _schedule_silences(self) -> None:
+        rng = random.Random(f"{self._seed} silences")
+        silences, count = self._scenario.silences, len(self._engines)
+        for begin, end, engines in silences.spans(self._scenario.seconds, count, rng):
+            for number in engines:
+                self._schedule(begin, partial(self._start_silence, number))
+                self._schedule(end, partial(self._end_silence, number))
+
+    def _start_silence(self, number: int, now: float) -> None:
+        """Hold back what an engine sends; its runs go on."""
+        self._now = now
+        self._held_events_by_engine[number] = {}
+        self._schedule(now + DETECTION_SECONDS, partial(self._record_silent, number))
+        for run in self._engines[number].open_runs_in_order():
+            request = self._requests_by_run[run]
+            after = DETECTION_SECONDS
+            if request.heard_at is not None:
+                after = self._scenario.resend_after
+            self._schedule(now + after, partial(self._resend_silent, request, run))
+
+    def _record_silent(self, number: int, now: float) -> None:
+        if number in self._held_events_by_engine:
+            self._known_down.add(number)
+
+    def _resend_silent(self, request: Request, run: EngineRun, now: float) -> None:
+        """Run a request again elsewhere if its engine is silent and another is not."""
+        self._now = now
+        if request.run is not run or request.outcome is not None:
+            return
+        if request.engine not in self._held_events_by_engine:
+            return
+        heard_at = request.heard_at
+        if heard_at is not None and now - heard_at < self._scenario.resend_after:
+            # The engine went on meanwhile and is silent again.
+            return
+        may_resend = request.arrival.kind.is_resumable
+        if not may_resend or request.retries >= MAX_RETRIES:
+            return
+        unavailable = self._known_down | self._evacuated
+        unavailable |= self._held_events_by_engine.keys()
+        others = set(range(len(self._engines))) - unavailable
+        if not any(self._may_run(request, number) for number in others):
+            return
+        if heard_at is not None:
+            self._second_runs += 1
+            request.first_at = request.began_at
+        self._engines[request.engine].cancel(run)
+        self._notify_policy(self._policy.record_end, request)
+        self._known_down.add(request.engine)
+        request.run = None
+        request.retries += 1
+        self._send(request, now)
+
+    def _end_silence(self, number: int, now: float) -> None:
+        """Deliver what an engine has sent during its silence."""
+        self._now = now
+        self._known_down.discard(number)
+        for run, events in self._held_events_by_engine.pop(number).items():
+            request = self._requests_by_run.get(run)
+            if request is None or request.run is not run:
+                continue
+            if run.events == events:
+                run.first_at = now
+            else:
+                assert request.heard_at is not None
+                pause = now - request.heard_at
+                run.longest_pause = max(run.longest_pause, pause)
+                request.longest_silence = max(request.longest_silence, pause)
+            self._record_event(request, run, events=events)
+
     def _roll_out(self, rollout: Rollout, now: float) -> None:
         """Change the software of engines; what runs there is broken off."""
         self._now = now
@@ -429,8 +551,8 @@
                 self._policy.cold_until[number] = now + trouble.cold_seconds
 
 
-def _outcome_on_end(request: Request, run: EngineRun) -> Outcome:
-    assert run.first_at is not None
-    if run.first_at > request.objective_at:
+def _outcome_on_end(request: Request) -> Outcome:
+    assert request.began_at is not None
+    if request.began_at > request.objective_at:
         return Outcome.LATE_FIRST
     return Outcome.LATE_PAUSE if request.has_paused else Outcome.ON_TIME
--- a/lynxchute/bench/emulator/results.py
+++ b/lynxchute/bench/emulator/results.py
@@ -70,8 +70,8 @@
             earned_value += kind.value * factor
         elif request.outcome in (Outcome.LATE_FIRST, Outcome.LATE_PAUSE):
             earned_value += kind.late_value * factor
-        if request.run is not None and request.run.first_at is not None:
-            first_event_ms.append((request.run.first_at - request.arrival.at) * 1000.0)
+        if request.began_at is not None:
+            first_event_ms.append((request.began_at - request.arrival.at) * 1000.0)
     first_event_ms.sort()
     shares = _shares_on_time(requests)
     return Figures(
--- a/lynxchute/bench/emulator/scenario.py
+++ b/lynxchute/bench/emulator/scenario.py
@@ -11,6 +11,7 @@
 
 from lynxchute._structure import Finding, load_document, option
 from lynxchute.bench.emulator.engine import EngineShape
+from lynxchute.upstreams.entry import MAX_ANSWER_SILENCE_SECONDS
 from lynxchute.upstreams.generation import Generation, PromptPart
 
 FOLDER = pathlib.Path(__file__).parent / "scenarios"
@@ -140,6 +141,33 @@
         return found
 
 
+@attrs.frozen
+class Silences:
+    """Random periods in which engines run on, but nothing that they send arrives."""
+
+    every: float = option(
+        default=0.0, low=0.0, doc="Mean seconds between two of them; 0 for none."
+    )
+    seconds: float = option(default=1.0, low=0.01, doc="Duration of each.")
+    together: int = option(
+        default=1, low=1, doc="Number of engines that are silent at the same time."
+    )
+
+    def spans(
+        self, until: float, engines: int, rng: random.Random
+    ) -> list[tuple[float, float, tuple[int, ...]]]:
+        """Return the start and end of each period, in seconds, and its engines."""
+        found: list[tuple[float, float, tuple[int, ...]]] = []
+        if not self.every:
+            return found
+        now = rng.expovariate(1.0 / self.every)
+        while now < until:
+            silent = tuple(rng.sample(range(engines), min(self.together, engines)))
+            found.append((now, now + self.seconds, silent))
+            now += self.seconds + rng.expovariate(1.0 / self.every)
+        return found
+
+
 @attrs.frozen
 class Scenario:
     """Engines, the requests for them, and faults."""
@@ -164,6 +192,14 @@
         default=(), doc="Periods with more requests than usual."
     )
     troubles: tuple[Trouble, ...] = option(default=(), doc="Faults and evacuations.")
+    silences: Silences = option(
+        factory=Silences, doc="Periods in which engines are silent."
+    )
+    resend_after: float = option(
+        default=MAX_ANSWER_SILENCE_SECONDS,
+        low=0.0,
+        doc="Seconds of silence after which a stream that has begun runs again.",
+    )
     software: str = option(default="1", doc="Software version of the engines at first.")
     rollouts: tuple[Rollout, ...] = option(
         default=(), doc="Changes of the engines' software."
--- a/lynxchute/demo.py
+++ b/lynxchute/demo.py
@@ -29,6 +29,7 @@
 )
 from lynxchute.standins.deployment import MODEL, Deployment, Shape, caller_key
 from lynxchute.standins.link import Partition
+from lynxchute.standins.silence_scene import run_silence_scene
 
 SCENE_SECONDS = 4.0
 # A message text that crashes each engine that starts to answer it, the account that
@@ -122,6 +123,8 @@
     "limit_passed",
     "sent_to_leaving",
     "sent_in_backoff",
+    "sound_answers_broken_off",
+    "begun_streams_run_twice",
 )
 
 
@@ -374,6 +377,11 @@
         violations = await run_throttling_scene(
             deployment, callers, rate, 2 * SCENE_SECONDS
         )
+        _print_step(
+            "upstreams fall silent for a second while routers are stopped, settings "
+            "are reloaded and the configuration changes"
+        )
+        silence_violations = await run_silence_scene(deployment, callers, rate, SEED)
         _print_step("waiting for the last settlements")
         await _wait_until_settled(deployment, 8.0)
         result = measure(deployment, callers.sent)
@@ -382,6 +390,7 @@
         result["sent_to_evacuated"] = sent_to_evacuated
         result["cold_rate_passed"] = _cold_rate_excess(deployment)
         result.update(attrs.asdict(violations))
+        result.update(attrs.asdict(silence_violations))
     finally:
         await deployment.stop()
     _print_table(callers.sent)
