--- a/tests/soak/demand.py
+++ b/tests/soak/demand.py
@@ -7,7 +7,7 @@
 import collections
 import random
 
-from tests.soak.fleet import AMPLE_ACCOUNT, EVENT_DELAY
+from tests.soak.fleet import AMPLE_ACCOUNT
 from tests.soak.traffic import REQUEST_KINDS
 
 # Value of the routers' setting `contracts` in the share of seeds that have it.
@@ -85,8 +85,8 @@
         self.counts["slow upstream"] += 1
         running = [upstream for upstream in self._fleet.upstreams if upstream.is_up]
         standin = self._rng.choice(running).standin
-        standin.event_delay = EVENT_DELAY * SLOWDOWN_FACTOR
+        standin.event_delay = self._fleet.event_delay * SLOWDOWN_FACTOR
         try:
             await asyncio.sleep(SLOW_SPAN_SECONDS * self._rng.randint(*SLOW_SPAN_COUNT))
         finally:
-            standin.event_delay = EVENT_DELAY
+            standin.event_delay = self._fleet.event_delay
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -46,10 +46,14 @@
         Seconds during which faults begin.
     planned_only
         Whether only planned work is injected; the seed decides this.
+    spares_links
+        Whether links and answers of upstreams have no faults, so that only silence and
+        ends of processes can break an answer off.
     """
 
     seconds: float
     planned_only: bool
+    spares_links: bool = False
 
 
 class FaultInjector:
@@ -70,11 +74,11 @@
     async def run(self):
         loop = asyncio.get_running_loop()
         end = loop.time() + self._plan.seconds
-        fault_methods = (
-            PLANNED_WORK
-            if self._plan.planned_only
-            else [*PLANNED_WORK, *UNPLANNED_FAULTS]
-        )
+        fault_methods = PLANNED_WORK
+        if self._plan.spares_links and not self._plan.planned_only:
+            fault_methods = [*PLANNED_WORK, *FAULTS_SPARING_LINKS]
+        elif not self._plan.planned_only:
+            fault_methods = [*PLANNED_WORK, *UNPLANNED_FAULTS]
         while loop.time() < end:
             fault_method = self._rng.choice(fault_methods)
             name = fault_method.__name__.strip("_")
@@ -187,7 +191,9 @@
         self._checker.disturbed_vms |= vms
         self._record_disturbed([(vm, None) for vm in vms])
         self._busy_vms |= vms
+        loop = asyncio.get_running_loop()
         for router in routers:
+            self._fleet.kills_by_vm[router.process.vm].append(loop.time())
             await router.process.kill()
         await asyncio.sleep(self._rng.uniform(*RESTART_DELAY))
         for router in routers:
@@ -349,3 +355,12 @@
     FaultInjector._upstream_faults,
     FaultInjector._crash_upstream,
 )
+FAULTS_SPARING_LINKS = (
+    FaultInjector._kill_router,
+    FaultInjector._kill_all,
+    FaultInjector._store_away,
+    FaultInjector._store_slow,
+    FaultInjector._store_loses_answers,
+    FaultInjector._store_forgets,
+    FaultInjector._crash_upstream,
+)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,5 +1,8 @@
 """The router processes of a soak test, the stand-ins and the links between them."""
 
+import asyncio
+import collections
+
 import attrs
 
 from lynxchute.standins.link import Link
@@ -7,6 +10,7 @@
 from lynxchute.standins.platform_upstream import PlatformUpstreamStandin
 from tests.platform_support import DATA_CENTRES, configuration, free_port, route
 from tests.router_process import RouterProcess
+from tests.soak import silence
 from tests.soak.links import UpstreamLinks, has_links, places
 
 AMPLE_ACCOUNT, SCARCE_ACCOUNT = "ample", "scarce"
@@ -23,11 +27,29 @@
 ROUTER_MODULES = ("tests.linked_router", "tests.suspendable_router")
 
 
+class SoakStandin(PlatformUpstreamStandin):
+    """A stand-in upstream that records when it ended.
+
+    Attributes
+    ----------
+    ends
+        Times of the event loop's clock in seconds.
+    """
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self.ends = []
+
+    async def stop(self):
+        self.ends.append(asyncio.get_running_loop().time())
+        await super().stop()
+
+
 @attrs.define(eq=False)
 class SoakUpstream:
     """A stand-in upstream and the link through which routers reach it."""
 
-    standin: PlatformUpstreamStandin
+    standin: SoakStandin
     link: Link
     is_up: bool = True
 
@@ -58,6 +80,16 @@
         self.upstreams = []
         self.version = 0
         self.software_version = "v1"
+        self.event_delay = EVENT_DELAY
+        self.idle_timeout_ms = None
+        self.timeout_ms = None
+        # Times at which routers were killed, by VM.
+        self.kills_by_vm = collections.defaultdict(list)
+        self._lone_version = ""
+        if silence.has_silence(seed):
+            self.event_delay = silence.EVENT_DELAY
+            self.timeout_ms = max(silence.DEADLINES_MS)
+            self._lone_version = silence.LONE_VERSION
         self.prepaid_by_account = {
             AMPLE_ACCOUNT: AMPLE_TOKENS,
             SCARCE_ACCOUNT: SCARCE_TOKENS,
@@ -71,6 +103,10 @@
     async def start(self):
         for number, service in enumerate(self._services):
             await self.add_upstream(service, DATA_CENTRES[number % 2])
+        if self._lone_version:
+            lone = self.upstreams[0].standin
+            lone.software_version = self._lone_version
+            await lone.register(self.store)
         await self.configure()
         for vm in self._vms:
             await self._add_router(vm)
@@ -110,6 +146,11 @@
             if service["name"] == "pool":
                 service["cold_start_s"] = COLD_SECONDS
                 service["cold_per_s"] = COLD_REQUEST_RATE
+        if self.idle_timeout_ms is not None:
+            document["limits"]["idle_timeout_ms"] = self.idle_timeout_ms
+        if self.timeout_ms is not None:
+            for changed_route in document["routes"]:
+                changed_route["timeout_ms"] = self.timeout_ms
         await self.store.configure(document)
 
     async def top_up(self, account, tokens):
@@ -119,8 +160,8 @@
 
     async def add_upstream(self, service, data_centre):
         events = EVENTS_PER_STREAM if service == "pool" else 0
-        standin = PlatformUpstreamStandin(
-            service, data_centre, events=events, event_delay=EVENT_DELAY
+        standin = SoakStandin(
+            service, data_centre, events=events, event_delay=self.event_delay
         )
         standin.software_version = self.software_version
         await standin.start()
@@ -164,6 +205,21 @@
             process, store_port, store_link, peer_link, caller_link
         )
 
+    def use_short_delays(self):
+        """Let all upstreams, and those that are added, answer fast."""
+        self.event_delay = EVENT_DELAY
+        for upstream in self.upstreams:
+            upstream.standin.event_delay = EVENT_DELAY
+
+    def has_lost_part(self, request_id, vm, since, until):
+        """Return whether a router or an upstream of a request ended within a time."""
+        ends = list(self.kills_by_vm[vm])
+        for upstream in self.upstreams:
+            standin = upstream.standin
+            if any(run.request_id == request_id for run in standin.runs):
+                ends += standin.ends
+        return any(since <= end <= until for end in ends)
+
     def runs(self):
         """Yield the runs of all upstreams, including those that were stopped."""
         for upstream in self.upstreams:
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -11,6 +11,7 @@
 from lynxchute.standins.link import Link, Partition
 from lynxchute.standins.places import Places
 from lynxchute.telemetry import log_event
+from tests.soak.silence import has_silence
 
 BRITTLE_GUARANTEE = "brittle upstreams stay up"
 # Every 3rd seed has links between each router and each upstream.
@@ -23,7 +24,7 @@
 
 def has_links(seed):
     """Return whether the routers of a seed have links of their own to upstreams."""
-    return seed % LINKED_INTERVAL == 0
+    return seed % LINKED_INTERVAL == 0 and not has_silence(seed)
 
 
 class UpstreamLinks:
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -10,10 +10,13 @@
 # Field of each event that names the software version of its engine.
 VERSION_FIELD = "software: "
 VERSION_GUARANTEE = "streams are of one version"
+SILENCE_GUARANTEE = "silence ends no answer"
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Seconds after the caller's deadline by which the final answer must have arrived;
 # generous, since the machine may be busy.
 MAX_LATE_SECONDS = 2.0
+# Seconds within which a caller notices that a router or an upstream has ended.
+NOTICE_SECONDS = 0.1
 # A request that ends after this share of its deadline is assumed to have ended by the
 # deadline and not by planned work. The documented guarantee excludes these as well.
 DEADLINE_SHARE = 0.9
@@ -30,6 +33,8 @@
         Descriptions of the violations by guarantee.
     planned_only
         Whether the run has planned work only, which must not interrupt requests.
+    links_are_sound
+        Whether no answer may end early unless its router or its upstream has ended.
     disturbed_vms
         VMs that were killed, paused or disconnected; their answers may be late.
     """
@@ -37,6 +42,7 @@
     def __init__(self, fleet, callers):
         self.violations = collections.defaultdict(list)
         self.planned_only = False
+        self.links_are_sound = False
         self.disturbed_vms = set()
         self._fleet = fleet
         self._records = callers.records
@@ -59,6 +65,8 @@
             self._check_time(record)
             if self.planned_only:
                 self._check_planned(record, runs)
+            if self.links_are_sound:
+                self._check_whole(record, runs)
         self._check_runs(runs)
         self._check_spending(runs)
 
@@ -71,9 +79,9 @@
         """Return the number of violations by guarantee."""
         return {name: len(found) for name, found in self.violations.items() if found}
 
-    def violation_details(self):
+    def violation_details(self, limit=MAX_DETAILS):
         for name, found in self.violations.items():
-            for detail in found[:MAX_DETAILS]:
+            for detail in found[:limit]:
                 yield f"{name}: {detail}"
 
     def _runs_by_id(self):
@@ -127,6 +135,25 @@
             "planned work cuts nothing", f"{record.request_id} at {record.vm}"
         )
 
+    def _check_whole(self, record, runs):
+        """Check that an answer did not end early beside silent upstreams."""
+        has_answer = record.is_complete and record.status < 500
+        if record.has_disconnected or has_answer or not runs[record.request_id]:
+            return
+        duration = record.ended_at - record.sent_at
+        if duration >= DEADLINE_SHARE * record.deadline:
+            return
+        until = record.ended_at + NOTICE_SECONDS
+        if self._fleet.has_lost_part(
+            record.request_id, record.vm, record.sent_at, until
+        ):
+            return
+        detail = (
+            f"{record.request_id} at {record.vm}: {record.kind}, {record.status}, "
+            f"{len(event_numbers(record))} events, after {duration:.2f} s"
+        )
+        self.record_violation(SILENCE_GUARANTEE, detail)
+
     def _check_runs(self, runs):
         """Check that no request ran twice, or ran although its answer says not run."""
         for record in self._records:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,6 +10,7 @@
 
 from lynxchute.http import ExchangeError
 from tests.platform_support import HOST
+from tests.soak import silence
 from tests.soak.backpressure import BackpressureInjector
 from tests.soak.connections import ConnectionInjector
 from tests.soak.deadly import DeadlyCaller, DeadlyPartCaller
@@ -20,6 +21,7 @@
 from tests.soak.links import LinkInjector
 from tests.soak.promises import Checker
 from tests.soak.rollouts import RolloutInjector
+from tests.soak.silence import SilenceInjector, has_silence, is_planned_only
 from tests.soak.traffic import REQUEST_KINDS, CallerPool
 
 # Every 4th seed has planned work only, which must not interrupt any request.
@@ -52,8 +54,8 @@
         Number of requests that were answered with status 200.
     violations
         Number of violations by guarantee.
-    violation_details
-        Descriptions of the violations.
+    violation_details, all_violations
+        Descriptions of the first violations of each guarantee, and of all.
     faults
         Number of injected faults by kind.
     """
@@ -64,6 +66,7 @@
     violations: dict
     violation_details: list
     faults: dict
+    all_violations: list = attrs.field(factory=list)
 
 
 def has_parts(seed):
@@ -89,16 +92,36 @@
     target.mkdir(parents=True, exist_ok=True)
     for log in folder.glob("*.log"):
         (target / log.name).write_bytes(log.read_bytes())
-    (target / "broken.txt").write_text("\n".join(report.violation_details))
+    (target / "broken.txt").write_text("\n".join(report.all_violations))
+
+
+def _caller_options(seed):
+    """Return the options of a seed's callers."""
+    if not has_silence(seed):
+        return {}
+    return {
+        "callers_per_router": silence.CALLERS_PER_ROUTER,
+        "deadlines_ms": silence.DEADLINES_MS,
+        # Streams are open for so long that equal ones are often together at crashes.
+        "has_distinct_bodies": True,
+    }
+
+
+def _fault_plan(seed, seconds):
+    """Return which faults a seed has."""
+    if has_silence(seed):
+        return FaultPlan(seconds, is_planned_only(seed), spares_links=True)
+    return FaultPlan(seconds, planned_only=seed % PLANNED_ONLY_INTERVAL == 0)
 
 
 async def _run_fleet(seed, folder, seconds, routers):
     rng = random.Random(seed)
     fleet = SoakFleet(folder, seed, routers=routers, contracts=contracts_for_seed(seed))
-    callers = CallerPool(fleet, rng)
+    callers = CallerPool(fleet, rng, **_caller_options(seed))
     checker = Checker(fleet, callers)
-    fault_plan = FaultPlan(seconds, planned_only=seed % PLANNED_ONLY_INTERVAL == 0)
+    fault_plan = _fault_plan(seed, seconds)
     checker.planned_only = fault_plan.planned_only
+    checker.links_are_sound = fault_plan.spares_links
     fault_injector = FaultInjector(fleet, checker, rng, fault_plan)
     deadly_caller = DeadlyCaller(fleet, callers, checker, seed)
     deadly_part_caller = DeadlyPartCaller(fleet, callers, checker, seed)
@@ -109,6 +132,7 @@
     link_injector = LinkInjector(fleet, checker, seed)
     demand_injector = DemandInjector(fleet, callers, seed)
     connection_injector = ConnectionInjector(fleet, callers, seed)
+    silence_injector = SilenceInjector(fleet, seed)
     rollout_injector = RolloutInjector(
         fleet, callers, checker, seed, planned_only=fault_plan.planned_only
     )
@@ -137,6 +161,8 @@
         if has_parts(seed):
             connection_task = asyncio.create_task(connection_injector.run(seconds))
             side_tasks.append(connection_task)
+        silence_task = asyncio.create_task(silence_injector.run(seconds))
+        side_tasks.append(silence_task)
         rollout_task = asyncio.create_task(rollout_injector.run(seconds))
         side_tasks.append(rollout_task)
         await fault_injector.run()
@@ -146,6 +172,8 @@
         await demand_task
         if has_parts(seed):
             await connection_task
+        await silence_task
+        silence_injector.clear()
         if link_task is not None:
             await link_task
         backpressure_injector.clear()
@@ -179,7 +207,9 @@
             **demand_injector.counts,
             **link_injector.counts,
             **rollout_injector.counts,
+            **silence_injector.counts,
         },
+        list(checker.violation_details(limit=None)),
     )
 
 
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -17,6 +17,7 @@
 DISCONNECT_SHARE = 0.05
 DISCONNECT_DELAY = (0.01, 0.08)
 RECONNECT_DELAY = 0.5
+BODY = b"something"
 CALLER_TIMEOUTS = Timeouts(first_byte=12.0, between_bytes=12.0)
 
 
@@ -61,7 +62,18 @@
 class CallerPool:
     """Send requests to all routers until stopped."""
 
-    def __init__(self, fleet, rng):
+    def __init__(
+        self,
+        fleet,
+        rng,
+        *,
+        callers_per_router=CALLERS_PER_ROUTER,
+        deadlines_ms=DEADLINES_MS,
+        has_distinct_bodies=False,
+    ):
+        self._callers_per_router = callers_per_router
+        self._deadlines_ms = deadlines_ms
+        self._has_distinct_bodies = has_distinct_bodies
         self.records = []
         self._fleet = fleet
         self._rng = rng
@@ -70,14 +82,19 @@
 
     def with_rng(self, rng):
         """Return a pool that uses another random generator and the same records."""
-        pool = CallerPool(self._fleet, rng)
+        pool = CallerPool(
+            self._fleet,
+            rng,
+            deadlines_ms=self._deadlines_ms,
+            has_distinct_bodies=self._has_distinct_bodies,
+        )
         pool.records = self.records
         pool._id_counter = self._id_counter
         return pool
 
     def start(self):
         for vm in self._fleet.routers_by_vm:
-            for _ in range(CALLERS_PER_ROUTER):
+            for _ in range(self._callers_per_router):
                 self._tasks.append(asyncio.create_task(self._send_repeatedly(vm)))
 
     async def stop(self):
@@ -109,7 +126,7 @@
             SCARCE_ACCOUNT if rng.random() < SCARCE_SHARE else AMPLE_ACCOUNT
         )
         prompt, output = rng.choice(TOKEN_COUNTS)
-        deadline_ms = rng.choice(DEADLINES_MS)
+        deadline_ms = rng.choice(self._deadlines_ms)
         record = Record(
             f"s{next(self._id_counter)}",
             kind,
@@ -136,7 +153,7 @@
         disconnect_timeout = rng.uniform(*DISCONNECT_DELAY) if will_disconnect else None
         try:
             async with asyncio.timeout(disconnect_timeout):
-                await _exchange(client, record, headers)
+                await _exchange(client, record, headers, self._body(record))
         except TimeoutError:
             record.has_disconnected = True
         except asyncio.CancelledError:
@@ -151,11 +168,14 @@
             record.ended_at = asyncio.get_running_loop().time()
         return record
 
+    def _body(self, record):
+        return record.request_id.encode() if self._has_distinct_bodies else BODY
+
 
-async def _exchange(client, record, headers):
+async def _exchange(client, record, headers, body):
     method = "GET" if record.kind == "safe" else "POST"
     response = await client.request(
-        method, f"/{record.kind}/x", headers=headers, body=b"something"
+        method, f"/{record.kind}/x", headers=headers, body=body
     )
     record.status = response.status
     record.echoed_id = response.headers.get("x-request-id", "")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,10 +22,12 @@
     AMPLE_TOKENS,
     EVENTS_PER_STREAM,
     ROUTER_MODULES,
+    SoakFleet,
 )
 from tests.soak.links import has_links
-from tests.soak.promises import Checker
+from tests.soak.promises import SILENCE_GUARANTEE, Checker
 from tests.soak.run import has_parts, run_seed
+from tests.soak.silence import has_silence, is_planned_only
 from tests.soak.traffic import Record
 from tests.support import AsyncTestCase
 
@@ -34,6 +36,8 @@
 LINKED_SEED = 15
 # A seed with prompt parts that crash upstreams, rushes and unframed answers.
 PARTS_SEED = 64_202
+# A seed in which sound upstreams fall silent beside planned work.
+SILENT_SEED = 66_096
 SHORT_SECONDS = 5.0
 
 
@@ -43,13 +47,17 @@
 
 
 class FakeFleet:
-    def __init__(self, run_ids=()):
+    def __init__(self, run_ids=(), has_lost_part=False):
+        self._has_lost_part = has_lost_part
         self.prepaid_by_account = {AMPLE_ACCOUNT: AMPLE_TOKENS}
         self._runs = [FakeRun(run_id) for run_id in run_ids]
 
     def runs(self):
         return iter(self._runs)
 
+    def has_lost_part(self, request_id, vm, since, until):
+        return self._has_lost_part
+
 
 class FakeCallerPool:
     def __init__(self, *records):
@@ -82,11 +90,20 @@
 class CheckerTest(testtools.TestCase):
     """Each violation is reported under its guarantee, and correct answers are not."""
 
-    def violations(self, *records, runs=("r1",), planned=False, prepaid=AMPLE_TOKENS):
-        fleet = FakeFleet(runs)
+    def violations(
+        self,
+        *records,
+        runs=("r1",),
+        planned=False,
+        prepaid=AMPLE_TOKENS,
+        links_are_sound=False,
+        has_lost_part=False,
+    ):
+        fleet = FakeFleet(runs, has_lost_part)
         fleet.prepaid_by_account[AMPLE_ACCOUNT] = prepaid
         checker = Checker(fleet, FakeCallerPool(*records))
         checker.planned_only = planned
+        checker.links_are_sound = links_are_sound
         checker.check_finished()
         return set(checker.violation_counts())
 
@@ -146,6 +163,50 @@
         ended = record(status=0, body=b"", is_complete=False, ended_at=10.95)
         self.assertEqual(set(), self.violations(ended, planned=True))
 
+    def test_answers_that_end_early_are_found_unless_a_process_has_ended(self):
+        cut = record("stream", body=event_stream("r1", 1, 2), is_complete=False)
+        lost = record(status=502, body=b"")
+        for answer in (cut, lost):
+            self.assertEqual(set(), self.violations(answer))
+            self.assertEqual(
+                {SILENCE_GUARANTEE}, self.violations(answer, links_are_sound=True)
+            )
+            self.assertEqual(
+                set(),
+                self.violations(answer, links_are_sound=True, has_lost_part=True),
+            )
+            self.assertEqual(
+                set(), self.violations(answer, links_are_sound=True, runs=())
+            )
+            answer.ended_at = 10.95
+            self.assertEqual(set(), self.violations(answer, links_are_sound=True))
+        self.assertEqual(set(), self.violations(record(), links_are_sound=True))
+
+
+class FleetTest(AsyncTestCase):
+    """Ends of routers and upstreams that a request depends on."""
+
+    def test_only_ends_of_its_router_and_upstreams_count_for_a_request(self):
+        async def work():
+            loop = asyncio.get_running_loop()
+            with tempfile.TemporaryDirectory() as name:
+                fleet = SoakFleet(pathlib.Path(name), SILENT_SEED, routers=1)
+                began_at = loop.time()
+                for _ in range(2):
+                    await fleet.add_upstream("pool", "a")
+                fleet.upstreams[0].standin.runs.append(FakeRun("r1"))
+                fleet.upstreams[1].standin.runs.append(FakeRun("r2"))
+                await fleet.upstreams[1].standin.stop()
+                fleet.kills_by_vm["a-1"].append(began_at - 1.0)
+                until = loop.time()
+                self.assertFalse(fleet.has_lost_part("r1", "a-1", began_at, until))
+                self.assertTrue(fleet.has_lost_part("r2", "a-1", began_at, until))
+                self.assertTrue(fleet.has_lost_part("r1", "a-1", began_at - 2, until))
+                self.assertFalse(fleet.has_lost_part("r1", "b-1", began_at - 2, until))
+                await fleet.stop()
+
+        self.run_async(work())
+
 
 class LinkTest(AsyncTestCase):
     """Faults of the relay between two endpoints."""
@@ -261,6 +322,13 @@
         faults = self.report(PARTS_SEED, SHORT_SECONDS).faults
         self.assertGreater(faults["deadly parts"], 0)
 
+    def test_silent_upstreams_have_no_violations(self):
+        self.assertTrue(has_silence(SILENT_SEED))
+        self.assertTrue(is_planned_only(SILENT_SEED))
+        self.assert_no_violations(SILENT_SEED, SHORT_SECONDS)
+        faults = self.report(SILENT_SEED, SHORT_SECONDS).faults
+        self.assertGreater(faults["silences"], 0)
+
     def test_seeds_that_failed_before_have_no_violations(self):
         for entry in yaml.safe_load(FAILED_SEEDS.read_text(encoding="utf-8")):
             with self.subTest(seed=entry["seed"]):
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -210,10 +210,16 @@
             await until(lambda: ledger.share(ACCOUNT).borrowed > 0)
             now_ms = other.ledger_sync.now_ms
             await until(lambda: not ledger.available(ACCOUNT, now_ms()), timeout=40)
-            # The tokens have left this ledger before the home has them.
-            await until(lambda: not other.balance._transfers)
-            total = home.ledger_sync.ledger.share(ACCOUNT).own_use
-            self.assertEqual(12 * 500, total)
+            # The tokens have left this ledger before the home has them, and a transfer
+            # that is on its way is in no list.
+            home_ledger = home.ledger_sync.ledger
+            await until(
+                lambda: (
+                    not other.balance._transfers
+                    and home_ledger.share(ACCOUNT).own_use <= 12 * 500
+                )
+            )
+            self.assertEqual(12 * 500, home_ledger.share(ACCOUNT).own_use)
 
         self.with_platform(scenario, routers=ROUTERS, features=self.FEATURES)
 
