--- a/tests/origins_machine.py
+++ b/tests/origins_machine.py
@@ -69,10 +69,9 @@
         self._machine = machine
 
     async def probe(self, upstream):
-        process = self._machine.processes.get(upstream.id)
-        if process is None:
+        if upstream.id in self._machine.down:
             raise EngineUnavailable("down")
-        return Probe(started_ms=process[0])
+        return Probe(started_ms=self._machine.processes[upstream.id][0])
 
     async def cached_parts(self, upstream):
         return []
@@ -124,6 +123,8 @@
                 software_version=version,
             )
             self.directory.put(upstream, now)
+        for engine in set(ENGINES) - set(self.machine.rows):
+            self.directory.remove(engine, now)
         self.directory.observe_versions(now)
         self.confirmed_at = now
 
@@ -136,6 +137,7 @@
         self.now = 1000.0
         self.cuts = set()
         self.processes, self.rows = {}, {}
+        self.down = set()
         self.pending_since = {}
         self.is_store_up = True
         self.routers = {}
@@ -175,6 +177,7 @@
     @rule(engine=st.sampled_from(ENGINES), version=st.sampled_from(VERSIONS))
     def restart(self, engine, version):
         """Restart an engine under its id."""
+        self.down.discard(engine)
         self.processes[engine] = (self.processes[engine][0] + 1000, version)
         self.pending_since.setdefault(engine, self.now)
         routers = self.routers.values()
@@ -186,8 +189,16 @@
                 router.sync()
 
     @rule(engine=st.sampled_from(ENGINES))
-    def register(self, engine):
+    def die(self, engine):
+        """End an engine, with its entry if it has one."""
+        self.down.add(engine)
+        self.pending_since.pop(engine, None)
         if self.is_store_up:
+            self.rows.pop(engine, None)
+
+    @rule(engine=st.sampled_from(ENGINES))
+    def register(self, engine):
+        if self.is_store_up and engine not in self.down:
             self.rows[engine] = self.processes[engine]
             self.pending_since.pop(engine, None)
 
@@ -228,7 +239,10 @@
         if len(self.streams) >= MAX_STREAMS:
             return
         router = self.routers[vm]
-        upstream = router.directory.entries_by_id[engine].upstream
+        entry = router.directory.entries_by_id.get(engine)
+        if entry is None or engine in self.down:
+            return
+        upstream = entry.upstream
         attempt = f"q{len(self.streams)}"
         self.streams.append((attempt, self.processes[engine][1]))
         if upstream.software_version is None:
@@ -257,7 +271,9 @@
             self.go_on(router, lookup, engine, true_version)
 
     def go_on(self, router, lookup, engine, true_version):
-        entry = router.directory.entries_by_id[engine]
+        entry = router.directory.entries_by_id.get(engine)
+        if entry is None or engine in self.down:
+            return
         if not entry.upstream.may_run(lookup.origin.software_version):
             return
         if not self.run(router.origins.confirm_process(entry)):
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -30,6 +30,8 @@
 OUTAGE_SECONDS = 3.0
 # Seconds until routers have written the origins that they know.
 PUBLISH_SECONDS = 1.0
+# Seconds until streams have brought several events.
+BEGUN_SECONDS = 0.5
 EIGHT_ROUTERS = (*ROUTERS, "a-3", "a-4", "b-3", "b-4")
 OTHER_KEY = "key-of-another"
 
@@ -285,6 +287,37 @@
 
         self.with_versions(scenario, versions=(OLD,) * 6)
 
+    def test_streams_of_an_engine_that_restarted_unseen_and_ended_do_not_mix(self):
+        async def scenario(deployment):
+            await self.lose_store(deployment)
+            for engine in deployment.engines[:2]:
+                await self.restart_with(engine, NEW, deployment.store, registers=False)
+            streams = await begin(deployment, STREAMS)
+            for engine in deployment.engines[:2]:
+                await engine.stop()
+            await take_up(deployment, streams)
+            self.assertIn({NEW}, [stream.versions for stream in streams])
+            self.assertEqual(0, len(mixed(streams)), "streams of two versions")
+
+        self.with_versions(scenario)
+
+    def test_streams_broken_off_by_an_engine_that_restarted_unseen_do_not_mix(self):
+        async def scenario(deployment):
+            await self.lose_store(deployment)
+            for engine in deployment.engines[:2]:
+                await self.restart_with(engine, NEW, deployment.store, registers=False)
+                engine.event_delay = 0.1
+            begun = asyncio.create_task(begin(deployment, STREAMS, events=None))
+            await until(lambda: deployment.engines[0].runs)
+            await asyncio.sleep(BEGUN_SECONDS)
+            for engine in deployment.engines[:2]:
+                await engine.stop()
+            streams = await begun
+            self.assertIn({NEW}, [stream.versions for stream in streams])
+            self.assertEqual(0, len(mixed(streams)), "streams of two versions")
+
+        self.with_versions(scenario)
+
     def test_streams_go_on_while_routers_do_not_reach_one_another(self):
         async def scenario(deployment):
             streams = await begin(deployment, STREAMS)
