Prove where a stream began before it goes on while two versions are known

Cause: an origin is taken from the entry of the upstream, which may be that of an earlier process. The upstream was asked only when the stream broke off; one that had ended by then gave no answer, and its old entry counted as certain. Origins were told to other routers and written to the store unproven, also those of entries that had been replaced before the first event; a router without an entry to compare with believed them. Ruled out: that the sends went to a restarted engine (both went to the version they were bound to); that versions of entries were wrong when they were read (they were old). Change: while a service may have a second version, the upstream is asked at the first event, one probe for all streams there; the origin counts once it stated the known start afterwards, or once all restarts until then are known. Only proven origins are told, written and handed over. An origin that is not proven goes on only while no other version is known. Messages and rows say so in a field that older builds ignore. In the fuzzing, engines end and the record of versions names those that are gone; two mutants that patched removed code are replaced by three on what took its place. Cost: one probe a stream at most while two versions serve, none otherwise.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -405,6 +405,7 @@
             cold.loop,
             versions.loop,
             self.origins.send_loop,
+            self.origins.tasks,
             self.origins.rows.tasks,
             self.origins.rows.loop,
             *self.containment.components,
--- a/lynxchute/fleet/origin_messages.py
+++ b/lynxchute/fleet/origin_messages.py
@@ -17,6 +17,8 @@
         Identifies the client account and the attempt.
     age, keep
         Seconds since the stream began, and for which to remember it.
+    is_proven
+        Whether the process is known to have run when the stream began.
     """
 
     key: str
@@ -26,6 +28,7 @@
     started_ms: int | None
     age: float
     keep: float
+    is_proven: bool = False
 
 
 @attrs.frozen
--- a/lynxchute/relay/origins.py
+++ b/lynxchute/relay/origins.py
@@ -70,7 +70,7 @@
     async def verify(
         self, origin: StreamOrigin, *, heard_at: float | None = None
     ) -> bool:
-        """Return whether the process at the origin is known to be the stated one.
+        """Return whether the version at an origin is known to have begun its stream.
 
         Parameters
         ----------
--- a/lynxchute/resumption/origin_messages.py
+++ b/lynxchute/resumption/origin_messages.py
@@ -18,6 +18,7 @@
         started_ms=origin.started_ms,
         age=max(now - origin.began_at, 0.0),
         keep=max(expires_at - now, 0.0),
+        is_proven=origin.is_proven,
     )
 
 
@@ -29,4 +30,5 @@
         upstream=known.upstream,
         started_ms=known.started_ms,
         began_at=now - known.age,
+        is_proven=known.is_proven,
     )
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -18,6 +18,7 @@
 from lynxchute.resumption.origin_memory import OriginMemory
 from lynxchute.resumption.origin_messages import from_message, to_message
 from lynxchute.resumption.origin_owners import OriginOwners
+from lynxchute.resumption.origin_prover import OriginProver, Proof
 from lynxchute.resumption.origin_replicator import OriginReplicator
 from lynxchute.resumption.origin_rows import OriginRows
 from lynxchute.store import Store
@@ -25,7 +26,6 @@
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.engines import EngineClient, EngineUnavailable
 from lynxchute.upstreams.entry import UpstreamEntry
-from lynxchute.upstreams.probes import handle_probe
 from lynxchute.upstreams.stream_origin import StreamOrigin, origin_key
 
 # Seconds after its timeout in which the caller of a stream may come back.
@@ -46,6 +46,8 @@
 # Seconds of silence after which a stream's process counts as ended, once another one
 # was noticed at its upstream.
 SILENT_SECONDS = 0.3
+# Seconds after which an origin that could not be proven is told to nobody.
+MAX_UNPROVEN_SECONDS = 5.0
 
 
 class StreamOrigins(Origins):
@@ -103,7 +105,6 @@
         self._members = members
         self._peers = peers
         self._directory = directory
-        self._engines = engines
         self._metrics = metrics
         self._meter = meter
         self._clock = clock
@@ -111,6 +112,8 @@
         self._is_history_known = is_history_known
         self._unconfirmed_seconds = unconfirmed_seconds
         self._max_unconfirmed = max_unconfirmed
+        self._prover = OriginProver(directory, engines, clock)
+        self.tasks = self._prover.tasks
         self._owners = OriginOwners(members)
         self._replicator = OriginReplicator(members, peers, self._owners, clock)
         self.rows = OriginRows(
@@ -122,6 +125,8 @@
             clock,
         )
         self._services: set[str] = set()
+        # Expiry times of origins that are told to other routers once they are proven.
+        self._untold_by_key: dict[str, float] = {}
         # Keys of origins that were not sent because their service had one version.
         self._unsent_by_service: dict[str, OrderedDict[str, float]] = {}
 
@@ -142,7 +147,7 @@
         self.memory.put(key, origin, expires_at=expires_at, now=now)
         self._services.add(origin.service)
         if self.sole_version(origin.service) is None:
-            self._replicator.enqueue(key, origin, expires_at)
+            self._untold_by_key[key] = expires_at
             self.send_loop.wake()
             return
         unsent = self._unsent_by_service.setdefault(origin.service, OrderedDict())
@@ -170,40 +175,33 @@
     async def verify(
         self, origin: StreamOrigin, *, heard_at: float | None = None
     ) -> bool:
-        """Return whether the process at the origin is known to be the stated one."""
-        if not self._is_certain(origin, heard_at):
-            return False
-        entry = self._directory.entries_by_id.get(origin.upstream)
-        if entry is None or entry.upstream.started_ms != origin.started_ms:
+        """Return whether the version at an origin is known to have begun its stream.
+
+        While no other version is known, a process that cannot be asked any more is
+        assumed to have had the only one.
+        """
+        if self.sole_version(origin.service) == origin.software_version:
             return True
-        is_settled = origin.began_at < self._directory.restarts_known_until()
-        if is_settled or not await self._may_have_restarted(entry):
+        proof = await self._prover.prove(origin)
+        if proof is Proof.PROVEN:
             return True
-        return self._is_certain(origin, heard_at)
-
-    async def _may_have_restarted(self, entry: UpstreamEntry) -> bool:
-        """Ask an upstream for its process; return whether it is another one."""
-        upstream = entry.upstream
-        if upstream.started_ms is None:
-            return False
-        try:
-            probe = await self._engines.probe(upstream)
-        except EngineUnavailable:
+        versions = self._versions(origin.service)
+        if versions - {None} != {origin.software_version}:
             return False
-        handle_probe(self._directory, entry, probe, self._clock())
-        return self._directory.entries_by_id.get(upstream.id) is not entry
+        if proof is Proof.OPEN or None not in versions:
+            return True
+        return self._has_ended_before(origin, heard_at)
 
-    def _is_certain(self, origin: StreamOrigin, heard_at: float | None) -> bool:
+    def _has_ended_before(self, origin: StreamOrigin, heard_at: float | None) -> bool:
+        """Return whether a stream fell silent before another process was noticed.
+
+        The version of that process is not known yet.
+        """
         entry = self._directory.entries_by_id.get(origin.upstream)
-        if entry is None or entry.upstream.software_version == origin.software_version:
-            return True
-        replacement = entry.replacement_of(origin.started_ms)
-        if replacement is None or origin.began_at < replacement.ran_until:
-            return True
-        if heard_at is None:
+        replaced = entry and entry.replacement_of(origin.started_ms)
+        if not replaced or heard_at is None:
             return False
-        # A stream at the next process would not have fallen silent.
-        return heard_at < replacement.noticed_at - SILENT_SECONDS
+        return heard_at < replaced.noticed_at - SILENT_SECONDS
 
     def record_stated_version(self, entry: UpstreamEntry, version: str) -> None:
         """Record the software version that an upstream states in a response."""
@@ -215,7 +213,7 @@
         if upstream.states_version or upstream.started_ms is None:
             return True
         try:
-            probe = await self._engines.probe(upstream)
+            return await self._prover.ask(entry)
         except EngineUnavailable as error:
             log_event(
                 "upstream process not confirmed",
@@ -223,8 +221,6 @@
                 reason=str(error),
             )
             return False
-        handle_probe(self._directory, entry, probe, self._clock())
-        return self._directory.entries_by_id.get(upstream.id) is entry
 
     # What other routers know.
 
@@ -338,7 +334,7 @@
     async def _handle_query(self, query: OriginQuery) -> OriginReply:
         now = self._clock()
         origin = self.memory.get(query.key, now)
-        if origin is not None and self._is_certain(origin, None):
+        if origin is not None and await self.verify(origin):
             return OriginReply(to_message(query.key, origin, now, now))
         versions = tuple(self._versions(query.service))
         return OriginReply(None, versions, self._is_history_known())
@@ -348,7 +344,9 @@
     async def hand_over(self) -> None:
         """Send all origins to the routers that remember them once this one is gone."""
         for key, origin, expires_at in self.memory.items(self._clock()):
-            if self.sole_version(origin.service) is None:
+            if self.sole_version(origin.service) is not None:
+                continue
+            if self._prover.proof(origin) is Proof.PROVEN:
                 self._replicator.enqueue(key, origin, expires_at)
         try:
             async with asyncio.timeout(HAND_OVER_SECONDS):
@@ -361,21 +359,60 @@
         return any(self.sole_version(service) is None for service in self._services)
 
     def _is_send_due(self) -> bool:
-        return self._replicator.has_pending or any(
+        if self._replicator.has_pending or self._untold_by_key:
+            return True
+        return any(
             self.sole_version(service) is None for service in self._unsent_by_service
         )
 
     async def _send_due(self) -> None:
-        self._enqueue_unsent()
+        self._collect_unsent()
+        self._enqueue_proven()
         await self._replicator.send_pending()
 
-    def _enqueue_unsent(self) -> None:
-        """Queue origins whose service may have more than one version now."""
-        now = self._clock()
+    def _collect_unsent(self) -> None:
+        """Collect origins whose service may have more than one version now."""
         for service in list(self._unsent_by_service):
-            if self.sole_version(service) is not None:
+            if self.sole_version(service) is None:
+                self._untold_by_key.update(self._unsent_by_service.pop(service))
+
+    def _enqueue_proven(self) -> None:
+        """Queue proven origins; ask the upstreams of the others which process they are.
+
+        An origin of a process that was replaced unseen would mislead other routers.
+        """
+        now = self._clock()
+        for key, expires_at in list(self._untold_by_key.items()):
+            origin = self.memory.get(key, now)
+            proof = Proof.REPLACED if origin is None else self._prover.proof(origin)
+            if origin is not None and proof is Proof.PROVEN:
+                del self._untold_by_key[key]
+                self.memory.put(key, origin, expires_at=expires_at, now=now)
+                self._replicator.enqueue(key, origin, expires_at)
                 continue
-            for key, expires_at in self._unsent_by_service.pop(service).items():
-                origin = self.memory.get(key, now)
-                if origin is not None:
-                    self._replicator.enqueue(key, origin, expires_at)
+            is_late = origin is None or now - origin.began_at > MAX_UNPROVEN_SECONDS
+            entry = origin and self._directory.entries_by_id.get(origin.upstream)
+            if proof is Proof.REPLACED or is_late or not entry:
+                del self._untold_by_key[key]
+                self._log_unproven(key, origin, proof)
+                continue
+            self._prover.start_probe(entry).add_done_callback(self._wake_if_answered)
+
+    def _wake_if_answered(self, probe: asyncio.Task[bool]) -> None:
+        if not probe.cancelled() and probe.exception() is None and probe.result():
+            self.send_loop.wake()
+
+    def _log_unproven(
+        self, key: str, origin: StreamOrigin | None, proof: Proof
+    ) -> None:
+        if origin is None:
+            return
+        log_event(
+            "stream origin not proven",
+            key=key,
+            upstream=origin.upstream,
+            software=origin.software_version,
+            started_ms=origin.started_ms,
+            age=round(self._clock() - origin.began_at, 3),
+            proof=proof.value,
+        )
--- a/lynxchute/upstreams/directory.py
+++ b/lynxchute/upstreams/directory.py
@@ -277,7 +277,9 @@
         """Discard all state of the previous process with an upstream's id."""
         before = entry.upstream
         known_start_ms = before.started_ms or 0
-        replaced = Replacement(before.started_ms, self.restarts_known_until(), now)
+        replaced = Replacement(
+            before.started_ms, self.restarts_known_until(), now, entry.seen_until
+        )
         replacements = (*entry.replacements, replaced)[-MAX_EARLIER_STARTS:]
         if (upstream.started_ms or 0) > known_start_ms:
             starts = (*entry.earlier_starts, known_start_ms)[-MAX_EARLIER_STARTS:]
@@ -294,6 +296,7 @@
             # earlier process that this router never knew: it is uncertain whether the
             # known process has ended.
             entry.upstream = upstream
+            entry.seen_until = -math.inf
             entry.replacements = replacements
             entry.removed_at = None
             entry.health = Health()
--- a/lynxchute/upstreams/entry.py
+++ b/lynxchute/upstreams/entry.py
@@ -212,11 +212,14 @@
         clock; requests sent later may have reached the next process.
     noticed_at
         When the next process was noticed, in seconds on the steady clock.
+    seen_until
+        Until when the replaced process stated its start, likewise.
     """
 
     started_ms: int | None
     ran_until: float
     noticed_at: float
+    seen_until: float = -math.inf
 
     def may_run(self, send: OpenSend, now: float) -> bool:
         """Return whether the next process may run a request of the replaced one."""
@@ -229,6 +232,10 @@
             return True
         return now - self.noticed_at < RESTART_DOUBT_SECONDS
 
+    def was_running(self, at: float) -> bool:
+        """Return whether the replaced process is known to have run at a time."""
+        return at < max(self.ran_until, self.seen_until)
+
     def is_before(self, send: OpenSend) -> bool:
         """Return whether a send began after the next process was noticed."""
         return send.began_at is not None and send.began_at >= self.noticed_at
@@ -254,6 +261,9 @@
     heard_at, probed_at
         When a byte last arrived from the upstream, and when it was last probed, in
         seconds.
+    seen_until
+        Until when the process is known to have run, as it has stated its start since,
+        in seconds.
     earlier_starts
         The last starts under this id before the current one, in Unix milliseconds.
     replacements
@@ -277,6 +287,7 @@
     open_sends: set[OpenSend] = attrs.Factory(set)
     heard_at: float = 0.0
     probed_at: float = 0.0
+    seen_until: float = -math.inf
     earlier_starts: tuple[int, ...] = ()
     replacements: tuple[Replacement, ...] = ()
     cold_until: float = 0.0
--- a/lynxchute/upstreams/stream_origin.py
+++ b/lynxchute/upstreams/stream_origin.py
@@ -9,7 +9,7 @@
 KEY_BYTES = 12
 
 
-@attrs.frozen
+@attrs.define
 class StreamOrigin:
     """The upstream process that produced the first event of a stream.
 
@@ -26,6 +26,8 @@
         not known.
     began_at
         When the first event arrived, in seconds on the steady clock.
+    is_proven
+        Whether that process is known to have run when the first event arrived.
     """
 
     service: str
@@ -33,6 +35,7 @@
     upstream: str = ""
     started_ms: int | None = None
     began_at: float = 0.0
+    is_proven: bool = attrs.field(default=False, eq=False)
 
 
 def origin_key(account: str, attempt: str) -> str:
--- a/tests/origins_machine.py
+++ b/tests/origins_machine.py
@@ -105,6 +105,9 @@
             max_unconfirmed=lambda: MAX_UNCONFIRMED,
         )
         self.origins.serve(self)
+        for version in machine.versions:
+            # The record of versions in the store names those that are gone.
+            self.directory.versions.record(SERVICE, version, machine.now)
         self.sync()
 
     def _member(self, vm):
@@ -138,6 +141,7 @@
         self.cuts = set()
         self.processes, self.rows = {}, {}
         self.down = set()
+        self.versions = set()
         self.pending_since = {}
         self.is_store_up = True
         self.routers = {}
@@ -153,6 +157,7 @@
         for number, engine in enumerate(ENGINES):
             self.processes[engine] = (1000, VERSIONS[number % 2])
         self.rows = dict(self.processes)
+        self.versions = set(VERSIONS)
         for vm in VMS:
             self.routers[vm] = Router(self, vm)
 
@@ -200,6 +205,7 @@
     def register(self, engine):
         if self.is_store_up and engine not in self.down:
             self.rows[engine] = self.processes[engine]
+            self.versions.add(self.processes[engine][1])
             self.pending_since.pop(engine, None)
 
     @rule(vm=st.sampled_from(VMS))
@@ -255,7 +261,14 @@
             began_at=self.now,
         )
         router.origins.record("account", attempt, origin, timeout=STREAM_TIMEOUT)
-        self.run(router.origins.send_loop._step())
+        self.run(self.tell(router))
+
+    async def tell(self, router):
+        """Let a router ask the engines of its streams, and tell what is proven."""
+        for _ in range(2):
+            await router.origins.send_loop._step()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
 
     @rule(vm=st.sampled_from(VMS), stream=st.integers(0, MAX_STREAMS - 1))
     def take_up(self, vm, stream):
--- a/tests/origins_mutants.py
+++ b/tests/origins_mutants.py
@@ -5,6 +5,7 @@
 import attrs
 
 from lynxchute.resumption import stream_origins
+from lynxchute.resumption.origin_prover import OriginProver
 from lynxchute.resumption.stream_origins import StreamOrigins
 from lynxchute.upstreams import directory
 from lynxchute.upstreams.directory import Directory
@@ -17,11 +18,21 @@
     return mock.patch.object(StreamOrigins, "verify", verify)
 
 
-def never_ask_where_a_stream_began():
-    async def may_have_restarted(self, entry):
-        return False
+def prove_origins_by_any_answer():
+    async def ask(self, entry):
+        await self._engines.probe(entry.upstream)
+        entry.seen_until = self._clock()
+        return True
+
+    return mock.patch.object(OriginProver, "ask", ask)
+
+
+def prove_origins_without_an_answer():
+    async def probe(self, entry):
+        entry.seen_until = self._clock()
+        return True
 
-    return mock.patch.object(StreamOrigins, "_may_have_restarted", may_have_restarted)
+    return mock.patch.object(OriginProver, "_probe", probe)
 
 
 def trust_each_entry():
@@ -62,10 +73,10 @@
     )
 
 
-def tell_origins_without_their_age():
+def take_each_told_origin_for_proven():
     def from_message(known, now):
         origin = stream_origins_from_message(known, now)
-        return attrs.evolve(origin, began_at=now - 1000.0)
+        return attrs.evolve(origin, is_proven=True)
 
     stream_origins_from_message = stream_origins.from_message
     return mock.patch.object(stream_origins, "from_message", from_message)
@@ -73,11 +84,12 @@
 
 MUTANTS = (
     trust_each_origin,
-    never_ask_where_a_stream_began,
+    prove_origins_by_any_answer,
+    prove_origins_without_an_answer,
     trust_each_entry,
     keep_the_version_of_a_restarted_upstream,
     take_each_version_for_the_only_one,
     forget_how_long_an_entry_takes,
     take_streams_of_a_restart_for_older_ones,
-    tell_origins_without_their_age,
+    take_each_told_origin_for_proven,
 )
