Excuse soak answers whose forwarding router was killed

Cause: the check that silence ends no answer knew only the ends of the router that a request was sent to and of the upstreams that ran it. Where the path to an upstream is lost, another router forwards the bytes, and its end breaks the answer off just as much. Change: a killed forwarder counts if the last send of the request went through it, was sent before the kill, was interrupted at its upstream after it, was followed by no further send, and the request had no attempt left or ended by a refusal which says that no upstream took it. A denied retry permit, a deadline, a stop, a direct send and a later send are not excused. Limit: that no other upstream could take the request is the statement of the router's own log; the check does not verify it against the upstreams.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,9 @@
 """Tests of the soak test's checks, and short runs of it."""
 
 import asyncio
+import json
 import pathlib
+import random
 import signal
 import tempfile
 import unittest
@@ -14,7 +16,7 @@
 
 from lynxchute.event_loop import run as run_loop
 from lynxchute.http import ExchangeError
-from lynxchute.standins.link import Direction, Link
+from lynxchute.standins.link import Direction, Link, Partition
 from lynxchute.standins.platform_store import PlatformStoreStandin
 from tests.platform_support import configuration
 from tests.router_process import RouterProcess
@@ -27,12 +29,13 @@
     ROUTER_MODULES,
     SoakFleet,
 )
+from tests.soak.forwarding import RequestTrace
 from tests.soak.links import has_links
 from tests.soak.promises import SILENCE_GUARANTEE, Checker
 from tests.soak.run import has_parts, run_seed
 from tests.soak.silence import has_silence, is_planned_only
-from tests.soak.traffic import REQUEST_KINDS, Record
-from tests.support import AsyncTestCase
+from tests.soak.traffic import REQUEST_KINDS, CallerPool, Record
+from tests.support import AsyncTestCase, until
 
 FAILED_SEEDS = pathlib.Path(__file__).parent / "soak" / "failed_seeds.yaml"
 SHORT_SEED = 11
@@ -210,6 +213,114 @@
 
         self.run_async(work())
 
+    def test_the_end_of_the_only_forwarder_counts_for_what_it_forwarded(self):
+        async def work():
+            loop = asyncio.get_running_loop()
+            with tempfile.TemporaryDirectory() as name:
+                fleet = SoakFleet(pathlib.Path(name), LINKED_SEED, routers=2)
+                fleet.event_delay = 0.4
+                fleet.timeout_ms = 8000
+                await fleet.start()
+                try:
+                    fleet.upstream_links.partition(["a-1"], Partition.SILENT)
+                    callers = CallerPool(fleet, random.Random(1), deadlines_ms=(8000,))
+                    task = asyncio.create_task(
+                        callers.send(
+                            callers.client("a-1"),
+                            "a-1",
+                            "stream",
+                            account=AMPLE_ACCOUNT,
+                            may_disconnect=False,
+                        )
+                    )
+                    await until(lambda: any(r.body for r in callers.records))
+                    fleet.kills_by_vm["b-1"].append(loop.time())
+                    await fleet.routers_by_vm["b-1"].process.kill()
+                    cut = await task
+                    self.assertFalse(cut.is_complete)
+                    # The line may be written after the caller's connection has ended.
+                    await asyncio.sleep(0.5)
+                    trace = RequestTrace.read(fleet.folder / "a-1.log", cut.request_id)
+                    self.assertEqual("b-1", trace.forwarder)
+                    span = (cut.sent_at, cut.ended_at)
+                    name = cut.request_id
+                    self.assertTrue(fleet.has_lost_part(name, "a-1", *span))
+                    self.assertFalse(fleet.has_lost_part("other", "a-1", *span))
+                    fleet.kills_by_vm["b-1"] = [cut.sent_at - 0.1]
+                    self.assertFalse(fleet.has_lost_part(name, "a-1", *span))
+                finally:
+                    await fleet.stop()
+
+        self.run_async(work())
+
+
+class RequestTraceTest(testtools.TestCase):
+    """Answers that ended with the router that forwarded them."""
+
+    KILLED_AT = 5.0
+
+    def trace(self, *events, **end):
+        values = {"sends": 1, "attempts": 2, "cause": "broken"}
+        ended = {"time": 5.2, "event": "request ended", **values, **end}
+        return RequestTrace([*events, ended])
+
+    def send(self, at, via="b-1"):
+        return {"time": at, "event": "request sent", "upstream": "i-2", "via": via}
+
+    def interruption(self, at, name="upstream stream interrupted", upstream="i-2"):
+        return {"time": at, "event": name, "upstream": upstream}
+
+    def assert_excused(self, is_excused, trace):
+        self.assertEqual(is_excused, trace.ended_with_forwarder([self.KILLED_AT]))
+
+    def test_an_answer_that_nothing_else_could_take_is_excused(self):
+        cut = (self.send(4.0), self.interruption(5.01))
+        for cause in ("broken", "overloaded", "software-version-gone"):
+            self.assert_excused(True, self.trace(*cut, cause=cause))
+        for name in ("upstream response interrupted", "upstream attempt failed"):
+            lost = (self.send(4.0), self.interruption(5.01, name))
+            self.assert_excused(True, self.trace(*lost))
+        self.assert_excused(True, self.trace(*cut, attempts=1))
+
+    def test_the_end_of_an_earlier_send_is_not_that_of_the_last_one(self):
+        given_up = self.interruption(4.01, "upstream attempt failed", upstream="i-1")
+        cut = (self.send(4.0), given_up, self.interruption(5.01))
+        self.assert_excused(True, self.trace(*cut, sends=2))
+        given_up["time"] = 5.01
+        self.assert_excused(False, self.trace(self.send(4.0), given_up))
+
+    def test_an_answer_that_was_sent_or_interrupted_at_another_time_is_not(self):
+        earlier = (self.send(4.0), self.interruption(4.9))
+        self.assert_excused(False, self.trace(*earlier))
+        later = (self.send(5.1), self.interruption(5.15))
+        self.assert_excused(False, self.trace(*later))
+        self.assert_excused(False, self.trace(self.send(4.0)))
+        self.assert_excused(False, RequestTrace([]))
+
+    def test_an_answer_that_was_sent_on_is_not(self):
+        cut = (self.send(4.0), self.interruption(5.01))
+        resent = self.trace(
+            *cut, self.send(5.05, via=""), self.interruption(5.1), sends=2
+        )
+        self.assertEqual("", resent.forwarder)
+        self.assert_excused(False, resent)
+
+    def test_an_answer_that_its_router_gave_up_for_another_reason_is_not(self):
+        cut = (self.send(4.0), self.interruption(5.01))
+        for cause in ("timeout", "stopping", "stream-origin-unknown"):
+            self.assert_excused(False, self.trace(*cut, cause=cause))
+        denied = {"time": 5.02, "event": "retry budget used up"}
+        self.assert_excused(False, self.trace(*cut, denied))
+
+    def test_lines_of_other_requests_and_incomplete_lines_are_left_out(self):
+        lines = [{"request_id": name, "event": "e"} for name in ("s1", "s11", "s1")]
+        text = "\n".join(json.dumps(line, separators=(",", ":")) for line in lines)
+        with tempfile.TemporaryDirectory() as name:
+            log = pathlib.Path(name) / "a-1.log"
+            self.assertEqual([], RequestTrace.read(log, "s1").events)
+            log.write_text(text)
+            self.assertEqual(lines[:1], RequestTrace.read(log, "s1").events)
+
 
 class FakeResponse:
     def __init__(self, status):
