Keep the pause of a silent upstream apart from that for failed sends

Cause: both had one end, and the pause for silence was recognised by it. Another failure moved the end, so that the upstream stayed paused after it had been heard, or was used again before the pause of 1.1 s was over. A send that is given up for the silence counts as such a failure itself. Change: Health has an end for each. A connection or an answer that fails during the silence belongs to the silence; what was heard before that failure does not end the pause. Conclusion: the pause for silence ends when the upstream is heard after its last failure.

--- a/lynxchute/upstreams/health.py
+++ b/lynxchute/upstreams/health.py
@@ -44,6 +44,9 @@
     SendOutcome.FAILED: 0.0,
 }
 MAX_PAUSE = 3.0
+# Outcomes that the silence of an upstream explains. A send that is given up because of
+# the silence ends as `BROKEN`.
+NO_RESPONSE_OUTCOMES = frozenset({SendOutcome.UNREACHED, SendOutcome.BROKEN})
 
 # Weight of the newest outcome in the moving average.
 NEWEST_WEIGHT = 0.15
@@ -65,18 +68,29 @@
         Moving average of the share of bad outcomes, as of `updated_at`.
     updated_at
         When the last send ended, in seconds.
-    paused_until
-        Until when the upstream is skipped, in seconds.
+    failure_paused_until
+        Until when the upstream is skipped because of failed sends, in seconds.
     lost_share
         Like `bad_share`, but without declined requests: these cost the caller little,
         and the upstream says when it accepts work again.
+    silence_paused_until
+        Until when the upstream is skipped because it is silent, in seconds.
+    silent_at
+        When the upstream last showed no sign of life, in seconds.
     """
 
     bad_in_row: int = 0
     bad_share: float = 0.0
-    paused_until: float = 0.0
+    failure_paused_until: float = 0.0
     updated_at: float = 0.0
     lost_share: float = 0.0
+    silence_paused_until: float = 0.0
+    silent_at: float = 0.0
+
+    @property
+    def paused_until(self) -> float:
+        """Return until when the upstream is skipped, in seconds."""
+        return max(self.failure_paused_until, self.silence_paused_until)
 
     def record(self, outcome: SendOutcome, now: float) -> None:
         """Record the outcome of a send."""
@@ -92,14 +106,43 @@
         self.lost_share += NEWEST_WEIGHT * (float(lost) - self.lost_share)
         if not bad:
             self.bad_in_row = 0
-            self.paused_until = 0.0
+            self.resume()
             return
         pause = PAUSES_BY_OUTCOME[outcome]
         if not pause:
             return
         self.bad_in_row += 1
         pause *= 2 ** min(self.bad_in_row - 1, 8)
-        self.paused_until = now + min(pause, MAX_PAUSE)
+        until = now + min(pause, MAX_PAUSE)
+        if outcome in NO_RESPONSE_OUTCOMES and self.is_silent(now):
+            self.silence_paused_until = max(self.silence_paused_until, until)
+            self.silent_at = now
+            return
+        self.failure_paused_until = until
+
+    def record_silence(self, now: float, min_pause: float = 0.0) -> None:
+        """Record that the upstream does not respond at all.
+
+        Parameters
+        ----------
+        now
+            Seconds on the steady clock.
+        min_pause
+            Seconds for which the upstream is skipped at least.
+        """
+        self.record(SendOutcome.UNREACHED, now)
+        # The silence explains earlier failures as well.
+        self.silence_paused_until = max(self.paused_until, now + min_pause)
+        self.failure_paused_until = 0.0
+        self.silent_at = now
+
+    def end_silence(self) -> None:
+        """End the pause for silence; one for other failures stays."""
+        self.silence_paused_until = 0.0
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether the upstream is skipped because it is silent."""
+        return now < self.silence_paused_until
 
     def recent_bad_share(self, now: float) -> float:
         """Return the share of bad outcomes, decayed by the time since the last one."""
@@ -109,13 +152,10 @@
         """Return the share of lost sends, decayed by the time since the last one."""
         return self.lost_share * self._decay(now)
 
-    def extend_pause(self, until: float) -> None:
-        """Pause until a time at least, in seconds."""
-        self.paused_until = max(self.paused_until, until)
-
     def resume(self) -> None:
-        """End the pause at once, because its cause is over."""
-        self.paused_until = 0.0
+        """End all pauses at once, because their cause is over."""
+        self.failure_paused_until = 0.0
+        self.silence_paused_until = 0.0
 
     def is_paused(self, now: float) -> bool:
         """Return whether the upstream is skipped at the moment."""
--- a/lynxchute/upstreams/silence.py
+++ b/lynxchute/upstreams/silence.py
@@ -5,8 +5,6 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-import attrs
-
 from lynxchute.application import PeriodicTask, Tasks
 from lynxchute.reachability import Reachability
 from lynxchute.telemetry import log_event
@@ -18,7 +16,6 @@
     ResendObstacle,
     UpstreamEntry,
 )
-from lynxchute.upstreams.health import SendOutcome
 from lynxchute.upstreams.probes import handle_probe
 
 # Seconds between two checks of the upstreams.
@@ -45,14 +42,6 @@
 MAX_ALTERNATIVES = 3
 
 
-@attrs.frozen
-class _Verdict:
-    """When an upstream was found silent, and until when it is paused for that."""
-
-    at: float
-    paused_until: float
-
-
 class SilenceWatch:
     """Probe silent upstreams, and cancel sends to those that do not respond.
 
@@ -91,7 +80,7 @@
         self._reachability = reachability
         self._clock = clock
         self._moving: set[OpenSend] = set()
-        self._verdicts_by_entry: dict[UpstreamEntry, _Verdict] = {}
+        self._silent_entries: set[UpstreamEntry] = set()
         self._unreachable_probed_at: dict[str, float] = {}
         self._alternative_probes_by_service: dict[str, asyncio.Task[bool]] = {}
 
@@ -118,13 +107,11 @@
 
     def _resume_heard(self, now: float) -> None:
         """End the pauses of silent upstreams that have sent something since."""
-        for entry, verdict in list(self._verdicts_by_entry.items()):
-            is_over = not entry.health.is_paused(now)
-            if is_over or entry.health.paused_until != verdict.paused_until:
-                # The pause is over, or has another cause by now.
-                del self._verdicts_by_entry[entry]
+        for entry in list(self._silent_entries):
+            if not entry.health.is_silent(now):
+                self._silent_entries.discard(entry)
                 continue
-            if entry.has_been_heard_since(verdict.at):
+            if entry.has_been_heard_since(entry.health.silent_at):
                 self._resume(entry)
 
     def _move_replaced(self, now: float) -> None:
@@ -193,11 +180,11 @@
         handle_probe(self._directory, entry, probe, self._clock())
 
     def _resume(self, entry: UpstreamEntry) -> None:
-        """End the pause of an upstream that was silent, unless it has another cause."""
-        verdict = self._verdicts_by_entry.pop(entry, None)
-        if verdict is None or entry.health.paused_until != verdict.paused_until:
+        """End the pause of an upstream for its silence."""
+        self._silent_entries.discard(entry)
+        if not entry.health.is_silent(self._clock()):
             return
-        entry.health.resume()
+        entry.health.end_silence()
         log_event("upstream goes on", upstream=entry.upstream.id)
 
     def _record_reachable(self, data_centre: str) -> None:
@@ -266,10 +253,8 @@
         self, entry: UpstreamEntry, reason: str, *, is_timeout: bool
     ) -> None:
         now = self._clock()
-        entry.health.record(SendOutcome.UNREACHED, now)
-        if is_timeout:
-            entry.health.extend_pause(now + MIN_PAUSE_SECONDS)
-        self._verdicts_by_entry[entry] = _Verdict(now, entry.health.paused_until)
+        entry.health.record_silence(now, MIN_PAUSE_SECONDS if is_timeout else 0.0)
+        self._silent_entries.add(entry)
         sends = [send for send in entry.open_sends if send.is_overly_silent(now)]
         self._move_sends(entry, sends, reason)
 
