Test that idle upstreams are used again soon after their silence

Cause: only upstreams with open sends that may run elsewhere are probed again; others stay paused after their silence until the pause ends. Change: tests only, also of how often such an upstream is probed, and that one which stays silent is paused as long as before.

--- a/tests/test_health_pause.py
+++ b/tests/test_health_pause.py
@@ -1,12 +1,18 @@
 """Pauses of upstreams that were found silent, beside other failures."""
 
 import asyncio
+import itertools
 
 from lynxchute.reachability import Reachability
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.entry import OpenSend
 from lynxchute.upstreams.health import SendOutcome
-from lynxchute.upstreams.silence import MIN_PAUSE_SECONDS, SilenceWatch
+from lynxchute.upstreams.silence import (
+    MIN_PAUSE_SECONDS,
+    REPROBE_SECONDS,
+    STEP_SECONDS,
+    SilenceWatch,
+)
 from lynxchute.upstreams.upstream import Upstream
 from tests.support import AsyncTestCase
 from tests.test_reachability import FakeEngineClient, FakeHandle
@@ -129,3 +135,79 @@
             self.assertFalse(entry.health.is_paused(self.now))
 
         self.run_async(work())
+
+
+class IdleSilenceTest(SilenceVerdictTestCase):
+    """Guards against pauses of idle upstreams that outlast their silence."""
+
+    async def find_silent_and_idle(self):
+        """Let an upstream be found silent, and its send end; return its entry."""
+        entry, send = await self.find_silent()
+        entry.open_sends.discard(send)
+        return entry
+
+    async def watch_for(self, seconds):
+        """Let time pass; return when the silent upstream was probed."""
+        probed_at = []
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_SECONDS
+            probes = self.engines.probed.count("b1")
+            if self.watch._may_need_probe():
+                await self.step()
+            probes = self.engines.probed.count("b1") - probes
+            probed_at.extend([self.now] * probes)
+        return probed_at
+
+    def test_an_idle_upstream_that_answers_a_probe_is_used_again(self):
+        async def work():
+            entry = await self.find_silent_and_idle()
+            self.engines.cut = set()
+            await self.watch_for(REPROBE_SECONDS + STEP_SECONDS)
+            self.assertFalse(entry.health.is_paused(self.now))
+
+        self.run_async(work())
+
+    def test_so_is_one_with_a_request_that_may_not_run_elsewhere(self):
+        async def work():
+            entry = await self.find_silent_and_idle()
+            entry.open_sends.add(OpenSend(FakeHandle([], "b1"), lambda: False))
+            self.engines.cut = set()
+            await self.watch_for(REPROBE_SECONDS + STEP_SECONDS)
+            self.assertFalse(entry.health.is_paused(self.now))
+
+        self.run_async(work())
+
+    def test_an_idle_upstream_that_stays_silent_is_paused_as_long_as_before(self):
+        async def work():
+            found_at = self.now
+            entry = await self.find_silent_and_idle()
+            bad_in_row, until = entry.health.bad_in_row, entry.health.paused_until
+            probed_at = [found_at, *await self.watch_for(MIN_PAUSE_SECONDS * 3)]
+            self.assertEqual(until, entry.health.paused_until)
+            self.assertEqual(bad_in_row, entry.health.bad_in_row)
+            # The last probe is sent before the pause ends.
+            self.assertLess(probed_at[-1], until)
+            for earlier, later in itertools.pairwise(probed_at):
+                self.assertGreaterEqual(later - earlier, REPROBE_SECONDS)
+
+        self.run_async(work())
+
+    def test_an_idle_upstream_that_is_leaving_is_not_probed(self):
+        async def work():
+            entry = await self.find_silent_and_idle()
+            entry.removed_at = self.now
+            self.assertEqual([], await self.watch_for(MIN_PAUSE_SECONDS))
+
+        self.run_async(work())
+
+    def test_an_unreachable_data_centre_is_probed_no_more_often(self):
+        async def work():
+            await self.find_silent_and_idle()
+            for name in ("b1", "b2"):
+                self.reach.record_timeout("b", name, self.now, is_upstream=True)
+            probed_at = await self.watch_for(MIN_PAUSE_SECONDS * 3)
+            for earlier, later in itertools.pairwise(probed_at):
+                self.assertGreaterEqual(later - earlier, REPROBE_SECONDS)
+
+        self.run_async(work())
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -24,6 +24,7 @@
 from lynxchute.standins.silences import plan_silences, singles_and_data_centres
 from lynxchute.standins.upstream_run import Fault
 from lynxchute.tunnels.paths import PathState, UpstreamPaths
+from lynxchute.upstreams import silence as silence_watch
 from tests.platform_support import (
     PlatformCaller,
     PlatformTestCase,
@@ -313,7 +314,7 @@
         self.with_silence(scenario, apps=4, features=Features(hedging=True))
 
 
-class VerdictTest(PlatformTestCase):
+class VerdictTest(SilencePlay):
     """Guards against verdicts on a silent upstream that outlive its silence."""
 
     def test_an_upstream_that_goes_on_is_used_again_at_once(self):
@@ -364,6 +365,28 @@
             versions=("v1", "v2"),
         )
 
+    def test_an_upstream_without_open_sends_is_used_again_after_its_silence(self):
+        self.patch(silence_watch, "MIN_PAUSE_SECONDS", LONG_SILENCE * 2)
+
+        async def scenario(deployment):
+            stream, busy, _ = await start_stream(deployment)
+            router = deployment.routers["a-1"]
+            entry = router.directory.entries_by_id[busy.id]
+            deployment.silence(busy)
+            await until(lambda: entry.health.is_paused(steady_seconds()))
+            # The stream goes on at another engine.
+            await until(lambda: not entry.open_sends)
+            # No earlier probe is under way any more.
+            await asyncio.sleep(silence_watch.REPROBE_SECONDS)
+            await deployment.end_silence(busy)
+            ended_at = steady_seconds()
+            self.assertGreater(entry.health.paused_until - ended_at, SHORT_SILENCE)
+            await asyncio.sleep(silence_watch.REPROBE_SECONDS + NOTICE_SECONDS)
+            self.assertFalse(entry.health.is_paused(steady_seconds()))
+            await self.check_whole(deployment, stream, runs=2)
+
+        self.with_silence(scenario)
+
 
 class RestartTest(SilencePlay):
     def test_a_stream_at_the_new_process_is_not_cut_by_news_of_its_start(self):
