Probe silent upstreams without open sends, and use them again if they answer

Cause: a silent upstream was probed again only for open sends that may run elsewhere. Once these had moved, it stayed paused until the pause ended by itself. Ruled out: renewing the pause if such a probe fails; the upstream would then be paused for longer than before, and be probed for as long as it is listed. Change: while its pause lasts, it is probed every 0.6 s at most, counted from any other probe of the silence watch. An answer ends the pause, a failure changes nothing. Leaving upstreams and unreachable data centres get no such probe. A request that is sent there just after such a probe may wait 0.25 s longer for its own first probe (computed). Conclusion: an idle upstream is used again at the next probe after its silence.

--- a/lynxchute/upstreams/silence.py
+++ b/lynxchute/upstreams/silence.py
@@ -9,7 +9,7 @@
 from lynxchute.reachability import Reachability
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.directory import Directory
-from lynxchute.upstreams.engines import EngineClient, EngineUnavailable
+from lynxchute.upstreams.engines import EngineClient, EngineUnavailable, Probe
 from lynxchute.upstreams.entry import (
     MAX_ANSWER_SILENCE_SECONDS,
     OpenSend,
@@ -88,6 +88,8 @@
         """Return whether an upstream may have to be probed."""
         if self._reachability.is_any_unreachable or self._directory.replaced_entries:
             return True
+        if self._silent_entries:
+            return True
         return any(e.open_sends for e in self._directory.entries_by_id.values())
 
     async def _step(self) -> None:
@@ -104,6 +106,7 @@
                 self._start_probe(entry, now)
             elif self._reachability.is_unreachable(entry.upstream.data_centre):
                 self._probe_unreachable(entry, now)
+        self._recheck_idle(now)
 
     def _resume_heard(self, now: float) -> None:
         """End the pauses of silent upstreams that have sent something since."""
@@ -149,6 +152,21 @@
         self._unreachable_probed_at[data_centre] = now
         self._start_probe(entry, now)
 
+    def _recheck_idle(self, now: float) -> None:
+        """Probe silent upstreams that no open send causes to be probed."""
+        for entry in self._silent_entries:
+            upstream = entry.upstream
+            if now - entry.probed_at < REPROBE_SECONDS or not entry.takes_work:
+                continue
+            if self._directory.entries_by_id.get(upstream.id) is not entry:
+                continue
+            if self._reachability.is_unreachable(upstream.data_centre):
+                continue
+            if any(send.may_resend() for send in entry.open_sends):
+                continue
+            entry.probed_at = now
+            self.tasks.spawn(self._send_recheck(entry))
+
     def _start_probe(self, entry: UpstreamEntry, now: float) -> None:
         entry.probed_at = now
         self.tasks.spawn(self._send_probe(entry))
@@ -174,6 +192,18 @@
                     return
             self._cancel_sends(entry, str(error), is_timeout=error.is_timeout)
             return
+        self._record_answer(entry, probe)
+
+    async def _send_recheck(self, entry: UpstreamEntry) -> None:
+        """Probe an upstream to end its pause if it answers."""
+        try:
+            probe = await self._engines.probe(entry.upstream)
+        except EngineUnavailable:
+            # The pause goes on as it is: nothing is waiting for this upstream.
+            return
+        self._record_answer(entry, probe)
+
+    def _record_answer(self, entry: UpstreamEntry, probe: Probe) -> None:
         entry.heard_at = max(entry.heard_at, self._clock())
         self._record_reachable(entry.upstream.data_centre)
         self._resume(entry)
