--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -210,6 +210,20 @@
                     )
                 )
 
+    async def become_cold_in_outage(self, deployment):
+        """Let all engines become cold while the store answers no router."""
+        await self.configure_cold_limit(deployment)
+        await asyncio.sleep(TAKE_OVER_SECONDS)
+        for vm in deployment.routers:
+            deployment.faults(vm).outage = Outage.BUSY
+        await asyncio.sleep(2.0)
+        for engine in deployment.engines:
+            engine.become_cold(6.0)
+        # Routers cannot notice it at once; the target is one second.
+        await asyncio.sleep(1.0)
+        for engine in deployment.engines:
+            engine.max_cold_rate = 8
+
     async def burst(self, deployment, count, vms=("a-1", "b-1")):
         callers = [PlatformCaller(deployment, vm) for vm in vms]
         sends = [
@@ -284,17 +298,7 @@
         """
 
         async def scenario(deployment):
-            await self.configure_cold_limit(deployment)
-            await asyncio.sleep(TAKE_OVER_SECONDS)
-            for vm in deployment.routers:
-                deployment.faults(vm).outage = Outage.BUSY
-            await asyncio.sleep(2.0)
-            for engine in deployment.engines:
-                engine.become_cold(6.0)
-            # Routers cannot notice it at once; the target is one second.
-            await asyncio.sleep(1.0)
-            for engine in deployment.engines:
-                engine.max_cold_rate = 8
+            await self.become_cold_in_outage(deployment)
             await self.burst(deployment, 40)
             for engine in deployment.engines:
                 self.assertEqual(0, engine.crashes)
@@ -319,17 +323,8 @@
 
     def test_a_burst_placed_alone_does_not_exceed_what_cold_engines_bear(self):
         async def scenario(deployment):
-            await self.configure_cold_limit(deployment)
-            await asyncio.sleep(TAKE_OVER_SECONDS)
-            for vm in deployment.routers:
-                deployment.faults(vm).outage = Outage.BUSY
-            await asyncio.sleep(2.0)
-            for engine in deployment.engines:
-                engine.become_cold(6.0)
-            await asyncio.sleep(1.0)
+            await self.become_cold_in_outage(deployment)
             self.place_alone()
-            for engine in deployment.engines:
-                engine.max_cold_rate = 8
             answers = await self.burst(deployment, 40)
             self.assertIn(200, {answer[0] for answer in answers})
             for engine in deployment.engines:
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -58,6 +58,26 @@
     return task, busy, [engine for engine in engines if engine is not busy]
 
 
+def with_route_options(routes, **options):
+    return [{**route, **options} for route in routes]
+
+
+async def configure(deployment, version, **options):
+    """Change the configuration, and wait until all routers use it."""
+    await deployment.configure(version=version, **options)
+    routers = deployment.routers.values()
+    await until(
+        lambda: all(r.configurations.current.version == version for r in routers)
+    )
+
+
+async def configure_routes(deployment, version, **options):
+    """Let all routes have a long timeout, and these options."""
+    routes = configuration()["routes"]
+    routes = with_route_options(routes, timeout_ms=TIMEOUT_MS, **options)
+    await configure(deployment, version, routes=routes)
+
+
 def back_off(deployment, upstream):
     """Let an upstream have asked all routers for a long backoff."""
     for router in deployment.routers.values():
@@ -70,14 +90,7 @@
         async def prepared(deployment):
             for engine in deployment.engines:
                 engine.events, engine.event_delay = EVENTS, EVENT_DELAY
-            routes = configuration()["routes"]
-            for route in routes:
-                route["timeout_ms"] = TIMEOUT_MS
-            await deployment.configure(version=2, routes=routes)
-            routers = deployment.routers.values()
-            await until(
-                lambda: all(r.configurations.current.version == 2 for r in routers)
-            )
+            await configure_routes(deployment, 2)
             await scenario(deployment)
 
         options = {"routers": ROUTERS, "has_upstream_links": True, **options}
@@ -293,14 +306,7 @@
 
     def test_no_third_send_runs_beside_a_hedge(self):
         async def scenario(deployment):
-            routes = configuration()["routes"]
-            for route in routes:
-                route.update(timeout_ms=TIMEOUT_MS, max_attempts=3)
-            await deployment.configure(version=3, routes=routes)
-            routers = deployment.routers.values()
-            await until(
-                lambda: all(r.configurations.current.version == 3 for r in routers)
-            )
+            await configure_routes(deployment, 3, max_attempts=3)
             for app in deployment.apps:
                 app.event_delay = LONG_SILENCE
             caller = PlatformCaller(deployment)
@@ -466,14 +472,7 @@
 class SeveralSendsTest(PlatformTestCase):
     def test_a_hedged_call_goes_on_elsewhere_if_both_its_upstreams_are_silent(self):
         async def scenario(deployment):
-            routes = configuration()["routes"]
-            for route in routes:
-                route.update(timeout_ms=TIMEOUT_MS, max_attempts=3)
-            await deployment.configure(version=2, routes=routes)
-            routers = deployment.routers.values()
-            await until(
-                lambda: all(r.configurations.current.version == 2 for r in routers)
-            )
+            await configure_routes(deployment, 2, max_attempts=3)
             for app in deployment.apps:
                 app.event_delay = LONG_SILENCE * 3
             caller = PlatformCaller(deployment)
@@ -549,10 +548,7 @@
             for app in deployment.apps:
                 app.plain_pieces = (MAX_BUFFERED_BYTES + 1, *[PIECE_BYTES] * 60)
                 app.event_delay = EVENT_DELAY
-            routes = configuration()["routes"]
-            for route in routes:
-                route["timeout_ms"] = TIMEOUT_MS
-            await deployment.configure(version=2, routes=routes)
+            await configure_routes(deployment, 2)
             caller = PlatformCaller(deployment)
             call = asyncio.create_task(
                 caller.send("GET", "/safe/x", deadline_ms=TIMEOUT_MS)
@@ -591,10 +587,6 @@
     return json.loads(result[2]).get("run") == "not_run"
 
 
-def with_route_options(routes, **options):
-    return [{**route, **options} for route in routes]
-
-
 def with_service_options(services, **options):
     return [{**service, **options} for service in services]
 
@@ -696,9 +688,7 @@
     async def configure_once(self):
         self.version = 2
         self.configurations = changed_configurations()
-        await self.deployment.configure(version=2, **next(self.configurations))
-        routers = self.deployment.routers.values()
-        await until(lambda: all(r.configurations.current.version == 2 for r in routers))
+        await configure(self.deployment, 2, **next(self.configurations))
 
     async def play(self, upstreams, rng):
         """Silence upstreams alone, and all of each data centre, in random order."""
