Test which idle upstreams are not probed for their silence

Cause: no test failed without the checks for replaced upstreams and for unreachable data centres (trials on a copy). Change: two tests; none is taken away.

--- a/tests/test_health_pause.py
+++ b/tests/test_health_pause.py
@@ -3,14 +3,17 @@
 import asyncio
 import itertools
 
+import attrs
+
 from lynxchute.reachability import Reachability
 from lynxchute.upstreams.directory import Directory
-from lynxchute.upstreams.entry import OpenSend
+from lynxchute.upstreams.entry import OpenSend, UpstreamEntry
 from lynxchute.upstreams.health import SendOutcome
 from lynxchute.upstreams.silence import (
     MIN_PAUSE_SECONDS,
     REPROBE_SECONDS,
     STEP_SECONDS,
+    UNREACHABLE_PROBE_SECONDS,
     SilenceWatch,
 )
 from lynxchute.upstreams.upstream import Upstream
@@ -38,10 +41,10 @@
         while self.watch.tasks._tasks:
             await asyncio.sleep(0)
 
-    async def find_silent(self):
+    async def find_silent(self, name="b1"):
         """Let an upstream be found silent; return its entry and its open send."""
-        entry = self.directory.entries_by_id["b1"]
-        send = OpenSend(FakeHandle([], "b1"), lambda: True, heard_at=self.now - 0.4)
+        entry = self.directory.entries_by_id[name]
+        send = OpenSend(FakeHandle([], name), lambda: True, heard_at=self.now - 0.4)
         entry.open_sends.add(send)
         entry.heard_at = send.heard_at
         await self.step()
@@ -147,16 +150,16 @@
         return entry
 
     async def watch_for(self, seconds):
-        """Let time pass; return when the silent upstream was probed."""
+        """Let time pass; return when the silent data centre was probed."""
         probed_at = []
         end = self.now + seconds
         while self.now < end:
             self.now += STEP_SECONDS
-            probes = self.engines.probed.count("b1")
+            self.engines.probed.clear()
             if self.watch._may_need_probe():
                 await self.step()
-            probes = self.engines.probed.count("b1") - probes
-            probed_at.extend([self.now] * probes)
+            silent = [name for name in self.engines.probed if name[0] == "b"]
+            probed_at.extend([self.now] * len(silent))
         return probed_at
 
     def test_an_idle_upstream_that_answers_a_probe_is_used_again(self):
@@ -201,6 +204,15 @@
 
         self.run_async(work())
 
+    def test_an_idle_upstream_that_was_replaced_is_not_probed(self):
+        async def work():
+            entry = await self.find_silent_and_idle()
+            upstream = attrs.evolve(entry.upstream, address="b1:2")
+            self.directory.entries_by_id["b1"] = UpstreamEntry(upstream)
+            self.assertEqual([], await self.watch_for(MIN_PAUSE_SECONDS))
+
+        self.run_async(work())
+
     def test_an_unreachable_data_centre_is_probed_no_more_often(self):
         async def work():
             await self.find_silent_and_idle()
@@ -211,3 +223,18 @@
                 self.assertGreaterEqual(later - earlier, REPROBE_SECONDS)
 
         self.run_async(work())
+
+    def test_several_idle_upstreams_of_an_unreachable_data_centre_take_turns(self):
+        async def work():
+            for name in ("b2", "b3"):
+                self.directory.put(Upstream(name, "s", f"{name}:1", "b"))
+            for name in ("b1", "b2", "b3"):
+                entry, send = await self.find_silent(name)
+                entry.open_sends.discard(send)
+            self.assertTrue(self.reach.is_unreachable("b"))
+            probed_at = await self.watch_for(MIN_PAUSE_SECONDS * 3)
+            self.assertGreater(len(probed_at), 1)
+            for earlier, later in itertools.pairwise(probed_at):
+                self.assertGreaterEqual(later - earlier, UNREACHABLE_PROBE_SECONDS)
+
+        self.run_async(work())
