Give origins that are held back a module of their own

Change: lynxchute/resumption/untold_origins.py holds what waits to be needed and proven; no behaviour changed.

--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import math
-from collections import OrderedDict
 from collections.abc import Callable, Sequence
 
 from lynxchute.application import PeriodicTask
@@ -21,6 +20,7 @@
 from lynxchute.resumption.origin_prover import OriginProver, Proof
 from lynxchute.resumption.origin_replicator import OriginReplicator
 from lynxchute.resumption.origin_rows import OriginRows
+from lynxchute.resumption.untold_origins import UntoldOrigins
 from lynxchute.store import Store
 from lynxchute.telemetry import Metrics, log_event
 from lynxchute.upstreams.directory import Directory
@@ -46,8 +46,6 @@
 # Seconds of silence after which a stream's process counts as ended, once another one
 # was noticed at its upstream.
 SILENT_SECONDS = 0.3
-# Seconds after which an origin that could not be proven is told to nobody.
-MAX_UNPROVEN_SECONDS = 5.0
 
 
 class StreamOrigins(Origins):
@@ -120,15 +118,20 @@
             store,
             members,
             self.memory,
-            lambda service: self.sole_version(service) is not None,
+            self._has_sole_version,
             self._is_any_service_divided,
             clock,
         )
         self._services: set[str] = set()
-        # Expiry times of origins that are told to other routers once they are proven.
-        self._untold_by_key: dict[str, float] = {}
-        # Keys of origins that were not sent because their service had one version.
-        self._unsent_by_service: dict[str, OrderedDict[str, float]] = {}
+        self._untold = UntoldOrigins(
+            self.memory,
+            self._prover,
+            self._replicator,
+            directory,
+            self._has_sole_version,
+            self.send_loop.wake,
+            clock,
+        )
 
     def serve(self, server: PeerServer) -> None:
         """Register the handlers for messages of other routers."""
@@ -146,14 +149,7 @@
         expires_at = now + timeout + RETURN_SECONDS
         self.memory.put(key, origin, expires_at=expires_at, now=now)
         self._services.add(origin.service)
-        if self.sole_version(origin.service) is None:
-            self._untold_by_key[key] = expires_at
-            self.send_loop.wake()
-            return
-        unsent = self._unsent_by_service.setdefault(origin.service, OrderedDict())
-        unsent[key] = expires_at
-        while unsent and next(iter(unsent.values())) <= now:
-            unsent.popitem(last=False)
+        self._untold.add(key, origin.service, expires_at)
 
     def sole_version(self, service: str) -> str | None:
         """Return the only version that may have begun streams; None if not known."""
@@ -162,6 +158,9 @@
         versions = self._versions(service)
         return versions.pop() if len(versions) == 1 else None
 
+    def _has_sole_version(self, service: str) -> bool:
+        return self.sole_version(service) is not None
+
     def _versions(self, service: str) -> set[str | None]:
         """Return the versions that may have begun streams, as far as is known."""
         since = self._clock() - self._max_age()
@@ -344,7 +343,7 @@
     async def hand_over(self) -> None:
         """Send all origins to the routers that remember them once this one is gone."""
         for key, origin, expires_at in self.memory.items(self._clock()):
-            if self.sole_version(origin.service) is not None:
+            if self._has_sole_version(origin.service):
                 continue
             if self._prover.proof(origin) is Proof.PROVEN:
                 self._replicator.enqueue(key, origin, expires_at)
@@ -356,63 +355,11 @@
 
     def _is_any_service_divided(self) -> bool:
         """Return whether a service of known origins may have several versions."""
-        return any(self.sole_version(service) is None for service in self._services)
+        return not all(self._has_sole_version(service) for service in self._services)
 
     def _is_send_due(self) -> bool:
-        if self._replicator.has_pending or self._untold_by_key:
-            return True
-        return any(
-            self.sole_version(service) is None for service in self._unsent_by_service
-        )
+        return self._replicator.has_pending or self._untold.is_due
 
     async def _send_due(self) -> None:
-        self._collect_unsent()
-        self._enqueue_proven()
+        self._untold.enqueue_proven()
         await self._replicator.send_pending()
-
-    def _collect_unsent(self) -> None:
-        """Collect origins whose service may have more than one version now."""
-        for service in list(self._unsent_by_service):
-            if self.sole_version(service) is None:
-                self._untold_by_key.update(self._unsent_by_service.pop(service))
-
-    def _enqueue_proven(self) -> None:
-        """Queue proven origins; ask the upstreams of the others which process they are.
-
-        An origin of a process that was replaced unseen would mislead other routers.
-        """
-        now = self._clock()
-        for key, expires_at in list(self._untold_by_key.items()):
-            origin = self.memory.get(key, now)
-            proof = Proof.REPLACED if origin is None else self._prover.proof(origin)
-            if origin is not None and proof is Proof.PROVEN:
-                del self._untold_by_key[key]
-                self.memory.put(key, origin, expires_at=expires_at, now=now)
-                self._replicator.enqueue(key, origin, expires_at)
-                continue
-            is_late = origin is None or now - origin.began_at > MAX_UNPROVEN_SECONDS
-            entry = origin and self._directory.entries_by_id.get(origin.upstream)
-            if proof is Proof.REPLACED or is_late or not entry:
-                del self._untold_by_key[key]
-                self._log_unproven(key, origin, proof)
-                continue
-            self._prover.start_probe(entry).add_done_callback(self._wake_if_answered)
-
-    def _wake_if_answered(self, probe: asyncio.Task[bool]) -> None:
-        if not probe.cancelled() and probe.exception() is None and probe.result():
-            self.send_loop.wake()
-
-    def _log_unproven(
-        self, key: str, origin: StreamOrigin | None, proof: Proof
-    ) -> None:
-        if origin is None:
-            return
-        log_event(
-            "stream origin not proven",
-            key=key,
-            upstream=origin.upstream,
-            software=origin.software_version,
-            started_ms=origin.started_ms,
-            age=round(self._clock() - origin.began_at, 3),
-            proof=proof.value,
-        )
