Take no origin of a stream for proven by its age, and ask sooner

Cause, found by a review that had not seen the work, each shown there by a run: an origin older than the last view less 2 s counted as proven, though its process may have ended before it was registered (15 of 40 streams mixed, store back, taken up 5 s later); an answer without a start counted as the known one; a version that is not known was ignored among the known ones; the version of a stream on the own interface was read from the entry, which another answer may have changed. Change: only the stated start proves. Origins are told at once and again once proven; proofs have a loop of their own and begin at the first event. Origins say whether one version was known when they began; these need no proof where entries agree with them. Probes for proofs change no limits. The module that held origins back tells them now.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -406,6 +406,7 @@
             versions.loop,
             self.origins.send_loop,
             self.origins.tasks,
+            self.origins.prove_loop,
             self.origins.rows.tasks,
             self.origins.rows.loop,
             *self.containment.components,
--- a/lynxchute/fleet/origin_messages.py
+++ b/lynxchute/fleet/origin_messages.py
@@ -19,6 +19,8 @@
         Seconds since the stream began, and for which to remember it.
     is_proven
         Whether the process is known to have run when the stream began.
+    is_assumed
+        Whether its service had one known version then; older builds do not say.
     """
 
     key: str
@@ -29,6 +31,7 @@
     age: float
     keep: float
     is_proven: bool = False
+    is_assumed: bool = True
 
 
 @attrs.frozen
--- a/lynxchute/relay/passing.py
+++ b/lynxchute/relay/passing.py
@@ -119,7 +119,9 @@
         """Record where the stream began, as its first event is forwarded."""
         exchange = self._exchange
         if exchange.origin is None:
-            exchange.origin = _origin(exchange.service, self._answer, now)
+            exchange.origin = _origin(
+                exchange.service, self._answer, self._dialect, now
+            )
         if exchange.origin is None or not exchange.route.is_repeatable:
             return
         account = exchange.account.name if exchange.account is not None else ""
@@ -131,14 +133,18 @@
         )
 
 
-def _origin(service: str, answer: UpstreamResponse, now: float) -> StreamOrigin | None:
+def _origin(
+    service: str, answer: UpstreamResponse, dialect: Dialect, now: float
+) -> StreamOrigin | None:
     """Return the origin of a stream; None if its software version is not known."""
     upstream = answer.entry.upstream
+    if upstream.states_version:
+        # Another answer may have changed the version of the entry meanwhile.
+        stated = dialect.software_version(answer.response.headers)
+        return StreamOrigin(service, stated, began_at=now)
     version = upstream.software_version
     if version is None:
         return None
-    if upstream.states_version:
-        return StreamOrigin(service, version, began_at=now)
     return StreamOrigin(
         service, version, upstream.id, upstream.started_ms, began_at=now
     )
--- a/lynxchute/resumption/origin_messages.py
+++ b/lynxchute/resumption/origin_messages.py
@@ -19,6 +19,7 @@
         age=max(now - origin.began_at, 0.0),
         keep=max(expires_at - now, 0.0),
         is_proven=origin.is_proven,
+        is_assumed=origin.is_assumed,
     )
 
 
@@ -31,4 +32,5 @@
         started_ms=known.started_ms,
         began_at=now - known.age,
         is_proven=known.is_proven,
+        is_assumed=known.is_assumed,
     )
--- a/lynxchute/resumption/origin_prover.py
+++ b/lynxchute/resumption/origin_prover.py
@@ -4,17 +4,20 @@
 
 import asyncio
 import enum
+import math
 from collections.abc import Callable
 
 from lynxchute.application import Tasks
+from lynxchute.telemetry import log_event
 from lynxchute.upstreams.directory import Directory
-from lynxchute.upstreams.engines import EngineClient, EngineUnavailable
+from lynxchute.upstreams.engines import EngineClient, EngineUnavailable, Probe
 from lynxchute.upstreams.entry import UpstreamEntry
-from lynxchute.upstreams.probes import handle_probe
 from lynxchute.upstreams.stream_origin import StreamOrigin
 
 # A probe that had been sent before the stream began says nothing; the next one does.
 MAX_PROBES = 2
+# Seconds until an upstream that did not answer is asked again.
+RETRY_SECONDS = 0.3
 
 
 class Proof(enum.Enum):
@@ -63,6 +66,7 @@
         self._engines = engines
         self._clock = clock
         self._probe_by_upstream: dict[str, asyncio.Task[bool]] = {}
+        self._failed_at_by_upstream: dict[str, float] = {}
 
     def proof(self, origin: StreamOrigin) -> Proof:
         """Return what is known of an origin without asking."""
@@ -83,10 +87,9 @@
         if entry is None:
             return False
         if entry.upstream.started_ms == origin.started_ms:
-            is_known = origin.began_at < self._directory.restarts_known_until()
-            return is_known or origin.began_at <= entry.seen_until
+            return origin.began_at <= entry.seen_until
         replacement = entry.replacement_of(origin.started_ms)
-        return replacement is not None and replacement.was_running(origin.began_at)
+        return replacement is not None and origin.began_at <= replacement.seen_until
 
     async def prove(self, origin: StreamOrigin) -> Proof:
         """Return what is known of an origin, and ask its upstream if needed."""
@@ -99,6 +102,12 @@
                 break
         return self.proof(origin)
 
+    def ask_later(self, entry: UpstreamEntry) -> None:
+        """Start a probe, unless one is under way or has failed just now."""
+        failed_at = self._failed_at_by_upstream.get(entry.upstream.id, -math.inf)
+        if self._clock() - failed_at >= RETRY_SECONDS:
+            self.start_probe(entry)
+
     def start_probe(self, entry: UpstreamEntry) -> asyncio.Task[bool]:
         """Return a probe that is under way, or start one; all streams share it."""
         upstream_id = entry.upstream.id
@@ -116,15 +125,20 @@
 
     async def _probe(self, entry: UpstreamEntry) -> bool:
         """Return whether an upstream answers."""
+        upstream_id = entry.upstream.id
         try:
             await self.ask(entry)
-        except EngineUnavailable:
-            # The client has logged the failure, and the proof stays open.
+        except EngineUnavailable as error:
+            self._failed_at_by_upstream[upstream_id] = self._clock()
+            log_event(
+                "upstream process not stated", upstream=upstream_id, reason=str(error)
+            )
             return False
+        self._failed_at_by_upstream.pop(upstream_id, None)
         return True
 
-    async def ask(self, entry: UpstreamEntry) -> bool:
-        """Return whether an upstream still runs the process that its entry states.
+    async def ask(self, entry: UpstreamEntry) -> Probe:
+        """Ask an upstream which process it is.
 
         Raises
         ------
@@ -133,9 +147,8 @@
         """
         asked_at = self._clock()
         probe = await self._engines.probe(entry.upstream)
-        handle_probe(self._directory, entry, probe, self._clock())
-        if self._directory.entries_by_id.get(entry.upstream.id) is not entry:
-            return False
-        if probe.started_ms in (None, entry.upstream.started_ms):
+        if self._directory.record_start(entry, probe.started_ms, self._clock()):
+            self._directory.changed()
+        elif probe.started_ms == entry.upstream.started_ms:
             entry.seen_until = max(entry.seen_until, asked_at)
-        return True
+        return probe
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -20,12 +20,13 @@
 from lynxchute.resumption.origin_prover import OriginProver, Proof
 from lynxchute.resumption.origin_replicator import OriginReplicator
 from lynxchute.resumption.origin_rows import OriginRows
-from lynxchute.resumption.untold_origins import UntoldOrigins
+from lynxchute.resumption.origin_teller import OriginTeller
 from lynxchute.store import Store
 from lynxchute.telemetry import Metrics, log_event
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.engines import EngineClient, EngineUnavailable
 from lynxchute.upstreams.entry import UpstreamEntry
+from lynxchute.upstreams.probes import handle_probe
 from lynxchute.upstreams.stream_origin import StreamOrigin, origin_key
 
 # Seconds after its timeout in which the caller of a stream may come back.
@@ -33,6 +34,8 @@
 # Seconds until origins that were not delivered are sent to the next routers, and
 # between two checks whether a service has a second version.
 RETRY_SECONDS = 0.1
+# Seconds between two checks whether origins have been proven.
+PROVE_SECONDS = 0.05
 # Routers that are asked first: those that remember the stream, and one more in case
 # that routers have come or gone since.
 FIRST_ASKED = 3
@@ -123,15 +126,20 @@
             clock,
         )
         self._services: set[str] = set()
-        self._untold = UntoldOrigins(
+        self._teller = OriginTeller(
             self.memory,
             self._prover,
             self._replicator,
             directory,
             self._has_sole_version,
-            self.send_loop.wake,
             clock,
         )
+        self.prove_loop = PeriodicTask(
+            "proofs of origins",
+            self._teller.prove,
+            PROVE_SECONDS,
+            lambda: self._teller.has_unproven,
+        )
 
     def serve(self, server: PeerServer) -> None:
         """Register the handlers for messages of other routers."""
@@ -147,9 +155,11 @@
         now = self._clock()
         key = origin_key(account, attempt)
         expires_at = now + timeout + RETURN_SECONDS
+        origin.is_assumed = self._has_sole_version(origin.service)
         self.memory.put(key, origin, expires_at=expires_at, now=now)
         self._services.add(origin.service)
-        self._untold.add(key, origin.service, expires_at)
+        if self._teller.add(key, origin, expires_at):
+            self.send_loop.wake()
 
     def sole_version(self, service: str) -> str | None:
         """Return the only version that may have begun streams; None if not known."""
@@ -184,23 +194,24 @@
         proof = await self._prover.prove(origin)
         if proof is Proof.PROVEN:
             return True
-        versions = self._versions(origin.service)
-        if versions - {None} != {origin.software_version}:
-            return False
-        if proof is Proof.OPEN or None not in versions:
+        if self._versions(origin.service) == {origin.software_version}:
             return True
-        return self._has_ended_before(origin, heard_at)
+        return origin.is_assumed and self._is_plausible(origin, proof, heard_at)
 
-    def _has_ended_before(self, origin: StreamOrigin, heard_at: float | None) -> bool:
-        """Return whether a stream fell silent before another process was noticed.
-
-        The version of that process is not known yet.
-        """
+    def _is_plausible(
+        self, origin: StreamOrigin, proof: Proof, heard_at: float | None
+    ) -> bool:
+        """Return whether entries agree with an origin that was not asked for."""
         entry = self._directory.entries_by_id.get(origin.upstream)
-        replaced = entry and entry.replacement_of(origin.started_ms)
-        if not replaced or heard_at is None:
-            return False
-        return heard_at < replaced.noticed_at - SILENT_SECONDS
+        if proof is Proof.OPEN or entry is None:
+            return True
+        if entry.upstream.software_version == origin.software_version:
+            return True
+        replaced = entry.replacement_of(origin.started_ms)
+        if replaced is None or replaced.was_running(origin.began_at):
+            return True
+        # A stream at the next process would not have fallen silent.
+        return heard_at is not None and heard_at < replaced.noticed_at - SILENT_SECONDS
 
     def record_stated_version(self, entry: UpstreamEntry, version: str) -> None:
         """Record the software version that an upstream states in a response."""
@@ -212,7 +223,7 @@
         if upstream.states_version or upstream.started_ms is None:
             return True
         try:
-            return await self._prover.ask(entry)
+            probe = await self._prover.ask(entry)
         except EngineUnavailable as error:
             log_event(
                 "upstream process not confirmed",
@@ -220,6 +231,8 @@
                 reason=str(error),
             )
             return False
+        handle_probe(self._directory, entry, probe, self._clock())
+        return self._directory.entries_by_id.get(upstream.id) is entry
 
     # What other routers know.
 
@@ -327,25 +340,34 @@
         for known in notice.origins:
             origin = from_message(known, now)
             self._services.add(origin.service)
+            earlier = self.memory.get(known.key, now)
+            if earlier is not None and earlier.is_proven and not origin.is_proven:
+                # The messages have overtaken one another.
+                continue
             self.memory.put(known.key, origin, expires_at=now + known.keep, now=now)
         return Ack()
 
     async def _handle_query(self, query: OriginQuery) -> OriginReply:
         now = self._clock()
         origin = self.memory.get(query.key, now)
-        if origin is not None and await self.verify(origin):
+        if origin is not None and self._is_sound(origin):
             return OriginReply(to_message(query.key, origin, now, now))
         versions = tuple(self._versions(query.service))
         return OriginReply(None, versions, self._is_history_known())
 
+    def _is_sound(self, origin: StreamOrigin) -> bool:
+        """Return whether nothing that is known here speaks against an origin."""
+        proof = self._prover.proof(origin)
+        if proof is not Proof.REPLACED:
+            return True
+        return origin.is_assumed and self._is_plausible(origin, proof, None)
+
     # Periodic work.
 
     async def hand_over(self) -> None:
         """Send all origins to the routers that remember them once this one is gone."""
         for key, origin, expires_at in self.memory.items(self._clock()):
-            if self._has_sole_version(origin.service):
-                continue
-            if self._prover.proof(origin) is Proof.PROVEN:
+            if not self._has_sole_version(origin.service):
                 self._replicator.enqueue(key, origin, expires_at)
         try:
             async with asyncio.timeout(HAND_OVER_SECONDS):
@@ -358,8 +380,8 @@
         return not all(self._has_sole_version(service) for service in self._services)
 
     def _is_send_due(self) -> bool:
-        return self._replicator.has_pending or self._untold.is_due
+        return self._replicator.has_pending or self._teller.has_needed
 
     async def _send_due(self) -> None:
-        self._untold.enqueue_proven()
+        self._teller.tell_needed()
         await self._replicator.send_pending()
--- a/lynxchute/upstreams/entry.py
+++ b/lynxchute/upstreams/entry.py
@@ -233,7 +233,7 @@
         return now - self.noticed_at < RESTART_DOUBT_SECONDS
 
     def was_running(self, at: float) -> bool:
-        """Return whether the replaced process is known to have run at a time."""
+        """Return whether the replaced process ran at a time, as far as entries say."""
         return at < max(self.ran_until, self.seen_until)
 
     def is_before(self, send: OpenSend) -> bool:
--- a/lynxchute/upstreams/stream_origin.py
+++ b/lynxchute/upstreams/stream_origin.py
@@ -28,6 +28,9 @@
         When the first event arrived, in seconds on the steady clock.
     is_proven
         Whether that process is known to have run when the first event arrived.
+    is_assumed
+        Whether the service had one known software version when the stream began, so
+        that its process was not asked.
     """
 
     service: str
@@ -36,6 +39,7 @@
     started_ms: int | None = None
     began_at: float = 0.0
     is_proven: bool = attrs.field(default=False, eq=False)
+    is_assumed: bool = attrs.field(default=False, eq=False)
 
 
 def origin_key(account: str, attempt: str) -> str:
--- a/tests/origins_machine.py
+++ b/tests/origins_machine.py
@@ -260,13 +260,18 @@
             upstream.started_ms,
             began_at=self.now,
         )
+        self.run(self.record(router, attempt, origin))
+
+    async def record(self, router, attempt, origin):
+        """Let a router notice the first event of a stream, and tell it."""
         router.origins.record("account", attempt, origin, timeout=STREAM_TIMEOUT)
-        self.run(self.tell(router))
+        await self.tell(router)
 
     async def tell(self, router):
         """Let a router ask the engines of its streams, and tell what is proven."""
         for _ in range(2):
             await router.origins.send_loop._step()
+            await router.origins.prove_loop._step()
             await asyncio.sleep(0)
             await asyncio.sleep(0)
 
--- a/tests/origins_mutants.py
+++ b/tests/origins_mutants.py
@@ -20,9 +20,9 @@
 
 def prove_origins_by_any_answer():
     async def ask(self, entry):
-        await self._engines.probe(entry.upstream)
+        probe = await self._engines.probe(entry.upstream)
         entry.seen_until = self._clock()
-        return True
+        return probe
 
     return mock.patch.object(OriginProver, "ask", ask)
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -8,6 +8,7 @@
 
 from lynxchute.standins.platform_store import Outage, PlatformStoreStandin
 from lynxchute.standins.upstream_run import Fault
+from lynxchute.upstreams.engines import EngineUnavailable
 from tests.platform_support import KEY, PlatformCaller, PlatformTestCase
 from tests.support import until
 from tests.version_play import (
@@ -301,6 +302,37 @@
 
         self.with_versions(scenario)
 
+    def test_such_streams_do_not_mix_either_once_the_store_is_back(self):
+        async def scenario(deployment):
+            await self.lose_store(deployment)
+            restarted = {engine.id for engine in deployment.engines[:2]}
+            for engine in deployment.engines[:2]:
+                await self.restart_with(engine, NEW, deployment.store, registers=False)
+            self.lose_probes(deployment, restarted)
+            streams = await begin(deployment, STREAMS)
+            for engine in deployment.engines[:2]:
+                await engine.stop()
+            for vm in ROUTERS:
+                deployment.faults(vm).outage = Outage.NONE
+            await asyncio.sleep(2 * OUTAGE_SECONDS)
+            await take_up(deployment, streams)
+            self.assertIn({NEW}, [stream.versions for stream in streams])
+            self.assertEqual(0, len(mixed(streams)), "streams of two versions")
+
+        self.with_versions(scenario)
+
+    def lose_probes(self, deployment, upstream_ids):
+        """Lose the probes of some upstreams, as if they had ended just before."""
+        for router in deployment.routers.values():
+            engines = router.origins._prover._engines
+
+            async def probe(upstream, ask=engines.probe):
+                if upstream.id in upstream_ids:
+                    raise EngineUnavailable("lost")
+                return await ask(upstream)
+
+            engines.probe = probe
+
     def test_streams_broken_off_by_an_engine_that_restarted_unseen_do_not_mix(self):
         async def scenario(deployment):
             await self.lose_store(deployment)
@@ -308,7 +340,8 @@
                 await self.restart_with(engine, NEW, deployment.store, registers=False)
                 engine.event_delay = 0.1
             begun = asyncio.create_task(begin(deployment, STREAMS, events=None))
-            await until(lambda: deployment.engines[0].runs)
+            restarted = deployment.engines[:2]
+            await until(lambda: any(engine.runs for engine in restarted))
             await asyncio.sleep(BEGUN_SECONDS)
             for engine in deployment.engines[:2]:
                 await engine.stop()
