Allow a soak request the wait of its starting router for a processor

Cause: the check 'final answer in time' counted requests that waited in the backlog of a router that was starting again after a planned stop. A starting process accepts connections before it can answer, and beside load its start waits for a processor. Change: an answer may be later by the time for which the start of its router waited for a processor (seconds less processor_seconds of the line "started"), at most by the time from sending to that line. This holds only for a request that was sent between the start of the process and that line, and only for the log of its own VM. Late answers are checked once the line is there, 0.5 s after their end; whether their VM was disturbed is looked at before that, as it was. Limit: a wait for anything else than a processor, as for a disk, counts as well.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -13,6 +13,7 @@
 from tests.soak import silence
 from tests.soak.forwarding import RequestTrace, log_time
 from tests.soak.links import UpstreamLinks, has_links, places
+from tests.soak.starts import RouterStart
 from tests.soak.stops import GraceHistory, RouterStop
 
 AMPLE_ACCOUNT, SCARCE_ACCOUNT = "ample", "scarce"
@@ -281,6 +282,18 @@
             return RequestTrace.read(log, record.request_id).ended_with_stop
         return False
 
+    def start_wait(self, record):
+        """Return for how many seconds a request may have waited for a starting router.
+
+        A starting process accepts connections before it can answer; requests wait in
+        its backlog for as long as the start itself waits for a processor.
+        """
+        sent_at = log_time(record.sent_at, asyncio.get_running_loop())
+        for start in RouterStart.read_all(self.folder / f"{record.vm}.log"):
+            if wait := start.wait_of_request(sent_at):
+                return wait
+        return 0.0
+
     def _has_lost_forwarder(self, request_id, vm, since, until):
         """Return whether an answer ended with the router that forwarded it."""
         if not any(self.kills_by_vm.values()):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import signal
+import socket
 import tempfile
 import unittest
 from typing import ClassVar
@@ -33,9 +34,10 @@
 )
 from tests.soak.forwarding import RequestTrace
 from tests.soak.links import has_links
-from tests.soak.promises import SILENCE_GUARANTEE, Checker
+from tests.soak.promises import MAX_LATE_SECONDS, SILENCE_GUARANTEE, Checker
 from tests.soak.run import has_parts, run_seed
 from tests.soak.silence import has_silence, is_planned_only
+from tests.soak.starts import RouterStart
 from tests.soak.stops import GraceHistory, RouterStop
 from tests.soak.traffic import REQUEST_KINDS, CallerPool, Record
 from tests.support import AsyncTestCase, until
@@ -59,6 +61,7 @@
     def __init__(self, run_ids=(), has_lost_part=False, was_cut_by_stop=False):
         self._has_lost_part = has_lost_part
         self._was_cut_by_stop = was_cut_by_stop
+        self.wait_of_start = 0.0
         self.prepaid_by_account = {AMPLE_ACCOUNT: AMPLE_TOKENS}
         self._runs = [FakeRun(run_id) for run_id in run_ids]
 
@@ -71,6 +74,9 @@
     def was_cut_by_stop(self, record):
         return self._was_cut_by_stop
 
+    def start_wait(self, record):
+        return self.wait_of_start
+
 
 class FakeCallerPool:
     def __init__(self, *records):
@@ -81,6 +87,11 @@
     return "".join(f"id: {n}\ndata: {request_id}.{n}\n\n" for n in numbers).encode()
 
 
+def accepts_connections(port):
+    with socket.socket() as client:
+        return client.connect_ex(("127.0.0.1", port)) == 0
+
+
 def record(kind="unsafe", status=200, body=None, **more):
     values = {
         "request_id": "r1",
@@ -214,6 +225,37 @@
             checker.check_finished(logged_until)
             self.assertEqual(expected, checker.violation_counts())
 
+    def test_late_answers_are_checked_once_the_router_has_logged_its_start(self):
+        late = record(status=504, body=b"", ended_at=14.0)
+        fleet = FakeFleet(("r1",))
+        checker = Checker(fleet, FakeCallerPool(late))
+        checker.check_finished(late.ended_at - 0.1)
+        self.assertEqual({}, checker.violation_counts())
+        for logged_until in (late.ended_at, late.ended_at + 0.1):
+            checker.check_finished(logged_until)
+            self.assertEqual({"final answer in time": 1}, checker.violation_counts())
+
+    def test_a_start_that_is_logged_after_the_answer_counts(self):
+        late = record(status=504, body=b"", ended_at=14.0)
+        fleet = FakeFleet(("r1",))
+        checker = Checker(fleet, FakeCallerPool(late))
+        checker.check_finished(late.ended_at - 0.1)
+        fleet.wait_of_start = 3.0
+        checker.check_finished()
+        self.assertEqual({}, checker.violation_counts())
+
+    def test_late_answers_count_only_of_vms_that_were_not_disturbed_before(self):
+        late = record(status=504, body=b"", ended_at=14.0)
+        for is_disturbed_before in (True, False):
+            checker = Checker(FakeFleet(("r1",)), FakeCallerPool(late))
+            if is_disturbed_before:
+                checker.disturbed_vms.add("a-1")
+            checker.check_finished(late.ended_at - 0.1)
+            checker.disturbed_vms.add("a-1")
+            checker.check_finished()
+            expected = {} if is_disturbed_before else {"final answer in time": 1}
+            self.assertEqual(expected, checker.violation_counts())
+
 
 class FleetTest(AsyncTestCase):
     """Ends of routers and upstreams that a request depends on."""
@@ -436,6 +478,156 @@
         self.run_async(work())
 
 
+class StartTest(AsyncTestCase):
+    """Late answers to requests that waited for a starting router.
+
+    The trace was a request of seed 13043 that was sent 0.9 s after the start of its
+    router's process and read 5.3 s later; the start took 6.2 s, of which 1 s on a
+    processor.
+    """
+
+    STARTED_AT = 106.0
+    SECONDS = 6.0
+    PROCESSOR_SECONDS = 1.0
+
+    def setUp(self):
+        super().setUp()
+        self.folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.fleet = SoakFleet(self.folder, SHORT_SEED, routers=2)
+        self.log_starts(self.start_line())
+
+    def start_line(self, **more):
+        values = {
+            "time": self.STARTED_AT,
+            "level": "info",
+            "event": "started",
+            "vm": "a-1",
+            "seconds": self.SECONDS,
+            "processor_seconds": self.PROCESSOR_SECONDS,
+        }
+        return json.dumps({**values, **more}, separators=(",", ":"))
+
+    def log_starts(self, *lines, vm="a-1", end="\n"):
+        (self.folder / f"{vm}.log").write_text("\n".join(lines) + end)
+
+    def is_in_time(self, late_seconds, sent_at=100.5, **more):
+        """Return whether an answer that is late by some seconds is no violation."""
+        late = record(
+            sent_at=sent_at, ended_at=sent_at + 1.0 + late_seconds, deadline=1.0, **more
+        )
+        with mock.patch("tests.soak.fleet.log_time", lambda loop_time, loop: loop_time):
+            checker = Checker(self.fleet, FakeCallerPool(late))
+
+            async def work():
+                checker.check_finished()
+
+            self.run_async(work())
+        found = checker.violation_counts()
+        self.assertIn(found, ({}, {"final answer in time": 1}))
+        return not found
+
+    def test_the_wait_of_a_start_for_a_processor_is_allowed_and_no_more(self):
+        self.assertTrue(self.is_in_time(6.99))
+        self.assertFalse(self.is_in_time(7.01))
+        self.log_starts(self.start_line(processor_seconds=4.0))
+        self.assertTrue(self.is_in_time(3.99))
+        self.assertFalse(self.is_in_time(4.01))
+
+    def test_a_start_without_a_wait_allows_nothing(self):
+        self.log_starts(self.start_line(processor_seconds=self.SECONDS + 1.5))
+        self.assertTrue(self.is_in_time(1.99))
+        self.assertFalse(self.is_in_time(2.01))
+        start = RouterStart(self.STARTED_AT, self.SECONDS, self.SECONDS + 1.5)
+        self.assertEqual(0.0, start.wait_of_request(100.5))
+
+    def test_no_more_than_the_time_from_sending_to_the_end_of_the_start_is(self):
+        self.assertTrue(self.is_in_time(4.99, sent_at=103.0))
+        self.assertFalse(self.is_in_time(5.01, sent_at=103.0))
+        self.assertTrue(self.is_in_time(2.09, sent_at=105.9))
+        self.assertFalse(self.is_in_time(2.11, sent_at=105.9))
+
+    def test_a_process_that_had_started_before_allows_nothing(self):
+        for sent_at in (self.STARTED_AT, self.STARTED_AT + 0.1):
+            self.assertTrue(self.is_in_time(1.99, sent_at=sent_at))
+            self.assertFalse(self.is_in_time(2.01, sent_at=sent_at))
+
+    def test_a_process_that_began_after_sending_allows_nothing(self):
+        self.assertTrue(self.is_in_time(2.1, sent_at=100.0))
+        self.assertFalse(self.is_in_time(2.1, sent_at=99.9))
+
+    def test_only_the_process_to_which_the_request_was_sent_counts(self):
+        earlier = self.start_line(time=90.0, seconds=9.0)
+        later = self.start_line(time=120.0, seconds=9.0)
+        self.log_starts(earlier, later)
+        self.assertFalse(self.is_in_time(2.1))
+        self.log_starts(earlier, self.start_line(), later)
+        self.assertTrue(self.is_in_time(6.99))
+        self.assertFalse(self.is_in_time(7.01))
+
+    def test_the_start_of_another_router_is_not_an_excuse(self):
+        self.assertFalse(self.is_in_time(2.1, vm="b-1"))
+        self.log_starts(self.start_line(), vm="b-1")
+        self.log_starts(self.start_line(time=90.0))
+        self.assertFalse(self.is_in_time(2.1))
+
+    def test_only_complete_lines_on_starts_count(self):
+        self.log_starts(self.start_line(event="stopped"))
+        self.assertFalse(self.is_in_time(2.1))
+        self.log_starts(self.start_line(), end="")
+        self.assertFalse(self.is_in_time(2.1))
+        (self.folder / "a-1.log").unlink()
+        self.assertFalse(self.is_in_time(2.1))
+
+    def test_a_request_that_waits_for_a_router_without_a_processor_is_in_time(self):
+        (self.folder / "a-1.log").unlink()
+
+        async def work():
+            fleet = SoakFleet(self.folder, SHORT_SEED, routers=1)
+            await fleet.start()
+            try:
+                process = fleet.routers_by_vm["a-1"].process
+                callers = CallerPool(fleet, random.Random(1), deadlines_ms=(900,))
+
+                async def send():
+                    return await callers.send(
+                        callers.client("a-1"),
+                        "a-1",
+                        "safe",
+                        account=AMPLE_ACCOUNT,
+                        may_disconnect=False,
+                    )
+
+                await send()
+                process.send_signal(signal.SIGTERM)
+                await process.process.wait()
+                await process.start()
+                await until(lambda: accepts_connections(process.ports["front"]))
+                process.send_signal(signal.SIGSTOP)
+                self.assertEqual(1, len(process.events("started")))
+                task = asyncio.create_task(send())
+                await asyncio.sleep(3.5)
+                process.send_signal(signal.SIGCONT)
+                late = await task
+                late_seconds = late.ended_at - late.sent_at - late.deadline
+                self.assertGreater(late_seconds, MAX_LATE_SECONDS)
+                await until(lambda: len(process.events("started")) == 2)
+                earlier = callers.records[0]
+                self.assertEqual(0.0, fleet.start_wait(earlier))
+                self.assertGreater(fleet.start_wait(late), 3.0)
+                checker = Checker(fleet, callers)
+                checker.check_finished()
+                self.assertEqual({}, checker.violation_counts())
+                late.deadline -= fleet.start_wait(late) + MAX_LATE_SECONDS
+                checker = Checker(fleet, callers)
+                checker.check_finished()
+                found = checker.violation_counts()
+                self.assertEqual({"final answer in time": 1}, found)
+            finally:
+                await fleet.stop()
+
+        self.run_async(work())
+
+
 class RequestTraceTest(testtools.TestCase):
     """Answers that ended with the router that forwarded them."""
 
