Let no unproven copy of an origin hide a proven one, nor time its proof

Change: the time to ask begins when an origin is needed; rows hold those of a time of one version too, which stay marked; an origin that does not hold here is looked for at others, proven ones first; only the stated start confirms a process, also where a running answer is moved; origins of older builds need a proof.

--- a/lynxchute/fleet/origin_messages.py
+++ b/lynxchute/fleet/origin_messages.py
@@ -20,7 +20,7 @@
     is_proven
         Whether the process is known to have run when the stream began.
     is_assumed
-        Whether its service had one known version then; older builds do not say.
+        Whether its service had one known version then.
     """
 
     key: str
@@ -31,7 +31,7 @@
     age: float
     keep: float
     is_proven: bool = False
-    is_assumed: bool = True
+    is_assumed: bool = False
 
 
 @attrs.frozen
--- a/lynxchute/relay/resend_planner.py
+++ b/lynxchute/relay/resend_planner.py
@@ -150,7 +150,7 @@
         while True:
             choice = await self.chooser.choose(exchange)
             try:
-                is_responsive = await self._is_responsive(choice.entry)
+                is_responsive = await self._is_responsive(exchange, choice.entry)
             except BaseException:
                 self.placement.release(choice)
                 raise
@@ -160,13 +160,17 @@
             # The next choice needs a new run id, which counts the excluded upstreams.
             exchange.passed_over.add(choice.entry.upstream.id)
 
-    async def _is_responsive(self, entry: UpstreamEntry) -> bool:
+    async def _is_responsive(self, exchange: Exchange, entry: UpstreamEntry) -> bool:
         """Return whether an upstream answers and runs the known process."""
         try:
             probe = await self.engines.probe(entry.upstream)
         except EngineUnavailable:
             return False
         handle_probe(self.directory, entry, probe, self.clock())
+        upstream = entry.upstream
+        is_bound = exchange.software_version is not None and not upstream.states_version
+        if is_bound and probe.started_ms != upstream.started_ms:
+            return False
         return self.directory.entries_by_id.get(entry.upstream.id) is entry
 
     def _log_refusal(
--- a/lynxchute/resumption/origin_prover.py
+++ b/lynxchute/resumption/origin_prover.py
@@ -129,7 +129,8 @@
         try:
             await self.ask(entry)
         except EngineUnavailable as error:
-            self._failed_at_by_upstream[upstream_id] = self._clock()
+            if upstream_id in self._directory.entries_by_id:
+                self._failed_at_by_upstream[upstream_id] = self._clock()
             log_event(
                 "upstream process not stated", upstream=upstream_id, reason=str(error)
             )
--- a/lynxchute/resumption/origin_rows.py
+++ b/lynxchute/resumption/origin_rows.py
@@ -36,7 +36,7 @@
 
 
 class OriginRows:
-    """Writes the proven origins that this router knows, and reads those of others.
+    """Writes the origins that this router may go by, and reads those of others.
 
     Each router has one row, in a partition of its own. The rows outlive the death of
     all routers, and can be read while routers do not reach one another.
@@ -97,7 +97,9 @@
         self._published_at = now
         changes, known = self._memory.changes, []
         for key, origin, expires_at in self._memory.items(now):
-            if origin.is_proven and not self._is_sole_version(origin.service):
+            if not (origin.is_proven or origin.is_assumed):
+                continue
+            if not self._is_sole_version(origin.service):
                 known.append(to_message(key, origin, expires_at, now))
         notice = OriginNotice(tuple(known[-MAX_ROW_ORIGINS:]))
         if notice.origins:
--- a/lynxchute/resumption/origin_teller.py
+++ b/lynxchute/resumption/origin_teller.py
@@ -5,6 +5,8 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
+import attrs
+
 from lynxchute.resumption.origin_memory import OriginMemory
 from lynxchute.resumption.origin_prover import OriginProver, Proof
 from lynxchute.resumption.origin_replicator import OriginReplicator
@@ -12,10 +14,18 @@
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.stream_origin import StreamOrigin
 
-# Seconds after which an origin that could not be proven stays so.
+# Seconds for which the upstream of an origin is asked.
 MAX_UNPROVEN_SECONDS = 5.0
 
 
+@attrs.frozen
+class _Unproven:
+    """Until when an origin is remembered, and its upstream asked, in seconds."""
+
+    expires_at: float
+    ask_until: float
+
+
 class OriginTeller:
     """Tells origins as soon as other routers need them, and again once they are proven.
 
@@ -53,9 +63,9 @@
         self._directory = directory
         self._is_sole_version = is_sole_version
         self._clock = clock
-        # Expiry times of origins that are told again once they are proven.
-        self._unproven_by_key: dict[str, float] = {}
-        # The same of origins that nobody needs yet.
+        # Origins that are told again once they are proven.
+        self._unproven_by_key: dict[str, _Unproven] = {}
+        # Expiry times of origins that nobody needs yet.
         self._unneeded_by_service: dict[str, OrderedDict[str, float]] = {}
 
     @property
@@ -82,8 +92,9 @@
         return False
 
     def _tell(self, key: str, origin: StreamOrigin, expires_at: float) -> None:
-        if not self._is_settled(origin):
-            self._unproven_by_key[key] = expires_at
+        unproven = _Unproven(expires_at, self._clock() + MAX_UNPROVEN_SECONDS)
+        if not self._is_settled(origin, unproven):
+            self._unproven_by_key[key] = unproven
         self._replicator.enqueue(key, origin, expires_at)
 
     def tell_needed(self) -> None:
@@ -98,27 +109,30 @@
 
     async def prove(self) -> None:
         """Queue what is proven by now; ask the upstreams of the others."""
-        for key, expires_at in list(self._unproven_by_key.items()):
+        for key, unproven in list(self._unproven_by_key.items()):
             origin = self._memory.get(key, self._clock())
-            if origin is not None and not self._is_settled(origin):
+            if origin is not None and not self._is_settled(origin, unproven):
                 continue
             del self._unproven_by_key[key]
             if origin is None or not origin.is_proven:
                 continue
             # A change of the memory lets it be written to the store.
+            expires_at = unproven.expires_at
             self._memory.put(key, origin, expires_at=expires_at, now=self._clock())
             self._replicator.enqueue(key, origin, expires_at)
 
-    def _is_settled(self, origin: StreamOrigin) -> bool:
+    def _is_settled(self, origin: StreamOrigin, unproven: _Unproven) -> bool:
         """Return whether an origin is proven or cannot be; ask its upstream if not."""
         proof = self._prover.proof(origin)
         if proof is Proof.PROVEN:
             return True
         entry = self._directory.entries_by_id.get(origin.upstream)
-        is_late = self._clock() - origin.began_at > MAX_UNPROVEN_SECONDS
+        is_late = self._clock() > unproven.ask_until
         if proof is Proof.OPEN and entry is not None and not is_late:
             self._prover.ask_later(entry)
             return False
+        if origin.is_assumed:
+            return True
         log_event(
             "stream origin not proven",
             upstream=origin.upstream,
@@ -126,6 +140,5 @@
             started_ms=origin.started_ms,
             age=round(self._clock() - origin.began_at, 3),
             proof=proof.value,
-            assumed=origin.is_assumed,
         )
         return True
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -155,7 +155,8 @@
         now = self._clock()
         key = origin_key(account, attempt)
         expires_at = now + timeout + RETURN_SECONDS
-        origin.is_assumed = self._has_sole_version(origin.service)
+        # An origin that was found is recorded for each further attempt.
+        origin.is_assumed |= self._has_sole_version(origin.service)
         self.memory.put(key, origin, expires_at=expires_at, now=now)
         self._services.add(origin.service)
         if self._teller.add(key, origin, expires_at):
@@ -232,6 +233,8 @@
             )
             return False
         handle_probe(self._directory, entry, probe, self._clock())
+        if probe.started_ms != upstream.started_ms:
+            return False
         return self._directory.entries_by_id.get(upstream.id) is entry
 
     # What other routers know.
@@ -240,8 +243,6 @@
         """Return where the stream of an attempt began."""
         await self._wait_until_started()
         lookup = await self._find(origin_key(account, attempt), service)
-        if lookup.origin is not None and not await self.verify(lookup.origin):
-            lookup = OriginLookup(None, "nowhere")
         self._metrics.origin_lookups.inc(lookup.source)
         return lookup
 
@@ -256,25 +257,40 @@
 
     async def _find(self, key: str, service: str) -> OriginLookup:
         origin = self.memory.get(key, self._clock())
-        if origin is not None:
+        if origin is not None and await self.verify(origin):
             return OriginLookup(origin, "here")
         order = self._owners.in_order(key)
         replies: list[OriginReply] = []
         for vms in (order[:FIRST_ASKED], order[FIRST_ASKED:]):
             replies_by_vm = await self._ask_all(vms, OriginQuery(key, service))
-            for vm, reply in replies_by_vm.items():
-                if reply.origin is not None:
-                    known = from_message(reply.origin, self._clock())
-                    return OriginLookup(known, "router", vm)
-                replies.append(reply)
+            lookup = await self._verified(replies_by_vm)
+            if lookup is not None:
+                return lookup
+            replies.extend(replies_by_vm.values())
             version = self._agreed_version(service, replies)
             if version is not None:
                 return OriginLookup(StreamOrigin(service, version), "sole version")
         origin = await self.rows.find(key, [self._members.own.vm, *order])
-        if origin is not None:
+        if origin is not None and await self.verify(origin):
             return OriginLookup(origin, "store")
         return OriginLookup(None, "nowhere")
 
+    async def _verified(
+        self, replies_by_vm: dict[str, OriginReply]
+    ) -> OriginLookup | None:
+        """Return an origin that other routers know, proven ones first, if any holds."""
+        now = self._clock()
+        lookups = []
+        for vm, reply in replies_by_vm.items():
+            if reply.origin is not None:
+                known = from_message(reply.origin, now)
+                lookups.append((known.is_proven, OriginLookup(known, "router", vm)))
+        lookups.sort(key=lambda item: not item[0])
+        for _, lookup in lookups:
+            if lookup.origin is not None and await self.verify(lookup.origin):
+                return lookup
+        return None
+
     def _agreed_version(
         self, service: str, replies: Sequence[OriginReply]
     ) -> str | None:
@@ -296,7 +312,7 @@
     async def _ask_all(
         self, vms: Sequence[str], query: OriginQuery
     ) -> dict[str, OriginReply]:
-        """Return the replies of routers, until one of them knows the origin."""
+        """Return the replies of routers, until one of them knows a proven origin."""
         waiting = {
             asyncio.create_task(self._ask(vm, query))
             for vm in vms
@@ -320,7 +336,8 @@
                     break
                 for task in done:
                     replies_by_vm.update(task.result())
-                if any(reply.origin is not None for reply in replies_by_vm.values()):
+                origins = [reply.origin for reply in replies_by_vm.values()]
+                if any(origin and origin.is_proven for origin in origins):
                     break
         finally:
             for task in waiting:
--- a/tests/test_origin_proofs.py
+++ b/tests/test_origin_proofs.py
@@ -181,8 +181,22 @@
         self.assertIsNotNone(self.machine.run(work()).origin)
 
 
+class ConfirmedProcessTest(ProofCase):
+    def test_only_the_known_start_confirms_a_process(self):
+        entry = self.machine.routers[VM].directory.entries_by_id[ENGINE]
+        known = entry.upstream.started_ms
+        for stated, is_confirmed in ((known, True), (None, False), (known - 5, False)):
+
+            async def answer(upstream, stated=stated):
+                return Probe(started_ms=stated)
+
+            self.answer_with(answer)
+            found = self.machine.run(self.origins.confirm_process(entry))
+            self.assertEqual(is_confirmed, found)
+
+
 class PlausibleOriginTest(ProofCase):
-    def test_origins_of_older_builds_count_once_their_upstream_is_gone(self):
+    def test_origins_of_older_builds_do_not_count_once_their_upstream_is_gone(self):
         version = self.machine.processes[ENGINE][1]
         key = origin_key("account", "q0")
         known = KnownOrigin(key, SERVICE, version, ENGINE, 1000, 5.0, 30.0)
@@ -192,7 +206,7 @@
         router.sync()
         router.directory.prune(self.machine.now + 1)
         lookup = self.machine.run(self.origins.find("account", "q0", SERVICE))
-        self.assertEqual(version, lookup.origin.software_version)
+        self.assertIsNone(lookup.origin)
 
     def test_origins_from_a_time_of_one_version_count_once_their_upstream_is_gone(
         self,
@@ -208,6 +222,28 @@
         lookup = self.machine.run(self.origins.find("account", "q0", SERVICE))
         self.assertEqual(origin, lookup.origin)
 
+    def test_a_found_origin_that_is_recorded_again_stays_assumed(self):
+        origin = self.begin()
+        origin.is_assumed = True
+
+        async def record_again():
+            self.origins.record("account", "q1", origin, timeout=STREAM_TIMEOUT)
+
+        self.machine.run(record_again())
+        self.assertTrue(origin.is_assumed)
+
+    def test_an_unproven_copy_does_not_hide_a_proven_one(self):
+        origin = self.begin()
+        self.tell()
+        self.assertTrue(origin.is_proven)
+        other = self.machine.routers[VMS[1]].origins
+        copy = attrs.evolve(origin, is_proven=False)
+        key = origin_key("account", "q0")
+        other.memory.put(key, copy, expires_at=1e9, now=self.machine.now)
+        self.machine.die(ENGINE)
+        lookup = self.machine.run(other.find("account", "q0", SERVICE))
+        self.assertEqual(origin, lookup.origin)
+
 
 @attrs.frozen
 class StatedAnswer:
