--- a/tests/router_process.py
+++ b/tests/router_process.py
@@ -100,6 +100,15 @@
         if self.process is not None:
             await self.process.wait()
 
+    async def is_listening(self):
+        """Return whether the process takes callers' connections."""
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1", self.ports["front"])
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     async def ready(self):
         async with asyncio.timeout(READY_TIMEOUT):
             while not await self.is_ready():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,6 +23,7 @@
 from tests.router_process import RouterProcess
 from tests.soak import run
 from tests.soak.evacuator import COLD_GUARANTEE
+from tests.soak.faults import FaultInjector
 from tests.soak.fleet import (
     AMPLE_ACCOUNT,
     AMPLE_TOKENS,
@@ -870,6 +871,39 @@
         self.run_async(work())
 
 
+class ReloadTest(AsyncTestCase):
+    """Reloads by the soak's faults."""
+
+    def test_a_process_that_does_not_run_yet_is_not_signalled(self):
+        async def work():
+            with tempfile.TemporaryDirectory() as name:
+                fleet = SoakFleet(pathlib.Path(name), LINKED_SEED, routers=1)
+                await fleet.start()
+                try:
+                    (router,) = fleet.routers_by_vm.values()
+                    injector = FaultInjector(fleet, None, AlwaysLow(), None)
+                    process, sent = router.process, []
+                    await process.kill()
+                    await process.start()
+                    with mock.patch.object(process, "send_signal", sent.append):
+                        await injector._reload()
+                        self.assertEqual([], sent)
+                        await process.ready()
+                        await injector._reload()
+                    self.assertEqual([signal.SIGHUP], sent)
+                finally:
+                    await fleet.stop()
+
+        self.run_async(work())
+
+
+class AlwaysLow(random.Random):
+    """Draws the lowest numbers."""
+
+    def random(self):
+        return 0.0
+
+
 class SoakTest(unittest.TestCase):
     """Router processes under injected faults."""
 
