--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -52,8 +52,9 @@
         answer in one piece.
     faults
         The faults of the next requests, in order; later requests have none.
-    arrivals
-        The ids of all requests that arrived, including those that did not run.
+    arrivals, arrival_times
+        The ids of all requests that arrived, including those that did not run, and when
+        that was, in seconds of the loop's clock.
     runs
         The requests that it ran.
     cache
@@ -120,6 +121,7 @@
         self.plain_pieces: tuple[int, ...] = ()
         self.faults: list[Fault] = []
         self.arrivals: list[str] = []
+        self.arrival_times: list[float] = []
         self.runs: list[Run] = []
         self.cache: dict[str, int] = {}
         self.state = "ready"
@@ -281,6 +283,7 @@
             fault = self.faults.pop(0) if self.faults else None
             run = parse_run(head)
             self.arrivals.append(run.request_id)
+            self.arrival_times.append(asyncio.get_running_loop().time())
             if fault is Fault.EARLY:
                 await self._decline_early(writer)
                 return
