Log which retries are permitted, and the state of their window

Cause: no line told a retry that is within a router's share from one that nobody counted, so the hypotheses of the incident looked alike in the logs. Change: retry permitted, and more fields at retry budget used up: retries and requests of the window, and among how many routers the limit is shared.

--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 from lynxchute.containment import Containment
 from lynxchute.http import (
@@ -271,16 +272,20 @@
             return False
         if exchange.has_retry_permit:
             return True
-        if self._retries.spend(exchange.service, self._clock()):
-            exchange.has_retry_permit = True
-            return True
-        log_event(
-            "retry budget used up",
-            request_id=exchange.call.request_id,
-            service=exchange.service,
-            send=exchange.sends,
-        )
-        return False
+        now = self._clock()
+        is_permitted = self._retries.spend(exchange.service, now)
+        state: dict[str, Any] = {
+            "request_id": exchange.call.request_id,
+            "service": exchange.service,
+            "send": exchange.sends,
+            **self._retries.describe(exchange.service, now),
+        }
+        if not is_permitted:
+            log_event("retry budget used up", **state)
+            return False
+        exchange.has_retry_permit = True
+        log_event("retry permitted", **state)
+        return True
 
     def release(self, answer: UpstreamResponse, outcome: SendOutcome) -> None:
         """Record that an upstream no longer works on a request."""
--- a/lynxchute/upstreams/retry_budget.py
+++ b/lynxchute/upstreams/retry_budget.py
@@ -91,6 +91,16 @@
         permitted += self._share * len(window.requests)
         return len(window.retries) + 1 <= permitted * min(used_share, MAX_USED_SHARE)
 
+    def describe(self, service: str, now: float) -> dict[str, float]:
+        """Return the state of a service's window for log lines."""
+        window = self._windows_by_service.setdefault(service, _Window())
+        self._prune(window, now)
+        return {
+            "retries": len(window.retries),
+            "requests": len(window.requests),
+            "routers": self.routers,
+        }
+
     def _prune(self, window: _Window, now: float) -> None:
         oldest = now - self._window
         for times in (window.requests, window.retries):
--- a/tests/retry_play.py
+++ b/tests/retry_play.py
@@ -36,7 +36,9 @@
 
     deployment: object
     fault: Fault = Fault.RESET
-    request_times_by_service: dict = attrs.field(factory=lambda: {"app": [], "pool": []})
+    request_times_by_service: dict = attrs.field(
+        factory=lambda: {"app": [], "pool": []}
+    )
     statuses: list = attrs.Factory(list)
     _numbers: object = attrs.Factory(lambda: itertools.count(1))
     _random: random.Random = attrs.Factory(lambda: random.Random(74))
