--- a/tests/retry_play.py
+++ b/tests/retry_play.py
@@ -32,6 +32,8 @@
         When callers sent requests, in seconds of the loop's clock.
     statuses
         Status of each answer, 0 for none.
+    vms
+        The VMs that callers use.
     """
 
     deployment: object
@@ -40,6 +42,7 @@
         factory=lambda: {"app": [], "pool": []}
     )
     statuses: list = attrs.Factory(list)
+    vms: tuple = ROUTERS
     _numbers: object = attrs.Factory(lambda: itertools.count(1))
     _random: random.Random = attrs.Factory(lambda: random.Random(74))
 
@@ -57,7 +60,7 @@
         tasks, began = [], loop.time()
         for number in range(int(seconds * RATE)):
             await asyncio.sleep(max(began + number / RATE - loop.time(), 0.0))
-            vm = ROUTERS[number % len(ROUTERS)]
+            vm = self.vms[number % len(self.vms)]
             for name in services:
                 tasks.append(asyncio.create_task(self._send(vm, name)))
         await asyncio.gather(*tasks)
@@ -92,6 +95,22 @@
         await asyncio.sleep(DOWN_SECONDS)
         await self.restart(vms)
 
+    async def replace(self, vms):
+        """Kill all routers and start others on VMs of other names."""
+        await self.kill(self.vms)
+        await self.restart(vms)
+        self.vms = vms
+
+    async def stop(self, vms):
+        """Stop routers in order; they finish what they have begun."""
+
+        async def stop_one(vm):
+            router = self.deployment.routers[vm]
+            await router.drain()
+            await router.kill()
+
+        await asyncio.gather(*(stop_one(vm) for vm in vms))
+
     def peak(self, service):
         """Return the window with the most retries beyond the limit."""
         bounds = next(iter(self.deployment.settings.values())).bounds
--- a/tests/test_retry_limit.py
+++ b/tests/test_retry_limit.py
@@ -22,9 +22,7 @@
                 self.assertGreater(peak.retries, 0)
                 self.assertLessEqual(peak.excess, 0.0, f"{service}: {peak}")
 
-        self.with_platform(
-            scenario, routers=ROUTERS, engines=UPSTREAMS, apps=UPSTREAMS
-        )
+        self.with_platform(scenario, routers=ROUTERS, engines=UPSTREAMS, apps=UPSTREAMS)
 
     def test_routers_that_stay_keep_to_the_retry_limit(self):
         async def disturb(play):
@@ -71,3 +69,19 @@
                 await play.kill_and_restart(ROUTERS[::2])
 
         self.check_within_limit(disturb)
+
+    def test_retries_stay_within_the_limit_as_all_but_one_router_leave(self):
+        async def disturb(play):
+            await asyncio.sleep(2.5)
+            await play.stop(ROUTERS[1:])
+
+        self.check_within_limit(disturb)
+
+    def test_retries_stay_within_the_limit_as_dead_routers_are_replaced(self):
+        async def disturb(play):
+            await asyncio.sleep(2.5)
+            for names in (("a-3", "a-4", "b-3", "b-4"), ("a-5", "a-6", "b-5", "b-6")):
+                await play.replace(names)
+                await asyncio.sleep(1.5)
+
+        self.check_within_limit(disturb)
