Let the soak see retries beyond the limit, and deaths in series

The soak checked nothing of the retry limit. It counts arrivals at all stand-ins against the requests of all callers now, in every seed.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -178,12 +178,12 @@
 
     # Unplanned faults
 
-    async def _kill_router(self):
+    async def kill_router(self):
         router = self._pick_idle_router()
         if router is not None:
             await self._kill([router])
 
-    async def _kill_all(self):
+    async def kill_all(self):
         routers = []
         for vm, router in self._fleet.routers_by_vm.items():
             if vm not in self._busy_vms:
@@ -273,11 +273,15 @@
         for link in links:
             link.set_cut(False)
 
-    def _pick_store_faults(self):
+    def record_store_fault(self):
+        """Record that the store is disturbed from now on."""
         self._store_fault_count += 1
         self.store_disturbed_until = (
             asyncio.get_running_loop().time() + FAULT_DURATION[1]
         )
+
+    def _pick_store_faults(self):
+        self.record_store_fault()
         ports = [r.store_port for r in self._fleet.routers_by_vm.values()]
         if self._rng.random() < 0.5:
             ports = [self._rng.choice(ports)]
@@ -345,8 +349,8 @@
     FaultInjector._replace_upstream,
 )
 UNPLANNED_FAULTS = (
-    FaultInjector._kill_router,
-    FaultInjector._kill_all,
+    FaultInjector.kill_router,
+    FaultInjector.kill_all,
     FaultInjector._pause_router,
     FaultInjector._reset_links,
     FaultInjector._slow_links,
@@ -360,8 +364,8 @@
     FaultInjector._crash_upstream,
 )
 FAULTS_SPARING_LINKS = (
-    FaultInjector._kill_router,
-    FaultInjector._kill_all,
+    FaultInjector.kill_router,
+    FaultInjector.kill_all,
     FaultInjector._store_away,
     FaultInjector._store_slow,
     FaultInjector._store_loses_answers,
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from lynxchute.edge.settings import DeploymentBounds
 from lynxchute.standins.link import Link
 from lynxchute.standins.platform_store import PlatformStoreStandin
 from lynxchute.standins.platform_upstream import PlatformUpstreamStandin
@@ -105,6 +106,7 @@
         self.event_delay = EVENT_DELAY
         self.idle_timeout_ms = None
         self.timeout_ms = None
+        self.bounds = DeploymentBounds()
         # Times at which routers were killed, by VM.
         self.kills_by_vm = collections.defaultdict(list)
         self.stops_by_vm = collections.defaultdict(list)
@@ -223,6 +225,7 @@
             contracts=self.contracts,
             links_file=self.upstream_links.file(vm) if self.upstream_links else None,
         )
+        process.settings["bounds"]["retry_budget_extra"] = self.bounds.retry_extra
         grace = process.settings["bounds"]["grace_s"]
         self.graces_by_vm[vm] = GraceHistory(grace)
         caller_link = Link(f"127.0.0.1:{process.ports['front']}")
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 
+from tests.retry_count import arrivals_by_service, worst_window
 from tests.soak.fleet import AMPLE_ACCOUNT, EVENTS_PER_STREAM
 from tests.soak.traffic import GENERATION_KINDS, IDEMPOTENT_KINDS
 
@@ -11,6 +12,8 @@
 VERSION_FIELD = "software: "
 VERSION_GUARANTEE = "streams are of one version"
 SILENCE_GUARANTEE = "silence ends no answer"
+GENERATION_SERVICE = "pool"
+RETRY_GUARANTEE = "retries stay within their limit"
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Seconds after the caller's deadline by which the final answer must have arrived;
 # generous, since the machine may be busy.
@@ -85,6 +88,26 @@
         self._check_runs(runs)
         self._check_spending(runs)
 
+    def check_retries(self):
+        """Check that all routers together, over all lives, kept to the retry limit."""
+        standins = [upstream.standin for upstream in self._fleet.upstreams]
+        recorded_ids = {record.request_id for record in self._records}
+        for service, arrivals in arrivals_by_service(standins).items():
+            request_times = []
+            for record in self._records:
+                if (record.kind in GENERATION_KINDS) == (service == GENERATION_SERVICE):
+                    request_times.append(record.sent_at)
+            # Requests of callers that keep no records count from their arrival on.
+            first_arrivals = {}
+            for time, request_id in sorted(arrivals):
+                if request_id not in recorded_ids:
+                    first_arrivals.setdefault(request_id, time)
+            request_times += first_arrivals.values()
+            peak = worst_window(arrivals, request_times, self._fleet.bounds)
+            if peak.excess > 0:
+                detail = f"{service}: {peak.retries} of {peak.permitted:.1f}"
+                self.record_violation(RETRY_GUARANTEE, detail)
+
     def record_violation(self, guarantee, detail):
         """Record a violation, unless the same detail is recorded already."""
         if detail not in self.violations[guarantee]:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,6 +14,7 @@
 from tests.soak.backpressure import BackpressureInjector
 from tests.soak.connections import ConnectionInjector
 from tests.soak.deadly import DeadlyCaller, DeadlyPartCaller
+from tests.soak.deaths import BOUNDS, DeathInjector, has_deaths
 from tests.soak.demand import DemandInjector, contracts_for_seed
 from tests.soak.evacuator import Evacuator
 from tests.soak.faults import FaultInjector, FaultPlan
@@ -85,7 +86,8 @@
     """
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
-        report = await _run_fleet(seed, folder, seconds, routers)
+        run_fleet = _run_deaths if has_deaths(seed) else _run_fleet
+        report = await run_fleet(seed, folder, seconds, routers)
         if report.violations and keep is not None:
             _save_logs(folder, keep / f"seed-{seed}", report)
     return report
@@ -117,6 +119,59 @@
     return FaultPlan(seconds, planned_only=seed % PLANNED_ONLY_INTERVAL == 0)
 
 
+async def _run_deaths(seed, folder, seconds, routers):
+    """Run a seed in which routers die in series beside planned work."""
+    rng = random.Random(seed)
+    fleet = SoakFleet(folder, seed, routers=routers, engines=6, apps=4)
+    fleet.bounds = BOUNDS
+    callers = CallerPool(fleet, rng, has_distinct_bodies=True)
+    checker = Checker(fleet, callers)
+    plan = FaultPlan(seconds, planned_only=True)
+    fault_injector = FaultInjector(fleet, checker, rng, plan)
+    death_injector = DeathInjector(fleet, fault_injector, seed)
+    rollout_injector = RolloutInjector(fleet, callers, checker, seed, planned_only=True)
+    watching = None
+    try:
+        await fleet.start()
+        watching = asyncio.create_task(checker.watch())
+        callers.start()
+        await asyncio.gather(
+            fault_injector.run(),
+            death_injector.run(seconds),
+            rollout_injector.run(seconds),
+        )
+        await _check_recovery(fleet, callers, checker)
+        await callers.stop()
+        await asyncio.sleep(SETTLE_SECONDS)
+        checker.check_finished()
+        checker.check_retries()
+    finally:
+        if watching is not None:
+            watching.cancel()
+            await asyncio.gather(watching, return_exceptions=True)
+        with contextlib.suppress(asyncio.CancelledError):
+            await callers.stop()
+        await fleet.stop()
+    injectors = (death_injector, fault_injector, rollout_injector)
+    return _report(seed, callers, checker, injectors)
+
+
+def _report(seed, callers, checker, injectors, faults=()):
+    """Return the report of a seed that has ended."""
+    counts = dict(faults)
+    for injector in injectors:
+        counts.update(injector.counts)
+    return Report(
+        seed,
+        len(callers.records),
+        sum(1 for record in callers.records if record.status == 200),
+        checker.violation_counts(),
+        list(checker.violation_details()),
+        counts,
+        list(checker.violation_details(limit=None)),
+    )
+
+
 async def _run_fleet(seed, folder, seconds, routers):
     rng = random.Random(seed)
     fleet = SoakFleet(folder, seed, routers=routers, contracts=contracts_for_seed(seed))
@@ -184,6 +239,7 @@
         await callers.stop()
         await asyncio.sleep(SETTLE_SECONDS)
         checker.check_finished()
+        checker.check_retries()
         deadly_caller.check()
         deadly_part_caller.check()
         evacuator.check_cold()
@@ -194,26 +250,21 @@
         with contextlib.suppress(asyncio.CancelledError):
             await callers.stop()
         await fleet.stop()
-    return Report(
-        seed,
-        len(callers.records),
-        sum(1 for record in callers.records if record.status == 200),
-        checker.violation_counts(),
-        list(checker.violation_details()),
-        {
-            **fault_injector.counts,
-            "deadly": len(deadly_caller.crash_times),
-            "deadly parts": len(deadly_part_caller.crash_times),
-            **connection_injector.counts,
-            "evacuations": len(evacuator.spans),
-            **backpressure_injector.counts,
-            **demand_injector.counts,
-            **link_injector.counts,
-            **rollout_injector.counts,
-            **silence_injector.counts,
-        },
-        list(checker.violation_details(limit=None)),
+    injectors = (
+        fault_injector,
+        connection_injector,
+        backpressure_injector,
+        demand_injector,
+        link_injector,
+        rollout_injector,
+        silence_injector,
     )
+    faults = {
+        "deadly": len(deadly_caller.crash_times),
+        "deadly parts": len(deadly_part_caller.crash_times),
+        "evacuations": len(evacuator.spans),
+    }
+    return _report(seed, callers, checker, injectors, faults)
 
 
 async def _watch_versions(fleet, callers, checker, vm):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
 import testtools
 import yaml
 
+from lynxchute.edge.settings import DeploymentBounds
 from lynxchute.event_loop import run as run_loop
 from lynxchute.http import ExchangeError
 from lynxchute.standins.link import Direction, Link, Partition
@@ -22,6 +23,7 @@
 from tests.platform_support import configuration
 from tests.router_process import RouterProcess
 from tests.soak import run
+from tests.soak.deaths import has_deaths
 from tests.soak.evacuator import COLD_GUARANTEE
 from tests.soak.faults import FaultInjector
 from tests.soak.fleet import (
@@ -35,7 +37,12 @@
 )
 from tests.soak.forwarding import RequestTrace
 from tests.soak.links import has_links
-from tests.soak.promises import MAX_LATE_SECONDS, SILENCE_GUARANTEE, Checker
+from tests.soak.promises import (
+    MAX_LATE_SECONDS,
+    RETRY_GUARANTEE,
+    SILENCE_GUARANTEE,
+    Checker,
+)
 from tests.soak.run import has_parts, run_seed
 from tests.soak.silence import has_silence, is_planned_only
 from tests.soak.starts import RouterStart
@@ -50,6 +57,9 @@
 PARTS_SEED = 64_202
 # A seed in which sound upstreams fall silent beside planned work.
 SILENT_SEED = 66_096
+# A seed in which routers die in series while upstreams fail most sends.
+DEATHS_SEED = 74_001
+DEATHS_SECONDS = 9.0
 SHORT_SECONDS = 5.0
 
 
@@ -65,6 +75,8 @@
         self.wait_of_start = 0.0
         self.prepaid_by_account = {AMPLE_ACCOUNT: AMPLE_TOKENS}
         self._runs = [FakeRun(run_id) for run_id in run_ids]
+        self.upstreams = []
+        self.bounds = DeploymentBounds(retry_share=0.5, retry_extra=1.0)
 
     def runs(self):
         return iter(self._runs)
@@ -180,6 +192,28 @@
         late = record(status=504, body=b"", ended_at=14.0)
         self.assertIn("final answer in time", self.violations(late))
 
+    def test_more_retries_than_the_limit_are_found(self):
+        fleet = FakeFleet()
+        first, second = SoakStandin("pool", "a"), SoakStandin("pool", "b")
+        fleet.upstreams = [SoakUpstream(first, None), SoakUpstream(second, None)]
+        sent = [record("stream", request_id=f"r{n}", sent_at=10.0) for n in range(4)]
+        checker = Checker(fleet, FakeCallerPool(*sent))
+        for number in range(4):
+            first.arrivals.append(f"r{number}")
+            first.arrival_times.append(10.1)
+        for number in range(3):
+            second.arrivals.append(f"r{number}")
+            second.arrival_times.append(11.0)
+        checker.check_retries()
+        self.assertEqual({}, checker.violation_counts())
+        second.arrivals.append("r3")
+        second.arrival_times.append(21.1)
+        checker.check_retries()
+        self.assertEqual({}, checker.violation_counts())
+        second.arrival_times[-1] = 20.9
+        checker.check_retries()
+        self.assertIn(RETRY_GUARANTEE, checker.violation_counts())
+
     def test_request_cut_by_planned_work_is_found(self):
         cut = record(status=0, body=b"", is_complete=False)
         self.assertEqual(set(), self.violations(cut))
@@ -949,6 +983,12 @@
         faults = self.report(SILENT_SEED, SHORT_SECONDS).faults
         self.assertGreater(faults["silences"], 0)
 
+    def test_routers_that_die_in_series_have_no_violations(self):
+        self.assertTrue(has_deaths(DEATHS_SEED))
+        self.assert_no_violations(DEATHS_SEED, DEATHS_SECONDS)
+        faults = self.report(DEATHS_SEED, DEATHS_SECONDS).faults
+        self.assertGreater(faults["deaths of all"], 0)
+
     def test_seeds_that_failed_before_have_no_violations(self):
         for entry in yaml.safe_load(FAILED_SEEDS.read_text(encoding="utf-8")):
             with self.subTest(seed=entry["seed"]):
