Divide extra retries among routers that leave too

Seen by callers' upstreams: as three of four routers leave, 53 retries in 10 s where 42 are permitted, as the one that stays takes over the parts of the others at once, which have used theirs and still send. Ruled out: uncounted sends (as many lines of permitted retries as repeats). Change: an earlier, larger number counts until a router that leaves has stopped and a window has passed since. Numbers that rise count at once.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -175,6 +175,7 @@
             share=bounds.retry_share,
             extra=bounds.retry_extra,
             window=bounds.retry_window,
+            leaving_seconds=bounds.stop,
         )
         self.registry = Registry(
             platform.store, self.members, is_first_start=settings.is_first_start
@@ -571,7 +572,7 @@
         self.clients.drop(previous.address)
 
     def _handle_member_change(self) -> None:
-        self.retries.routers = self.members.count
+        self.retries.record_routers(self.members.count, steady_seconds())
         self.ledger_sync.request_write()
 
     def _traits_of(self, service: str) -> EngineTraits | None:
--- a/lynxchute/upstreams/retry_budget.py
+++ b/lynxchute/upstreams/retry_budget.py
@@ -34,6 +34,8 @@
         Additional retries that the whole fleet may send in a window.
     window
         Length of the window in seconds.
+    leaving_seconds
+        For how many seconds a router that leaves may still send retries.
 
     Attributes
     ----------
@@ -47,11 +49,21 @@
     [True, True, False, True]
     """
 
-    def __init__(self, *, share: float, extra: float, window: float) -> None:
+    def __init__(
+        self,
+        *,
+        share: float,
+        extra: float,
+        window: float,
+        leaving_seconds: float = 0.0,
+    ) -> None:
         self.routers = 1
         self._share = share
         self._extra = extra
         self._window = window
+        self._leaving_seconds = leaving_seconds
+        # Earlier numbers of routers, and until when they applied.
+        self._earlier_routers: deque[tuple[float, int]] = deque()
         self._windows_by_service: dict[str, _Window] = {}
 
     def change(self, *, share: float, extra: float, window: float) -> None:
@@ -60,6 +72,12 @@
         self._extra = extra
         self._window = window
 
+    def record_routers(self, count: int, now: float) -> None:
+        """Record how many routers share the extra retries from now on."""
+        if count != self.routers:
+            self._earlier_routers.append((now, self.routers))
+            self.routers = count
+
     def record_request(self, service: str, now: float) -> None:
         """Count a request for a service."""
         window = self._windows_by_service.setdefault(service, _Window())
@@ -87,7 +105,7 @@
         """Return whether a retry would be permitted."""
         window = self._windows_by_service.setdefault(service, _Window())
         self._prune(window, now)
-        permitted = self._extra / max(self.routers, 1)
+        permitted = self._extra / max(self._sharing_routers(now), 1)
         permitted += self._share * len(window.requests)
         return len(window.retries) + 1 <= permitted * min(used_share, MAX_USED_SHARE)
 
@@ -98,9 +116,19 @@
         return {
             "retries": len(window.retries),
             "requests": len(window.requests),
-            "routers": self.routers,
+            "routers": self._sharing_routers(now),
         }
 
+    def _sharing_routers(self, now: float) -> int:
+        """Return among how many routers the extra retries are divided.
+
+        A router that leaves has used its part, and may still do so.
+        """
+        earlier, since = self._earlier_routers, now - self._window
+        while earlier and earlier[0][0] + self._leaving_seconds <= since:
+            earlier.popleft()
+        return max([self.routers, *(count for _, count in earlier)])
+
     def _prune(self, window: _Window, now: float) -> None:
         oldest = now - self._window
         for times in (window.requests, window.retries):
