Bound retries over any series of lives of routers

Seen by callers' upstreams: up to 60 retries in 10 s where 43 are permitted, as routers are killed and start again. Each process began with an empty window and used its whole share again. Ruled out: uncounted sends, and wrong numbers of routers in these plays. Change: a process earns 0.15 of its allowance, with its age and requests, until a window has passed since its start. All lives of a window together earn that once; with 0.8 of a life that ended it stays below 1. A process that starts while no earlier one sent more than that reserve uses all at once: routers have one row written before they send more, a mark for the whole fleet that holds 60 s and is renewed after half of that (one write each 30 s at most, at any number of routers). Without the store and a mark the reserve is left. Ways compared: nothing for a window (as safe, serves less); each router's use in a row of its own (a write before each burst: 30 a second at 300 VMs); asking other routers (knows nothing after a death of all).

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -29,8 +29,10 @@
 from lynxchute.edge.upstreams import LONG_POLL_SHARE, UpstreamWatcher
 from lynxchute.fleet.client import HttpPeers
 from lynxchute.fleet.members import Member, Members, serving_capacity
+from lynxchute.fleet.registry import TABLE as FLEET_TABLE
 from lynxchute.fleet.registry import Registry
 from lynxchute.fleet.relayed_store import RelayedStore
+from lynxchute.fleet.retry_mark import MARK_KEY, RetryMark
 from lynxchute.fleet.server import PeerServer
 from lynxchute.http import (
     BadRequest,
@@ -170,18 +172,24 @@
         self.clients = UpstreamClients(UPSTREAM_TIMEOUTS, meter, tunnels=tunnels)
         self._upstream_feed: TableFeed | None = None
         self.upstreams = self.make_upstreams()
+        started_at = steady_seconds() if started_at is None else started_at
+        self.retry_mark = RetryMark(platform.store, FLEET_TABLE, steady_seconds)
         bounds = settings.bounds
         self.retries = RetryBudget(
             share=bounds.retry_share,
             extra=bounds.retry_extra,
             window=bounds.retry_window,
+            started_at=started_at,
+            marked_until=lambda: self.retry_mark.until,
             leaving_seconds=bounds.stop,
         )
+        self.retries.routers = 0
         self.registry = Registry(
             platform.store, self.members, is_first_start=settings.is_first_start
         )
         self.registry.peers = self.peers
         self.registry.listeners.append(self._handle_member_change)
+        self.registry.handlers_by_key[MARK_KEY] = self.retry_mark.handle_row
         self.peer_server = PeerServer(lambda: self.registry.secret, meter)
         store.serve(self.peer_server)
         self.tunnels = TunnelServer(
@@ -210,7 +218,7 @@
             platform.store,
             self.members.homes,
             settled=self.registry.members_known,
-            started_at=steady_seconds() if started_at is None else started_at,
+            started_at=started_at,
             before_first_write=self.final_use_exchange.fetch_predecessor_use,
             restored_seconds=lambda: self.registry.era_mark.seconds(steady_seconds()),
             auditor=RestoreAuditor(ledger, platform.store, self.members, self.registry),
@@ -342,6 +350,7 @@
             platform.dialect,
             self.clients,
             self.retries,
+            self.retry_mark,
             scheduler,
             self.metrics,
             reachability,
@@ -360,7 +369,9 @@
                 steady_seconds,
             ),
             times=self.plain_calls.times,
-            hedger=self.plain_calls.hedger(chooser, self.retries, self.metrics),
+            hedger=self.plain_calls.hedger(
+                chooser, self.retries, self.retry_mark, self.metrics
+            ),
             is_path_lost=lambda address: paths.state(address) is PathState.LOST,
         )
         self.relay = Relay(
@@ -390,6 +401,7 @@
             self.configurations,
             self.upstreams,
             self.registry,
+            self.retry_mark.tasks,
             self.ledger_sync,
             self.settlements,
             self.balance.loop,
@@ -572,7 +584,11 @@
         self.clients.drop(previous.address)
 
     def _handle_member_change(self) -> None:
-        self.retries.record_routers(self.members.count, steady_seconds())
+        now = steady_seconds()
+        self.retries.record_routers(self.members.count, now)
+        window = self.settings.bounds.retry_window
+        if not self.retries.knows_window(now) and self.retry_mark.has_ended_for(window):
+            self.retries.record_unused()
         self.ledger_sync.request_write()
 
     def _traits_of(self, service: str) -> EngineTraits | None:
--- a/lynxchute/edge/plain_calls.py
+++ b/lynxchute/edge/plain_calls.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from lynxchute.edge.settings import EdgeSettings
+from lynxchute.fleet.retry_mark import RetryMark
 from lynxchute.relay.chooser import Chooser
 from lynxchute.relay.hedging import Hedger
 from lynxchute.telemetry import Metrics
@@ -77,7 +78,11 @@
         directory.restart_listeners.append(self._discard_restarted)
 
     def hedger(
-        self, chooser: Chooser, retries: RetryBudget, metrics: Metrics
+        self,
+        chooser: Chooser,
+        retries: RetryBudget,
+        retry_mark: RetryMark,
+        metrics: Metrics,
     ) -> Hedger | None:
         """Return the hedger of slow calls, or None if hedging is off."""
         if not self._is_hedging or self.times is None:
@@ -90,6 +95,7 @@
             self._expected_completion.state_of,
             metrics,
             self._clock,
+            retry_mark.ensure,
         )
 
     def slowness(self, entry: UpstreamEntry, now: float) -> float:
--- a/lynxchute/relay/hedging.py
+++ b/lynxchute/relay/hedging.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 import attrs
 
@@ -36,6 +36,10 @@
 MAX_POSTPONEMENTS = 4
 
 
+async def _is_marked() -> None:
+    """Do nothing, as for a budget without reserve."""
+
+
 @attrs.define(eq=False)
 class _Race:
     """State of one call and its sends.
@@ -88,6 +92,8 @@
         Counts hedges by outcome.
     clock
         Steady clock in seconds.
+    ensure_retry_mark
+        Tells processes that follow of retries, which more than a reserve needs.
     """
 
     def __init__(
@@ -99,7 +105,9 @@
         state_of: Callable[[UpstreamEntry, float], UpstreamState],
         metrics: Metrics,
         clock: Callable[[], float],
+        ensure_retry_mark: Callable[[], Awaitable[None]] = _is_marked,
     ) -> None:
+        self._ensure_retry_mark = ensure_retry_mark
         self._chooser = chooser
         self._directory = directory
         self._times = times
@@ -230,6 +238,7 @@
         if not self._has_capacity(exchange.service):
             return None, "busy"
         exchange.tried.add(race.choice.entry.upstream.id)
+        await self._ensure_retry_mark()
         try:
             hedge = await self._chooser.choose(exchange)
         except Refusal:
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -235,7 +235,7 @@
             buffered = await self._read_or_forward(exchange, answer)
             if buffered.is_forwarded:
                 return
-            if buffered.is_success or not self._sender.claim_retry(exchange):
+            if buffered.is_success or not await self._sender.claim_retry(exchange):
                 await self._forward_buffered(exchange, answer, buffered)
                 return
             exchange.tried.add(answer.entry.upstream.id)
@@ -337,7 +337,7 @@
             if not await self._origins.verify_begun(exchange):
                 title = "The stream broke off, and where it began is not known."
                 raise exchange.refuse(Reason.ORIGIN_UNKNOWN, title, self._clock())
-            if not self._sender.claim_retry(exchange):
+            if not await self._sender.claim_retry(exchange):
                 title = "The stream broke off and cannot go on elsewhere."
                 raise exchange.refuse(Reason.BROKEN, title, self._clock())
             answer = await self._sender.send(exchange)
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from lynxchute.containment import Containment
+from lynxchute.fleet.retry_mark import RetryMark
 from lynxchute.http import (
     AbortHandle,
     ClientPool,
@@ -62,6 +63,8 @@
         Connections to the upstreams.
     retries
         Limits how often requests are sent again.
+    retry_mark
+        Tells processes that follow of retries, which more than a reserve needs.
     generations
         Placement that tracks the runs at model engines.
     metrics
@@ -94,6 +97,7 @@
         dialect: Dialect,
         clients: ClientPool,
         retries: RetryBudget,
+        retry_mark: RetryMark,
         generations: Placement,
         metrics: Metrics,
         reachability: Reachability,
@@ -113,6 +117,7 @@
         self._dialect = dialect
         self._clients = clients
         self._retries = retries
+        self._retry_mark = retry_mark
         self._generations = generations
         self._metrics = metrics
         self._reachability = reachability
@@ -156,7 +161,7 @@
             if answer is not None:
                 return answer
             exchange.tried.add(choice.entry.upstream.id)
-            if exchange.sends and not self.claim_retry(exchange):
+            if exchange.sends and not await self.claim_retry(exchange):
                 self.check_quarantine(exchange)
                 raise no_answer_refusal(exchange, self._clock())
 
@@ -215,9 +220,8 @@
         """Secure what a request needs to go on elsewhere, unless it was not sent."""
         if not exchange.sends or send.handle.connection is None:
             return None
-        now = self._clock()
-        if not exchange.has_retry_permit and not self._retries.is_available(
-            exchange.service, now
+        if not exchange.has_retry_permit and not await self._is_retry_available(
+            exchange
         ):
             return ResendObstacle.NO_PERMIT
         return await self._planner.plan(exchange, entry)
@@ -228,7 +232,7 @@
         """Send a request where it is planned to go on, unless it was not sent."""
         if not exchange.sends or send.handle.connection is None:
             return None
-        if not self.claim_retry(exchange):
+        if not await self.claim_retry(exchange):
             self._resender.release(exchange)
             return ResendObstacle.NO_PERMIT
         if self._has_other_send(exchange, send):
@@ -251,7 +255,7 @@
         """Release what is held for a request that has its final answer."""
         self._resender.end(exchange)
 
-    def claim_retry(self, exchange: Exchange) -> bool:
+    async def claim_retry(self, exchange: Exchange) -> bool:
         """Return whether an exchange may be sent again; spend retry budget if so.
 
         A permit lasts until the next send, so a send that fails before its first byte
@@ -270,6 +274,9 @@
                 send=exchange.sends,
             )
             return False
+        if exchange.has_retry_permit:
+            return True
+        await self._is_retry_available(exchange)
         if exchange.has_retry_permit:
             return True
         now = self._clock()
@@ -287,6 +294,14 @@
         log_event("retry permitted", **state)
         return True
 
+    async def _is_retry_available(self, exchange: Exchange) -> bool:
+        """Return whether the retry budget permits another send."""
+        self._retry_mark.renew()
+        if self._retries.is_available(exchange.service, self._clock()):
+            return True
+        await self._retry_mark.ensure()
+        return self._retries.is_available(exchange.service, self._clock())
+
     def release(self, answer: UpstreamResponse, outcome: SendOutcome) -> None:
         """Record that an upstream no longer works on a request."""
         answer.entry.open_sends.discard(answer.send)
--- a/lynxchute/upstreams/retry_budget.py
+++ b/lynxchute/upstreams/retry_budget.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
+from collections.abc import Callable
 
 import attrs
 
-# Part of the allowance that routers use: each sees only its own retries, and a
-# restarted router does not know those that it sent before in the window.
+# Part of the allowance that a router uses which knows all retries of its share.
 MAX_USED_SHARE = 0.8
+# Part of the allowance that a router uses which does not know what an earlier process
+# sent in its place, or whose next one would not know. All processes of one window
+# earn it together, so both parts and a margin fit into the allowance.
+RESERVED_SHARE = 0.15
 
 
 @attrs.define
@@ -26,6 +31,11 @@
     requests, both multiplied by `MAX_USED_SHARE`. So the fleet stays within the limit
     without any communication.
 
+    A process does not know what an earlier one sent. Until the window has passed since
+    its start, or unless it is told that earlier processes sent nothing, it earns
+    `RESERVED_SHARE` of its allowance with its requests and its age. The same holds
+    while a process that follows would not learn of its retries.
+
     Parameters
     ----------
     share
@@ -34,13 +44,18 @@
         Additional retries that the whole fleet may send in a window.
     window
         Length of the window in seconds.
+    started_at
+        When the process started, in seconds.
+    marked_until
+        Returns until when a process that follows learns that this one may send
+        retries, in seconds.
     leaving_seconds
         For how many seconds a router that leaves may still send retries.
 
     Attributes
     ----------
     routers
-        Number of routers that share the extra retries.
+        Number of routers that share the extra retries; 0 if it is not known.
 
     Examples
     --------
@@ -55,12 +70,17 @@
         share: float,
         extra: float,
         window: float,
+        started_at: float = -math.inf,
+        marked_until: Callable[[], float] = lambda: math.inf,
         leaving_seconds: float = 0.0,
     ) -> None:
         self.routers = 1
+        self._marked_until = marked_until
         self._share = share
         self._extra = extra
         self._window = window
+        self._started_at = started_at
+        self._is_window_unused = False
         self._leaving_seconds = leaving_seconds
         # Earlier numbers of routers, and until when they applied.
         self._earlier_routers: deque[tuple[float, int]] = deque()
@@ -78,6 +98,14 @@
             self._earlier_routers.append((now, self.routers))
             self.routers = count
 
+    def record_unused(self) -> None:
+        """Record that earlier processes sent no more than their reserve."""
+        self._is_window_unused = True
+
+    def knows_window(self, now: float) -> bool:
+        """Return whether all retries of this router's share are known."""
+        return self._is_window_unused or now - self._started_at >= self._window
+
     def record_request(self, service: str, now: float) -> None:
         """Count a request for a service."""
         window = self._windows_by_service.setdefault(service, _Window())
@@ -105,11 +133,16 @@
         """Return whether a retry would be permitted."""
         window = self._windows_by_service.setdefault(service, _Window())
         self._prune(window, now)
-        permitted = self._extra / max(self._sharing_routers(now), 1)
-        permitted += self._share * len(window.requests)
-        return len(window.retries) + 1 <= permitted * min(used_share, MAX_USED_SHARE)
-
-    def describe(self, service: str, now: float) -> dict[str, float]:
+        is_reserve = not self.knows_window(now) or now >= self._marked_until()
+        used_share = min(used_share, RESERVED_SHARE if is_reserve else MAX_USED_SHARE)
+        permitted = self._share * len(window.requests)
+        sharing = self._sharing_routers(now)
+        if sharing:
+            age = now - self._started_at if is_reserve else self._window
+            permitted += self._extra / sharing * min(age / self._window, 1.0)
+        return len(window.retries) + 1 <= permitted * used_share
+
+    def describe(self, service: str, now: float) -> dict[str, float | bool]:
         """Return the state of a service's window for log lines."""
         window = self._windows_by_service.setdefault(service, _Window())
         self._prune(window, now)
@@ -117,6 +150,8 @@
             "retries": len(window.retries),
             "requests": len(window.requests),
             "routers": self._sharing_routers(now),
+            "knows_window": self.knows_window(now),
+            "is_marked": now < self._marked_until(),
         }
 
     def _sharing_routers(self, now: float) -> int:
--- a/tests/test_retry_limit.py
+++ b/tests/test_retry_limit.py
@@ -1,12 +1,22 @@
 """Retries of all routers together, over the deaths and stops of their processes."""
 
 import asyncio
+import itertools
 
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lynxchute.edge.settings import DeploymentBounds
 from lynxchute.standins.upstream_run import Fault
+from lynxchute.upstreams.retry_budget import MAX_USED_SHARE, RetryBudget
 from tests.platform_support import PlatformTestCase
+from tests.retry_count import worst_window
 from tests.retry_play import ROUTERS, UPSTREAMS, RetryPlay
 
 PLAY_SECONDS = 9.0
+BOUNDS = DeploymentBounds(retry_share=0.2, retry_extra=40.0, retry_window=10.0)
+MARK_SECONDS = 60.0
 
 
 class RetryLimitTest(PlatformTestCase):
@@ -85,3 +95,112 @@
                 await asyncio.sleep(1.5)
 
         self.check_within_limit(disturb)
+
+
+class _Lives:
+    """Routers whose processes follow one another, and the mark that they share."""
+
+    def __init__(self, routers):
+        self.now = 100.0
+        self.marked_until = 0.0
+        self.has_store = True
+        self.arrivals, self.request_times = [], []
+        self._numbers = itertools.count()
+        self.budgets = [self._start(routers) for _ in range(routers)]
+
+    def _start(self, routers):
+        budget = RetryBudget(
+            share=BOUNDS.retry_share,
+            extra=BOUNDS.retry_extra,
+            window=BOUNDS.retry_window,
+            started_at=self.now,
+            marked_until=lambda: self.marked_until,
+        )
+        budget.routers = routers if self.has_store else 0
+        if self.has_store and self.marked_until + BOUNDS.retry_window <= self.now:
+            budget.record_unused()
+        return budget
+
+    def restart(self, index):
+        self.budgets[index] = self._start(len(self.budgets))
+
+    def burst(self, index, retries):
+        """Send a request and, as far as that is permitted, retries of it."""
+        budget, request_id = self.budgets[index], next(self._numbers)
+        budget.record_request("app", self.now)
+        self.request_times.append(self.now)
+        self.arrivals.append((self.now, request_id))
+        for _ in range(retries):
+            if not budget.is_available("app", self.now) and self.has_store:
+                self.marked_until = max(self.marked_until, self.now + MARK_SECONDS)
+            if budget.spend("app", self.now):
+                self.arrivals.append((self.now, request_id))
+
+
+_steps = st.lists(
+    st.one_of(
+        st.tuples(st.just("burst"), st.integers(0, 2), st.integers(1, 40)),
+        st.tuples(st.just("burst all"), st.booleans()),
+        st.tuples(st.just("restart"), st.integers(0, 2)),
+        st.tuples(st.just("restart all")),
+        st.tuples(st.just("wait"), st.sampled_from((0.3, 1.0, 4.0, 9.9, 70.0))),
+        st.tuples(st.just("store"), st.booleans()),
+    ),
+    max_size=60,
+)
+
+
+class RetryLivesFuzzTest(testtools.TestCase):
+    @settings(max_examples=400)
+    @given(_steps)
+    def test_any_series_of_lives_keeps_to_the_limit(self, steps):
+        lives = _Lives(3)
+        for name, *arguments in steps:
+            if name == "burst":
+                lives.burst(*arguments)
+            elif name == "burst all":
+                had_store, lives.has_store = lives.has_store, arguments[0]
+                for index in range(3):
+                    lives.burst(index, 40)
+                lives.has_store = had_store
+            elif name == "restart":
+                lives.restart(*arguments)
+            elif name == "restart all":
+                for index in range(3):
+                    lives.restart(index)
+            elif name == "store":
+                lives.has_store = arguments[0]
+            else:
+                lives.now += arguments[0]
+        peak = worst_window(lives.arrivals, lives.request_times, BOUNDS)
+        self.assertLessEqual(peak.excess, 0.0, str(peak))
+
+
+class RetryReserveTest(testtools.TestCase):
+    def budget(self, **options):
+        return RetryBudget(
+            share=0.0, extra=100.0, window=10.0, started_at=50.0, **options
+        )
+
+    def spend_all(self, budget, now):
+        return sum(budget.spend("app", now) for _ in range(200))
+
+    def test_a_process_earns_its_reserve_until_a_window_has_passed(self):
+        budget = self.budget()
+        self.assertEqual(0, self.spend_all(budget, 50.0))
+        self.assertEqual(7, self.spend_all(budget, 55.0))
+        self.assertEqual(int(100 * MAX_USED_SHARE) - 7, self.spend_all(budget, 60.0))
+
+    def test_a_process_without_a_predecessor_uses_all_at_once(self):
+        budget = self.budget()
+        budget.record_unused()
+        self.assertEqual(int(100 * MAX_USED_SHARE), self.spend_all(budget, 50.0))
+
+    def test_without_a_mark_only_the_reserve_is_used(self):
+        budget = self.budget(marked_until=lambda: 70.0)
+        self.assertEqual(15, self.spend_all(budget, 80.0))
+
+    def test_a_process_that_knows_no_other_routers_uses_no_extra_retries(self):
+        budget = self.budget()
+        budget.routers = 0
+        self.assertEqual(0, self.spend_all(budget, 80.0))
