Show answers lost with a send that is given up as its bytes arrive

The order of the traced lines of the incident is fixed here: bytes of a send arrive between the decision to give it up and the end of its connection.

--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -16,6 +16,7 @@
 from lynxchute.clock import steady_seconds
 from lynxchute.edge.settings import Features
 from lynxchute.relay import hedging
+from lynxchute.relay.exchange import Exchange
 from lynxchute.relay.relay import MAX_BUFFERED_BYTES
 from lynxchute.relay.resend_planner import ResendPlanner
 from lynxchute.relay.sender import Sender
@@ -25,6 +26,7 @@
 from lynxchute.standins.upstream_run import Fault
 from lynxchute.tunnels.paths import PathState, UpstreamPaths
 from lynxchute.upstreams import silence as silence_watch
+from lynxchute.upstreams.entry import OpenSend
 from tests.platform_support import (
     PlatformCaller,
     PlatformTestCase,
@@ -85,6 +87,29 @@
         entry.backpressure.backoff_until = float("inf")
 
 
+def head_of(request_id, framing):
+    """Return the head of an upstream's answer."""
+    return (
+        f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        f"X-Request-Id: {request_id}\r\nX-Response-Stamp: x.{request_id}\r\n"
+        f"{framing}\r\n\r\n"
+    ).encode()
+
+
+def event_of(request_id, number):
+    return f"id: {number}\ndata: {request_id}.{number}\nsoftware: v1\n\n".encode()
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def chunked_answer(request_id, *numbers):
+    """Return the begin of an upstream's answer, with some events."""
+    events = b"".join(chunk(event_of(request_id, number)) for number in numbers)
+    return head_of(request_id, "Transfer-Encoding: chunked") + events
+
+
 class SilencePlay(PlatformTestCase):
     def with_silence(self, scenario, **options):
         async def prepared(deployment):
@@ -320,6 +345,101 @@
         self.with_silence(scenario, apps=4, features=Features(hedging=True))
 
 
+class GivenUpAsBytesArriveTest(SilencePlay):
+    """Guards against bytes of a send that is given up which are read afterwards."""
+
+    def check_given_up(self, arriving, start, check):
+        """Let bytes arrive at the moment at which a send is given up."""
+
+        async def scenario(deployment):
+            cancel, given_up = OpenSend.cancel, []
+
+            def cancel_as_bytes_arrive(send):
+                if not given_up:
+                    given_up.append(send)
+                    send.handle.connection.data_received(arriving(send))
+                cancel(send)
+
+            with mock.patch.object(OpenSend, "cancel", cancel_as_bytes_arrive):
+                answer, busy = await start(deployment)
+                await check(deployment, answer)
+            await deployment.end_silence(busy)
+            self.assertEqual(1, len(given_up))
+            self.assertTrue(is_idle(deployment))
+
+        self.with_silence(scenario)
+
+    async def start_silent_stream(self, deployment):
+        """Start a stream at an engine that sends nothing, not even a head."""
+        for engine in deployment.engines:
+            engine.faults = [Fault.HANG]
+        caller = PlatformCaller(deployment)
+        stream = asyncio.create_task(caller.stream(deadline_ms=TIMEOUT_MS))
+        await until(lambda: any(engine.runs for engine in deployment.engines))
+        busy = max(deployment.engines, key=lambda engine: len(engine.runs))
+        deployment.silence(busy)
+        for engine in deployment.engines:
+            engine.faults = []
+        return stream, busy
+
+    def test_a_first_event_of_a_send_that_is_given_up_is_not_forwarded(self):
+        self.check_given_up(
+            lambda send: chunked_answer(send.request_id, 1),
+            self.start_silent_stream,
+            self.check_stream,
+        )
+
+    def test_a_head_of_a_send_that_is_given_up_is_not_used(self):
+        self.check_given_up(
+            lambda send: chunked_answer(send.request_id),
+            self.start_silent_stream,
+            self.check_stream,
+        )
+
+    def test_a_later_event_of_a_send_that_is_given_up_is_not_forwarded(self):
+        async def start(deployment):
+            stream, busy, _ = await start_stream(deployment)
+            deployment.silence(busy)
+            return stream, busy
+
+        def next_event(send):
+            last = self.last_events[-1]
+            return chunk(event_of(send.request_id, last + 1))
+
+        self.last_events = []
+        record = Exchange.record_events
+
+        def record_events(exchange, count, last_event, now):
+            self.last_events.append(int(last_event))
+            record(exchange, count, last_event, now)
+
+        with mock.patch.object(Exchange, "record_events", record_events):
+            self.check_given_up(next_event, start, self.check_stream)
+
+    def test_a_call_whose_head_arrives_as_it_is_given_up_is_answered(self):
+        async def start(deployment):
+            for app in deployment.apps:
+                app.event_delay = LONG_SILENCE
+            caller = PlatformCaller(deployment)
+            call = asyncio.create_task(caller.send("GET", "/safe/x", deadline_ms=8000))
+            await until(lambda: any(app.runs for app in deployment.apps))
+            busy = max(deployment.apps, key=lambda app: len(app.runs))
+            deployment.silence(busy)
+            return call, busy
+
+        async def check(deployment, call):
+            status, _, body = await call
+            self.assertEqual(200, status)
+            self.assertTrue(body.startswith(b"answer to"))
+
+        self.check_given_up(
+            lambda send: head_of(send.request_id, "Content-Length: 40"), start, check
+        )
+
+    async def check_stream(self, deployment, stream):
+        await self.check_whole(deployment, stream, runs=2)
+
+
 class VerdictTest(SilencePlay):
     """Guards against verdicts on a silent upstream that outlive its silence."""
 
