Deliver nothing of a send that was given up

Callers saw a stream break off after its first event though another upstream had begun it: a send to a silent upstream is given up once its request is under way elsewhere, but bytes that were read between that decision and the end of its connection still reached the caller. Ruled out for these: a failure of the second send (it was open), stops, reloads. Change: who goes on is decided once, as a send is given up. A head that arrives after that is closed, an event is not forwarded; the send that has begun elsewhere goes on. A whole plain answer that was buffered by then still counts.

--- a/lynxchute/relay/answer.py
+++ b/lynxchute/relay/answer.py
@@ -11,6 +11,8 @@
 from lynxchute.upstreams.placement import Choice
 from lynxchute.upstreams.send_gate import WithheldReason
 
+GIVEN_UP = "the send was given up"
+
 
 @attrs.frozen
 class UpstreamResponse:
--- a/lynxchute/relay/passing.py
+++ b/lynxchute/relay/passing.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Callable
 
-from lynxchute.relay.answer import UpstreamResponse
+from lynxchute.http import ExchangeError
+from lynxchute.relay.answer import GIVEN_UP, UpstreamResponse
 from lynxchute.relay.dialect import Dialect
 from lynxchute.relay.events import EventSplitter, StreamCut
 from lynxchute.relay.exchange import Exchange
@@ -82,10 +83,14 @@
         ------
         EventsOutOfOrder
             If the events do not directly follow the previous ones.
+        ExchangeError
+            If the send has been given up, so that another one goes on.
         CallerDisconnected
             If the caller has disconnected.
         """
         exchange, answer = self._exchange, self._answer
+        if answer.send.is_cancelled:
+            raise ExchangeError(GIVEN_UP, sent=True)
         now = self._clock()
         answer.record_heard(now)
         events = self._splitter.feed(data)
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -16,7 +16,7 @@
 )
 from lynxchute.quarantine import Progress
 from lynxchute.reachability import Reachability
-from lynxchute.relay.answer import SendWithheld, UpstreamResponse
+from lynxchute.relay.answer import GIVEN_UP, SendWithheld, UpstreamResponse
 from lynxchute.relay.chooser import Chooser, no_answer_refusal
 from lynxchute.relay.dialect import Dialect, ResponseKind, SendParameters
 from lynxchute.relay.exchange import Exchange
@@ -519,7 +519,7 @@
             self._log_send(exchange, choice, parameters, via)
 
         max_idle = None if exchange.route.is_repeatable else FRESH_WITHIN
-        return await self._clients.get(entry.upstream.address).request(
+        response = await self._clients.get(entry.upstream.address).request(
             call.request.method,
             call.request.target,
             headers=self._dialect.upstream_headers(call, parameters),
@@ -531,6 +531,11 @@
             abort_handle=send.handle,
             label=call.request_id,
         )
+        if send.is_cancelled:
+            # The head had arrived before the connection was aborted.
+            response.close()
+            raise ExchangeError(GIVEN_UP, sent=True)
+        return response
 
     def _set_typical_seconds(self, exchange: Exchange, send: OpenSend) -> None:
         """Store the typical latency of a plain call with its open send."""
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -15,6 +15,7 @@
 
 from lynxchute.clock import steady_seconds
 from lynxchute.edge.settings import Features
+from lynxchute.http import AbortHandle
 from lynxchute.relay import hedging
 from lynxchute.relay.exchange import Exchange
 from lynxchute.relay.relay import MAX_BUFFERED_BYTES
@@ -26,7 +27,6 @@
 from lynxchute.standins.upstream_run import Fault
 from lynxchute.tunnels.paths import PathState, UpstreamPaths
 from lynxchute.upstreams import silence as silence_watch
-from lynxchute.upstreams.entry import OpenSend
 from tests.platform_support import (
     PlatformCaller,
     PlatformTestCase,
@@ -110,6 +110,15 @@
     return head_of(request_id, "Transfer-Encoding: chunked") + events
 
 
+def open_sends(deployment):
+    """Return the sends that routers have open at upstreams."""
+    sends = []
+    for router in deployment.routers.values():
+        for entry in router.directory.entries_by_id.values():
+            sends += entry.open_sends
+    return sends
+
+
 class SilencePlay(PlatformTestCase):
     def with_silence(self, scenario, **options):
         async def prepared(deployment):
@@ -352,15 +361,16 @@
         """Let bytes arrive at the moment at which a send is given up."""
 
         async def scenario(deployment):
-            cancel, given_up = OpenSend.cancel, []
+            abort, given_up = AbortHandle.abort, []
 
-            def cancel_as_bytes_arrive(send):
-                if not given_up:
-                    given_up.append(send)
-                    send.handle.connection.data_received(arriving(send))
-                cancel(send)
+            def abort_as_bytes_arrive(handle):
+                sends = [send for send in open_sends(deployment) if send.is_cancelled]
+                if not given_up and sends:
+                    given_up.extend(sends)
+                    handle.connection.data_received(arriving(sends[0]))
+                abort(handle)
 
-            with mock.patch.object(OpenSend, "cancel", cancel_as_bytes_arrive):
+            with mock.patch.object(AbortHandle, "abort", abort_as_bytes_arrive):
                 answer, busy = await start(deployment)
                 await check(deployment, answer)
             await deployment.end_silence(busy)
