Let a test of silent upstreams run what it replaces

test_a_stream_is_not_given_up_for_an_engine_that_takes_no_connection replaced a function that has a further argument since; the replacement raised TypeError in a background task, so that nothing was ever tried elsewhere and the test passed for nothing. With the argument it checks what its name says, and passes.

--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -306,8 +306,8 @@
             router = deployment.routers["a-1"]
             is_responsive = ResendPlanner._is_responsive
 
-            async def fall_silent_after_the_probe(planner, entry):
-                answers = await is_responsive(planner, entry)
+            async def fall_silent_after_the_probe(planner, exchange, entry):
+                answers = await is_responsive(planner, exchange, entry)
                 deployment.silence(others[0])
                 router.clients.drop(others[0].address)
                 return answers
