Take no empty answer without a length for whole

Callers got 200 with nothing in it where an upstream ended its connection right after the head of an answer with neither length nor chunks. Cause: the end of the connection is the end of such a body, and whether it was cut was only asked of the upstream's existence, which said that it lives. Ruled out: heads that are cut earlier (17 plays of each byte: none is a 200). Change: a success without a single byte of its body is no whole answer: it is sent again where the route allows, else 502. Failures are passed on as they are. Streams without an event were refused before.

--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -31,6 +31,7 @@
 
 # Larger responses are forwarded as they arrive.
 MAX_BUFFERED_BYTES = 1_048_576
+CLIENT_ERROR = 400
 EVENT_STREAM = "text/event-stream"
 
 
@@ -275,6 +276,8 @@
                 chunk = await answer.response.read()
                 answer.record_heard(self._clock())
                 if chunk is None:
+                    if not size:
+                        _check_empty(answer)
                     await self._check_whole(answer)
                     send_outcome = SendOutcome.FAILED if failed else SendOutcome.SERVED
                     body = b"".join(chunks)
@@ -389,6 +392,12 @@
         return True
 
 
+def _check_empty(answer: UpstreamResponse) -> None:
+    """Raise `ExchangeError` if an empty success may be one that was cut."""
+    if not answer.response.is_framed and answer.response.status < CLIENT_ERROR:
+        raise ExchangeError("the connection ended before the body", sent=True)
+
+
 def _is_stream(answer: UpstreamResponse) -> bool:
     content_type = answer.response.headers.get("content-type", "")
     return answer.response.status == 200 and content_type.startswith(EVENT_STREAM)
