Bound what an upstream may send before its answer

Requests got 504 at their deadline though other upstreams were free, where an upstream sent informational responses, or the body of an answer to another request, without end. Cause: both are read and dropped with no bound but the request's time. Change: 10 informational responses and 1 MiB of such a body; then the connection is broken, and the request goes on elsewhere where it may.

--- a/lynxchute/http/client_connection.py
+++ b/lynxchute/http/client_connection.py
@@ -14,6 +14,10 @@
 
 # Unread bytes of a response at which reading from the socket is paused.
 MAX_UNREAD_BYTES = 262_144
+# Informational responses before a response; a peer that sends more counts as broken.
+MAX_INFORMATIONAL_RESPONSES = 10
+# Bytes of the body of a response to an earlier request that are skipped.
+MAX_SKIPPED_BYTES = 1_048_576
 # Seconds before the end of the Keep-Alive timeout from which an idle connection is not
 # reused: the timeout is given in whole seconds, and a request takes time to arrive.
 KEEP_ALIVE_MARGIN = 0.5
@@ -163,15 +167,15 @@
         BrokenConnectionError
             If no response arrives, or if the bytes are not valid HTTP.
         """
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self._body_ended = False
                 self._record_keep_alive(event)
                 return event
-            if isinstance(event, h11.InformationalResponse):
-                continue
-            raise BrokenConnectionError("the peer closed without an answer")
+            if not isinstance(event, h11.InformationalResponse):
+                raise BrokenConnectionError("the peer closed without an answer")
+        raise BrokenConnectionError("too many informational responses")
 
     def read_available(self) -> bytes | None:
         """Return the available bytes of the body, or None at its end.
@@ -277,8 +281,18 @@
         return b"".join(parts)
 
     async def skip_response(self) -> None:
-        """Discard the rest of a response to another request and expect the next one."""
+        """Discard the rest of a response to another request and expect the next one.
+
+        Raises
+        ------
+        BrokenConnectionError
+            If its body is too long.
+        """
+        skipped = 0
         while (chunk := self.read_available()) is not None:
+            skipped += len(chunk)
+            if skipped > MAX_SKIPPED_BYTES:
+                raise BrokenConnectionError("an answer to another request is too long")
             if not chunk:
                 await self._wait()
         trailing, closed = self._protocol.trailing_data
