End streams whose events have no end

A stream got 504 at its deadline, and all its bytes were kept in memory, where an upstream sent an event without end (4 KB at a time, 8 s). Cause: incomplete events are kept without a bound.

--- a/lynxchute/relay/events.py
+++ b/lynxchute/relay/events.py
@@ -10,6 +10,8 @@
 CONTENT_TYPE = "text/event-stream"
 SEPARATOR = b"\n\n"
 ID_FIELD = b"id:"
+# An event that is not complete after as many bytes has no end.
+MAX_EVENT_BYTES = 1_048_576
 
 
 @attrs.frozen
@@ -100,10 +102,18 @@
     rest: bytes = b""
 
     def feed(self, data: bytes) -> Events | None:
-        """Add received bytes; return the events that are now complete, or None."""
+        """Add received bytes; return the events that are now complete, or None.
+
+        Raises
+        ------
+        StreamCut
+            If an event is longer than any event may be.
+        """
         data = self.rest + data if self.rest else data
         boundary = data.rfind(SEPARATOR)
         if boundary < 0:
+            if len(data) > MAX_EVENT_BYTES:
+                raise StreamCut("an event has no end")
             self.rest = data
             return None
         boundary += len(SEPARATOR)
