Bound what is read of a rejection

Where an upstream declined a request with a body without end, 16 MiB of each rejection were read before the request went on; one that came a byte at a time held it up for as long as it had. Cause: rejections are read to their end so that the connection can be reused. Change: 64 KiB and 0.2 s; after that the connection is closed.

--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -45,6 +46,10 @@
 # Seconds for which an upstream is asked again after the end of an answer of which only
 # the upstream's existence tells whether it is whole.
 MAX_END_CHECK_SECONDS = 2.0
+# Bytes of a rejection that are read so that its connection can be used again, and the
+# seconds that this may take.
+MAX_REJECTION_BYTES = 65_536
+MAX_REJECTION_SECONDS = 0.2
 UPSTREAM_TIMEOUTS = Timeouts(
     connect=CONNECT_TIMEOUT, first_byte=None, between_bytes=None, keepalive_expiry=4.0
 )
@@ -644,9 +649,10 @@
     async def _read_to_end(self, response: Response) -> None:
         """Read a declined response to its end so that its connection can be reused."""
         try:
-            await response.body()
-        except ExchangeError as error:
-            log_event("upstream rejection interrupted", reason=str(error))
+            async with asyncio.timeout(MAX_REJECTION_SECONDS):
+                await response.body(MAX_REJECTION_BYTES)
+        except (ExchangeError, TimeoutError) as error:
+            log_event("upstream rejection interrupted", reason=repr(error))
 
     def _record_failure(
         self,
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import time
+from unittest import mock
 
 from lynxchute.http import ExchangeError
 from tests.platform_support import PlatformCaller, PlatformTestCase, event_ids
@@ -38,8 +39,12 @@
         Returns the bytes of an answer to a run; they may be without end.
     sent
         Number of bytes that were sent.
+    pause
+        Seconds between two pieces.
     """
 
+    pause = 0.0
+
     def __init__(self, deployment, data):
         self.data = data
         self.sent = 0
@@ -58,7 +63,7 @@
                 exchange.writer.write(piece)
                 self.sent += len(piece)
                 await exchange.writer.drain()
-                await asyncio.sleep(0)
+                await asyncio.sleep(self.pause)
             return False
 
         return answer_badly
@@ -229,3 +234,18 @@
                 head_of(run, *rejected, status="503 Service Unavailable")
             ),
         )
+
+    def test_a_rejection_that_comes_a_byte_at_a_time(self):
+        async def scenario(deployment, answers):
+            for kind in ("safe", "stream", "unsafe"):
+                began = time.monotonic()
+                status, _ = await self.ask(deployment, kind, deadline_ms=8000)
+                self.assertLess(time.monotonic() - began, PROMPT_SECONDS, kind)
+                self.assertIn(status, (200, 503))
+
+        head = "503 Service Unavailable"
+        data = lambda run: without_end(  # noqa: E731
+            head_of(run, "X-Not-Run: 1", "Content-Length: 1000", status=head), b"x"
+        )
+        with mock.patch.object(BadAnswers, "pause", 0.05):
+            self.with_answers(scenario, data)
