--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -95,6 +95,36 @@
         ((_, _, body),) = self.play(scenario)
         self.assertEqual(list(range(1, 31)), event_ids(body))
 
+    def test_the_end_of_a_leaving_engine_between_two_events_does_not_end_a_stream(self):
+        async def scenario(deployment):
+            for engine in deployment.engines:
+                engine.events, engine.event_delay = 30, 0.02
+                engine.cuts_inside_event = False
+            stream = asyncio.create_task(self.streams(deployment, 1))
+            await until(lambda: any(engine.runs for engine in deployment.engines))
+            (busy,) = [engine for engine in deployment.engines if engine.runs]
+            busy.state = "draining"
+            await busy.register(deployment.store)
+            entries = [
+                router.directory.entries_by_id[busy.id]
+                for router in deployment.routers.values()
+            ]
+            await until(lambda: all(entry.is_leaving for entry in entries))
+            busy.crash()
+            return await stream
+
+        ((_, _, body),) = self.play(scenario)
+        self.assertEqual(list(range(1, 31)), event_ids(body))
+
+    def test_a_leaving_engine_ends_its_streams_as_whole(self):
+        async def scenario(deployment):
+            for engine in deployment.engines:
+                engine.announces_leaving = True
+            return await self.streams(deployment, 2)
+
+        answers = self.play(scenario)
+        self.assertEqual([WHOLE] * 2, [event_ids(body) for _, _, body in answers])
+
     def test_a_crash_inside_a_plain_answer_does_not_end_it(self):
         async def scenario(deployment):
             for app in deployment.apps:
