Ask leaving upstreams too whether an answer without a length was cut

Cause: the end of a connection is taken for the end of such an answer without asking if its upstream was leaving. A leaving upstream serves on until it ends, so whether it still takes connections says the same as for any other. Change: it is asked. An answer that ends with the upstream itself goes on elsewhere after its last event, or is broken off where that is not allowed.

--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -378,7 +378,7 @@
         The connection of an unframed response ends with its body, or because its
         upstream crashed; then it takes no further connection.
         """
-        if answer.response.is_framed or answer.entry.is_leaving:
+        if answer.response.is_framed:
             return True
         client = self._clients.get(answer.entry.upstream.address)
         until = self._clock() + MAX_END_CHECK_SECONDS
