Register routers under a condition, and notice a changed registration

Cause: registrations are written without a condition, so one that the store performs late undoes that of the next process; and a router ignores rows of its own VM, so it never notices. What the late write assumes (the row is mine) no longer holds. Ruled out: lost deliveries of the feed (the row itself is wrong). Change: a registration names the version of the row that it replaces; on a conflict it is written again over the row that is there. A router whose row another writer has changed registers again. A start costs one write more where a row exists.

--- a/lynxchute/fleet/registry.py
+++ b/lynxchute/fleet/registry.py
@@ -97,6 +97,8 @@
             on_batch=self._notify_listeners,
             on_restore=self._request_rewrite,
         )
+        # Version of this router's own row, as far as is known.
+        self._own_version = ABSENT
         self._rewrite_due = asyncio.Event()
         self._is_restored = False
         self._store = store
@@ -114,10 +116,22 @@
         await self.feed.stop()
 
     async def register(self, member: Member) -> bool:
-        """Write a router's registration; return whether it is stored."""
+        """Write this router's registration; return whether it is stored.
+
+        The write holds only for the row as it is known, so that one which the store
+        performs late undoes no later one.
+        """
         row_id = RowId(TABLE, ROUTER_PREFIX + member.vm)
+        put = Put(row_id, member.encode())
         try:
-            await self._store.write(Write(puts=(Put(row_id, member.encode()),)))
+            while True:
+                expected = Expected(row_id, self._own_version)
+                outcome = await self._store.write(Write((expected,), (put,)))
+                if isinstance(outcome, Committed):
+                    self._own_version = outcome.version
+                    break
+                row = outcome.rows_by_id.get(row_id)
+                self._own_version = ABSENT if row is None else row.version
         except (StoreUnavailable, OutcomeUnknown) as error:
             log_event("router not registered yet", reason=str(error))
             return False
@@ -233,8 +247,19 @@
         for listener in self.listeners:
             listener()
 
+    def _check_own_row(self, row: Row) -> None:
+        """Register again if another writer has changed this router's row."""
+        if row.version <= self._own_version or not self.members_known.is_set():
+            return
+        self._own_version = ABSENT if row.deleted else row.version
+        if row.deleted or row.value != self._members.own.encode():
+            log_event("own registration changed by another writer", version=row.version)
+            self._rewrite_due.set()
+
     def _handle_router_row(self, row: Row) -> None:
         vm = row.id.key.removeprefix(ROUTER_PREFIX)
+        if vm == self._members.own.vm:
+            self._check_own_row(row)
         if row.deleted:
             self._members.remove(vm)
             log_event("router deregistered", peer=vm)
