Begin streams only at software versions that the store names

Cause: versions are written to the store up to a second after routers use them. What routers knew of a version died with them, and their successors assumed that a service had the versions only that the store names: a stream that nobody knew went on at the only one. Ruled out: stale entries and wrong proofs (no origin was found at all; known from 'sole version'). Change: a stream that may be resumed begins only at a version that the row names; a router that lacks it has it written, and waits 0.3 s for that. Else another upstream is taken. Changes of upstreams are written at once instead of at the next second. A version that is gone may begin streams for 5 s more, as entries that lapsed in an outage come back, and is kept 5 s longer. Ways compared: writing each origin before its first event (a write a stream); refusing all unknown streams for a while after a start (refuses where one version served all the while). Cost: one write for each new version, which a stream may wait for; streams at a version that comes in an outage wait for its end or go to others.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -256,6 +256,15 @@
         )
         engines = platform.make_engines(self.clients)
         self.directory.confirmed_at = self._upstreams_confirmed_at
+        versions = VersionRecord(
+            platform.store,
+            self.registry.feed.table,
+            self.members,
+            self.directory,
+            keep_seconds=self._max_stream_age,
+            is_table_known=self.registry.feed.synced.is_set,
+            clock=steady_seconds,
+        )
         self.origins = StreamOrigins(
             self.members,
             self.peers,
@@ -265,22 +274,15 @@
             self.metrics,
             meter,
             steady_seconds,
+            version_record=versions,
             max_age=self._max_stream_age,
             is_history_known=self.registry.feed.synced.is_set,
             unconfirmed_seconds=self.seconds_since_upstreams_confirmed,
             max_unconfirmed=self._max_unconfirmed,
         )
         self.origins.serve(self.peer_server)
-        versions = VersionRecord(
-            platform.store,
-            self.registry.feed.table,
-            self.members,
-            self.directory,
-            keep_seconds=self._max_stream_age,
-            is_table_known=self.registry.feed.synced.is_set,
-            clock=steady_seconds,
-        )
         self.registry.handlers_by_key[ROW_KEY] = versions.handle_row
+        self.directory.listeners.append(versions.loop.wake)
         may_wait = settings.features.fair_shares
         self.turns = AdmissionQueue(self._weight_of, self.metrics) if may_wait else None
         scheduler = Scheduler(
@@ -417,6 +419,7 @@
             cold.tasks,
             cold.loop,
             versions.loop,
+            versions.tasks,
             self.origins.send_loop,
             self.origins.tasks,
             self.origins.prove_loop,
--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -156,6 +156,16 @@
         """Return the software version that has to run the request; None for any."""
         return self.origin.software_version if self.origin is not None else None
 
+    @property
+    def may_begin_stream(self) -> bool:
+        """Return whether the next send may bring the first event of a stream.
+
+        Only streams that may be resumed count.
+        """
+        if self.route.kind is not RequestKind.STREAM or not self.route.is_repeatable:
+            return False
+        return self.origin is None and not self.is_continued
+
     def constrained(self, generation: Generation) -> Generation:
         """Return a generation that only the stream's software version may run."""
         if self.software_version is None:
--- a/lynxchute/relay/origins.py
+++ b/lynxchute/relay/origins.py
@@ -79,6 +79,14 @@
             clock; None if it came over another router.
         """
 
+    async def may_begin(self, exchange: Exchange, version: str | None) -> bool:
+        """Return whether a stream may begin at a software version.
+
+        It may if routers that start later learn of the version, whatever happens to
+        all that run now.
+        """
+        return True
+
     async def verify_begun(self, exchange: Exchange) -> bool:
         """Return whether a stream that has begun is known to have a stated origin."""
         if not exchange.events:
--- a/lynxchute/relay/passing.py
+++ b/lynxchute/relay/passing.py
@@ -55,6 +55,16 @@
         self._splitter = EventSplitter()
         self._has_events = False
 
+    async def may_begin(self) -> bool:
+        """Return whether the first event of the stream may be forwarded."""
+        exchange = self._exchange
+        if not exchange.may_begin_stream:
+            return True
+        origin = _origin(exchange.service, self._answer, self._dialect, self._clock())
+        if origin is None:
+            return True
+        return await self._origins.may_begin(exchange, origin.software_version)
+
     def check_end(self) -> None:
         """Check that the response may end here.
 
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -364,6 +364,8 @@
         )
         send_outcome = SendOutcome.ABANDONED
         try:
+            if not await forwarder.may_begin():
+                raise StreamCut("its software version is not recorded")
             while not await answer.response.deliver_body(forwarder.forward_events):
                 await exchange.respond.wait_drained()
             answer.record_heard(self._clock())
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -178,8 +178,25 @@
         choice = await self._chooser.choose(exchange)
         if exchange.is_continued and not await self._confirm_process(exchange, choice):
             return None
+        if not await self._may_begin(exchange, choice):
+            return None
         return choice
 
+    async def _may_begin(self, exchange: Exchange, choice: Choice) -> bool:
+        """Return whether a stream may begin at an upstream, as far as is known."""
+        version = choice.entry.upstream.software_version
+        if not exchange.may_begin_stream or version is None:
+            return True
+        try:
+            may_begin = await self._origins.may_begin(exchange, version)
+        except BaseException:
+            self._generations.release(choice)
+            raise
+        if not may_begin:
+            self._generations.release(choice)
+            self._record_withheld(exchange, choice, WithheldReason.UNRECORDED)
+        return may_begin
+
     async def _confirm_process(self, exchange: Exchange, choice: Choice) -> bool:
         """Return whether an upstream has the software that a stream continues at."""
         try:
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -13,6 +13,7 @@
 from lynxchute.fleet.origin_messages import OriginNotice, OriginQuery, OriginReply
 from lynxchute.fleet.server import PeerServer
 from lynxchute.http import LinkMeter
+from lynxchute.relay.exchange import Exchange
 from lynxchute.relay.origins import OriginLookup, Origins
 from lynxchute.resumption.origin_memory import OriginMemory
 from lynxchute.resumption.origin_messages import from_message, to_message
@@ -21,6 +22,7 @@
 from lynxchute.resumption.origin_replicator import OriginReplicator
 from lynxchute.resumption.origin_rows import OriginRows
 from lynxchute.resumption.origin_teller import OriginTeller
+from lynxchute.resumption.version_record import VersionRecord
 from lynxchute.store import Store
 from lynxchute.telemetry import Metrics, log_event
 from lynxchute.upstreams.directory import Directory
@@ -73,6 +75,8 @@
         Estimates how long messages wait for the VM's network link.
     clock
         Steady clock in seconds.
+    version_record
+        Knows which versions routers that start learn of; None to begin streams at any.
     max_age
         Returns the seconds after its begin for which a stream may be resumed.
     is_history_known
@@ -94,6 +98,7 @@
         meter: LinkMeter,
         clock: Callable[[], float],
         *,
+        version_record: VersionRecord | None = None,
         max_age: Callable[[], float],
         is_history_known: Callable[[], bool],
         unconfirmed_seconds: Callable[[float], float],
@@ -109,6 +114,7 @@
         self._metrics = metrics
         self._meter = meter
         self._clock = clock
+        self._version_record = version_record
         self._max_age = max_age
         self._is_history_known = is_history_known
         self._unconfirmed_seconds = unconfirmed_seconds
@@ -218,6 +224,12 @@
         """Record the software version that an upstream states in a response."""
         self._directory.record_software_version(entry, version, self._clock())
 
+    async def may_begin(self, exchange: Exchange, version: str | None) -> bool:
+        """Return whether a stream may begin at a software version."""
+        if self._version_record is None:
+            return True
+        return await self._version_record.ensure_recorded(exchange.service, version)
+
     async def confirm_process(self, entry: UpstreamEntry) -> bool:
         """Return whether an upstream still runs the process that its entry states."""
         upstream = entry.upstream
--- a/lynxchute/resumption/version_record.py
+++ b/lynxchute/resumption/version_record.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import math
 from collections.abc import Callable
 
-from lynxchute.application import PeriodicTask
+from lynxchute.application import PeriodicTask, Tasks
 from lynxchute.fleet.members import Members
 from lynxchute.store import (
     Committed,
@@ -28,6 +29,13 @@
 OBSERVE_SECONDS = 1.0
 # Seconds after which any router writes a change that the row still lacks.
 TAKE_OVER_SECONDS = 3.0
+# Seconds until a write that did not help is tried again.
+RETRY_SECONDS = 0.05
+# Seconds that a stream waits until the row names its version.
+WAIT_SECONDS = 0.3
+# Seconds for which a version that is gone may still begin streams: entries that lapsed
+# in an outage of the store come back within two seconds of its return.
+GONE_GRACE_SECONDS = 5.0
 # Services of one version each need some 60 bytes of the row.
 MAX_ROW_BYTES = 16_384
 
@@ -40,7 +48,8 @@
     """Follows and writes the row of software versions.
 
     A router that starts cannot see which versions a service had before. The row names
-    them, so that it knows whether there was only one.
+    them, so that it knows whether there was only one. A version begins no stream that
+    may be resumed before the row names it.
 
     Parameters
     ----------
@@ -80,9 +89,14 @@
         self._row_version = ABSENT
         self._gone_by_service: dict[str, GoneByVersion] = {}
         self._outdated_since = math.inf
+        self._is_too_long = False
+        self._writing: asyncio.Task[None] | None = None
+        self.tasks = Tasks()
 
     def handle_row(self, row: Row) -> None:
         """Apply the row as the store has it."""
+        if row.version < self._row_version:
+            return
         self._row_version = ABSENT if row.deleted else row.version
         if row.deleted:
             self._gone_by_service = {}
@@ -94,6 +108,39 @@
             return
         self._record_others()
 
+    def is_recorded(self, service: str, version: str | None) -> bool:
+        """Return whether routers that start learn of a version from the row."""
+        if self._is_too_long:
+            return True
+        gone_by_version = self._gone_by_service.get(service, {})
+        if version is None or version not in gone_by_version:
+            return False
+        gone_ms = gone_by_version[version]
+        if gone_ms is None:
+            return True
+        now_ms = self._store.clock.earliest_ms(self._clock())
+        return now_ms - gone_ms < GONE_GRACE_SECONDS * 1000
+
+    async def ensure_recorded(self, service: str, version: str | None) -> bool:
+        """Wait briefly until the row names a version; return whether it does."""
+        until = self._clock() + WAIT_SECONDS
+        while not self.is_recorded(service, version):
+            left = until - self._clock()
+            if left <= 0 or not self._is_table_known():
+                return False
+            if self._writing is None or self._writing.done():
+                self._writing = self.tasks.spawn(self._write_current())
+            await asyncio.wait([self._writing], timeout=left)
+            if self._writing.done() and not self.is_recorded(service, version):
+                # Nothing more can be done if it was not written just now.
+                await asyncio.sleep(min(RETRY_SECONDS, left))
+        return True
+
+    async def _write_current(self) -> None:
+        now_ms = self._store.clock.earliest_ms(self._clock())
+        if now_ms:
+            await self._write(self._current(now_ms))
+
     async def observe(self) -> None:
         """Record the versions in use, and write the row if it lacks a change."""
         now = self._clock()
@@ -124,6 +171,7 @@
 
     def _current(self, now_ms: int) -> dict[str, GoneByVersion]:
         """Return what the row should say."""
+        keep_ms = (self._keep_seconds() + GONE_GRACE_SECONDS) * 1000
         present = self._directory.versions_by_service()
         current: dict[str, GoneByVersion] = {}
         for service in {*present, *self._gone_by_service}:
@@ -132,7 +180,7 @@
             for known, gone_ms in self._gone_by_service.get(service, {}).items():
                 if gone_ms is None and None not in versions:
                     gone_ms = now_ms
-                if gone_ms is None or now_ms - gone_ms < self._keep_seconds() * 1000:
+                if gone_ms is None or now_ms - gone_ms < keep_ms:
                     gone_by_version[known] = gone_ms
             for version in versions:
                 if version is not None:
@@ -143,7 +191,8 @@
 
     async def _write(self, current: dict[str, GoneByVersion]) -> None:
         value = json.dumps(current, separators=(",", ":")).encode()
-        if len(value) > MAX_ROW_BYTES:
+        self._is_too_long = len(value) > MAX_ROW_BYTES
+        if self._is_too_long:
             log_event("too many software versions for one row", size=len(value))
             return
         expected = Expected(self._row_id, self._row_version)
@@ -155,7 +204,14 @@
             log_event("software versions not written", reason=str(error))
             return
         if isinstance(outcome, Committed):
+            self._row_version, self._gone_by_service = outcome.version, current
             log_event("software versions written", versions=current)
+            return
+        self._row_version = ABSENT
+        row = outcome.rows_by_id.get(self._row_id)
+        if row is not None:
+            # Another router has written it meanwhile.
+            self.handle_row(row)
 
 
 def _decode(value: bytes) -> dict[str, GoneByVersion]:
--- a/lynxchute/upstreams/send_gate.py
+++ b/lynxchute/upstreams/send_gate.py
@@ -31,6 +31,8 @@
     LIMITED
         It has a rate limit, and the request is neither admitted nor in this router's
         turn.
+    UNRECORDED
+        Its software version is not recorded, and the stream may have to be resumed.
     """
 
     EVACUATED = "data centre evacuated"
@@ -39,6 +41,7 @@
     COLD = "upstream cold"
     BRITTLE = "upstream brittle"
     LIMITED = "upstream names a limit"
+    UNRECORDED = "software version not recorded"
 
 
 class SendGate:
