Let streams go on after the death of all though nothing was written of them

Cause: where a stream began dies with the routers that remember it; rows are written up to 0.25 s later, and not in an outage. Their successors assume that a stream which they know nothing of cannot go on. Change: each service has a default version, in a row. Streams at all other versions have their origin in the store before their first event; streams that begin together share a write. So what nothing in the store names began at the default version, and goes on there if a router says that an earlier process was killed in that time, the rows of all routers were read and nobody remembers it. Without the store new streams begin at the default version only. It changes only once no stream is left that began at it. A process takes over the origins in the row of the one before it. Ways compared: a write before the first event of each stream (writes where one version serves too, and none begins in an outage); the version by a hash of the attempt (guesses while versions come and go). Limits: fleets whose rows one router does not read (over 18) refuse as before; a caller that names a wrong attempt within 45 s of a kill goes on at the default version; an attempt whose write failed is refused and may be tried again.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -53,6 +53,8 @@
 from lynxchute.relay.sender import UPSTREAM_TIMEOUTS, Sender
 from lynxchute.relay.statement_reader import BackpressureRecorder
 from lynxchute.resumption import StreamOrigins
+from lynxchute.resumption.default_versions import ROW_KEY as DEFAULTS_KEY
+from lynxchute.resumption.default_versions import DefaultVersions
 from lynxchute.resumption.stream_origins import RETURN_SECONDS
 from lynxchute.resumption.version_record import ROW_KEY, VersionRecord
 from lynxchute.scheduling.cold_watch import ColdProber
@@ -173,6 +175,7 @@
         self._upstream_feed: TableFeed | None = None
         self.upstreams = self.make_upstreams()
         started_at = steady_seconds() if started_at is None else started_at
+        self._started_at = started_at
         self.retry_mark = RetryMark(platform.store, FLEET_TABLE, steady_seconds)
         bounds = settings.bounds
         self.retries = RetryBudget(
@@ -265,6 +268,10 @@
             is_table_known=self.registry.feed.synced.is_set,
             clock=steady_seconds,
         )
+        defaults = DefaultVersions(
+            platform.store, self.registry.feed.table, versions, self.directory
+        )
+        self.registry.handlers_by_key[DEFAULTS_KEY] = defaults.handle_row
         self.origins = StreamOrigins(
             self.members,
             self.peers,
@@ -275,6 +282,8 @@
             meter,
             steady_seconds,
             version_record=versions,
+            defaults=defaults,
+            was_killed=self._may_have_forgotten,
             max_age=self._max_stream_age,
             is_history_known=self.registry.feed.synced.is_set,
             unconfirmed_seconds=self.seconds_since_upstreams_confirmed,
@@ -420,6 +429,7 @@
             cold.loop,
             versions.loop,
             versions.tasks,
+            defaults.tasks,
             self.origins.send_loop,
             self.origins.tasks,
             self.origins.prove_loop,
@@ -464,6 +474,11 @@
         """Return the seconds after which the store must have confirmed upstreams."""
         return self.settings.bounds.drain * LONG_POLL_SHARE + CONFIRM_MARGIN_SECONDS
 
+    def _may_have_forgotten(self) -> bool:
+        """Return whether a killed process may have known streams that still last."""
+        age = steady_seconds() - self._started_at
+        return self.registry.was_predecessor_killed and age < self._max_stream_age()
+
     def _max_stream_age(self) -> float:
         """Return the seconds after its begin for which a stream may be resumed."""
         current = self.configurations.current
--- a/lynxchute/fleet/registry.py
+++ b/lynxchute/fleet/registry.py
@@ -67,6 +67,8 @@
     members_known
         Set once the registered routers are known; at a first start, only after the
         time in which all VMs of the fleet start.
+    was_predecessor_killed
+        Whether the last process of this VM ended without marking itself as leaving.
     listeners
         Called after each batch of changed rows.
     peers
@@ -83,6 +85,7 @@
         super().__init__()
         self.secret = ""
         self.members_known = asyncio.Event()
+        self.was_predecessor_killed = False
         self.listeners: list[Callable[[], None]] = []
         self.peers: Peers | None = None
         self.era_mark = EraMark(store, TABLE, is_first_start=is_first_start)
@@ -132,6 +135,7 @@
                     break
                 row = outcome.rows_by_id.get(row_id)
                 self._own_version = ABSENT if row is None else row.version
+                self._observe_predecessor(row)
         except (StoreUnavailable, OutcomeUnknown) as error:
             log_event("router not registered yet", reason=str(error))
             return False
@@ -142,6 +146,15 @@
         )
         return True
 
+    def _observe_predecessor(self, row: Row | None) -> None:
+        """Record whether the row is one of a process that did not leave in order."""
+        if row is None:
+            return
+        result = Member.decode(row.value)
+        if result.is_error() or result.ok.incarnation == self._members.own.incarnation:
+            return
+        self.was_predecessor_killed = not result.ok.is_leaving
+
     async def _run(self) -> None:
         while not await self.register(self._members.own):
             await asyncio.sleep(RETRY_SECONDS)
--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -86,6 +86,8 @@
         Number of delivered events, and the id of the last one.
     origin
         Where the stream began; None before its first event, or if not known.
+    bound_version
+        The only version at which the stream may begin; None for any.
     has_precedence
         Whether it continues a stream that is known to have begun.
     order
@@ -129,6 +131,7 @@
     events: int = 0
     last_event: str = ""
     origin: StreamOrigin | None = None
+    bound_version: str | None = None
     has_precedence: bool = False
     order: EventOrder = attrs.Factory(EventOrder)
     first_byte_at: float = 0.0
@@ -154,7 +157,9 @@
     @property
     def software_version(self) -> str | None:
         """Return the software version that has to run the request; None for any."""
-        return self.origin.software_version if self.origin is not None else None
+        if self.origin is not None:
+            return self.origin.software_version
+        return self.bound_version
 
     @property
     def may_begin_stream(self) -> bool:
--- a/lynxchute/relay/origins.py
+++ b/lynxchute/relay/origins.py
@@ -24,7 +24,7 @@
         Where the stream began; None if not known.
     source
         Where that was known from: ``here``, ``router``, ``store``, ``sole
-        version`` or ``nowhere``.
+        version``, ``default version`` or ``nowhere``.
     peer
         The other router that knew it, if any.
     """
@@ -36,7 +36,7 @@
     @property
     def is_recorded(self) -> bool:
         """Return whether the stream itself is known, not only its service."""
-        return self.origin is not None and self.source != "sole version"
+        return self.origin is not None and not self.source.endswith(" version")
 
 
 class Origins(ABC):
@@ -79,11 +79,11 @@
             clock; None if it came over another router.
         """
 
-    async def may_begin(self, exchange: Exchange, version: str | None) -> bool:
-        """Return whether a stream may begin at a software version.
+    async def may_begin(self, exchange: Exchange, origin: StreamOrigin) -> bool:
+        """Return whether a stream may begin at an upstream, as an origin names it.
 
-        It may if routers that start later learn of the version, whatever happens to
-        all that run now.
+        It may if routers that start later learn at which version it began, whatever
+        happens to all that run now.
         """
         return True
 
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -34,6 +34,7 @@
 from lynxchute.upstreams.retry_budget import RetryBudget
 from lynxchute.upstreams.send_gate import SendGate, WithheldReason
 from lynxchute.upstreams.service_times import ServiceTimes
+from lynxchute.upstreams.stream_origin import StreamOrigin
 
 # Connecting within a region takes a few milliseconds. A lost SYN is retransmitted only
 # after a second, so trying another upstream is faster.
@@ -184,11 +185,19 @@
 
     async def _may_begin(self, exchange: Exchange, choice: Choice) -> bool:
         """Return whether a stream may begin at an upstream, as far as is known."""
-        version = choice.entry.upstream.software_version
+        upstream = choice.entry.upstream
+        version = upstream.software_version
         if not exchange.may_begin_stream or version is None:
             return True
+        origin = StreamOrigin(
+            exchange.service,
+            version,
+            "" if upstream.states_version else upstream.id,
+            None if upstream.states_version else upstream.started_ms,
+            began_at=self._clock(),
+        )
         try:
-            may_begin = await self._origins.may_begin(exchange, version)
+            may_begin = await self._origins.may_begin(exchange, origin)
         except BaseException:
             self._generations.release(choice)
             raise
--- a/lynxchute/resumption/origin_rows.py
+++ b/lynxchute/resumption/origin_rows.py
@@ -31,6 +31,8 @@
 CACHE_SECONDS = 0.3
 # Seconds until the store must have answered.
 READ_SECONDS = 0.6
+# Seconds that a stream waits until its origin is stored.
+STORE_SECONDS = 0.3
 # Newest origins in a row; some 180 bytes each.
 MAX_ROW_ORIGINS = 200
 
@@ -77,6 +79,17 @@
         self._is_needed = is_needed
         self._clock = clock
         self._published_changes = 0
+        # Origins that are stored before the first events of their streams, and until
+        # when. Those of the VM's last process are among them.
+        self._begun_by_key: dict[str, tuple[StreamOrigin, float]] = {}
+        self._has_read_own = False
+        # Numbers of the last origin to store, and of the last one that is stored.
+        self._requested = 0
+        self._stored = 0
+        self._storing: asyncio.Task[None] | None = None
+        self._storing_since = -math.inf
+        self._has_failed = False
+        self._lock = asyncio.Lock()
         self._published_at = -math.inf
         self._reading_by_vm: dict[str, asyncio.Task[None]] = {}
         self._read_at_by_vm: dict[str, float] = {}
@@ -88,20 +101,65 @@
         interval = max(MIN_PUBLISH_SECONDS, self._members.count / MAX_WRITES_PER_SECOND)
         return self._clock() - self._published_at >= interval
 
+    def has_stored(self, key: str) -> bool:
+        """Return whether the origin of an attempt was to be stored."""
+        return key in self._begun_by_key
+
+    async def store(self, key: str, origin: StreamOrigin, expires_at: float) -> bool:
+        """Store the origin of a stream before it begins; return whether it is stored.
+
+        Streams that begin at the same time share a write. While the store does not
+        answer, nothing is tried for them.
+        """
+        known = self._begun_by_key.get(key)
+        is_known = known is not None and known[0].is_same_process(origin)
+        if is_known and self._stored == self._requested:
+            return True
+        if known is None and len(self._begun_by_key) >= MAX_ROW_ORIGINS:
+            return False
+        if self._is_store_away():
+            self._start_storing()
+            return False
+        self._begun_by_key[key] = (origin, expires_at)
+        self._requested += 1
+        own = self._requested
+        until = self._clock() + STORE_SECONDS
+        while self._stored < own:
+            left = until - self._clock()
+            if left <= 0 or self._has_failed:
+                return False
+            await asyncio.wait([self._start_storing()], timeout=left)
+        return True
+
+    def _is_store_away(self) -> bool:
+        """Return whether the last write failed, or the present one takes too long."""
+        if self._has_failed:
+            return True
+        if self._storing is None or self._storing.done():
+            return False
+        return self._clock() - self._storing_since > STORE_SECONDS
+
+    def _start_storing(self) -> asyncio.Task[None]:
+        if self._storing is None or self._storing.done():
+            self._storing_since = self._clock()
+            self._storing = self.tasks.spawn(self.publish())
+        return self._storing
+
     async def publish(self) -> None:
         """Write the newest origins to this router's row."""
+        async with self._lock:
+            await self._publish()
+
+    async def _publish(self) -> None:
         now = self._clock()
         now_ms = self._store.clock.earliest_ms(now)
-        if not now_ms:
+        if not now_ms or not await self._read_own():
+            self._has_failed = True
             return
         self._published_at = now
-        changes, known = self._memory.changes, []
-        for key, origin, expires_at in self._memory.items(now):
-            if not (origin.is_proven or origin.is_assumed):
-                continue
-            if not self._is_sole_version(origin.service):
-                known.append(to_message(key, origin, expires_at, now))
-        notice = OriginNotice(tuple(known[-MAX_ROW_ORIGINS:]))
+        requested = self._requested
+        changes = self._memory.changes
+        notice = OriginNotice(self._newest(now))
         if notice.origins:
             value = {"now_ms": now_ms, **to_json(notice)}
             row_id = RowId(TABLE, ROW_KEY, self._members.own.vm)
@@ -110,8 +168,49 @@
                 await self._store.write(Write(puts=(put,)))
             except (StoreUnavailable, OutcomeUnknown) as error:
                 log_event("stream origins not written", reason=str(error))
+                self._has_failed = True
                 return
         self._published_changes = changes
+        self._stored = requested
+        self._has_failed = False
+
+    def _newest(self, now: float) -> tuple[KnownOrigin, ...]:
+        """Return the origins for the row: those to store, then the newest others."""
+        for key, (_, expires_at) in list(self._begun_by_key.items()):
+            if expires_at <= now:
+                del self._begun_by_key[key]
+        known_by_key = {}
+        for key, origin, expires_at in self._memory.items(now):
+            if not (origin.is_proven or origin.is_assumed):
+                continue
+            if not self._is_sole_version(origin.service):
+                known_by_key[key] = to_message(key, origin, expires_at, now)
+        begun = []
+        for key, (origin, expires_at) in self._begun_by_key.items():
+            known = known_by_key.pop(key, None)
+            begun.append(known or to_message(key, origin, expires_at, now))
+        left = MAX_ROW_ORIGINS - len(begun)
+        others = list(known_by_key.values())[-left:] if left > 0 else []
+        return (*begun, *others)
+
+    async def _read_own(self) -> bool:
+        """Take over the origins of the VM's last process; return whether it is done."""
+        if self._has_read_own:
+            return True
+        vm = self._members.own.vm
+        await self._read_shared(vm)
+        read_at = self._read_at_by_vm.get(vm)
+        if read_at is None:
+            return False
+        self._has_read_own = True
+        for key, known in self._origins_by_vm[vm].items():
+            origin = from_message(known, read_at)
+            self._begun_by_key.setdefault(key, (origin, read_at + known.keep))
+        return True
+
+    def have_read(self, vms: Sequence[str], since: float) -> bool:
+        """Return whether the rows of all these routers were read since a time."""
+        return all(self._read_at_by_vm.get(vm, -math.inf) >= since for vm in vms)
 
     async def find(self, key: str, vms: Sequence[str]) -> StreamOrigin | None:
         """Return an origin that one of some routers has written, if any."""
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -15,12 +15,13 @@
 from lynxchute.http import LinkMeter
 from lynxchute.relay.exchange import Exchange
 from lynxchute.relay.origins import OriginLookup, Origins
+from lynxchute.resumption.default_versions import DefaultVersions
 from lynxchute.resumption.origin_memory import OriginMemory
 from lynxchute.resumption.origin_messages import from_message, to_message
 from lynxchute.resumption.origin_owners import OriginOwners
 from lynxchute.resumption.origin_prover import OriginProver, Proof
 from lynxchute.resumption.origin_replicator import OriginReplicator
-from lynxchute.resumption.origin_rows import OriginRows
+from lynxchute.resumption.origin_rows import CACHE_SECONDS, OriginRows
 from lynxchute.resumption.origin_teller import OriginTeller
 from lynxchute.resumption.version_record import VersionRecord
 from lynxchute.store import Store
@@ -51,6 +52,7 @@
 # Seconds of silence after which a stream's process counts as ended, once another one
 # was noticed at its upstream.
 SILENT_SECONDS = 0.3
+NOWHERE = OriginLookup(None, "nowhere")
 
 
 class StreamOrigins(Origins):
@@ -77,6 +79,11 @@
         Steady clock in seconds.
     version_record
         Knows which versions routers that start learn of; None to begin streams at any.
+    defaults
+        Knows at which versions streams began that the store does not name.
+    was_killed
+        Returns whether an earlier process of this VM was killed that may have known
+        streams which can still be resumed.
     max_age
         Returns the seconds after its begin for which a stream may be resumed.
     is_history_known
@@ -99,6 +106,8 @@
         clock: Callable[[], float],
         *,
         version_record: VersionRecord | None = None,
+        defaults: DefaultVersions | None = None,
+        was_killed: Callable[[], bool] = lambda: False,
         max_age: Callable[[], float],
         is_history_known: Callable[[], bool],
         unconfirmed_seconds: Callable[[float], float],
@@ -115,6 +124,8 @@
         self._meter = meter
         self._clock = clock
         self._version_record = version_record
+        self._defaults = defaults
+        self._was_killed = was_killed
         self._max_age = max_age
         self._is_history_known = is_history_known
         self._unconfirmed_seconds = unconfirmed_seconds
@@ -224,11 +235,28 @@
         """Record the software version that an upstream states in a response."""
         self._directory.record_software_version(entry, version, self._clock())
 
-    async def may_begin(self, exchange: Exchange, version: str | None) -> bool:
-        """Return whether a stream may begin at a software version."""
-        if self._version_record is None:
+    async def may_begin(self, exchange: Exchange, origin: StreamOrigin) -> bool:
+        """Return whether a stream may begin at an upstream, as an origin names it."""
+        if self._version_record is None or self._defaults is None:
             return True
-        return await self._version_record.ensure_recorded(exchange.service, version)
+        service, version = origin.service, origin.software_version
+        if not await self._version_record.ensure_recorded(service, version):
+            return False
+        default = await self._defaults.settle(service)
+        if default is None:
+            return True
+        account = exchange.account.name if exchange.account is not None else ""
+        key = origin_key(account, exchange.call.request_id)
+        if version == default and not self.rows.has_stored(key):
+            return True
+        expires_at = self._clock() + exchange.route.timeout + RETURN_SECONDS
+        if await self.rows.store(key, origin, expires_at):
+            return True
+        if default not in self._directory.versions_by_service().get(service, set()):
+            return True
+        if version != default:
+            exchange.bound_version = default
+        return False
 
     async def confirm_process(self, entry: UpstreamEntry) -> bool:
         """Return whether an upstream still runs the process that its entry states."""
@@ -282,10 +310,24 @@
             version = self._agreed_version(service, replies)
             if version is not None:
                 return OriginLookup(StreamOrigin(service, version), "sole version")
-        origin = await self.rows.find(key, [self._members.own.vm, *order])
-        if origin is not None and await self.verify(origin):
-            return OriginLookup(origin, "store")
-        return OriginLookup(None, "nowhere")
+        vms = [self._members.own.vm, *order]
+        asked_at = self._clock()
+        origin = await self.rows.find(key, vms)
+        if origin is not None:
+            is_sound = await self.verify(origin)
+            return OriginLookup(origin, "store") if is_sound else NOWHERE
+        if not any([self._was_killed(), *(r.may_have_forgotten for r in replies)]):
+            return NOWHERE
+        return self._default(service, vms, asked_at)
+
+    def _default(self, service: str, vms: Sequence[str], since: float) -> OriginLookup:
+        """Return the origin of a stream of which no row says anything."""
+        default = self._defaults.get(service) if self._defaults is not None else None
+        if default is None or len(vms) < len(self._members.by_vm):
+            return NOWHERE
+        if not self.rows.have_read(vms, since - CACHE_SECONDS):
+            return NOWHERE
+        return OriginLookup(StreamOrigin(service, default), "default version")
 
     async def _verified(
         self, replies_by_vm: dict[str, OriginReply]
@@ -382,7 +424,7 @@
         if origin is not None and self._is_sound(origin):
             return OriginReply(to_message(query.key, origin, now, now))
         versions = tuple(self._versions(query.service))
-        return OriginReply(None, versions, self._is_history_known())
+        return OriginReply(None, versions, self._is_history_known(), self._was_killed())
 
     def _is_sound(self, origin: StreamOrigin) -> bool:
         """Return whether nothing that is known here speaks against an origin."""
--- a/lynxchute/resumption/version_record.py
+++ b/lynxchute/resumption/version_record.py
@@ -121,6 +121,10 @@
         now_ms = self._store.clock.earliest_ms(self._clock())
         return now_ms - gone_ms < GONE_GRACE_SECONDS * 1000
 
+    def has_had(self, service: str, version: str) -> bool:
+        """Return whether streams may be left that began at a version."""
+        return version in self._gone_by_service.get(service, {})
+
     async def ensure_recorded(self, service: str, version: str | None) -> bool:
         """Wait briefly until the row names a version; return whether it does."""
         until = self._clock() + WAIT_SECONDS
--- a/lynxchute/upstreams/stream_origin.py
+++ b/lynxchute/upstreams/stream_origin.py
@@ -41,6 +41,11 @@
     is_proven: bool = attrs.field(default=False, eq=False)
     is_assumed: bool = attrs.field(default=False, eq=False)
 
+    def is_same_process(self, other: StreamOrigin) -> bool:
+        """Return whether another origin names the same version and process."""
+        names = ("service", "software_version", "upstream", "started_ms")
+        return all(getattr(self, name) == getattr(other, name) for name in names)
+
 
 def origin_key(account: str, attempt: str) -> str:
     """Return the key under which the origin of an attempt's stream is known.
