--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -10,6 +10,8 @@
 from lynxchute.bench.budget_schemes import Cached, Central, Escrow, Static
 from lynxchute.bench.budgets import play
 from lynxchute.budgets import DemandPolicy, ShareView
+from lynxchute.budgets.line import LimitLine
+from lynxchute.budgets.policy import DemandPolicy, ShareView
 from lynxchute.rendezvous import ranked
 from lynxchute.upstreams.retry_budget import RetryBudget
 from tests.ledger_fleet import LedgerFleet
@@ -154,6 +156,36 @@
         self.assertGreater(repeats, 0.1 * 4000)
 
 
+class OutageLossTest(testtools.TestCase):
+    # Seconds from the last write of a router to the start of its next process: an
+    # outage of the store, at whose end the router is killed, and the time it is away.
+    SILENT_MS = 6_300
+
+    def lost_share(self, demand_seconds):
+        """Return the share of unused tokens that a death after an outage loses."""
+        unused = 100_000
+        view = ShareView(
+            granted=2 * unused,
+            used=unused,
+            free=0,
+            prepaid=6 * unused,
+            demand=unused / demand_seconds,
+            largest=1000.0,
+            waiting=0,
+            is_home=True,
+            parts=3,
+        )
+        policy = DemandPolicy()
+        line = LimitLine(
+            policy.burst(view), policy.rate(view), policy.outage_rate(view), start_ms=0
+        )
+        return line.at(self.SILENT_MS) / unused
+
+    def test_a_death_at_the_end_of_an_outage_leaves_most_unused_tokens(self):
+        for demand_seconds in (25.0, 40.0, 100.0):
+            self.assertLess(self.lost_share(demand_seconds), 0.5)
+
+
 class ComparisonTest(testtools.TestCase):
     """The budget schemes of the bench, compared on a shorter trace."""
 
