--- a/tests/part_play.py
+++ b/tests/part_play.py
@@ -165,6 +165,14 @@
         is_whole = status == 200 and event_ids(body) == list(range(1, EVENTS + 1))
         self.sound_results.append(SoundResult(sent_at, status, is_whole, body))
 
+    async def send_deadly(self, numbers, interval):
+        """Send requests with these numbers at an interval, and wait for them."""
+        tasks = []
+        for number in numbers:
+            tasks.append(asyncio.create_task(self._send_deadly(number)))
+            await asyncio.sleep(interval)
+        await asyncio.gather(*tasks)
+
     async def _send_deadly(self, number):
         status, body = await self._request(number, self.deadly_parts(number), "deadly")
         self.deadly_answers.append((status, body))
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -85,6 +85,32 @@
         )
         self.assert_contained(play)
 
+    def permit_retries(self, deployment):
+        for router in deployment.routers.values():
+            router.retries.change(share=100.0, extra=1000.0, window=10.0)
+
+    def test_a_part_is_not_forgotten_as_all_routers_die_at_the_end_of_an_outage(self):
+        async def disturb(deployment, play):
+            await asyncio.sleep(1.0)
+            for vm in ROUTERS:
+                deployment.faults(vm).outage = Outage.SILENT
+            await asyncio.sleep(1.0)
+            self.permit_retries(deployment)
+            await play.send_deadly(range(4), 0.3)
+            await until(lambda: play.crashes >= 5)
+            for vm in ROUTERS:
+                await deployment.routers.pop(vm).kill()
+            for vm in ROUTERS:
+                deployment.faults(vm).outage = Outage.NONE
+                await deployment.start_router(vm)
+            self.permit_retries(deployment)
+            # All routers are in touch, and all engines are back.
+            await asyncio.sleep(4.0)
+            await play.send_deadly(range(4, 9), 0.3)
+
+        play = self.play(disturb=disturb, deadly_interval=0.0, seconds=13.0)
+        self.assert_contained(play)
+
     def test_two_crashing_parts_in_turn_are_both_refused(self):
         other = "beefdead"
         play = self.play(
