Expect forgotten crashes after the death of all routers

Cause: a verdict or suspicion that could not be written dies with the routers, and their successors assume that no part is suspected: four crashes again, two of each request, as it is sent on to the next engine. Ruled out: verdicts that come late (each within 0.4 s of its crash). Change: for 60 s after a kill, while each router that answers was killed in that time, a request under which an engine may have crashed goes on only if each of its shared parts was served since, as the others are asked; one crash makes a part suspected, and two under different requests prove it, at a chance of 0.005 in place of 0.0001. If any router was not killed, nothing changes: it remembers. Cost: in those 60 s a request whose engine ends is refused with 502 if a part of it was not served yet, and a sound part may be blamed once in some 200 times. A test of inquiries takes the new form of reports; what it checks is the same.

--- a/lynxchute/containment/containment.py
+++ b/lynxchute/containment/containment.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import OrderedDict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import attrs
 
@@ -27,6 +27,7 @@
 from lynxchute.fleet.server import PeerServer
 from lynxchute.quarantine import (
     BrokenRun,
+    PartGroup,
     Progress,
     PromptParts,
     Quarantine,
@@ -34,6 +35,7 @@
     QuarantineRecord,
     ServedContents,
 )
+from lynxchute.quarantine.served_parts import ANY_VERSION
 from lynxchute.store import Row, Store, TableFeed
 from lynxchute.store.era import era_of
 from lynxchute.store.feed import REWRITE_SECONDS
@@ -84,6 +86,8 @@
         Counts broken runs and quarantined requests.
     clock
         Seconds on the steady clock.
+    may_have_forgotten
+        Returns whether an earlier process of this VM was killed just now.
 
     Attributes
     ----------
@@ -103,13 +107,15 @@
         directory: Directory,
         metrics: Metrics,
         clock: Callable[[], float],
+        may_have_forgotten: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._may_have_forgotten = may_have_forgotten
         broadcast = QuarantineBroadcast(members, peers, clock)
         broadcast.listeners.append(self._handle_update)
         self.quarantine = Quarantine()
         tasks = Tasks()
-        inquirer = PartInquirer(
-            members, peers, lambda groups: self.parts.report(groups), tasks
+        inquirer = self._inquirer = PartInquirer(
+            members, peers, self._report_parts, tasks
         )
         self.judge = Judge(members, store, broadcast, inquirer, metrics, clock, tasks)
         self.parts = PartWatch(
@@ -175,6 +181,21 @@
                 "quarantined prompt parts tried", request_id=request_id, entry=entry_id
             )
 
+    async def may_send_again(self, prompt: PromptParts | None) -> bool:
+        """Return whether a request may go on whose upstream may have crashed under it.
+
+        While no router may remember earlier crashes, only if each shared part of its
+        prompt was served since.
+        """
+        if prompt is None or not prompt.ids or not self._may_have_forgotten():
+            return True
+        group = PartGroup(prompt.scope, ANY_VERSION, prompt.ids, self.judge.now_ms())
+        report = await self._inquirer.ask([group])
+        if not report.may_have_forgotten:
+            return True
+        served = set[str]().union(*(item.at_ms for item in report.served))
+        return served.issuperset(prompt.ids)
+
     def is_suspected(self, prompt_of: Callable[[], PromptParts | None]) -> bool:
         """Return whether a request must not be sent again after a crash."""
         if not self.parts.has_suspected:
@@ -338,7 +359,11 @@
         return Ack()
 
     async def _handle_inquiry(self, inquiry: PartInquiry) -> PartReport:
-        return PartReport(self.parts.report(inquiry.groups))
+        return self._report_parts(inquiry.groups)
+
+    def _report_parts(self, groups: Sequence[PartGroup]) -> PartReport:
+        """Return what this router has served, and whether it may have forgotten."""
+        return PartReport(self.parts.report(groups), self._may_have_forgotten())
 
     async def _handle_update_message(self, update: QuarantineUpdate) -> Ack:
         self._handle_update(update)
--- a/lynxchute/containment/judge.py
+++ b/lynxchute/containment/judge.py
@@ -282,6 +282,8 @@
         if is_asking or parts.crashes == self._asked_at_crash:
             return
         self._asked_at_crash = parts.crashes
+        # The others may remember, which the inquiry shows.
+        parts.is_forgetful = self._inquirer.may_have_forgotten
         groups = parts.suspected(now_ms)
         if groups:
             self._inquiry_task = self._tasks.spawn(self._verify_parts(groups))
@@ -290,7 +292,9 @@
         """Ask which suspected parts were served; quarantine those that are proven."""
         parts = self.attribution.parts
         runs_by_scope: Counter[str] = Counter()
-        for served in await self._inquirer.ask(groups):
+        report = await self._inquirer.ask(groups)
+        parts.is_forgetful = report.may_have_forgotten
+        for served in report.served:
             runs_by_scope[served.scope] += served.runs
             self._record_parts_served(served)
         parts.record_served_runs(runs_by_scope)
--- a/lynxchute/containment/part_inquiry.py
+++ b/lynxchute/containment/part_inquiry.py
@@ -8,7 +8,7 @@
 from lynxchute.application import Tasks
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Members
-from lynxchute.fleet.quarantine_messages import PartInquiry, PartReport, PartsServed
+from lynxchute.fleet.quarantine_messages import PartInquiry, PartReport
 from lynxchute.quarantine import PartGroup
 from lynxchute.telemetry import log_event
 
@@ -27,7 +27,7 @@
     members, peers
         The routers.
     own_report
-        Returns what this router has served.
+        Returns what this router has served, and whether it may have forgotten crashes.
     tasks
         Runs the inquiries.
     """
@@ -36,7 +36,7 @@
         self,
         members: Members,
         peers: Peers,
-        own_report: Callable[[Sequence[PartGroup]], tuple[PartsServed, ...]],
+        own_report: Callable[[Sequence[PartGroup]], PartReport],
         tasks: Tasks,
     ) -> None:
         self._members = members
@@ -44,16 +44,24 @@
         self._own_report = own_report
         self._tasks = tasks
 
-    async def ask(self, groups: Sequence[PartGroup]) -> list[PartsServed]:
-        """Return what this router and the others have served."""
-        served = list(self._own_report(groups))
+    @property
+    def may_have_forgotten(self) -> bool:
+        """Return whether this router may have forgotten crashes."""
+        return self._own_report(()).may_have_forgotten
+
+    async def ask(self, groups: Sequence[PartGroup]) -> PartReport:
+        """Return what this router and the others have served.
+
+        Only if all of them may have forgotten crashes, so does the report.
+        """
+        own = self._own_report(groups)
         vms = [
             vm
             for vm in self._members.by_vm
             if vm != self._members.own.vm and self._members.is_reachable(vm)
         ]
         if not vms:
-            return served
+            return own
         inquiry = PartInquiry(tuple(groups))
         semaphore = asyncio.Semaphore(MAX_CONCURRENT)
         asked = [self._tasks.spawn(self._ask_one(vm, inquiry, semaphore)) for vm in vms]
@@ -62,15 +70,15 @@
             task.cancel()
         reports = [task.result() for task in done if not task.cancelled()]
         answers = [report for report in reports if report is not None]
-        for report in answers:
-            served.extend(report.served)
+        served = [*own.served, *(item for report in answers for item in report.served)]
         log_event(
             "routers asked for served prompt parts",
             parts=sum(len(group.parts) for group in groups),
             routers=len(vms),
             answers=len(answers),
         )
-        return served
+        have_forgotten = all(report.may_have_forgotten for report in (own, *answers))
+        return PartReport(tuple(served), have_forgotten)
 
     async def _ask_one(
         self, vm: str, inquiry: PartInquiry, semaphore: asyncio.Semaphore
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -100,6 +100,8 @@
 # store or router that does not answer takes up to 0.7 s, and the waits are sequential.
 REPORT_MARGIN_SECONDS = 0.4
 DRAIN_POLL_SECONDS = 0.05
+# Seconds after a start for which crashes that a killed process knew of may matter.
+FORGETFUL_SECONDS = 60.0
 # Seconds beyond the long poll in which the store answers, unless it is away.
 CONFIRM_MARGIN_SECONDS = 1.0
 # Seconds in which requests that are still open at the drain deadline get an answer.
@@ -341,6 +343,7 @@
             self.directory,
             self.metrics,
             steady_seconds,
+            self._may_have_forgotten_crashes,
         )
         self.containment.serve(self.peer_server)
         self.containment.register_listeners(self.registry)
@@ -479,6 +482,11 @@
         age = steady_seconds() - self._started_at
         return self.registry.was_predecessor_killed and age < self._max_stream_age()
 
+    def _may_have_forgotten_crashes(self) -> bool:
+        """Return whether a killed process may have known of recent crashes."""
+        age = steady_seconds() - self._started_at
+        return self.registry.was_predecessor_killed and age < FORGETFUL_SECONDS
+
     def _max_stream_age(self) -> float:
         """Return the seconds after its begin for which a stream may be resumed."""
         current = self.configurations.current
--- a/lynxchute/fleet/quarantine_messages.py
+++ b/lynxchute/fleet/quarantine_messages.py
@@ -75,9 +75,16 @@
 
 @attrs.frozen
 class PartReport:
-    """Reply to `PartInquiry`."""
+    """Reply to `PartInquiry`.
+
+    Attributes
+    ----------
+    may_have_forgotten
+        Whether an earlier process of the router's VM was killed just now.
+    """
 
     served: tuple[PartsServed, ...] = ()
+    may_have_forgotten: bool = False
 
 
 @attrs.frozen
--- a/lynxchute/quarantine/part_suspicion.py
+++ b/lynxchute/quarantine/part_suspicion.py
@@ -15,6 +15,8 @@
 
 # Number of crashes after which a part may be quarantined.
 CRASHES_TO_QUARANTINE_PART = 4
+# The same while crashes before may have been forgotten, of more than one request.
+CRASHES_WHILE_FORGETFUL = 2
 # The same for one of several parts that are quarantined together, or that have been
 # quarantined before.
 CRASHES_OF_KNOWN_PART = 2
@@ -22,6 +24,7 @@
 CRASHES_TO_SUSPECT = 2
 # Expected number of sound parts that crash as often by chance, at most.
 MAX_CHANCE = 1e-4
+MAX_CHANCE_WHILE_FORGETFUL = 5e-3
 # Crashes and served runs that the estimated share of crashes starts with.
 PRIOR_CRASHES, PRIOR_SERVED = 0.5, 10.0
 # Milliseconds over which that share is taken.
@@ -74,6 +77,9 @@
         Quarantined parts.
     crashes
         Number of recorded runs that may have caused a crash.
+    is_forgetful
+        Whether no router may remember earlier crashes. Fewer crashes then prove a
+        part, and one makes it suspected.
 
     Examples
     --------
@@ -90,6 +96,7 @@
     def __init__(self) -> None:
         self.entries = PartEntries()
         self.crashes = 0
+        self.is_forgetful = False
         self._crash_by_process: OrderedDict[str, PartCrash] = OrderedDict()
         self._served_ms_by_part: OrderedDict[tuple[str, str, str], int] = OrderedDict()
         self._renewed: list[QuarantineEntry] = []
@@ -169,7 +176,7 @@
             tallies = [
                 tally
                 for tally in self._tallies(scope, self._explained(scope, now_ms))
-                if _is_suspected(tally, known)
+                if self._is_suspected(tally, known)
             ]
             tallies.sort(key=lambda tally: -tally.count)
             parts = tuple(tally.part for tally in tallies[:MAX_SUSPECTED])
@@ -198,11 +205,10 @@
                 if not tallies:
                     break
                 known = self.entries.known_parts(scope)
-                best = _likeliest(tallies, known)
-                needed = _needed_crashes(best, known)
-                if best.count < needed:
+                best = self._likeliest(tallies, known)
+                if best.count < self._needed_crashes(best, known):
                     break
-                if needed == CRASHES_TO_QUARANTINE_PART and self._may_be_chance(
+                if best.part not in known and self._may_be_chance(
                     scope, best, explained, now_ms
                 ):
                     break
@@ -416,7 +422,9 @@
         crash_share = min((other_crashes + PRIOR_CRASHES) / runs, 1.0)
         # The expected number of times that as many runs in a row crash by chance.
         chance = (served + other_crashes + tally.count) * crash_share**tally.count
-        return chance >= MAX_CHANCE
+        return chance >= (
+            MAX_CHANCE_WHILE_FORGETFUL if self.is_forgetful else MAX_CHANCE
+        )
 
     def _quarantine(
         self,
@@ -469,31 +477,32 @@
                 parts.append(tally.part)
         return parts
 
+    def _needed_crashes(self, tally: PartTally, known: set[str]) -> int:
+        """Return the number of crashes that prove a part.
 
-def _needed_crashes(tally: PartTally, known: set[str]) -> int:
-    """Return the number of crashes that prove a part.
-
-    Parameters
-    ----------
-    known
-        Parts that are or were in quarantine.
-    """
-    if tally.part in known:
-        return CRASHES_OF_KNOWN_PART
-    return CRASHES_TO_QUARANTINE_PART
-
-
-def _likeliest(tallies: list[PartTally], known: set[str]) -> PartTally:
-    """Return the part with the most crashes beyond those that are needed."""
-
-    def rank(tally: PartTally) -> tuple[int, int, str]:
-        return tally.count - _needed_crashes(tally, known), tally.count, tally.part
-
-    return max(tallies, key=rank)
-
-
-def _is_suspected(tally: PartTally, known: set[str]) -> bool:
-    if tally.count >= CRASHES_TO_SUSPECT and tally.is_of_several_requests:
-        return True
-    needed = _needed_crashes(tally, known)
-    return needed < CRASHES_TO_QUARANTINE_PART and tally.count >= needed
+        Parameters
+        ----------
+        known
+            Parts that are or were in quarantine.
+        """
+        if tally.part in known:
+            return CRASHES_OF_KNOWN_PART
+        if self.is_forgetful and tally.is_of_several_requests:
+            return CRASHES_WHILE_FORGETFUL
+        return CRASHES_TO_QUARANTINE_PART
+
+    def _likeliest(self, tallies: list[PartTally], known: set[str]) -> PartTally:
+        """Return the part with the most crashes beyond those that are needed."""
+
+        def rank(tally: PartTally) -> tuple[int, int, str]:
+            extra = tally.count - self._needed_crashes(tally, known)
+            return extra, tally.count, tally.part
+
+        return max(tallies, key=rank)
+
+    def _is_suspected(self, tally: PartTally, known: set[str]) -> bool:
+        if self.is_forgetful:
+            return True
+        if tally.count >= CRASHES_TO_SUSPECT and tally.is_of_several_requests:
+            return True
+        return tally.part in known and tally.count >= CRASHES_OF_KNOWN_PART
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -263,7 +263,7 @@
         """Send a request where it is planned to go on, unless it was not sent."""
         if not exchange.sends or send.handle.connection is None:
             return None
-        if not await self.claim_retry(exchange):
+        if not await self.claim_retry(exchange, is_silent=True):
             self._resender.release(exchange)
             return ResendObstacle.NO_PERMIT
         if self._has_other_send(exchange, send):
@@ -286,11 +286,25 @@
         """Release what is held for a request that has its final answer."""
         self._resender.end(exchange)
 
-    async def claim_retry(self, exchange: Exchange) -> bool:
+    def _refuse_suspected(self, exchange: Exchange) -> bool:
+        log_event(
+            "request with a suspected prompt part not sent again",
+            request_id=exchange.call.request_id,
+            parts=exchange.logged_parts,
+            send=exchange.sends,
+        )
+        return False
+
+    async def claim_retry(self, exchange: Exchange, *, is_silent: bool = False) -> bool:
         """Return whether an exchange may be sent again; spend retry budget if so.
 
         A permit lasts until the next send, so a send that fails before its first byte
         needs no further one. None is needed for a send that has begun already.
+
+        Parameters
+        ----------
+        is_silent
+            Whether its upstream is only silent, and has not ended the connection.
         """
         if exchange.has_valid_resend:
             return True
@@ -298,15 +312,15 @@
             return False
         # A run that brought events is not the cause of its upstream's crash.
         if not exchange.events and self._containment.is_suspected(exchange.prompt):
-            log_event(
-                "request with a suspected prompt part not sent again",
-                request_id=exchange.call.request_id,
-                parts=exchange.logged_parts,
-                send=exchange.sends,
-            )
-            return False
+            return self._refuse_suspected(exchange)
         if exchange.has_retry_permit:
             return True
+        has_run = exchange.run_status is not RunStatus.NOT_RUN
+        may_be_crash = has_run and not exchange.events and not is_silent
+        if may_be_crash and not await self._containment.may_send_again(
+            exchange.prompt()
+        ):
+            return self._refuse_suspected(exchange)
         await self._is_retry_available(exchange)
         if exchange.has_retry_permit:
             return True
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -361,11 +361,11 @@
             hanging = {f"vm-{number}" for number in range(1, 300, 30)}
             tasks = Tasks()
             inquirer = PartInquirer(
-                fleet.members, HangingPeers(hanging), lambda groups: (), tasks
+                fleet.members, HangingPeers(hanging), lambda groups: PartReport(), tasks
             )
             group = PartGroup("pool m", "v1", ("p",), 0)
             begin = asyncio.get_running_loop().time()
-            served = await inquirer.ask([group])
+            served = (await inquirer.ask([group])).served
             seconds = asyncio.get_running_loop().time() - begin
             await tasks.stop()
             return served, seconds
