--- a/lynxchute/containment/containment.py
+++ b/lynxchute/containment/containment.py
@@ -86,7 +86,7 @@
         Counts broken runs and quarantined requests.
     clock
         Seconds on the steady clock.
-    may_have_forgotten
+    may_have_lost_state
         Returns whether an earlier process of this VM was killed just now.
 
     Attributes
@@ -107,9 +107,9 @@
         directory: Directory,
         metrics: Metrics,
         clock: Callable[[], float],
-        may_have_forgotten: Callable[[], bool] = lambda: False,
+        may_have_lost_state: Callable[[], bool] = lambda: False,
     ) -> None:
-        self._may_have_forgotten = may_have_forgotten
+        self._may_have_lost_state = may_have_lost_state
         broadcast = QuarantineBroadcast(members, peers, clock)
         broadcast.listeners.append(self._handle_update)
         self.quarantine = Quarantine()
@@ -187,11 +187,11 @@
         While no router may remember earlier crashes, only if each shared part of its
         prompt was served since.
         """
-        if prompt is None or not prompt.ids or not self._may_have_forgotten():
+        if prompt is None or not prompt.ids or not self._may_have_lost_state():
             return True
         group = PartGroup(prompt.scope, ANY_VERSION, prompt.ids, self.judge.now_ms())
         report = await self._inquirer.ask([group])
-        if not report.may_have_forgotten:
+        if not report.may_have_lost_state:
             return True
         served = set[str]().union(*(item.at_ms for item in report.served))
         return served.issuperset(prompt.ids)
@@ -362,8 +362,8 @@
         return self._report_parts(inquiry.groups)
 
     def _report_parts(self, groups: Sequence[PartGroup]) -> PartReport:
-        """Return what this router has served, and whether it may have forgotten."""
-        return PartReport(self.parts.report(groups), self._may_have_forgotten())
+        """Return what this router has served, and whether it may have lost state."""
+        return PartReport(self.parts.report(groups), self._may_have_lost_state())
 
     async def _handle_update_message(self, update: QuarantineUpdate) -> Ack:
         self._handle_update(update)
--- a/lynxchute/containment/judge.py
+++ b/lynxchute/containment/judge.py
@@ -283,7 +283,7 @@
             return
         self._asked_at_crash = parts.crashes
         # The others may remember, which the inquiry shows.
-        parts.is_forgetful = self._inquirer.may_have_forgotten
+        parts.lacks_history = self._inquirer.may_have_lost_state
         groups = parts.suspected(now_ms)
         if groups:
             self._inquiry_task = self._tasks.spawn(self._verify_parts(groups))
@@ -293,7 +293,7 @@
         parts = self.attribution.parts
         runs_by_scope: Counter[str] = Counter()
         report = await self._inquirer.ask(groups)
-        parts.is_forgetful = report.may_have_forgotten
+        parts.lacks_history = report.may_have_lost_state
         for served in report.served:
             runs_by_scope[served.scope] += served.runs
             self._record_parts_served(served)
--- a/lynxchute/containment/part_inquiry.py
+++ b/lynxchute/containment/part_inquiry.py
@@ -27,7 +27,7 @@
     members, peers
         The routers.
     own_report
-        Returns what this router has served, and whether it may have forgotten crashes.
+        Returns what this router has served, and whether it may have lost state.
     tasks
         Runs the inquiries.
     """
@@ -45,14 +45,14 @@
         self._tasks = tasks
 
     @property
-    def may_have_forgotten(self) -> bool:
-        """Return whether this router may have forgotten crashes."""
-        return self._own_report(()).may_have_forgotten
+    def may_have_lost_state(self) -> bool:
+        """Return whether this router may have lost state."""
+        return self._own_report(()).may_have_lost_state
 
     async def ask(self, groups: Sequence[PartGroup]) -> PartReport:
         """Return what this router and the others have served.
 
-        Only if all of them may have forgotten crashes, so does the report.
+        Only if all of them may have lost state, so does the report.
         """
         own = self._own_report(groups)
         vms = [
@@ -77,8 +77,8 @@
             routers=len(vms),
             answers=len(answers),
         )
-        have_forgotten = all(report.may_have_forgotten for report in (own, *answers))
-        return PartReport(tuple(served), have_forgotten)
+        have_lost_state = all(report.may_have_lost_state for report in (own, *answers))
+        return PartReport(tuple(served), have_lost_state)
 
     async def _ask_one(
         self, vm: str, inquiry: PartInquiry, semaphore: asyncio.Semaphore
--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -101,7 +101,7 @@
 REPORT_MARGIN_SECONDS = 0.4
 DRAIN_POLL_SECONDS = 0.05
 # Seconds after a start for which crashes that a killed process knew of may matter.
-FORGETFUL_SECONDS = 60.0
+STATE_LOSS_SECONDS = 60.0
 # Seconds beyond the long poll in which the store answers, unless it is away.
 CONFIRM_MARGIN_SECONDS = 1.0
 # Seconds in which requests that are still open at the drain deadline get an answer.
@@ -285,7 +285,7 @@
             steady_seconds,
             version_record=versions,
             defaults=defaults,
-            was_killed=self._may_have_forgotten,
+            was_killed=self._may_have_lost_state,
             max_age=self._max_stream_age,
             is_history_known=self.registry.feed.synced.is_set,
             unconfirmed_seconds=self.seconds_since_upstreams_confirmed,
@@ -343,7 +343,7 @@
             self.directory,
             self.metrics,
             steady_seconds,
-            self._may_have_forgotten_crashes,
+            self._may_have_lost_crashes,
         )
         self.containment.serve(self.peer_server)
         self.containment.register_listeners(self.registry)
@@ -477,15 +477,15 @@
         """Return the seconds after which the store must have confirmed upstreams."""
         return self.settings.bounds.drain * LONG_POLL_SHARE + CONFIRM_MARGIN_SECONDS
 
-    def _may_have_forgotten(self) -> bool:
+    def _may_have_lost_state(self) -> bool:
         """Return whether a killed process may have known streams that still last."""
         age = steady_seconds() - self._started_at
         return self.registry.was_predecessor_killed and age < self._max_stream_age()
 
-    def _may_have_forgotten_crashes(self) -> bool:
+    def _may_have_lost_crashes(self) -> bool:
         """Return whether a killed process may have known of recent crashes."""
         age = steady_seconds() - self._started_at
-        return self.registry.was_predecessor_killed and age < FORGETFUL_SECONDS
+        return self.registry.was_predecessor_killed and age < STATE_LOSS_SECONDS
 
     def _max_stream_age(self) -> float:
         """Return the seconds after its begin for which a stream may be resumed."""
--- a/lynxchute/fleet/origin_messages.py
+++ b/lynxchute/fleet/origin_messages.py
@@ -57,14 +57,14 @@
         resumed; None among them stands for one that is not known.
     is_history_known
         Whether the versions before the start of the router are known.
-    may_have_forgotten
+    may_have_lost_state
         Whether an earlier process of its VM was killed which may have known it.
     """
 
     origin: KnownOrigin | None = None
     versions: tuple[str | None, ...] = ()
     is_history_known: bool = False
-    may_have_forgotten: bool = False
+    may_have_lost_state: bool = False
 
 
 @attrs.frozen
--- a/lynxchute/fleet/quarantine_messages.py
+++ b/lynxchute/fleet/quarantine_messages.py
@@ -79,12 +79,12 @@
 
     Attributes
     ----------
-    may_have_forgotten
+    may_have_lost_state
         Whether an earlier process of the router's VM was killed just now.
     """
 
     served: tuple[PartsServed, ...] = ()
-    may_have_forgotten: bool = False
+    may_have_lost_state: bool = False
 
 
 @attrs.frozen
--- a/lynxchute/quarantine/part_suspicion.py
+++ b/lynxchute/quarantine/part_suspicion.py
@@ -15,8 +15,8 @@
 
 # Number of crashes after which a part may be quarantined.
 CRASHES_TO_QUARANTINE_PART = 4
-# The same while crashes before may have been forgotten, of more than one request.
-CRASHES_WHILE_FORGETFUL = 2
+# The same while no router may know of earlier crashes, of more than one request.
+CRASHES_WITHOUT_HISTORY = 2
 # The same for one of several parts that are quarantined together, or that have been
 # quarantined before.
 CRASHES_OF_KNOWN_PART = 2
@@ -24,7 +24,7 @@
 CRASHES_TO_SUSPECT = 2
 # Expected number of sound parts that crash as often by chance, at most.
 MAX_CHANCE = 1e-4
-MAX_CHANCE_WHILE_FORGETFUL = 5e-3
+MAX_CHANCE_WITHOUT_HISTORY = 5e-3
 # Crashes and served runs that the estimated share of crashes starts with.
 PRIOR_CRASHES, PRIOR_SERVED = 0.5, 10.0
 # Milliseconds over which that share is taken.
@@ -77,7 +77,7 @@
         Quarantined parts.
     crashes
         Number of recorded runs that may have caused a crash.
-    is_forgetful
+    lacks_history
         Whether no router may remember earlier crashes. Fewer crashes then prove a
         part, and one makes it suspected.
 
@@ -96,7 +96,7 @@
     def __init__(self) -> None:
         self.entries = PartEntries()
         self.crashes = 0
-        self.is_forgetful = False
+        self.lacks_history = False
         self._crash_by_process: OrderedDict[str, PartCrash] = OrderedDict()
         self._served_ms_by_part: OrderedDict[tuple[str, str, str], int] = OrderedDict()
         self._renewed: list[QuarantineEntry] = []
@@ -423,7 +423,7 @@
         # The expected number of times that as many runs in a row crash by chance.
         chance = (served + other_crashes + tally.count) * crash_share**tally.count
         return chance >= (
-            MAX_CHANCE_WHILE_FORGETFUL if self.is_forgetful else MAX_CHANCE
+            MAX_CHANCE_WITHOUT_HISTORY if self.lacks_history else MAX_CHANCE
         )
 
     def _quarantine(
@@ -487,8 +487,8 @@
         """
         if tally.part in known:
             return CRASHES_OF_KNOWN_PART
-        if self.is_forgetful and tally.is_of_several_requests:
-            return CRASHES_WHILE_FORGETFUL
+        if self.lacks_history and tally.is_of_several_requests:
+            return CRASHES_WITHOUT_HISTORY
         return CRASHES_TO_QUARANTINE_PART
 
     def _likeliest(self, tallies: list[PartTally], known: set[str]) -> PartTally:
@@ -501,7 +501,7 @@
         return max(tallies, key=rank)
 
     def _is_suspected(self, tally: PartTally, known: set[str]) -> bool:
-        if self.is_forgetful:
+        if self.lacks_history:
             return True
         if tally.count >= CRASHES_TO_SUSPECT and tally.is_of_several_requests:
             return True
--- a/lynxchute/resumption/origin_rows.py
+++ b/lynxchute/resumption/origin_rows.py
@@ -33,8 +33,8 @@
 READ_SECONDS = 0.6
 # Seconds that a stream waits until its origin is stored.
 STORE_SECONDS = 0.3
-# Newest origins in a row; some 180 bytes each.
-MAX_ROW_ORIGINS = 200
+# Newest origins in a row, which may have 64 KiB; some 180 bytes each.
+MAX_ROW_ORIGINS = 300
 
 
 class OriginRows:
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -316,7 +316,7 @@
         if origin is not None:
             is_sound = await self.verify(origin)
             return OriginLookup(origin, "store") if is_sound else NOWHERE
-        if not any([self._was_killed(), *(r.may_have_forgotten for r in replies)]):
+        if not any([self._was_killed(), *(r.may_have_lost_state for r in replies)]):
             return NOWHERE
         return self._default(service, vms, asked_at)
 
--- a/lynxchute/resumption/version_record.py
+++ b/lynxchute/resumption/version_record.py
@@ -130,8 +130,11 @@
         until = self._clock() + WAIT_SECONDS
         while not self.is_recorded(service, version):
             left = until - self._clock()
-            if left <= 0 or not self._is_table_known():
+            if left <= 0:
                 return False
+            if not self._is_table_known():
+                await asyncio.sleep(min(RETRY_SECONDS, left))
+                continue
             if self._writing is None or self._writing.done():
                 self._writing = self.tasks.spawn(self._write_current())
             await asyncio.wait([self._writing], timeout=left)
