--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -18,7 +18,7 @@
 from lynxchute.resumption.default_versions import DefaultVersions
 from lynxchute.resumption.origin_memory import OriginMemory
 from lynxchute.resumption.origin_messages import from_message, to_message
-from lynxchute.resumption.origin_owners import OriginOwners
+from lynxchute.resumption.origin_owners import MAX_OWNERS, OriginOwners
 from lynxchute.resumption.origin_prover import OriginProver, Proof
 from lynxchute.resumption.origin_replicator import OriginReplicator
 from lynxchute.resumption.origin_rows import CACHE_SECONDS, OriginRows
@@ -242,6 +242,9 @@
         service, version = origin.service, origin.software_version
         if not await self._version_record.ensure_recorded(service, version):
             return False
+        if len(self._members.by_vm) > MAX_OWNERS:
+            # No router reads the rows of all others, so none goes by a default version.
+            return True
         default = await self._defaults.settle(service)
         if default is None:
             return True
@@ -323,7 +326,7 @@
     def _default(self, service: str, vms: Sequence[str], since: float) -> OriginLookup:
         """Return the origin of a stream of which no row says anything."""
         default = self._defaults.get(service) if self._defaults is not None else None
-        if default is None or len(vms) < len(self._members.by_vm):
+        if default is None or len(self._members.by_vm) > len(vms):
             return NOWHERE
         if not self.rows.have_read(vms, since - CACHE_SECONDS):
             return NOWHERE
--- a/tests/test_stream_deaths.py
+++ b/tests/test_stream_deaths.py
@@ -6,7 +6,7 @@
 import asyncio
 from unittest import mock
 
-from lynxchute.resumption import version_record
+from lynxchute.resumption import stream_origins, version_record
 from lynxchute.standins.platform_store import Outage
 from lynxchute.standins.platform_upstream import PlatformUpstreamStandin
 from tests.platform_support import free_port
@@ -114,6 +114,21 @@
         self.with_seldom_observed(scenario, versions=(OLD,) * 4)
 
 
+class LargeFleetTest(StreamDeathsCase):
+    """Guards against a write a stream in fleets whose rows no router reads."""
+
+    def test_a_large_fleet_stores_no_origin_before_a_stream_begins(self):
+        async def scenario(deployment):
+            streams = await begin(deployment, STREAMS, events=None)
+            self.assertEqual(1.0, whole_share(streams))
+            self.assertIn({NEW}, [stream.versions for stream in streams])
+            for router in deployment.routers.values():
+                self.assertEqual({}, router.origins.rows._begun_by_key)
+
+        with mock.patch.object(stream_origins, "MAX_OWNERS", len(ROUTERS) - 1):
+            self.with_seldom_observed(scenario)
+
+
 class LostStreamsTest(StreamDeathsCase):
     """Guards against refusing streams after the death of all whose version serves."""
 
