--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -46,6 +46,8 @@
 # Seconds after a silence until its end is known.
 NOTICE_SECONDS = 0.3
 PIECE_BYTES = 1000
+# Seconds that each answer of a slow store takes.
+SLOW_STORE_SECONDS = 0.4
 
 
 async def start_stream(deployment, path="/stream/x", vm="a-1"):
@@ -450,6 +452,25 @@
         await self.check_whole(deployment, stream, runs=2)
 
 
+class SlowStoreTest(SilencePlay):
+    def test_a_stream_that_begins_elsewhere_waits_for_a_store_that_is_slow(self):
+        async def scenario(deployment):
+            for engine in deployment.engines:
+                engine.faults = [Fault.HANG]
+            caller = PlatformCaller(deployment)
+            stream = asyncio.create_task(caller.stream(deadline_ms=TIMEOUT_MS))
+            await until(lambda: any(engine.runs for engine in deployment.engines))
+            busy = max(deployment.engines, key=lambda engine: len(engine.runs))
+            deployment.silence(busy)
+            for engine in deployment.engines:
+                engine.faults = []
+            for vm in ROUTERS:
+                deployment.faults(vm).delay = SLOW_STORE_SECONDS
+            await self.check_whole(deployment, stream, runs=2)
+
+        self.with_silence(scenario, versions=("v1", "v2"))
+
+
 class VerdictTest(SilencePlay):
     """Guards against verdicts on a silent upstream that outlive its silence."""
 
