Wait longer for the origin of a stream that has begun elsewhere

Cause: the check before the first event gave up as fast as the one before a send, though the send had used the last attempt. A write for another stream in between also made an origin that is stored already wait again. Change: a stream whose upstream answers waits up to 2 s for the store, also after a failed write; an origin that is stored is known by its number.

--- a/lynxchute/relay/origins.py
+++ b/lynxchute/relay/origins.py
@@ -79,11 +79,18 @@
             clock; None if it came over another router.
         """
 
-    async def may_begin(self, exchange: Exchange, origin: StreamOrigin) -> bool:
+    async def may_begin(
+        self, exchange: Exchange, origin: StreamOrigin, *, has_begun: bool = False
+    ) -> bool:
         """Return whether a stream may begin at an upstream, as an origin names it.
 
         It may if routers that start later learn at which version it began, whatever
         happens to all that run now.
+
+        Parameters
+        ----------
+        has_begun
+            Whether the upstream runs it already, so that it is worth waiting longer.
         """
         return True
 
--- a/lynxchute/relay/passing.py
+++ b/lynxchute/relay/passing.py
@@ -63,7 +63,7 @@
         origin = _origin(exchange.service, self._answer, self._dialect, self._clock())
         if origin is None:
             return True
-        return await self._origins.may_begin(exchange, origin)
+        return await self._origins.may_begin(exchange, origin, has_begun=True)
 
     def check_end(self) -> None:
         """Check that the response may end here.
--- a/lynxchute/resumption/origin_rows.py
+++ b/lynxchute/resumption/origin_rows.py
@@ -37,6 +37,21 @@
 MAX_ROW_ORIGINS = 300
 
 
+@attrs.frozen
+class _Begun:
+    """An origin that is stored before its stream begins.
+
+    Attributes
+    ----------
+    number
+        Counts the origins to store; 0 for one of the VM's last process.
+    """
+
+    origin: StreamOrigin
+    expires_at: float
+    number: int
+
+
 class OriginRows:
     """Writes the origins that this router may go by, and reads those of others.
 
@@ -81,7 +96,7 @@
         self._published_changes = 0
         # Origins that are stored before the first events of their streams, and until
         # when. Those of the VM's last process are among them.
-        self._begun_by_key: dict[str, tuple[StreamOrigin, float]] = {}
+        self._begun_by_key: dict[str, _Begun] = {}
         self._has_read_own = False
         # Numbers of the last origin to store, and of the last one that is stored.
         self._requested = 0
@@ -105,30 +120,46 @@
         """Return whether the origin of an attempt was to be stored."""
         return key in self._begun_by_key
 
-    async def store(self, key: str, origin: StreamOrigin, expires_at: float) -> bool:
+    async def store(
+        self,
+        key: str,
+        origin: StreamOrigin,
+        expires_at: float,
+        *,
+        seconds: float = STORE_SECONDS,
+        may_give_up: bool = True,
+    ) -> bool:
         """Store the origin of a stream before it begins; return whether it is stored.
 
-        Streams that begin at the same time share a write. While the store does not
-        answer, nothing is tried for them.
+        Streams that begin at the same time share a write.
+
+        Parameters
+        ----------
+        seconds
+            How long to wait for the store.
+        may_give_up
+            Whether not to wait while the store does not answer.
         """
         known = self._begun_by_key.get(key)
-        is_known = known is not None and known[0].is_same_process(origin)
-        if is_known and self._stored == self._requested:
-            return True
-        if known is None and len(self._begun_by_key) >= MAX_ROW_ORIGINS:
+        if known is not None and known.origin.is_same_process(origin):
+            if known.number <= self._stored:
+                return True
+        elif known is None and len(self._begun_by_key) >= MAX_ROW_ORIGINS:
             return False
-        if self._is_store_away():
+        if may_give_up and self._is_store_away():
             self._start_storing()
             return False
-        self._begun_by_key[key] = (origin, expires_at)
         self._requested += 1
         own = self._requested
-        until = self._clock() + STORE_SECONDS
+        self._begun_by_key[key] = _Begun(origin, expires_at, own)
+        until = self._clock() + seconds
         while self._stored < own:
             left = until - self._clock()
-            if left <= 0 or self._has_failed:
+            if left <= 0 or (may_give_up and self._has_failed):
                 return False
             await asyncio.wait([self._start_storing()], timeout=left)
+            if self._has_failed:
+                await asyncio.sleep(CHECK_SECONDS)
         return True
 
     def _is_store_away(self) -> bool:
@@ -176,8 +207,8 @@
 
     def _newest(self, now: float) -> tuple[KnownOrigin, ...]:
         """Return the origins for the row: those to store, then the newest others."""
-        for key, (_, expires_at) in list(self._begun_by_key.items()):
-            if expires_at <= now:
+        for key, item in list(self._begun_by_key.items()):
+            if item.expires_at <= now:
                 del self._begun_by_key[key]
         known_by_key = {}
         for key, origin, expires_at in self._memory.items(now):
@@ -186,9 +217,9 @@
             if not self._is_sole_version(origin.service):
                 known_by_key[key] = to_message(key, origin, expires_at, now)
         begun = []
-        for key, (origin, expires_at) in self._begun_by_key.items():
+        for key, item in self._begun_by_key.items():
             known = known_by_key.pop(key, None)
-            begun.append(known or to_message(key, origin, expires_at, now))
+            begun.append(known or to_message(key, item.origin, item.expires_at, now))
         left = MAX_ROW_ORIGINS - len(begun)
         others = list(known_by_key.values())[-left:] if left > 0 else []
         return (*begun, *others)
@@ -204,8 +235,8 @@
             return False
         self._has_read_own = True
         for key, known in self._origins_by_vm[vm].items():
-            origin = from_message(known, read_at)
-            self._begun_by_key.setdefault(key, (origin, read_at + known.keep))
+            begun = _Begun(from_message(known, read_at), read_at + known.keep, 0)
+            self._begun_by_key.setdefault(key, begun)
         return True
 
     def have_read(self, vms: Sequence[str], since: float) -> bool:
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -21,7 +21,11 @@
 from lynxchute.resumption.origin_owners import MAX_OWNERS, OriginOwners
 from lynxchute.resumption.origin_prover import OriginProver, Proof
 from lynxchute.resumption.origin_replicator import OriginReplicator
-from lynxchute.resumption.origin_rows import CACHE_SECONDS, OriginRows
+from lynxchute.resumption.origin_rows import (
+    CACHE_SECONDS,
+    STORE_SECONDS,
+    OriginRows,
+)
 from lynxchute.resumption.origin_teller import OriginTeller
 from lynxchute.resumption.version_record import VersionRecord
 from lynxchute.store import Store
@@ -49,6 +53,8 @@
 # Seconds for which a router that has just started waits to know the upstreams.
 START_SECONDS = 0.3
 START_POLL_SECONDS = 0.02
+# Seconds that a stream waits for the store whose upstream has answered already.
+MAX_STORE_SECONDS = 2.0
 # Seconds of silence after which a stream's process counts as ended, once another one
 # was noticed at its upstream.
 SILENT_SECONDS = 0.3
@@ -235,7 +241,9 @@
         """Record the software version that an upstream states in a response."""
         self._directory.record_software_version(entry, version, self._clock())
 
-    async def may_begin(self, exchange: Exchange, origin: StreamOrigin) -> bool:
+    async def may_begin(
+        self, exchange: Exchange, origin: StreamOrigin, *, has_begun: bool = False
+    ) -> bool:
         """Return whether a stream may begin at an upstream, as an origin names it."""
         if self._version_record is None or self._defaults is None:
             return True
@@ -253,7 +261,10 @@
         if version == default and not self.rows.has_stored(key):
             return True
         expires_at = self._clock() + exchange.route.timeout + RETURN_SECONDS
-        if await self.rows.store(key, origin, expires_at):
+        seconds = MAX_STORE_SECONDS if has_begun else STORE_SECONDS
+        if await self.rows.store(
+            key, origin, expires_at, seconds=seconds, may_give_up=not has_begun
+        ):
             return True
         if default not in self._directory.versions_by_service().get(service, set()):
             return True
