--- a/tests/test_stream_deaths.py
+++ b/tests/test_stream_deaths.py
@@ -6,7 +6,7 @@
 import asyncio
 from unittest import mock
 
-from lynxchute.resumption import stream_origins, version_record
+from lynxchute.resumption import origin_rows, stream_origins, version_record
 from lynxchute.standins.platform_store import Outage
 from lynxchute.standins.platform_upstream import PlatformUpstreamStandin
 from tests.platform_support import free_port
@@ -129,6 +129,26 @@
             self.with_seldom_observed(scenario)
 
 
+class FullRowTest(StreamDeathsCase):
+    """Guards against streams that are cut, or joined, as a row of origins is full."""
+
+    def test_streams_begin_while_the_row_of_origins_is_full_and_do_not_mix(self):
+        async def scenario(deployment):
+            whole = await begin(deployment, STREAMS, events=None)
+            self.assertEqual(1.0, whole_share(whole))
+            streams = await begin(deployment, STREAMS)
+            at_new = sum(stream.versions == {NEW} for stream in whole + streams)
+            self.assertGreater(at_new, STREAMS / 2)
+            await self.kill_routers(deployment)
+            await self.start_routers(deployment)
+            await take_up(deployment, streams)
+            self.assertEqual(0, len(mixed(streams)), "streams of two versions")
+            self.check_new_streams(await begin(deployment, STREAMS, events=None))
+
+        with mock.patch.object(origin_rows, "MAX_ROW_ORIGINS", 3):
+            self.with_seldom_observed(scenario)
+
+
 class LostStreamsTest(StreamDeathsCase):
     """Guards against refusing streams after the death of all whose version serves."""
 
