Let streams begin while the row of origins is full

On the users' platform such streams went to the default version only. Change: a full row says until when it lacks origins. Streams begin then, and after the death of all none goes by a default version until that time; the next process of the VM takes the time over.

--- a/lynxchute/resumption/origin_rows.py
+++ b/lynxchute/resumption/origin_rows.py
@@ -27,6 +27,8 @@
 # make together at most.
 MIN_PUBLISH_SECONDS = 0.25
 MAX_WRITES_PER_SECOND = 40
+# Seconds beyond the last one that needs it for which a row is incomplete.
+INCOMPLETE_MARGIN_SECONDS = 30.0
 # Seconds for which rows that were read are used again.
 CACHE_SECONDS = 0.3
 # Seconds until the store must have answered.
@@ -56,7 +58,8 @@
     """Writes the origins that this router may go by, and reads those of others.
 
     Each router has one row, in a partition of its own. The rows outlive the death of
-    all routers, and can be read while routers do not reach one another.
+    all routers, and can be read while routers do not reach one another. A row that is
+    full says until when it lacks origins that would have to be stored.
 
     Parameters
     ----------
@@ -98,6 +101,10 @@
         # when. Those of the VM's last process are among them.
         self._begun_by_key: dict[str, _Begun] = {}
         self._has_read_own = False
+        # Until when this router's row is incomplete, as requested and as stored.
+        self._incomplete_until = -math.inf
+        self._stored_incomplete_until = -math.inf
+        self._incomplete_ms_by_vm: dict[str, int] = {}
         # Numbers of the last origin to store, and of the last one that is stored.
         self._requested = 0
         self._stored = 0
@@ -141,19 +148,30 @@
             Whether not to wait while the store does not answer.
         """
         known = self._begun_by_key.get(key)
-        if known is not None and known.origin.is_same_process(origin):
-            if known.number <= self._stored:
-                return True
-        elif known is None and len(self._begun_by_key) >= MAX_ROW_ORIGINS:
-            return False
+        is_same = known is not None and known.origin.is_same_process(origin)
+        if is_same and known is not None and known.number <= self._stored:
+            return True
+        is_full = known is None and len(self._begun_by_key) >= MAX_ROW_ORIGINS
+        if is_full and expires_at <= self._stored_incomplete_until:
+            return True
         if may_give_up and self._is_store_away():
             self._start_storing()
             return False
         self._requested += 1
         own = self._requested
-        self._begun_by_key[key] = _Begun(origin, expires_at, own)
+        if is_full:
+            until = expires_at + INCOMPLETE_MARGIN_SECONDS
+            self._incomplete_until = max(self._incomplete_until, until)
+        else:
+            self._begun_by_key[key] = _Begun(origin, expires_at, own)
+        return await self._wait_stored(own, seconds, may_give_up=may_give_up)
+
+    async def _wait_stored(
+        self, number: int, seconds: float, *, may_give_up: bool
+    ) -> bool:
+        """Wait until a request to store is done; return whether it is."""
         until = self._clock() + seconds
-        while self._stored < own:
+        while self._stored < number:
             left = until - self._clock()
             if left <= 0 or (may_give_up and self._has_failed):
                 return False
@@ -191,8 +209,12 @@
         requested = self._requested
         changes = self._memory.changes
         notice = OriginNotice(self._newest(now))
-        if notice.origins:
+        incomplete_until = self._incomplete_until
+        if notice.origins or incomplete_until > now:
             value = {"now_ms": now_ms, **to_json(notice)}
+            if incomplete_until > now:
+                left_ms = int((incomplete_until - now) * 1000)
+                value["incomplete_until_ms"] = now_ms + left_ms
             row_id = RowId(TABLE, ROW_KEY, self._members.own.vm)
             put = Put(row_id, json.dumps(value, separators=(",", ":")).encode())
             try:
@@ -203,6 +225,7 @@
                 return
         self._published_changes = changes
         self._stored = requested
+        self._stored_incomplete_until = incomplete_until
         self._has_failed = False
 
     def _newest(self, now: float) -> tuple[KnownOrigin, ...]:
@@ -234,11 +257,19 @@
         if read_at is None:
             return False
         self._has_read_own = True
+        now_ms = self._store.clock.earliest_ms(read_at)
+        left_ms = self._incomplete_ms_by_vm.get(vm, 0) - now_ms
+        self._incomplete_until = max(self._incomplete_until, read_at + left_ms / 1000)
         for key, known in self._origins_by_vm[vm].items():
             begun = _Begun(from_message(known, read_at), read_at + known.keep, 0)
             self._begun_by_key.setdefault(key, begun)
         return True
 
+    def are_complete(self, vms: Sequence[str]) -> bool:
+        """Return whether the rows of routers lack no origin that has to be stored."""
+        now_ms = self._store.clock.earliest_ms(self._clock())
+        return all(self._incomplete_ms_by_vm.get(vm, 0) <= now_ms for vm in vms)
+
     def have_read(self, vms: Sequence[str], since: float) -> bool:
         """Return whether the rows of all these routers were read since a time."""
         return all(self._read_at_by_vm.get(vm, -math.inf) >= since for vm in vms)
@@ -281,14 +312,17 @@
         now_ms = self._store.clock.earliest_ms(now)
         self._read_at_by_vm[vm] = now
         self._origins_by_vm[vm] = {}
+        self._incomplete_ms_by_vm[vm] = 0
         for row in snapshot.rows:
             try:
                 value = json.loads(row.value)
                 notice: OriginNotice = from_json(value, OriginNotice)
                 elapsed = max(now_ms - int(value["now_ms"]), 0) / 1000.0
+                incomplete_ms = int(value.get("incomplete_until_ms", 0))
             except (ValueError, KeyError, TypeError, MessageDecodeError) as error:
                 log_event("stream origins not decoded", peer=vm, reason=repr(error))
                 continue
+            self._incomplete_ms_by_vm[vm] = incomplete_ms
             for known in notice.origins:
                 self._origins_by_vm[vm][known.key] = attrs.evolve(
                     known, age=known.age + elapsed, keep=known.keep - elapsed
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -341,6 +341,8 @@
             return NOWHERE
         if not self.rows.have_read(vms, since - CACHE_SECONDS):
             return NOWHERE
+        if not self.rows.are_complete(vms):
+            return NOWHERE
         return OriginLookup(StreamOrigin(service, default), "default version")
 
     async def _verified(
