Let idle routers serve as much as before in a store outage

Change: 0.05 again; 1.5 times the demand stays. Result: test_ledger.OutageTest 3 of 3, test_budgets.OutageLossTest passes.

--- a/lynxchute/budgets/policy.py
+++ b/lynxchute/budgets/policy.py
@@ -104,7 +104,7 @@
     ample_seconds: float = 25.0
     drain_seconds: float = 3.0
     outage_demand: float = 1.5
-    outage_share: float = 0.03
+    outage_share: float = 0.05
 
     def grant(self, view: ShareView) -> int:
         """Return the tokens that the router should be granted."""
