Wait for the store where a stream can begin nowhere else

A stream whose origin at another version may be stored already was withheld from the default version as fast. Change: it waits up to 2 s there, as nothing else is left; and a router that has just started waits up to 2 s until it has read the table with the versions. Result: a test of the start passes (before, too: each upstream was waited for in turn).

--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -261,9 +261,11 @@
         if version == default and not self.rows.has_stored(key):
             return True
         expires_at = self._clock() + exchange.route.timeout + RETURN_SECONDS
-        seconds = MAX_STORE_SECONDS if has_begun else STORE_SECONDS
+        # No upstream is left where one at the default version is withheld.
+        is_last = has_begun or version == default
+        seconds = MAX_STORE_SECONDS if is_last else STORE_SECONDS
         if await self.rows.store(
-            key, origin, expires_at, seconds=seconds, may_give_up=not has_begun
+            key, origin, expires_at, seconds=seconds, may_give_up=not is_last
         ):
             return True
         if default not in self._directory.versions_by_service().get(service, set()):
--- a/lynxchute/resumption/version_record.py
+++ b/lynxchute/resumption/version_record.py
@@ -33,6 +33,8 @@
 RETRY_SECONDS = 0.05
 # Seconds that a stream waits until the row names its version.
 WAIT_SECONDS = 0.3
+# Seconds that a stream waits until a router that has just started knows the row.
+MAX_START_SECONDS = 2.0
 # Seconds for which a version that is gone may still begin streams: entries that lapsed
 # in an outage of the store come back within two seconds of its return.
 GONE_GRACE_SECONDS = 5.0
@@ -127,14 +129,13 @@
 
     async def ensure_recorded(self, service: str, version: str | None) -> bool:
         """Wait briefly until the row names a version; return whether it does."""
+        if not self.is_recorded(service, version):
+            await self._wait_for_table()
         until = self._clock() + WAIT_SECONDS
         while not self.is_recorded(service, version):
             left = until - self._clock()
             if left <= 0:
                 return False
-            if not self._is_table_known():
-                await asyncio.sleep(min(RETRY_SECONDS, left))
-                continue
             if self._writing is None or self._writing.done():
                 self._writing = self.tasks.spawn(self._write_current())
             await asyncio.wait([self._writing], timeout=left)
@@ -143,6 +144,12 @@
                 await asyncio.sleep(min(RETRY_SECONDS, left))
         return True
 
+    async def _wait_for_table(self) -> None:
+        """Wait until a router that has just started has read the table."""
+        until = self._clock() + MAX_START_SECONDS
+        while not self._is_table_known() and self._clock() < until:
+            await asyncio.sleep(RETRY_SECONDS)
+
     async def _write_current(self) -> None:
         now_ms = self._store.clock.earliest_ms(self._clock())
         if now_ms:
--- a/tests/test_stream_deaths.py
+++ b/tests/test_stream_deaths.py
@@ -25,6 +25,8 @@
 )
 
 SELDOM_SECONDS = 60.0
+# Seconds until a router that starts on a busy machine has read the versions.
+START_SECONDS = 0.6
 
 
 class StreamDeathsCase(StreamVersionCase):
@@ -129,6 +131,28 @@
             self.with_seldom_observed(scenario)
 
 
+class StartingRouterTest(StreamDeathsCase):
+    """Guards against streams refused by routers that have not read the versions yet."""
+
+    def test_streams_wait_until_a_router_that_starts_has_read_the_versions(self):
+        async def scenario(deployment):
+            await begin(deployment, 4, events=None)
+            loop = asyncio.get_running_loop()
+            for router in deployment.routers.values():
+                record = router.origins._version_record
+                known = record._is_table_known, record._gone_by_service
+                record._is_table_known, record._gone_by_service = (lambda: False), {}
+
+                def learn(record=record, known=known):
+                    record._is_table_known, record._gone_by_service = known
+
+                loop.call_later(START_SECONDS, learn)
+            streams = await begin(deployment, STREAMS, events=None)
+            self.assertEqual(1.0, whole_share(streams))
+
+        self.with_seldom_observed(scenario)
+
+
 class FullRowTest(StreamDeathsCase):
     """Guards against streams that are cut, or joined, as a row of origins is full."""
 
