Log how old a router's view is, and who replied, as a stream is taken up

Cause: the log says that a stream's version was known as the only one, not how old the view was nor whether another router had confirmed it, so that a view that counts for too long and routers that confirm one another while behind look the same.

Change: replies and view_age in the line on a stream to be resumed. No logic changes.

--- a/lynxchute/relay/origins.py
+++ b/lynxchute/relay/origins.py
@@ -27,11 +27,17 @@
         version``, ``default version`` or ``nowhere``.
     peer
         The other router that knew it, if any.
+    replies
+        How many other routers had replied.
+    view_age
+        Seconds since the store last answered about upstreams.
     """
 
     origin: StreamOrigin | None
     source: str
     peer: str = ""
+    replies: int = 0
+    view_age: float = 0.0
 
     @property
     def is_recorded(self) -> bool:
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -197,6 +197,8 @@
             began_at=origin.software_version if origin is not None else None,
             known_from=lookup.source,
             peer=lookup.peer,
+            replies=lookup.replies,
+            view_age=round(lookup.view_age, 3),
             age=round(age, 3) if lookup.is_recorded else 0.0,
         )
         if origin is None:
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -6,6 +6,8 @@
 import math
 from collections.abc import Callable, Sequence
 
+import attrs
+
 from lynxchute.application import PeriodicTask
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.members import Members
@@ -299,6 +301,8 @@
         """Return where the stream of an attempt began."""
         await self._wait_until_started()
         lookup = await self._find(origin_key(account, attempt), service)
+        view_age = self._unconfirmed_seconds(self._clock())
+        lookup = attrs.evolve(lookup, view_age=view_age)
         self._metrics.origin_lookups.inc(lookup.source)
         return lookup
 
@@ -325,7 +329,8 @@
             replies.extend(replies_by_vm.values())
             version = self._agreed_version(service, replies)
             if version is not None:
-                return OriginLookup(StreamOrigin(service, version), "sole version")
+                origin = StreamOrigin(service, version)
+                return OriginLookup(origin, "sole version", replies=len(replies))
         vms = [self._members.own.vm, *order]
         asked_at = self._clock()
         origin = await self.rows.find(key, vms)
