Read which versions there are after a stream is taken up, not before

Callers saw: a stream that began at a new software version, broken off and taken up at a router that was cut off for under 1.9 s, went on at the old version and ended as whole.

Cause: a router took the only version that it knew for the only one that there is, for 1.9 s after any answer of the store, though what came since was not in that answer.

Ruled out: the answer of another router (replies 0 in the log), a wrong process.

Change: a router that does not know a stream's origin asks the store for the row of versions once the caller has come, beside its questions to other routers. A version begins no stream before that row names it, and the store's answers are linearizable, so the answer names the version of any stream that a caller can know of, however old the router's view is and whatever stands still in between. No lease, no clock, and nothing waits for the first streams of a new version. Streams taken up at the same time share reads that start after they came (store/fresh_read.py). The store can be reached through another router.

Cost: one read of one row for streams taken up together, of a service that no router remembers the stream of; none while nothing is taken up.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -432,6 +432,7 @@
             cold.loop,
             versions.loop,
             versions.tasks,
+            versions.reads,
             defaults.tasks,
             self.origins.send_loop,
             self.origins.tasks,
--- a/lynxchute/fleet/relayed_store.py
+++ b/lynxchute/fleet/relayed_store.py
@@ -127,6 +127,20 @@
         rows = tuple(row.decoded(era) for row in reply.rows)
         return Snapshot(rows, join_version(era, reply.version))
 
+    async def read(self, row_id: RowId) -> Row | None:
+        """Return a row as it is now; None if there is none."""
+        if self._may_call_directly():
+            try:
+                return await self._call_directly(self._direct.read(row_id))
+            except StoreUnavailable:
+                self._record_direct_failure()
+        message = StoreScanRequest(row_id.table, row_id.part, row_id.key)
+        reply, era = await self._call_relays(message)
+        for wire_row in reply.rows:
+            if wire_row.id.key == row_id.key:
+                return wire_row.decoded(era)
+        return None
+
     async def changes(self, table: str, *, after: int, wait: float) -> Changes:
         """Return the changes of a table after a version."""
         if self._may_call_directly():
@@ -278,10 +292,20 @@
         return StoreReply(StoreStatus.CONFLICT, rows, told_ms=told_ms, era=era)
 
     async def _handle_scan(self, request: StoreScanRequest) -> StoreReply:
+        if request.key is not None:
+            row_id = RowId(request.table, request.key, request.part)
+            return await self._read_rows(lambda: self._read_row(row_id))
         return await self._read_rows(
             lambda: self._direct.scan(request.table, part=request.part)
         )
 
+    async def _read_row(self, row_id: RowId) -> Snapshot:
+        """Read a row; its version is that of the snapshot."""
+        row = await self._direct.read(row_id)
+        if row is None:
+            return Snapshot((), join_version(self.era.current, 0))
+        return Snapshot((row,), row.version)
+
     async def _handle_changes(self, request: StoreChangesRequest) -> StoreReply:
         era = self.era.current if request.era is None else request.era
         after = join_version(era, request.after)
--- a/lynxchute/fleet/store_messages.py
+++ b/lynxchute/fleet/store_messages.py
@@ -171,13 +171,21 @@
 
 @attrs.frozen
 class StoreScanRequest(Message[StoreReply]):
-    """Relay a scan of a table, or of one of its partitions."""
+    """Relay a scan of a table, or of one of its partitions, or the read of a row.
+
+    Attributes
+    ----------
+    key
+        The only row to return; None for all. A router that does not know the field
+        returns all.
+    """
 
     NAME = "store-scan"
     REPLY = StoreReply
 
     table: str
     part: str
+    key: str | None = None
 
 
 @attrs.frozen
--- a/lynxchute/platform/store.py
+++ b/lynxchute/platform/store.py
@@ -138,6 +138,18 @@
             # The smallest key that sorts after the last one received.
             start_key = page[-1].id.key + "\0"
 
+    async def read(self, row_id: RowId) -> Row | None:
+        """Read a row."""
+        query = {
+            "table": row_id.table,
+            "part": row_id.part,
+            "from": row_id.key,
+            "to": row_id.key + "\0",
+        }
+        answer, era = await self._get(ROWS_READ, query, wait=0.0)
+        rows = _decode_rows(answer, row_id.table, era)
+        return rows[0] if rows else None
+
     async def changes(self, table: str, *, after: int, wait: float) -> Changes:
         """Long-poll for changes to a table after a version, at most `wait` seconds."""
         if _is_earlier(after, self.era.current):
@@ -166,15 +178,7 @@
         """Return the current rows of a write's preconditions."""
         rows_by_id: dict[RowId, Row | None] = {}
         for item in write.expected:
-            query = {
-                "table": item.id.table,
-                "part": item.id.part,
-                "from": item.id.key,
-                "to": item.id.key + "\0",
-            }
-            answer, era = await self._get(ROWS_READ, query, wait=0.0)
-            rows = _decode_rows(answer, item.id.table, era)
-            rows_by_id[item.id] = rows[0] if rows else None
+            rows_by_id[item.id] = await self.read(item.id)
         return Conflict(rows_by_id)
 
     async def _get(
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -320,24 +320,31 @@
         if origin is not None and await self.verify(origin):
             return OriginLookup(origin, "here")
         order = self._owners.in_order(key)
-        replies: list[OriginReply] = []
+        reading = self._start_reading_versions(service)
+        replies_by_vm: dict[str, OriginReply] = {}
         for vms in (order[:FIRST_ASKED], order[FIRST_ASKED:]):
-            replies_by_vm = await self._ask_all(vms, OriginQuery(key, service))
-            lookup = await self._verified(replies_by_vm)
+            new_replies = await self._ask_all(vms, OriginQuery(key, service))
+            lookup = await self._verified(new_replies)
             if lookup is not None:
                 return lookup
-            replies.extend(replies_by_vm.values())
-            version = self._agreed_version(service, replies)
+            replies_by_vm.update(new_replies)
+            version = await self._agreed_version(service, replies_by_vm, reading)
             if version is not None:
                 origin = StreamOrigin(service, version)
-                return OriginLookup(origin, "sole version", replies=len(replies))
+                replies = len(replies_by_vm)
+                return OriginLookup(origin, "sole version", replies=replies)
         vms = [self._members.own.vm, *order]
         asked_at = self._clock()
         origin = await self.rows.find(key, vms)
         if origin is not None:
             is_sound = await self.verify(origin)
             return OriginLookup(origin, "store") if is_sound else NOWHERE
-        if not any([self._was_killed(), *(r.may_have_lost_state for r in replies)]):
+        if not any(
+            [
+                self._was_killed(),
+                *(r.may_have_lost_state for r in replies_by_vm.values()),
+            ]
+        ):
             return NOWHERE
         return self._default(service, vms, asked_at)
 
@@ -368,23 +375,36 @@
                 return lookup
         return None
 
-    def _agreed_version(
-        self, service: str, replies: Sequence[OriginReply]
+    def _start_reading_versions(
+        self, service: str
+    ) -> asyncio.Task[set[str] | None] | None:
+        """Ask the store which versions a service has, while routers are asked."""
+        if self._version_record is None:
+            return None
+        return self.tasks.spawn(self._version_record.read_versions(service))
+
+    async def _agreed_version(
+        self,
+        service: str,
+        replies_by_vm: dict[str, OriginReply],
+        reading: asyncio.Task[set[str] | None] | None,
     ) -> str | None:
-        """Return the only version of a service as far as any router knows, if any.
+        """Return the only version that can have begun a stream, if that is known.
 
-        While the store is away, a router's own view counts only if another one has the
-        same.
+        Views of routers prove nothing by themselves, since several of them may lack the
+        same changes. The store names every version that may have begun the stream.
         """
-        informed = [reply for reply in replies if reply.is_history_known]
-        versions = set[str | None]().union(*(reply.versions for reply in informed))
-        if self._is_history_known():
-            versions |= self._versions(service)
-        if len(versions) != 1:
+        stored = await asyncio.shield(reading) if reading is not None else None
+        informed = [r for r in replies_by_vm.values() if r.is_history_known]
+        if stored is None and not informed:
             return None
-        if not informed and self.sole_version(service) is None:
+        if stored is not None and not stored:
             return None
-        return versions.pop()
+        versions = set[str | None](stored or ())
+        versions.update(*(reply.versions for reply in informed))
+        if self._is_history_known():
+            versions |= self._versions(service)
+        return versions.pop() if len(versions) == 1 else None
 
     async def _ask_all(
         self, vms: Sequence[str], query: OriginQuery
--- a/lynxchute/resumption/version_record.py
+++ b/lynxchute/resumption/version_record.py
@@ -20,6 +20,7 @@
     StoreUnavailable,
     Write,
 )
+from lynxchute.store.fresh_read import FreshRead
 from lynxchute.store.rows import ABSENT
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.directory import Directory
@@ -38,6 +39,10 @@
 # Seconds for which a version that is gone may still begin streams: entries that lapsed
 # in an outage of the store come back within two seconds of its return.
 GONE_GRACE_SECONDS = 5.0
+# Seconds within which the store must answer what versions there are, and least seconds
+# between two such questions.
+READ_SECONDS = 0.6
+READ_INTERVAL_SECONDS = 0.02
 # Services of one version each need some 60 bytes of the row.
 MAX_ROW_BYTES = 16_384
 
@@ -93,6 +98,10 @@
         self._outdated_since = math.inf
         self._is_too_long = False
         self._writing: asyncio.Task[None] | None = None
+        self._reading = FreshRead(
+            self._read, interval=READ_INTERVAL_SECONDS, clock=clock
+        )
+        self.reads = self._reading.tasks
         self.tasks = Tasks()
 
     def handle_row(self, row: Row) -> None:
@@ -127,6 +136,42 @@
         """Return whether streams may be left that began at a version."""
         return version in self._gone_by_service.get(service, {})
 
+    async def read_versions(self, service: str) -> set[str] | None:
+        """Return the versions that can have begun a stream which a caller knows of.
+
+        A version begins no streams before the row names it, so the row as it is after
+        the caller's request names the version that began the caller's stream.
+
+        Returns
+        -------
+        set of str or None
+            The versions; None if the store does not say.
+        """
+        gone_by_service = await self._reading.get()
+        if gone_by_service is None:
+            return None
+        now_ms = self._store.clock.earliest_ms(self._clock())
+        keep_ms = self._keep_seconds() * 1000
+        versions = set()
+        for version, gone_ms in gone_by_service.get(service, {}).items():
+            if gone_ms is None or now_ms - gone_ms < keep_ms:
+                versions.add(version)
+        return versions
+
+    async def _read(self) -> dict[str, GoneByVersion] | None:
+        """Return the content of the row as it is now; None if that is not known."""
+        try:
+            async with asyncio.timeout(READ_SECONDS):
+                row = await self._store.read(self._row_id)
+            if row is None:
+                return {}
+            gone_by_service = _decode(row.value)
+        except (StoreUnavailable, TimeoutError, ValueError, AttributeError) as error:
+            log_event("software versions not read", reason=repr(error))
+            return None
+        self.handle_row(row)
+        return gone_by_service
+
     async def ensure_recorded(self, service: str, version: str | None) -> bool:
         """Wait briefly until the row names a version; return whether it does."""
         if not self.is_recorded(service, version):
--- a/lynxchute/store/counted.py
+++ b/lynxchute/store/counted.py
@@ -6,7 +6,7 @@
 from typing import TypeVar
 
 from lynxchute.clock import steady_seconds
-from lynxchute.store.rows import Changes, Outcome, Snapshot, Write
+from lynxchute.store.rows import Changes, Outcome, Row, RowId, Snapshot, Write
 from lynxchute.store.store import (
     HistoryLost,
     OutcomeUnknown,
@@ -36,8 +36,8 @@
     calls
         Counter of calls by method and result.
     seconds
-        Histogram of the duration of writes and scans, in seconds. Calls to `changes`
-        are not included, since they are long polls.
+        Histogram of the duration of writes, scans and reads, in seconds. Calls to
+        `changes` are not included, since they are long polls.
     """
 
     def __init__(self, store: Store, calls: Counter, seconds: Histogram) -> None:
@@ -55,6 +55,10 @@
         """Return all rows of a table, or of one of its partitions."""
         return await self._timed("scan", self._store.scan(table, part=part))
 
+    async def read(self, row_id: RowId) -> Row | None:
+        """Return a row as it is now; None if there is none."""
+        return await self._timed("read", self._store.read(row_id))
+
     async def changes(self, table: str, *, after: int, wait: float) -> Changes:
         """Return the changes of a table after a version."""
         answer = self._store.changes(table, after=after, wait=wait)
--- a/lynxchute/store/store.py
+++ b/lynxchute/store/store.py
@@ -7,7 +7,7 @@
 
 from lynxchute.store.clock import StoreClock
 from lynxchute.store.era import StoreEra
-from lynxchute.store.rows import Changes, Outcome, Snapshot, Write
+from lynxchute.store.rows import Changes, Outcome, Row, RowId, Snapshot, Write
 
 
 class StoreUnavailable(Exception):
@@ -78,6 +78,20 @@
             When the store gave no usable answer.
         """
 
+    async def read(self, row_id: RowId) -> Row | None:
+        """Return a row as it is at some moment after the call, None if there is none.
+
+        Raises
+        ------
+        StoreUnavailable
+            When the store gave no usable answer.
+        """
+        snapshot = await self.scan(row_id.table, part=row_id.part)
+        for row in snapshot.rows:
+            if row.id.key == row_id.key and not row.deleted:
+                return row
+        return None
+
     @abstractmethod
     async def changes(self, table: str, *, after: int, wait: float) -> Changes:
         """Return the changes of a table after a version.
