Let routers settle without the store only if all of them agree

Callers saw: streams that began at a new software version went on at the old one at two routers that were cut off together, from the store and the others, for any time.

Cause: while the store does not answer, one reply of another router with the same view was enough. Two routers that are behind together confirm each other.

Ruled out: the age of the own view (4.8 s in the log, where 1.9 s counted).

Change: without the store, a router takes a version for the only one only if all registered routers reply and none has heard of another one. Then none of them has begun a stream at another one. A router that registers during the outage is not asked: a limit.

The test of unnamed attempts in an outage of the store for all passes as before.

Cost: in an outage of the store for all, streams that no router remembers are refused if a registered router does not reply, and in fleets of over 17 routers, where 16 are asked.

--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -391,12 +391,14 @@
     ) -> str | None:
         """Return the only version that can have begun a stream, if that is known.
 
-        Views of routers prove nothing by themselves, since several of them may lack the
-        same changes. The store names every version that may have begun the stream.
+        The store names every version that may have begun the stream. Some routers that
+        agree prove nothing, since they may lack the same changes; only if all routers
+        that are registered do, has none of them begun a stream at another version.
         """
         stored = await asyncio.shield(reading) if reading is not None else None
+        others = set(self._members.by_vm) - {self._members.own.vm}
         informed = [r for r in replies_by_vm.values() if r.is_history_known]
-        if stored is None and not informed:
+        if stored is None and (not informed or len(informed) < len(others)):
             return None
         if stored is not None and not stored:
             return None
