Read rows through another router as soon as the store is slow

Change: a row is read through another router too after 0.15 s; reads start every 0.05 s, whether or not the one before has ended.

--- a/lynxchute/fleet/relayed_store.py
+++ b/lynxchute/fleet/relayed_store.py
@@ -49,6 +49,8 @@
 DIRECT_RETRY_SECONDS = 0.5
 # Seconds between requests for changes through a relay, which does not long-poll.
 RELAYED_POLL_SECONDS = 0.25
+# Seconds after which a row is read through another router too.
+DIRECT_READ_SECONDS = 0.15
 # Timeout in seconds of a relay's own call to the store. It is shorter than the asking
 # router's timeout for the relay, so that a hanging store is not mistaken for an
 # unreachable relay.
@@ -128,12 +130,45 @@
         return Snapshot(rows, join_version(era, reply.version))
 
     async def read(self, row_id: RowId) -> Row | None:
-        """Return a row as it is now; None if there is none."""
+        """Return a row as it is now; None if there is none.
+
+        A caller waits for it, so other routers are asked as soon as the store is slow.
+        """
+        direct: asyncio.Task[Row | None] | None = None
         if self._may_call_directly():
-            try:
-                return await self._call_directly(self._direct.read(row_id))
-            except StoreUnavailable:
-                self._record_direct_failure()
+            call = self._call_directly(self._direct.read(row_id))
+            direct = asyncio.ensure_future(call)
+            await asyncio.wait([direct], timeout=DIRECT_READ_SECONDS)
+        try:
+            return await self._first_read(row_id, direct)
+        finally:
+            if direct is not None:
+                direct.cancel()
+
+    async def _first_read(
+        self, row_id: RowId, direct: asyncio.Task[Row | None] | None
+    ) -> Row | None:
+        """Return a row from the store or through a router, whichever answers first."""
+        if direct is None:
+            return await self._read_relayed(row_id)
+        if direct.done():
+            if not isinstance(direct.exception(), StoreUnavailable):
+                return direct.result()
+            self._record_direct_failure()
+            return await self._read_relayed(row_id)
+        relayed = asyncio.ensure_future(self._read_relayed(row_id))
+        try:
+            done, _ = await asyncio.wait(
+                [direct, relayed], return_when=asyncio.FIRST_COMPLETED
+            )
+            first = direct if direct in done else relayed
+            if not isinstance(first.exception(), StoreUnavailable):
+                return first.result()
+            return await (relayed if first is direct else direct)
+        finally:
+            relayed.cancel()
+
+    async def _read_relayed(self, row_id: RowId) -> Row | None:
         message = StoreScanRequest(row_id.table, row_id.part, row_id.key)
         reply, era = await self._call_relays(message)
         for wire_row in reply.rows:
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -203,8 +203,8 @@
         )
         if origin is None:
             title = (
-                "This router cannot find out which software version began the stream. "
-                "Begin the stream anew."
+                "This router cannot find out now which software version began the "
+                "stream. Send it again, or begin the stream anew."
             )
             raise exchange.refuse(Reason.ORIGIN_UNKNOWN, title, self._clock())
         if origin.service not in [target.service for target in exchange.route.targets]:
--- a/lynxchute/resumption/version_record.py
+++ b/lynxchute/resumption/version_record.py
@@ -42,7 +42,7 @@
 # Seconds within which the store must answer what versions there are, and least seconds
 # between two such questions.
 READ_SECONDS = 0.6
-READ_INTERVAL_SECONDS = 0.02
+READ_INTERVAL_SECONDS = 0.05
 # Services of one version each need some 60 bytes of the row.
 MAX_ROW_BYTES = 16_384
 
--- a/lynxchute/store/fresh_read.py
+++ b/lynxchute/store/fresh_read.py
@@ -37,7 +37,7 @@
         self,
         read: Callable[[], Awaitable[ResultT]],
         *,
-        interval: float = 0.0,
+        interval: float,
         clock: Callable[[], float],
     ) -> None:
         self.tasks = Tasks()
@@ -45,22 +45,18 @@
         self._interval = interval
         self._clock = clock
         self._started_at = -math.inf
-        self._running: asyncio.Task[ResultT] | None = None
         # Has not started to read.
         self._next: asyncio.Task[ResultT] | None = None
 
     async def get(self) -> ResultT:
         """Return the result of a read that starts after this call."""
         if self._next is None:
-            self._next = self.tasks.spawn(self._read_next(self._running))
+            self._next = self.tasks.spawn(self._read_next())
         return await asyncio.shield(self._next)
 
-    async def _read_next(self, earlier: asyncio.Task[ResultT] | None) -> ResultT:
-        if earlier is not None and not earlier.done():
-            await asyncio.wait([earlier])
+    async def _read_next(self) -> ResultT:
         wait = self._started_at + self._interval - self._clock()
         if wait > 0:
             await asyncio.sleep(wait)
-        self._started_at = self._clock()
-        self._running, self._next = self._next, None
+        self._started_at, self._next = self._clock(), None
         return await self._read()
