List the upstreams before a stream's version counts as gone

Callers saw: a stream that began at a new software version was refused with software-version-gone, without Retry-After, at a router that had not heard of the version's upstreams, though they served.

Cause: the router learned of the version from another router or from the store, and took its own entries, which were behind, for all that there are.

Change: if no upstream of a stream's version is known, the upstreams are listed anew, at most every 0.2 s and within 0.6 s. If none of them has the version, it is gone. If the store cannot be asked, the refusal is software-version-unknown, with Retry-After.

Cost: a listing of the upstreams where a version has none.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -104,6 +104,10 @@
 STATE_LOSS_SECONDS = 60.0
 # Seconds beyond the long poll in which the store answers, unless it is away.
 CONFIRM_MARGIN_SECONDS = 1.0
+# Age in seconds of a listing of the upstreams that is not repeated, and the timeout of
+# one that a stream waits for.
+LIST_AGE_SECONDS = 0.2
+LIST_SECONDS = 0.6
 # Seconds in which requests that are still open at the drain deadline get an answer.
 LAST_ANSWERS_SECONDS = 0.1
 
@@ -290,6 +294,7 @@
             is_history_known=self.registry.feed.synced.is_set,
             unconfirmed_seconds=self.seconds_since_upstreams_confirmed,
             max_unconfirmed=self._max_unconfirmed,
+            list_upstreams=self._list_upstreams,
         )
         self.origins.serve(self.peer_server)
         self.registry.handlers_by_key[ROW_KEY] = versions.handle_row
@@ -469,6 +474,16 @@
             else 0.0
         )
 
+    async def _list_upstreams(self) -> bool:
+        """List the upstreams, unless just done; return whether all are known."""
+        if self._upstream_feed is None:
+            return True
+        return await self._upstream_feed.confirm_current(
+            within=LIST_AGE_SECONDS,
+            max_list_age=LIST_AGE_SECONDS,
+            patience=LIST_SECONDS,
+        )
+
     def _upstreams_confirmed_at(self) -> float:
         """Return until when all changes of upstreams are known."""
         feed = self._upstream_feed
--- a/lynxchute/relay/origins.py
+++ b/lynxchute/relay/origins.py
@@ -31,6 +31,8 @@
         How many other routers had replied.
     view_age
         Seconds since the store last answered about upstreams.
+    may_lack_upstreams
+        Whether upstreams of the version may serve that this router has not heard of.
     """
 
     origin: StreamOrigin | None
@@ -38,6 +40,7 @@
     peer: str = ""
     replies: int = 0
     view_age: float = 0.0
+    may_lack_upstreams: bool = False
 
     @property
     def is_recorded(self) -> bool:
--- a/lynxchute/relay/refusal.py
+++ b/lynxchute/relay/refusal.py
@@ -45,6 +45,7 @@
     TOO_LATE = "too-late-to-send"
     ORIGIN_UNKNOWN = "stream-origin-unknown"
     VERSION_GONE = "software-version-gone"
+    VERSION_UNKNOWN = "software-version-unknown"
 
 
 STATUS_BY_REASON = {
@@ -71,6 +72,7 @@
     Reason.TOO_LATE: 503,
     Reason.ORIGIN_UNKNOWN: 503,
     Reason.VERSION_GONE: 503,
+    Reason.VERSION_UNKNOWN: 503,
 }
 
 
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -210,6 +210,13 @@
         if origin.service not in [target.service for target in exchange.route.targets]:
             title = f"The route leads to {service}, and the stream began elsewhere."
             raise Refusal(Reason.VERSION_GONE, title)
+        if lookup.may_lack_upstreams:
+            title = (
+                f"This router knows no upstream of {service} that has the software "
+                f"version that began the stream, {origin.software_version}. Send it "
+                "again."
+            )
+            raise exchange.refuse(Reason.VERSION_UNKNOWN, title, self._clock())
         exchange.service = origin.service
         exchange.origin = origin
         exchange.has_precedence = lookup.is_recorded
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 import attrs
 
@@ -63,6 +63,11 @@
 NOWHERE = OriginLookup(None, "nowhere")
 
 
+async def _trust_entries() -> bool:
+    """Return that all upstreams are known, as those of a configuration are."""
+    return True
+
+
 class StreamOrigins(Origins):
     """Remembers where streams began, here and at two other routers.
 
@@ -100,6 +105,8 @@
         Returns the seconds since the store last confirmed the entries of upstreams.
     max_unconfirmed
         Returns the seconds after which the entries may lack a software version.
+    list_upstreams
+        Lists the upstreams anew; returns whether all are known then.
     """
 
     def __init__(
@@ -120,6 +127,7 @@
         is_history_known: Callable[[], bool],
         unconfirmed_seconds: Callable[[float], float],
         max_unconfirmed: Callable[[], float],
+        list_upstreams: Callable[[], Awaitable[bool]] | None = None,
     ) -> None:
         self.memory = OriginMemory()
         self.send_loop = PeriodicTask(
@@ -138,6 +146,7 @@
         self._is_history_known = is_history_known
         self._unconfirmed_seconds = unconfirmed_seconds
         self._max_unconfirmed = max_unconfirmed
+        self._list_upstreams = list_upstreams or _trust_entries
         self._prover = OriginProver(directory, engines, clock)
         self.tasks = self._prover.tasks
         self._owners = OriginOwners(members)
@@ -302,10 +311,24 @@
         await self._wait_until_started()
         lookup = await self._find(origin_key(account, attempt), service)
         view_age = self._unconfirmed_seconds(self._clock())
-        lookup = attrs.evolve(lookup, view_age=view_age)
+        may_lack_upstreams = False
+        if lookup.origin is not None and not self._serves(lookup.origin):
+            is_current = await self._list_upstreams()
+            may_lack_upstreams = not is_current and not self._serves(lookup.origin)
+        lookup = attrs.evolve(
+            lookup, view_age=view_age, may_lack_upstreams=may_lack_upstreams
+        )
         self._metrics.origin_lookups.inc(lookup.source)
         return lookup
 
+    def _serves(self, origin: StreamOrigin) -> bool:
+        """Return whether a registered upstream may go on with a stream."""
+        for upstream_id in self._directory.registered_ids(origin.service):
+            upstream = self._directory.entries_by_id[upstream_id].upstream
+            if upstream.may_run(origin.software_version):
+                return True
+        return False
+
     async def _wait_until_started(self) -> None:
         """Wait briefly until a router that has just started knows the upstreams."""
         end = self._clock() + START_SECONDS
