Read rows of origins and the default version after a stream is taken up

Callers could see: a stream taken up within 0.3 s of its first event, or of its second try at another version, went on at another version: at what a row said that had been read before, or, after a kill, at the default version, as rows read before did not name it.

Cause: rows of origins were used for 0.3 s, and the default version as the feed of the fleet's table had last told it. Both are claims that nothing was stored since.

Change: rows of origins and the row of default versions are read after the caller has come (store/fresh_read.py), rows of origins once in 0.3 s each for all that wait. Where the store has not named the versions just now, its other rows are not asked for, so that a router that is cut off refuses after one wait and not after two.

Cost: a stream that no router remembers waits up to 0.3 s more if others came just before.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -275,7 +275,11 @@
             clock=steady_seconds,
         )
         defaults = DefaultVersions(
-            platform.store, self.registry.feed.table, versions, self.directory
+            platform.store,
+            self.registry.feed.table,
+            versions,
+            self.directory,
+            steady_seconds,
         )
         self.registry.handlers_by_key[DEFAULTS_KEY] = defaults.handle_row
         self.origins = StreamOrigins(
@@ -437,7 +441,6 @@
             cold.loop,
             versions.loop,
             versions.tasks,
-            versions.reads,
             defaults.tasks,
             self.origins.send_loop,
             self.origins.tasks,
--- a/lynxchute/resumption/default_versions.py
+++ b/lynxchute/resumption/default_versions.py
@@ -5,9 +5,14 @@
 import asyncio
 import json
 from collections import Counter
+from collections.abc import Callable
 
 from lynxchute.application import Tasks
-from lynxchute.resumption.version_record import VersionRecord
+from lynxchute.resumption.version_record import (
+    READ_INTERVAL_SECONDS,
+    READ_SECONDS,
+    VersionRecord,
+)
 from lynxchute.store import (
     Committed,
     Expected,
@@ -19,6 +24,7 @@
     StoreUnavailable,
     Write,
 )
+from lynxchute.store.fresh_read import FreshRead
 from lynxchute.store.row_value import RowValue, RowValueError
 from lynxchute.store.rows import ABSENT
 from lynxchute.telemetry import log_event
@@ -45,12 +51,22 @@
         Knows which versions a service has had while streams may be resumed.
     directory
         The upstreams.
+    clock
+        Steady clock in seconds.
     """
 
     def __init__(
-        self, store: Store, table: str, record: VersionRecord, directory: Directory
+        self,
+        store: Store,
+        table: str,
+        record: VersionRecord,
+        directory: Directory,
+        clock: Callable[[], float],
     ) -> None:
         self.tasks = Tasks()
+        self._reading = FreshRead(
+            self._read, self.tasks, interval=READ_INTERVAL_SECONDS, clock=clock
+        )
         self._store = store
         self._row_id = RowId(table, ROW_KEY)
         self._record = record
@@ -81,6 +97,22 @@
             return None
         return version
 
+    async def read(self, service: str) -> str | None:
+        """Return the default version of a service as the store names it now."""
+        return self.get(service) if await self._reading.get() else None
+
+    async def _read(self) -> bool:
+        """Read the row; return whether it is known now."""
+        try:
+            async with asyncio.timeout(READ_SECONDS):
+                row = await self._store.read(self._row_id)
+        except (StoreUnavailable, TimeoutError) as error:
+            log_event("default versions not read", reason=repr(error))
+            return False
+        if row is not None:
+            self.handle_row(row)
+        return row is not None
+
     async def settle(self, service: str) -> str | None:
         """Return the default version of a service; have one written if it has none."""
         version = self.get(service)
--- a/lynxchute/resumption/origin_rows.py
+++ b/lynxchute/resumption/origin_rows.py
@@ -6,6 +6,7 @@
 import json
 import math
 from collections.abc import Callable, Sequence
+from functools import partial
 
 import attrs
 
@@ -16,6 +17,7 @@
 from lynxchute.resumption.origin_memory import OriginMemory
 from lynxchute.resumption.origin_messages import from_message, to_message
 from lynxchute.store import OutcomeUnknown, Put, RowId, Store, StoreUnavailable, Write
+from lynxchute.store.fresh_read import FreshRead
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.stream_origin import StreamOrigin
 
@@ -29,9 +31,9 @@
 MAX_WRITES_PER_SECOND = 40
 # Seconds beyond the last one that needs it for which a row is incomplete.
 INCOMPLETE_MARGIN_SECONDS = 30.0
-# Seconds for which rows that were read are used again.
-CACHE_SECONDS = 0.3
-# Seconds until the store must have answered.
+# Least seconds between two reads of a row, and seconds until the store must have
+# answered.
+READ_INTERVAL_SECONDS = 0.3
 READ_SECONDS = 0.6
 # Seconds that a stream waits until its origin is stored.
 STORE_SECONDS = 0.3
@@ -113,7 +115,9 @@
         self._has_failed = False
         self._lock = asyncio.Lock()
         self._published_at = -math.inf
-        self._reading_by_vm: dict[str, asyncio.Task[None]] = {}
+        self._reading_by_vm: dict[str, FreshRead[None]] = {}
+        # When the rows as they are known were asked for, and when they arrived.
+        self._asked_at_by_vm: dict[str, float] = {}
         self._read_at_by_vm: dict[str, float] = {}
         self._origins_by_vm: dict[str, dict[str, KnownOrigin]] = {}
 
@@ -271,11 +275,15 @@
         return all(self._incomplete_ms_by_vm.get(vm, 0) <= now_ms for vm in vms)
 
     def have_read(self, vms: Sequence[str], since: float) -> bool:
-        """Return whether the rows of all these routers were read since a time."""
-        return all(self._read_at_by_vm.get(vm, -math.inf) >= since for vm in vms)
+        """Return whether the rows of routers were read as they are since a time."""
+        return all(self._asked_at_by_vm.get(vm, -math.inf) >= since for vm in vms)
 
     async def find(self, key: str, vms: Sequence[str]) -> StreamOrigin | None:
-        """Return an origin that one of some routers has written, if any."""
+        """Return an origin that one of some routers has written, if any.
+
+        The rows are read after this call: a stream that a caller takes up may have
+        begun, or have been stored again with another origin, just before.
+        """
         try:
             async with asyncio.timeout(READ_SECONDS):
                 await asyncio.gather(*(self._read_shared(vm) for vm in vms))
@@ -293,16 +301,19 @@
     async def _read_shared(self, vm: str) -> None:
         """Read the row of a router once for all streams that wait for it."""
         reading = self._reading_by_vm.get(vm)
-        if reading is None or reading.done():
-            reading = self.tasks.spawn(self._read(vm))
+        if reading is None:
+            reading = FreshRead(
+                partial(self._read, vm),
+                self.tasks,
+                interval=READ_INTERVAL_SECONDS,
+                clock=self._clock,
+            )
             self._reading_by_vm[vm] = reading
-        await asyncio.shield(reading)
+        await reading.get()
 
     async def _read(self, vm: str) -> None:
-        """Read the row of a router unless it was read just now."""
-        now = self._clock()
-        if now - self._read_at_by_vm.get(vm, -CACHE_SECONDS) < CACHE_SECONDS:
-            return
+        """Read the row of a router."""
+        asked_at = self._clock()
         try:
             snapshot = await self._store.scan(TABLE, part=vm)
         except StoreUnavailable as error:
@@ -310,6 +321,7 @@
             return
         now = self._clock()
         now_ms = self._store.clock.earliest_ms(now)
+        self._asked_at_by_vm[vm] = asked_at
         self._read_at_by_vm[vm] = now
         self._origins_by_vm[vm] = {}
         self._incomplete_ms_by_vm[vm] = 0
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -24,7 +24,6 @@
 from lynxchute.resumption.origin_prover import OriginProver, Proof
 from lynxchute.resumption.origin_replicator import OriginReplicator
 from lynxchute.resumption.origin_rows import (
-    CACHE_SECONDS,
     STORE_SECONDS,
     OriginRows,
 )
@@ -356,6 +355,9 @@
                 origin = StreamOrigin(service, version)
                 replies = len(replies_by_vm)
                 return OriginLookup(origin, "sole version", replies=replies)
+        if reading is not None and await asyncio.shield(reading) is None:
+            # The rows cannot be read either.
+            return NOWHERE
         vms = [self._members.own.vm, *order]
         asked_at = self._clock()
         origin = await self.rows.find(key, vms)
@@ -369,16 +371,18 @@
             ]
         ):
             return NOWHERE
-        return self._default(service, vms, asked_at)
+        return await self._default(service, vms, asked_at)
 
-    def _default(self, service: str, vms: Sequence[str], since: float) -> OriginLookup:
+    async def _default(
+        self, service: str, vms: Sequence[str], since: float
+    ) -> OriginLookup:
         """Return the origin of a stream of which no row says anything."""
-        default = self._defaults.get(service) if self._defaults is not None else None
-        if default is None or len(self._members.by_vm) > len(vms):
+        if self._defaults is None or len(self._members.by_vm) > len(vms):
             return NOWHERE
-        if not self.rows.have_read(vms, since - CACHE_SECONDS):
+        if not self.rows.have_read(vms, since) or not self.rows.are_complete(vms):
             return NOWHERE
-        if not self.rows.are_complete(vms):
+        default = await self._defaults.read(service)
+        if default is None:
             return NOWHERE
         return OriginLookup(StreamOrigin(service, default), "default version")
 
--- a/lynxchute/resumption/version_record.py
+++ b/lynxchute/resumption/version_record.py
@@ -98,11 +98,10 @@
         self._outdated_since = math.inf
         self._is_too_long = False
         self._writing: asyncio.Task[None] | None = None
+        self.tasks = Tasks()
         self._reading = FreshRead(
-            self._read, interval=READ_INTERVAL_SECONDS, clock=clock
+            self._read, self.tasks, interval=READ_INTERVAL_SECONDS, clock=clock
         )
-        self.reads = self._reading.tasks
-        self.tasks = Tasks()
 
     def handle_row(self, row: Row) -> None:
         """Apply the row as the store has it."""
--- a/lynxchute/store/fresh_read.py
+++ b/lynxchute/store/fresh_read.py
@@ -22,25 +22,23 @@
     ----------
     read
         Reads what is shared; raises nothing.
+    tasks
+        Run the reads; whoever owns them cancels them at a stop.
     interval
         Minimum seconds between the starts of two reads.
     clock
         Steady clock in seconds.
-
-    Attributes
-    ----------
-    tasks
-        The reads under way, which are cancelled at a stop.
     """
 
     def __init__(
         self,
         read: Callable[[], Awaitable[ResultT]],
+        tasks: Tasks,
         *,
         interval: float,
         clock: Callable[[], float],
     ) -> None:
-        self.tasks = Tasks()
+        self._tasks = tasks
         self._read = read
         self._interval = interval
         self._clock = clock
@@ -51,7 +49,7 @@
     async def get(self) -> ResultT:
         """Return the result of a read that starts after this call."""
         if self._next is None:
-            self._next = self.tasks.spawn(self._read_next())
+            self._next = self._tasks.spawn(self._read_next())
         return await asyncio.shield(self._next)
 
     async def _read_next(self) -> ResultT:
