Show streams joined where the row of versions is full

Found by reading, as the same class: a row that would be too long is not written, and versions that it does not name count as named.

The test is listed.

--- a/tests/test_versions_out_of_step.py
+++ b/tests/test_versions_out_of_step.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from lynxchute.edge import application
+from lynxchute.resumption import version_record
 from lynxchute.standins.platform_upstream import PlatformUpstreamStandin
 from tests.partition_play import RouterPartitions
 from tests.platform_support import free_port
@@ -27,6 +28,8 @@
 STREAMS = 40
 # Seconds for which a router takes its view for the newest one.
 LONG_SECONDS, SHORT_SECONDS = 60.0, -60.0
+# Bytes of a row that names one version of each service, but not two of one.
+ROOM_FOR_ONE = 45
 # Seconds until routers find that others do not answer.
 NOTICE_SECONDS = 1.5
 
@@ -110,3 +113,23 @@
             self.assertEqual(1.0, whole_share(streams))
 
         self.with_view_age(SHORT_SECONDS, scenario)
+
+
+class ManyVersionsTest(OutOfStepCase):
+    """Guards against streams joined where the row of versions cannot name them all."""
+
+    def test_a_version_that_the_row_has_no_room_for_is_not_forgotten(self):
+        async def scenario(deployment):
+            async with RouterPartitions(deployment) as partitions:
+                await begin(deployment, len(ROUTERS), events=None)
+                others = [vm for vm in ROUTERS if vm != "a-2"]
+                partitions.cut_peers(["a-2"], others)
+                deployment.faults("a-2").hides_changes = True
+                await self.add_engines(deployment, others)
+                streams = await self.begin_at_both(deployment, others)
+                await take_up(deployment, streams, vms=["a-2"])
+                self.assertEqual(0, len(mixed(streams)), "streams of two versions")
+                await self.check_after(deployment, partitions, streams)
+
+        with mock.patch.object(version_record, "MAX_ROW_BYTES", ROOM_FOR_ONE):
+            self.with_view_age(SHORT_SECONDS, scenario)
