Say in the row of versions that it has no room for all

Cause: a row that would be over 16 KB was not written, and each version then counted as named, so that routers that read it took the one that it names for the only one.

Change: such a row holds a mark instead, for which any service may have further versions; the mark stays as long as a version that is gone does.

Cost: where some 270 services of one version or more share a fleet, streams that no router remembers do not go on.

--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -404,7 +404,7 @@
 
     def _start_reading_versions(
         self, service: str
-    ) -> asyncio.Task[set[str] | None] | None:
+    ) -> asyncio.Task[set[str | None] | None] | None:
         """Ask the store which versions a service has, while routers are asked."""
         if self._version_record is None:
             return None
@@ -414,7 +414,7 @@
         self,
         service: str,
         replies_by_vm: dict[str, OriginReply],
-        reading: asyncio.Task[set[str] | None] | None,
+        reading: asyncio.Task[set[str | None] | None] | None,
     ) -> str | None:
         """Return the only version that can have begun a stream, if that is known.
 
--- a/lynxchute/resumption/version_record.py
+++ b/lynxchute/resumption/version_record.py
@@ -46,9 +46,14 @@
 # Services of one version each need some 60 bytes of the row.
 MAX_ROW_BYTES = 16_384
 
+# Name of the service and version in a row that has no room for all. Like any version
+# it is kept for a while after it is gone, since the row lacks what left meanwhile.
+TOO_MANY = "*"
+
 # When a service last had a version, in milliseconds of the store's clock; None while it
 # has it.
 GoneByVersion = dict[str, int | None]
+ALL_OF_MANY: GoneByVersion = {TOO_MANY: None}
 
 
 class VersionRecord:
@@ -96,7 +101,6 @@
         self._row_version = ABSENT
         self._gone_by_service: dict[str, GoneByVersion] = {}
         self._outdated_since = math.inf
-        self._is_too_long = False
         self._writing: asyncio.Task[None] | None = None
         self.tasks = Tasks()
         self._reading = FreshRead(
@@ -120,7 +124,7 @@
 
     def is_recorded(self, service: str, version: str | None) -> bool:
         """Return whether routers that start learn of a version from the row."""
-        if self._is_too_long:
+        if self._gone_by_service.get(TOO_MANY) == ALL_OF_MANY:
             return True
         gone_by_version = self._gone_by_service.get(service, {})
         if version is None or version not in gone_by_version:
@@ -135,7 +139,7 @@
         """Return whether streams may be left that began at a version."""
         return version in self._gone_by_service.get(service, {})
 
-    async def read_versions(self, service: str) -> set[str] | None:
+    async def read_versions(self, service: str) -> set[str | None] | None:
         """Return the versions that can have begun a stream which a caller knows of.
 
         A version begins no streams before the row names it, so the row as it is after
@@ -143,15 +147,18 @@
 
         Returns
         -------
-        set of str or None
-            The versions; None if the store does not say.
+        set or None
+            The versions, with None for ones that the row has no room for; None instead
+            of a set if the store does not say.
         """
         gone_by_service = await self._reading.get()
         if gone_by_service is None:
             return None
+        if TOO_MANY in gone_by_service:
+            return {None}
         now_ms = self._store.clock.earliest_ms(self._clock())
         keep_ms = self._keep_seconds() * 1000
-        versions = set()
+        versions = set[str | None]()
         for version, gone_ms in gone_by_service.get(service, {}).items():
             if gone_ms is None or now_ms - gone_ms < keep_ms:
                 versions.add(version)
@@ -245,14 +252,14 @@
                     gone_by_version[version] = None
             if gone_by_version:
                 current[service] = gone_by_version
+        if len(_encode(current)) > MAX_ROW_BYTES:
+            return {TOO_MANY: ALL_OF_MANY}
         return current
 
     async def _write(self, current: dict[str, GoneByVersion]) -> None:
-        value = json.dumps(current, separators=(",", ":")).encode()
-        self._is_too_long = len(value) > MAX_ROW_BYTES
-        if self._is_too_long:
-            log_event("too many software versions for one row", size=len(value))
-            return
+        if current.get(TOO_MANY) == ALL_OF_MANY:
+            log_event("too many software versions for one row")
+        value = _encode(current)
         expected = Expected(self._row_id, self._row_version)
         try:
             outcome = await self._store.write(
@@ -272,6 +279,10 @@
             self.handle_row(row)
 
 
+def _encode(gone_by_service: dict[str, GoneByVersion]) -> bytes:
+    return json.dumps(gone_by_service, separators=(",", ":")).encode()
+
+
 def _decode(value: bytes) -> dict[str, GoneByVersion]:
     """Return the content of the row; raise ValueError if it is invalid."""
     found: dict[str, GoneByVersion] = {}
