--- a/tests/test_own_stream_versions.py
+++ b/tests/test_own_stream_versions.py
@@ -155,3 +155,23 @@
             self.assertEqual([True], sorted({s.is_whole for s in streams}))
 
         self.with_versions(scenario, ("",))
+
+    def test_a_data_centre_cut_off_as_a_version_joins_joins_no_streams(self):
+        async def scenario(deployment, vms):
+            await attempt_all(deployment, new_streams(), vms)
+            cut_off = [vm for vm in vms if vm.startswith("kyu-b")]
+            deployment.set_cut("kyu-b", True)
+            for engine in list(deployment.engines_by_name.values())[:3]:
+                engine.software_version = NEW
+            streams = new_streams()
+            others = [vm for vm in vms if vm not in cut_off]
+            await attempt_all(deployment, streams, others, events=READ_EVENTS)
+            self.assertIn({NEW}, [stream.versions for stream in streams])
+            await attempt_all(deployment, streams, cut_off)
+            self.assertEqual([], [s for s in streams if len(s.versions) > 1])
+            deployment.set_cut("kyu-b", False)
+            broken = [stream for stream in streams if not stream.is_whole]
+            await attempt_all(deployment, broken, others)
+            self.check(streams)
+
+        self.with_versions(scenario, (OLD,))
