Show routers that agree on a version without knowing of all others

Cause: without the store a version counts as the only one if all registered routers say so (resumption/stream_origins.py, _agreed_version). Which routers are registered is itself a view that ages: two routers that are cut off from the store do not hear of routers that start meanwhile, hear of a new software version and begin streams at it.

Evidence: two routers are cut off from the store, two others start and are cut off from the first two, three engines of v2.0 join.

Change: the test, listed. Nothing is mended.

Conclusion: the agreement of all known routers proves nothing while the store is away.

--- /dev/null
+++ b/tests/test_stale_claims.py
@@ -0,0 +1,47 @@
+"""Decisions of routers whose view of the others, or of the store, is out of date.
+
+Clocks and the age of a view are set, so that the order of the events decides and not
+their times. The page on design, docs/design/freshness.md, lists the decisions.
+"""
+
+from tests.partition_play import RouterPartitions
+from tests.support import until
+from tests.test_versions_out_of_step import (
+    SHORT_SECONDS,
+    OutOfStepCase,
+)
+from tests.version_play import begin, mixed, take_up
+
+# Routers that run before a cut, and others that start during it.
+EARLY, LATE = ("a-1", "b-1"), ("a-2", "b-2")
+
+
+async def start_apart(deployment, partitions):
+    """Start routers that those which are cut off from the store do not hear of."""
+    partitions.cut_store(EARLY)
+    for vm in LATE:
+        await deployment.start_router(vm)
+        await partitions.follow(vm)
+    partitions.cut_peers(EARLY, LATE)
+    routers = [deployment.routers[vm] for vm in LATE]
+    total = len(EARLY) + len(LATE)
+    await until(lambda: all(r.members.count == total for r in routers))
+    await until(lambda: all(r.is_ready() for r in routers))
+    for vm in EARLY:
+        assert deployment.routers[vm].members.count == len(EARLY)
+
+
+class SoleVersionClaimTest(OutOfStepCase):
+    """Guards against streams joined from two versions if one counts as the only one."""
+
+    def test_routers_that_missed_the_start_of_others_agree_on_no_version(self):
+        async def scenario(deployment):
+            async with RouterPartitions(deployment) as partitions:
+                await begin(deployment, 4, vms=EARLY, events=None)
+                await start_apart(deployment, partitions)
+                await self.add_engines(deployment, LATE)
+                streams = await self.begin_at_both(deployment, LATE)
+                await take_up(deployment, streams, vms=EARLY)
+                self.assertEqual(0, len(mixed(streams)), "streams of two versions")
+
+        self.with_view_age(SHORT_SECONDS, scenario, routers=EARLY)
