Show a version that begins streams though no row names it

Cause: where the row of versions would be over its size, each version counts as recorded (resumption/version_record.py, _is_too_long), while the row stays as it was. A router that reads it takes the versions that it names for all that there are.

Change: the test, listed. Nothing is mended.

Conclusion: a version that the row cannot name must not begin streams that may be resumed, or the row must say that it is not complete.

--- a/tests/test_stale_claims.py
+++ b/tests/test_stale_claims.py
@@ -4,16 +4,21 @@
 their times. The page on design, docs/design/freshness.md, lists the decisions.
 """
 
+from unittest import mock
+
+from lynxchute.resumption import version_record
 from tests.partition_play import RouterPartitions
 from tests.support import until
 from tests.test_versions_out_of_step import (
     SHORT_SECONDS,
     OutOfStepCase,
 )
-from tests.version_play import begin, mixed, take_up
+from tests.version_play import ROUTERS, begin, mixed, take_up
 
 # Routers that run before a cut, and others that start during it.
 EARLY, LATE = ("a-1", "b-1"), ("a-2", "b-2")
+# Room for a row that names one version of each service.
+ONE_VERSION_BYTES = 45
 
 
 async def start_apart(deployment, partitions):
@@ -45,3 +50,18 @@
                 self.assertEqual(0, len(mixed(streams)), "streams of two versions")
 
         self.with_view_age(SHORT_SECONDS, scenario, routers=EARLY)
+
+    def test_a_version_that_the_row_has_no_room_for_is_not_left_out(self):
+        async def scenario(deployment):
+            async with RouterPartitions(deployment) as partitions:
+                await begin(deployment, len(ROUTERS), events=None)
+                others = [vm for vm in ROUTERS if vm != "a-2"]
+                deployment.faults("a-2").hides_changes = True
+                partitions.cut_peers(["a-2"], ROUTERS)
+                await self.add_engines(deployment, others)
+                streams = await self.begin_at_both(deployment, others)
+                await take_up(deployment, streams, vms=["a-2"])
+                self.assertEqual(0, len(mixed(streams)), "streams of two versions")
+
+        with mock.patch.object(version_record, "MAX_ROW_BYTES", ONE_VERSION_BYTES):
+            self.with_view_age(SHORT_SECONDS, scenario)
