Show a mark of retries that a copy of the store lacks

Cause: a router that starts uses its whole retry budget at once if no mark held in the last window (edge/application.py, _handle_member_change). A copy from before the mark has none, and nothing there asks for the era of the store. Routers that run write the mark again; one that was killed cannot.

Change: the test, listed. Nothing is mended.

Conclusion: the absence of a mark tells something only if the era is older than a window.

--- a/tests/test_stale_claims.py
+++ b/tests/test_stale_claims.py
@@ -7,9 +7,10 @@
 import asyncio
 from unittest import mock
 
+from lynxchute.clock import steady_seconds
 from lynxchute.resumption import version_record
 from tests.partition_play import RouterPartitions
-from tests.platform_support import ACCOUNT
+from tests.platform_support import ACCOUNT, PlatformTestCase
 from tests.support import until
 from tests.test_stream_versions import STREAMS
 from tests.test_versions_out_of_step import (
@@ -121,3 +122,21 @@
             self.assertEqual(0, len(wrong), wrong[:1])
 
         self.with_versions(scenario, versions=VERSIONS)
+
+
+class RetryClaimTest(PlatformTestCase):
+    """Guards against retries beyond the limit of all routers together."""
+
+    def test_a_copy_without_the_mark_does_not_tell_that_no_retries_were_sent(self):
+        async def scenario(deployment):
+            first = deployment.routers["a-1"]
+            copy = deployment.store.version
+            await first.retry_mark.ensure()
+            self.assertLess(steady_seconds(), first.retry_mark.until)
+            await first.kill()
+            await deployment.store.restore_copy(copy)
+            router = await deployment.start_router("a-1")
+            await until(router.registry.members_known.is_set)
+            self.assertFalse(router.retries.knows_window(steady_seconds()))
+
+        self.with_platform(scenario, routers=("a-1",))
