Show retries divided among fewer routers than there are

Cause: each router uses its part of the extra retries by the number of registered routers that it knows (upstreams/retry_budget.py), without a limit on the age of that number. Routers that start while others are cut off from the store count these, and are not counted by them.

Change: the test, listed. Nothing is mended.

--- a/tests/test_stale_claims.py
+++ b/tests/test_stale_claims.py
@@ -140,3 +140,22 @@
             self.assertFalse(router.retries.knows_window(steady_seconds()))
 
         self.with_platform(scenario, routers=("a-1",))
+
+    def test_routers_that_missed_the_start_of_others_share_the_retries(self):
+        async def scenario(deployment):
+            async with RouterPartitions(deployment) as partitions:
+                for vm in EARLY:
+                    await deployment.routers[vm].retry_mark.ensure()
+                await start_apart(deployment, partitions)
+                for vm in LATE:
+                    await deployment.routers[vm].retry_mark.ensure()
+                bounds = deployment.routers["a-1"].settings.bounds
+                # By then each router knows its own retries of a whole window.
+                now = steady_seconds() + bounds.retry_window
+                sent = 0
+                for router in deployment.routers.values():
+                    while router.retries.spend("app", now):
+                        sent += 1
+                self.assertLessEqual(sent, bounds.retry_extra)
+
+        self.with_platform(scenario, routers=EARLY)
