Show slots of a brittle upstream that belong to two routers

Cause: the slots of a brittle upstream are dealt out by rank among the registered routers that each knows (upstreams/slot_shares.py), without a limit on the age of that knowledge and without a wait after a change. A router that starts uses its part at once.

Change: the test, listed. Nothing is mended.

Conclusion: that routers which cannot reach one another keep the bound holds only while the set of routers stays the same.

--- a/tests/test_stale_claims.py
+++ b/tests/test_stale_claims.py
@@ -9,6 +9,7 @@
 
 from lynxchute.clock import steady_seconds
 from lynxchute.resumption import version_record
+from lynxchute.upstreams.statement import DeclaredBackpressure
 from tests.partition_play import RouterPartitions
 from tests.platform_support import ACCOUNT, PlatformTestCase
 from tests.support import until
@@ -159,3 +160,24 @@
                 self.assertLessEqual(sent, bounds.retry_extra)
 
         self.with_platform(scenario, routers=EARLY)
+
+
+class SlotClaimTest(PlatformTestCase):
+    """Guards against slots of a brittle upstream that belong to two routers."""
+
+    def test_routers_that_missed_the_start_of_others_share_the_slots(self):
+        async def scenario(deployment):
+            async with RouterPartitions(deployment) as partitions:
+                await start_apart(deployment, partitions)
+                engine, now = deployment.engines[0], steady_seconds()
+                shares = []
+                for router in deployment.routers.values():
+                    entry = router.directory.entries_by_id[engine.id]
+                    statement = DeclaredBackpressure(max_rejections=1)
+                    router.directory.record_declaration(
+                        entry, statement, asked_at=now, now=now
+                    )
+                    shares.append(router.send_gate.shares.share(entry, now))
+                self.assertLessEqual(sum(shares), entry.upstream.slots)
+
+        self.with_platform(scenario, routers=EARLY)
