Show a rank that an old answer of the store confirms

Cause: a rank counts as confirmed for 2.3 s after the store's last answer arrived (upstreams/rate_limits.py), whenever the answer was made. A process that stands still reads an answer up to 2.5 s later (the timeout of its poll). Another router that has come first meanwhile counts after 3 s, so that both admit three quarters of a limit.

Evidence: an answer read after 2.4 s, then a cut: 194 requests admitted in 1.3 s at a limit of 100 a second, where 162 leave room for the turns within one and a half times the limit, in each of four runs. The clock is set; no process was stopped by a signal.

Change: the test, listed. Nothing is mended.

Conclusion: the time counts from the question, or the new first router has to wait longer.

--- a/tests/test_stale_claims.py
+++ b/tests/test_stale_claims.py
@@ -9,10 +9,18 @@
 
 from lynxchute.clock import steady_seconds
 from lynxchute.resumption import version_record
+from lynxchute.store import Row, RowId, TableFeed
+from lynxchute.store.feed import FeedTimes
+from lynxchute.store.rows import Changes, Snapshot
+from lynxchute.upstreams.cold_admission import HeldRank
+from lynxchute.upstreams.entry import UpstreamEntry
+from lynxchute.upstreams.rate_limits import RateLimits
+from lynxchute.upstreams.rate_sharing import MostlyCentral, TurnPosition
 from lynxchute.upstreams.statement import DeclaredBackpressure
+from lynxchute.upstreams.upstream import Upstream
 from tests.partition_play import RouterPartitions
 from tests.platform_support import ACCOUNT, PlatformTestCase
-from tests.support import until
+from tests.support import AsyncTestCase, until
 from tests.test_stream_versions import STREAMS
 from tests.test_versions_out_of_step import (
     LONG_SECONDS,
@@ -181,3 +189,81 @@
                 self.assertLessEqual(sum(shares), entry.upstream.slots)
 
         self.with_platform(scenario, routers=EARLY)
+
+
+class _LateStore:
+    """A store whose answer with changes waits while the router's process is stopped.
+
+    Attributes
+    ----------
+    now
+        The time on the router's clock, in seconds.
+    """
+
+    def __init__(self, stopped_seconds):
+        self.now = 0.0
+        self._stopped_seconds = stopped_seconds
+        self._has_answered = False
+
+    async def scan(self, table):
+        return Snapshot((), 1)
+
+    async def changes(self, table, *, after, wait):
+        if self._has_answered:
+            # The router is cut off from here on.
+            await asyncio.Event().wait()
+        self._has_answered = True
+        self.now += self._stopped_seconds
+        return Changes((Row(RowId(table, "row"), b"{}", 2),), 2)
+
+
+class ConfirmedRankTest(AsyncTestCase):
+    """Guards against two routers that both admit requests as the first one."""
+
+    RATE = 100.0
+    # A process may stand still for almost as long as a poll may last.
+    STOPPED_SECONDS = 2.4
+    # When another router has been registered that comes first, in seconds; the answer
+    # that waits is older.
+    REGISTERED_AT = 0.2
+    BEGIN, END, STEP = 3.3, 4.6, 0.001
+    # Share of the limit that may be admitted centrally: routers send a quarter of it by
+    # turns, and an upstream tolerates one and a half times its limit.
+    MAX_SHARE = 1.25
+
+    def rates(self, began_at, silence):
+        return RateLimits(
+            MostlyCentral(),
+            lambda service, now: HeldRank(0, now - began_at),
+            lambda service: TurnPosition(0, 2),
+            lambda now: int(now * 1000.0) + 1,
+            silence,
+        )
+
+    def test_an_answer_that_waited_in_the_socket_confirms_no_rank(self):
+        async def scenario():
+            store = _LateStore(self.STOPPED_SECONDS)
+            feed = TableFeed(
+                store,
+                "fleet",
+                times=FeedTimes(),
+                on_row=lambda row: None,
+                clock=lambda: store.now,
+            )
+            await feed.start()
+            await until(lambda: feed.rows_by_key)
+            before = self.rates(-60.0, feed.seconds_since_answer)
+            after = self.rates(self.REGISTERED_AT, lambda now: 0.0)
+            entry = UpstreamEntry(Upstream("e", "pool", "127.0.0.1:1", "a"))
+            entry.backpressure.record_answer(
+                DeclaredBackpressure(self.RATE), asked_at=0.0, now=0.0, clock_ms=0
+            )
+            admitted, now = 0, self.BEGIN
+            while now < self.END:
+                admitted += before.admit(entry, now) + after.admit(entry, now)
+                now += self.STEP
+            await feed.stop()
+            most = self.MAX_SHARE * self.RATE * (self.END - self.BEGIN)
+            self.assertLessEqual(admitted, most)
+
+        self.run_async(scenario())
