Show answers without changes that count as proof of no change

Cause: an origin at the only version that a router knows is verified without a question to its upstream (resumption/stream_origins.py, verify) while the store answers. Where its watch misses changes it answers on time and without any, so that the view counts as up to date for as long as that lasts, not for 1.9 s; so does Directory.restarts_known_until.

Nothing is mended.

Conclusion: a mend of verify that counts the age from the question would not cover this; the upstream has to be asked, or the store listed.

--- a/tests/test_stale_claims.py
+++ b/tests/test_stale_claims.py
@@ -27,7 +27,7 @@
     SHORT_SECONDS,
     OutOfStepCase,
 )
-from tests.version_play import NEW, ROUTERS, VERSIONS, begin, mixed, take_up
+from tests.version_play import NEW, OLD, ROUTERS, VERSIONS, begin, mixed, take_up
 
 # Routers that run before a cut, and others that start during it.
 EARLY, LATE = ("a-1", "b-1"), ("a-2", "b-2")
@@ -82,6 +82,17 @@
         with mock.patch.object(version_record, "MAX_ROW_BYTES", ONE_VERSION_BYTES):
             self.with_view_age(SHORT_SECONDS, scenario)
 
+    async def check_replaced(self, deployment):
+        """Check streams that begin at an engine which has come back as another one."""
+        streams = []
+        for _ in range(MAX_BATCHES):
+            streams = await begin(deployment, STREAMS, vms=["a-2"])
+            if any(stream.versions == {NEW} for stream in streams):
+                break
+        self.assertIn({NEW}, [stream.versions for stream in streams])
+        await take_up(deployment, streams, vms=["a-2"])
+        self.assertEqual(0, len(mixed(streams)), "streams of two versions")
+
     def test_a_stream_at_a_process_replaced_unseen_is_not_joined(self):
         async def scenario(deployment):
             async with RouterPartitions(deployment) as partitions:
@@ -89,17 +100,22 @@
                 partitions.cut(["a-2"])
                 engine = deployment.engines[0]
                 await self.restart_with(engine, NEW, deployment.store)
-                streams = []
-                for _ in range(MAX_BATCHES):
-                    streams = await begin(deployment, STREAMS, vms=["a-2"])
-                    if any(stream.versions == {NEW} for stream in streams):
-                        break
-                self.assertIn({NEW}, [stream.versions for stream in streams])
-                await take_up(deployment, streams, vms=["a-2"])
-                self.assertEqual(0, len(mixed(streams)), "streams of two versions")
+                await self.check_replaced(deployment)
 
         self.with_view_age(LONG_SECONDS, scenario)
 
+    def test_answers_without_changes_do_not_prove_that_no_process_was_replaced(self):
+        async def scenario(deployment):
+            await begin(deployment, len(ROUTERS), events=None)
+            deployment.faults("a-2").hides_changes = True
+            await self.restart_with(deployment.engines[0], NEW, deployment.store)
+            registered_at = steady_seconds()
+            directory = deployment.routers["a-2"].directory
+            await until(lambda: directory.restarts_known_until() > registered_at)
+            await self.check_replaced(deployment)
+
+        self.with_versions(scenario, versions=(OLD,) * 3)
+
 
 class RestoredStoreClaimTest(OutOfStepCase):
     """Guards against rows of a copy that count as all that was ever written."""
