Ask an upstream before a caller's stream goes on at the only known version

Callers saw: at a router that was cut off, a stream that an engine had begun which had come back under its id with other software, unseen, went on at the version of its old entry.

Cause: an origin at the only version that a router knows counted as verified without a question, by a view that may be 1.9 s old, or of any age where changes come empty.

Change: as a caller takes a stream up, its upstream is asked which process it is. If it cannot be asked, the only known version counts as before; within an answer nothing is asked.

--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -223,9 +223,13 @@
         While no other version is known, a process that cannot be asked any more is
         assumed to have had the only one.
         """
-        if self.sole_version(origin.service) == origin.software_version:
+        is_sole = self.sole_version(origin.service) == origin.software_version
+        if is_sole and heard_at is not None:
+            # The stream goes on within its answer, and its caller waits.
             return True
         proof = await self._prover.prove(origin)
+        if is_sole and proof is not Proof.REPLACED:
+            return True
         if proof is Proof.PROVEN:
             return True
         if self._versions(origin.service) == {origin.software_version}:
