Let absent rows of a copy prove nothing

Cause: after a kill a stream that no row names counts as one of the default version, and a router that finds no mark of retries uses its whole budget. A store that has come back from a copy lacks rows that were written after it, and neither asked for its era.

Change: rows prove where a stream began, and a mark that is absent counts, only once the fleet has known the era for as long as a stream, or the window of retries, lasts.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import secrets
 import socket
@@ -299,6 +300,7 @@
             unconfirmed_seconds=self.seconds_since_upstreams_confirmed,
             max_unconfirmed=self._max_unconfirmed,
             list_upstreams=self._list_upstreams,
+            era_seconds=self._era_seconds,
         )
         self.origins.serve(self.peer_server)
         self.registry.handlers_by_key[ROW_KEY] = versions.handle_row
@@ -477,6 +479,12 @@
             else 0.0
         )
 
+    def _era_seconds(self, now: float) -> float:
+        """Return the seconds since the store last came back from a copy."""
+        if not self.platform.store.era.current:
+            return math.inf
+        return self.registry.era_mark.seconds(now)
+
     async def _list_upstreams(self) -> bool:
         """List the upstreams, unless just done; return whether all are known."""
         if self._upstream_feed is None:
@@ -632,7 +640,10 @@
         now = steady_seconds()
         self.retries.record_routers(self.members.count, now)
         window = self.settings.bounds.retry_window
-        if not self.retries.knows_window(now) and self.retry_mark.has_ended_for(window):
+        # A copy of the store may lack a mark that held.
+        is_mark_known = self._era_seconds(now) >= window
+        is_known = self.retries.knows_window(now)
+        if not is_known and is_mark_known and self.retry_mark.has_ended_for(window):
             self.retries.record_unused()
         self.ledger_sync.request_write()
 
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -106,6 +106,8 @@
         Returns the seconds after which the entries may lack a software version.
     list_upstreams
         Lists the upstreams anew; returns whether all are known then.
+    era_seconds
+        Returns the seconds since the store last came back from a copy.
     """
 
     def __init__(
@@ -127,6 +129,7 @@
         unconfirmed_seconds: Callable[[float], float],
         max_unconfirmed: Callable[[], float],
         list_upstreams: Callable[[], Awaitable[bool]] | None = None,
+        era_seconds: Callable[[float], float] = lambda now: math.inf,
     ) -> None:
         self.memory = OriginMemory()
         self.send_loop = PeriodicTask(
@@ -146,6 +149,7 @@
         self._unconfirmed_seconds = unconfirmed_seconds
         self._max_unconfirmed = max_unconfirmed
         self._list_upstreams = list_upstreams or _trust_entries
+        self._era_seconds = era_seconds
         self._prover = OriginProver(directory, engines, clock)
         self.tasks = self._prover.tasks
         self._owners = OriginOwners(members)
@@ -385,6 +389,9 @@
             return NOWHERE
         if not self.rows.have_read(vms, since) or not self.rows.are_complete(vms):
             return NOWHERE
+        if self._era_seconds(self._clock()) < self._max_age():
+            # A copy of the store lacks the rows of streams that may still last.
+            return NOWHERE
         default = await self._defaults.read(service)
         if default is None:
             return NOWHERE
