Mend what a review of the fix found

* One row of versions that cannot be decoded stopped all streams that no router remembers: 12 of 12 refused for {"pool": 5}, 12 of 12 ended in 502 for deep nesting and a number of 400 digits, for as long as nothing changed.
It is decoded strictly and written over; three tests.
* The answer dropped a version 5 s before it may have begun its last stream.
* Rows of origins of any age were used where a read failed or hung; a row that cannot be decoded counted as read and empty.
* A service got no default version while that of another one was written.
* The upstreams were listed up to 0.2 s before the question; a listing starts after it.
* The store was read though routers remember the stream: now only as long as one version is known, or once they do not.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -72,6 +72,7 @@
 from lynxchute.spending.standing import LocalReserve
 from lynxchute.store import TableFeed
 from lynxchute.store.counted import InstrumentedStore
+from lynxchute.store.fresh_read import FreshRead
 from lynxchute.telemetry import Metrics, log_event
 from lynxchute.tunnels import (
     PathState,
@@ -105,9 +106,8 @@
 STATE_LOSS_SECONDS = 60.0
 # Seconds beyond the long poll in which the store answers, unless it is away.
 CONFIRM_MARGIN_SECONDS = 1.0
-# Age in seconds of a listing of the upstreams that is not repeated, and the timeout of
-# one that a stream waits for.
-LIST_AGE_SECONDS = 0.2
+# Timeout in seconds of a listing of the upstreams that a stream waits for. No other one
+# starts meanwhile.
 LIST_SECONDS = 0.6
 # Seconds in which requests that are still open at the drain deadline get an answer.
 LAST_ANSWERS_SECONDS = 0.1
@@ -283,6 +283,12 @@
             steady_seconds,
         )
         self.registry.handlers_by_key[DEFAULTS_KEY] = defaults.handle_row
+        listing = FreshRead(
+            self._list_upstreams,
+            versions.tasks,
+            interval=LIST_SECONDS,
+            clock=steady_seconds,
+        )
         self.origins = StreamOrigins(
             self.members,
             self.peers,
@@ -299,7 +305,7 @@
             is_history_known=self.registry.feed.synced.is_set,
             unconfirmed_seconds=self.seconds_since_upstreams_confirmed,
             max_unconfirmed=self._max_unconfirmed,
-            list_upstreams=self._list_upstreams,
+            list_upstreams=listing.get,
             era_seconds=self._era_seconds,
         )
         self.origins.serve(self.peer_server)
@@ -486,13 +492,11 @@
         return self.registry.era_mark.seconds(now)
 
     async def _list_upstreams(self) -> bool:
-        """List the upstreams, unless just done; return whether all are known."""
+        """List the upstreams; return whether all are known."""
         if self._upstream_feed is None:
             return True
         return await self._upstream_feed.confirm_current(
-            within=LIST_AGE_SECONDS,
-            max_list_age=LIST_AGE_SECONDS,
-            patience=LIST_SECONDS,
+            within=0.0, max_list_age=0.0, patience=LIST_SECONDS
         )
 
     def _upstreams_confirmed_at(self) -> float:
--- a/lynxchute/resumption/default_versions.py
+++ b/lynxchute/resumption/default_versions.py
@@ -118,6 +118,12 @@
         version = self.get(service)
         if version is not None:
             return version
+        if self._writing is not None and not self._writing.done():
+            # It may be for another service.
+            await asyncio.wait([self._writing], timeout=WAIT_SECONDS)
+            version = self.get(service)
+            if version is not None:
+                return version
         if self._writing is None or self._writing.done():
             self._writing = self.tasks.spawn(self._write(service))
         await asyncio.wait([self._writing], timeout=WAIT_SECONDS)
--- a/lynxchute/resumption/origin_rows.py
+++ b/lynxchute/resumption/origin_rows.py
@@ -12,12 +12,13 @@
 
 from lynxchute.application import PeriodicTask, Tasks
 from lynxchute.fleet.members import Members
-from lynxchute.fleet.message import MessageDecodeError, from_json, to_json
+from lynxchute.fleet.message import from_json, to_json
 from lynxchute.fleet.origin_messages import KnownOrigin, OriginNotice
 from lynxchute.resumption.origin_memory import OriginMemory
 from lynxchute.resumption.origin_messages import from_message, to_message
 from lynxchute.store import OutcomeUnknown, Put, RowId, Store, StoreUnavailable, Write
 from lynxchute.store.fresh_read import FreshRead
+from lynxchute.store.row_value import RowValue
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.stream_origin import StreamOrigin
 
@@ -284,14 +285,15 @@
         The rows are read after this call: a stream that a caller takes up may have
         begun, or have been stored again with another origin, just before.
         """
+        called_at = self._clock()
         try:
-            async with asyncio.timeout(READ_SECONDS):
+            async with asyncio.timeout(READ_INTERVAL_SECONDS + READ_SECONDS):
                 await asyncio.gather(*(self._read_shared(vm) for vm in vms))
         except TimeoutError:
             log_event("stream origins not read in time", routers=len(vms))
         for vm in vms:
             known = self._origins_by_vm.get(vm, {}).get(key)
-            if known is None:
+            if known is None or not self.have_read([vm], called_at):
                 continue
             elapsed = self._clock() - self._read_at_by_vm[vm]
             if elapsed < known.keep:
@@ -315,27 +317,35 @@
         """Read the row of a router."""
         asked_at = self._clock()
         try:
-            snapshot = await self._store.scan(TABLE, part=vm)
+            row = await self._store.read(RowId(TABLE, ROW_KEY, vm))
         except StoreUnavailable as error:
             log_event("stream origins not read", peer=vm, reason=str(error))
             return
         now = self._clock()
         now_ms = self._store.clock.earliest_ms(now)
-        self._asked_at_by_vm[vm] = asked_at
-        self._read_at_by_vm[vm] = now
-        self._origins_by_vm[vm] = {}
-        self._incomplete_ms_by_vm[vm] = 0
-        for row in snapshot.rows:
+        origins_by_key: dict[str, KnownOrigin] = {}
+        incomplete_ms = 0
+        if row is not None:
             try:
-                value = json.loads(row.value)
-                notice: OriginNotice = from_json(value, OriginNotice)
-                elapsed = max(now_ms - int(value["now_ms"]), 0) / 1000.0
-                incomplete_ms = int(value.get("incomplete_until_ms", 0))
-            except (ValueError, KeyError, TypeError, MessageDecodeError) as error:
+                origins_by_key, incomplete_ms = _decode(row.value, now_ms)
+            except (ValueError, KeyError, TypeError, OverflowError) as error:
+                # The row does not count as read: nobody knows what it lacks.
                 log_event("stream origins not decoded", peer=vm, reason=repr(error))
-                continue
-            self._incomplete_ms_by_vm[vm] = incomplete_ms
-            for known in notice.origins:
-                self._origins_by_vm[vm][known.key] = attrs.evolve(
-                    known, age=known.age + elapsed, keep=known.keep - elapsed
-                )
+                return
+        self._asked_at_by_vm[vm] = asked_at
+        self._read_at_by_vm[vm] = now
+        self._origins_by_vm[vm] = origins_by_key
+        self._incomplete_ms_by_vm[vm] = incomplete_ms
+
+
+def _decode(value: bytes, now_ms: int) -> tuple[dict[str, KnownOrigin], int]:
+    """Return the origins of a row by key, and until when it lacks some."""
+    fields = RowValue.decode(value).fields
+    notice: OriginNotice = from_json(fields, OriginNotice)
+    elapsed = max(now_ms - int(fields["now_ms"]), 0) / 1000.0
+    found = {}
+    for known in notice.origins:
+        found[known.key] = attrs.evolve(
+            known, age=known.age + elapsed, keep=known.keep - elapsed
+        )
+    return found, int(fields.get("incomplete_until_ms", 0))
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -350,7 +350,10 @@
         if origin is not None and await self.verify(origin):
             return OriginLookup(origin, "here")
         order = self._owners.in_order(key)
-        reading = self._start_reading_versions(service)
+        reading = None
+        if len(self._versions(service)) <= 1:
+            # Otherwise routers have been told where streams began.
+            reading = self._start_reading_versions(service)
         replies_by_vm: dict[str, OriginReply] = {}
         for vms in (order[:FIRST_ASKED], order[FIRST_ASKED:]):
             new_replies = await self._ask_all(vms, OriginQuery(key, service))
@@ -358,6 +361,7 @@
             if lookup is not None:
                 return lookup
             replies_by_vm.update(new_replies)
+            reading = reading or self._start_reading_versions(service)
             version = await self._agreed_version(service, replies_by_vm, reading)
             if version is not None:
                 origin = StreamOrigin(service, version)
--- a/lynxchute/resumption/version_record.py
+++ b/lynxchute/resumption/version_record.py
@@ -21,6 +21,7 @@
     Write,
 )
 from lynxchute.store.fresh_read import FreshRead
+from lynxchute.store.row_value import RowValue
 from lynxchute.store.rows import ABSENT
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.directory import Directory
@@ -46,6 +47,8 @@
 # Services of one version each need some 60 bytes of the row.
 MAX_ROW_BYTES = 16_384
 
+# Times beyond this one, in milliseconds, are mistakes.
+MAX_TIME_MS = 2**53
 # Name of the service and version in a row that has no room for all. Like any version
 # it is kept for a while after it is gone, since the row lacks what left meanwhile.
 TOO_MANY = "*"
@@ -101,6 +104,8 @@
         self._row_version = ABSENT
         self._gone_by_service: dict[str, GoneByVersion] = {}
         self._outdated_since = math.inf
+        # Whether the row is to be written over, since nobody can decode it.
+        self._is_unreadable = False
         self._writing: asyncio.Task[None] | None = None
         self.tasks = Tasks()
         self._reading = FreshRead(
@@ -117,9 +122,12 @@
             return
         try:
             self._gone_by_service = _decode(row.value)
-        except (ValueError, AttributeError) as error:
+        except ValueError as error:
             log_event("software versions cannot be decoded", problem=repr(error))
+            self._is_unreadable = True
+            self.loop.wake()
             return
+        self._is_unreadable = False
         self._record_others()
 
     def is_recorded(self, service: str, version: str | None) -> bool:
@@ -157,7 +165,7 @@
         if TOO_MANY in gone_by_service:
             return {None}
         now_ms = self._store.clock.earliest_ms(self._clock())
-        keep_ms = self._keep_seconds() * 1000
+        keep_ms = (self._keep_seconds() + GONE_GRACE_SECONDS) * 1000
         versions = set[str | None]()
         for version, gone_ms in gone_by_service.get(service, {}).items():
             if gone_ms is None or now_ms - gone_ms < keep_ms:
@@ -172,7 +180,7 @@
             if row is None:
                 return {}
             gone_by_service = _decode(row.value)
-        except (StoreUnavailable, TimeoutError, ValueError, AttributeError) as error:
+        except (StoreUnavailable, TimeoutError, ValueError) as error:
             log_event("software versions not read", reason=repr(error))
             return None
         self.handle_row(row)
@@ -216,7 +224,8 @@
         self._directory.versions.forget(now - self._keep_seconds())
         now_ms = self._store.clock.earliest_ms(now)
         current = self._current(now_ms)
-        if not now_ms or current == self._gone_by_service:
+        is_current = current == self._gone_by_service and not self._is_unreadable
+        if not now_ms or is_current:
             self._outdated_since = math.inf
             return
         self._outdated_since = min(self._outdated_since, now)
@@ -270,6 +279,7 @@
             return
         if isinstance(outcome, Committed):
             self._row_version, self._gone_by_service = outcome.version, current
+            self._is_unreadable = False
             log_event("software versions written", versions=current)
             return
         self._row_version = ABSENT
@@ -286,9 +296,17 @@
 def _decode(value: bytes) -> dict[str, GoneByVersion]:
     """Return the content of the row; raise ValueError if it is invalid."""
     found: dict[str, GoneByVersion] = {}
-    for service, gone_by_version in json.loads(value).items():
-        for version, gone_ms in gone_by_version.items():
-            if gone_ms is not None and not isinstance(gone_ms, int):
-                raise ValueError(f"{version} of {service} is gone at {gone_ms!r}")
+    row = RowValue.decode(value)
+    for service in row.fields:
+        for version, gone_ms in row.mapping(service).items():
+            if gone_ms is not None and not _is_time(gone_ms):
+                raise ValueError(f"{version} of {service} is gone at no time")
             found.setdefault(service, {})[version] = gone_ms
     return found
+
+
+def _is_time(value: object) -> bool:
+    """Return whether a value is a number of milliseconds."""
+    if isinstance(value, bool) or not isinstance(value, int):
+        return False
+    return 0 <= value <= MAX_TIME_MS
--- a/tests/test_versions_out_of_step.py
+++ b/tests/test_versions_out_of_step.py
@@ -156,3 +156,30 @@
 
         with mock.patch.object(version_record, "MAX_ROW_BYTES", ROOM_FOR_ONE):
             self.with_view_age(SHORT_SECONDS, scenario)
+
+
+class UnreadableRowTest(OutOfStepCase):
+    """Guards against streams refused for good since nobody can decode the versions."""
+
+    def check_row(self, value):
+        async def scenario(deployment):
+            streams = await begin(deployment, STREAMS, vms=ROUTERS[:1])
+            await deployment.routers[ROUTERS[0]].kill()
+            await deployment.store.put("fleet", version_record.ROW_KEY, value)
+            for _ in range(MAX_RETURNS):
+                await take_up(deployment, streams, vms=ROUTERS[1:])
+                await asyncio.sleep(RETURN_SECONDS)
+            self.assertEqual(1.0, whole_share(streams))
+            for stream in streams:
+                self.assertNotIn(502, stream.statuses)
+
+        self.with_view_age(SHORT_SECONDS, scenario)
+
+    def test_versions_that_are_no_object_are_written_over(self):
+        self.check_row(b'{"pool": 5}')
+
+    def test_versions_nested_deeply_are_written_over(self):
+        self.check_row(b'{"pool": ' + b"[" * 100_000 + b"]" * 100_000 + b"}")
+
+    def test_versions_gone_at_a_time_too_large_are_written_over(self):
+        self.check_row(b'{"pool": {"v1.9": ' + b"9" * 400 + b"}}")
