Check texts and numbers of rows as they are decoded

Operators could see: callbacks of the tables servers and fleet ended in UnicodeEncodeError at each change while an entry with a lone surrogate stood; a mark of 400 digits ended its callback; one version of 20,000 characters kept all versions out of their row.

Cause: JSON has texts that cannot be encoded and integers that no float can hold, and RowValue let them pass.

Change: store/json_value.py decodes JSON for all rows that are read through RowValue. A lone surrogate, an integer of more than 64 bits or a nesting of more than 64 makes the row one that cannot be decoded; a text field has at most 512 characters.

--- a/lynxchute/store/row_value.py
+++ b/lynxchute/store/row_value.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
-import json
 import math
 from typing import Any
 
 import attrs
 
+from lynxchute.store.json_value import JsonValueError, decode_json
 
-class RowValueError(ValueError):
+# Maximum characters of a text field. Longer texts would fill log lines, headers and the
+# rows in which routers record them.
+MAX_TEXT_LENGTH = 512
+
+
+class RowValueError(JsonValueError):
     """Raised when a row's value does not match the schema of its table."""
 
 
@@ -39,12 +44,13 @@
         Raises
         ------
         RowValueError
-            When the value is not a JSON object.
+            When the value is not a JSON object, or one of its values is out of
+            bounds.
         """
         try:
-            fields = json.loads(value)
-        except (ValueError, RecursionError) as error:
-            raise RowValueError(f"invalid JSON: {error!r}") from error
+            fields = decode_json(value)
+        except JsonValueError as error:
+            raise RowValueError(str(error)) from error
         if not isinstance(fields, dict):
             raise RowValueError("value is not a JSON object")
         return cls(fields)
@@ -54,6 +60,8 @@
         value = self.fields.get(name)
         if not isinstance(value, str) or not value:
             raise RowValueError(f"{name!r} is not a non-empty string")
+        if len(value) > MAX_TEXT_LENGTH:
+            raise RowValueError(f"{name!r} has {len(value)} characters")
         return value
 
     def flag(self, name: str, *, default: bool) -> bool:
