Refuse rows of the fleet that no router writes

Operators could see: a secret of other bytes than text kept each router that started from becoming ready; a row under another router's key replaced a router's address; a router with strength 1e308 made all others count as weak.

Cause: the secret was taken undecoded, a row's value was not compared with its key, and the strength had no upper bound.

Change: a secret is used only if it is letters and digits, at most 256; a router keeps the one that it knows, and one that knows none writes a new one over the invalid row. A row that names another router than its key, port 0 or a strength beyond 1 cannot be decoded. Listeners of the registry are called through listeners.notify, so that one that fails does not keep the next from running.

--- a/lynxchute/fleet/members.py
+++ b/lynxchute/fleet/members.py
@@ -10,7 +10,7 @@
 from lynxchute.address import Address
 from lynxchute.reachability import Reachability
 from lynxchute.rendezvous import ranked
-from lynxchute.store.row_value import RowValue
+from lynxchute.store.row_value import RowValue, RowValueError
 
 # Seconds until a router that did not answer is tried again; doubled with each further
 # failure.
@@ -67,9 +67,9 @@
                     vm=row.text("vm"),
                     data_centre=row.text("data_centre"),
                     incarnation=row.text("incarnation"),
-                    address=str(Address.parse(row.text("address"))),
+                    address=_decode_address(row),
                     is_leaving=row.flag("is_leaving", default=False),
-                    strength=row.number("strength"),
+                    strength=_decode_strength(row),
                     budget_era=row.count("budget_era", default=None),
                 )
             )
@@ -77,6 +77,20 @@
             return Error(f"invalid router row: {error}")
 
 
+def _decode_address(row: RowValue) -> str:
+    address = Address.parse(row.text("address"))
+    if not address.port:
+        raise RowValueError("nobody listens at port 0")
+    return str(address)
+
+
+def _decode_strength(row: RowValue) -> float:
+    strength = row.number("strength")
+    if strength > 1.0:
+        raise RowValueError(f"'strength' is too large: {strength}")
+    return strength
+
+
 @attrs.define
 class Backoff:
     """Backoff state of a router that did not answer.
--- a/lynxchute/fleet/registry.py
+++ b/lynxchute/fleet/registry.py
@@ -12,6 +12,7 @@
 from lynxchute.fleet.era_mark import ERA_KEY, EraMark
 from lynxchute.fleet.members import Member, Members
 from lynxchute.fleet.messages import PingRequest
+from lynxchute.listeners import LogLimit, notify
 from lynxchute.store import (
     Committed,
     Expected,
@@ -42,6 +43,7 @@
 # Seconds between checks for unreachable routers that are due for a ping.
 PING_SECONDS = 1.0
 SECRET_BYTES = 24
+MAX_SECRET_LENGTH = 256
 # Seconds within which all VMs of a new fleet start.
 FIRST_START_SECONDS = 1.5
 # Seconds over which the routers of a fleet spread the writes that restore their rows.
@@ -97,12 +99,15 @@
             TABLE,
             times=FEED_TIMES,
             on_row=self._handle_row,
-            on_batch=self._notify_listeners,
+            on_batch=lambda: notify(self.listeners),
             on_restore=self._request_rewrite,
         )
         # Version of this router's own row, as far as is known.
         self._own_version = ABSENT
+        # Version of the secret's row if it cannot be decoded.
+        self._invalid_secret_version = ABSENT
         self._rewrite_due = asyncio.Event()
+        self._log_limit = LogLimit()
         self._is_restored = False
         self._store = store
         self._members = members
@@ -216,10 +221,14 @@
         return True
 
     async def _propose_secret(self) -> None:
-        """Create the fleet secret unless one exists; the first one written is used."""
+        """Create the fleet secret unless one exists; the first one written is used.
+
+        A secret that cannot be decoded is replaced.
+        """
         row_id = RowId(TABLE, SECRET_KEY)
         proposed = secrets.token_hex(SECRET_BYTES)
-        write = Write((Expected(row_id, ABSENT),), (Put(row_id, proposed.encode()),))
+        expected = Expected(row_id, self._invalid_secret_version)
+        write = Write((expected,), (Put(row_id, proposed.encode()),))
         try:
             outcome = await self._store.write(write)
         except (StoreUnavailable, OutcomeUnknown) as error:
@@ -230,8 +239,9 @@
             self.secret = proposed
             return
         row = outcome.rows_by_id.get(row_id)
+        self._invalid_secret_version = ABSENT
         if row is not None:
-            self.secret = row.value.decode()
+            self._handle_secret_row(row)
 
     async def _ping_unreachable(self) -> None:
         """Ping unreachable routers, so that no request has to try them."""
@@ -248,7 +258,7 @@
 
     def _handle_row(self, row: Row) -> None:
         if row.id.key == SECRET_KEY and not row.deleted:
-            self.secret = row.value.decode()
+            self._handle_secret_row(row)
             return
         if row.id.key in self.handlers_by_key:
             self.handlers_by_key[row.id.key](row)
@@ -256,9 +266,14 @@
         if row.id.key.startswith(ROUTER_PREFIX):
             self._handle_router_row(row)
 
-    def _notify_listeners(self) -> None:
-        for listener in self.listeners:
-            listener()
+    def _handle_secret_row(self, row: Row) -> None:
+        """Use the secret in a row, or keep the known one if the row has none."""
+        secret = _decode_secret(row.value)
+        if secret is None:
+            self._invalid_secret_version = row.version
+            log_event("fleet secret cannot be decoded", version=row.version)
+            return
+        self.secret = secret
 
     def _check_own_row(self, row: Row) -> None:
         """Register again if another writer has changed this router's row."""
@@ -279,7 +294,10 @@
             return
         result = Member.decode(row.value)
         if result.is_error():
-            log_event("router row could not be decoded", peer=vm, problem=result.error)
+            self._log_invalid_router(vm, result.error)
+            return
+        if result.ok.vm != vm:
+            self._log_invalid_router(vm, "it names another router")
             return
         self._members.put(result.ok)
         log_event(
@@ -289,3 +307,14 @@
             is_leaving=result.ok.is_leaving,
             version=row.version,
         )
+
+    def _log_invalid_router(self, vm: str, problem: str) -> None:
+        if self._log_limit.allows():
+            log_event("router row could not be decoded", peer=vm, problem=problem)
+
+
+def _decode_secret(value: bytes) -> str | None:
+    """Return the secret in a row; None if it cannot be sent in a header."""
+    if not 0 < len(value) <= MAX_SECRET_LENGTH or not value.isalnum():
+        return None
+    return value.decode("ascii")
