--- a/lynxchute/fleet/members.py
+++ b/lynxchute/fleet/members.py
@@ -67,7 +67,7 @@
                     vm=row.text("vm"),
                     data_centre=row.text("data_centre"),
                     incarnation=row.text("incarnation"),
-                    address=_decode_address(row),
+                    address=str(Address.parse(row.text("address"))),
                     is_leaving=row.flag("is_leaving", default=False),
                     strength=_decode_strength(row),
                     budget_era=row.count("budget_era", default=None),
@@ -77,13 +77,6 @@
             return Error(f"invalid router row: {error}")
 
 
-def _decode_address(row: RowValue) -> str:
-    address = Address.parse(row.text("address"))
-    if not address.port:
-        raise RowValueError("nobody listens at port 0")
-    return str(address)
-
-
 def _decode_strength(row: RowValue) -> float:
     strength = row.number("strength")
     if strength > 1.0:
