Call listeners independently, and bound the log of invalid rows

Cause: listeners of the directory and of the configuration were called in a plain loop, so that one that failed kept the next ones from running, at each change; each version of a row that fails was logged with its traceback.

--- a/lynxchute/edge/configurations.py
+++ b/lynxchute/edge/configurations.py
@@ -9,6 +9,7 @@
 from lynxchute.clock import steady_seconds
 from lynxchute.config import Configuration
 from lynxchute.edge.platform import Platform
+from lynxchute.listeners import LogLimit, notify
 from lynxchute.relay.admission import ConfigurationSource
 from lynxchute.store import Row, TableFeed
 from lynxchute.store.feed import FeedTimes
@@ -67,8 +68,9 @@
             platform.configuration_table,
             times=FeedTimes(wait=bound * LONG_POLL_SHARE),
             on_row=self._handle_row,
-            on_restore=self._notify_restore_listeners,
+            on_restore=lambda: notify(self.restore_listeners),
         )
+        self._log_limit = LogLimit()
         self._bound = bound
         self._evacuations = evacuations
         self._evacuation_prefix = platform.evacuation_prefix
@@ -114,10 +116,6 @@
         """Stop following the table."""
         await self.feed.stop()
 
-    def _notify_restore_listeners(self) -> None:
-        for listener in self.restore_listeners:
-            listener()
-
     def _handle_row(self, row: Row) -> None:
         if row.id.key.startswith(self._evacuation_prefix):
             self._handle_evacuation(row)
@@ -153,12 +151,7 @@
     def _handle_version(self, row: Row) -> None:
         result = self._decode(row.value)
         if result.is_error():
-            log_event(
-                "configuration cannot be decoded",
-                row_version=row.version,
-                problem=result.error,
-                kept=self._current.version if self._current else None,
-            )
+            self._log_invalid(row, result.error)
             return
         configuration = result.ok
         previous_version = self._current.version if self._current else 0
@@ -179,8 +172,17 @@
             routes=len(configuration.routes),
             accounts=len(configuration.accounts_by_name),
         )
-        for listener in self.listeners:
-            listener(configuration)
+        notify(self.listeners, configuration)
+
+    def _log_invalid(self, row: Row, problem: str) -> None:
+        if not self._log_limit.allows():
+            return
+        log_event(
+            "configuration cannot be decoded",
+            row_version=row.version,
+            problem=problem,
+            kept=self._current.version if self._current else None,
+        )
 
 
 def _is_readable(value: bytes) -> bool:
--- a/lynxchute/edge/upstreams.py
+++ b/lynxchute/edge/upstreams.py
@@ -8,6 +8,7 @@
 from lynxchute.clock import steady_seconds
 from lynxchute.edge.platform import Platform
 from lynxchute.http import ClientPool
+from lynxchute.listeners import LogLimit
 from lynxchute.store import Row, TableFeed
 from lynxchute.store.feed import FeedTimes
 from lynxchute.telemetry import log_event
@@ -58,6 +59,7 @@
             on_batch=self._handle_batch,
         )
         self._is_changed = False
+        self._log_limit = LogLimit()
         self._decode = platform.decode_upstream
         self._directory = directory
         self._clients = clients
@@ -93,7 +95,7 @@
         if result.is_error():
             # An unreadable row offers no usable upstream, whatever the row held
             # before. Requests that already run there continue.
-            log_event("upstream entry cannot be decoded", problem=result.error)
+            self._log_invalid(row, result.error)
             return self._remove(row, now, expires_at=0.0)
         upstream = result.ok
         entry = self._directory.entries_by_id.get(upstream.id)
@@ -119,6 +121,16 @@
             )
         return is_change
 
+    def _log_invalid(self, row: Row, problem: str) -> None:
+        if not self._log_limit.allows():
+            return
+        log_event(
+            "upstream entry cannot be decoded",
+            version=row.version,
+            problem=problem,
+            suppressed=self._log_limit.take_suppressed(),
+        )
+
     def _remove(self, row: Row, now: float, *, expires_at: float) -> bool:
         removed = self._directory.remove(row.id.key, now, expires_at=expires_at)
         if removed:
--- a/lynxchute/store/feed.py
+++ b/lynxchute/store/feed.py
@@ -10,6 +10,7 @@
 
 from lynxchute.application import BackgroundTask
 from lynxchute.clock import steady_seconds
+from lynxchute.listeners import LogLimit
 from lynxchute.store.era import era_of, number_of
 from lynxchute.store.rows import Changes, Row
 from lynxchute.store.store import HistoryLost, Store, StoreUnavailable
@@ -124,6 +125,7 @@
         self._on_restore = on_restore
         self._clock = clock
         self._is_listed = False
+        self._log_limit = LogLimit()
         # The last live row of each deleted key, to recognise it in a copy.
         self._live_row_by_deleted_key: dict[str, Row] = {}
         # When rows that an era's first listing lacked count as deleted; None if none.
@@ -339,13 +341,26 @@
             try:
                 self._on_row(row)
             except Exception:
-                logging.exception(
-                    "row %s of table %s could not be applied", row.id.key, self.table
-                )
+                self._log_failed_row(row)
         try:
             self._on_batch()
         except Exception:
-            logging.exception("batch callback of table %s failed", self.table)
+            if self._log_limit.allows():
+                logging.exception("batch callback of table %s failed", self.table)
+
+    def _log_failed_row(self, row: Row) -> None:
+        if self._log_limit.allows():
+            logging.exception(
+                "row %s of table %s could not be applied",
+                row.id.key,
+                self.table,
+                extra={
+                    "fields": {
+                        "version": row.version,
+                        "suppressed": self._log_limit.take_suppressed(),
+                    }
+                },
+            )
 
     def _record_answer(self) -> None:
         now = self._clock()
--- a/lynxchute/upstreams/directory.py
+++ b/lynxchute/upstreams/directory.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from lynxchute.listeners import notify
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.backpressure import Backpressure
 from lynxchute.upstreams.entry import (
@@ -310,8 +311,7 @@
             open_sends=len(entry.open_sends),
             request_ids=logged_request_ids(entry.open_sends),
         )
-        for listener in self.restart_listeners:
-            listener(before)
+        notify(self.restart_listeners, before)
 
     def abort_replaced(self, now: float) -> None:
         """Abort sends to replaced processes, unless their answers still arrive.
@@ -345,8 +345,7 @@
 
     def changed(self) -> None:
         """Notify the listeners that upstreams have changed."""
-        for listener in self.listeners:
-            listener()
+        notify(self.listeners)
 
     def prune(self, before: float) -> list[Upstream]:
         """Drop and return upstreams that vanished before a time and are idle."""
