Check texts and the version of configurations

Operators could see: a configuration of version 10**400 was taken, and all later versions were ignored as older.

Cause: the version had no upper bound, and names and paths were taken whatever their type.

Change: configurations are decoded through json_value; the version is at most 2**53; names, hosts, prefixes, paths and keys must be texts.

--- a/lynxchute/platform/configuration.py
+++ b/lynxchute/platform/configuration.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from expression import Error, Ok, Result
@@ -17,6 +16,10 @@
     Service,
     Target,
 )
+from lynxchute.store.json_value import MAX_PROBLEM_LENGTH, decode_json
+
+# Larger versions could not be followed by a newer one.
+MAX_VERSION = 1 << 53
 
 KINDS_BY_NAME = {
     "safe": RequestKind.IDEMPOTENT,
@@ -28,7 +31,7 @@
 def decode_configuration(value: bytes) -> Result[Configuration, str]:
     """Return the decoded configuration, or an error that says why it is invalid."""
     try:
-        return Ok(_configuration(json.loads(value)))
+        return Ok(_configuration(decode_json(value)))
     except (
         ArithmeticError,
         AttributeError,
@@ -37,7 +40,8 @@
         TypeError,
         ValueError,
     ) as error:
-        return Error(f"the configuration cannot be read: {error!r}")
+        problem = f"the configuration cannot be read: {error!r}"
+        return Error(problem[:MAX_PROBLEM_LENGTH])
 
 
 def _configuration(document: dict[str, Any]) -> Configuration:
@@ -48,9 +52,9 @@
         account = _account(item)
         accounts_by_name[account.name] = account
         for key in item.get("api_keys") or ():
-            accounts_by_key[key] = account
+            accounts_by_key[_checked_text(key)] = account
     return Configuration(
-        version=int(document["version"]),
+        version=_version(document),
         routes=tuple(_route(item) for item in document["routes"]),
         services_by_name={service.name: service for service in services},
         accounts_by_name=accounts_by_name,
@@ -59,12 +63,29 @@
     )
 
 
+def _version(document: dict[str, Any]) -> int:
+    version = int(document["version"])
+    if version > MAX_VERSION:
+        raise ValueError("the version is too large")
+    return version
+
+
+def _text(item: dict[str, Any], name: str) -> str:
+    return _checked_text(item[name])
+
+
+def _checked_text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"not a string: {type(value).__name__}")
+    return value
+
+
 def _route(item: dict[str, Any]) -> Route:
     timeout = float(item["timeout_ms"]) / 1000.0
     return Route(
-        name=item["name"],
-        host=item["host"].lower(),
-        prefix=item["prefix"],
+        name=_text(item, "name"),
+        host=_text(item, "host").lower(),
+        prefix=_text(item, "prefix"),
         kind=KINDS_BY_NAME[item["kind"]],
         targets=_targets(item),
         timeout=timeout,
@@ -83,15 +104,17 @@
 def _targets(item: dict[str, Any]) -> tuple[Target, ...]:
     split = item.get("traffic_split")
     if not split:
-        return (Target(item["service"], 1.0),)
-    return tuple(Target(part["service"], float(part["weight"])) for part in split)
+        return (Target(_text(item, "service"), 1.0),)
+    return tuple(
+        Target(_text(part, "service"), float(part["weight"])) for part in split
+    )
 
 
 def _service(item: dict[str, Any]) -> Service:
     engine = item.get("engine")
     return Service(
-        name=item["name"],
-        health_path=item.get("health_path") or "/health",
+        name=_text(item, "name"),
+        health_path=_checked_text(item.get("health_path") or "/health"),
         max_connections=int(item.get("max_connections") or 100),
         engine=_engine(engine) if engine else None,
         cold_seconds=float(item.get("cold_start_s") or 0),
@@ -118,7 +141,7 @@
     priority = item.get("priority")
     prepaid = item.get("prepaid")
     return ClientAccount(
-        name=item["name"],
+        name=_text(item, "name"),
         priority=None if priority is None else int(priority),
         prepaid=None if prepaid is None else int(prepaid),
     )
