Check texts and integers of messages between routers

Cause: messages were converted without a check of their values, so that a lone surrogate or an integer of 400 digits ended later, in the handler or in a reply's use.

Fuzzed on the request for changes, with a mutant.

--- a/lynxchute/fleet/message.py
+++ b/lynxchute/fleet/message.py
@@ -7,6 +7,8 @@
 import attrs
 import cattrs
 
+from lynxchute.store.json_value import MAX_PROBLEM_LENGTH, check_json
+
 PREFIX = "/fleet/"
 
 ReplyT = TypeVar("ReplyT")
@@ -50,9 +52,11 @@
     Raises
     ------
     MessageDecodeError
-        When the values do not match the class.
+        When the values do not match the class, or are out of bounds.
     """
     try:
+        check_json(value)
         return _CONVERTER.structure(value, cls)
     except Exception as error:
-        raise MessageDecodeError(f"invalid {cls.__name__}: {error!r}") from error
+        problem = f"invalid {cls.__name__}: {error!r}"
+        raise MessageDecodeError(problem[:MAX_PROBLEM_LENGTH]) from error
--- a/tests/test_odd_row_fuzz.py
+++ b/tests/test_odd_row_fuzz.py
@@ -7,7 +7,9 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
+from lynxchute.fleet import message
 from lynxchute.fleet.members import Member
+from lynxchute.fleet.store_messages import StoreChangesRequest
 from lynxchute.platform import answers
 from lynxchute.platform.configuration import decode_configuration
 from lynxchute.platform.upstreams import decode_upstream
@@ -70,6 +72,23 @@
         assert 0 <= row.version < 2**48, "a version out of range"
 
 
+@FIXED
+@given(st.sampled_from(["table", "after", "era"]), odd)
+def fuzz_messages(name, value):
+    good = {"table": "t", "after": 1, "era": None}
+    try:
+        decoded = message.from_json({**good, name: value}, StoreChangesRequest)
+    except message.MessageDecodeError as error:
+        assert len(str(error)) < 1_000, "a long problem"
+        return
+    check_usable(decoded)
+    float(decoded.after)
+
+
+def allow_odd_messages():
+    return mock.patch.object(message, "check_json", lambda value: None)
+
+
 def allow_surrogates():
     return mock.patch.object(json_value, "is_encodable", lambda text: True)
 
@@ -83,6 +102,7 @@
 
 
 MUTANTS = {
+    allow_odd_messages: fuzz_messages,
     allow_surrogates: fuzz_rows,
     allow_surrogate_keys: fuzz_answers,
     allow_large_versions: fuzz_answers,
@@ -93,10 +113,13 @@
     def test_odd_fields_of_rows_give_usable_values_or_problems(self):
         fuzz_rows()
 
+    def test_odd_messages_give_usable_values_or_problems(self):
+        fuzz_messages()
+
     def test_odd_items_of_answers_remove_no_sound_one(self):
         fuzz_answers()
 
     def test_fuzzing_detects_mutants(self):
         for mutant, fuzz in MUTANTS.items():
             with self.subTest(mutant.__name__), mutant():
-                self.assertRaises((AssertionError, UnicodeEncodeError), fuzz)
+                self.assertRaises((AssertionError, OverflowError, UnicodeError), fuzz)
