--- a/lynxchute/fleet/members.py
+++ b/lynxchute/fleet/members.py
@@ -10,7 +10,7 @@
 from lynxchute.address import Address
 from lynxchute.reachability import Reachability
 from lynxchute.rendezvous import ranked
-from lynxchute.store.row_value import RowValue
+from lynxchute.store.row_value import RowValue, RowValueError
 
 # Seconds until a router that did not answer is tried again; doubled with each further
 # failure.
@@ -69,7 +69,7 @@
                     incarnation=row.text("incarnation"),
                     address=str(Address.parse(row.text("address"))),
                     is_leaving=row.flag("is_leaving", default=False),
-                    strength=row.number("strength"),
+                    strength=_decode_strength(row),
                     budget_era=row.count("budget_era", default=None),
                 )
             )
@@ -77,6 +77,13 @@
             return Error(f"invalid router row: {error}")
 
 
+def _decode_strength(row: RowValue) -> float:
+    strength = row.number("strength")
+    if strength > 1.0:
+        raise RowValueError(f"'strength' is too large: {strength}")
+    return strength
+
+
 @attrs.define
 class Backoff:
     """Backoff state of a router that did not answer.
