Stop routers and cut them off in the soak as versions join

Cause: the soak had no seed in which one version serves alone, another one joins, and routers that have not heard of it are asked to go on with streams, so it could not show the fault.

Change: seeds 77000 to 79999 have waves of versions (tests/soak/waves.py: one alone for 3 s or more, forward and back) and routers that are stopped, cut off from the store, from one another, or all of it, singly and in pairs (out_of_step.py; both with generators of their own). Callers take most streams up at routers out of step. Routers reach one another over links, which tests/linked_router.py reads from the file that it reads already. The part of a seed with deaths that runs injectors is shared. A short run is in tests/test_soak.py.

--- a/tests/soak/deaths.py
+++ b/tests/soak/deaths.py
@@ -11,6 +11,7 @@
 from lynxchute.standins.platform_store import Outage
 from lynxchute.standins.upstream_run import Fault
 from lynxchute.telemetry import log_event
+from tests.soak.out_of_step import is_out_of_step
 
 # Most retries are those that are permitted whatever the requests.
 BOUNDS = DeploymentBounds(retry_extra=60.0)
@@ -35,7 +36,7 @@
 
 def has_deaths(seed):
     """Return whether routers die in series in a seed."""
-    return seed >= FIRST_SEED_WITH_DEATHS
+    return seed >= FIRST_SEED_WITH_DEATHS and not is_out_of_step(seed)
 
 
 class DeathInjector:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -14,6 +14,7 @@
 from tests.soak import silence
 from tests.soak.forwarding import RequestTrace, log_time
 from tests.soak.links import UpstreamLinks, has_links, places
+from tests.soak.out_of_step import PeerLinks, is_out_of_step
 from tests.soak.starts import RouterStart
 from tests.soak.stops import GraceHistory, RouterStop
 
@@ -124,6 +125,7 @@
         self.upstream_links = None
         if has_links(seed):
             self.upstream_links = UpstreamLinks(folder, self._vms)
+        self.peer_links = PeerLinks(folder) if is_out_of_step(seed) else None
         self._services = ["pool"] * engines + ["app"] * apps
 
     async def start(self):
@@ -136,6 +138,11 @@
         await self.configure()
         for vm in self._vms:
             await self._add_router(vm)
+        if self.peer_links is not None:
+            addresses_by_vm = {}
+            for vm, router in self.routers_by_vm.items():
+                addresses_by_vm[vm] = f"127.0.0.1:{router.peer_link.port}"
+            await self.peer_links.start(addresses_by_vm)
         for router in self.routers_by_vm.values():
             await router.process.start()
         for router in self.routers_by_vm.values():
@@ -151,6 +158,8 @@
             await upstream.link.stop()
         if self.upstream_links is not None:
             await self.upstream_links.stop()
+        if self.peer_links is not None:
+            await self.peer_links.stop()
         await self.store.close()
 
     async def configure(self):
@@ -213,6 +222,7 @@
         peer_port = free_port()
         peer_link = Link(f"127.0.0.1:{peer_port}")
         await peer_link.start()
+        links = self.upstream_links or self.peer_links
         process = RouterProcess(
             self.folder,
             vm,
@@ -223,7 +233,7 @@
             # VM, the others as a frozen process.
             module=ROUTER_MODULES[len(self.routers_by_vm) % 2],
             contracts=self.contracts,
-            links_file=self.upstream_links.file(vm) if self.upstream_links else None,
+            links_file=links.file(vm) if links else None,
         )
         process.settings["bounds"]["retry_budget_extra"] = self.bounds.retry_extra
         grace = process.settings["bounds"]["grace_s"]
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -11,6 +11,7 @@
 from lynxchute.standins.link import Link, Partition
 from lynxchute.standins.places import Places
 from lynxchute.telemetry import log_event
+from tests.soak.out_of_step import is_out_of_step
 from tests.soak.silence import has_silence
 
 BRITTLE_GUARANTEE = "brittle upstreams stay up"
@@ -24,7 +25,9 @@
 
 def has_links(seed):
     """Return whether the routers of a seed have links of their own to upstreams."""
-    return seed % LINKED_INTERVAL == 0 and not has_silence(seed)
+    if has_silence(seed) or is_out_of_step(seed):
+        return False
+    return seed % LINKED_INTERVAL == 0
 
 
 class UpstreamLinks:
--- a/tests/soak/rollouts.py
+++ b/tests/soak/rollouts.py
@@ -30,6 +30,8 @@
 class RolloutInjector:
     """Change the software of engines forward and back, and check resumed streams."""
 
+    caller_count = STREAM_CALLERS
+
     def __init__(self, fleet, callers, checker, seed, *, planned_only):
         self.counts = collections.Counter()
         self._fleet = fleet
@@ -41,7 +43,7 @@
     async def run(self, seconds):
         """Change versions and take streams up for some seconds."""
         end = asyncio.get_running_loop().time() + seconds
-        callers = [self._resume_streams(end) for _ in range(STREAM_CALLERS)]
+        callers = [self._resume_streams(end) for _ in range(self.caller_count)]
         await asyncio.gather(self._change_versions(end), *callers)
 
     async def _change_versions(self, end):
@@ -95,9 +97,12 @@
                 self._checker.record_violation(VERSION_GUARANTEE, f"{name}: {versions}")
             await asyncio.sleep(self._rng.uniform(*RETURN_DELAY))
 
+    def _choose_vm(self, is_taken_up):
+        return self._rng.choice(sorted(self._fleet.routers_by_vm))
+
     async def _attempt(self, attempt, body, first_attempt):
         """Return the status and the complete events of one attempt."""
-        vm = self._rng.choice(sorted(self._fleet.routers_by_vm))
+        vm = self._choose_vm(bool(body))
         headers = [
             ("Host", HOST),
             ("X-Request-Id", attempt),
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,10 +20,12 @@
 from tests.soak.faults import FaultInjector, FaultPlan
 from tests.soak.fleet import AMPLE_ACCOUNT, SoakFleet
 from tests.soak.links import LinkInjector
+from tests.soak.out_of_step import OutOfStepInjector, is_out_of_step
 from tests.soak.promises import Checker
 from tests.soak.rollouts import RolloutInjector
 from tests.soak.silence import SilenceInjector, has_silence, is_planned_only
 from tests.soak.traffic import REQUEST_KINDS, CallerPool
+from tests.soak.waves import WaveInjector
 
 # Every 4th seed has planned work only, which must not interrupt any request.
 PLANNED_ONLY_INTERVAL = 4
@@ -87,6 +89,8 @@
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
         run_fleet = _run_deaths if has_deaths(seed) else _run_fleet
+        if is_out_of_step(seed):
+            run_fleet = _run_out_of_step
         report = await run_fleet(seed, folder, seconds, routers)
         if report.violations and keep is not None:
             _save_logs(folder, keep / f"seed-{seed}", report)
@@ -130,16 +134,47 @@
     fault_injector = FaultInjector(fleet, checker, rng, plan)
     death_injector = DeathInjector(fleet, fault_injector, seed)
     rollout_injector = RolloutInjector(fleet, callers, checker, seed, planned_only=True)
+    await _run_injectors(
+        fleet,
+        callers,
+        checker,
+        lambda: (
+            fault_injector.run(),
+            death_injector.run(seconds),
+            rollout_injector.run(seconds),
+        ),
+    )
+    injectors = (death_injector, fault_injector, rollout_injector)
+    return _report(seed, callers, checker, injectors)
+
+
+async def _run_out_of_step(seed, folder, seconds, routers):
+    """Run a seed in which routers are stopped and cut off as versions join."""
+    fleet = SoakFleet(folder, seed, routers=routers)
+    callers = CallerPool(fleet, random.Random(seed), has_distinct_bodies=True)
+    checker = Checker(fleet, callers)
+    disturber = OutOfStepInjector(fleet, checker, seed)
+    waves = WaveInjector(fleet, callers, checker, seed, disturber=disturber)
+    await _run_injectors(
+        fleet, callers, checker, lambda: (disturber.run(seconds), waves.run(seconds))
+    )
+    return _report(seed, callers, checker, (disturber, waves))
+
+
+async def _run_injectors(fleet, callers, checker, begin):
+    """Run a fleet beside injectors, then check its recovery and its guarantees.
+
+    Parameters
+    ----------
+    begin
+        Returns the coroutines of the injectors, once the fleet has started.
+    """
     watching = None
     try:
         await fleet.start()
         watching = asyncio.create_task(checker.watch())
         callers.start()
-        await asyncio.gather(
-            fault_injector.run(),
-            death_injector.run(seconds),
-            rollout_injector.run(seconds),
-        )
+        await asyncio.gather(*begin())
         await _check_recovery(fleet, callers, checker)
         await callers.stop()
         await asyncio.sleep(SETTLE_SECONDS)
@@ -152,8 +187,6 @@
         with contextlib.suppress(asyncio.CancelledError):
             await callers.stop()
         await fleet.stop()
-    injectors = (death_injector, fault_injector, rollout_injector)
-    return _report(seed, callers, checker, injectors)
 
 
 def _report(seed, callers, checker, injectors, faults=()):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -37,6 +37,7 @@
 )
 from tests.soak.forwarding import RequestTrace
 from tests.soak.links import has_links
+from tests.soak.out_of_step import is_out_of_step
 from tests.soak.promises import (
     MAX_LATE_SECONDS,
     RETRY_GUARANTEE,
@@ -60,6 +61,9 @@
 # A seed in which routers die in series while upstreams fail most sends.
 DEATHS_SEED = 74_001
 DEATHS_SECONDS = 9.0
+# A seed in which routers are stopped and cut off as software versions join.
+OUT_OF_STEP_SEED = 77_001
+OUT_OF_STEP_SECONDS = 9.0
 SHORT_SECONDS = 5.0
 
 
@@ -989,6 +993,13 @@
         faults = self.report(DEATHS_SEED, DEATHS_SECONDS).faults
         self.assertGreater(faults["deaths of all"], 0)
 
+    def test_routers_out_of_step_with_versions_have_no_violations(self):
+        self.assertTrue(is_out_of_step(OUT_OF_STEP_SEED))
+        self.assert_no_violations(OUT_OF_STEP_SEED, OUT_OF_STEP_SECONDS)
+        faults = self.report(OUT_OF_STEP_SEED, OUT_OF_STEP_SECONDS).faults
+        self.assertGreater(faults["waves"], 0)
+        self.assertGreater(faults["taken up out of step"], 0)
+
     def test_seeds_that_failed_before_have_no_violations(self):
         for entry in yaml.safe_load(FAILED_SEEDS.read_text(encoding="utf-8")):
             with self.subTest(seed=entry["seed"]):
