Cut a data centre off in the demonstration as a rollout begins

Cause: the demonstration's rollout had no router out of step.

Change: routers of kyu-c are cut off from the store and the others, half of the engines get other software 0.05 s later, and all engines break streams off in turn.

--- a/lynxchute/demo.py
+++ b/lynxchute/demo.py
@@ -64,6 +64,8 @@
 # streams off meanwhile.
 OLD_SOFTWARE, NEW_SOFTWARE = "1.9", "2.0"
 BREAKING_INTERVAL = 3
+# Seconds from the cut of a data centre until the first engines get other software.
+JOIN_DELAY = 0.05
 SEED = 7
 
 
@@ -166,6 +168,8 @@
     deployment.set_cut("kyu-c", False)
     await deployment.start_router("kyu-a-1")
     await callers.run(SCENE_SECONDS, rate)
+    _print_step(f"{CUT_OFF} is cut off as the first engines get other software")
+    await _begin_rollout_beside_cut(deployment, callers, rate)
     _print_step("engines get other software while they break streams off")
     await _roll_out(deployment, callers, rate)
     _print_step(
@@ -191,6 +195,25 @@
     return crashes
 
 
+async def _begin_rollout_beside_cut(
+    deployment: Deployment, callers: Callers, rate: float
+) -> None:
+    """Change the software of one engine in two while a data centre is cut off."""
+    engines = list(deployment.engines_by_name.values())
+    scene = asyncio.create_task(callers.run(SCENE_SECONDS, rate))
+    deployment.set_cut(CUT_OFF, True)
+    await asyncio.sleep(JOIN_DELAY)
+    for engine in engines[::2]:
+        engine.software_version = NEW_SOFTWARE
+    for engine in engines:
+        engine.faults.break_streams = True
+        await asyncio.sleep(SCENE_SECONDS / len(engines) / 2)
+        engine.faults.break_streams = False
+    await scene
+    deployment.set_cut(CUT_OFF, False)
+    await callers.run(SCENE_SECONDS, rate)
+
+
 async def _roll_out(deployment: Deployment, callers: Callers, rate: float) -> None:
     """Change the software of engines one by one, forward and halfway back."""
     engines = list(deployment.engines_by_name.values())
