--- a/lynxchute/fleet/relayed_store.py
+++ b/lynxchute/fleet/relayed_store.py
@@ -143,7 +143,7 @@
             return await self._first_read(row_id, direct)
         finally:
             if direct is not None:
-                direct.cancel()
+                _abandon(direct)
 
     async def _first_read(
         self, row_id: RowId, direct: asyncio.Task[Row | None] | None
@@ -166,7 +166,7 @@
                 return first.result()
             return await (relayed if first is direct else direct)
         finally:
-            relayed.cancel()
+            _abandon(relayed)
 
     async def _read_relayed(self, row_id: RowId) -> Row | None:
         message = StoreScanRequest(row_id.table, row_id.part, row_id.key)
@@ -369,6 +369,12 @@
         )
 
 
+def _abandon(call: asyncio.Future[Row | None]) -> None:
+    """Cancel a call of which the result is not needed, whatever it is."""
+    call.cancel()
+    call.add_done_callback(lambda done: done.cancelled() or done.exception())
+
+
 def _era_of_rows(conflict: Conflict, known: int) -> int:
     """Return the era of a conflict's rows, or the known one if it has none."""
     versions = [row.version for row in conflict.rows_by_id.values() if row is not None]
