Show a version that begins streams though the row has dropped it

Found by the review: a router that is cut off for longer than streams last goes on beginning streams at a version whose entries have left, and nobody else remembers the version. Nothing is mended: whoever begins streams would need a view of an age that it can have no more in an outage of the store for all.

--- a/tests/test_stale_claims.py
+++ b/tests/test_stale_claims.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from lynxchute.clock import steady_seconds
+from lynxchute.edge import application
 from lynxchute.resumption import version_record
 from lynxchute.store import Row, RowId, TableFeed
 from lynxchute.store.feed import FeedTimes
@@ -33,6 +34,8 @@
 EARLY, LATE = ("a-1", "b-1"), ("a-2", "b-2")
 # Room for a row that names one version of each service.
 ONE_VERSION_BYTES = 45
+# Seconds after which the row has dropped a version that left, with streams of 4 s.
+DROPPED_SECONDS = 11.0
 # Batches of streams of which one is at a process that was replaced.
 MAX_BATCHES = 5
 
@@ -117,6 +120,29 @@
         self.with_versions(scenario, versions=(OLD,) * 3)
 
 
+class DroppedVersionClaimTest(OutOfStepCase):
+    """Guards against streams joined since others saw their version leave long ago."""
+
+    def test_a_version_that_the_row_has_dropped_begins_no_streams(self):
+        async def scenario(deployment):
+            async with RouterPartitions(deployment) as partitions:
+                await begin(deployment, len(ROUTERS), events=None)
+                others = [vm for vm in ROUTERS if vm != "a-2"]
+                partitions.cut(["a-2"])
+                await self.add_engines(deployment, others)
+                for engine in deployment.engines:
+                    if engine.software_version == OLD:
+                        await deployment.store.drop("servers", engine.id)
+                await asyncio.sleep(DROPPED_SECONDS)
+                streams = await begin(deployment, STREAMS, vms=["a-2"])
+                streams = [stream for stream in streams if stream.first_attempt]
+                await take_up(deployment, streams, vms=others)
+                self.assertEqual(0, len(mixed(streams)), "streams of two versions")
+
+        with mock.patch.object(application, "RETURN_SECONDS", 1.0):
+            self.with_view_age(SHORT_SECONDS, scenario)
+
+
 class RestoredStoreClaimTest(OutOfStepCase):
     """Guards against rows of a copy that count as all that was ever written."""
 
