Check all five limits of budgets from what upstreams see

lynxchute/standins/budget_rules.py counts all five from records of upstreams and callers. The stand-in upstreams record of each arrival its time, the deadline that it states, whether it ran and the backoff of its refusal.

--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -13,6 +13,7 @@
 from lynxchute.platform import names
 from lynxchute.platform.names import UPSTREAM_TABLE
 from lynxchute.standins.arrivals import ArrivalLog
+from lynxchute.standins.budget_rules import Received
 from lynxchute.standins.places import Places
 from lynxchute.standins.platform_store import PlatformStoreStandin
 from lynxchute.standins.upstream_exchange import UpstreamExchange
@@ -25,6 +26,9 @@
 )
 
 _ids = itertools.count(1)
+# Faults with which a request does not run, and those of them that may ask for backoff.
+REFUSALS = frozenset({Fault.DECLINE, Fault.BUSY, Fault.MOVED, Fault.EARLY})
+BACKOFF_REFUSALS = frozenset({Fault.DECLINE, Fault.BUSY})
 # Seconds until an upstream is back after it fell over.
 FALL_SECONDS = 3.0
 
@@ -52,9 +56,9 @@
         answer in one piece.
     faults
         The faults of the next requests, in order; later requests have none.
-    arrivals, arrival_times
-        The ids of all requests that arrived, including those that did not run, and when
-        that was, in seconds of the loop's clock.
+    arrivals, received
+        The ids of all requests that arrived, including those that did not run, and
+        what is known of each arrival, in order.
     runs
         The requests that it ran.
     cache
@@ -121,7 +125,7 @@
         self.plain_pieces: tuple[int, ...] = ()
         self.faults: list[Fault] = []
         self.arrivals: list[str] = []
-        self.arrival_times: list[float] = []
+        self.received: list[Received] = []
         self.runs: list[Run] = []
         self.cache: dict[str, int] = {}
         self.state = "ready"
@@ -215,13 +219,14 @@
             headers.append((names.UPSTREAM_BRITTLE, str(self.places.max_rejections)))
         if self.announces_leaving:
             headers.append((names.UPSTREAM_LEAVING, "1"))
-        backoff = max(
-            self.backoff, self.backoff_until - asyncio.get_running_loop().time()
-        )
+        backoff = self._backoff_seconds()
         if backoff > 0 and is_refusal:
             headers.append((names.RETRY_AFTER, f"{backoff:.3f}"))
         return headers
 
+    def _backoff_seconds(self) -> float:
+        return max(self.backoff, self.backoff_until - asyncio.get_running_loop().time())
+
     @property
     def open_connections(self) -> int:
         """Return the number of its open connections."""
@@ -282,8 +287,7 @@
                 continue
             fault = self.faults.pop(0) if self.faults else None
             run = parse_run(head)
-            self.arrivals.append(run.request_id)
-            self.arrival_times.append(asyncio.get_running_loop().time())
+            received = self._record_received(run)
             if fault is Fault.EARLY:
                 await self._decline_early(writer)
                 return
@@ -312,32 +316,53 @@
                 self.cuts_inside_event,
                 self.plain_pieces,
             )
-            if not await self._answer(exchange):
+            if not await self._answer(exchange, received):
                 if fault in (Fault.CRASH, Fault.CUT_AND_CRASH):
                     self.crash_runs.append(run)
                     self.crash()
                 return
             protocol.start_next_cycle()
 
-    async def _answer(self, exchange: UpstreamExchange) -> bool:
+    def _record_received(self, run: Run) -> Received:
+        deadline_ms = run.headers.get(names.DEADLINE.lower())
+        received = Received(
+            asyncio.get_running_loop().time(),
+            run.request_id,
+            self.id,
+            None if deadline_ms is None else int(deadline_ms) / 1000.0,
+        )
+        self.arrivals.append(run.request_id)
+        self.received.append(received)
+        return received
+
+    async def _answer(self, exchange: UpstreamExchange, received: Received) -> bool:
         """Answer once a place is free; return whether the connection can be reused."""
         places = self.places
-        if places is None:
-            return await exchange.answer()
-        if not places.admit():
+        if places is not None and not places.admit():
             exchange.fault = Fault.DECLINE
             if places.falls():
                 self._fall()
                 return False
+            self._record_outcome(exchange, received)
+            return await exchange.answer()
+        if places is None:
+            self._record_outcome(exchange, received)
             return await exchange.answer()
         has_begun = False
         try:
             await places.begin()
             has_begun = True
+            self._record_outcome(exchange, received)
             return await exchange.answer()
         finally:
             places.end(has_begun=has_begun)
 
+    def _record_outcome(self, exchange: UpstreamExchange, received: Received) -> None:
+        """Record whether a request runs, and the backoff that its refusal asks for."""
+        received.has_run = exchange.fault not in REFUSALS
+        if exchange.fault in BACKOFF_REFUSALS:
+            received.backoff = self._backoff_seconds()
+
     def _fall(self) -> None:
         """Crash, and come back under the same id after some seconds."""
         if self._fall_task is not None and not self._fall_task.done():
--- a/tests/retry_play.py
+++ b/tests/retry_play.py
@@ -7,9 +7,9 @@
 import attrs
 
 from lynxchute.http import ExchangeError
+from lynxchute.standins.budget_rules import arrivals_by_service, worst_window
 from lynxchute.standins.upstream_run import Fault
 from tests.platform_support import PlatformCaller
-from tests.retry_count import arrivals_by_service, worst_window
 
 ROUTERS = ("a-1", "a-2", "b-1", "b-2")
 UPSTREAMS = 6
--- a/tests/router_process.py
+++ b/tests/router_process.py
@@ -32,7 +32,10 @@
         module="lynxchute.platform",
         contracts=(),
         links_file=None,
+        code=None,
     ):
+        # Folder of the code that runs; None for this one.
+        self._code = code
         self.module = module
         self.vm = vm
         self.process = None
@@ -86,7 +89,12 @@
             environment[LINKS_VARIABLE] = str(self.links_file)
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", self.module, stdout=log, env=environment
+                sys.executable,
+                "-m",
+                self.module,
+                stdout=log,
+                env=environment,
+                cwd=self._code,
             )
 
     def send_signal(self, number):
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 
-from tests.retry_count import arrivals_by_service, worst_window
+from lynxchute.standins.budget_rules import BudgetRules, Sent
 from tests.soak.fleet import AMPLE_ACCOUNT, EVENTS_PER_STREAM
 from tests.soak.traffic import GENERATION_KINDS, IDEMPOTENT_KINDS
 
@@ -12,8 +12,8 @@
 VERSION_FIELD = "software: "
 VERSION_GUARANTEE = "streams are of one version"
 SILENCE_GUARANTEE = "silence ends no answer"
-GENERATION_SERVICE = "pool"
-RETRY_GUARANTEE = "retries stay within their limit"
+GENERATION_SERVICE, PLAIN_SERVICE = "pool", "app"
+BUDGET_GUARANTEE = "budgets are kept"
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Seconds after the caller's deadline by which the final answer must have arrived;
 # generous, since the machine may be busy.
@@ -88,25 +88,23 @@
         self._check_runs(runs)
         self._check_spending(runs)
 
-    def check_retries(self):
-        """Check that all routers together, over all lives, kept to the retry limit."""
-        standins = [upstream.standin for upstream in self._fleet.upstreams]
-        recorded_ids = {record.request_id for record in self._records}
-        for service, arrivals in arrivals_by_service(standins).items():
-            request_times = []
-            for record in self._records:
-                if (record.kind in GENERATION_KINDS) == (service == GENERATION_SERVICE):
-                    request_times.append(record.sent_at)
-            # Requests of callers that keep no records count from their arrival on.
-            first_arrivals = {}
-            for time, request_id in sorted(arrivals):
-                if request_id not in recorded_ids:
-                    first_arrivals.setdefault(request_id, time)
-            request_times += first_arrivals.values()
-            peak = worst_window(arrivals, request_times, self._fleet.bounds)
-            if peak.excess > 0:
-                detail = f"{service}: {peak.retries} of {peak.permitted:.1f}"
-                self.record_violation(RETRY_GUARANTEE, detail)
+    def check_budgets(self):
+        """Check retries, attempts, deadlines and backoff as upstreams saw them."""
+        received_by_service = collections.defaultdict(list)
+        ends_by_id = {}
+        for upstream in self._fleet.upstreams:
+            standin = upstream.standin
+            received_by_service[standin.service] += standin.received
+            ends_by_id[standin.id] = standin.ends
+        rules = BudgetRules(
+            self._fleet.bounds,
+            received_by_service,
+            {record.request_id: _sent(record) for record in self._records},
+            is_disturbed=lambda vm, time: vm in self.disturbed_vms,
+            has_ended=lambda upstream_id, time: bool(ends_by_id.get(upstream_id)),
+        )
+        for detail in rules.violations():
+            self.record_violation(BUDGET_GUARANTEE, detail)
 
     def record_violation(self, guarantee, detail):
         """Record a violation, unless the same detail is recorded already."""
@@ -246,6 +244,19 @@
                 self.record_violation("no overspend", f"{account}: {tokens} of {paid}")
 
 
+def _sent(record):
+    """Return a record as the rules of budgets count it."""
+    is_generation = record.kind in GENERATION_KINDS
+    return Sent(
+        record.request_id,
+        GENERATION_SERVICE if is_generation else PLAIN_SERVICE,
+        record.vm,
+        record.sent_at,
+        record.deadline,
+        max_attempts=2 if record.kind in IDEMPOTENT_KINDS else 1,
+    )
+
+
 def _late_seconds(record):
     """Return for how many seconds after its deadline a request ended."""
     return record.ended_at - record.sent_at - record.deadline
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -179,7 +179,7 @@
         await callers.stop()
         await asyncio.sleep(SETTLE_SECONDS)
         checker.check_finished()
-        checker.check_retries()
+        checker.check_budgets()
     finally:
         if watching is not None:
             watching.cancel()
@@ -272,7 +272,7 @@
         await callers.stop()
         await asyncio.sleep(SETTLE_SECONDS)
         checker.check_finished()
-        checker.check_retries()
+        checker.check_budgets()
         deadly_caller.check()
         deadly_part_caller.check()
         evacuator.check_cold()
--- a/tests/test_retry_limit.py
+++ b/tests/test_retry_limit.py
@@ -8,10 +8,10 @@
 from hypothesis import strategies as st
 
 from lynxchute.edge.settings import DeploymentBounds
+from lynxchute.standins.budget_rules import worst_window
 from lynxchute.standins.upstream_run import Fault
 from lynxchute.upstreams.retry_budget import MAX_USED_SHARE, RetryBudget
 from tests.platform_support import PlatformTestCase
-from tests.retry_count import worst_window
 from tests.retry_play import ROUTERS, UPSTREAMS, RetryPlay
 
 PLAY_SECONDS = 9.0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,7 @@
 from lynxchute.edge.settings import DeploymentBounds
 from lynxchute.event_loop import run as run_loop
 from lynxchute.http import ExchangeError
+from lynxchute.standins.budget_rules import Received
 from lynxchute.standins.link import Direction, Link, Partition
 from lynxchute.standins.platform_store import PlatformStoreStandin
 from tests.platform_support import configuration
@@ -39,8 +40,8 @@
 from tests.soak.links import has_links
 from tests.soak.out_of_step import is_out_of_step
 from tests.soak.promises import (
+    BUDGET_GUARANTEE,
     MAX_LATE_SECONDS,
-    RETRY_GUARANTEE,
     SILENCE_GUARANTEE,
     Checker,
 )
@@ -203,20 +204,17 @@
         sent = [record("stream", request_id=f"r{n}", sent_at=10.0) for n in range(4)]
         checker = Checker(fleet, FakeCallerPool(*sent))
         for number in range(4):
-            first.arrivals.append(f"r{number}")
-            first.arrival_times.append(10.1)
+            first.received.append(Received(10.1, f"r{number}", first.id, 1.0))
         for number in range(3):
-            second.arrivals.append(f"r{number}")
-            second.arrival_times.append(11.0)
-        checker.check_retries()
+            second.received.append(Received(11.0, f"r{number}", second.id, 1.0))
+        checker.check_budgets()
         self.assertEqual({}, checker.violation_counts())
-        second.arrivals.append("r3")
-        second.arrival_times.append(21.1)
-        checker.check_retries()
+        second.received.append(Received(21.1, "r3", second.id, 1.0))
+        checker.check_budgets()
         self.assertEqual({}, checker.violation_counts())
-        second.arrival_times[-1] = 20.9
-        checker.check_retries()
-        self.assertIn(RETRY_GUARANTEE, checker.violation_counts())
+        second.received[-1].at = 20.9
+        checker.check_budgets()
+        self.assertIn(BUDGET_GUARANTEE, checker.violation_counts())
 
     def test_request_cut_by_planned_work_is_found(self):
         cut = record(status=0, body=b"", is_complete=False)
