Log how long a retry waits between its permit and its send

A retry counts as it is permitted, while its upstream sees it as it arrives. No line said how long lies between, so retries forgotten by a dead process and retries that arrive late look alike. "request sent" has permit_age_s now; no decision changes.

--- a/lynxchute/relay/exchange.py
+++ b/lynxchute/relay/exchange.py
@@ -75,6 +75,8 @@
         not run.
     has_retry_permit
         Whether another send is already counted in the retry budget.
+    retry_permitted_at
+        When the latest retry was permitted, in seconds; None if none was.
     tried
         Ids of upstreams that are not tried again for this request.
     passed_over
@@ -123,6 +125,7 @@
     sent_at: float = 0.0
     possible_runs: int = 0
     has_retry_permit: bool = False
+    retry_permitted_at: float | None = None
     run_status: RunStatus = RunStatus.NOT_RUN
     tried: set[str] = attrs.Factory(set)
     passed_over: set[str] = attrs.Factory(set)
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -336,6 +336,7 @@
             log_event("retry budget used up", **state)
             return False
         exchange.has_retry_permit = True
+        exchange.retry_permitted_at = now
         log_event("retry permitted", **state)
         return True
 
@@ -667,11 +668,15 @@
         self, exchange: Exchange, choice: Choice, parameters: SendParameters, via: str
     ) -> None:
         entry = choice.entry
+        permit_age = None
+        if exchange.retry_permitted_at is not None:
+            permit_age = round(self._clock() - exchange.retry_permitted_at, 3)
         log_event(
             "request sent",
             request_id=exchange.call.request_id,
             upstream=entry.upstream.id,
             send=exchange.sends,
+            permit_age_s=permit_age,
             placed_by=choice.placed_by,
             expected_s=round(choice.expected_seconds, 3),
             fetch_from=choice.fetch_from.id if choice.fetch_from else "",
