--- a/tests/test_retry_limit.py
+++ b/tests/test_retry_limit.py
@@ -2,16 +2,18 @@
 
 import asyncio
 import itertools
+from unittest import mock
 
 import testtools
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from lynxchute.edge.settings import DeploymentBounds
-from lynxchute.standins.budget_rules import worst_window
+from lynxchute.relay.chooser import Chooser
+from lynxchute.standins.budget_rules import arrivals_by_service, worst_window
 from lynxchute.standins.upstream_run import Fault
 from lynxchute.upstreams.retry_budget import MAX_USED_SHARE, RetryBudget
-from tests.platform_support import PlatformTestCase
+from tests.platform_support import PlatformCaller, PlatformTestCase
 from tests.retry_play import ROUTERS, UPSTREAMS, RetryPlay
 
 PLAY_SECONDS = 9.0
@@ -204,3 +206,47 @@
         budget = self.budget()
         budget.routers = 0
         self.assertEqual(0, self.spend_all(budget, 80.0))
+
+
+class LateRetryTest(PlatformTestCase):
+    """Guards against retries that are permitted in one window and sent in the next."""
+
+    EXTRA, WINDOW = 20.0, 1.0
+
+    def test_retries_that_wait_for_an_upstream_stay_within_the_limit(self):
+        async def scenario(deployment):
+            retries = deployment.routers["a-1"].retries
+            retries.change(share=0.0, extra=self.EXTRA, window=self.WINDOW)
+            for app in deployment.apps:
+                app.faults = [Fault.DECLINE] * 1000
+            may_choose, choose = asyncio.Event(), Chooser.choose
+
+            async def choose_late(chooser, exchange):
+                if exchange.sends and exchange.call.request_id.startswith("held"):
+                    await may_choose.wait()
+                return await choose(chooser, exchange)
+
+            with mock.patch.object(Chooser, "choose", choose_late):
+                held = self.begin(deployment, "held")
+                await asyncio.sleep(self.WINDOW * 1.1)
+                await asyncio.gather(*self.begin(deployment, "new"))
+                may_choose.set()
+                await asyncio.gather(*held)
+            arrivals = arrivals_by_service(deployment.apps)["app"]
+            limits = DeploymentBounds(
+                retry_share=0.0, retry_extra=self.EXTRA, retry_window=self.WINDOW
+            )
+            peak = worst_window(arrivals, [], limits)
+            self.assertGreater(peak.retries, 0)
+            self.assertLessEqual(peak.excess, 0.0, str(peak))
+
+        self.with_platform(scenario, routers=("a-1",))
+
+    def begin(self, deployment, name):
+        caller = PlatformCaller(deployment)
+        return [
+            asyncio.create_task(
+                caller.send("GET", "/safe/x", request_id=f"{name}{number}")
+            )
+            for number in range(int(self.EXTRA))
+        ]
