Count retries as they are sent, and earn them with time

A permit counted in the window in which it was given, and retries that waited for an upstream arrived beside those of the next one. Class: a limit that is counted somewhere else than where it is judged.

A router that leaves has no part of the extra retries at once, so that the earlier numbers of routers need not be kept.

Every send that repeats another one is counted just before its first byte, and refused without a permit or beyond its route's attempts, whatever led to it.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -191,7 +191,6 @@
             window=bounds.retry_window,
             started_at=started_at,
             marked_until=lambda: self.retry_mark.until,
-            leaving_seconds=bounds.stop,
         )
         self.retries.routers = 0
         self.registry = Registry(
@@ -548,7 +547,9 @@
         log_event("stopping", open_requests=self.relay.open_requests)
         self.callers.disable_keep_alive()
         self.tunnels.announce_stop()
-        await self.registry.register(self.members.mark_leaving())
+        leaving = self.members.mark_leaving()
+        self._record_sharing_routers()
+        await self.registry.register(leaving)
         await self.origins.hand_over()
         # Other routers may need the unused grants now, and a store outage later in
         # the drain would prevent their return.
@@ -640,9 +641,14 @@
         """Close pooled connections to the previous process of an upstream."""
         self.clients.drop(previous.address)
 
+    def _record_sharing_routers(self) -> None:
+        """Record among how many routers the extra retries are divided."""
+        count = 0 if self.members.own.is_leaving else self.members.count
+        self.retries.record_routers(count, steady_seconds())
+
     def _handle_member_change(self) -> None:
         now = steady_seconds()
-        self.retries.record_routers(self.members.count, now)
+        self._record_sharing_routers()
         window = self.settings.bounds.retry_window
         # A copy of the store may lack a mark that held.
         is_mark_known = self._era_seconds(now) >= window
--- a/lynxchute/relay/hedging.py
+++ b/lynxchute/relay/hedging.py
@@ -249,9 +249,11 @@
         now = self._clock()
         if self._state_of(hedge.entry, now).is_busy:
             return None, "busy"
-        if not self._retries.spend(
-            exchange.service, now, used_share=HEDGE_BUDGET_SHARE
-        ):
+        if not exchange.has_retry_permit:
+            exchange.has_retry_permit = self._retries.permit(
+                exchange.service, now, used_share=HEDGE_BUDGET_SHARE
+            )
+        if not exchange.has_retry_permit:
             return None, "no budget"
         return hedge, ""
 
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -285,6 +285,9 @@
     def end(self, exchange: Exchange) -> None:
         """Release what is held for a request that has its final answer."""
         self._resender.end(exchange)
+        if exchange.has_retry_permit:
+            exchange.has_retry_permit = False
+            self._retries.return_permit(exchange.service, self._clock())
 
     def _refuse_suspected(self, exchange: Exchange) -> bool:
         log_event(
@@ -325,7 +328,7 @@
         if exchange.has_retry_permit:
             return True
         now = self._clock()
-        is_permitted = self._retries.spend(exchange.service, now)
+        is_permitted = self._retries.permit(exchange.service, now)
         state: dict[str, Any] = {
             "request_id": exchange.call.request_id,
             "service": exchange.service,
@@ -556,6 +559,7 @@
             # Time spent queueing for this VM's link is not latency of the upstream.
             meter = self._clients.meter
             leaves_at = self._clock() + meter.delay() - meter.own_delay()
+            self._count_repeat(exchange)
             exchange.record_send(entry.upstream.id, leaves_at)
             self._set_typical_seconds(exchange, send)
             connection = send.handle.connection
@@ -583,6 +587,25 @@
             raise ExchangeError(GIVEN_UP, sent=True)
         return response
 
+    def _count_repeat(self, exchange: Exchange) -> None:
+        """Count a send that repeats another one, or refuse it at a limit."""
+        if not exchange.sends:
+            return
+        now, service = self._clock(), exchange.service
+        is_permitted = exchange.sends < exchange.route.max_attempts and (
+            exchange.has_retry_permit or self._retries.permit(service, now)
+        )
+        if not is_permitted:
+            log_event(
+                "repeat refused",
+                request_id=exchange.call.request_id,
+                service=service,
+                sends=exchange.sends,
+                max_attempts=exchange.route.max_attempts,
+            )
+            raise no_answer_refusal(exchange, now)
+        self._retries.record_sent(service, now)
+
     def _set_typical_seconds(self, exchange: Exchange, send: OpenSend) -> None:
         """Store the typical latency of a plain call with its open send."""
         if self._times is None or exchange.call.generation is not None:
