Share extra retries only with a recent view of the routers

With the token bucket 12 of 20 come in one instant, but over a window the parts still add up to more than one.

A router keeps and earns its part of the extra retries while it has asked the store for registrations within 1.5 windows and got an answer (TableFeed.asked_at: the time of the question, as an answer may wait in a socket). A router that registers as a new one earns its part 1.5 windows later: by then each other has heard of it or has given its own part up. The next process of a killed one was counted all along and does not wait. A process that is not registered yet has no part.

Ruled out: growth alone without a cut, which the others hear of within seconds.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -191,6 +191,7 @@
             window=bounds.retry_window,
             started_at=started_at,
             marked_until=lambda: self.retry_mark.until,
+            routers_confirmed_at=lambda: self.registry.feed.asked_at,
         )
         self.retries.routers = 0
         self.registry = Registry(
@@ -198,6 +199,7 @@
         )
         self.registry.peers = self.peers
         self.registry.listeners.append(self._handle_member_change)
+        self.registry.registration_listeners.append(self._handle_registration)
         self.registry.handlers_by_key[MARK_KEY] = self.retry_mark.handle_row
         self.peer_server = PeerServer(lambda: self.registry.secret, meter)
         store.serve(self.peer_server)
@@ -641,9 +643,15 @@
         """Close pooled connections to the previous process of an upstream."""
         self.clients.drop(previous.address)
 
+    def _handle_registration(self) -> None:
+        if not self.registry.was_predecessor_killed:
+            self.retries.record_joined(steady_seconds())
+        self._record_sharing_routers()
+
     def _record_sharing_routers(self) -> None:
         """Record among how many routers the extra retries are divided."""
-        count = 0 if self.members.own.is_leaving else self.members.count
+        is_sharing = self.registry.is_registered and not self.members.own.is_leaving
+        count = self.members.count if is_sharing else 0
         self.retries.record_routers(count, steady_seconds())
 
     def _handle_member_change(self) -> None:
--- a/lynxchute/fleet/registry.py
+++ b/lynxchute/fleet/registry.py
@@ -71,6 +71,10 @@
         time in which all VMs of the fleet start.
     was_predecessor_killed
         Whether the last process of this VM ended without marking itself as leaving.
+    is_registered
+        Whether the store has this process's registration.
+    registration_listeners
+        Called once it has.
     listeners
         Called after each batch of changed rows.
     peers
@@ -88,6 +92,8 @@
         self.secret = ""
         self.members_known = asyncio.Event()
         self.was_predecessor_killed = False
+        self.is_registered = False
+        self.registration_listeners: list[Callable[[], None]] = []
         self.listeners: list[Callable[[], None]] = []
         self.peers: Peers | None = None
         self.era_mark = EraMark(store, TABLE, is_first_start=is_first_start)
@@ -149,6 +155,9 @@
             incarnation=member.incarnation,
             is_leaving=member.is_leaving,
         )
+        if not self.is_registered:
+            self.is_registered = True
+            notify(self.registration_listeners)
         return True
 
     def _observe_predecessor(self, row: Row | None) -> None:
--- a/lynxchute/store/feed.py
+++ b/lynxchute/store/feed.py
@@ -88,6 +88,8 @@
     confirmed_at
         Send time of the last request that returned no changes, or of the last
         listing. The replica includes all changes up to then.
+    asked_at
+        Send time of the last request that the store answered.
     listed_at
         Send time of the last listing of the whole table.
     older_keys
@@ -115,6 +117,7 @@
         self.unavailable_since: float | None = None
         self.recovered_at = 0.0
         self.confirmed_at = float("-inf")
+        self.asked_at = float("-inf")
         self.listed_at = float("-inf")
         self.older_keys: set[str] = set()
         self.synced = asyncio.Event()
@@ -272,7 +275,7 @@
         """Request changes and apply them."""
         asked_at = self._clock()
         changes = await self._store.changes(self.table, after=self.version, wait=wait)
-        self._record_answer()
+        self._record_answer(asked_at)
         # While the store's watchers miss changes, an empty answer may carry a version
         # beyond changes that it does not include, so only rows advance the version.
         # After a long time without rows, the store no longer has the history after this
@@ -287,7 +290,7 @@
     async def _list(self) -> None:
         asked_at = self._clock()
         snapshot = await self._store.scan(self.table)
-        self._record_answer()
+        self._record_answer(asked_at)
         if snapshot.version < self.version:
             raise StoreUnavailable(
                 f"the store answered with version {number_of(snapshot.version)} of era "
@@ -362,9 +365,10 @@
                 },
             )
 
-    def _record_answer(self) -> None:
+    def _record_answer(self, asked_at: float) -> None:
         now = self._clock()
         self.last_answer_at = now
+        self.asked_at = max(self.asked_at, asked_at)
         if self.unavailable_since is None:
             return
         outage_seconds = round(now - self.unavailable_since, 3)
