Let an answer of the store confirm a rank from its question on

TableFeed.seconds_since_answer counts from known_until now: the time of the question, and for an answer without changes the time for which the store held the poll. What needs the time of reading (configurations, upstreams) asks seconds_since_read, as before.

Price: a change that comes late in a poll leaves the rank unconfirmed for up to 0.8 s more, in which half of the central share is used.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -481,9 +481,7 @@
     def seconds_since_upstreams_confirmed(self, now: float) -> float:
         """Return the seconds since the store last reported upstreams."""
         return (
-            self._upstream_feed.seconds_since_answer(now)
-            if self._upstream_feed
-            else 0.0
+            self._upstream_feed.seconds_since_read(now) if self._upstream_feed else 0.0
         )
 
     def _era_seconds(self, now: float) -> float:
--- a/lynxchute/edge/configurations.py
+++ b/lynxchute/edge/configurations.py
@@ -87,7 +87,7 @@
 
     def unconfirmed_seconds(self) -> float:
         """Return the seconds since the store last confirmed the version."""
-        return self.feed.seconds_since_answer(steady_seconds())
+        return self.feed.seconds_since_read(steady_seconds())
 
     async def wait_loaded(self) -> None:
         """Wait for the first version until the start-up timeout."""
--- a/lynxchute/store/feed.py
+++ b/lynxchute/store/feed.py
@@ -90,6 +90,9 @@
         listing. The replica includes all changes up to then.
     asked_at
         Send time of the last request that the store answered.
+    known_until
+        Until when all changes are known if the store's watchers miss none. An answer
+        may have waited in a socket, so this does not depend on when it was read.
     listed_at
         Send time of the last listing of the whole table.
     older_keys
@@ -118,6 +121,7 @@
         self.recovered_at = 0.0
         self.confirmed_at = float("-inf")
         self.asked_at = float("-inf")
+        self.known_until = float("-inf")
         self.listed_at = float("-inf")
         self.older_keys: set[str] = set()
         self.synced = asyncio.Event()
@@ -136,7 +140,11 @@
         self._refreshing: asyncio.Task[bool] | None = None
 
     def seconds_since_answer(self, now: float) -> float:
-        """Return the seconds since the last answer; infinity before the first one."""
+        """Return the seconds for which changes may be unknown, infinity at first."""
+        return now - self.known_until
+
+    def seconds_since_read(self, now: float) -> float:
+        """Return the seconds since an answer was read, infinity at first."""
         return (
             float("inf") if self.last_answer_at is None else now - self.last_answer_at
         )
@@ -285,6 +293,9 @@
         self.apply_rows(changes.rows)
         if not changes.rows:
             self.confirmed_at = max(self.confirmed_at, asked_at)
+            # The store holds a poll without changes for as long as it was asked to.
+            held = min(wait, self._clock() - asked_at)
+            self.known_until = max(self.known_until, asked_at + held)
         return changes
 
     async def _list(self) -> None:
@@ -369,6 +380,7 @@
         now = self._clock()
         self.last_answer_at = now
         self.asked_at = max(self.asked_at, asked_at)
+        self.known_until = max(self.known_until, asked_at)
         if self.unavailable_since is None:
             return
         outage_seconds = round(now - self.unavailable_since, 3)
