--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -287,7 +287,7 @@
                 continue
             fault = self.faults.pop(0) if self.faults else None
             run = parse_run(head)
-            received = self._record_received(run)
+            self._record_received(run)
             if fault is Fault.EARLY:
                 await self._decline_early(writer)
                 return
@@ -316,26 +316,25 @@
                 self.cuts_inside_event,
                 self.plain_pieces,
             )
-            if not await self._answer(exchange, received):
+            if not await self._answer(exchange):
                 if fault in (Fault.CRASH, Fault.CUT_AND_CRASH):
                     self.crash_runs.append(run)
                     self.crash()
                 return
             protocol.start_next_cycle()
 
-    def _record_received(self, run: Run) -> Received:
+    def _record_received(self, run: Run) -> None:
         deadline_ms = run.headers.get(names.DEADLINE.lower())
-        received = Received(
+        run.received = Received(
             asyncio.get_running_loop().time(),
             run.request_id,
             self.id,
             None if deadline_ms is None else int(deadline_ms) / 1000.0,
         )
         self.arrivals.append(run.request_id)
-        self.received.append(received)
-        return received
+        self.received.append(run.received)
 
-    async def _answer(self, exchange: UpstreamExchange, received: Received) -> bool:
+    async def _answer(self, exchange: UpstreamExchange) -> bool:
         """Answer once a place is free; return whether the connection can be reused."""
         places = self.places
         if places is not None and not places.admit():
@@ -343,22 +342,23 @@
             if places.falls():
                 self._fall()
                 return False
-            self._record_outcome(exchange, received)
+            self._record_outcome(exchange)
             return await exchange.answer()
         if places is None:
-            self._record_outcome(exchange, received)
+            self._record_outcome(exchange)
             return await exchange.answer()
         has_begun = False
         try:
             await places.begin()
             has_begun = True
-            self._record_outcome(exchange, received)
+            self._record_outcome(exchange)
             return await exchange.answer()
         finally:
             places.end(has_begun=has_begun)
 
-    def _record_outcome(self, exchange: UpstreamExchange, received: Received) -> None:
+    def _record_outcome(self, exchange: UpstreamExchange) -> None:
         """Record whether a request runs, and the backoff that its refusal asks for."""
+        received = exchange.run.received
         received.has_run = exchange.fault not in REFUSALS
         if exchange.fault in BACKOFF_REFUSALS:
             received.backoff = self._backoff_seconds()
--- a/lynxchute/standins/upstream_run.py
+++ b/lynxchute/standins/upstream_run.py
@@ -9,6 +9,7 @@
 import h11
 
 from lynxchute.platform import names
+from lynxchute.standins.budget_rules import Received
 
 READ_SIZE = 65536
 
@@ -79,6 +80,7 @@
     events_sent: int = 0
     ended: bool = False
     router_disconnected: bool = False
+    received: Received = attrs.Factory(lambda: Received(0.0, "", ""))
 
     @property
     def shared_part_ids(self) -> list[str]:
