Count retries in a sliding window again, with their permits

The moment at which an upstream dies is what callers need retries for. What a process uses at once and what its successor may use share one allowance, so neither can grow without telling the successor what was sent.

Hedges may use what they could before.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -191,6 +191,7 @@
             window=bounds.retry_window,
             started_at=started_at,
             marked_until=lambda: self.retry_mark.until,
+            leaving_seconds=bounds.stop,
             routers_confirmed_at=lambda: self.registry.feed.asked_at,
         )
         self.retries.routers = 0
@@ -547,9 +548,7 @@
         log_event("stopping", open_requests=self.relay.open_requests)
         self.callers.disable_keep_alive()
         self.tunnels.announce_stop()
-        leaving = self.members.mark_leaving()
-        self._record_sharing_routers()
-        await self.registry.register(leaving)
+        await self.registry.register(self.members.mark_leaving())
         await self.origins.hand_over()
         # Other routers may need the unused grants now, and a store outage later in
         # the drain would prevent their return.
@@ -644,17 +643,10 @@
     def _handle_registration(self) -> None:
         if not self.registry.was_predecessor_killed:
             self.retries.record_joined(steady_seconds())
-        self._record_sharing_routers()
-
-    def _record_sharing_routers(self) -> None:
-        """Record among how many routers the extra retries are divided."""
-        is_sharing = self.registry.is_registered and not self.members.own.is_leaving
-        count = self.members.count if is_sharing else 0
-        self.retries.record_routers(count, steady_seconds())
 
     def _handle_member_change(self) -> None:
         now = steady_seconds()
-        self._record_sharing_routers()
+        self.retries.record_routers(self.members.count, now)
         window = self.settings.bounds.retry_window
         # A copy of the store may lack a mark that held.
         is_mark_known = self._era_seconds(now) >= window
--- a/lynxchute/relay/hedge_rules.py
+++ b/lynxchute/relay/hedge_rules.py
@@ -14,9 +14,9 @@
 # Hedge delay as a share of the latency objective while no latencies are known. It is
 # short enough for the second response to be on time.
 DEFAULT_DELAY_SHARE = 0.4
-# Share of the retries that may be saved up that hedges may use in a window. The rest is
-# for retries after failures, without which callers get no response at all.
-HEDGE_BUDGET_SHARE = 0.6
+# Share of the retry budget that hedges may use. The rest is for retries after failures,
+# without which callers get no response at all.
+HEDGE_BUDGET_SHARE = 0.4
 # Largest share of a service's upstreams that may be busy or slow. With more of them,
 # hedges would add load to an overloaded service.
 MAX_BUSY_SHARE = 0.5
--- a/lynxchute/upstreams/retry_budget.py
+++ b/lynxchute/upstreams/retry_budget.py
@@ -8,64 +8,55 @@
 
 import attrs
 
-# Part of a router's allowance that it may save up, and part that it earns in a window.
-# A process starts with nothing, so both together bound what all processes of a VM send
-# in any window. The rest is a margin for the time that a retry travels.
-CAPACITY_SHARE = 0.4
-EARNED_SHARE = 0.55
-# Least allowance with which a router may save up one whole retry, as it could send none
-# otherwise. It earns less in return.
-MIN_ALLOWANCE = 1.25
-# Part of a window for which a process has earned retries at its start if it is told
-# that no earlier process sent any.
-UNUSED_WINDOWS = 0.45
-# Part of the allowance that may be used in a window while a process that follows would
-# not learn of retries.
-UNMARKED_SHARE = 0.15
+# Part of the allowance that a router uses which knows all retries of its share.
+MAX_USED_SHARE = 0.8
+# Part of the allowance that a router uses which does not know what an earlier process
+# sent in its place, of which others may not know yet, or whose next process would not
+# know. All processes of one window earn it together, so both parts and a margin fit
+# into the allowance.
+RESERVED_SHARE = 0.15
 # Windows after which a view of the registered routers is too old. By then each router
 # has heard of one that registered, or knows that its own view is old.
 MAX_VIEW_WINDOWS = 1.5
-# Windows after which a router without retries has saved up all that it may.
-FULL_WINDOWS = 10.0
-# Retries by which a sum of parts may be off.
-TOLERANCE = 1e-9
+# Windows after which no retry counts any more that a router sent which did not know of
+# one that registered.
+JOINED_WINDOWS = MAX_VIEW_WINDOWS + 1.0
 
 
 @attrs.define
-class _Bucket:
-    """Retries that a service may still get, and what was counted for it.
+class _Window:
+    """What was counted for a service.
 
     Attributes
     ----------
-    tokens
-        Retries that are earned and neither permitted nor sent.
-    permitted
-        Retries that are permitted and not sent yet.
     requests, retries
         When requests came and retries were sent within a window, in seconds.
-    updated_at
-        When `tokens` applied, in seconds.
+    permitted
+        Retries that are permitted and not sent yet.
     """
 
-    updated_at: float
-    tokens: float = 0.0
-    permitted: int = 0
     requests: deque[float] = attrs.Factory(deque)
     retries: deque[float] = attrs.Factory(deque)
+    permitted: int = 0
 
 
 class RetryBudget:
-    """Permit retries for each service by a token bucket.
+    """Permit retries for each service within a sliding window.
 
-    Each router's allowance in a window is an equal part of the extra retries plus
-    `share` times its own requests. It earns a part of it with its requests and with
-    time, and saves up another part. So the fleet stays within the limit without any
-    communication, whenever processes die, start and suspend: a process that starts has
-    earned nothing, and a dead one takes what it has saved with it.
+    Each router may use an equal part of the extra retries plus `share` times its own
+    requests, both multiplied by `MAX_USED_SHARE`. So the fleet stays within the limit
+    without any communication. Retries count when they are sent; until then their
+    permits do.
 
-    The extra retries belong to the registered routers. A router earns and keeps none
-    while it does not know them, or has not confirmed them for `MAX_VIEW_WINDOWS`. A
-    router that others may not know of yet earns its part that much later.
+    A process does not know what an earlier one sent. Until the window has passed since
+    its start, or unless it is told that earlier processes sent nothing, it earns
+    `RESERVED_SHARE` of its allowance with its requests and its age. The same holds
+    while a process that follows would not learn of its retries.
+
+    The extra retries belong to the registered routers. A router has no part of them
+    while it does not know the others, or has not confirmed them for
+    `MAX_VIEW_WINDOWS`; one that others may not know of yet uses its reserve for
+    `JOINED_WINDOWS`.
 
     Parameters
     ----------
@@ -80,6 +71,8 @@
     marked_until
         Returns until when a process that follows learns that this one may send
         retries, in seconds.
+    leaving_seconds
+        For how many seconds a router that leaves may still send retries.
     routers_confirmed_at
         Returns when the registered routers were last confirmed, in seconds.
 
@@ -90,8 +83,8 @@
 
     Examples
     --------
-    >>> budget = RetryBudget(share=0.0, extra=5.0, window=10.0)
-    >>> [budget.spend("app", now) for now in (0.0, 1.0, 2.0, 6.0)]
+    >>> budget = RetryBudget(share=0.0, extra=2.5, window=10.0)
+    >>> [budget.spend("app", now) for now in (0.0, 1.0, 2.0, 10.5)]
     [True, True, False, True]
     """
 
@@ -103,6 +96,7 @@
         window: float,
         started_at: float = -math.inf,
         marked_until: Callable[[], float] = lambda: math.inf,
+        leaving_seconds: float = 0.0,
         routers_confirmed_at: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self.routers = 1
@@ -112,9 +106,11 @@
         self._extra = extra
         self._window = window
         self._started_at = started_at
-        self._extra_from = -math.inf
-        self._is_unused = False
-        self._buckets_by_service: dict[str, _Bucket] = {}
+        self._known_from = started_at + window
+        self._leaving_seconds = leaving_seconds
+        # Earlier numbers of routers, and until when they applied.
+        self._earlier_routers: deque[tuple[float, int]] = deque()
+        self._windows_by_service: dict[str, _Window] = {}
 
     def change(self, *, share: float, extra: float, window: float) -> None:
         """Apply new limits from now on."""
@@ -124,49 +120,36 @@
 
     def record_routers(self, count: int, now: float) -> None:
         """Record how many routers share the extra retries from now on."""
-        if count == self.routers:
-            return
-        for bucket in self._buckets_by_service.values():
-            self._update(bucket, now)
-        self.routers = count
+        if count != self.routers:
+            self._earlier_routers.append((now, self.routers))
+            self.routers = count
 
     def record_joined(self, now: float) -> None:
         """Record that others may not know of this router yet."""
-        if not self._is_unused:
-            self._extra_from = now + MAX_VIEW_WINDOWS * self._window
+        if self._known_from > -math.inf:
+            self._known_from = now + JOINED_WINDOWS * self._window
 
     def record_unused(self) -> None:
-        """Record that no retries were sent before this process started."""
-        if self._is_unused:
-            return
-        self._is_unused = True
-        self._extra_from = -math.inf
-        self._started_at -= UNUSED_WINDOWS * self._window
-        for bucket in self._buckets_by_service.values():
-            bucket.updated_at -= UNUSED_WINDOWS * self._window
+        """Record that earlier processes sent no more than their reserve."""
+        self._known_from = -math.inf
 
     def knows_window(self, now: float) -> bool:
         """Return whether all retries of this router's share are known."""
-        return self._is_unused or now - self._started_at >= self._window
+        return now >= self._known_from
 
     def record_request(self, service: str, now: float) -> None:
         """Count a request for a service."""
-        bucket = self._updated(service, now)
-        bucket.requests.append(now)
-        allowance = self._allowance(bucket, now)
-        bucket.tokens += _earned(allowance) * _part(self._share, allowance)
-        self._discard_excess(bucket, now)
+        self._pruned(service, now).requests.append(now)
 
     def spend(
-        self, service: str, now: float, *, used_share: float | None = None
+        self, service: str, now: float, *, used_share: float = MAX_USED_SHARE
     ) -> bool:
         """Return whether a retry that is sent now is permitted, and count it if so.
 
         Parameters
         ----------
         used_share
-            Most retries in a window, including this one, as a part of what may be
-            saved up; None for no such limit.
+            Part of the allowance that may be used, including this retry.
         """
         if not self.permit(service, now, used_share=used_share):
             return False
@@ -174,120 +157,76 @@
         return True
 
     def permit(
-        self, service: str, now: float, *, used_share: float | None = None
+        self, service: str, now: float, *, used_share: float = MAX_USED_SHARE
     ) -> bool:
         """Return whether a retry is permitted.
 
-        A permit is held until `record_sent` or `return_permit`.
+        A permit counts until `record_sent` or `return_permit`.
 
         Parameters
         ----------
         used_share
-            Most retries in a window, including this one, as a part of what may be
-            saved up; None for no such limit.
+            Part of the allowance that may be used, including this retry.
         """
         if not self.is_available(service, now, used_share=used_share):
             return False
-        bucket = self._buckets_by_service[service]
-        bucket.tokens -= 1.0
-        bucket.permitted += 1
+        self._windows_by_service[service].permitted += 1
         return True
 
     def record_sent(self, service: str, now: float) -> None:
         """Count a retry that was permitted and is sent now."""
-        bucket = self._updated(service, now)
-        bucket.permitted -= 1
-        bucket.retries.append(now)
+        window = self._pruned(service, now)
+        window.permitted -= 1
+        window.retries.append(now)
 
     def return_permit(self, service: str, now: float) -> None:
         """Give back the permit of a retry that is not sent."""
-        bucket = self._updated(service, now)
-        bucket.permitted -= 1
-        bucket.tokens += 1.0
+        self._pruned(service, now).permitted -= 1
 
     def is_available(
-        self, service: str, now: float, *, used_share: float | None = None
+        self, service: str, now: float, *, used_share: float = MAX_USED_SHARE
     ) -> bool:
         """Return whether a retry would be permitted."""
-        bucket = self._updated(service, now)
-        allowance = self._allowance(bucket, now)
-        most = math.inf
-        if used_share is not None:
-            most = used_share * _capacity(allowance)
-        if now >= self._marked_until():
-            most = min(most, UNMARKED_SHARE * allowance)
-        used = len(bucket.retries) + bucket.permitted
-        return used + 1 <= most and bucket.tokens >= 1.0 - TOLERANCE
+        window = self._pruned(service, now)
+        is_reserve = not self.knows_window(now) or now >= self._marked_until()
+        used_share = min(used_share, RESERVED_SHARE if is_reserve else MAX_USED_SHARE)
+        permitted = self._share * len(window.requests)
+        sharing = self._sharing_routers(now)
+        if sharing:
+            age = now - self._started_at if is_reserve else self._window
+            permitted += self._extra / sharing * min(age / self._window, 1.0)
+        used = len(window.retries) + window.permitted
+        return used + 1 <= permitted * used_share
 
     def describe(self, service: str, now: float) -> dict[str, float | bool]:
-        """Return the state of a service's bucket for log lines."""
-        bucket = self._updated(service, now)
+        """Return the state of a service's window for log lines."""
+        window = self._pruned(service, now)
         return {
-            "retries": len(bucket.retries),
-            "permitted": bucket.permitted,
-            "tokens": round(bucket.tokens, 2),
-            "requests": len(bucket.requests),
-            "routers": self.routers if self._has_extra(now) else 0,
+            "retries": len(window.retries),
+            "permitted": window.permitted,
+            "requests": len(window.requests),
+            "routers": self._sharing_routers(now),
             "knows_window": self.knows_window(now),
             "is_marked": now < self._marked_until(),
         }
 
-    def _updated(self, service: str, now: float) -> _Bucket:
-        """Return the bucket of a service as it is now."""
-        bucket = self._buckets_by_service.get(service)
-        if bucket is None:
-            bucket = _Bucket(self._started_at)
-            self._buckets_by_service[service] = bucket
-        self._update(bucket, now)
-        return bucket
+    def _sharing_routers(self, now: float) -> int:
+        """Return among how many routers the extra retries are divided; 0 if unknown.
 
-    def _update(self, bucket: _Bucket, now: float) -> None:
+        A router that leaves has used its part, and may still do so.
+        """
+        if now > self._routers_confirmed_at() + MAX_VIEW_WINDOWS * self._window:
+            return 0
+        earlier, since = self._earlier_routers, now - self._window
+        while earlier and earlier[0][0] + self._leaving_seconds <= since:
+            earlier.popleft()
+        return max([self.routers, *(count for _, count in earlier)])
+
+    def _pruned(self, service: str, now: float) -> _Window:
+        """Return the window of a service that ends now."""
+        window = self._windows_by_service.setdefault(service, _Window())
         oldest = now - self._window
-        for times in (bucket.requests, bucket.retries):
+        for times in (window.requests, window.retries):
             while times and times[0] <= oldest:
                 times.popleft()
-        begin = max(bucket.updated_at, self._extra_from)
-        end = min(now, self._extra_until())
-        if self.routers and end > begin:
-            allowance = self._allowance(bucket, end)
-            begin = max(begin, end - FULL_WINDOWS * self._window)
-            extra = self._extra / self.routers * (end - begin) / self._window
-            bucket.tokens += _earned(allowance) * _part(extra, allowance)
-        bucket.updated_at = max(bucket.updated_at, now)
-        self._discard_excess(bucket, now)
-
-    def _discard_excess(self, bucket: _Bucket, now: float) -> None:
-        """Discard what is beyond the capacity, of which permits use a part too."""
-        capacity = _capacity(self._allowance(bucket, now))
-        bucket.tokens = min(bucket.tokens, max(capacity - bucket.permitted, 0.0))
-
-    def _allowance(self, bucket: _Bucket, now: float) -> float:
-        """Return the retries that this router may send in a window."""
-        allowance = self._share * len(bucket.requests)
-        if self._has_extra(now):
-            allowance += self._extra / self.routers
-        return allowance
-
-    def _has_extra(self, now: float) -> bool:
-        """Return whether this router has a part of the extra retries."""
-        return self.routers > 0 and self._extra_from <= now <= self._extra_until()
-
-    def _extra_until(self) -> float:
-        return self._routers_confirmed_at() + MAX_VIEW_WINDOWS * self._window
-
-
-def _part(retries: float, allowance: float) -> float:
-    """Return a part of the allowance, from 0 to 1."""
-    return retries / allowance if allowance else 0.0
-
-
-def _capacity(allowance: float) -> float:
-    """Return how many retries may be saved up."""
-    least = 1.0 if allowance >= MIN_ALLOWANCE else 0.0
-    return max(CAPACITY_SHARE * allowance, least)
-
-
-def _earned(allowance: float) -> float:
-    """Return how many retries are earned in a window."""
-    used_share = CAPACITY_SHARE + EARNED_SHARE
-    return max(used_share * allowance - _capacity(allowance), 0.0)
+        return window
