--- a/tests/test_stated_backoff.py
+++ b/tests/test_stated_backoff.py
@@ -18,6 +18,7 @@
 import testtools
 
 from lynxchute.http import ExchangeError
+from lynxchute.standins.link import Partition
 from lynxchute.standins.upstream_run import Fault
 from lynxchute.upstreams.backpressure import Backpressure
 from lynxchute.upstreams.statement import NO_BACKPRESSURE, DeclaredBackpressure
@@ -29,6 +30,8 @@
     start_long_stream,
 )
 from tests.press import plain, press, stream
+from tests.support import until
+from tests.test_lost_upstream_links import call_all
 from tests.words_machine import WordsMachine
 
 BACKOFF_SECONDS = 3.0
@@ -171,3 +174,32 @@
 
     def test_a_plain_upstream_recovers_after_declining_everything(self):
         self.check(lambda deployment: deployment.apps, plain)
+
+
+class TunnelledBackoffTest(PlatformTestCase):
+    """Guards against requests in a backoff that come through the refused router."""
+
+    ROUTERS = ("a-1", "a-2", "a-3", "b-1")
+
+    def test_a_router_forwards_no_requests_to_an_upstream_that_refused_it(self):
+        async def scenario(deployment):
+            cut, helper = self.ROUTERS[:3], self.ROUTERS[3]
+            deployment.partition(cut, Partition.REFUSE)
+            await call_all(deployment, cut, plain, 1.0)
+            for vm in cut:
+                paths = deployment.routers[vm].clients.paths
+                await until(lambda paths=paths: paths.lost_addresses)
+            (app,) = deployment.apps
+            loop = asyncio.get_running_loop()
+            app.backoff_until = loop.time() + BACKOFF_SECONDS
+            await PlatformCaller(deployment, helper).send("GET", "/safe/x")
+            await asyncio.sleep(GRACE_SECONDS)
+            before = len(app.arrivals)
+            for vm in cut * 2:
+                await PlatformCaller(deployment, vm).send("GET", "/safe/x")
+            self.assertLess(loop.time(), app.backoff_until)
+            self.assertLessEqual(len(app.arrivals) - before, MAX_IN_BACKOFF)
+
+        self.with_platform(
+            scenario, routers=self.ROUTERS, apps=1, has_upstream_links=True
+        )
