Apply an upstream's backoff to requests that a router forwards

Class: an account kept per decision maker, while its counterpart keeps it per sender.

A router that forwards refuses tunnels to an upstream that has asked it for backoff, and asks for no further request on open ones. A router whose forwarded request is refused reports the backoff on the connection, so that the one that forwards, and all others that send through it, know.

An older build that gets the new frame ends the tunnel, after the answer has been read.

--- a/lynxchute/http/client_connection.py
+++ b/lynxchute/http/client_connection.py
@@ -136,6 +136,9 @@
     def announce(self, label: str) -> None:
         """Name the next request to a router that forwards it; there is none here."""
 
+    def report_backoff(self, seconds: float) -> None:
+        """Report a backoff to a router that forwards requests; there is none here."""
+
     def retire(self) -> None:
         """Use the connection for no further request; close it if it is idle."""
         self._is_retired = True
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -504,6 +504,7 @@
                 sent_at=sent_at,
                 is_served=response_kind is ResponseKind.ANSWERED,
             )
+            self._report_backoff(entry, send)
             if entry.upstream.states_version:
                 stated = self._dialect.software_version(response.headers)
                 self._origins.record_stated_version(entry, stated)
@@ -527,6 +528,13 @@
         self._record_failure(exchange, run_id, entry, cost, SendOutcome.BROKEN, reason)
         return None
 
+    def _report_backoff(self, entry: UpstreamEntry, send: OpenSend) -> None:
+        """Tell a router that forwards requests of an upstream's backoff."""
+        connection = send.handle.connection
+        seconds = entry.last_statement.backoff
+        if seconds and connection is not None:
+            connection.report_backoff(seconds)
+
     async def _send_request(
         self, exchange: Exchange, choice: Choice, send: OpenSend
     ) -> Response:
--- a/lynxchute/tunnels/connection.py
+++ b/lynxchute/tunnels/connection.py
@@ -47,6 +47,11 @@
         if label and isinstance(self._transport, TunnelTransport):
             self._transport.send(Frame(FrameKind.LABEL, label.encode()))
 
+    def report_backoff(self, seconds: float) -> None:
+        """Tell the router that forwards requests which backoff the upstream wants."""
+        if self.is_alive and isinstance(self._transport, TunnelTransport):
+            self._transport.send(Frame(FrameKind.BACKOFF, f"{seconds:.3f}".encode()))
+
 
 class TunnelTransport(asyncio.Transport):
     """Writes bytes of a connection as frames to the router that forwards them.
--- a/lynxchute/tunnels/errors.py
+++ b/lynxchute/tunnels/errors.py
@@ -24,6 +24,8 @@
         It has no room for the traffic of other routers.
     STOPPING
         It stops.
+    BACKOFF
+        The upstream has asked it for backoff.
     NO_ANSWER
         It gave no valid answer in time.
     """
@@ -33,6 +35,7 @@
     UNKNOWN = "unknown upstream"
     OVERLOADED = "overloaded"
     STOPPING = "stopping"
+    BACKOFF = "upstream asked for backoff"
     NO_ANSWER = "no answer"
 
 
--- a/lynxchute/tunnels/frames.py
+++ b/lynxchute/tunnels/frames.py
@@ -28,15 +28,19 @@
     END
         The upstream has closed its side in order.
     CLOSING
-        The forwarding router stops: no further request on this connection.
+        No further request may be sent on this connection: the forwarding router stops,
+        or the upstream has asked it for backoff.
     LABEL
         Id of the next request, for logs.
+    BACKOFF
+        Seconds of backoff that the upstream has asked for on this connection.
     """
 
     DATA = 0
     END = 1
     CLOSING = 2
     LABEL = 3
+    BACKOFF = 4
 
 
 @attrs.frozen
--- a/lynxchute/tunnels/server.py
+++ b/lynxchute/tunnels/server.py
@@ -7,6 +7,7 @@
 
 from lynxchute.address import Address
 from lynxchute.application import Component
+from lynxchute.clock import steady_seconds
 from lynxchute.fleet.server import PeerServer
 from lynxchute.http import CallerDisconnected, LinkMeter, Request, Responder
 from lynxchute.http.patience import lag_tolerant_wait
@@ -23,6 +24,8 @@
 from lynxchute.tunnels.frames import Frame, FrameDecoder, FrameKind, encode_data
 from lynxchute.tunnels.pool import UpstreamClients
 from lynxchute.upstreams.directory import Directory
+from lynxchute.upstreams.statement_headers import MAX_BACKOFF
+from lynxchute.upstreams.upstream import Upstream
 
 # Seconds within which a connection to an upstream must be established. The router that
 # asks waits for longer, so that it hears that this one does not reach the upstream.
@@ -44,6 +47,8 @@
         Counts the traffic on the VM's link.
     on_end
         Called when the tunnel has ended.
+    on_backoff
+        Called with the seconds of backoff that the upstream asked for.
     """
 
     def __init__(
@@ -52,6 +57,7 @@
         address: str,
         meter: LinkMeter,
         on_end: Callable[[Tunnel], None],
+        on_backoff: Callable[[str, float], None],
     ) -> None:
         self.origin = origin
         self.address = address
@@ -59,8 +65,25 @@
         self.origin_side = OriginSide(self)
         self.upstream_side = UpstreamSide(self)
         self._on_end = on_end
+        self._on_backoff = on_backoff
         self._has_ended = False
 
+    def record_backoff(self, payload: bytes) -> None:
+        """Record a backoff that the other router reports.
+
+        Raises
+        ------
+        FrameError
+            If it is not a valid number of seconds.
+        """
+        try:
+            seconds = float(payload)
+        except ValueError as error:
+            raise FrameError(f"invalid backoff: {payload[:20]!r}") from error
+        if not 0.0 <= seconds <= MAX_BACKOFF:
+            raise FrameError(f"invalid backoff: {seconds}")
+        self._on_backoff(self.address, seconds)
+
     def announce_stop(self) -> None:
         """Ask the other router to send no further request through this tunnel."""
         transport = self.origin_side.transport
@@ -149,21 +172,24 @@
         """Pass bytes on to the upstream."""
         self._tunnel.meter.record_received(len(data))
         try:
-            frames = self._decoder.decode(data)
+            for frame in self._decoder.decode(data):
+                self._handle_frame(frame)
         except FrameError as error:
             log_event("invalid frame", origin=self._tunnel.origin, reason=str(error))
             self._tunnel.end()
-            return
-        for frame in frames:
-            if frame.kind is FrameKind.DATA:
-                self._other.write(frame.payload)
-            elif frame.kind is FrameKind.LABEL:
-                log_event(
-                    "request forwarded",
-                    request_id=frame.payload.decode(errors="replace"),
-                    origin=self._tunnel.origin,
-                    address=self._tunnel.address,
-                )
+
+    def _handle_frame(self, frame: Frame) -> None:
+        if frame.kind is FrameKind.DATA:
+            self._other.write(frame.payload)
+        elif frame.kind is FrameKind.BACKOFF:
+            self._tunnel.record_backoff(frame.payload)
+        elif frame.kind is FrameKind.LABEL:
+            log_event(
+                "request forwarded",
+                request_id=frame.payload.decode(errors="replace"),
+                origin=self._tunnel.origin,
+                address=self._tunnel.address,
+            )
 
 
 class UpstreamSide(_Side):
@@ -238,6 +264,7 @@
         self._is_stopping = is_stopping
         self._tunnels: set[Tunnel] = set()
         self._opening = 0
+        directory.backoff_listeners.append(self._handle_backoff)
 
     @property
     def count(self) -> int:
@@ -262,7 +289,9 @@
         address = request.headers.get(UPSTREAM_HEADER.lower(), "")
         origin = request.headers.get(ORIGIN_HEADER.lower(), "")
         refusal = self._refusal(address)
-        tunnel = Tunnel(origin, address, self._meter, self._discard)
+        tunnel = Tunnel(
+            origin, address, self._meter, self._discard, self._record_backoff
+        )
         if refusal is None:
             self._opening += 1
             try:
@@ -290,8 +319,20 @@
             return TunnelRefusal.NO_PATH
         if self.count + self._opening >= MAX_TUNNELS or self._load.is_shedding:
             return TunnelRefusal.OVERLOADED
+        if self._directory.is_backing_off(address, steady_seconds()):
+            return TunnelRefusal.BACKOFF
         return None
 
+    def _record_backoff(self, address: str, seconds: float) -> None:
+        log_event("forwarded backoff", address=address, backoff_s=seconds)
+        self._directory.record_forwarded_backoff(address, seconds, steady_seconds())
+
+    def _handle_backoff(self, upstream: Upstream) -> None:
+        """Let no further request through to an upstream that asked for backoff."""
+        for tunnel in self._tunnels:
+            if tunnel.address == upstream.address:
+                tunnel.announce_stop()
+
     async def _connect(self, tunnel: Tunnel) -> TunnelRefusal | None:
         """Connect a tunnel to its upstream; return why that failed, or None."""
         target = Address.parse(self._clients.address_of(tunnel.address))
--- a/lynxchute/upstreams/backpressure.py
+++ b/lynxchute/upstreams/backpressure.py
@@ -190,8 +190,11 @@
         if statement.max_rejections is not None:
             self.max_rejections = statement.max_rejections
             self.brittle_at = now
-        # Several requests may have been refused at once: the longest backoff applies.
-        self.backoff_until = max(self.backoff_until, now + statement.backoff)
+        self.record_backoff(statement.backoff, now)
+
+    def record_backoff(self, seconds: float, now: float) -> None:
+        """Record a backoff; of several refusals the longest one applies."""
+        self.backoff_until = max(self.backoff_until, now + seconds)
 
     def _set_limit(
         self, limit: float | None, updated_at: float, heard_ms: int, now: float
--- a/lynxchute/upstreams/directory.py
+++ b/lynxchute/upstreams/directory.py
@@ -41,6 +41,8 @@
         How the processes were replaced to whose entries sends are still open, by entry.
     listeners
         Called after upstreams have changed.
+    backoff_listeners
+        Called with an upstream that has asked this router for backoff.
     restart_listeners
         Called with the previous state of an upstream that has restarted under its id.
     cold_seconds_of
@@ -66,6 +68,7 @@
         self.listeners: list[Callable[[], None]] = []
         self.replaced_entries: dict[UpstreamEntry, Replacement] = {}
         self.restart_listeners: list[Callable[[Upstream], None]] = []
+        self.backoff_listeners: list[Callable[[Upstream], None]] = []
 
     def put(
         self, upstream: Upstream, now: float = 0.0, *, is_start: bool = False
@@ -156,8 +159,23 @@
         self.update_backpressured(entry, now)
         if entry.is_leaving != was_leaving:
             self.changed()
+        if statement.backoff:
+            notify(self.backoff_listeners, entry.upstream)
         return is_changed
 
+    def record_forwarded_backoff(
+        self, address: str, seconds: float, now: float
+    ) -> None:
+        """Record a backoff that an upstream asked for in a forwarded response."""
+        for entry in self.at_address(address):
+            entry.backpressure.record_backoff(seconds, now)
+            self.update_backpressured(entry, now)
+            notify(self.backoff_listeners, entry.upstream)
+
+    def is_backing_off(self, address: str, now: float) -> bool:
+        """Return whether an upstream with an address has asked for backoff."""
+        return any(e.backpressure.is_backing_off(now) for e in self.at_address(address))
+
     def record_probe_answer(
         self, entry: UpstreamEntry, statement: DeclaredBackpressure, now: float
     ) -> None:
--- a/tests/test_stated_backoff.py
+++ b/tests/test_stated_backoff.py
@@ -182,8 +182,16 @@
     ROUTERS = ("a-1", "a-2", "a-3", "b-1")
 
     def test_a_router_forwards_no_requests_to_an_upstream_that_refused_it(self):
+        self.check_refused("b-1")
+
+    def test_a_router_learns_of_a_backoff_in_an_answer_that_it_forwards(self):
+        self.check_refused("a-1")
+
+    def check_refused(self, first):
+        """Check the requests of all routers after a refusal of the first one's."""
+
         async def scenario(deployment):
-            cut, helper = self.ROUTERS[:3], self.ROUTERS[3]
+            cut = self.ROUTERS[:3]
             deployment.partition(cut, Partition.REFUSE)
             await call_all(deployment, cut, plain, 1.0)
             for vm in cut:
@@ -192,10 +200,10 @@
             (app,) = deployment.apps
             loop = asyncio.get_running_loop()
             app.backoff_until = loop.time() + BACKOFF_SECONDS
-            await PlatformCaller(deployment, helper).send("GET", "/safe/x")
+            await PlatformCaller(deployment, first).send("GET", "/safe/x")
             await asyncio.sleep(GRACE_SECONDS)
             before = len(app.arrivals)
-            for vm in cut * 2:
+            for vm in self.ROUTERS * 2:
                 await PlatformCaller(deployment, vm).send("GET", "/safe/x")
             self.assertLess(loop.time(), app.backoff_until)
             self.assertLessEqual(len(app.arrivals) - before, MAX_IN_BACKOFF)
