Show deadlines at upstreams that end after the caller's

The time that an upstream gets is taken before its connection is made, and stated after that: a connection that takes 0.4 s, for a slow accept, a lost packet or a wait for a free connection, hands the upstream 0.4 s more than is left.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import json
+from unittest import mock
 
+from lynxchute.http import HttpClient
 from lynxchute.standins.platform_store import Outage
 from lynxchute.standins.upstream_run import Fault
 from lynxchute.upstreams.health import Health
@@ -525,3 +527,32 @@
             self.assertEqual(1, len(reported))
 
         self.with_platform(scenario, events=3)
+
+
+class LateConnectionTest(PlatformTestCase):
+    """Guards against deadlines at upstreams that end after the caller's."""
+
+    CONNECT_SECONDS, DEADLINE = 0.4, 2.0
+
+    def test_a_connection_that_comes_late_leaves_an_upstream_less_time(self):
+        async def scenario(deployment):
+            connect = HttpClient._connect
+
+            async def connect_late(client, *arguments):
+                await asyncio.sleep(self.CONNECT_SECONDS)
+                return await connect(client, *arguments)
+
+            loop = asyncio.get_running_loop()
+            caller = PlatformCaller(deployment)
+            with mock.patch.object(HttpClient, "_connect", connect_late):
+                began = loop.time() + self.CONNECT_SECONDS
+                await caller.send(
+                    "GET", "/safe/x", deadline_ms=int(self.DEADLINE * 1000)
+                )
+            received = [r for app in deployment.apps for r in app.received]
+            self.assertEqual(1, len(received))
+            for item in received:
+                ends_at = item.at + item.deadline
+                self.assertLessEqual(ends_at, began + self.DEADLINE + 0.1)
+
+        self.with_platform(scenario, routers=("a-1",))
