State to an upstream the time that is left as its connection exists

Class: a value that ages between its reading and its use.

HttpClient builds headers that are given as a function once it has a connection, just before the first byte. The line "request sent" names the same time. The software version and the last event are still taken at the choice, as the choice depends on them.

--- a/lynxchute/http/client.py
+++ b/lynxchute/http/client.py
@@ -329,7 +329,7 @@
         method: str,
         target: str,
         *,
-        headers: HeaderItems = (),
+        headers: HeaderItems | Callable[[], HeaderItems] = (),
         body: bytes = b"",
         timeouts: Timeouts | None = None,
         max_idle: float | None = None,
@@ -343,7 +343,8 @@
         Parameters
         ----------
         headers
-            Headers of the request; Host defaults to the address.
+            Headers of the request, or what returns them once there is a connection;
+            Host defaults to the address.
         timeouts
             Overrides the timeouts of the client.
         max_idle
@@ -373,6 +374,8 @@
             raise
         if abort_handle is not None:
             abort_handle.connection = connection
+        if callable(headers):
+            headers = headers()
         outgoing = OutgoingRequest(
             method, target, self._complete_headers(headers, body)
         )
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -539,15 +539,20 @@
         self, exchange: Exchange, choice: Choice, send: OpenSend
     ) -> Response:
         call, entry = exchange.call, choice.entry
-        parameters = SendParameters(
-            upstream=entry.upstream,
-            time_left=max(exchange.deadline - self._clock(), 0.0),
-            account=exchange.account.name if exchange.account else "",
-            priority=exchange.priority,
-            last_event_id=exchange.last_event or call.last_event_id,
-            fetch_from=choice.fetch_from,
-            software_version=exchange.software_version or "",
-        )
+        last_event_id = exchange.last_event or call.last_event_id
+        software_version = exchange.software_version or ""
+
+        def make_headers() -> list[tuple[bytes, bytes]]:
+            parameters = SendParameters(
+                upstream=entry.upstream,
+                time_left=self._time_left(exchange),
+                account=exchange.account.name if exchange.account else "",
+                priority=exchange.priority,
+                last_event_id=last_event_id,
+                fetch_from=choice.fetch_from,
+                software_version=software_version,
+            )
+            return self._dialect.upstream_headers(call, parameters)
 
         def before_send() -> None:
             withheld = self._gate.withheld_reason(
@@ -572,15 +577,15 @@
             self._set_typical_seconds(exchange, send)
             connection = send.handle.connection
             via = connection.via if connection is not None else ""
-            if parameters.last_event_id:
+            if last_event_id:
                 self._count_continuation(exchange, entry)
-            self._log_send(exchange, choice, parameters, via)
+            self._log_send(exchange, choice, last_event_id, via)
 
         max_idle = None if exchange.route.is_repeatable else FRESH_WITHIN
         response = await self._clients.get(entry.upstream.address).request(
             call.request.method,
             call.request.target,
-            headers=self._dialect.upstream_headers(call, parameters),
+            headers=make_headers,
             body=call.request.body,
             timeouts=UPSTREAM_TIMEOUTS,
             max_idle=max_idle,
@@ -695,8 +700,12 @@
             relation = "same" if is_same else "other"
         self._metrics.streams_continued.inc(relation)
 
+    def _time_left(self, exchange: Exchange) -> float:
+        """Return the seconds that an upstream has for a request."""
+        return max(exchange.deadline - self._clock(), 0.0)
+
     def _log_send(
-        self, exchange: Exchange, choice: Choice, parameters: SendParameters, via: str
+        self, exchange: Exchange, choice: Choice, last_event_id: str, via: str
     ) -> None:
         entry = choice.entry
         permit_age = None
@@ -713,9 +722,9 @@
             fetch_from=choice.fetch_from.id if choice.fetch_from else "",
             open_here=entry.open_requests,
             bad_in_row=entry.health.bad_in_row,
-            time_left=round(parameters.time_left, 3),
-            priority=parameters.priority,
-            after_event=parameters.last_event_id,
+            time_left=round(self._time_left(exchange), 3),
+            priority=exchange.priority,
+            after_event=last_event_id,
             resumes=exchange.call.resumes,
             began_at=exchange.software_version if exchange.is_continued else None,
             software=entry.upstream.software_version,
