--- a/lynxchute/demo.py
+++ b/lynxchute/demo.py
@@ -17,10 +17,12 @@
 
 from lynxchute.callers import names
 from lynxchute.config.from_document import CHAT_PATH
+from lynxchute.edge.settings import DeploymentBounds
 from lynxchute.event_loop import run as run_loop
 from lynxchute.http import ExchangeError, HttpClient
 from lynxchute.relay.refusal import RunStatus
 from lynxchute.standins.backpressure_scene import run_throttling_scene
+from lynxchute.standins.budget_rules import BudgetRules
 from lynxchute.standins.callers import CallerRequest, Callers
 from lynxchute.standins.counts import (
     counted_by_account,
@@ -122,6 +124,7 @@
     "engines_ended_by_what_is_known",
     "sent_to_evacuated",
     "cold_rate_passed",
+    "budget_limits_passed",
     "limit_passed",
     "sent_to_leaving",
     "sent_in_backoff",
@@ -285,6 +288,23 @@
     _print_step(f"  {answer['state']}: {answer['detail']}")
 
 
+def _budget_violations(deployment: Deployment) -> int:
+    """Return how many services got more retries than their limit allows."""
+    received_by_service = {
+        "engines": [
+            received
+            for engine in deployment.engines_by_name.values()
+            for received in engine.received
+        ],
+        "services": [
+            received
+            for service in deployment.services_by_name.values()
+            for received in service.received
+        ],
+    }
+    return len(BudgetRules(DeploymentBounds(), received_by_service, {}).violations())
+
+
 def _cold_rate_excess(deployment: Deployment) -> int:
     """Return the requests beyond `MAX_COLD_RATE` in a cold engine's busiest second."""
     engines = deployment.engines_by_name.values()
@@ -412,6 +432,7 @@
         result["refused_without_links"] = refused
         result["sent_to_evacuated"] = sent_to_evacuated
         result["cold_rate_passed"] = _cold_rate_excess(deployment)
+        result["budget_limits_passed"] = _budget_violations(deployment)
         result.update(attrs.asdict(violations))
         result.update(attrs.asdict(silence_violations))
     finally:
--- a/lynxchute/standins/upstream.py
+++ b/lynxchute/standins/upstream.py
@@ -9,6 +9,7 @@
 from lynxchute.callers import names
 from lynxchute.http import HttpServer, Request, Responder
 from lynxchute.standins.arrivals import ArrivalLog
+from lynxchute.standins.budget_rules import Received
 from lynxchute.standins.faults import FAULTS_PATH, Faults
 
 STATE_PATH = "/state"
@@ -38,6 +39,8 @@
         Until when it refuses requests and asks for a backoff, on the loop's clock.
     software_version
         The version of its software, which its answers state; empty for none.
+    received
+        All requests that arrived, in order.
     refusals
         Time and id of each request that it refused with a backoff.
     """
@@ -51,6 +54,7 @@
         self.announces_leaving = False
         self.backoff_until = 0.0
         self.software_version = ""
+        self.received: list[Received] = []
         self.refusals: list[tuple[float, str]] = []
         self.server = HttpServer(self._handle)
 
@@ -88,11 +92,18 @@
         if request.headers.get(names.EXPECTED_UPSTREAM.lower()):
             now = asyncio.get_running_loop().time()
             self.arrival_log.record(now, request_id_of(request))
+            self._record_received(request, now)
             if now < self.backoff_until:
                 await self._refuse(request, respond, now)
                 return
         await self.serve(request, respond)
 
+    def _record_received(self, request: Request, now: float) -> None:
+        time_left = request.headers.get(names.TIME_LEFT.lower())
+        deadline = None if time_left is None else float(time_left)
+        received = Received(now, request_id_of(request), self.name, deadline)
+        self.received.append(received)
+
     def backpressure_headers(self) -> list[tuple[str, str]]:
         """Return the backpressure headers of an answer."""
         headers = []
