Play scarce accounts, a restored store and the end of all engines

Two accounts take turns, one of which can't pay for all of its streams; what callers got is counted against what was paid. Two series more: the store comes back from a copy while all routers are dead, and all engines end at once.

--- a/tests/swap_play.py
+++ b/tests/swap_play.py
@@ -28,7 +28,7 @@
 from lynxchute.standins.platform_store import Outage, PlatformStoreStandin
 from lynxchute.standins.platform_upstream import PlatformUpstreamStandin
 from lynxchute.standins.upstream_run import Fault
-from tests.platform_support import ACCOUNT, HOST, KEY, configuration
+from tests.platform_support import ACCOUNT, HOST, configuration
 from tests.router_process import RouterProcess
 
 BOUNDS = DeploymentBounds(retry_extra=54.0)
@@ -38,7 +38,9 @@
 # Seconds between the events of engines of the two speeds, and events of a stream.
 EVENT_DELAYS = (0.010, 0.010, 0.013)
 EVENTS = 8
-PREPAID = 10_000_000
+# Tokens that two accounts have paid for: more than they can use, and far less.
+SCARCE_ACCOUNT = "scarce"
+PREPAID_BY_ACCOUNT = {ACCOUNT: 10_000_000, SCARCE_ACCOUNT: 2_500}
 TOKENS = (100, 60)
 TOKENS_PER_EVENT = 3
 # Requests a second, over all routers, by kind: as the deployment has them, and with so
@@ -84,6 +86,8 @@
         The requests of callers by id.
     statuses
         Status of each answer, 0 for none.
+    spent_by_account
+        Tokens of the prompts that ran and of the events that callers got.
     disturbed
         Times in seconds at which routers were disturbed, by VM.
     """
@@ -93,6 +97,7 @@
     fault: Fault = Fault.RESET
     sent_by_id: dict = attrs.Factory(dict)
     statuses: list = attrs.Factory(list)
+    spent_by_account: dict = attrs.Factory(collections.Counter)
     disturbed: dict = attrs.field(factory=lambda: collections.defaultdict(list))
     ended_ids: set = attrs.Factory(set)
     routers: dict = attrs.Factory(dict)
@@ -110,7 +115,12 @@
                 await self._add_upstream("pool", data_centre, EVENTS, delay)
             app = await self._add_upstream("app", data_centre, 0, 0.015)
             app.places = Places(6, 0)
-        await self.store.configure(configuration(prepaid=PREPAID))
+        document = configuration()
+        document["tenants"] = [
+            {"name": name, "api_keys": [f"key-of-{name}"], "prepaid": tokens}
+            for name, tokens in PREPAID_BY_ACCOUNT.items()
+        ]
+        await self.store.configure(document)
         await self.add_routers(vms)
         await asyncio.gather(*(self.routers[vm].ready() for vm in vms))
 
@@ -215,6 +225,7 @@
 
     async def _send(self, router, kind):
         now = asyncio.get_running_loop().time()
+        account = self._rng.choice(list(PREPAID_BY_ACCOUNT))
         sent = Sent(
             f"w{next(self._numbers)}",
             SERVICE_BY_KIND[kind],
@@ -228,7 +239,7 @@
             ("Host", HOST),
             ("X-Request-Id", sent.request_id),
             ("X-Deadline-Ms", str(int(sent.deadline * 1000))),
-            ("X-Credential", KEY),
+            ("X-Credential", f"key-of-{account}"),
         ]
         if sent.service == "pool":
             headers.append(("X-Model", "m"))
@@ -236,7 +247,7 @@
             headers.append(("X-Prompt-Prefix", f"aa:90,{sent.request_id}:10"))
         address = f"127.0.0.1:{router.ports['front']}"
         client = HttpClient(address, timeouts=CALLER_TIMEOUTS)
-        status = 0
+        status, body = 0, b""
         try:
             response = await client.request(
                 "GET" if kind == "safe" else "POST",
@@ -244,13 +255,17 @@
                 headers=headers,
                 body=b"" if kind == "safe" else sent.request_id.encode(),
             )
-            await response.body()
             status = response.status
+            while (piece := await response.read()) is not None:
+                body += piece
         except (ExchangeError, OSError):
             pass
         finally:
             client.close()
         self.statuses.append(status)
+        if sent.service == "pool" and status == 200:
+            events = body.count(b"\n\n")
+            self.spent_by_account[account] += TOKENS[0] + TOKENS_PER_EVENT * events
 
     def rules(self):
         """Return what upstreams received, to be checked."""
@@ -270,11 +285,7 @@
 
     def violations(self):
         """Return a description of each limit that was passed, prepaid tokens too."""
-        spent = 0
-        for upstream in self.upstreams:
-            for run in upstream.runs:
-                spent += TOKENS_PER_EVENT * run.events_sent
-        paid = overspent({ACCOUNT: spent}, {ACCOUNT: PREPAID})
+        paid = overspent(self.spent_by_account, PREPAID_BY_ACCOUNT)
         return [*self.rules().violations(), *paid]
 
     def summary(self):
@@ -291,6 +302,7 @@
             "extra attempts": len(rules.extra_attempts()),
             "wrong deadlines": len(rules.wrong_deadlines()[0]),
             "in backoff": sum(rules.sends_in_backoff().values()),
+            "spent": dict(self.spent_by_account),
             "served": self.statuses.count(200),
             "requests": len(self.statuses),
             "violations": self.violations(),
@@ -385,6 +397,28 @@
         await suspending
 
 
+async def all_engines_crash(fleet):
+    """Lose all engines at once, twice, the second time as all routers are killed."""
+    await asyncio.sleep(2.5)
+    await fleet.crash_engines(len(DATA_CENTRES) * ENGINES_PER_DATA_CENTRE)
+    await asyncio.sleep(2.5)
+    await fleet.crash_engines(len(DATA_CENTRES) * ENGINES_PER_DATA_CENTRE)
+    await fleet.kill(ROUTERS)
+
+
+async def killed_beside_a_restore(fleet):
+    """Kill all routers as the store comes back from a copy, and once more."""
+    await asyncio.sleep(2.0)
+    copy = fleet.store.version
+    await asyncio.sleep(2.5)
+    fleet.disturb(ROUTERS)
+    await asyncio.gather(*(fleet.routers[vm].kill() for vm in ROUTERS))
+    await fleet.store.restore_copy(copy)
+    await fleet.kill(ROUTERS)
+    await asyncio.sleep(3.0)
+    await fleet.kill(ROUTERS)
+
+
 async def refused_with_backoff(fleet):
     """Let plain upstreams refuse with backoff while routers are killed."""
     loop = asyncio.get_running_loop()
@@ -410,6 +444,8 @@
         replaced_in_turn,
         killed_without_the_store,
         engines_crash,
+        all_engines_crash,
+        killed_beside_a_restore,
         refused_with_backoff,
     )
 }
