Show a backoff that is lost as its refusal waits in a socket

A process stands still for 1.2 s (a signal here; a machine without processor time does the same), while upstreams refuse three of its requests and ask for 4 s of backoff. As it goes on, the requests have timed out; their refusals are never read, and 12 of the requests that waited for the process are sent to that upstream: 12 in the backoff where two are borne.

--- a/tests/swap_play.py
+++ b/tests/swap_play.py
@@ -223,6 +223,10 @@
             tasks.append(asyncio.create_task(self._send(router, kind)))
         await asyncio.gather(*tasks)
 
+    def send(self, vm, kind):
+        """Begin to send a request to a router; return its task."""
+        return asyncio.create_task(self._send(self.routers[vm], kind))
+
     async def _send(self, router, kind):
         now = asyncio.get_running_loop().time()
         account = self._rng.choice(list(PREPAID_BY_ACCOUNT))
