Read refusals that waited in a socket as their requests time out

The process had stood still: as it went on, its requests had timed out, and the refusals in its sockets were dropped with them. Class: what has come is handled after what is due, so that a late process decides without what it could know.

A process without processor time is late in the same way, without any signal.

--- a/lynxchute/event_loop.py
+++ b/lynxchute/event_loop.py
@@ -32,14 +32,19 @@
         if timeout is None or timeout > MAX_SLEEP_SECONDS:
             timeout = MAX_SLEEP_SECONDS
         if not self.observers:
-            return super().select(timeout)
+            return self._select_ready(timeout)
         began = steady_seconds()
-        events = super().select(timeout)
+        events = self._select_ready(timeout)
         ended = steady_seconds()
         for observer in self.observers:
             observer(began, ended, timeout)
         return events
 
+    def _select_ready(self, timeout: float) -> Any:
+        # A wait that a stop of the process interrupts reports nothing, although bytes
+        # may have come meanwhile. They are handled before the timers that are due.
+        return super().select(timeout) or super().select(0)
+
 
 class SteadyEventLoop(asyncio.SelectorEventLoop):
     """Selector event loop with timers on the clock of `lynxchute.clock`."""
--- a/lynxchute/http/client.py
+++ b/lynxchute/http/client.py
@@ -337,6 +337,7 @@
         before_send: Callable[[], None] | None = None,
         abort_handle: AbortHandle | None = None,
         label: str = "",
+        on_unread_head: Callable[[int, Headers], None] | None = None,
     ) -> Response:
         """Send a request and return the response once its head has arrived.
 
@@ -359,6 +360,9 @@
             Receives the connection, so that another task can abort the exchange.
         label
             Id of the request for the logs of routers that forward it.
+        on_unread_head
+            Called with status and headers of a response that has arrived as the
+            request is given up, for instance since the event loop was late.
 
         Raises
         ------
@@ -394,8 +398,12 @@
                 self.close()
             raise ExchangeError(f"no answer: {error}", sent=True) from error
         except BaseException:
+            unread = connection.unread_head() if on_unread_head else None
             connection.abort()
             self._slots.release()
+            if on_unread_head and unread is not None and matches_request(unread):
+                stated = Headers(unread.headers.raw_items())
+                on_unread_head(unread.status_code, stated)
             raise
         return Response(self, connection, head, exchange_timeouts.between_bytes)
 
--- a/lynxchute/http/client_connection.py
+++ b/lynxchute/http/client_connection.py
@@ -180,6 +180,14 @@
                 raise BrokenConnectionError("the peer closed without an answer")
         raise BrokenConnectionError("too many informational responses")
 
+    def unread_head(self) -> h11.Response | None:
+        """Return the head of a response that has arrived and is not read, or None."""
+        try:
+            event = self._poll_event()
+        except BrokenConnectionError:
+            return None
+        return event if isinstance(event, h11.Response) else None
+
     def read_available(self) -> bytes | None:
         """Return the available bytes of the body, or None at its end.
 
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -12,6 +12,7 @@
     AbortHandle,
     ClientPool,
     ExchangeError,
+    Headers,
     Response,
     Timeouts,
 )
@@ -500,7 +501,8 @@
             self._backpressure.record(
                 exchange.call.request_id,
                 entry,
-                response,
+                response.status,
+                response.headers,
                 sent_at=sent_at,
                 is_served=response_kind is ResponseKind.ANSWERED,
             )
@@ -528,6 +530,28 @@
         self._record_failure(exchange, run_id, entry, cost, SendOutcome.BROKEN, reason)
         return None
 
+    def _record_unread(
+        self,
+        exchange: Exchange,
+        entry: UpstreamEntry,
+        send: OpenSend,
+        status: int,
+        headers: Headers,
+    ) -> None:
+        """Record what a response states that came too late for its request."""
+        response_kind = self._dialect.response_kind(status, headers)
+        if response_kind is ResponseKind.MOVED:
+            return
+        self._backpressure.record(
+            exchange.call.request_id,
+            entry,
+            status,
+            headers,
+            sent_at=exchange.sent_at,
+            is_served=response_kind is ResponseKind.ANSWERED,
+        )
+        self._report_backoff(entry, send)
+
     def _report_backoff(self, entry: UpstreamEntry, send: OpenSend) -> None:
         """Tell a router that forwards requests of an upstream's backoff."""
         connection = send.handle.connection
@@ -593,6 +617,9 @@
             before_send=before_send,
             abort_handle=send.handle,
             label=call.request_id,
+            on_unread_head=lambda status, headers: self._record_unread(
+                exchange, entry, send, status, headers
+            ),
         )
         if send.is_cancelled:
             # The head had arrived before the connection was aborted.
--- a/lynxchute/relay/statement_reader.py
+++ b/lynxchute/relay/statement_reader.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from lynxchute.http import Response
+from lynxchute.http import Headers
 from lynxchute.relay.dialect import Dialect
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.directory import Directory
@@ -35,7 +35,8 @@
         self,
         request_id: str,
         entry: UpstreamEntry,
-        response: Response,
+        status: int,
+        headers: Headers,
         *,
         sent_at: float,
         is_served: bool,
@@ -49,7 +50,7 @@
         is_served
             Whether the request ran, according to the response.
         """
-        declared = self._dialect.statement(response.status, response.headers)
+        declared = self._dialect.statement(status, headers)
         has_changed = self._directory.record_declaration(
             entry,
             declared,
