Look again for bytes after any wait of the event loop that took too long

The selector looks again if a wait took over 20 ms longer than asked for, too; the kernel reports what is ready again.

--- a/lynxchute/event_loop.py
+++ b/lynxchute/event_loop.py
@@ -15,6 +15,8 @@
 # time, so a timer that expires during a suspension fires up to this much late: a
 # quarter of the shortest latency objective in use. A busy router wakes more often.
 MAX_SLEEP_SECONDS = 0.1
+# Seconds by which a sleep may be longer than asked for before it counts as interrupted.
+LATE_SECONDS = 0.02
 
 
 # Called with the start, the end and the timeout of each sleep of the loop, in seconds.
@@ -31,20 +33,17 @@
     def select(self, timeout: float | None = None) -> Any:
         if timeout is None or timeout > MAX_SLEEP_SECONDS:
             timeout = MAX_SLEEP_SECONDS
-        if not self.observers:
-            return self._select_ready(timeout)
         began = steady_seconds()
-        events = self._select_ready(timeout)
+        events = super().select(timeout)
+        if not events or steady_seconds() - began > timeout + LATE_SECONDS:
+            # A wait that a stop of the process interrupts reports nothing, or only
+            # what came before. The rest is handled before the timers that are due.
+            events = super().select(0)
         ended = steady_seconds()
         for observer in self.observers:
             observer(began, ended, timeout)
         return events
 
-    def _select_ready(self, timeout: float) -> Any:
-        # A wait that a stop of the process interrupts reports nothing, although bytes
-        # may have come meanwhile. They are handled before the timers that are due.
-        return super().select(timeout) or super().select(0)
-
 
 class SteadyEventLoop(asyncio.SelectorEventLoop):
     """Selector event loop with timers on the clock of `lynxchute.clock`."""
