--- a/lynxchute/standins/budget_rules.py
+++ b/lynxchute/standins/budget_rules.py
@@ -195,11 +195,11 @@
     return found
 
 
-def _never(router: str, time: float) -> bool:
+def _is_undisturbed(router: str, time: float) -> bool:
     return False
 
 
-def _runs_on(upstream_id: str, time: float) -> bool:
+def _never_ends(upstream_id: str, time: float) -> bool:
     return False
 
 
@@ -225,8 +225,8 @@
     limits: RetryLimits
     received_by_service: Mapping[str, Sequence[Received]]
     sent_by_id: Mapping[str, Sent]
-    is_disturbed: Callable[[str, float], bool] = _never
-    has_ended: Callable[[str, float], bool] = _runs_on
+    is_disturbed: Callable[[str, float], bool] = _is_undisturbed
+    has_ended: Callable[[str, float], bool] = _never_ends
 
     def retry_peaks(self) -> dict[str, RetryPeak]:
         """Return the worst window of each service."""
