--- a/tests/test_budget_rules.py
+++ b/tests/test_budget_rules.py
@@ -10,7 +10,7 @@
 
 
 class BudgetRulesTest(testtools.TestCase):
-    def rules(self, *received, attempts=2, count=0, **options):
+    def rules(self, *received, attempts=2, **options):
         """Return the rules for what upstreams got of requests sent at their names."""
         sent_by_id = {}
         for item in received:
