Play a router that ignores each limit of budgets, as real processes

Until now mutants of whole router processes existed for retries only, and the checks of attempts, deadlines, prepaid tokens and backoff were shown by made-up records. A check that finds nothing in a fleet that ignores its limit would have gone unnoticed.

So upstreams can answer late (--delay) and refuse for three seconds (refused_for_long); both are played without a mutant too, where no limit is passed.

--- a/tests/router_process.py
+++ b/tests/router_process.py
@@ -49,6 +49,8 @@
             self.ports["peers"] = peers_at
         self.peers_reached_at = peers_reached_at
         self.links_file = links_file
+        # Further variables of the process's environment.
+        self.environment = {}
         self.settings = self._settings(store_port)
         if contracts:
             self.settings["contracts"] = list(contracts)
@@ -79,6 +81,7 @@
         self.file.write_text(yaml.safe_dump(self.settings))
         environment = {
             **os.environ,
+            **self.environment,
             "LYNXCHUTE_SETTINGS": str(self.file),
             "LYNXCHUTE_METRICS_PORT": str(self.ports["metrics"]),
         }
--- a/tests/swap_play.py
+++ b/tests/swap_play.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import contextlib
 import itertools
 import json
 import pathlib
@@ -15,6 +16,7 @@
 import signal
 import sys
 import tempfile
+from unittest import mock
 
 import attrs
 import defopt
@@ -28,6 +30,7 @@
 from lynxchute.standins.platform_store import Outage, PlatformStoreStandin
 from lynxchute.standins.platform_upstream import PlatformUpstreamStandin
 from lynxchute.standins.upstream_run import Fault
+from tests.mutant_router import MUTANT_VARIABLE
 from tests.platform_support import ACCOUNT, HOST, configuration
 from tests.router_process import RouterProcess
 
@@ -82,6 +85,8 @@
     ----------
     code
         Folder of the routers' code; None for this one.
+    mutant
+        Name of the limit that the routers ignore; empty for none.
     sent_by_id
         The requests of callers by id.
     statuses
@@ -95,6 +100,7 @@
     folder: pathlib.Path
     code: str | None = None
     fault: Fault = Fault.RESET
+    mutant: str = ""
     sent_by_id: dict = attrs.Factory(dict)
     statuses: list = attrs.Factory(list)
     spent_by_account: dict = attrs.Factory(collections.Counter)
@@ -147,6 +153,9 @@
         process.settings["zones"] = dict.fromkeys(DATA_CENTRES, "r")
         bounds = process.settings["bounds"]
         bounds["retry_budget_extra"] = BOUNDS.retry_extra
+        if self.mutant:
+            process.module = "tests.mutant_router"
+            process.environment[MUTANT_VARIABLE] = self.mutant
         return process
 
     def disturb(self, vms):
@@ -435,6 +444,17 @@
             await fleet.kill(ROUTERS[number::2])
 
 
+async def refused_for_long(fleet):
+    """Let plain upstreams refuse with backoffs of three seconds."""
+    loop = asyncio.get_running_loop()
+    for _ in range(2):
+        await asyncio.sleep(1.0)
+        for upstream in fleet.upstreams:
+            if upstream.service == "app":
+                upstream.backoff_until = loop.time() + 3.0
+        await asyncio.sleep(4.0)
+
+
 SERIES = {
     series.__name__: series
     for series in (
@@ -451,18 +471,43 @@
         all_engines_crash,
         killed_beside_a_restore,
         refused_with_backoff,
+        refused_for_long,
     )
 }
 FAULTS = {fault.value: fault for fault in Fault}
 
 
-async def play(folder, name, *, mix, code=None, fault=Fault.RESET, share=FAILED_SHARE):
+@contextlib.contextmanager
+def late_answers(seconds):
+    """Let upstreams wait before they answer, also before they refuse."""
+    answer = PlatformUpstreamStandin._answer
+
+    async def answer_late(upstream, exchange):
+        await asyncio.sleep(seconds)
+        return await answer(upstream, exchange)
+
+    with mock.patch.object(PlatformUpstreamStandin, "_answer", answer_late):
+        yield
+
+
+async def play(
+    folder,
+    name,
+    *,
+    mix,
+    code=None,
+    fault=Fault.RESET,
+    share=FAILED_SHARE,
+    delay=0.0,
+    mutant="",
+):
     """Play one series; return the fleet, which has ended."""
-    fleet = SwapFleet(folder, code, fault)
+    fleet = SwapFleet(folder, code, fault, mutant)
     try:
         await fleet.start()
         fleet.set_failing(share)
-        await asyncio.gather(fleet.send_all(mix), SERIES[name](fleet))
+        with late_answers(delay):
+            await asyncio.gather(fleet.send_all(mix), SERIES[name](fleet))
     finally:
         await fleet.stop()
     return fleet
@@ -474,6 +519,8 @@
     mix: str = "repeatable",
     fault: str = "reset",
     share: float = FAILED_SHARE,
+    delay: float = 0.0,
+    mutant: str = "",
     keep: pathlib.Path | None = None,
 ) -> None:
     """Play series one after another, and print a line of JSON for each.
@@ -490,6 +537,10 @@
         What goes wrong with requests at upstreams.
     share
         Share of requests with which it does.
+    delay
+        Seconds for which upstreams wait before they answer.
+    mutant
+        Name of the limit that the routers ignore; none by default.
     keep
         Folder for the routers' logs; none by default.
     """
@@ -508,6 +559,8 @@
                     code=code,
                     fault=FAULTS[fault],
                     share=share,
+                    delay=delay,
+                    mutant=mutant,
                 )
             )
         summary = fleet.summary()
