Share slots of brittle upstreams only with a current view of the routers

Two routers that were cut off from the store dealt them to two, two others that had started meanwhile to four.

Cause: a whole was divided by a number of routers of any age, and a router that joined took its part before the others counted it. Both sides have to give: FleetView calls a view current for 8 s after the store last answered, and a router that joins known once every registered router has acknowledged its announcement, or after 9 s, when each view without it is too old. Until then it has no slots; with an old view a router uses one. It is the rule that the budget of retries follows in windows, as one object for all such claims.

Price: one slot of each brittle upstream after 8 s without the store; none for up to 9 s for a VM that joins in order while a registered router does not answer. A process that follows a killed one is counted already and waits for nothing.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -35,6 +35,7 @@
 from lynxchute.fleet.relayed_store import RelayedStore
 from lynxchute.fleet.retry_mark import MARK_KEY, RetryMark
 from lynxchute.fleet.server import PeerServer
+from lynxchute.fleet.view import FleetView
 from lynxchute.http import (
     BadRequest,
     HttpServer,
@@ -161,6 +162,13 @@
         platform = attrs.evolve(platform, store=store)
         self.platform = platform
         self.directory = Directory()
+        self.fleet_view = FleetView(
+            self.members,
+            self.peers,
+            lambda: self.registry.feed.synced.is_set(),
+            lambda: self.registry.feed.asked_at,
+            steady_seconds,
+        )
         rules = UpstreamSendRules(
             lambda: self.settings,
             lambda: self.configurations.current,
@@ -169,6 +177,7 @@
             lambda: self.registry.feed.synced.is_set(),
             lambda now: platform.store.clock.earliest_ms(now),
             lambda now: self.registry.feed.seconds_since_answer(now),
+            self.fleet_view,
         )
         self.rates = rules.rates
         self.send_gate = rules.gate
@@ -204,6 +213,7 @@
         self.registry.handlers_by_key[MARK_KEY] = self.retry_mark.handle_row
         self.peer_server = PeerServer(lambda: self.registry.secret, meter)
         store.serve(self.peer_server)
+        self.registry.serve(self.peer_server)
         self.tunnels = TunnelServer(
             self.directory,
             self.clients,
@@ -434,6 +444,7 @@
             self.configurations,
             self.upstreams,
             self.registry,
+            self.fleet_view.loop,
             self.retry_mark.tasks,
             self.ledger_sync,
             self.settlements,
@@ -641,8 +652,12 @@
         self.clients.drop(previous.address)
 
     def _handle_registration(self) -> None:
-        if not self.registry.was_predecessor_killed:
+        is_new = not self.registry.was_predecessor_killed
+        if is_new:
             self.retries.record_joined(steady_seconds())
+        self.fleet_view.record_registered(
+            is_new=is_new and not self.registry.era_mark.is_new_fleet
+        )
 
     def _handle_member_change(self) -> None:
         now = steady_seconds()
@@ -654,6 +669,7 @@
         if not is_known and is_mark_known and self.retry_mark.has_ended_for(window):
             self.retries.record_unused()
         self.ledger_sync.request_write()
+        self.fleet_view.handle_members()
 
     def _traits_of(self, service: str) -> EngineTraits | None:
         """Return the engine traits of a service, or None if they are unknown."""
--- a/lynxchute/edge/upstream_rules.py
+++ b/lynxchute/edge/upstream_rules.py
@@ -8,6 +8,7 @@
 from lynxchute.config import Configuration
 from lynxchute.edge.settings import EdgeSettings
 from lynxchute.fleet.members import Members
+from lynxchute.fleet.view import FleetView
 from lynxchute.scheduling.cold_placements import ColdPlacementLimiter
 from lynxchute.scheduling.place_requests import scheduling_key
 from lynxchute.upstreams.cold_admission import (
@@ -20,7 +21,12 @@
 from lynxchute.upstreams.rate_limits import RateLimits
 from lynxchute.upstreams.rate_sharing import SHARINGS_BY_NAME, TurnPosition
 from lynxchute.upstreams.send_gate import SendGate
-from lynxchute.upstreams.slot_shares import FleetPosition, SlotShares
+from lynxchute.upstreams.slot_shares import (
+    SLOTS_WHILE_UNKNOWN,
+    SLOTS_WITH_OLD_VIEW,
+    FleetPosition,
+    SlotShares,
+)
 
 # Services that the configuration does not name have no limit while cold.
 NO_COLD_LIMITS = ColdLimits()
@@ -45,6 +51,8 @@
         Converts a time on the steady clock to the store's clock, in milliseconds.
     seconds_since_members
         Returns the seconds since the store last confirmed the registered routers.
+    view
+        Tells whether the registered routers agree on which routers there are.
 
     Attributes
     ----------
@@ -67,6 +75,7 @@
         are_members_known: Callable[[], bool],
         store_ms: Callable[[float], int],
         seconds_since_members: Callable[[float], float],
+        view: FleetView,
     ) -> None:
         self.evacuations = Evacuations()
         admission = ADMISSIONS_BY_NAME[settings().cold_admission]()
@@ -87,6 +96,7 @@
         self._directory = directory
         self._members = members
         self._are_members_known = are_members_known
+        self._view = view
         self.evacuations.listeners.append(self._handle_evacuation_change)
         directory.clock_ms = store_ms
         directory.cold_seconds_of = lambda name: self.cold_limits(name).start_seconds
@@ -114,7 +124,15 @@
     def _fleet_position(self, service: str) -> FleetPosition | None:
         """Return this router's position among the registered ones, or None."""
         rank = self.rank(service)
-        return None if rank is None else FleetPosition(rank, self._members.count)
+        if rank is None:
+            return None
+        return FleetPosition(rank, self._members.count, self._max_slots())
+
+    def _max_slots(self) -> int | None:
+        """Return the slots of each upstream that this router may use at most."""
+        if not self._view.is_known():
+            return SLOTS_WHILE_UNKNOWN
+        return None if self._view.is_current() else SLOTS_WITH_OLD_VIEW
 
     def _turn_position(self, service: str) -> TurnPosition | None:
         """Return this router's position in the order of turns, or None if unknown."""
--- a/lynxchute/fleet/messages.py
+++ b/lynxchute/fleet/messages.py
@@ -373,6 +373,22 @@
     REPLY = Ack
 
 
+@attrs.frozen
+class AnnounceRequest(Message[Ack]):
+    """Make this router known to one that may not have heard of it.
+
+    Attributes
+    ----------
+    registration
+        The value of its row in the store.
+    """
+
+    NAME = "announce"
+    REPLY = Ack
+
+    registration: str
+
+
 @attrs.frozen
 class EvacuationReply:
     """A router's state regarding the evacuation of a data centre.
@@ -414,6 +430,7 @@
         PlacementRequest,
         RunUpdateRequest,
         PingRequest,
+        AnnounceRequest,
         EvacuationRequest,
         PermitRequest,
         CrashEvidence,
--- a/lynxchute/fleet/registry.py
+++ b/lynxchute/fleet/registry.py
@@ -11,7 +11,10 @@
 from lynxchute.fleet.client import Peers, PeerUnreachable
 from lynxchute.fleet.era_mark import ERA_KEY, EraMark
 from lynxchute.fleet.members import Member, Members
-from lynxchute.fleet.messages import PingRequest
+from lynxchute.fleet.message import Ack
+from lynxchute.fleet.messages import AnnounceRequest, PingRequest
+from lynxchute.fleet.server import PeerServer
+from lynxchute.http import BadRequest
 from lynxchute.listeners import LogLimit, notify
 from lynxchute.store import (
     Committed,
@@ -119,6 +122,10 @@
         self._members = members
         self._is_first_start = is_first_start
 
+    def serve(self, server: PeerServer) -> None:
+        """Register the handler for messages of other routers."""
+        server.handlers_by_class[AnnounceRequest] = self._handle_announcement
+
     async def start(self) -> None:
         """Start following the table and register this router."""
         await self.feed.start()
@@ -317,6 +324,34 @@
             version=row.version,
         )
 
+    async def _handle_announcement(self, request: AnnounceRequest) -> Ack:
+        """Count a router that the store may not have reported yet.
+
+        Raises
+        ------
+        BadRequest
+            When its registration is invalid.
+        """
+        result = Member.decode(request.registration.encode())
+        if result.is_error():
+            self._log_invalid_router("", result.error)
+            raise BadRequest(422, result.error)
+        member = result.ok
+        known = self._members.by_vm.get(member.vm)
+        is_counted = known is not None and (
+            not known.is_leaving or known.incarnation == member.incarnation
+        )
+        if not is_counted:
+            self._members.put(member)
+            notify(self.listeners)
+        log_event(
+            "announcement received",
+            peer=member.vm,
+            incarnation=member.incarnation,
+            was_counted=is_counted,
+        )
+        return Ack()
+
     def _log_invalid_router(self, vm: str, problem: str) -> None:
         if self._log_limit.allows():
             log_event("router row could not be decoded", peer=vm, problem=problem)
--- a/lynxchute/upstreams/slot_shares.py
+++ b/lynxchute/upstreams/slot_shares.py
@@ -2,7 +2,8 @@
 
 A brittle upstream falls over if it has to reject many requests for want of room. Its
 slots are divided among all registered routers, so that they never send more than it
-runs, also while they cannot reach one another.
+runs, also while they cannot reach one another. A router that the others may not count
+yet has none of them.
 """
 
 from __future__ import annotations
@@ -19,16 +20,28 @@
 SERVICE_SECONDS = 2.0
 # Slots of each upstream that a router uses while it does not know its rank.
 SLOTS_WITHOUT_RANK = 1
+# Slots of each upstream that a router uses while its view of the others is outdated,
+# and while others may have a view without it.
+SLOTS_WITH_OLD_VIEW = 1
+SLOTS_WHILE_UNKNOWN = 0
 # Seconds after a rejection in which a router uses half of its share.
 REJECTED_SECONDS = 1.0
 
 
 @attrs.frozen
 class FleetPosition:
-    """Rank of a router among the registered ones, from 0, and their number."""
+    """Rank of a router among the registered ones, from 0, and their number.
+
+    Attributes
+    ----------
+    max_slots
+        Slots of each upstream that it may use at most, since another router's view may
+        differ; None for its whole share.
+    """
 
     rank: int
     routers: int
+    max_slots: int | None = None
 
 
 def slot_share(
@@ -106,6 +119,8 @@
         for other in self._directory.available(service, now):
             slots_by_id[other.upstream.id] = other.upstream.slots
         share = slot_share(entry.upstream.id, slots_by_id, position)
+        if position.max_slots is not None:
+            share = min(share, position.max_slots)
         if now - entry.backpressure.rejected_at < REJECTED_SECONDS:
             share //= 2
         return share
