Agree on a software version without the store only with a current view

Cause: "all registered routers agree" rested on a set of routers of any age. The same rule as for slots: routers agree without the store for 8 s after it last answered, and a router that joins begins streams at the default version only until all others have acknowledged it, or for 9 s. A stream at the default version is what those that have not heard of it take it for.

Ruled out: letting a joining router begin streams at any version that the row named as it joined: another one that joined just before may have added a version which the routers without the store have never heard of.

Price: streams that no router remembers are refused after 8 s without the store, and new versions begin none for up to 9 s at a VM that joins in order while a registered router does not answer.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -319,6 +319,8 @@
             max_unconfirmed=self._max_unconfirmed,
             list_upstreams=listing.get,
             era_seconds=self._era_seconds,
+            are_routers_current=self.fleet_view.is_current,
+            is_known=self.fleet_view.is_known,
         )
         self.origins.serve(self.peer_server)
         self.registry.handlers_by_key[ROW_KEY] = versions.handle_row
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -108,6 +108,10 @@
         Lists the upstreams anew; returns whether all are known then.
     era_seconds
         Returns the seconds since the store last came back from a copy.
+    are_routers_current
+        Returns whether all routers are known that may have begun streams.
+    is_known
+        Returns whether no other router acts on a view without this one.
     """
 
     def __init__(
@@ -130,6 +134,8 @@
         max_unconfirmed: Callable[[], float],
         list_upstreams: Callable[[], Awaitable[bool]] | None = None,
         era_seconds: Callable[[float], float] = lambda now: math.inf,
+        are_routers_current: Callable[[], bool] = lambda: True,
+        is_known: Callable[[], bool] = lambda: True,
     ) -> None:
         self.memory = OriginMemory()
         self.send_loop = PeriodicTask(
@@ -150,6 +156,8 @@
         self._max_unconfirmed = max_unconfirmed
         self._list_upstreams = list_upstreams or _trust_entries
         self._era_seconds = era_seconds
+        self._are_routers_current = are_routers_current
+        self._is_known = is_known
         self._prover = OriginProver(directory, engines, clock)
         self.tasks = self._prover.tasks
         self._owners = OriginOwners(members)
@@ -268,6 +276,9 @@
         service, version = origin.service, origin.software_version
         if not await self._version_record.ensure_recorded(service, version):
             return False
+        if not self._is_known() and version != await self._defaults.settle(service):
+            # Routers that have not heard of this one may agree on the default version.
+            return False
         if len(self._members.by_vm) > MAX_OWNERS:
             # No router reads the rows of all others, so none goes by a default version.
             return True
@@ -436,12 +447,16 @@
         The store names every version that may have begun the stream. Some routers that
         agree prove nothing, since they may lack the same changes; only if all routers
         that are registered do, has none of them begun a stream at another version.
+        Others may have registered since if the known routers were not confirmed.
         """
         stored = await asyncio.shield(reading) if reading is not None else None
         others = set(self._members.by_vm) - {self._members.own.vm}
         informed = [r for r in replies_by_vm.values() if r.is_history_known]
         if stored is None and (not informed or len(informed) < len(others)):
             return None
+        if stored is None and not self._are_routers_current():
+            log_event("no agreement without the store", service=service)
+            return None
         if stored is not None and not stored:
             return None
         versions = set[str | None](stored or ())
