Let streams wait for the acknowledgements of a router that has joined

A router that joins withholds streams at other versions than the default one until the others have acknowledged it, and it announced itself only at the next tick, up to a second after its registration, since its first try came before it knew the fleet's secret.

A router now announces itself as soon as it knows the others and the secret, a stream waits up to 0.5 s for the acknowledgements, and nothing is withheld while one version is known. Ruled out: not being ready before all have acknowledged it (a router that does not answer would keep each restart waiting for 9 s).

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -165,7 +165,7 @@
         self.fleet_view = FleetView(
             self.members,
             self.peers,
-            lambda: self.registry.feed.synced.is_set(),
+            lambda: self.registry.members_known.is_set(),
             lambda: self.registry.feed.asked_at,
             steady_seconds,
         )
@@ -320,7 +320,7 @@
             list_upstreams=listing.get,
             era_seconds=self._era_seconds,
             are_routers_current=self.fleet_view.is_current,
-            is_known=self.fleet_view.is_known,
+            wait_known=self.fleet_view.wait_known,
         )
         self.origins.serve(self.peer_server)
         self.registry.handlers_by_key[ROW_KEY] = versions.handle_row
--- a/lynxchute/fleet/registry.py
+++ b/lynxchute/fleet/registry.py
@@ -79,7 +79,8 @@
     registration_listeners
         Called once it has.
     listeners
-        Called after each batch of changed rows.
+        Called once the registered routers are known, and after each batch of changed
+        rows.
     peers
         Sends pings to unreachable routers; None until it is set.
     era_mark
@@ -186,6 +187,7 @@
         if self._is_first_start:
             await asyncio.sleep(FIRST_START_SECONDS)
         self.members_known.set()
+        notify(self.listeners)
         while True:
             try:
                 async with asyncio.timeout(PING_SECONDS):
--- a/lynxchute/fleet/view.py
+++ b/lynxchute/fleet/view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 from collections.abc import Callable
 
@@ -23,6 +24,8 @@
 # routers that are asked at a time.
 RETRY_SECONDS = 1.0
 MAX_ASKED = 16
+# Seconds for which a stream waits for the acknowledgements.
+WAIT_SECONDS = 0.5
 # Routers of a fleet in which each one that starts announces itself at once; in a larger
 # fleet it does so when its part is first asked for.
 SMALL_FLEET = 32
@@ -41,7 +44,7 @@
     members, peers
         The registered routers, and the client to reach them.
     are_members_known
-        Returns whether the registered routers have been read.
+        Returns whether the registered routers and their secret have been read.
     confirmed_at
         Returns when the registered routers were last confirmed, in seconds.
     clock
@@ -67,6 +70,7 @@
         self._known_from = math.inf
         self._acknowledged: set[tuple[str, str]] = set()
         self._is_wanted = False
+        self._has_acknowledgements = asyncio.Event()
 
     def record_registered(self, *, is_new: bool) -> None:
         """Record that this router is registered.
@@ -86,19 +90,25 @@
         """Return whether no other router acts on a view without this one."""
         if self._clock() >= self._known_from:
             return True
-        self.want_announcement()
-        return False
-
-    def want_announcement(self) -> None:
-        """Have this router announced soon if others may not know it."""
-        if not self._is_wanted and self._clock() < self._known_from:
+        if not self._is_wanted:
             self._is_wanted = True
             self.loop.wake()
+        return False
+
+    async def wait_known(self) -> bool:
+        """Wait briefly for acknowledgements; return what `is_known` does then."""
+        if not self.is_known():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(WAIT_SECONDS):
+                    await self._has_acknowledgements.wait()
+        return self.is_known()
 
     def handle_members(self) -> None:
-        """Have this router announced if the fleet is small."""
+        """Have this router announced now if the fleet is small."""
         if len(self._members.by_vm) <= SMALL_FLEET:
-            self.want_announcement()
+            self._is_wanted = True
+        if self._is_announcement_due():
+            self.loop.wake()
 
     def _is_announcement_due(self) -> bool:
         return self._is_wanted and self._clock() < self._known_from
@@ -120,6 +130,7 @@
         )
         if not left:
             self._known_from = -math.inf
+            self._has_acknowledgements.set()
 
     def _unacknowledged(self) -> list[str]:
         """Return the VMs whose routers may not have heard of this one."""
--- a/lynxchute/resumption/stream_origins.py
+++ b/lynxchute/resumption/stream_origins.py
@@ -62,8 +62,8 @@
 NOWHERE = OriginLookup(None, "nowhere")
 
 
-async def _trust_entries() -> bool:
-    """Return that all upstreams are known, as those of a configuration are."""
+async def _trust() -> bool:
+    """Return that all is known, as in a deployment without other writers."""
     return True
 
 
@@ -110,8 +110,9 @@
         Returns the seconds since the store last came back from a copy.
     are_routers_current
         Returns whether all routers are known that may have begun streams.
-    is_known
-        Returns whether no other router acts on a view without this one.
+    wait_known
+        Waits briefly until no other router acts on a view without this one; returns
+        whether that is so.
     """
 
     def __init__(
@@ -135,7 +136,7 @@
         list_upstreams: Callable[[], Awaitable[bool]] | None = None,
         era_seconds: Callable[[float], float] = lambda now: math.inf,
         are_routers_current: Callable[[], bool] = lambda: True,
-        is_known: Callable[[], bool] = lambda: True,
+        wait_known: Callable[[], Awaitable[bool]] | None = None,
     ) -> None:
         self.memory = OriginMemory()
         self.send_loop = PeriodicTask(
@@ -154,10 +155,10 @@
         self._is_history_known = is_history_known
         self._unconfirmed_seconds = unconfirmed_seconds
         self._max_unconfirmed = max_unconfirmed
-        self._list_upstreams = list_upstreams or _trust_entries
+        self._list_upstreams = list_upstreams or _trust
         self._era_seconds = era_seconds
         self._are_routers_current = are_routers_current
-        self._is_known = is_known
+        self._wait_known = wait_known or _trust
         self._prover = OriginProver(directory, engines, clock)
         self.tasks = self._prover.tasks
         self._owners = OriginOwners(members)
@@ -276,8 +277,7 @@
         service, version = origin.service, origin.software_version
         if not await self._version_record.ensure_recorded(service, version):
             return False
-        if not self._is_known() and version != await self._defaults.settle(service):
-            # Routers that have not heard of this one may agree on the default version.
+        if not await self._may_others_expect(service, version):
             return False
         if len(self._members.by_vm) > MAX_OWNERS:
             # No router reads the rows of all others, so none goes by a default version.
@@ -303,6 +303,17 @@
             exchange.bound_version = default
         return False
 
+    async def _may_others_expect(self, service: str, version: str | None) -> bool:
+        """Return whether no router takes a stream at a version for another one's.
+
+        Routers that have not heard of this one may agree on the default version.
+        """
+        if self._defaults is None or version == self._defaults.get(service):
+            return True
+        if len(self._versions(service)) <= 1:
+            return True
+        return await self._wait_known()
+
     async def confirm_process(self, entry: UpstreamEntry) -> bool:
         """Return whether an upstream still runs the process that its entry states."""
         upstream = entry.upstream
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -20,7 +20,9 @@
     slot_share,
 )
 from tests.fuzz import run
-from tests.support import AsyncTestCase
+from tests.support import AsyncTestCase, until
+from tests.test_stream_versions import STREAMS, StreamVersionCase
+from tests.version_play import ROUTERS, begin
 
 SLOTS = 12
 VMS = tuple(f"{place}-{number}" for place in "abc" for number in range(1, 5))
@@ -148,6 +150,22 @@
             self.check()
 
 
+class JoinedRouterTest(StreamVersionCase):
+    """Guards against streams that a router breaks off since it has just joined."""
+
+    def test_streams_at_a_router_that_joins_are_whole(self):
+        async def scenario(deployment):
+            await begin(deployment, len(ROUTERS), events=None)
+            router = await deployment.start_router("a-3")
+            await until(router.is_ready)
+            streams = await begin(deployment, STREAMS, vms=["a-3"], events=None)
+            failed = [s.reasons or s.statuses for s in streams if not s.is_whole]
+            self.assertEqual([], failed)
+            self.assertGreater(len({frozenset(s.versions) for s in streams}), 1)
+
+        self.with_versions(scenario)
+
+
 class FleetViewTest(AsyncTestCase):
     """Guards against routers that keep others waiting, or act unheard."""
 
@@ -177,6 +195,19 @@
         fleet.now += 0.2
         self.assertTrue(joined.view.is_known())
 
+    def test_a_stream_waits_for_the_acknowledgements(self):
+        fleet = self.fleet(3)
+        joined = fleet.routers[VMS[2]]
+
+        async def scenario():
+            waiting = asyncio.create_task(joined.view.wait_known())
+            await asyncio.sleep(0)
+            self.assertFalse(waiting.done())
+            await joined.view._announce()
+            self.assertTrue(await waiting)
+
+        self.run_async(scenario())
+
     def test_a_router_that_leaves_is_not_waited_for(self):
         fleet = self.fleet(3)
         fleet.cuts = {frozenset((VMS[0], VMS[2]))}
