Count output that reached a caller as owed, not what an engine made

The check now takes prompts that ran and the output that reached callers, as these record it by attempt; all that engines made for requests without such a record still counts.

--- a/lynxchute/demo.py
+++ b/lynxchute/demo.py
@@ -26,6 +26,7 @@
 from lynxchute.standins.callers import CallerRequest, Callers
 from lynxchute.standins.counts import (
     counted_by_account,
+    delivered_by_account,
     paid_by_account,
     served_by_account,
 )
@@ -74,6 +75,12 @@
 def measure(deployment: Deployment, sent: list[CallerRequest]) -> dict[str, int]:
     """Return the counts for the last line of the output."""
     served = served_by_account(deployment)
+    output_by_request = {
+        attempt.request_id: attempt.output_tokens
+        for item in sent
+        for attempt in item.attempts
+    }
+    owed = delivered_by_account(deployment, output_by_request)
     counted = counted_by_account(deployment)
     paid = paid_by_account(deployment)
     calls_run: dict[str, int] = {}
@@ -101,7 +108,7 @@
             max(tokens - paid[account], 0) for account, tokens in served.items()
         ),
         "uncounted_tokens": sum(
-            max(tokens - counted[account], 0) for account, tokens in served.items()
+            max(tokens - counted[account], 0) for account, tokens in owed.items()
         ),
         "counted_beyond_use": sum(
             max(counted[account] - tokens, 0) for account, tokens in served.items()
--- a/lynxchute/standins/callers.py
+++ b/lynxchute/standins/callers.py
@@ -43,6 +43,8 @@
         The VM whose router it was sent to; empty before it is sent.
     run
         The run status that a refusal states; empty without a refusal.
+    output_tokens
+        Tokens of the answer that reached the caller.
     is_broken_off
         Whether the router ended the exchange before the answer was complete. A caller
         that has waited too long ends it itself.
@@ -52,6 +54,7 @@
     vm: str = ""
     status: int = 0
     run: str = ""
+    output_tokens: int = 0
     is_broken_off: bool = False
 
 
@@ -210,6 +213,9 @@
             )
             if not is_complete:
                 return False
+            if not stream and not sent.is_plain:
+                usage = json.loads(reply.body)["usage"]
+                attempt.output_tokens = usage["completion_tokens"]
             sent.outcome = "answered"
             sent.is_correct = is_correct
             return True
@@ -269,7 +275,9 @@
     for line in events.decode().split("\n"):
         data = line.removeprefix("data: ")
         if data not in (line, "[DONE]"):
-            sent.versions.add(json.loads(data)["system_fingerprint"])
+            chunk = json.loads(data)
+            sent.versions.add(chunk["system_fingerprint"])
+            attempt.output_tokens += any(c["delta"] for c in chunk["choices"])
 
 
 def streamed_text(body: bytes) -> str:
--- a/lynxchute/standins/counts.py
+++ b/lynxchute/standins/counts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from lynxchute.standins.deployment import Deployment
 
 
@@ -34,6 +36,29 @@
     return served
 
 
+def delivered_by_account(
+    deployment: Deployment, output_by_request: Mapping[str, int]
+) -> dict[str, int]:
+    """Return the tokens that accounts owe: prompts that ran, and delivered output.
+
+    Parameters
+    ----------
+    output_by_request
+        Output tokens that reached the caller, by request id. All that engines made for
+        other requests counts as delivered.
+    """
+    owed = served_by_account(deployment)
+    made_by_request: dict[tuple[str, str], int] = {}
+    for engine in deployment.engines_by_name.values():
+        for record in engine.records():
+            key = (record["account"], record["request_id"])
+            made = record["completion_tokens"]
+            made_by_request[key] = max(made_by_request.get(key, 0), made)
+    for (account, request_id), made in made_by_request.items():
+        owed[account] -= made - min(made, output_by_request.get(request_id, made))
+    return owed
+
+
 def counted_by_account(deployment: Deployment) -> dict[str, int]:
     """Return the tokens that the routers' ledgers count as used, by account."""
     counted = dict.fromkeys(deployment.shape.budgets, 0)
