--- a/tests/test_versions_out_of_step.py
+++ b/tests/test_versions_out_of_step.py
@@ -133,7 +133,7 @@
             self.assertEqual(0, len(mixed(streams)), "streams of two versions")
             reasons = "".join(reason for s in streams for reason in s.reasons)
             self.assertNotIn("software-version-gone", reasons)
-            self.assertEqual(1.0, whole_share(streams))
+            self.assertEqual(1.0, whole_share(streams), reasons)
 
         self.with_view_age(SHORT_SECONDS, scenario)
 
