--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -65,7 +65,8 @@
 
     async def restore(self, vms):
         for vm in vms:
-            for link in self.links_by_vm[vm].values():
+            # Upstreams that start meanwhile get further links.
+            for link in list(self.links_by_vm[vm].values()):
                 await link.restore()
 
     async def stop(self):
