--- a/tests/mutant_router.py
+++ b/tests/mutant_router.py
@@ -1,6 +1,6 @@
-"""A router that ignores one of the five limits of budgets.
+"""A router that ignores one of the five limits of budgets, or loses answers.
 
-The variable named in MUTANT_VARIABLE names the limit.
+The variable named in MUTANT_VARIABLE names what it does wrong.
 """
 
 import os
@@ -71,6 +71,65 @@
     Backpressure.record_backoff = lambda *arguments: None
 
 
+def cut_answers_as_configured():
+    """Reset the connections of all callers at each change of the configuration."""
+    from lynxchute.edge.application import EdgeApplication
+    from lynxchute.http.connection import AbortCause
+
+    create = EdgeApplication.__init__
+
+    def create_and_listen(application, *arguments, **options):
+        create(application, *arguments, **options)
+
+        def cut(*_):
+            for connection in list(application.callers.connections):
+                connection.abort(AbortCause.STOPPED)
+
+        application.configurations.listeners.append(cut)
+
+    EdgeApplication.__init__ = create_and_listen
+
+
+def stop_without_draining():
+    """Cut all open answers as the router is asked to stop."""
+    from lynxchute.edge.application import EdgeApplication
+
+    async def drain(application):
+        """Finish nothing."""
+
+    EdgeApplication.drain = drain
+
+
+def refuse_what_may_have_run():
+    """State of each refused request that it has not run."""
+    from lynxchute.relay.exchange import Exchange
+    from lynxchute.relay.refusal import RunStatus
+
+    refuse = Exchange.refuse
+
+    def refuse_as_not_run(exchange, *arguments, **options):
+        exchange.run_status = RunStatus.NOT_RUN
+        return refuse(exchange, *arguments, **options)
+
+    Exchange.refuse = refuse_as_not_run
+
+
+def repeat_what_may_have_run():
+    """Send each request again whose send got no answer."""
+    from lynxchute.config.configuration import Route
+
+    ignore_max_attempts()
+    Route.is_repeatable = property(lambda route: True)
+
+
+def extend_deadlines():
+    """Answer each request up to three seconds after its time is over."""
+    from lynxchute.relay import admission
+
+    deadline_for = admission.deadline_for
+    admission.deadline_for = lambda call, route: deadline_for(call, route) + 3.0
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -80,6 +139,11 @@
         begin_deadlines_anew,
         ignore_prepaid_tokens,
         ignore_backoff,
+        cut_answers_as_configured,
+        stop_without_draining,
+        refuse_what_may_have_run,
+        repeat_what_may_have_run,
+        extend_deadlines,
     )
 }
 
