Log what the estimate of a full link rests on, and the parts of a stop

`VM full: not accepting connections` did not say which delay was estimated nor from how many bytes, so a full link and a wrong estimate looked alike. A stop did not say when its hand-over was done nor from when on requests were refused.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -569,12 +569,22 @@
             # The other routers may be unreachable at the end of the drain.
             await self.final_use_exchange.announce()
         await self.balance.transfer_borrowed()
+        log_event(
+            "tokens and streams handed over",
+            seconds=round(steady_seconds() - started, 3),
+        )
         serving_deadline = started + SERVE_AFTER_STOP_SECONDS
         grace = self.settings.bounds.stop
         margin = min(STOP_MARGIN_SECONDS, grace * MAX_STOP_MARGIN_SHARE)
         drain_deadline = started + grace - margin
         while steady_seconds() < drain_deadline:
             if steady_seconds() >= serving_deadline:
+                if not self.admission.stopping:
+                    log_event(
+                        "refusing new requests",
+                        seconds=round(steady_seconds() - started, 3),
+                        open_requests=self.relay.open_requests,
+                    )
                 self.admission.stopping = True
                 self.callers.close_idle()
                 if not self._has_open_work():
--- a/lynxchute/edge/entrance.py
+++ b/lynxchute/edge/entrance.py
@@ -42,7 +42,9 @@
         is_full = self._load.is_full
         if is_full and self._server.is_accepting:
             await self._server.pause_accepting()
-            log_event("VM full: not accepting connections")
+            log_event(
+                "VM full: not accepting connections", **self._load.describe_link()
+            )
         elif not is_full and not self._server.is_accepting:
             await self._server.resume_accepting()
-            log_event("accepting connections again")
+            log_event("accepting connections again", **self._load.describe_link())
--- a/lynxchute/http/link_meter.py
+++ b/lynxchute/http/link_meter.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 
@@ -57,6 +58,12 @@
             -(now - self._updated_at) / AVERAGING_SECONDS
         )
 
+    def describe(self, now: float) -> dict[str, int]:
+        return {
+            "bytes_a_second": round(self._rate_at(now)),
+            "estimated_bytes_queued": round(self._queued_bytes(now)),
+        }
+
     def delay(self, now: float) -> float:
         return min(self._queued_bytes(now) / self.bytes_per_s, MAX_DELAY)
 
@@ -114,6 +121,20 @@
         now = self._clock()
         return self._sending.delay(now) + self._receiving.delay(now)
 
+    def describe(self) -> dict[str, Any]:
+        """Return what the estimates rest on, for the log.
+
+        Of each direction the bytes a second, as a moving average, and the bytes that
+        are estimated to be queued.
+        """
+        now = self._clock()
+        return {
+            "delay_s": round(self.delay(), 3),
+            "use": round(self.use(), 3),
+            "sent": self._sending.describe(now),
+            "received": self._receiving.describe(now),
+        }
+
     def own_delay(self) -> float:
         """Return the seconds that a response waits for this process; 0 if unknown."""
         return 0.0
--- a/lynxchute/relay/load.py
+++ b/lynxchute/relay/load.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from typing import Any
 
 from lynxchute.http import LinkMeter
 from lynxchute.overload import Load
@@ -110,6 +111,10 @@
         """Return the load of each resource by name."""
         return {"link": Load(self._meter.use(), self._meter.delay())}
 
+    def describe_link(self) -> dict[str, Any]:
+        """Return what the estimates of the link's load rest on, for the log."""
+        return self._meter.describe()
+
     def has_lagged(self) -> bool:
         """Return whether this router itself was lagging recently."""
         return False
