--- a/tests/flood_play.py
+++ b/tests/flood_play.py
@@ -26,6 +26,7 @@
 
 ROUTERS = ("a-1", "a-2")
 PIECE_BYTES = 65_536
+MAX_LISTED = 5
 # Floods that run at a time on each route, and their callers' deadline in seconds.
 FLOODS = 2
 FLOOD_SECONDS = 3.0
@@ -155,7 +156,7 @@
             self.sound.append(upstream)
         if floods_reports:
             self.flooding = [
-                FloodingUpstream("pool", self.flood, floods_reports=True)
+                FloodingUpstream("bad-pool", self.flood, floods_reports=True)
                 for _ in range(floods_reports)
             ]
         else:
@@ -295,15 +296,15 @@
         Answers to sound requests while and just after it ran.
     bad
         Answers to the requests that were flooded.
-    grown_megabytes
-        The most memory by which a router grew.
+    peak_megabytes
+        The most memory that a router has used.
     """
 
     flood: str
     beside: list
     after: list
     bad: list
-    grown_megabytes: float
+    peak_megabytes: float
     sent_megabytes: float
     ended: list
 
@@ -315,16 +316,20 @@
             "served after": f"{_served(self.after)} of {len(self.after)}",
             "bad": _statuses(self.bad),
             "longest bad": round(max((s for _, _, s in self.bad), default=0), 2),
-            "grown MB": self.grown_megabytes,
+            "peak MB": self.peak_megabytes,
             "flood MB": self.sent_megabytes,
             "ended": self.ended,
+            "unserved": [
+                f"{status}{'' if whole else ' cut'} after {seconds:.2f} s"
+                for status, whole, seconds in (*self.beside, *self.after)
+                if status != 200 or not whole
+            ][:MAX_LISTED],
         }
 
 
 async def play(folder, flood, *, reports=0, is_read=True, **options):
     """Flood routers; return what it did to sound callers and to memory."""
     async with running_fleet(folder, flood, floods_reports=reports, **options) as fleet:
-        before = fleet.peak_megabytes()
         if reports:
             bad, beside = [], await fleet.send_sound(80, 0.05)
         else:
@@ -334,10 +339,15 @@
         after = await fleet.send_sound(40, 0.02)
         ended = [vm for vm, r in fleet.routers.items() if not r.is_running]
         peaks = {} if ended else fleet.peak_megabytes()
-        grown = max((peaks[vm] - before[vm] for vm in peaks), default=0.0)
         sent = sum(upstream.sent_bytes for upstream in fleet.flooding) / 1e6
     return FloodResult(
-        flood, beside, after, bad, round(grown, 1), round(sent, 1), ended
+        flood,
+        beside,
+        after,
+        bad,
+        max(peaks.values(), default=0.0),
+        round(sent, 1),
+        ended,
     )
 
 
--- /dev/null
+++ b/tests/test_floods.py
@@ -0,0 +1,151 @@
+"""Bytes without end: memory stays bounded, and other callers are served."""
+
+import pathlib
+import tempfile
+
+import testtools
+
+from lynxchute.http import LinkMeter
+from lynxchute.relay.load import FULL_DELAY, RouterLoad
+from tests.flood_play import FLOOD_SECONDS, play
+from tests.support import AsyncTestCase
+
+PLAY_TIMEOUT = 60
+# Megabytes that a router may use whose limit is 200.
+MAX_MEGABYTES = 150.0
+# Seconds within which a request is answered whose upstream fails without end.
+ANSWER_SECONDS = 1.5
+# Bytes a second and seconds of a flood, and of a link of a megabyte a second.
+FLOOD_RATE = 60_000_000
+LINK_MBPS = 8.0
+STEP_SECONDS = 0.01
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+class FloodedMeterTest(testtools.TestCase):
+    """Guards against a link that counts as full though more bytes have arrived."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = Clock()
+        self.meter = LinkMeter(LINK_MBPS, self.clock)
+
+    def flood(self, seconds, *, is_passed_on=False, rate=FLOOD_RATE):
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.clock.now += STEP_SECONDS
+            self.meter.record_received(round(rate * STEP_SECONDS))
+            if is_passed_on:
+                self.meter.record_sent(round(rate * STEP_SECONDS))
+
+    def test_a_link_is_not_full_after_a_flood_that_it_carried(self):
+        self.flood(3.0)
+        self.assertLess(self.meter.delay(), FULL_DELAY)
+
+    def test_a_link_is_not_full_after_a_flood_that_was_passed_on(self):
+        self.flood(3.0, is_passed_on=True)
+        self.assertFalse(RouterLoad(self.meter, self.clock).is_full)
+
+    def test_a_link_is_not_full_while_it_carries_a_flood(self):
+        self.flood(0.5)
+        for _ in range(10):
+            self.flood(0.1)
+            self.assertLess(self.meter.delay(), FULL_DELAY)
+
+    def test_bytes_that_waited_while_the_process_stood_still_prove_nothing(self):
+        self.flood(1.0, rate=500_000)
+        self.clock.now += 1.0
+        self.meter.record_received(1_000_000)
+        self.flood(0.5, rate=1_000_000)
+        self.assertGreater(self.meter.use(), 0.7)
+        self.meter.record_sent(500_000)
+        self.assertGreater(self.meter.delay(), FULL_DELAY)
+
+    def test_a_link_that_is_full_for_long_is_not_full_for_long_after_it(self):
+        self.flood(30.0, rate=1_000_000)
+        self.clock.now += 1.0
+        self.assertLess(self.meter.delay(), FULL_DELAY)
+
+
+class FloodTestCase(AsyncTestCase):
+    def play(self, flood, **options):
+        with tempfile.TemporaryDirectory() as folder:
+            return self.run_async(
+                play(pathlib.Path(folder), flood, **options), PLAY_TIMEOUT
+            )
+
+    def check(self, found):
+        for answers in (found.beside, found.after):
+            served = [status == 200 and is_whole for status, is_whole, _ in answers]
+            self.assertEqual([True] * len(answers), served, found.summary())
+        self.assertEqual([], found.ended)
+        self.assertLess(found.peak_megabytes, MAX_MEGABYTES)
+
+
+class AnswerFloodTest(FloodTestCase):
+    """Guards against sound callers who are refused beside and after a flood."""
+
+    def test_chunks_without_end(self):
+        self.check(self.play("chunked"))
+
+    def test_a_body_of_unlimited_length(self):
+        self.check(self.play("huge"))
+
+    def test_a_body_that_ends_with_its_connection(self):
+        self.check(self.play("close"))
+
+    def test_events_without_end_that_a_caller_does_not_read(self):
+        self.check(self.play("events", is_read=False))
+
+    def test_head_lines_without_end(self):
+        self.check(self.play("lines"))
+
+    def test_an_event_without_end(self):
+        self.check(self.play("event"))
+
+
+class FailureFloodTest(FloodTestCase):
+    """Guards against failures without end that are passed on as broken answers."""
+
+    def check_answered(self, flood):
+        found = self.play(flood)
+        self.check(found)
+        for status, is_whole, seconds in found.bad:
+            self.assertTrue(is_whole, found.summary())
+            self.assertIn(status, (502, 503))
+            self.assertLess(seconds, ANSWER_SECONDS)
+
+    def test_errors_without_end(self):
+        self.check_answered("error")
+
+    def test_refusals_without_end(self):
+        self.check_answered("refuse")
+
+    def test_rejections_without_end(self):
+        self.check_answered("declined")
+
+    def test_errors_that_trickle_end_with_the_time_of_their_requests(self):
+        found = self.play("trickle")
+        self.check(found)
+        self.assertLess(max(s for _, _, s in found.bad), FLOOD_SECONDS + 0.5)
+
+
+class ReportFloodTest(FloodTestCase):
+    """Guards against memory that load reports without end take."""
+
+    REPORTS = 24
+
+    def test_reports_without_end(self):
+        self.check(self.play("chunked", reports=self.REPORTS))
+
+    def test_reports_of_deeply_repeated_json(self):
+        self.check(self.play("json", reports=self.REPORTS))
+
+    def test_reports_that_trickle(self):
+        self.check(self.play("trickle", reports=self.REPORTS))
