Let a link that has carried more than its setting says not count as full

What callers saw: after a flood all of them were refused connections for more than four seconds ("VM full: not accepting connections"), by routers that had nothing to do.

Cause: the model of the link's queue grew by all bytes that were sent or received, without bound; only the delay that it reports was bounded. Bytes that have arrived do not queue, and a link that delivers 60 MB/s is not one of 1 MB/s.

Change: received bytes count at most as what the link can have carried since the last ones (0.1 s of it at once). Arrivals of four seconds of capacity beyond that prove that the link is faster than set; for 10 s it is not full. The queue is bounded at the delay that is bounded anyway.

tests.test_load and tests.test_http pass unchanged (54 with FloodedMeterTest).

--- a/lynxchute/http/link_meter.py
+++ b/lynxchute/http/link_meter.py
@@ -20,6 +20,17 @@
 RECEIVING_SHARE = 0.75
 # Maximum of the estimated delay, in seconds: whoever waits longer has given up.
 MAX_DELAY = 1.0
+# Seconds of the link's capacity that received bytes may use at once, as they are read
+# some time after they have arrived.
+BURST_SECONDS = 0.1
+# Seconds of the link's capacity by which received bytes may exceed it after the process
+# stood still. If they exceed it by more, the link is faster than its setting says.
+MAX_EXCESS_SECONDS = 4.0
+# Share of the capacity at which that excess decays, so that many short interruptions of
+# the process on a busy link do not add up.
+EXCESS_DECAY_RATE = 0.25
+# Seconds for which a link counts as faster than its setting, and is not full.
+FASTER_SECONDS = 10.0
 # Time constant of the average utilization, in seconds: a few of the largest requests,
 # on a link that carries thirty of them per second.
 AVERAGING_SECONDS = 0.5
@@ -40,12 +51,14 @@
     _smoothed_rate: float = 0.0
     _updated_at: float = 0.0
 
-    def record(self, size: int, now: float) -> None:
+    def record(self, size: float, now: float) -> None:
         # Called twice for each event of a stream, so it calls no other methods.
         elapsed = now - self._updated_at
         wire_bytes = size * WIRE_OVERHEAD
         queued = self._queued - elapsed * self.bytes_per_s
-        self._queued = queued + wire_bytes if queued > 0.0 else wire_bytes
+        queued = queued + wire_bytes if queued > 0.0 else wire_bytes
+        limit = self.bytes_per_s * MAX_DELAY
+        self._queued = queued if queued < limit else limit
         decayed = self._smoothed_rate * math.exp(-elapsed / AVERAGING_SECONDS)
         self._smoothed_rate = decayed + wire_bytes / AVERAGING_SECONDS
         self._updated_at = now
@@ -71,6 +84,42 @@
         return max(self._queued - (now - self._updated_at) * self.bytes_per_s, 0.0)
 
 
+@attrs.define
+class _Arrivals:
+    """Compares what arrives with what the link can carry.
+
+    Bytes that arrive faster do not queue at the link's far end: they have waited to be
+    read, or the link is faster than its setting says.
+
+    Attributes
+    ----------
+    bytes_per_s
+        Capacity of the link.
+    faster_until
+        Until when the link counts as faster, in seconds.
+    """
+
+    bytes_per_s: float
+    faster_until: float = -math.inf
+    _credit: float = 0.0
+    _excess: float = 0.0
+    _updated_at: float = 0.0
+
+    def carried(self, size: int, now: float) -> float:
+        """Record received bytes; return how many of them the link can have carried."""
+        elapsed, capacity = now - self._updated_at, self.bytes_per_s
+        self._updated_at = now
+        credit = min(self._credit + elapsed * capacity, BURST_SECONDS * capacity)
+        carried = min(size, credit)
+        self._credit = credit - carried
+        excess = max(self._excess - elapsed * capacity * EXCESS_DECAY_RATE, 0.0)
+        self._excess = excess + size - carried
+        if self._excess > MAX_EXCESS_SECONDS * capacity:
+            self._excess = 0.0
+            self.faster_until = now + FASTER_SECONDS
+        return carried
+
+
 class LinkMeter:
     """Estimates the utilization and the queueing delay of the VM's link.
 
@@ -98,6 +147,7 @@
         bytes_per_s = mbps * 1e6 / 8
         self._sending = _LinkDirection(bytes_per_s)
         self._receiving = _LinkDirection(bytes_per_s * RECEIVING_SHARE)
+        self._arrivals = _Arrivals(bytes_per_s)
         self._clock = clock
 
     def record_sent(self, size: int) -> None:
@@ -106,11 +156,14 @@
 
     def record_received(self, size: int) -> None:
         """Record bytes that were received."""
-        self._receiving.record(size, self._clock())
+        now = self._clock()
+        self._receiving.record(self._arrivals.carried(size, now), now)
 
     def use(self) -> float:
         """Return the utilization of the busier direction; 1.0 is the full capacity."""
         now = self._clock()
+        if now < self._arrivals.faster_until:
+            return 0.0
         return max(
             self._sending.utilization(now),
             self._receiving.utilization(now) * RECEIVING_SHARE,
@@ -119,6 +172,8 @@
     def delay(self) -> float:
         """Return the seconds that a packet and its response wait for the link."""
         now = self._clock()
+        if now < self._arrivals.faster_until:
+            return 0.0
         return self._sending.delay(now) + self._receiving.delay(now)
 
     def describe(self) -> dict[str, Any]:
@@ -131,6 +186,7 @@
         return {
             "delay_s": round(self.delay(), 3),
             "use": round(self.use(), 3),
+            "is_faster_than_set": now < self._arrivals.faster_until,
             "sent": self._sending.describe(now),
             "received": self._receiving.describe(now),
         }
