Limit large answers to half of the VM's link

What callers saw: while two plain upstreams and two engines answered without end, 1 of 40 sound requests was served at routers with links of 1000 Mbit/s; the others got no connection, since the link counted as full. It nearly was: such an answer was passed on as fast as it came.

Cause: nothing shared the link among answers.

Change: answers of over a megabyte (or a quarter of a second of the link, if that is less) together use half of the link; the upstream is slowed down as the buffers fill. Smaller answers are written as before.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -39,6 +39,7 @@
 from lynxchute.http import (
     BadRequest,
     HttpServer,
+    LinkShare,
     Request,
     RequestHead,
     Responder,
@@ -427,6 +428,7 @@
             self.origins,
             self.metrics,
             steady_seconds,
+            LinkShare(settings.link_mbps),
         )
         self.memory_guard = None
         if settings.features.memory_guard:
--- a/lynxchute/http/__init__.py
+++ b/lynxchute/http/__init__.py
@@ -10,6 +10,7 @@
 )
 from lynxchute.http.headers import HeaderItems, Headers
 from lynxchute.http.link_meter import LinkMeter
+from lynxchute.http.link_share import LinkShare
 from lynxchute.http.messages import BadRequest, Request, RequestHead
 from lynxchute.http.responder import CallerDisconnected, Responder
 from lynxchute.http.server import HttpServer, ServerLimits, not_found
@@ -25,6 +26,7 @@
     "HttpClient",
     "HttpServer",
     "LinkMeter",
+    "LinkShare",
     "Request",
     "RequestHead",
     "Responder",
--- a/lynxchute/relay/passing.py
+++ b/lynxchute/relay/passing.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from lynxchute.http import ExchangeError
+from lynxchute.http import ExchangeError, LinkShare
 from lynxchute.relay.answer import GIVEN_UP, UpstreamResponse
 from lynxchute.relay.dialect import Dialect
 from lynxchute.relay.events import EventSplitter, StreamCut
@@ -35,6 +35,8 @@
         Response of the upstream.
     clock
         Steady clock in seconds.
+    link_share
+        Limits large answers to a share of the VM's link.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         exchange: Exchange,
         answer: UpstreamResponse,
         clock: Callable[[], float],
+        link_share: LinkShare,
     ) -> None:
         self._dialect = dialect
         self._sender = sender
@@ -52,8 +55,11 @@
         self._exchange = exchange
         self._answer = answer
         self._clock = clock
+        self._link_share = link_share
         self._splitter = EventSplitter()
         self._has_events = False
+        self._forwarded_bytes = 0
+        self._unpaced_bytes = 0
 
     async def may_begin(self) -> bool:
         """Return whether the first event of the stream may be forwarded."""
@@ -87,7 +93,8 @@
         Returns
         -------
         bool
-            Whether the caller reads as fast as events arrive.
+            Whether the caller reads as fast as events arrive, and the stream is not
+            large. If not, `wait_until_writable` has to be awaited.
 
         Raises
         ------
@@ -122,13 +129,30 @@
         if reported is not None:
             exchange.reported_tokens = reported
             data = self._dialect.caller_events(exchange.call, data)
+        is_small = self._record_forwarded(len(data))
         if exchange.respond.started:
-            return exchange.respond.write(data)
+            return exchange.respond.write(data) and is_small
         exchange.first_byte_at = now
         self._sender.record_first_event(answer)
         response = answer.response
         headers = self._dialect.caller_headers(response.headers)
-        return exchange.respond.start_with_body(response.status, headers, data)
+        may_write = exchange.respond.start_with_body(response.status, headers, data)
+        return may_write and is_small
+
+    async def wait_until_writable(self) -> None:
+        """Wait until the caller and the link may take further events."""
+        if self._unpaced_bytes:
+            size, self._unpaced_bytes = self._unpaced_bytes, 0
+            await self._link_share.wait(size)
+        await self._exchange.respond.wait_drained()
+
+    def _record_forwarded(self, size: int) -> bool:
+        """Record bytes that are forwarded; return whether the stream is not large."""
+        self._forwarded_bytes += size
+        if self._forwarded_bytes <= self._link_share.large_bytes:
+            return True
+        self._unpaced_bytes += size
+        return False
 
     def _record_origin(self, now: float) -> None:
         """Record where the stream began, as its first event is forwarded."""
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -8,7 +8,7 @@
 import attrs
 
 from lynxchute.config import RequestKind
-from lynxchute.http import ExchangeError, Request, Responder
+from lynxchute.http import ExchangeError, LinkShare, Request, Responder
 from lynxchute.relay.admission import Admission
 from lynxchute.relay.answer import UpstreamResponse
 from lynxchute.relay.budgets import (
@@ -73,6 +73,8 @@
         Counts requests by outcome.
     clock
         Steady clock in seconds.
+    link_share
+        Limits large answers to a share of the VM's link.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
         origins: Origins,
         metrics: Metrics,
         clock: Callable[[], float],
+        link_share: LinkShare,
     ) -> None:
         self._dialect = dialect
         self._admission = admission
@@ -93,6 +96,7 @@
         self._metrics = metrics
         self._log = RequestLog(metrics, clock)
         self._clock = clock
+        self._link_share = link_share
         self._open_timeouts: set[asyncio.Timeout] = set()
         self._is_ending = False
 
@@ -334,13 +338,19 @@
         exchange.first_byte_at = self._clock()
         await exchange.respond.start(answer.response.status, headers)
         for buffered_chunk in chunks:
-            await exchange.respond.send(buffered_chunk)
+            await self._send_large(exchange, buffered_chunk)
         while (chunk := await answer.response.read()) is not None:
             answer.record_heard(self._clock())
-            await exchange.respond.send(chunk)
+            await self._send_large(exchange, chunk)
         await self._check_whole(answer)
         await exchange.respond.finish()
 
+    async def _send_large(self, exchange: Exchange, data: bytes) -> None:
+        """Send a part of a large answer as its share of the link permits."""
+        for piece in self._link_share.pieces(data):
+            await self._link_share.wait(len(piece))
+            await exchange.respond.send(piece)
+
     # Streams.
 
     async def _stream(self, exchange: Exchange, answer: UpstreamResponse) -> None:
@@ -369,14 +379,20 @@
     ) -> bool:
         """Forward events; return whether the stream is complete."""
         forwarder = EventForwarder(
-            self._dialect, self._sender, self._origins, exchange, answer, self._clock
+            self._dialect,
+            self._sender,
+            self._origins,
+            exchange,
+            answer,
+            self._clock,
+            self._link_share,
         )
         send_outcome = SendOutcome.ABANDONED
         try:
             if not await forwarder.may_begin():
                 raise StreamCut("its software version is not recorded")
             while not await answer.response.deliver_body(forwarder.forward_events):
-                await exchange.respond.wait_drained()
+                await forwarder.wait_until_writable()
             answer.record_heard(self._clock())
             forwarder.check_end()
             if not await self._sender.has_ended_whole(answer):
