Answer at once where an upstream's failure does not end

What callers saw: a 500 or 503 of an upstream whose body does not end was passed on for the whole of the request's time (3 s), and then broke off: no complete answer at all.

Cause: whatever is longer than a megabyte is forwarded as it arrives, whether it is worth it or not.

Change: a 5xx answer of more than a megabyte is closed and counts as a failed send. The request is sent again if its route allows that; else its caller gets 502, "may have run". It is no crash: the upstream had answered, so nothing is suspected for it.

--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -29,7 +29,7 @@
 from lynxchute.telemetry import Metrics, log_event
 from lynxchute.upstreams.health import SendOutcome
 
-# Larger responses are forwarded as they arrive.
+# Larger responses are forwarded as they arrive, and larger failures are not forwarded.
 MAX_BUFFERED_BYTES = 1_048_576
 CLIENT_ERROR = 400
 EVENT_STREAM = "text/event-stream"
@@ -299,6 +299,16 @@
                 answer.send.record_answering(self._clock())
                 chunks.append(chunk)
                 size += len(chunk)
+            if failed:
+                send_outcome = SendOutcome.FAILED
+                log_event(
+                    "upstream failure too large",
+                    request_id=exchange.call.request_id,
+                    upstream=answer.entry.upstream.id,
+                    status=answer.response.status,
+                    size=size,
+                )
+                return BufferedResponse(None)
             await self._forward_unbuffered(exchange, answer, chunks)
             send_outcome = SendOutcome.SERVED
             return BufferedResponse(None, is_forwarded=True)
