Bound answers that are read as a whole in size and in time

What operators saw elsewhere: a faulty upstream sent bytes without end; the machine that had called it kept them all and ran out of memory, and the requests of others ended with it. Here too: 24 upstreams whose load reports do not end took 391 to 407 MB of routers with 200, which the platform kills for that.

Cause: answers that are read as a whole (load reports, lists of prompt parts, the store's, other routers') had one limit of 16 MB each, however many are read at a time, and a timeout for each part of a body, but none for the body.

Change: 256 kB for a load report, 512 kB for a list, 8 MB for all others (the store's configuration is 4 MB at most); a timeout for the whole body: 0.5 s of a report, 2 s of a list or another router's answer, 5 s of the store's. 0.05 s of the link's capacity count at once as received, since 24 lists at a start filled the estimate for 0.05 s.

WholeBodyTest: a body that trickles never ended before.

--- a/lynxchute/fleet/client.py
+++ b/lynxchute/fleet/client.py
@@ -23,7 +23,11 @@
 # A reply within a region takes a few ms; these timeouts leave room for a router that
 # takes five times as long as usual.
 TIMEOUTS = Timeouts(
-    connect=0.12, first_byte=0.6, between_bytes=0.6, keepalive_expiry=20.0
+    connect=0.12,
+    first_byte=0.6,
+    between_bytes=0.6,
+    whole_body=2.0,
+    keepalive_expiry=20.0,
 )
 
 
--- a/lynxchute/http/client.py
+++ b/lynxchute/http/client.py
@@ -24,7 +24,8 @@
 from lynxchute.http.link_meter import UNLIMITED_LINK, LinkMeter
 from lynxchute.http.patience import lag_tolerant_wait
 
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Bytes of a whole body, which must fit several times into a small VM's memory.
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 # Responses to earlier requests that may be skipped before the expected one. A peer
 # that sends more of them is treated as broken.
 MAX_SKIPPED_RESPONSES = 3
@@ -44,6 +45,8 @@
         For the head of the response; None for no timeout.
     between_bytes
         For each further chunk of the body; None for no timeout.
+    whole_body
+        For a body that is read as a whole; None for no timeout.
     keepalive_expiry
         Idle time after which a connection is not reused, if the peer sent no
         Keep-Alive header.
@@ -52,6 +55,7 @@
     connect: float = 1.0
     first_byte: float | None = 30.0
     between_bytes: float | None = 15.0
+    whole_body: float | None = None
     keepalive_expiry: float = 30.0
 
 
@@ -121,8 +125,8 @@
         The connection that the response arrives on.
     head
         The status line and headers.
-    between_bytes
-        Timeout for each chunk of the body in seconds; None for no timeout.
+    timeouts
+        Timeouts of the body.
 
     Attributes
     ----------
@@ -137,13 +141,14 @@
         client: HttpClient,
         connection: ClientConnection,
         head: h11.Response,
-        between_bytes: float | None,
+        timeouts: Timeouts,
     ) -> None:
         self.status = head.status_code
         self.headers = Headers(head.headers.raw_items())
         self._client = client
         self._connection = connection
-        self._between_bytes = between_bytes
+        self._between_bytes = timeouts.between_bytes
+        self._whole_body = timeouts.whole_body
         self._released = False
         self._method = connection.method
 
@@ -242,8 +247,17 @@
         Raises
         ------
         ExchangeError
-            If the body ends prematurely or is larger than the limit in bytes.
+            If the body ends prematurely, takes too long or is larger than the limit
+            in bytes.
         """
+        try:
+            async with asyncio.timeout(self._whole_body):
+                return await self._read_whole(limit)
+        except TimeoutError as error:
+            self.close()
+            raise ExchangeError("the answer took too long", sent=True) from error
+
+    async def _read_whole(self, limit: int) -> bytes:
         parts: list[bytes] = []
         size = 0
         async for chunk in self.chunks():
@@ -253,9 +267,9 @@
             parts.append(chunk)
         return b"".join(parts)
 
-    async def json(self) -> Any:
-        """Return the complete body decoded as JSON."""
-        body = await self.body()
+    async def json(self, limit: int = MAX_RESPONSE_BYTES) -> Any:
+        """Return the complete body, of at most a number of bytes, decoded as JSON."""
+        body = await self.body(limit)
         try:
             return json.loads(body)
         except (ValueError, RecursionError) as error:
@@ -405,7 +419,7 @@
                 stated = Headers(unread.headers.raw_items())
                 on_unread_head(unread.status_code, stated)
             raise
-        return Response(self, connection, head, exchange_timeouts.between_bytes)
+        return Response(self, connection, head, exchange_timeouts)
 
     async def post_json(
         self,
@@ -429,10 +443,17 @@
         *,
         headers: HeaderItems = (),
         timeouts: Timeouts | None = None,
+        limit: int = MAX_RESPONSE_BYTES,
     ) -> tuple[int, Any]:
-        """Return the status and the decoded JSON response of a GET request."""
+        """Return the status and the decoded JSON response of a GET request.
+
+        Parameters
+        ----------
+        limit
+            Largest size of the response in bytes.
+        """
         response = await self.request("GET", target, headers=headers, timeouts=timeouts)
-        return response.status, await response.json()
+        return response.status, await response.json(limit)
 
     @property
     def has_idle(self) -> bool:
--- a/lynxchute/http/link_meter.py
+++ b/lynxchute/http/link_meter.py
@@ -22,7 +22,7 @@
 MAX_DELAY = 1.0
 # Seconds of the link's capacity that received bytes may use at once, as they are read
 # some time after they have arrived.
-BURST_SECONDS = 0.1
+BURST_SECONDS = 0.05
 # Seconds of the link's capacity by which received bytes may exceed it after the process
 # stood still. If they exceed it by more, the link is faster than its setting says.
 MAX_EXCESS_SECONDS = 4.0
--- a/lynxchute/platform/engines.py
+++ b/lynxchute/platform/engines.py
@@ -20,11 +20,17 @@
 from lynxchute.store.row_value import RowValue, RowValueError
 from lynxchute.upstreams.engines import Probe
 from lynxchute.upstreams.generation import PromptPart
-from lynxchute.upstreams.http_engines import HttpEngineClient, no_answer
+from lynxchute.upstreams.http_engines import (
+    MAX_REPORT_BYTES,
+    HttpEngineClient,
+    no_answer,
+)
 from lynxchute.upstreams.upstream import Upstream
 
 # Upstreams answer `REPORT_PATH` immediately, even under full load.
-PROBE_TIMEOUTS = Timeouts(connect=0.15, first_byte=0.25, between_bytes=0.25)
+PROBE_TIMEOUTS = Timeouts(
+    connect=0.15, first_byte=0.25, between_bytes=0.25, whole_body=0.5
+)
 
 
 class PlatformEngines(HttpEngineClient):
@@ -39,7 +45,7 @@
             response = await client.request(
                 "GET", REPORT_PATH, timeouts=PROBE_TIMEOUTS, max_idle=0.0
             )
-            body = await response.body()
+            body = await response.body(MAX_REPORT_BYTES)
         except ExchangeError as error:
             raise no_answer(upstream, error) from error
         statement = STATEMENT_HEADERS.decode(response.status, response.headers)
--- a/lynxchute/platform/store.py
+++ b/lynxchute/platform/store.py
@@ -41,6 +41,7 @@
 # 240 ms.
 ANSWER_TIMEOUT = 1.0
 CONNECT_TIMEOUT = 0.5
+BODY_TIMEOUT = 5.0
 # Maximum rows per response; the store enforces the same limit.
 PAGE_ROWS = 500
 MAX_CONNECTIONS = 8
@@ -247,7 +248,12 @@
 
 def _timeouts(wait: float) -> Timeouts:
     limit = wait + ANSWER_TIMEOUT
-    return Timeouts(connect=CONNECT_TIMEOUT, first_byte=limit, between_bytes=limit)
+    return Timeouts(
+        connect=CONNECT_TIMEOUT,
+        first_byte=limit,
+        between_bytes=limit,
+        whole_body=BODY_TIMEOUT,
+    )
 
 
 def _encode_write(write: Write) -> dict[str, Any]:
--- a/lynxchute/upstreams/http_engines.py
+++ b/lynxchute/upstreams/http_engines.py
@@ -11,7 +11,11 @@
 from lynxchute.upstreams.upstream import Upstream
 
 # An engine generates the list within some ms, and no request waits for it.
-LIST_TIMEOUTS = Timeouts(connect=0.3, first_byte=1.0, between_bytes=1.0)
+LIST_TIMEOUTS = Timeouts(connect=0.3, first_byte=1.0, between_bytes=1.0, whole_body=2.0)
+# Bytes of a load report, and of a list of prompt parts. Those of many upstreams are read
+# at a time.
+MAX_REPORT_BYTES = 262_144
+MAX_LIST_BYTES = 524_288
 
 
 class HttpEngineClient(EngineClient):
@@ -42,7 +46,7 @@
         client = self._clients.get(upstream.address)
         try:
             status, answer = await client.get_json(
-                self.LIST_PATH, timeouts=LIST_TIMEOUTS
+                self.LIST_PATH, timeouts=LIST_TIMEOUTS, limit=MAX_LIST_BYTES
             )
             if status != 200:
                 raise EngineUnavailable(f"{upstream.id} answered {status}")
--- a/lynxchute/upstreams/load_report.py
+++ b/lynxchute/upstreams/load_report.py
@@ -8,14 +8,20 @@
 from lynxchute.http import ClientPool, ExchangeError, Timeouts
 from lynxchute.upstreams.engines import Probe
 from lynxchute.upstreams.generation import PromptPart
-from lynxchute.upstreams.http_engines import HttpEngineClient, no_answer
+from lynxchute.upstreams.http_engines import (
+    MAX_REPORT_BYTES,
+    HttpEngineClient,
+    no_answer,
+)
 from lynxchute.upstreams.statement_headers import BackpressureHeaders
 from lynxchute.upstreams.upstream import Upstream
 
 # Load and cache of an engine: `{"running": 3, "cached": [["id", 120]]}`.
 LOAD_PATH = "/load"
 # The engine answers at once, whatever its load is.
-PROBE_TIMEOUTS = Timeouts(connect=0.3, first_byte=1.0, between_bytes=1.0)
+PROBE_TIMEOUTS = Timeouts(
+    connect=0.3, first_byte=1.0, between_bytes=1.0, whole_body=2.0
+)
 
 
 class LoadReports(HttpEngineClient):
@@ -40,7 +46,7 @@
         client = self._clients.get(upstream.address)
         try:
             response = await client.request("GET", LOAD_PATH, timeouts=PROBE_TIMEOUTS)
-            body = await response.body()
+            body = await response.body(MAX_REPORT_BYTES)
         except ExchangeError as error:
             raise no_answer(upstream, error) from error
         return Probe(
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -1,13 +1,19 @@
 """Bytes without end: memory stays bounded, and other callers are served."""
 
+import asyncio
 import pathlib
 import tempfile
 
 import testtools
 
-from lynxchute.http import LinkMeter
+from lynxchute.fleet.client import TIMEOUTS as PEER_TIMEOUTS
+from lynxchute.http import ExchangeError, HttpClient, LinkMeter, Timeouts
+from lynxchute.platform.engines import PROBE_TIMEOUTS
+from lynxchute.platform.store import _timeouts
 from lynxchute.relay.load import FULL_DELAY, RouterLoad
-from tests.flood_play import FLOOD_SECONDS, play
+from lynxchute.standins.platform_store import PlatformStoreStandin
+from lynxchute.upstreams.http_engines import LIST_TIMEOUTS, MAX_REPORT_BYTES
+from tests.flood_play import FLOOD_SECONDS, FloodingUpstream, play
 from tests.support import AsyncTestCase
 
 PLAY_TIMEOUT = 60
@@ -149,3 +155,40 @@
 
     def test_reports_that_trickle(self):
         self.check(self.play("trickle", reports=self.REPORTS))
+
+
+class WholeBodyTest(AsyncTestCase):
+    """Guards against whole answers that are read without a bound in size or time."""
+
+    def read(self, flood, timeouts):
+        """Return why an answer without end was given up, and after how many seconds."""
+
+        async def scenario():
+            upstream = FloodingUpstream("bad-pool", flood)
+            await upstream.start(PlatformStoreStandin())
+            client = HttpClient(upstream.standin.address, timeouts=timeouts)
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            try:
+                await client.get_json("/x", limit=MAX_REPORT_BYTES)
+            except ExchangeError as error:
+                return str(error), loop.time() - began
+            finally:
+                client.close()
+                await upstream.stop()
+
+        return self.run_async(scenario())
+
+    def test_a_body_that_trickles_ends_with_its_timeout(self):
+        timeouts = Timeouts(between_bytes=1.0, whole_body=0.5)
+        reason, seconds = self.read("trickle", timeouts)
+        self.assertEqual("the answer took too long", reason)
+        self.assertLess(seconds, 1.0)
+
+    def test_a_body_without_end_is_closed_at_its_limit(self):
+        reason, _ = self.read("chunked", Timeouts())
+        self.assertEqual("the answer is too large", reason)
+
+    def test_every_peer_has_a_timeout_for_whole_bodies(self):
+        for timeouts in (PROBE_TIMEOUTS, LIST_TIMEOUTS, PEER_TIMEOUTS, _timeouts(9.0)):
+            self.assertIsNotNone(timeouts.whole_body)
