Bound the answer of a router that refuses a tunnel

The body of a refusal was kept until its end, so a router whose bytes do not end filled the memory of the one that asked, for the time of the attempt.

Change: more than 4 kB count as no answer. Evidence: TunnelRefusalTest failed before (the attempt went on), and passes; test_tunnels passes unchanged.

--- a/lynxchute/tunnels/connection.py
+++ b/lynxchute/tunnels/connection.py
@@ -25,6 +25,8 @@
 PROTOCOL_NAME = "lynxchute-tunnel"
 UPSTREAM_HEADER = "Lynxchute-Upstream"
 ORIGIN_HEADER = "Lynxchute-Origin"
+# Bytes of the answer of a router that refuses a tunnel.
+MAX_REFUSAL_BYTES = 4096
 
 
 class TunnelledConnection(ClientConnection):
@@ -205,6 +207,9 @@
                     return self._open(http)
                 if isinstance(event, h11.Data):
                     self._refusal_body += bytes(event.data)
+                    if len(self._refusal_body) > MAX_REFUSAL_BYTES:
+                        self._refuse(TunnelRefusal.NO_ANSWER)
+                        return b""
                 if isinstance(event, h11.EndOfMessage):
                     self._refuse(_decode_refusal(self._refusal_body))
                     return b""
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -3,17 +3,20 @@
 import asyncio
 import pathlib
 import tempfile
+from unittest import mock
 
 import testtools
 
 from lynxchute.fleet.client import TIMEOUTS as PEER_TIMEOUTS
 from lynxchute.http import ExchangeError, HttpClient, LinkMeter, Timeouts
+from lynxchute.http.link_meter import UNLIMITED_LINK
 from lynxchute.platform.engines import PROBE_TIMEOUTS
 from lynxchute.platform.store import _timeouts
 from lynxchute.relay.load import FULL_DELAY, RouterLoad
 from lynxchute.standins.platform_store import PlatformStoreStandin
+from lynxchute.tunnels.connection import TunnelledConnection, TunnelProtocol
 from lynxchute.upstreams.http_engines import LIST_TIMEOUTS, MAX_REPORT_BYTES
-from tests.flood_play import FLOOD_SECONDS, FloodingUpstream, play
+from tests.flood_play import FLOOD_SECONDS, FLOODS_BY_NAME, FloodingUpstream, play
 from tests.support import AsyncTestCase
 
 PLAY_TIMEOUT = 60
@@ -192,3 +195,22 @@
     def test_every_peer_has_a_timeout_for_whole_bodies(self):
         for timeouts in (PROBE_TIMEOUTS, LIST_TIMEOUTS, PEER_TIMEOUTS, _timeouts(9.0)):
             self.assertIsNotNone(timeouts.whole_body)
+
+
+class TunnelRefusalTest(AsyncTestCase):
+    """Guards against a router that refuses a tunnel with bytes without end."""
+
+    def test_a_refusal_without_end_is_closed(self):
+        async def scenario():
+            protocol = TunnelProtocol(
+                "127.0.0.1:1", [], TunnelledConnection(UNLIMITED_LINK, "a-2"), list
+            )
+            transport = mock.create_autospec(asyncio.Transport, instance=True)
+            protocol.connection_made(transport)
+            head, chunk = FLOODS_BY_NAME["refuse"]
+            protocol.data_received(head)
+            protocol.data_received(chunk)
+            self.assertTrue(protocol.opened.done())
+            transport.abort.assert_called()
+
+        self.run_async(scenario())
