Refuse new requests of a stopping router on time, whatever its hand-over waits for

What callers saw: a stopping router went on taking requests and passed them on while a step of its hand-over waited for the store or other routers (each step has its own timeout, up to 2.9 s in all and more on a busy link), so that they could be cut at the end of the grace. An error in a step ended the drain, and all open answers with it.

Cause: the check that refuses requests ran after these steps, in one sequence.

Change: the hand-over is a task beside the serving of requests; each of its steps fails alone. The process stays until it has ended, or until the drain's deadline.

Evidence: LateRequestTest failed in its three tests (a request sent 2.9 s after the signal ran while the registration, or the transfer of tokens, took 3 s; an error ended the drain) and passes; test_lost_answers and test_restarts pass unchanged. On real processes the steps took 1.0 s at most (store silent, routers suspended), so there requests were refused from 2.6 s on before too: that the users' case was this is not shown.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 import attrs
+from absl import logging
 
 from lynxchute.application import Application, Component
 from lynxchute.budgets import DemandLinePolicy, DemandPolicy, Ledger
@@ -563,35 +564,13 @@
         log_event("stopping", open_requests=self.relay.open_requests)
         self.callers.disable_keep_alive()
         self.tunnels.announce_stop()
-        await self.registry.register(self.members.mark_leaving())
-        await self.origins.hand_over()
-        # Other routers may need the unused grants now, and a store outage later in
-        # the drain would prevent their return.
-        if not await self.ledger_sync.close(started + CLOSE_TIMEOUT_SECONDS):
-            # The other routers may be unreachable at the end of the drain.
-            await self.final_use_exchange.announce()
-        await self.balance.transfer_borrowed()
-        log_event(
-            "tokens and streams handed over",
-            seconds=round(steady_seconds() - started, 3),
-        )
-        serving_deadline = started + SERVE_AFTER_STOP_SECONDS
         grace = self.settings.bounds.stop
         margin = min(STOP_MARGIN_SECONDS, grace * MAX_STOP_MARGIN_SHARE)
-        drain_deadline = started + grace - margin
-        while steady_seconds() < drain_deadline:
-            if steady_seconds() >= serving_deadline:
-                if not self.admission.stopping:
-                    log_event(
-                        "refusing new requests",
-                        seconds=round(steady_seconds() - started, 3),
-                        open_requests=self.relay.open_requests,
-                    )
-                self.admission.stopping = True
-                self.callers.close_idle()
-                if not self._has_open_work():
-                    break
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        # Each of its steps may wait for a store or routers that do not answer.
+        hand_over = asyncio.create_task(self._hand_over(started))
+        await self._finish_open_requests(started, started + grace - margin, hand_over)
+        hand_over.cancel()
+        await asyncio.gather(hand_over, return_exceptions=True)
         bounds = self.settings.bounds
         report_deadline = started + bounds.stop - REPORT_MARGIN_SECONDS
         self.admission.stopping = True
@@ -615,6 +594,60 @@
             unanswered=self.callers.unanswered,
         )
 
+    async def _hand_over(self, started: float) -> None:
+        """Give other routers and the store what they need of this one."""
+        steps = (
+            self._register_leaving,
+            self.origins.hand_over,
+            # Other routers may need the unused grants now, and a store outage later
+            # in the drain would prevent their return.
+            lambda: self._return_grants(started + CLOSE_TIMEOUT_SECONDS),
+            self.balance.transfer_borrowed,
+        )
+        for step in steps:
+            try:
+                await step()
+            except Exception:
+                logging.exception("a step of the hand-over failed; the stop goes on")
+        log_event(
+            "tokens and streams handed over",
+            seconds=round(steady_seconds() - started, 3),
+        )
+
+    async def _register_leaving(self) -> None:
+        await self.registry.register(self.members.mark_leaving())
+
+    async def _return_grants(self, until: float) -> None:
+        """Return unused grants to the store, or announce to other routers what is used.
+
+        They may be unreachable at the end of the drain.
+        """
+        if not await self.ledger_sync.close(until):
+            await self.final_use_exchange.announce()
+
+    async def _finish_open_requests(
+        self, started: float, deadline: float, hand_over: asyncio.Task[None]
+    ) -> None:
+        """Serve for a while, refuse new requests, and wait until all work has ended."""
+        serving_deadline = started + SERVE_AFTER_STOP_SECONDS
+        while steady_seconds() < deadline:
+            if steady_seconds() >= serving_deadline:
+                self._refuse_new_requests(started)
+                self.callers.close_idle()
+                if hand_over.done() and not self._has_open_work():
+                    return
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    def _refuse_new_requests(self, started: float) -> None:
+        if self.admission.stopping:
+            return
+        self.admission.stopping = True
+        log_event(
+            "refusing new requests",
+            seconds=round(steady_seconds() - started, 3),
+            open_requests=self.relay.open_requests,
+        )
+
     def _has_open_work(self) -> bool:
         """Return whether a request is open or a caller waits for its answer.
 
@@ -628,8 +661,7 @@
     async def _send_final_reports(self) -> None:
         """Report used and lent tokens, and return unused grants."""
         await asyncio.gather(self.settlements.flush(), self.balance.transfer_borrowed())
-        if not await self.ledger_sync.close(steady_seconds() + CLOSE_TIMEOUT_SECONDS):
-            await self.final_use_exchange.announce()
+        await self._return_grants(steady_seconds() + CLOSE_TIMEOUT_SECONDS)
 
     def is_ready(self) -> bool:
         """Return whether load balancers should send new connections to this router."""
--- a/lynxchute/upstreams/http_engines.py
+++ b/lynxchute/upstreams/http_engines.py
@@ -12,8 +12,8 @@
 
 # An engine generates the list within some ms, and no request waits for it.
 LIST_TIMEOUTS = Timeouts(connect=0.3, first_byte=1.0, between_bytes=1.0, whole_body=2.0)
-# Bytes of a load report, and of a list of prompt parts. Those of many upstreams are read
-# at a time.
+# Bytes of a load report, and of a list of prompt parts. Those of many upstreams are
+# read at a time.
 MAX_REPORT_BYTES = 262_144
 MAX_LIST_BYTES = 524_288
 
