Pass nothing on that may not end before a stopping router does

What callers saw: in a planned stop, in calm, requests were taken and passed on that could not end before the process did, among them calls that may run only once; at the end of the grace they got 502, "may have run", or their streams broke off.

Cause: until 2.5 s after the signal a router passed on whatever came, and later what had waited for a slot, without a look at the time that is left.

The refusal is 503, not run, with Retry-After, before any byte is sent; what was sent before may be sent again.

Evidence: EndlessRequestTest failed in two of three tests (502 after the request had arrived at its upstream; now 503 and no arrival; a call whose own time ends before is passed on as before). test_lost_answers, test_restarts, test_hedging pass unchanged.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -52,6 +52,8 @@
 from lynxchute.reachability import Reachability
 from lynxchute.relay.admission import Admission
 from lynxchute.relay.chooser import Chooser
+from lynxchute.relay.durations import AnswerDurations
+from lynxchute.relay.last_sends import LastSends
 from lynxchute.relay.relay import Relay
 from lynxchute.relay.resend_planner import ResendPlanner
 from lynxchute.relay.sender import UPSTREAM_TIMEOUTS, Sender
@@ -392,6 +394,8 @@
             may_wait=may_wait,
             has_path=self.clients.has_path,
         )
+        durations = AnswerDurations()
+        self.last_sends = LastSends(durations)
         sender = Sender(
             chooser,
             platform.dialect,
@@ -415,6 +419,7 @@
                 self.metrics,
                 steady_seconds,
             ),
+            last_sends=self.last_sends,
             times=self.plain_calls.times,
             hedger=self.plain_calls.hedger(
                 chooser, self.retries, self.retry_mark, self.metrics
@@ -430,6 +435,7 @@
             self.metrics,
             steady_seconds,
             LinkShare(settings.link_mbps),
+            durations,
         )
         self.memory_guard = None
         if settings.features.memory_guard:
@@ -566,9 +572,10 @@
         self.tunnels.announce_stop()
         grace = self.settings.bounds.stop
         margin = min(STOP_MARGIN_SECONDS, grace * MAX_STOP_MARGIN_SHARE)
+        answers_until = self.last_sends.answers_until = started + grace - margin
         # Each of its steps may wait for a store or routers that do not answer.
         hand_over = asyncio.create_task(self._hand_over(started))
-        await self._finish_open_requests(started, started + grace - margin, hand_over)
+        await self._finish_open_requests(started, answers_until, hand_over)
         hand_over.cancel()
         await asyncio.gather(hand_over, return_exceptions=True)
         bounds = self.settings.bounds
--- a/lynxchute/relay/relay.py
+++ b/lynxchute/relay/relay.py
@@ -19,6 +19,7 @@
     Reservation,
 )
 from lynxchute.relay.dialect import Dialect
+from lynxchute.relay.durations import AnswerDurations
 from lynxchute.relay.events import EventsOutOfOrder, StreamCut
 from lynxchute.relay.exchange import Exchange
 from lynxchute.relay.origins import Origins
@@ -75,6 +76,8 @@
         Steady clock in seconds.
     link_share
         Limits large answers to a share of the VM's link.
+    durations
+        Remembers how long answers take.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         metrics: Metrics,
         clock: Callable[[], float],
         link_share: LinkShare,
+        durations: AnswerDurations,
     ) -> None:
         self._dialect = dialect
         self._admission = admission
@@ -97,6 +101,7 @@
         self._log = RequestLog(metrics, clock)
         self._clock = clock
         self._link_share = link_share
+        self._durations = durations
         self._open_timeouts: set[asyncio.Timeout] = set()
         self._is_ending = False
 
@@ -149,6 +154,7 @@
             return await self._refuse(exchange, refusal)
         except TimeoutError:
             return await self._refuse(exchange, self._timeout_refusal(exchange))
+        self._durations.record(exchange.route.name, self._clock() - exchange.sent_at)
         return "served"
 
     def _timeout_refusal(self, exchange: Exchange) -> Refusal:
--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -23,6 +23,7 @@
 from lynxchute.relay.dialect import Dialect, ResponseKind, SendParameters
 from lynxchute.relay.exchange import Exchange
 from lynxchute.relay.hedging import Hedger
+from lynxchute.relay.last_sends import LastSends
 from lynxchute.relay.origins import Origins
 from lynxchute.relay.refusal import Reason, RunStatus
 from lynxchute.relay.resend_planner import ResendPlanner
@@ -94,6 +95,8 @@
         Records the latency of plain calls; None if no feature needs it.
     hedger
         Hedges slow calls; None if hedging is disabled.
+    last_sends
+        Decides what a stopping router may still send.
     is_path_lost
         Returns whether only other routers reach the upstream at an address.
     """
@@ -115,6 +118,7 @@
         *,
         origins: Origins,
         planner: ResendPlanner,
+        last_sends: LastSends,
         times: ServiceTimes | None = None,
         hedger: Hedger | None = None,
         is_path_lost: Callable[[str], bool] = lambda address: False,
@@ -134,6 +138,7 @@
         self._clock = clock
         self._origins = origins
         self._planner = planner
+        self._last_sends = last_sends
         self._resender = Resender(
             planner, self._attempt_unless_withheld, self._discard_answer
         )
@@ -152,6 +157,7 @@
             self._retries.record_request(exchange.service, self._clock())
         while True:
             self.check_quarantine(exchange)
+            self._check_stop(exchange)
             begun = self._resender.take(exchange)
             choice = begun.choice if begun else await self._next_choice(exchange)
             if choice is None:
@@ -588,6 +594,7 @@
             if withheld is not None:
                 raise SendWithheld(withheld)
             self.check_quarantine(exchange)
+            self._check_stop(exchange)
             self._containment.record_send(send, exchange.call.request_id)
             self._check_link(exchange)
             if self._gate.rates.is_limited(entry, self._clock()):
@@ -695,6 +702,21 @@
         title = "This router's link is full. Send the request to another one."
         raise exchange.refuse(Reason.TOO_LATE, title, self._clock())
 
+    def _check_stop(self, exchange: Exchange) -> None:
+        """Refuse a request that may not end before this router does."""
+        now = self._clock()
+        if self._last_sends.ends_in_time(exchange, now):
+            return
+        log_event(
+            "too late to send before the stop",
+            request_id=exchange.call.request_id,
+            route=exchange.route.name,
+            seconds_left=round(self._last_sends.answers_until - now, 3),
+            time_left=round(exchange.deadline - now, 3),
+        )
+        title = "This router is stopping. Send the request again."
+        raise exchange.refuse(Reason.STOPPING, title, now)
+
     def _record_withheld(
         self, exchange: Exchange, choice: Choice, reason: WithheldReason
     ) -> None:
