Refuse what is half read as a router ends

What callers saw: a request whose body was still arriving at the end of a stop got no answer; its connection was reset.

Cause: a stop waited for such requests and then ended with them open.

Change: as open requests get their final answers, those of which only a part has arrived get 503 ("stopping", not run, Retry-After), and again just before the process ends; the connection is read for a second longer, so that the answer is not lost.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -582,6 +582,7 @@
         report_deadline = started + bounds.stop - REPORT_MARGIN_SECONDS
         self.admission.stopping = True
         self.relay.end_open_requests()
+        self.callers.refuse_incomplete()
         # The tokens that these requests used are part of the final reports.
         await self.callers.wait_answered(steady_seconds() + LAST_ANSWERS_SECONDS)
         try:
--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -26,6 +26,8 @@
 # Seconds for which bytes are still read after an error response. Closing a socket with
 # unread bytes would reset the connection and could destroy the response.
 LINGER_SECONDS = 1.0
+# Seconds after which to send a request again that a stopping server has not read.
+STOPPING_RETRY_AFTER = 0.5
 # Bytes of pipelined requests above which reading is paused while a request is served.
 MAX_PIPELINED_BYTES = 65536
 # High-water mark of the write buffer, above which a slow reader blocks its handler.
@@ -196,6 +198,12 @@
         if self._unsent_at_check:
             self._set_timer(self._limits.idle_timeout)
 
+    def refuse_incomplete(self) -> None:
+        """Refuse a request of which only a part has arrived, as the server stops."""
+        if self._phase in (_Phase.HEAD, _Phase.BODY):
+            reason = "This router is stopping. Send the request again."
+            self._refuse(503, reason, STOPPING_RETRY_AFTER, problem_name="stopping")
+
     def abort(self, cause: AbortCause) -> None:
         """Abort the connection at once; unsent bytes are lost."""
         if self._transport is None or self._is_aborted:
@@ -407,13 +415,18 @@
         self._set_timer(self._limits.idle_timeout)
 
     def _refuse(
-        self, status: int, reason: str, retry_after: float | None = None
+        self,
+        status: int,
+        reason: str,
+        retry_after: float | None = None,
+        *,
+        problem_name: str = "",
     ) -> None:
         """Send an error response and close the connection."""
         if self._responder is not None and self._responder.started:
             self.abort(AbortCause.NOT_FINISHED)
             return
-        problem_name = PROBLEMS_BY_STATUS.get(status, "malformed")
+        problem_name = problem_name or PROBLEMS_BY_STATUS.get(status, "malformed")
         problem = {
             "type": f"urn:lynxchute:problem:{problem_name}",
             "title": reason,
--- a/lynxchute/http/server.py
+++ b/lynxchute/http/server.py
@@ -175,6 +175,11 @@
             if connection.is_idle:
                 connection.close()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests of which only a part has arrived."""
+        for connection in list(self.connections):
+            connection.refuse_incomplete()
+
     @property
     def unanswered(self) -> int:
         """Return the number of callers that have not got their whole answer yet."""
@@ -210,7 +215,10 @@
             # Also lets connections from the backlog deliver what was sent already.
             await asyncio.sleep(ANSWER_POLL_SECONDS)
             self.close_idle()
-            if not self.unanswered or loop.time() >= deadline:
+            if loop.time() >= deadline:
+                self.refuse_incomplete()
+                return
+            if not self.unanswered:
                 return
 
     async def kill(self) -> None:
--- a/tests/test_late_stops.py
+++ b/tests/test_late_stops.py
@@ -165,6 +165,9 @@
             answer = await reading
             self.assertEqual(b"HTTP/1.1 503", answer[:12])
             self.assertIn(b"retry-after", answer.lower())
+            problem = json.loads(answer.partition(b"\r\n\r\n")[2])
+            self.assertEqual("not_run", problem["run"])
+            self.assertTrue(problem["type"].endswith(":stopping"), problem)
 
         self.with_platform(scenario, routers=("a-1",))
 
