Keep a caller's body in one buffer

A body in chunks of two bytes took 22 times its size of memory (8.6 MB for 400 kB): each chunk was an object of its own in a list, and only payload counted against the limit of all bodies, so a few callers could fill a VM's memory.

--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -89,7 +89,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._deadline: float | None = None
         self._head: RequestHead | None = None
-        self._body: list[bytes] = []
+        # One buffer, since a body may arrive in very small chunks.
+        self._body = bytearray()
         self._body_bytes = 0
         self._received_at = 0.0
         self._responder: Responder | None = None
@@ -309,7 +310,7 @@
     def _handle_data(self, data: bytes) -> None:
         self._body_bytes += len(data)
         self._server.buffered_bytes += len(data)
-        self._body.append(data)
+        self._body += data
         if self._body_bytes > self._limits.max_body_bytes:
             raise BadRequest(413, "The body is larger than this router takes.")
         if self._server.buffered_bytes > self._limits.max_buffered_bytes:
@@ -320,7 +321,7 @@
     def _discard_body(self) -> None:
         self._server.buffered_bytes -= self._body_bytes
         self._body_bytes = 0
-        self._body = []
+        self._body = bytearray()
 
     # Serving.
 
@@ -334,9 +335,9 @@
             head.target,
             head.headers,
             head.received_at,
-            b"".join(self._body),
+            bytes(self._body),
         )
-        self._body = []
+        self._body = bytearray()
         self._responder = Responder(
             head.method,
             self._protocol,
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -3,12 +3,20 @@
 import asyncio
 import pathlib
 import tempfile
+import tracemalloc
 from unittest import mock
 
 import testtools
 
 from lynxchute.fleet.client import TIMEOUTS as PEER_TIMEOUTS
-from lynxchute.http import ExchangeError, HttpClient, LinkMeter, Timeouts
+from lynxchute.http import (
+    ExchangeError,
+    HttpClient,
+    HttpServer,
+    LinkMeter,
+    Timeouts,
+    not_found,
+)
 from lynxchute.http.link_meter import UNLIMITED_LINK
 from lynxchute.platform.engines import PROBE_TIMEOUTS
 from lynxchute.platform.store import _timeouts
@@ -17,7 +25,7 @@
 from lynxchute.tunnels.connection import TunnelledConnection, TunnelProtocol
 from lynxchute.upstreams.http_engines import LIST_TIMEOUTS, MAX_REPORT_BYTES
 from tests.flood_play import FLOOD_SECONDS, FLOODS_BY_NAME, FloodingUpstream, play
-from tests.support import AsyncTestCase
+from tests.support import AsyncTestCase, until
 
 PLAY_TIMEOUT = 60
 # Megabytes that a router may use whose limit is 200.
@@ -214,3 +222,31 @@
             transport.abort.assert_called()
 
         self.run_async(scenario())
+
+
+class TinyChunksTest(AsyncTestCase):
+    """Guards against bodies that take many times their size of memory."""
+
+    # Bytes of the body, and times its size that it may take.
+    SIZE, FACTOR = 400_000, 4
+
+    def test_a_body_of_tiny_chunks_takes_no_more_than_its_size(self):
+        async def scenario():
+            server = HttpServer(not_found)
+            await server.start("127.0.0.1", 0)
+            _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            head = b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            body = b"2\r\nxy\r\n" * (self.SIZE // 2)
+            tracemalloc.start()
+            try:
+                writer.write(head + body)
+                # The last chunk is not sent, so that the body is kept.
+                await until(lambda: server.buffered_bytes == self.SIZE, 20.0)
+                taken, _ = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+            writer.close()
+            await server.kill()
+            self.assertLess(taken, self.FACTOR * self.SIZE)
+
+        self.run_async(scenario())
