--- a/tests/flood_play.py
+++ b/tests/flood_play.py
@@ -17,6 +17,9 @@
 import defopt
 
 from lynxchute.event_loop import run as run_loop
+from lynxchute.fleet.members import Member
+from lynxchute.fleet.registry import ROUTER_PREFIX
+from lynxchute.fleet.registry import TABLE as FLEET_TABLE
 from lynxchute.http import ExchangeError, HttpClient, Timeouts
 from lynxchute.platform import names
 from lynxchute.standins.platform_store import PlatformStoreStandin
@@ -134,6 +137,70 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
 
+class FloodingStore:
+    """Passes connections on to the store, and floods all of them from some time on."""
+
+    def __init__(self, port, flood):
+        self.port = 0
+        self._store_port = port
+        self._flood = flood
+        self._is_flooding = False
+        self._server = None
+        self._tasks = set()
+        self._writers = set()
+        self._upstream = FloodingUpstream("store", flood)
+
+    @property
+    def sent_bytes(self):
+        return self._upstream.sent_bytes
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def flood(self):
+        """Answer all further requests with bytes without end."""
+        self._is_flooding = True
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _accept(self, reader, writer):
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            if self._is_flooding:
+                head = await reader.readuntil(b"\r\n\r\n")
+                await self._upstream._send_without_end(head, writer)
+            await self._pass_on(reader, writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.transport.abort()
+
+    async def _pass_on(self, reader, writer):
+        there = await asyncio.open_connection("127.0.0.1", self._store_port)
+        self._writers |= {writer, there[1]}
+        try:
+            await asyncio.gather(_copy(reader, there[1]), _copy(there[0], writer))
+        finally:
+            self._writers -= {writer, there[1]}
+            there[1].transport.abort()
+
+    async def stop(self):
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+async def _copy(reader, writer):
+    while data := await reader.read(PIECE_BYTES):
+        writer.write(data)
+        await writer.drain()
+    writer.transport.abort()
+
+
 @attrs.define
 class FloodFleet:
     """Two routers, sound upstreams, and others that flood."""
@@ -145,6 +212,7 @@
     routers: dict = attrs.Factory(dict)
     sound: list = attrs.Factory(list)
     flooding: list = attrs.Factory(list)
+    stores: list = attrs.Factory(list)
     store: PlatformStoreStandin = attrs.field(factory=PlatformStoreStandin)
     _numbers: object = attrs.Factory(lambda: itertools.count(1))
 
@@ -168,9 +236,10 @@
             await upstream.start(self.store)
         await self.store.configure(self._configuration())
         for vm in ROUTERS:
-            process = RouterProcess(
-                self.folder, vm, await self.store.open_port(), code=self.code
-            )
+            store = FloodingStore(await self.store.open_port(), self.flood)
+            await store.start()
+            self.stores.append(store)
+            process = RouterProcess(self.folder, vm, store.port, code=self.code)
             if self.link_mbps is not None:
                 process.settings["limits"]["link_mbps"] = self.link_mbps
             self.routers[vm] = process
@@ -229,6 +298,16 @@
             client.close()
         return status, is_whole, time.monotonic() - began
 
+    async def add_flooding_routers(self, count):
+        """Register routers that answer whatever they are asked without end."""
+        for number in range(count):
+            router = FloodingUpstream("none", self.flood, floods_reports=True)
+            await router.start(self.store)
+            self.flooding.append(router)
+            vm = f"a-{number + 8}"
+            member = Member(vm, "a", f"{number:012x}", router.standin.address)
+            await self.store.put(FLEET_TABLE, ROUTER_PREFIX + vm, member.encode())
+
     async def send_floods(self, *, is_read=True):
         """Send bad requests of each kind; return what their callers got."""
         return await asyncio.gather(
@@ -262,7 +341,7 @@
     async def stop(self):
         for router in self.routers.values():
             await router.kill()
-        for upstream in [*self.sound, *self.flooding]:
+        for upstream in [*self.sound, *self.flooding, *self.stores]:
             await upstream.stop()
         await self.store.close()
 
@@ -327,10 +406,28 @@
         }
 
 
-async def play(folder, flood, *, reports=0, is_read=True, **options):
-    """Flood routers; return what it did to sound callers and to memory."""
+async def play(
+    folder, flood, *, reports=0, routers=0, stores=False, is_read=True, **options
+):
+    """Flood routers; return what it did to sound callers and to memory.
+
+    Parameters
+    ----------
+    reports, routers
+        Upstreams that flood their reports, and routers that flood their replies.
+    stores
+        Whether the store floods its answers.
+    is_read
+        Whether callers read answers without end.
+    """
     async with running_fleet(folder, flood, floods_reports=reports, **options) as fleet:
-        if reports:
+        # Routers have tokens and know their peers before the flood.
+        await fleet.send_sound(8, 0.05)
+        if stores:
+            for store in fleet.stores:
+                store.flood()
+        await fleet.add_flooding_routers(routers)
+        if reports or routers or stores:
             bad, beside = [], await fleet.send_sound(80, 0.05)
         else:
             bad, beside = await asyncio.gather(
@@ -339,7 +436,7 @@
         after = await fleet.send_sound(40, 0.02)
         ended = [vm for vm, r in fleet.routers.items() if not r.is_running]
         peaks = {} if ended else fleet.peak_megabytes()
-        sent = sum(upstream.sent_bytes for upstream in fleet.flooding) / 1e6
+        sent = sum(f.sent_bytes for f in (*fleet.flooding, *fleet.stores)) / 1e6
     return FloodResult(
         flood,
         beside,
@@ -355,6 +452,8 @@
     *floods: str,
     code: str | None = None,
     reports: int = 0,
+    routers: int = 0,
+    stores: bool = False,
     unread: bool = False,
     link_mbps: float | None = None,
 ) -> None:
@@ -368,6 +467,10 @@
         Folder of the routers' code; this one by default.
     reports
         Number of upstreams that flood reports in place of requests.
+    routers
+        Number of routers that flood their replies in place of requests.
+    stores
+        Whether the store floods its answers, in place of requests.
     unread
         Whether the callers of flooded requests read nothing but the head.
     link_mbps
@@ -380,6 +483,8 @@
                     pathlib.Path(folder),
                     flood,
                     reports=reports,
+                    routers=routers,
+                    stores=stores,
                     is_read=not unread,
                     code=code,
                     link_mbps=link_mbps,
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -168,6 +168,18 @@
         self.check(self.play("trickle", reports=self.REPORTS))
 
 
+class PeerFloodTest(FloodTestCase):
+    """Guards against routers and a store whose answers do not end."""
+
+    ROUTERS = 12
+
+    def test_replies_of_other_routers_without_end(self):
+        self.check(self.play("json", routers=self.ROUTERS))
+
+    def test_answers_of_the_store_without_end(self):
+        self.check(self.play("json", stores=True))
+
+
 class WholeBodyTest(AsyncTestCase):
     """Guards against whole answers that are read without a bound in size or time."""
 
