Announce the stop to a tunnel that opens meanwhile

A router that forwards requests asks the others at its stop to send none through it any more. A tunnel that was being connected at that moment was not asked: it was taken after the announcement to all tunnels, was used until the end of the grace, and its requests ended with the process.

Evidence: StoppingForwarderTest failed (no CLOSING frame) and passes.

--- a/lynxchute/tunnels/server.py
+++ b/lynxchute/tunnels/server.py
@@ -309,6 +309,10 @@
             respond.switch_protocol(tunnel.origin_side, PROTOCOL_NAME)
         except CallerDisconnected:
             tunnel.end()
+            return
+        if self._is_stopping():
+            # The announcement to all tunnels came before this one was open.
+            tunnel.announce_stop()
 
     def _refusal(self, address: str) -> TunnelRefusal | None:
         if self._is_stopping():
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import time
+from unittest import mock
 
 import testtools
 
 from lynxchute.clock import steady_seconds
 from lynxchute.http import ExchangeError
+from lynxchute.http.link_meter import UNLIMITED_LINK
 from lynxchute.standins.link import Direction, Partition
 from lynxchute.standins.platform_store import Outage
 from lynxchute.standins.upstream_run import Fault
+from lynxchute.telemetry import Metrics
 from lynxchute.tunnels.errors import FrameError
 from lynxchute.tunnels.frames import (
     MAX_PAYLOAD_BYTES,
@@ -19,6 +22,7 @@
     encode_data,
 )
 from lynxchute.tunnels.paths import PathState
+from lynxchute.tunnels.server import TunnelServer
 from tests.platform_support import (
     ACCOUNT,
     PlatformCaller,
@@ -26,7 +30,7 @@
     event_ids,
 )
 from tests.press import plain, stream
-from tests.support import until
+from tests.support import AsyncTestCase, until
 from tests.test_lost_upstream_links import call_all, call_repeatedly, served_share
 
 ROUTERS = ("a-1", "a-2", "b-1")
@@ -388,3 +392,41 @@
             self.assertEqual(200, (await plain(PlatformCaller(deployment)))[0])
 
         self.with_platform(scenario)
+
+
+class StoppingForwarderTest(AsyncTestCase):
+    """Guards against requests through a router that stops while a tunnel opens."""
+
+    def test_a_tunnel_that_opens_as_its_router_stops_takes_no_request(self):
+        async def scenario():
+            is_stopping = False
+            directory, clients, load = mock.Mock(), mock.Mock(), mock.Mock()
+            directory.is_backing_off.return_value = False
+            clients.paths.is_lost.return_value = False
+            load.is_shedding = False
+            server = TunnelServer(
+                directory,
+                clients,
+                load,
+                UNLIMITED_LINK,
+                Metrics(),
+                lambda: is_stopping,
+            )
+
+            async def connect_as_the_router_stops(tunnel):
+                nonlocal is_stopping
+                is_stopping = True
+                server.announce_stop()
+
+            server._connect = connect_as_the_router_stops
+            transport = mock.create_autospec(asyncio.Transport, instance=True)
+            transport.is_closing.return_value = False
+            request, respond = mock.Mock(headers={}), mock.Mock()
+            respond.switch_protocol.side_effect = lambda protocol, name: (
+                protocol.connection_made(transport)
+            )
+            await server._handle(request, respond)
+            self.assertEqual(1, server.count)
+            transport.write.assert_called_with(Frame(FrameKind.CLOSING).encode())
+
+        self.run_async(scenario())
