Finish a stop whose final reports fail

An error in the final reports ended the drain before the last callers had their answers, as an error in the hand-over did. Evidence: test_final_reports_that_fail_end_no_answer failed (ValueError out of the drain) and passes.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -594,6 +594,8 @@
                 "stop deadline passed before all usage was reported",
                 seconds=steady_seconds() - started,
             )
+        except Exception:
+            logging.exception("final reports failed; the stop goes on")
         await self.callers.finish(report_deadline)
         await self.peer_server.server.finish(report_deadline)
         log_event(
--- a/tests/test_late_stops.py
+++ b/tests/test_late_stops.py
@@ -93,6 +93,20 @@
 
         self.with_platform(scenario, routers=("a-1",))
 
+    def test_final_reports_that_fail_end_no_answer(self):
+        async def scenario(deployment):
+            router = deployment.routers["a-1"]
+
+            async def flush():
+                raise ValueError("not decoded")
+
+            router.settlements.flush = flush
+            idle = await connect(router)
+            await router.drain()
+            self.assertEqual(b"", await read_slowly(idle))
+
+        self.with_platform(scenario, routers=("a-1",))
+
 
 class EndlessRequestTest(PlatformTestCase):
     """Guards against requests that are passed on though they end after the stop."""
