Parse messages in tiny chunks in turns

Cause: all that has arrived is parsed at once; 256 kB of such chunks are 44,000 protocol events, about a second in which the event loop does nothing else. Bytes were bounded, the work for them was not. Found by playing a flood that was not in the list.

Nothing else has as many events at a time. The same for bodies of callers.

--- a/lynxchute/http/client_connection.py
+++ b/lynxchute/http/client_connection.py
@@ -10,6 +10,7 @@
 import h11
 
 from lynxchute.http.link_meter import UNLIMITED_LINK, LinkMeter
+from lynxchute.http.parsing_turns import MAX_EVENTS, PROCESS_TURNS
 from lynxchute.http.sockets import apply_options
 
 # Unread bytes of a response at which reading from the socket is paused.
@@ -81,6 +82,7 @@
         self._paused = False
         self._consume: Callable[[bytes], bool] | None = None
         self._wants_more = True
+        self._has_unparsed = False
 
     @property
     def is_alive(self) -> bool:
@@ -201,6 +203,11 @@
         chunk = self._read_chunks()
         return chunk if chunk or not self._body_ended else None
 
+    async def wait_for_turn(self) -> None:
+        """Let other work go on if more of the body has arrived than was parsed."""
+        if self._has_unparsed:
+            await asyncio.sleep(PROCESS_TURNS.reserve())
+
     async def read_body(self) -> bytes | None:
         """Wait for the next bytes of the body and return them, or None at its end.
 
@@ -238,6 +245,7 @@
             chunk = self._read_chunks()
             if chunk:
                 self._wants_more = consume(chunk)
+                await self.wait_for_turn()
                 continue
             if self._body_ended:
                 return True
@@ -260,17 +268,23 @@
             # Raised in the waiting task, as if that task had called the callback.
             waiter.set_exception(error)
             return True
+        if self._has_unparsed:
+            return False
         return (
             self._wants_more and not self._body_ended and self._deferred_error is None
         )
 
     def _read_chunks(self) -> bytes:
-        """Return the available bytes of the body.
+        """Return the available bytes of the body, or of its next `MAX_EVENTS` parts.
 
         An error is raised only after the bytes before it have been returned.
         """
         parts: list[bytes] = []
+        self._has_unparsed = False
         while not self._body_ended:
+            if len(parts) >= MAX_EVENTS:
+                self._has_unparsed = True
+                break
             if self._deferred_error is not None:
                 if parts:
                     break
@@ -304,6 +318,7 @@
             skipped += len(chunk)
             if skipped > MAX_SKIPPED_BYTES:
                 raise BrokenConnectionError("an answer to another request is too long")
+            await self.wait_for_turn()
             if not chunk:
                 await self._wait()
         trailing, closed = self._protocol.trailing_data
--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -13,6 +13,7 @@
 from lynxchute.http.headers import Headers
 from lynxchute.http.held_answer import TransportBuffer
 from lynxchute.http.messages import BadRequest, Request, RequestHead
+from lynxchute.http.parsing_turns import MAX_EVENTS, PROCESS_TURNS
 from lynxchute.http.responder import (
     SWITCHING_PROTOCOLS,
     CallerDisconnected,
@@ -252,16 +253,31 @@
     def _process_events(self) -> None:
         """Handle the available protocol events until a request is complete."""
         try:
-            while self._phase in (_Phase.HEAD, _Phase.BODY):
+            for _ in range(MAX_EVENTS):
+                if self._phase not in (_Phase.HEAD, _Phase.BODY):
+                    return
                 event = self._protocol.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
                 self._handle_event(event)
+            self._pause_parsing()
         except BadRequest as error:
             self._refuse(error.status, error.reason, error.retry_after)
         except h11.RemoteProtocolError as error:
             self._refuse(error.error_status_hint, str(error))
 
+    def _pause_parsing(self) -> None:
+        """Let other work go on before the rest of what has arrived is parsed."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+            self._loop.call_later(PROCESS_TURNS.reserve(), self._resume_parsing)
+
+    def _resume_parsing(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._transport.resume_reading()
+        self._process_events()
+
     def _handle_event(self, event: object) -> None:
         if isinstance(event, h11.Request):
             self._handle_head(event)
--- a/tests/flood_play.py
+++ b/tests/flood_play.py
@@ -53,6 +53,7 @@
     "interim": (b"", b"HTTP/1.1 102 x\r\n\r\n" * 4_000),
     "extension": (_head(200, "Transfer-Encoding: chunked") + b"5;a=", PIECE),
     "chunked": (_head(200, "Transfer-Encoding: chunked"), CHUNK),
+    "tiny": (_head(200, "Transfer-Encoding: chunked"), b"1\r\nx\r\n" * 10_000),
     "huge": (_head(200, "Content-Length: 1000000000000"), PIECE),
     "close": (_head(200), PIECE),
     "error": (_head(500, "Transfer-Encoding: chunked"), CHUNK),
@@ -62,6 +63,10 @@
         _head(200, "Content-Type: text/event-stream", "Transfer-Encoding: chunked"),
         CHUNK,
     ),
+    "small": (
+        _head(200, "Content-Type: text/event-stream", "Transfer-Encoding: chunked"),
+        b"9\r\ndata: x\n\n\r\n" * 4_000,
+    ),
     "events": (
         _head(200, "Content-Type: text/event-stream"),
         b"data: something\n\n" * 4_000,
