--- a/lynxchute/http/parsing_turns.py
+++ b/lynxchute/http/parsing_turns.py
@@ -23,8 +23,8 @@
 
     Examples
     --------
-    >>> turns = ParsingTurns(lambda: 5.0)
-    >>> [turns.reserve(), round(turns.reserve(), 3)]
+    >>> turns = ParsingTurns(lambda: 0.0)
+    >>> [turns.reserve(), turns.reserve()]
     [0.02, 0.04]
     """
 
