--- a/tests/flood_play.py
+++ b/tests/flood_play.py
@@ -115,14 +115,14 @@
                     body = json.dumps({"held": [], "sequence": 1}).encode()
                     writer.write(_head(200, f"Content-Length: {len(body)}") + body)
                     continue
-                await self._send_without_end(head, writer)
+                await self.send_without_end(head, writer)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             self._tasks.discard(task)
             writer.transport.abort()
 
-    async def _send_without_end(self, head, writer):
+    async def send_without_end(self, head, writer):
         begin, rest = FLOODS_BY_NAME[self.flood]
         match = re.search(rb"x-request-id: *(\S+)", head, re.IGNORECASE)
         echoed = b"\r\nX-Request-Id: " + match[1] + b"\r\n" if match else b"\r\n"
@@ -175,7 +175,7 @@
         try:
             if self._is_flooding:
                 head = await reader.readuntil(b"\r\n\r\n")
-                await self._upstream._send_without_end(head, writer)
+                await self._upstream.send_without_end(head, writer)
             await self._pass_on(reader, writer)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
--- a/tests/hushed_play.py
+++ b/tests/suspension_play.py
@@ -3,7 +3,7 @@
 Eight routers in three data centres, twelve engines and three plain services carry the
 traffic of one of two deployments. Upstreams are suspended by signals in series, beside
 changes of the configuration, killed routers and orderly stops. `python -m
-tests.hushed_play` plays series by their names.
+tests.suspension_play` plays series by their names.
 """
 
 import asyncio
@@ -41,6 +41,7 @@
 REQUESTS_PER_SECOND = 60.0
 # Connections that callers keep to each router.
 CALLERS_PER_ROUTER = 24
+# Seconds after a router was killed or suspended for which nothing is asked of it.
 DISTURBED_SECONDS = 3.0
 # Factors by which configurations extend the timeouts of routes.
 TIMEOUT_FACTORS = (1.0, 1.2, 1.5)
@@ -57,8 +58,12 @@
         Requests of this kind, relative to the other kinds.
     timeout, deadline
         Seconds of the route, and of the caller.
-    events
-        Events of each stream; 0 for a plain call.
+    attempts
+        Upstreams to which the route lets a request be sent.
+    kind
+        Kind of the route, as a configuration names it.
+    tokens
+        Tokens of the prompt and of the longest answer; empty for a plain call.
     """
 
     service: str
@@ -126,7 +131,7 @@
 
 
 @attrs.define
-class HushedFleet:
+class SuspensionFleet:
     """The processes and records of one play.
 
     Attributes
@@ -157,7 +162,7 @@
     _timeout_factor: float = 1.0
     _further_routes: int = 0
     _numbers: object = attrs.Factory(lambda: itertools.count(1))
-    _rng: random.Random = attrs.Factory(lambda: random.Random(83))
+    rng: random.Random = attrs.Factory(lambda: random.Random(83))
     _idle_clients: dict = attrs.field(
         factory=lambda: collections.defaultdict(collections.deque)
     )
@@ -240,9 +245,9 @@
         self.configurations += 1
         what = self._version % 3
         if what == 0:
-            self._idle_ms = self._rng.choice((1500, 3000, 5000))
+            self._idle_ms = self.rng.choice((1500, 3000, 5000))
         elif what == 1:
-            self._timeout_factor = self._rng.choice(TIMEOUT_FACTORS)
+            self._timeout_factor = self.rng.choice(TIMEOUT_FACTORS)
         else:
             self._further_routes += 1
         await self._put_configuration()
@@ -250,7 +255,7 @@
     async def silence(self, share, seconds, services=("pool", "app")):
         """Suspend a share of the upstreams for some seconds."""
         upstreams = [u for u in self.upstreams if u.service in services]
-        chosen = self._rng.sample(upstreams, round(len(upstreams) * share))
+        chosen = self.rng.sample(upstreams, round(len(upstreams) * share))
         for upstream in chosen:
             upstream.suspend()
         await asyncio.sleep(seconds)
@@ -292,7 +297,7 @@
             at = began + number / REQUESTS_PER_SECOND
             await asyncio.sleep(max(at - loop.time(), 0.0))
             vm = ROUTERS[number % len(ROUTERS)]
-            name = self._rng.choices(names, weights)[0]
+            name = self.rng.choices(names, weights)[0]
             tasks.append(asyncio.create_task(self._send(vm, name)))
         await asyncio.gather(*tasks)
 
@@ -426,10 +431,10 @@
 async def _silence_repeatedly(fleet):
     for share in itertools.cycle((1.0, 0.6)):
         await asyncio.sleep(1.5)
-        await fleet.silence(share, fleet._rng.uniform(1.0, 1.3))
+        await fleet.silence(share, fleet.rng.uniform(1.0, 1.3))
 
 
-async def hushed(fleet):
+async def engines_suspended(fleet):
     """Let engines stand still four times, each as the configuration changes."""
     for share, seconds in ((1.0, 1.2), (0.6, 1.1), (1.0, 1.3), (0.6, 1.0)):
         await asyncio.sleep(2.4)
@@ -496,7 +501,7 @@
 SERIES = {
     series.__name__: series
     for series in (
-        hushed,
+        engines_suspended,
         in_series,
         killed_in_turn,
         all_killed,
@@ -520,7 +525,7 @@
 
 async def play(folder, name, mix, *, seconds=PLAY_SECONDS, **options):
     """Play one series; return the fleet, which has ended."""
-    fleet = HushedFleet(folder, MIXES[mix], **options)
+    fleet = SuspensionFleet(folder, MIXES[mix], **options)
     try:
         await fleet.start()
         await _run_beside(SERIES[name](fleet), fleet.send_all(seconds))
--- a/tests/test_silent_processes.py
+++ b/tests/test_silent_processes.py
@@ -8,8 +8,8 @@
 from lynxchute.standins.budget_rules import Received
 from lynxchute.standins.lost_answers import AnswerRules, Outcome
 from lynxchute.standins.upstream_run import Fault
-from tests.hushed_play import play
 from tests.support import AsyncTestCase
+from tests.suspension_play import play
 
 PLAY_SECONDS = 9.0
 PLAY_TIMEOUT = 90
@@ -109,8 +109,8 @@
 
     def test_routers_that_repeat_what_may_have_run_are_found(self):
         options = {"failed_share": 0.5, "fault": Fault.RESET}
-        self.check("twice", "repeat_what_may_have_run", "hushed", **options)
+        self.check("twice", "repeat_what_may_have_run", "engines_suspended", **options)
 
     def test_routers_that_answer_late_are_found(self):
         options = {"failed_share": 0.2, "fault": Fault.HANG}
-        self.check("late", "extend_deadlines", "hushed", **options)
+        self.check("late", "extend_deadlines", "engines_suspended", **options)
