--- a/lynxchute/fleet/client.py
+++ b/lynxchute/fleet/client.py
@@ -106,6 +106,7 @@
                 PREFIX + message.NAME,
                 to_json(message),
                 headers=[(SECRET_HEADER, self._secret())],
+                limit=message.MAX_REPLY_BYTES,
             )
             if status == 404:
                 raise MessageUnknown(f"{vm} does not know the message {message.NAME}")
--- a/lynxchute/fleet/message.py
+++ b/lynxchute/fleet/message.py
@@ -23,10 +23,13 @@
         The last part of the URL path that it is sent to.
     REPLY
         The class of the reply.
+    MAX_REPLY_BYTES
+        Largest size of the reply.
     """
 
     NAME: ClassVar[str]
     REPLY: ClassVar[type[Any]]
+    MAX_REPLY_BYTES: ClassVar[int] = 1_048_576
 
 
 @attrs.frozen
--- a/lynxchute/fleet/store_messages.py
+++ b/lynxchute/fleet/store_messages.py
@@ -9,6 +9,7 @@
 import attrs
 
 from lynxchute.fleet.message import Message
+from lynxchute.http.client import MAX_RESPONSE_BYTES
 from lynxchute.store import Expected, Put, Row, RowId, Write
 from lynxchute.store.era import era_of, join_version, number_of
 
@@ -182,6 +183,7 @@
 
     NAME = "store-scan"
     REPLY = StoreReply
+    MAX_REPLY_BYTES = MAX_RESPONSE_BYTES
 
     table: str
     part: str
@@ -202,6 +204,7 @@
 
     NAME = "store-changes"
     REPLY = StoreReply
+    MAX_REPLY_BYTES = MAX_RESPONSE_BYTES
 
     table: str
     after: int
--- a/lynxchute/http/client.py
+++ b/lynxchute/http/client.py
@@ -428,14 +428,21 @@
         *,
         headers: HeaderItems = (),
         timeouts: Timeouts | None = None,
+        limit: int = MAX_RESPONSE_BYTES,
     ) -> tuple[int, Any]:
-        """Post a JSON body; return the status and the decoded response."""
+        """Post a JSON body; return the status and the decoded response.
+
+        Parameters
+        ----------
+        limit
+            Largest size of the response in bytes.
+        """
         body = encode_json(value)
         head = [("Content-Type", "application/json"), *headers]
         response = await self.request(
             "POST", target, headers=head, body=body, timeouts=timeouts
         )
-        return response.status, await response.json()
+        return response.status, await response.json(limit)
 
     async def get_json(
         self,
