Remove an unused counter of a play, and name an attribute as it is

Found by a last reading of the change: nothing read the connections that the flooding upstream counted, and the play of suspended upstreams described an attribute under another name.

--- a/tests/flood_play.py
+++ b/tests/flood_play.py
@@ -93,7 +93,6 @@
         self.standin = PlatformUpstreamStandin(service, "a")
         self.flood, self.floods_reports = flood, floods_reports
         self.sent_bytes = 0
-        self.connections = 0
         self._server = None
         self._tasks = set()
 
@@ -105,7 +104,6 @@
     async def _accept(self, reader, writer):
         task = asyncio.current_task()
         self._tasks.add(task)
-        self.connections += 1
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
--- a/tests/suspension_play.py
+++ b/tests/suspension_play.py
@@ -140,8 +140,8 @@
         Folder of the routers' code; None for this one.
     mutant
         Name of what the routers do wrong; empty for nothing.
-    disturbed
-        When routers were killed, in seconds, by VM.
+    killed
+        When routers were killed or suspended, in seconds, by VM.
     """
 
     folder: pathlib.Path
