--- a/tests/flood_play.py
+++ b/tests/flood_play.py
@@ -22,12 +22,16 @@
 from lynxchute.fleet.registry import TABLE as FLEET_TABLE
 from lynxchute.http import ExchangeError, HttpClient, Timeouts
 from lynxchute.platform import names
+from lynxchute.standins.link import Partition
 from lynxchute.standins.platform_store import PlatformStoreStandin
 from lynxchute.standins.platform_upstream import PlatformUpstreamStandin
 from tests.platform_support import HOST, KEY, configuration, route
 from tests.router_process import RouterProcess
+from tests.soak.links import UpstreamLinks
 
 ROUTERS = ("a-1", "a-2")
+# In plays of tunnels it reaches all upstreams only through the other router.
+CUT_ROUTER = "a-1"
 PIECE_BYTES = 65_536
 MAX_LISTED = 5
 # Floods that run at a time on each route, and their callers' deadline in seconds.
@@ -206,12 +210,20 @@
 
 @attrs.define
 class FloodFleet:
-    """Two routers, sound upstreams, and others that flood."""
+    """Two routers, sound upstreams, and others that flood.
+
+    Attributes
+    ----------
+    has_tunnels
+        Whether `CUT_ROUTER` has lost its links to all upstreams.
+    """
 
     folder: pathlib.Path
     flood: str
     code: str | None = None
     link_mbps: float | None = None
+    has_tunnels: bool = False
+    links: UpstreamLinks | None = None
     routers: dict = attrs.Factory(dict)
     sound: list = attrs.Factory(list)
     flooding: list = attrs.Factory(list)
@@ -220,6 +232,17 @@
     _numbers: object = attrs.Factory(lambda: itertools.count(1))
 
     async def start(self, *, floods_reports=0):
+        await self._start_upstreams(floods_reports)
+        await self.store.configure(self._configuration())
+        if self.has_tunnels:
+            await self._start_links()
+        for vm in ROUTERS:
+            await self._start_router(vm)
+        await asyncio.gather(*(router.ready() for router in self.routers.values()))
+        if self.links is not None:
+            self.links.partition([CUT_ROUTER], Partition.REFUSE)
+
+    async def _start_upstreams(self, floods_reports):
         for service, events in (("app", 0), ("pool", 6)):
             upstream = PlatformUpstreamStandin(service, "a", events=events)
             await upstream.start()
@@ -237,17 +260,24 @@
             ]
         for upstream in self.flooding:
             await upstream.start(self.store)
-        await self.store.configure(self._configuration())
-        for vm in ROUTERS:
-            store = FloodingStore(await self.store.open_port(), self.flood)
-            await store.start()
-            self.stores.append(store)
-            process = RouterProcess(self.folder, vm, store.port, code=self.code)
-            if self.link_mbps is not None:
-                process.settings["limits"]["link_mbps"] = self.link_mbps
-            self.routers[vm] = process
-            await process.start()
-        await asyncio.gather(*(router.ready() for router in self.routers.values()))
+
+    async def _start_links(self):
+        self.links = UpstreamLinks(self.folder, ROUTERS)
+        for standin in (*self.sound, *(u.standin for u in self.flooding)):
+            await self.links.add(standin.address)
+
+    async def _start_router(self, vm):
+        store = FloodingStore(await self.store.open_port(), self.flood)
+        await store.start()
+        self.stores.append(store)
+        process = RouterProcess(self.folder, vm, store.port, code=self.code)
+        if self.links is not None:
+            process.module = "tests.linked_router"
+            process.links_file = self.links.file(vm)
+        if self.link_mbps is not None:
+            process.settings["limits"]["link_mbps"] = self.link_mbps
+        self.routers[vm] = process
+        await process.start()
 
     def _configuration(self):
         document = configuration()
@@ -346,6 +376,8 @@
             await router.kill()
         for upstream in [*self.sound, *self.flooding, *self.stores]:
             await upstream.stop()
+        if self.links is not None:
+            await self.links.stop()
         await self.store.close()
 
 
@@ -459,6 +491,7 @@
     stores: bool = False,
     unread: bool = False,
     link_mbps: float | None = None,
+    tunnels: bool = False,
 ) -> None:
     """Play floods one after another, and print a line of JSON for each.
 
@@ -478,6 +511,8 @@
         Whether the callers of flooded requests read nothing but the head.
     link_mbps
         What the routers' settings say of their links, in Mbit/s.
+    tunnels
+        Whether a router reaches all upstreams only through the other one.
     """
     for flood in floods or FLOODS_BY_NAME:
         with tempfile.TemporaryDirectory() as folder:
@@ -491,6 +526,7 @@
                     is_read=not unread,
                     code=code,
                     link_mbps=link_mbps,
+                    has_tunnels=tunnels,
                 )
             )
         print(json.dumps(result.summary()), flush=True)
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -162,6 +162,22 @@
         self.assertLess(max(s for _, _, s in found.bad), FLOOD_SECONDS + 0.5)
 
 
+class TunnelFloodTest(FloodTestCase):
+    """Guards against a router that refuses callers as it forwards a flood."""
+
+    def test_chunks_without_end_through_another_router(self):
+        self.check(self.play("chunked", has_tunnels=True))
+
+    def test_events_without_end_through_another_router(self):
+        self.check(self.play("events", has_tunnels=True))
+
+    def test_events_that_a_caller_does_not_read_through_another_router(self):
+        self.check(self.play("events", has_tunnels=True, is_read=False))
+
+    def test_tiny_chunks_without_end_through_another_router(self):
+        self.check(self.play("tiny", has_tunnels=True))
+
+
 class ReportFloodTest(FloodTestCase):
     """Guards against memory that load reports without end take."""
 
