Count floods that are forwarded in the share of large answers

What callers saw: a router that forwards an answer without end for another router took no connections while it lasted and for a second after it.

Cause: LinkShare limits large answers to half of the link, but only those of the router's own callers. Bytes of a tunnel were read and written as fast as the other router takes them, which is half of that router's link; together with own large answers the forwarding router's link was full.

Change: one LinkShare for all large answers of a router. A tunnel reads no further from its upstream while the share of an answer's bytes is used up; a new request through the tunnel begins a new answer. Flow control and pacing each hold the reading by themselves.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -218,11 +218,13 @@
         self.peer_server = PeerServer(lambda: self.registry.secret, meter)
         store.serve(self.peer_server)
         self.registry.serve(self.peer_server)
+        link_share = LinkShare(settings.link_mbps)
         self.tunnels = TunnelServer(
             self.directory,
             self.clients,
             self.load,
             meter,
+            link_share,
             self.metrics,
             lambda: self.is_stopping,
         )
@@ -434,7 +436,7 @@
             self.origins,
             self.metrics,
             steady_seconds,
-            LinkShare(settings.link_mbps),
+            link_share,
             durations,
         )
         self.memory_guard = None
--- a/lynxchute/tunnels/server.py
+++ b/lynxchute/tunnels/server.py
@@ -9,7 +9,13 @@
 from lynxchute.application import Component
 from lynxchute.clock import steady_seconds
 from lynxchute.fleet.server import PeerServer
-from lynxchute.http import CallerDisconnected, LinkMeter, Request, Responder
+from lynxchute.http import (
+    CallerDisconnected,
+    LinkMeter,
+    LinkShare,
+    Request,
+    Responder,
+)
 from lynxchute.http.patience import lag_tolerant_wait
 from lynxchute.http.sockets import apply_options
 from lynxchute.relay.load import RouterLoad
@@ -45,6 +51,8 @@
         Address of the upstream, as registered.
     meter
         Counts the traffic on the VM's link.
+    link_share
+        Limits large answers to a share of the VM's link.
     on_end
         Called when the tunnel has ended.
     on_backoff
@@ -56,12 +64,14 @@
         origin: str,
         address: str,
         meter: LinkMeter,
+        link_share: LinkShare,
         on_end: Callable[[Tunnel], None],
         on_backoff: Callable[[str, float], None],
     ) -> None:
         self.origin = origin
         self.address = address
         self.meter = meter
+        self.link_share = link_share
         self.origin_side = OriginSide(self)
         self.upstream_side = UpstreamSide(self)
         self._on_end = on_end
@@ -134,15 +144,21 @@
 
     def pause_writing(self) -> None:
         """Stop reading from the other side."""
-        other = self._other.transport
-        if other is not None and not other.is_closing():
-            other.pause_reading()
+        self._other.pause_reading()
 
     def resume_writing(self) -> None:
         """Read from the other side again."""
-        other = self._other.transport
-        if other is not None and not other.is_closing():
-            other.resume_reading()
+        self._other.resume_reading()
+
+    def pause_reading(self) -> None:
+        """Read no more until it is resumed."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read again."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
 
     def write(self, data: bytes) -> None:
         """Write bytes unless the connection has ended."""
@@ -180,6 +196,7 @@
 
     def _handle_frame(self, frame: Frame) -> None:
         if frame.kind is FrameKind.DATA:
+            self._tunnel.upstream_side.begin_answer()
             self._other.write(frame.payload)
         elif frame.kind is FrameKind.BACKOFF:
             self._tunnel.record_backoff(frame.payload)
@@ -198,11 +215,19 @@
     def __init__(self, tunnel: Tunnel) -> None:
         super().__init__(tunnel)
         self._has_ended = False
+        self._answer_bytes = 0
+        # Reading waits for the other router, and for the share of the link.
+        self._is_held = False
+        self._is_paced = False
 
     @property
     def _other(self) -> _Side:
         return self._tunnel.origin_side
 
+    def begin_answer(self) -> None:
+        """Count the bytes that follow as those of another answer."""
+        self._answer_bytes = 0
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the other connection before reading."""
         super().connection_made(transport)
@@ -213,6 +238,32 @@
         """Pass bytes on to the other router."""
         self._tunnel.meter.record_received(len(data))
         self._other.write(encode_data(data))
+        self._answer_bytes += len(data)
+        if self._answer_bytes > self._tunnel.link_share.large_bytes:
+            self._pace(self._tunnel.link_share.reserve(len(data)))
+
+    def pause_reading(self) -> None:
+        """Read no more until the other router takes more."""
+        self._is_held = True
+        super().pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read again, as far as the share of the link permits."""
+        self._is_held = False
+        if not self._is_paced:
+            super().resume_reading()
+
+    def _pace(self, seconds: float) -> None:
+        if seconds <= 0.0:
+            return
+        self._is_paced = True
+        super().pause_reading()
+        asyncio.get_running_loop().call_later(seconds, self._end_pace)
+
+    def _end_pace(self) -> None:
+        self._is_paced = False
+        if not self._is_held:
+            super().resume_reading()
 
     def eof_received(self) -> bool:
         """Tell the other router that the upstream has closed in order."""
@@ -241,6 +292,8 @@
         Tells whether this router itself is overloaded.
     meter
         Counts the traffic on the VM's link.
+    link_share
+        Limits large answers to a share of the VM's link.
     metrics
         Counts tunnels by outcome.
     is_stopping
@@ -253,6 +306,7 @@
         clients: UpstreamClients,
         load: RouterLoad,
         meter: LinkMeter,
+        link_share: LinkShare,
         metrics: Metrics,
         is_stopping: Callable[[], bool],
     ) -> None:
@@ -260,6 +314,7 @@
         self._clients = clients
         self._load = load
         self._meter = meter
+        self._link_share = link_share
         self._metrics = metrics
         self._is_stopping = is_stopping
         self._tunnels: set[Tunnel] = set()
@@ -290,7 +345,12 @@
         origin = request.headers.get(ORIGIN_HEADER.lower(), "")
         refusal = self._refusal(address)
         tunnel = Tunnel(
-            origin, address, self._meter, self._discard, self._record_backoff
+            origin,
+            address,
+            self._meter,
+            self._link_share,
+            self._discard,
+            self._record_backoff,
         )
         if refusal is None:
             self._opening += 1
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -7,7 +7,7 @@
 import testtools
 
 from lynxchute.clock import steady_seconds
-from lynxchute.http import ExchangeError
+from lynxchute.http import ExchangeError, LinkShare
 from lynxchute.http.link_meter import UNLIMITED_LINK
 from lynxchute.standins.link import Direction, Partition
 from lynxchute.standins.platform_store import Outage
@@ -409,6 +409,7 @@
                 clients,
                 load,
                 UNLIMITED_LINK,
+                LinkShare(1000.0),
                 Metrics(),
                 lambda: is_stopping,
             )
