Pace streams from a quarter of a megabyte on

What callers saw: beside the start of several streams without end, one of 40 sound requests was refused with 503 as the link was full, in 2 of 48 tests that ran six at a time on eight cores.

Cause: each stream may send a megabyte before it is paced. Eight that begin together, half of them forwarded and so counted twice, fill a link of 1000 Mbit/s for 0.15 s, from where a router takes no connections.

Change: streams and answers in tunnels are paced from 256 KB on. On a link of 1000 Mbit/s a stream of a megabyte takes 12 ms longer; on slow links the limit was lower already.

Evidence: test_events_without_end_through_another_router, six at a time: 0 of 18 red (18 of 18 served 40 of 40 beside and after).

--- a/lynxchute/http/link_share.py
+++ b/lynxchute/http/link_share.py
@@ -11,7 +11,7 @@
 # answers of the usual size, which must not wait behind them.
 LARGE_SHARE = 0.5
 # An answer is large from as many bytes on, or as the link carries in as many seconds.
-LARGE_BYTES = 1_048_576
+LARGE_BYTES = 262_144
 LARGE_SECONDS = 0.25
 # Seconds of the link's capacity that are written at once.
 PIECE_SECONDS = 0.02
