Show requests that hang where links refuse new connections

What callers saw: no answer for 30 s.

Hypotheses: (1) no permit; (2) nothing ever gives such a send up: the path is lost by a refused connection, so open ones count as sound, and probes go through another router and are answered, so the upstream does not count as silent. The new test tells them apart, as it needs few permits: red in three of three for "hang, refuse", and green for "hang".

Ruled out: TCP. The stand-in's links acknowledge what they hold back, as a proxy between or a suspended process does, so that TCP's own timeout of 2.5 s never passes.

--- a/tests/test_lost_upstream_links.py
+++ b/tests/test_lost_upstream_links.py
@@ -15,6 +15,11 @@
 # A partition may take this many seconds to be noticed.
 NOTICE_SECONDS = 3.0
 MEASURED_SECONDS = 3.0
+# Requests of each router that are under way on connections that hang.
+HUNG_REQUESTS = 3
+# Seconds within which these must be answered: TCP gives such a connection up after 2.5,
+# and a request then needs another attempt.
+HUNG_SECONDS = 4.0
 # First tries at routers that are cut off must be served nearly as often as at the
 # others.
 MIN_SHARE = 0.95
@@ -117,3 +122,23 @@
                 await deployment.restore(vms)
 
         with_deployment(self, scenario)
+
+    def check_hung(self, how):
+        """Check that requests on connections that hang are answered elsewhere."""
+
+        async def scenario(deployment):
+            vms = [vm for vm in deployment.routers_by_vm if vm.startswith("kyu-a")]
+            callers = [Caller(deployment, vm) for vm in vms] * HUNG_REQUESTS
+            await asyncio.gather(*(caller.ask(question()) for caller in callers))
+            deployment.partition(vms, how)
+            async with asyncio.timeout(HUNG_SECONDS):
+                found = await asyncio.gather(*(c.ask(question()) for c in callers))
+            self.assertEqual([200] * len(callers), [status for status, *_ in found])
+
+        with_deployment(self, scenario)
+
+    def test_requests_on_connections_that_hang_are_answered_elsewhere(self):
+        self.check_hung(Partition.HANG)
+
+    def test_requests_on_hanging_connections_are_answered_where_new_ones_fail(self):
+        self.check_hung(Partition.HANG_REFUSE)
