--- a/tests/late_stop_play.py
+++ b/tests/late_stop_play.py
@@ -18,14 +18,18 @@
 
 from lynxchute.event_loop import run as run_loop
 from lynxchute.http import ExchangeError, HttpClient, Timeouts
+from lynxchute.standins.link import Partition
 from lynxchute.standins.lost_answers import AnswerRules, Outcome
 from lynxchute.standins.platform_store import Outage, PlatformStoreStandin
 from lynxchute.standins.platform_upstream import PlatformUpstreamStandin
 from tests.platform_support import HOST, KEY, configuration, route
 from tests.router_process import RouterProcess
+from tests.soak.links import UpstreamLinks
 
 STOPPED = "a-1"
 OTHERS = ("a-2", "a-3", "b-1", "b-2", "b-3")
+# In the play of tunnels it reaches all upstreams only through the router that stops.
+CUT_ROUTER = "a-2"
 GRACE_SECONDS = 8
 # Seconds after the signal for which callers go on.
 PLAY_SECONDS = GRACE_SECONDS + 0.5
@@ -55,9 +59,22 @@
     store: PlatformStoreStandin = attrs.field(factory=PlatformStoreStandin)
     stopped_at: float = 0.0
     store_ports: dict = attrs.Factory(dict)
+    links: UpstreamLinks | None = None
     _numbers: object = attrs.Factory(lambda: itertools.count(1))
 
-    async def start(self, vms=(STOPPED, *OTHERS)):
+    async def start(self, vms=(STOPPED, *OTHERS), *, has_tunnels=False):
+        await self._start_upstreams()
+        if has_tunnels:
+            self.links = UpstreamLinks(self.folder, vms)
+            for upstream in self.upstreams:
+                await self.links.add(upstream.address)
+        for vm in vms:
+            await self._start_router(vm)
+        await asyncio.gather(*(router.ready() for router in self.routers.values()))
+        if self.links is not None:
+            self.links.partition([CUT_ROUTER], Partition.REFUSE)
+
+    async def _start_upstreams(self):
         for service, seconds in SECONDS_BY_SERVICE.items():
             for data_centre in ("a", "b"):
                 upstream = PlatformUpstreamStandin(
@@ -80,15 +97,16 @@
                 )
             )
         await self.store.configure(document)
-        for vm in vms:
-            self.store_ports[vm] = await self.store.open_port()
-            process = RouterProcess(
-                self.folder, vm, self.store_ports[vm], code=self.code
-            )
-            process.settings["bounds"]["grace_s"] = GRACE_SECONDS
-            self.routers[vm] = process
-            await process.start()
-        await asyncio.gather(*(router.ready() for router in self.routers.values()))
+
+    async def _start_router(self, vm):
+        self.store_ports[vm] = await self.store.open_port()
+        process = RouterProcess(self.folder, vm, self.store_ports[vm], code=self.code)
+        process.settings["bounds"]["grace_s"] = GRACE_SECONDS
+        if self.links is not None:
+            process.module = "tests.linked_router"
+            process.links_file = self.links.file(vm)
+        self.routers[vm] = process
+        await process.start()
 
     def silence_store(self):
         """Let the store answer nothing to the router that stops."""
@@ -103,21 +121,21 @@
         self.stopped_at = asyncio.get_running_loop().time()
         self.routers[STOPPED].send_signal(signal.SIGTERM)
 
-    async def send_until(self, end, service):
+    async def send_until(self, end, service, vm=STOPPED):
         """Send requests one after another on one connection, renewed if it ends."""
         loop = asyncio.get_running_loop()
-        address = f"127.0.0.1:{self.routers[STOPPED].ports['front']}"
+        address = f"127.0.0.1:{self.routers[vm].ports['front']}"
         client = HttpClient(address, timeouts=CALLER_TIMEOUTS)
         while loop.time() < end:
-            await self._send(client, service)
+            await self._send(client, service, vm)
             await asyncio.sleep(PAUSE_SECONDS)
         client.close()
 
-    async def _send(self, client, service):
+    async def _send(self, client, service, vm):
         loop = asyncio.get_running_loop()
         outcome = Outcome(
             f"s{next(self._numbers)}",
-            STOPPED,
+            vm,
             loop.time(),
             ROUTE_TIMEOUT,
             ROUTE_TIMEOUT,
@@ -177,6 +195,8 @@
             await router.kill()
         for upstream in self.upstreams:
             await upstream.stop()
+        if self.links is not None:
+            await self.links.stop()
         await self.store.close()
 
 
@@ -194,6 +214,10 @@
     fleet.suspend_others()
 
 
+def forwarding(fleet):
+    """Let the router that stops be the only one that reaches upstreams."""
+
+
 def all_silent(fleet):
     """Let neither the store nor other routers answer."""
     fleet.silence_store()
@@ -201,7 +225,8 @@
 
 
 STOPS = {
-    stop.__name__: stop for stop in (calm, silent_store, silent_routers, all_silent)
+    stop.__name__: stop
+    for stop in (calm, silent_store, silent_routers, all_silent, forwarding)
 }
 
 
@@ -209,12 +234,18 @@
     """Play one stop; return the fleet, which has ended."""
     fleet = StopFleet(folder, code)
     try:
-        await fleet.start()
+        vms = (STOPPED,)
+        if name == forwarding.__name__:
+            vms = (STOPPED, CUT_ROUTER)
+            await fleet.start(vms, has_tunnels=True)
+        else:
+            await fleet.start()
         loop = asyncio.get_running_loop()
         end = loop.time() + 1.5 + PLAY_SECONDS
         callers = [
-            asyncio.create_task(fleet.send_until(end, service))
+            asyncio.create_task(fleet.send_until(end, service, vm))
             for service in services
+            for vm in vms
             for _ in range(CALLERS)
         ]
         await asyncio.sleep(1.5)
--- a/tests/test_late_stops.py
+++ b/tests/test_late_stops.py
@@ -204,3 +204,6 @@
 
     def test_a_stop_beside_a_store_and_routers_that_are_silent(self):
         self.check("all_silent")
+
+    def test_a_stop_of_the_only_router_that_reaches_upstreams(self):
+        self.check("forwarding")
