Move requests whose connections hang where new ones are refused

What callers saw: no answer until the end of their request's time, 60 s by default, if their router's links kept open connections without carrying anything and refused new ones.

Cause: open connections count as hanging only where new ones hang. Where these are refused, the path is lost, probes go through another router and are answered, so that neither the path nor the upstream's silence gave such a send up. Only TCP's timeout could, which never passes if somebody between acknowledges what is sent.

Change: on a lost path a direct send that may be repeated is moved after 2.5 s without a byte, the time that TCP waits, also where only new connections fail. It is moved as any silent send: with a permit, an attempt and a place elsewhere secured first. Calls that may not be repeated stay, as before.

Price: on a lost path whose open connections work, an answer that sends nothing for 2.5 s is begun a second time elsewhere. Open: without a permit a request waits for one.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -352,7 +352,7 @@
             self.directory,
             self.metrics,
             steady_seconds,
-            silence.give_up_direct_sends,
+            lambda address, hangs: silence.give_up_direct_sends(address, hangs=hangs),
         )
         backpressure = BackpressureWatch(
             self.directory, engines, rules.rates, rules.rank, steady_seconds
--- a/lynxchute/tunnels/watch.py
+++ b/lynxchute/tunnels/watch.py
@@ -38,8 +38,9 @@
         Shows how many paths are lost.
     clock
         Seconds on the steady clock.
-    on_hanging
-        Called repeatedly with an address whose open connections seem to hang.
+    on_lost
+        Called repeatedly with an address that only other routers reach, and whether
+        its open connections seem to hang.
     """
 
     def __init__(
@@ -48,7 +49,7 @@
         directory: Directory,
         metrics: Metrics,
         clock: Callable[[], float],
-        on_hanging: Callable[[str], None],
+        on_lost: Callable[[str, bool], None],
     ) -> None:
         self.tasks = Tasks()
         self.loop = PeriodicTask("paths", self._step, STEP_SECONDS, self._is_due)
@@ -56,7 +57,7 @@
         self._directory = directory
         self._metrics = metrics
         self._clock = clock
-        self._on_hanging = on_hanging
+        self._on_lost = on_lost
         self._checks = asyncio.Semaphore(MAX_CHECKS)
         self._checking: set[str] = set()
         self._lost_since: dict[str, float] = {}
@@ -124,8 +125,8 @@
             if not paths.is_lost(address):
                 # The upstream is gone, or its process has restarted.
                 self._lost_since.pop(address, None)
-            elif paths.is_hanging(address):
-                self._on_hanging(address)
+            elif paths.state(address) is PathState.LOST:
+                self._on_lost(address, paths.is_hanging(address))
         for address in paths.checks_due(now):
             # The client may have been dropped while its last attempt was under way.
             client = self._clients.get(address)
--- a/lynxchute/upstreams/silence.py
+++ b/lynxchute/upstreams/silence.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 
 from lynxchute.application import PeriodicTask, Tasks
+from lynxchute.http.sockets import DEFAULT_OPTIONS
 from lynxchute.reachability import Reachability
 from lynxchute.telemetry import log_event
 from lynxchute.upstreams.directory import Directory
@@ -38,6 +39,10 @@
 # Seconds of silence on a lost path after which an answer that has begun is given up; it
 # is longer than the pause between two events.
 LOST_PATH_SILENT_SECONDS = 0.5
+# The same on a path on which only new connections fail, and for answers that have not
+# begun as well. TCP gives a connection that hangs up after as long, but only if nobody
+# between acknowledges what is sent.
+KEPT_CONNECTION_SILENT_SECONDS = DEFAULT_OPTIONS.user_timeout_ms / 1000.0
 # Upstreams that are probed, the last heard first, until one answers.
 MAX_ALTERNATIVES = 3
 
@@ -264,18 +269,27 @@
             return True
         return False
 
-    def give_up_direct_sends(self, address: str) -> None:
-        """Cancel silent sends on direct connections to an address, as these hang."""
+    def give_up_direct_sends(self, address: str, *, hangs: bool) -> None:
+        """Cancel silent sends on direct connections to an address whose path is lost.
+
+        Parameters
+        ----------
+        hangs
+            Whether new connections hang, so that open ones do too.
+        """
         now = self._clock()
         for entry in self._directory.at_address(address):
             sends = []
             for send in entry.open_sends:
                 if send.handle.is_tunnelled:
                     continue
-                silent_seconds = now - send.heard_at
-                if send.answering_since is None or (
-                    silent_seconds >= LOST_PATH_SILENT_SECONDS
-                ):
+                if not hangs:
+                    silence = KEPT_CONNECTION_SILENT_SECONDS
+                elif send.answering_since is None:
+                    silence = 0.0
+                else:
+                    silence = LOST_PATH_SILENT_SECONDS
+                if now - send.heard_at >= silence:
                     sends.append(send)
             self._move_sends(entry, sends, reason="path to upstream lost")
 
