Do not send what was given up while its connection was made

What callers saw: 502, "may have run", for requests that had been given up before they left, and one of the attempts of their route used.

Cause: giving a send up aborts its connection. While there is none yet, only a flag was set, and it was read once the answer's head had come: the request left, ran, and its answer was dropped.

Change: the flag is read just before the first byte. The send then counts as not sent, so that the request goes on elsewhere without an attempt or a permit, and "not run" is true.

--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -585,6 +585,8 @@
             return self._dialect.upstream_headers(call, parameters)
 
         def before_send() -> None:
+            if send.is_cancelled:
+                raise ExchangeError(GIVEN_UP, sent=False)
             withheld = self._gate.withheld_reason(
                 entry,
                 cold_permit_until=choice.cold_permit_until,
--- a/tests/suspension_play.py
+++ b/tests/suspension_play.py
@@ -23,12 +23,14 @@
 from lynxchute.event_loop import run as run_loop
 from lynxchute.http import ExchangeError, HttpClient, Timeouts
 from lynxchute.standins.budget_rules import BudgetRules, Sent
+from lynxchute.standins.link import Partition
 from lynxchute.standins.lost_answers import AnswerRules, Outcome
 from lynxchute.standins.platform_store import PlatformStoreStandin
 from lynxchute.standins.upstream_run import Fault
 from tests.mutant_router import MUTANT_VARIABLE
 from tests.platform_support import HOST, KEY, configuration, route
 from tests.router_process import RouterProcess
+from tests.soak.links import UpstreamLinks
 from tests.upstream_process import UpstreamProcess
 
 BOUNDS = DeploymentBounds(retry_extra=56.0)
@@ -43,6 +45,13 @@
 CALLERS_PER_ROUTER = 24
 # Seconds after a router was killed or suspended for which nothing is asked of it.
 DISTURBED_SECONDS = 3.0
+# Ways in which a router may lose its links without the end of any open answer.
+QUIET_PARTITIONS = (
+    Partition.HANG,
+    Partition.HANG_REFUSE,
+    Partition.KEEP_REFUSE,
+    Partition.SILENT,
+)
 # Factors by which configurations extend the timeouts of routes.
 TIMEOUT_FACTORS = (1.0, 1.2, 1.5)
 CALLER_TIMEOUTS = Timeouts(connect=2.0, first_byte=20.0, between_bytes=20.0)
@@ -140,6 +149,8 @@
         Folder of the routers' code; None for this one.
     mutant
         Name of what the routers do wrong; empty for nothing.
+    has_links
+        Whether routers have links of their own to upstreams, which can be lost.
     killed
         When routers were killed or suspended, in seconds, by VM.
     """
@@ -150,6 +161,8 @@
     mutant: str = ""
     failed_share: float | None = None
     fault: Fault = Fault.FAIL
+    has_links: bool = False
+    links: UpstreamLinks | None = None
     sent_by_id: dict = attrs.Factory(dict)
     outcomes: list = attrs.Factory(list)
     killed: dict = attrs.field(factory=lambda: collections.defaultdict(list))
@@ -171,6 +184,10 @@
 
     async def start(self):
         self._make_upstreams()
+        if self.has_links:
+            self.links = UpstreamLinks(self.folder, ROUTERS)
+            for upstream in self.upstreams:
+                await self.links.add(upstream.standin.address)
         await asyncio.gather(*(u.start(self.store) for u in self.upstreams))
         await self._put_configuration()
         for vm in ROUTERS:
@@ -216,6 +233,9 @@
         bounds = process.settings["bounds"]
         bounds["retry_budget_extra"] = BOUNDS.retry_extra
         bounds["grace_s"] = GRACE_SECONDS
+        if self.links is not None:
+            process.module = "tests.linked_router"
+            process.links_file = self.links.file(vm)
         if self.mutant:
             process.module = "tests.mutant_router"
             process.environment[MUTANT_VARIABLE] = self.mutant
@@ -262,6 +282,12 @@
         for upstream in chosen:
             upstream.resume()
 
+    async def lose_links(self, vms, how, seconds):
+        """Cut routers off from all upstreams for some seconds."""
+        self.links.partition(vms, how)
+        await asyncio.sleep(seconds)
+        await self.links.restore(vms)
+
     def record_killed(self, vm):
         self.killed[vm].append(asyncio.get_running_loop().time())
 
@@ -409,16 +435,29 @@
             "retries of permitted": peaks,
             "configurations": self.configurations,
             "requests": len(self.outcomes),
+            "seconds, 99 in 100": self._slow_seconds(),
             "statuses": {
                 str(status): n for status, n in sorted(statuses.items(), key=str)
             },
             "violations": self.violations(),
         }
 
+    def _slow_seconds(self):
+        """Return the seconds within which nearly all answers ended, by status."""
+        seconds_by_status = collections.defaultdict(list)
+        for outcome in self.outcomes:
+            seconds_by_status[outcome.status].append(outcome.seconds)
+        return {
+            str(status): round(sorted(found)[int(len(found) * 0.99)], 2)
+            for status, found in sorted(seconds_by_status.items())
+        }
+
     async def stop(self):
         for router in self.routers.values():
             await router.kill()
         await asyncio.gather(*(upstream.stop() for upstream in self.upstreams))
+        if self.links is not None:
+            await self.links.stop()
         await self.store.close()
 
 
@@ -498,6 +537,24 @@
     await asyncio.gather(in_series(fleet), stop())
 
 
+async def links_lost(fleet):
+    """Let some routers lose their links, beside configurations."""
+
+    async def lose():
+        for how in itertools.cycle(QUIET_PARTITIONS):
+            await asyncio.sleep(1.0)
+            vms = fleet.rng.sample(ROUTERS, fleet.rng.choice((1, 2, 4)))
+            await fleet.lose_links(vms, how, fleet.rng.uniform(1.0, 3.0))
+
+    await asyncio.gather(_configure_repeatedly(fleet), lose())
+
+
+async def links_lost_in_series(fleet):
+    """Lose links beside silence, configurations, and routers that stop in order."""
+    await asyncio.gather(links_lost(fleet), stopped_in_turn(fleet))
+
+
+LINK_SERIES = (links_lost, links_lost_in_series)
 SERIES = {
     series.__name__: series
     for series in (
@@ -507,6 +564,7 @@
         all_killed,
         stopped_in_turn,
         stopped_two_at_a_time,
+        *LINK_SERIES,
     )
 }
 
@@ -525,7 +583,8 @@
 
 async def play(folder, name, mix, *, seconds=PLAY_SECONDS, **options):
     """Play one series; return the fleet, which has ended."""
-    fleet = SuspensionFleet(folder, MIXES[mix], **options)
+    has_links = SERIES[name] in LINK_SERIES
+    fleet = SuspensionFleet(folder, MIXES[mix], has_links=has_links, **options)
     try:
         await fleet.start()
         await _run_beside(SERIES[name](fleet), fleet.send_all(seconds))
