Keep sends that have no connection yet as their path is lost

What callers saw: a retry, its permit and one of two attempts used for requests that were about to leave through another router.

Cause: as a path is lost, silent sends on direct connections to it are given up. A send whose connection was still being made counted as one of these, though the tunnel that is tried beside a direct attempt may connect a moment later, and the attempt has a timeout of its own.

Change: a send without a connection is kept.

Evidence: test_a_send_without_a_connection_is_kept red 3 of 3 before; direct sends are given up as before, tunnelled ones kept (tests beside it).

--- a/lynxchute/upstreams/silence.py
+++ b/lynxchute/upstreams/silence.py
@@ -281,7 +281,7 @@
         for entry in self._directory.at_address(address):
             sends = []
             for send in entry.open_sends:
-                if send.handle.is_tunnelled:
+                if send.handle.connection is None or send.handle.is_tunnelled:
                     continue
                 if not hangs:
                     silence = KEPT_CONNECTION_SILENT_SECONDS
