--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -38,6 +38,8 @@
 # Bytes a second and seconds of a flood, and of a link of a megabyte a second.
 FLOOD_RATE = 60_000_000
 LINK_MBPS = 8.0
+# A slow link of a small site.
+SLOW_LINK_MBPS = 5.0
 STEP_SECONDS = 0.01
 
 
@@ -126,6 +128,9 @@
     def test_a_body_that_ends_with_its_connection(self):
         self.check(self.play("close"))
 
+    def test_events_without_end_on_a_slow_link(self):
+        self.check(self.play("events", link_mbps=SLOW_LINK_MBPS))
+
     def test_events_without_end_that_a_caller_does_not_read(self):
         self.check(self.play("events", is_read=False))
 
@@ -171,6 +176,10 @@
     def test_events_without_end_through_another_router(self):
         self.check(self.play("events", has_tunnels=True))
 
+    def test_events_without_end_through_another_router_on_slow_links(self):
+        play = self.play("events", has_tunnels=True, link_mbps=SLOW_LINK_MBPS)
+        self.check(play)
+
     def test_events_that_a_caller_does_not_read_through_another_router(self):
         self.check(self.play("events", has_tunnels=True, is_read=False))
 
