Write large streams in small pieces, and pace them by their rate

What callers saw: beside events without end, routers with links of 5 Mbit/s refused most sound requests.

Cause: events were written as they had been read, up to 256 KB at a time, and the wait came afterwards: 0.4 s of such a link for each stream. And each answer might send a quarter of a second of the link before it counted as large, by its whole length, which a long sound stream reaches as well.

Change: a stream, or an answer in a tunnel, counts as large while it sends faster than a small one may (a burst of 0.01 s of the link, then 0.5% of it and at least 16 KB a second). What is large is held and written in pieces of 0.02 s of the link, each when the share permits. Tunnels read from upstreams in pieces of that size. The length of a stream no longer matters.

The test through tunnels on slow links stays listed: 7 of 9 red for one or two requests as the floods begin. Modules of floods, tunnels, lost links, streams, relays, HTTP, load, silence, stops and suspended processes: 293 passed, 0 failed.

--- a/lynxchute/http/link_share.py
+++ b/lynxchute/http/link_share.py
@@ -10,12 +10,16 @@
 # Share of the link's capacity that all large answers together may use. The rest is for
 # answers of the usual size, which must not wait behind them.
 LARGE_SHARE = 0.5
-# An answer is large from as many bytes on, or as the link carries in as many seconds.
-LARGE_BYTES = 262_144
-LARGE_SECONDS = 0.25
 # Seconds of the link's capacity that are written at once.
 PIECE_SECONDS = 0.02
-MIN_PIECE_BYTES = 4096
+MIN_PIECE_BYTES, MAX_PIECE_BYTES = 4096, 65_536
+# Seconds of the link's capacity that an answer may send at once before it counts as
+# large, and the share of the capacity at which it may go on as a small one, with the
+# least bytes a second: events of a stream are text that somebody reads.
+BURST_SECONDS = 0.01
+MIN_BURST_BYTES, MAX_BURST_BYTES = 4096, 262_144
+SMALL_SHARE = 0.005
+MIN_SMALL_BYTES_PER_S = 16_384
 
 
 class LinkShare:
@@ -32,8 +36,8 @@
 
     Attributes
     ----------
-    large_bytes
-        Bytes from which on an answer is large.
+    piece_bytes
+        Bytes that should be written at once.
 
     Examples
     --------
@@ -48,12 +52,21 @@
         self, mbps: float, clock: Callable[[], float] = steady_seconds
     ) -> None:
         bytes_per_s = mbps * 1e6 / 8
-        self.large_bytes = min(LARGE_BYTES, round(bytes_per_s * LARGE_SECONDS))
+        self.piece_bytes = _between(
+            MIN_PIECE_BYTES, bytes_per_s * PIECE_SECONDS, MAX_PIECE_BYTES
+        )
+        self._burst_bytes = _between(
+            MIN_BURST_BYTES, bytes_per_s * BURST_SECONDS, MAX_BURST_BYTES
+        )
+        self._small_bytes_per_s = max(bytes_per_s * SMALL_SHARE, MIN_SMALL_BYTES_PER_S)
         self._bytes_per_s = bytes_per_s * LARGE_SHARE
-        self._piece_bytes = max(round(bytes_per_s * PIECE_SECONDS), MIN_PIECE_BYTES)
         self._clock = clock
         self._free_at = 0.0
 
+    def answer_size(self) -> AnswerSize:
+        """Return what tells whether an answer that begins now is large."""
+        return AnswerSize(self._burst_bytes, self._small_bytes_per_s, self._clock)
+
     def reserve(self, size: int) -> float:
         """Return the seconds until a part of a large answer may be written."""
         now = self._clock()
@@ -61,11 +74,61 @@
         self._free_at = begins_at + size / self._bytes_per_s
         return begins_at - now
 
+    def backlog(self) -> float:
+        """Return the seconds until the next part of a large answer may be written."""
+        return max(self._free_at - self._clock(), 0.0)
+
     async def wait(self, size: int) -> None:
         """Wait until a part of a large answer may be written."""
         await asyncio.sleep(self.reserve(size))
 
     def pieces(self, data: bytes) -> Iterator[bytes]:
         """Yield parts of a large answer that may be written one after another."""
-        for start in range(0, len(data), self._piece_bytes):
-            yield data[start : start + self._piece_bytes]
+        for start in range(0, len(data), self.piece_bytes):
+            yield data[start : start + self.piece_bytes]
+
+
+class AnswerSize:
+    """Tells which parts of an answer are those of a large one.
+
+    A stream may last long and send little at a time; its length makes no answer large.
+
+    Parameters
+    ----------
+    burst_bytes
+        Bytes that a small answer may send at once.
+    bytes_per_s
+        Bytes a second at which a small answer may go on.
+    clock
+        Monotonic clock in seconds.
+
+    Examples
+    --------
+    >>> size = AnswerSize(100, 10.0, lambda: 0.0)
+    >>> [size.is_large(80), size.is_large(80)]
+    [False, True]
+    """
+
+    def __init__(
+        self, burst_bytes: int, bytes_per_s: float, clock: Callable[[], float]
+    ) -> None:
+        self._burst_bytes = burst_bytes
+        self._bytes_per_s = bytes_per_s
+        self._clock = clock
+        self._credit = float(burst_bytes)
+        self._updated_at = clock()
+
+    def is_large(self, size: int) -> bool:
+        """Record a part; return whether it is more than a small answer may send."""
+        now = self._clock()
+        earned = (now - self._updated_at) * self._bytes_per_s
+        self._updated_at = now
+        self._credit = min(self._credit + earned, self._burst_bytes)
+        if size > self._credit:
+            return True
+        self._credit -= size
+        return False
+
+
+def _between(least: int, size: float, most: int) -> int:
+    return min(max(round(size), least), most)
--- a/lynxchute/relay/passing.py
+++ b/lynxchute/relay/passing.py
@@ -58,8 +58,9 @@
         self._link_share = link_share
         self._splitter = EventSplitter()
         self._has_events = False
-        self._forwarded_bytes = 0
-        self._unpaced_bytes = 0
+        self._size = link_share.answer_size()
+        # Events that are part of a large answer and not written yet.
+        self._held = b""
 
     async def may_begin(self) -> bool:
         """Return whether the first event of the stream may be forwarded."""
@@ -93,7 +94,7 @@
         Returns
         -------
         bool
-            Whether the caller reads as fast as events arrive, and the stream is not
+            Whether the caller reads as fast as events arrive, and the answer is not
             large. If not, `wait_until_writable` has to be awaited.
 
         Raises
@@ -129,30 +130,27 @@
         if reported is not None:
             exchange.reported_tokens = reported
             data = self._dialect.caller_events(exchange.call, data)
-        is_small = self._record_forwarded(len(data))
+        if self._size.is_large(len(data)):
+            self._held = data
+            data = b""
         if exchange.respond.started:
-            return exchange.respond.write(data) and is_small
+            return not self._held and exchange.respond.write(data)
         exchange.first_byte_at = now
         self._sender.record_first_event(answer)
         response = answer.response
         headers = self._dialect.caller_headers(response.headers)
         may_write = exchange.respond.start_with_body(response.status, headers, data)
-        return may_write and is_small
+        return may_write and not self._held
 
     async def wait_until_writable(self) -> None:
-        """Wait until the caller and the link may take further events."""
-        if self._unpaced_bytes:
-            size, self._unpaced_bytes = self._unpaced_bytes, 0
-            await self._link_share.wait(size)
-        await self._exchange.respond.wait_drained()
-
-    def _record_forwarded(self, size: int) -> bool:
-        """Record bytes that are forwarded; return whether the stream is not large."""
-        self._forwarded_bytes += size
-        if self._forwarded_bytes <= self._link_share.large_bytes:
-            return True
-        self._unpaced_bytes += size
-        return False
+        """Write what is held, and wait until the caller may take further events."""
+        held, self._held = self._held, b""
+        respond = self._exchange.respond
+        for piece in self._link_share.pieces(held):
+            await self._link_share.wait(len(piece))
+            if not respond.write(piece):
+                await respond.wait_drained()
+        await respond.wait_drained()
 
     def _record_origin(self, now: float) -> None:
         """Record where the stream began, as its first event is forwarded."""
--- a/lynxchute/tunnels/server.py
+++ b/lynxchute/tunnels/server.py
@@ -121,7 +121,7 @@
                 side.transport.abort()
 
 
-class _Side(asyncio.Protocol):
+class _Side(asyncio.BaseProtocol):
     """One connection of a tunnel; the other one is read only as fast as it writes."""
 
     def __init__(self, tunnel: Tunnel) -> None:
@@ -168,7 +168,7 @@
         self.transport.write(data)
 
 
-class OriginSide(_Side):
+class OriginSide(_Side, asyncio.Protocol):
     """The connection of the router whose requests the tunnel carries."""
 
     def __init__(self, tunnel: Tunnel) -> None:
@@ -209,13 +209,15 @@
             )
 
 
-class UpstreamSide(_Side):
+class UpstreamSide(_Side, asyncio.BufferedProtocol):
     """The connection to the upstream; not read before the tunnel is open."""
 
     def __init__(self, tunnel: Tunnel) -> None:
         super().__init__(tunnel)
         self._has_ended = False
-        self._answer_bytes = 0
+        self._size = tunnel.link_share.answer_size()
+        # Small reads, as what was read is written at once.
+        self._buffer = bytearray(tunnel.link_share.piece_bytes)
         # Reading waits for the other router, and for the share of the link.
         self._is_held = False
         self._is_paced = False
@@ -226,7 +228,7 @@
 
     def begin_answer(self) -> None:
         """Count the bytes that follow as those of another answer."""
-        self._answer_bytes = 0
+        self._size = self._tunnel.link_share.answer_size()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the other connection before reading."""
@@ -234,13 +236,18 @@
         assert self.transport is not None
         self.transport.pause_reading()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer that the next bytes are read into."""
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Pass bytes on to the other router."""
-        self._tunnel.meter.record_received(len(data))
-        self._other.write(encode_data(data))
-        self._answer_bytes += len(data)
-        if self._answer_bytes > self._tunnel.link_share.large_bytes:
-            self._pace(self._tunnel.link_share.reserve(len(data)))
+        share = self._tunnel.link_share
+        self._tunnel.meter.record_received(nbytes)
+        self._other.write(encode_data(bytes(self._buffer[:nbytes])))
+        if self._size.is_large(nbytes):
+            share.reserve(nbytes)
+            self._pace(share.backlog())
 
     def pause_reading(self) -> None:
         """Read no more until the other router takes more."""
