Give upstream processes of plays the start that their entries state

The play's trace showed "upstream started again" for each upstream at each router: the process that plays registers an upstream, and the upstream's own process stated the time of its own start in its reports. So routers gave sends up for a restart that never was. The reports now state the registered start.

--- a/tests/suspension_play.py
+++ b/tests/suspension_play.py
@@ -40,6 +40,8 @@
 EVENT_DELAYS = (0.018, 0.018, 0.023)
 GRACE_SECONDS = 8
 PLAY_SECONDS = 20.0
+# What draws kinds of requests, and upstreams and routers for faults.
+SEED = 83
 REQUESTS_PER_SECOND = 60.0
 # Connections that callers keep to each router.
 CALLERS_PER_ROUTER = 24
@@ -175,7 +177,7 @@
     _timeout_factor: float = 1.0
     _further_routes: int = 0
     _numbers: object = attrs.Factory(lambda: itertools.count(1))
-    rng: random.Random = attrs.Factory(lambda: random.Random(83))
+    rng: random.Random = attrs.Factory(lambda: random.Random(SEED))
     _idle_clients: dict = attrs.field(
         factory=lambda: collections.defaultdict(collections.deque)
     )
@@ -602,6 +604,7 @@
     share: float | None = None,
     fault: str = "fail",
     keep: pathlib.Path | None = None,
+    seed: int = SEED,
 ) -> None:
     """Play series one after another, and print a line of JSON for each.
 
@@ -623,6 +626,8 @@
         How they fail.
     keep
         Folder for the routers' logs; none by default.
+    seed
+        Draws the requests and the faults.
     """
     is_broken = False
     for name in names or SERIES:
@@ -641,11 +646,13 @@
                     mutant=mutant,
                     failed_share=share,
                     fault=Fault(fault),
+                    rng=random.Random(seed),
                 )
             )
         summary = fleet.summary()
         is_broken = is_broken or bool(summary["violations"])
-        print(json.dumps({"series": name, "mix": mix, **summary}), flush=True)
+        played = {"series": name, "mix": mix, "seed": seed}
+        print(json.dumps(played | summary), flush=True)
     sys.exit(1 if is_broken else 0)
 
 
--- a/tests/upstream_process.py
+++ b/tests/upstream_process.py
@@ -78,6 +78,7 @@
             "events": events,
             "event_delay": event_delay,
             "slots": slots,
+            "started_ms": self.standin.started_ms,
             "port": self.standin.port,
             "fault": fault.value,
             "failed_share": failed_share,
@@ -140,6 +141,7 @@
         event_delay=specification["event_delay"],
     )
     standin.id = specification["id"]
+    standin.started_ms = specification["started_ms"]
     if specification["slots"] is not None:
         standin.places = Places(specification["slots"], 0)
     standin.faults = RandomFaults(
