--- a/lynxchute/http/link_share.py
+++ b/lynxchute/http/link_share.py
@@ -13,9 +13,9 @@
 # Seconds of the link's capacity that are written at once.
 PIECE_SECONDS = 0.02
 MIN_PIECE_BYTES, MAX_PIECE_BYTES = 4096, 65_536
-# Seconds of the link's capacity that an answer may send at once before it counts as
-# large, and the share of the capacity at which it may go on as a small one, with the
-# least bytes a second: events of a stream are text that somebody reads.
+# An answer counts as large while it sends more than a burst, in seconds of the link's
+# capacity, and then more than a share of the capacity. Streams of text stay below the
+# minimum on the slowest links.
 BURST_SECONDS = 0.01
 MIN_BURST_BYTES, MAX_BURST_BYTES = 4096, 262_144
 SMALL_SHARE = 0.005
--- a/lynxchute/upstreams/silence.py
+++ b/lynxchute/upstreams/silence.py
@@ -39,9 +39,9 @@
 # Seconds of silence on a lost path after which an answer that has begun is given up; it
 # is longer than the pause between two events.
 LOST_PATH_SILENT_SECONDS = 0.5
-# The same on a path on which only new connections fail, and for answers that have not
-# begun as well. TCP gives a connection that hangs up after as long, but only if nobody
-# between acknowledges what is sent.
+# The same if new connections on the path fail at once, whether the answer has begun or
+# not. TCP ends a hanging connection after the same time, unless a proxy in between
+# acknowledges what is sent.
 KEPT_CONNECTION_SILENT_SECONDS = DEFAULT_OPTIONS.user_timeout_ms / 1000.0
 # Upstreams that are probed, the last heard first, until one answers.
 MAX_ALTERNATIVES = 3
--- a/tests/test_lost_upstream_links.py
+++ b/tests/test_lost_upstream_links.py
@@ -15,10 +15,10 @@
 # A partition may take this many seconds to be noticed.
 NOTICE_SECONDS = 3.0
 MEASURED_SECONDS = 3.0
-# Requests of each router that are under way on connections that hang.
+# Requests of each router that are sent on connections that hang.
 HUNG_REQUESTS = 3
-# Seconds within which these must be answered: TCP gives such a connection up after 2.5,
-# and a request then needs another attempt.
+# Seconds within which these must be answered: such a connection is given up after 2.5,
+# and the request needs another attempt.
 HUNG_SECONDS = 4.0
 # First tries at routers that are cut off must be served nearly as often as at the
 # others.
