--- a/tests/module_runs.py
+++ b/tests/module_runs.py
@@ -20,6 +20,8 @@
     "tests.test_silent_upstreams",
     "tests.test_swap_budget",
 )
+# Modules that run after all others, one at a time, since they measure memory.
+ALONE = ("tests.test_uncontrolled_callers",)
 # Characters of the output of a process that ended without a report.
 MAX_OUTPUT = 4000
 
@@ -62,12 +64,19 @@
     A module whose process ends without a report counts as a failing test.
     """
     report = TestReport()
+    beside_others = [module for module in modules if module not in ALONE]
+    _run_side_by_side(beside_others, jobs, report)
+    alone = [module for module in modules if module in ALONE]
+    _run_side_by_side(alone, 1, report)
+    return report
+
+
+def _run_side_by_side(modules, jobs, report):
     with ThreadPoolExecutor(jobs) as executor:
         for future in as_completed(executor.submit(_run_module, m) for m in modules):
             output, module_report = future.result()
             print(output, end="", flush=True)
             report.add(module_report)
-    return report
 
 
 def _run_module(module):
--- a/tests/test_module_runs.py
+++ b/tests/test_module_runs.py
@@ -5,6 +5,7 @@
 import pathlib
 import tempfile
 import textwrap
+import time
 from unittest import mock
 
 import testtools
@@ -65,6 +66,25 @@
         [trace] = report.traces_by_test.values()
         self.assertIn("without a report", trace)
 
+    def test_a_module_that_runs_alone_runs_after_the_others(self):
+        running, seen = set(), []
+
+        def run(module):
+            running.add(module)
+            time.sleep(0.05)
+            seen.append((module, len(running)))
+            running.discard(module)
+            return "", TestReport(1)
+
+        with (
+            mock.patch.object(module_runs, "_run_module", run),
+            mock.patch.object(module_runs, "ALONE", ("a", "c")),
+        ):
+            report = run_modules(["a", "b", "c", "d"], jobs=4)
+        self.assertEqual(4, report.run)
+        self.assertEqual({"b", "d"}, {module for module, _ in seen[:2]})
+        self.assertEqual([1, 1], [number for _, number in seen[2:]])
+
     def test_only_listed_failures_are_passed_over(self):
         traces = {"t.listed": "known", "t.other": "new"}
         output = io.StringIO()
