Read no more from a connection while unparsed requests wait in it

One connection that sent 40 MB of requests ahead made a router grow by 75 MB; eight ended it on a small machine. Cause: while a request is served, reading pauses above 64 KB of bytes ahead; at the end of each exchange it resumed, whatever the parser still held. So each answered request of 4 KB let in another read of up to 256 KB. Ruled out: unread answers (the same growth where the caller reads them), the kernel (1 to 13 MB of it). Change: reading resumes once the parser needs bytes, or holds fewer than the limit. An exchange that closes its connection reads and drops what follows for a second if requests were sent ahead, since a reset could destroy its answer.

--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -97,6 +97,7 @@
         self._responder: Responder | None = None
         self._writable: asyncio.Future[None] | None = None
         self._answer_buffer: TransportBuffer | None = None
+        # Bytes after the current request that the parser holds.
         self._pipelined_bytes = 0
         self._is_aborted = False
         # Bytes that were unsent when the closing connection was last checked.
@@ -149,8 +150,7 @@
         if self._phase is _Phase.SERVING:
             self._pipelined_bytes += len(data)
             self._protocol.receive_data(data)
-            if self._pipelined_bytes > MAX_PIPELINED_BYTES and self._transport:
-                self._transport.pause_reading()
+            self._limit_pipelined()
             return
         if self._phase is _Phase.IDLE:
             self._begin_request()
@@ -258,6 +258,7 @@
                     return
                 event = self._protocol.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
+                    self._resume_reading()
                     return
                 self._handle_event(event)
             self._pause_parsing()
@@ -275,9 +276,19 @@
     def _resume_parsing(self) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        self._transport.resume_reading()
         self._process_events()
 
+    def _resume_reading(self) -> None:
+        if self._transport is not None:
+            self._transport.resume_reading()
+
+    def _limit_pipelined(self) -> None:
+        """Read on while few enough bytes have arrived ahead of the next request."""
+        if self._pipelined_bytes <= MAX_PIPELINED_BYTES:
+            self._resume_reading()
+        elif self._transport is not None:
+            self._transport.pause_reading()
+
     def _handle_event(self, event: object) -> None:
         if isinstance(event, h11.Request):
             self._handle_head(event)
@@ -346,6 +357,9 @@
         assert head is not None
         self._phase = _Phase.SERVING
         self._disarm_timer()
+        pipelined, _ = self._protocol.trailing_data
+        self._pipelined_bytes = len(pipelined)
+        self._limit_pipelined()
         request = Request(
             head.method,
             head.target,
@@ -414,16 +428,15 @@
             return
         done = {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
         if self._protocol.states != done:
-            self.close()
+            if self._pipelined_bytes:
+                self._linger()
+            else:
+                self.close()
             return
         self._protocol.start_next_cycle()
         self._phase = _Phase.IDLE
         self._responder = None
-        pipelined, _ = self._protocol.trailing_data
-        if self._pipelined_bytes and self._transport is not None:
-            self._transport.resume_reading()
-        self._pipelined_bytes = 0
-        if pipelined:
+        if self._pipelined_bytes:
             self._phase = _Phase.HEAD
             self._received_at = self._loop.time()
             self._set_timer(self._limits.head_timeout)
@@ -496,8 +509,7 @@
         self._cancel_timer()
         transport.set_protocol(protocol)
         protocol.connection_made(transport)
-        if self._pipelined_bytes:
-            transport.resume_reading()
+        transport.resume_reading()
         if early_bytes:
             protocol.data_received(early_bytes)
 
