Count all that connections hold of requests, and drop the oldest for others

A crowd that sent bodies short of their end, or many requests ahead on each connection, made a router grow far beyond its bound on bodies; bodies that trickle on kept ordinary callers out of the room for bodies without an end. Cause: the bound counted parsed bodies only. What the parser held of a refused request stayed there while its connection lingered, and requests ahead counted nowhere. Where the room was full, only newcomers were refused, whatever the others did with it. Ruled out: copies of bodies while they are served (one at a time). The parser gets 16 KB at a time, so that what was sent ahead can be forgotten. A refused connection releases its parser. Requests ahead of one that is served are dropped unread, and the connection closes after its answer.

--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -20,6 +20,7 @@
     Responder,
 )
 from lynxchute.http.sockets import SocketOptions, apply_options
+from lynxchute.overload.inbound_memory import InboundBuffer
 
 if TYPE_CHECKING:
     from lynxchute.http.server import HttpServer
@@ -29,8 +30,15 @@
 LINGER_SECONDS = 1.0
 # Seconds after which to send a request again that a stopping server has not read.
 STOPPING_RETRY_AFTER = 0.5
+# Why requests are refused whose bytes find no room, and the seconds after which to
+# send them again.
+TOO_MANY_BODIES = "Too many bodies are being read. Send it again later."
+MEMORY_RETRY_AFTER = 0.5
 # Bytes of pipelined requests above which reading is paused while a request is served.
 MAX_PIPELINED_BYTES = 65536
+# Bytes that the parser gets at a time. What it holds after a request can't be released
+# before the response is complete.
+PARSED_BYTES = 16384
 # High-water mark of the write buffer, above which a slow reader blocks its handler.
 WRITE_BUFFER_BYTES = 65536
 # A slow reader may keep its TCP window closed for long, so the timeout is generous.
@@ -65,7 +73,7 @@
     STOPPED = "the server stopped"
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.Protocol, InboundBuffer):
     """Reads requests one at a time and passes each to the server's handler.
 
     Parameters
@@ -97,8 +105,10 @@
         self._responder: Responder | None = None
         self._writable: asyncio.Future[None] | None = None
         self._answer_buffer: TransportBuffer | None = None
-        # Bytes after the current request that the parser holds.
-        self._pipelined_bytes = 0
+        # Received bytes that the parser has not got yet.
+        self._unparsed = bytearray()
+        # Whether requests after the current one were dropped to free memory.
+        self._has_dropped = False
         self._is_aborted = False
         # Bytes that were unsent when the closing connection was last checked.
         self._unsent_at_check = 0
@@ -147,14 +157,14 @@
         self._server.meter.record_received(len(data))
         if self._phase in (_Phase.LINGERING, _Phase.CLOSED):
             return
+        if self._has_dropped:
+            return
+        self._unparsed += data
         if self._phase is _Phase.SERVING:
-            self._pipelined_bytes += len(data)
-            self._protocol.receive_data(data)
             self._limit_pipelined()
             return
         if self._phase is _Phase.IDLE:
             self._begin_request()
-        self._protocol.receive_data(data)
         self._process_events()
 
     def eof_received(self) -> bool:
@@ -169,6 +179,8 @@
         self._server.connections.discard(self)
         self._cancel_timer()
         self._discard_body()
+        self._unparsed = bytearray()
+        self._server.inbound.discard(self)
         self._wake_writer()
         if self._answer_buffer is not None:
             self._answer_buffer.stop_tracking()
@@ -245,7 +257,7 @@
         self._phase = _Phase.HEAD
         self._received_at = self._loop.time()
         limits = self._server.limits()
-        if limits != self._limits and self._protocol.trailing_data == (b"", False):
+        if limits != self._limits and not self._parser_bytes:
             self._limits = limits
             self._protocol = self._new_protocol()
         self._set_timer(self._limits.head_timeout)
@@ -257,16 +269,55 @@
                 if self._phase not in (_Phase.HEAD, _Phase.BODY):
                     return
                 event = self._protocol.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
+                if event is not h11.NEED_DATA and event is not h11.PAUSED:
+                    self._handle_event(event)
+                elif self._unparsed:
+                    self._feed_parser()
+                else:
                     self._resume_reading()
+                    self._update_inbound()
                     return
-                self._handle_event(event)
             self._pause_parsing()
+            self._update_inbound()
         except BadRequest as error:
             self._refuse(error.status, error.reason, error.retry_after)
         except h11.RemoteProtocolError as error:
             self._refuse(error.error_status_hint, str(error))
 
+    def _feed_parser(self) -> None:
+        """Give the parser some of the bytes that have arrived."""
+        self._protocol.receive_data(bytes(self._unparsed[:PARSED_BYTES]))
+        del self._unparsed[:PARSED_BYTES]
+
+    @property
+    def _parser_bytes(self) -> int:
+        """Return the bytes that the parser holds and has not parsed."""
+        unparsed, _ = self._protocol.trailing_data
+        return len(unparsed)
+
+    def _update_inbound(self) -> None:
+        """Report what this connection holds of the requests that it has received."""
+        droppable, served = len(self._unparsed), self._body_bytes
+        if self._phase in (_Phase.HEAD, _Phase.BODY):
+            droppable, served = droppable + served + self._parser_bytes, 0
+        elif self._phase is _Phase.SERVING:
+            served += self._parser_bytes
+        self._server.inbound.update(
+            self, droppable=droppable, served=served, now=self._loop.time()
+        )
+
+    def drop_inbound(self) -> None:
+        """Refuse an incomplete request; forget what came after one that is served."""
+        if self._phase in (_Phase.HEAD, _Phase.BODY):
+            self._refuse(503, TOO_MANY_BODIES, retry_after=MEMORY_RETRY_AFTER)
+            return
+        self._unparsed = bytearray()
+        self._has_dropped = True
+        if self._responder is not None:
+            self._responder.close_after_response = True
+        if self._transport is not None:
+            self._transport.pause_reading()
+
     def _pause_parsing(self) -> None:
         """Let other work go on before the rest of what has arrived is parsed."""
         if self._transport is not None and not self._transport.is_closing():
@@ -284,10 +335,11 @@
 
     def _limit_pipelined(self) -> None:
         """Read on while few enough bytes have arrived ahead of the next request."""
-        if self._pipelined_bytes <= MAX_PIPELINED_BYTES:
+        if len(self._unparsed) <= MAX_PIPELINED_BYTES:
             self._resume_reading()
         elif self._transport is not None:
             self._transport.pause_reading()
+        self._update_inbound()
 
     def _handle_event(self, event: object) -> None:
         if isinstance(event, h11.Request):
@@ -330,9 +382,8 @@
             raise BadRequest(400, "Content-Length is no number.")
         if int(length) > self._limits.max_body_bytes:
             raise BadRequest(413, "The body is larger than this router takes.")
-        if self._server.buffered_bytes + int(length) > self._limits.max_buffered_bytes:
-            reason = "Too many bodies are being read. Send it again later."
-            raise BadRequest(503, reason, retry_after=0.5)
+        if not self._server.inbound.make_room(int(length), self._loop.time()):
+            raise BadRequest(503, TOO_MANY_BODIES, retry_after=MEMORY_RETRY_AFTER)
 
     def _handle_data(self, data: bytes) -> None:
         self._body_bytes += len(data)
@@ -340,9 +391,6 @@
         self._body += data
         if self._body_bytes > self._limits.max_body_bytes:
             raise BadRequest(413, "The body is larger than this router takes.")
-        if self._server.buffered_bytes > self._limits.max_buffered_bytes:
-            reason = "Too many bodies are being read. Send it again later."
-            raise BadRequest(503, reason, retry_after=0.5)
         self._set_timer(self._limits.body_timeout)
 
     def _discard_body(self) -> None:
@@ -357,9 +405,6 @@
         assert head is not None
         self._phase = _Phase.SERVING
         self._disarm_timer()
-        pipelined, _ = self._protocol.trailing_data
-        self._pipelined_bytes = len(pipelined)
-        self._limit_pipelined()
         request = Request(
             head.method,
             head.target,
@@ -381,6 +426,7 @@
         self.handler_task = self._loop.create_task(
             self._handle_request(request, self._responder)
         )
+        self._limit_pipelined()
 
     async def _handle_request(self, request: Request, respond: Responder) -> None:
         try:
@@ -403,6 +449,7 @@
                 return
         finally:
             self._discard_body()
+            self._update_inbound()
             if self._answer_buffer is None or not respond.finished:
                 self.handler_task = None
         if self._answer_buffer is not None and respond.finished:
@@ -427,21 +474,23 @@
             self.abort(AbortCause.NOT_FINISHED)
             return
         done = {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
+        has_pipelined = bool(self._unparsed or self._parser_bytes)
+        if self._has_dropped or (self._protocol.states != done and has_pipelined):
+            self._linger()
+            return
         if self._protocol.states != done:
-            if self._pipelined_bytes:
-                self._linger()
-            else:
-                self.close()
+            self.close()
             return
         self._protocol.start_next_cycle()
         self._phase = _Phase.IDLE
         self._responder = None
-        if self._pipelined_bytes:
+        if has_pipelined:
             self._phase = _Phase.HEAD
             self._received_at = self._loop.time()
             self._set_timer(self._limits.head_timeout)
             self._process_events()
             return
+        self._update_inbound()
         self._set_timer(self._limits.idle_timeout)
 
     def _refuse(
@@ -486,9 +535,14 @@
     def _linger(self) -> None:
         self._phase = _Phase.LINGERING
         self._discard_body()
+        # Releases what the parser holds.
+        self._protocol = self._new_protocol()
+        self._unparsed = bytearray()
+        self._server.inbound.discard(self)
         transport = self._transport
         if transport is None or transport.is_closing():
             return
+        transport.resume_reading()
         if transport.can_write_eof():
             transport.write_eof()
         self._set_timer(LINGER_SECONDS)
@@ -503,8 +557,9 @@
             status_code=SWITCHING_PROTOCOLS, headers=headers
         )
         self._write(self._protocol.send(response) or b"")
-        early_bytes, _ = self._protocol.trailing_data
+        early_bytes = self._protocol.trailing_data[0] + bytes(self._unparsed)
         self._phase = _Phase.CLOSED
+        self._server.inbound.discard(self)
         self._server.connections.discard(self)
         self._cancel_timer()
         transport.set_protocol(protocol)
--- a/lynxchute/http/server.py
+++ b/lynxchute/http/server.py
@@ -15,6 +15,7 @@
 from lynxchute.http.messages import Request, RequestHead
 from lynxchute.http.responder import Responder
 from lynxchute.listening import BACKLOG, listen
+from lynxchute.overload.inbound_memory import InboundMemory
 from lynxchute.overload.memory_guard import MemoryGuard
 
 # Seconds between two checks for callers that wait for their answers.
@@ -30,7 +31,7 @@
     max_head_bytes, max_body_bytes
         Larger heads are rejected with 431, larger bodies with 413.
     max_buffered_bytes
-        Total bytes of all bodies that are being read or served.
+        Total bytes of all requests that are being read or served.
     head_timeout
         Seconds from the first byte of a head to its last.
     body_timeout
@@ -76,6 +77,9 @@
     may_accept_connection
         Returns whether a new connection is served; others are closed before anything
         is read from them.
+    inbound
+        Limits the memory of received requests, for all servers that share it. By
+        default it is a server's own, with the bound ``max_buffered_bytes``.
     """
 
     def __init__(
@@ -87,7 +91,9 @@
         meter: LinkMeter = UNLIMITED_LINK,
         guard: MemoryGuard | None = None,
         may_accept_connection: Callable[[], bool] = accept_all_connections,
+        inbound: InboundMemory | None = None,
     ) -> None:
+        self.inbound = inbound or InboundMemory(lambda: limits().max_buffered_bytes)
         self.guard = guard
         self.may_accept_connection = may_accept_connection
         self.connections: set[ServerConnection] = set()
--- /dev/null
+++ b/tests/test_inbound_memory.py
@@ -0,0 +1,168 @@
+"""What connections hold of requests that have not been answered."""
+
+import asyncio
+import contextlib
+import socket
+import tracemalloc
+
+import hypothesis
+import hypothesis.strategies as st
+import testtools
+
+from lynxchute.http import HttpServer, ServerLimits, not_found
+from lynxchute.overload.inbound_memory import (
+    SOUND_SECONDS,
+    InboundBuffer,
+    InboundMemory,
+)
+from tests.support import AsyncTestCase
+
+BOUND = 1000
+READ_SECONDS = 0.5
+
+
+class FakeBuffer(InboundBuffer):
+    def __init__(self):
+        self.memory = None
+        self.droppable = self.served = self.drops = 0
+
+    def drop_inbound(self):
+        self.drops += 1
+        self.droppable = 0
+
+    def hold(self, droppable, served=0, now=0.0):
+        self.droppable, self.served = droppable, served
+        self.memory.update(self, droppable=droppable, served=served, now=now)
+
+
+class InboundMemoryTest(testtools.TestCase):
+    """Guards against requests that hold memory without an end."""
+
+    def setUp(self):
+        super().setUp()
+        self.dropped = []
+        self.memory = InboundMemory(
+            lambda: BOUND, lambda size, seconds: self.dropped.append((size, seconds))
+        )
+
+    def buffers(self, count):
+        found = [FakeBuffer() for _ in range(count)]
+        for buffer in found:
+            buffer.memory = self.memory
+        return found
+
+    def test_the_oldest_large_request_makes_room(self):
+        small, old, young, newcomer = self.buffers(4)
+        small.hold(10, now=0.0)
+        old.hold(400, now=1.0)
+        young.hold(400, now=2.0)
+        self.assertTrue(self.memory.make_room(500, 3.5))
+        self.assertEqual([0, 1, 0], [b.drops for b in (small, old, young)])
+        self.assertEqual([(400, 2.5)], self.dropped)
+
+    def test_requests_that_have_just_begun_make_no_room(self):
+        first, _ = self.buffers(2)
+        first.hold(800, now=10.0)
+        self.assertFalse(self.memory.make_room(500, 10.0 + SOUND_SECONDS / 2))
+        self.assertEqual(0, first.drops)
+
+    def test_what_arrives_last_is_dropped_if_nothing_else_can_be(self):
+        first, second = self.buffers(2)
+        first.hold(900, now=10.0)
+        second.hold(200, now=10.1)
+        self.assertEqual([0, 1], [first.drops, second.drops])
+
+    def test_requests_that_are_served_are_kept(self):
+        served, other = self.buffers(2)
+        served.hold(0, served=900, now=0.0)
+        other.hold(200, now=9.0)
+        self.assertEqual((0, 1), (served.drops, other.drops))
+        self.assertEqual(900, self.memory.held)
+
+    def test_what_arrives_after_a_served_request_is_dropped(self):
+        [buffer] = self.buffers(1)
+        buffer.hold(800, served=300, now=0.0)
+        self.assertEqual((1, 300), (buffer.drops, self.memory.held))
+
+    @hypothesis.settings(max_examples=300)
+    @hypothesis.given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 7),
+                st.integers(0, 600),
+                st.booleans(),
+                st.floats(0.0, 2.0),
+            ),
+            max_size=60,
+        )
+    )
+    def test_only_served_requests_exceed_the_bound(self, steps):
+        self.memory = InboundMemory(lambda: BOUND)
+        buffers = self.buffers(8)
+        now = 0.0
+        for index, size, is_served, seconds in steps:
+            now += seconds
+            buffer = buffers[index]
+            if is_served:
+                buffer.hold(0, served=size, now=now)
+            elif self.memory.make_room(size // 2, now):
+                buffer.hold(size, served=0, now=now)
+            held = sum(b.droppable + b.served for b in buffers)
+            served = sum(b.served for b in buffers)
+            self.assertEqual(held, self.memory.held)
+            self.assertLessEqual(held, max(BOUND, served))
+
+
+class HeldByConnectionsTest(AsyncTestCase):
+    """Guards against connections that hold more than is counted."""
+
+    CONNECTIONS = 60
+    LIMITS = ServerLimits(max_body_bytes=200_000, max_buffered_bytes=1_000_000)
+    # The bound, and as much again for what is being copied.
+    MAX_BYTES = 2_000_000
+    BODY = (
+        b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 199000\r\n\r\n"
+        + b"x" * 198_000
+    )
+    AHEAD = b"GET /x HTTP/1.1\r\nHost: h\r\nX-A: " + b"x" * 4000 + b"\r\n\r\n"
+
+    async def most_held(self, data, handler=not_found):
+        """Return the most bytes that were allocated as connections sent data."""
+        server = HttpServer(handler, limits=lambda: self.LIMITS)
+        await server.start("127.0.0.1", 0)
+        sockets = []
+        tracemalloc.start()
+        try:
+            async with asyncio.TaskGroup() as group:
+                for _ in range(self.CONNECTIONS):
+                    sock = socket.socket()
+                    sock.setblocking(False)
+                    sockets.append(sock)
+                    group.create_task(self.send(sock, server.port, data))
+            # The server reads what the kernel has taken.
+            await asyncio.sleep(READ_SECONDS)
+            return tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+            for sock in sockets:
+                sock.close()
+            await server.kill()
+
+    async def send(self, sock, port, data):
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(0.8):
+                await loop.sock_connect(sock, ("127.0.0.1", port))
+                await loop.sock_sendall(sock, data)
+
+    def test_refused_bodies_are_released(self):
+        most = self.run_async(self.most_held(self.BODY))
+        self.assertLess(most, self.MAX_BYTES)
+
+    def test_requests_ahead_of_one_that_is_served_are_counted(self):
+        async def wait(request, respond):
+            await asyncio.sleep(1.0)
+            await not_found(request, respond)
+
+        most = self.run_async(self.most_held(self.AHEAD * 50, wait))
+        self.assertLess(most, self.MAX_BYTES)
