Count the body of a caller that has left while its request is served

Found by reading beside the crowds: a caller that sends a whole body and closes its connection frees the room that the body took, while a handler that goes on without its caller (messages of other routers, calls that may not be repeated) keeps it. Cause: the end of a connection gave the room back, whoever still served. Change: the room is given back as the handler ends. Result: the test failed before (0 bytes counted of 199,000 held) and passes.

--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -178,9 +178,10 @@
         self._phase = _Phase.CLOSED
         self._server.connections.discard(self)
         self._cancel_timer()
-        self._discard_body()
         self._unparsed = bytearray()
-        self._server.inbound.discard(self)
+        if self.handler_task is None:
+            self._discard_body()
+        self._update_inbound()
         self._wake_writer()
         if self._answer_buffer is not None:
             self._answer_buffer.stop_tracking()
--- a/tests/test_inbound_memory.py
+++ b/tests/test_inbound_memory.py
@@ -15,7 +15,7 @@
     InboundBuffer,
     InboundMemory,
 )
-from tests.support import AsyncTestCase
+from tests.support import AsyncTestCase, until
 
 BOUND = 1000
 READ_SECONDS = 0.5
@@ -116,7 +116,7 @@
 class HeldByConnectionsTest(AsyncTestCase):
     """Guards against connections that hold more than is counted."""
 
-    CONNECTIONS = 60
+    CONNECTIONS, BODY_BYTES = 60, 199_000
     LIMITS = ServerLimits(max_body_bytes=200_000, max_buffered_bytes=1_000_000)
     # The bound, and as much again for what is being copied.
     MAX_BYTES = 2_000_000
@@ -166,3 +166,27 @@
 
         most = self.run_async(self.most_held(self.AHEAD * 50, wait))
         self.assertLess(most, self.MAX_BYTES)
+
+    def test_a_body_whose_caller_has_left_is_counted_while_it_is_served(self):
+        async def scenario():
+            may_end = asyncio.Event()
+
+            async def wait(request, respond):
+                respond.survives_disconnect = True
+                await may_end.wait()
+
+            server = HttpServer(wait, limits=lambda: self.LIMITS)
+            await server.start("127.0.0.1", 0)
+            _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            writer.write(self.BODY + b"x" * 1000)
+            await until(lambda: server.buffered_bytes == self.BODY_BYTES)
+            await until(lambda: any(c.handler_task for c in server.connections))
+            writer.transport.abort()
+            await until(lambda: not server.connections)
+            self.assertEqual(self.BODY_BYTES, server.buffered_bytes)
+            may_end.set()
+            await until(lambda: server.buffered_bytes == 0)
+            self.assertEqual(0, server.inbound.held)
+            await server.kill()
+
+        self.run_async(scenario())
