Bound requests on all ports of a router together

Bodies that stopped short at the ports for readiness, metrics and other routers grew a router as those of callers did; so did callers' own before the first configuration. Change: one `InboundMemory` for all four servers. Messages without the secret are refused by their heads with 401. What is dropped is counted (`lynxchute_requests_dropped_total`) and logged.

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -20,7 +20,13 @@
 from lynxchute.edge.configurations import Configurations
 from lynxchute.edge.entrance import ConnectionGate
 from lynxchute.edge.exposition import MetricsEndpoint
-from lynxchute.edge.limits import answer_buffer_bounds, caller_limits
+from lynxchute.edge.limits import (
+    answer_buffer_bounds,
+    caller_limits,
+    internal_answer_bounds,
+    internal_limits,
+    request_buffer_bound,
+)
 from lynxchute.edge.listener import Listener
 from lynxchute.edge.own_load import make_load_control
 from lynxchute.edge.plain_calls import PlainCallPlacement
@@ -47,7 +53,9 @@
     ServerLimits,
     not_found,
 )
-from lynxchute.overload import CutAnswer, MemoryGuard
+from lynxchute.http.sockets import DEFAULT_OPTIONS
+from lynxchute.listeners import LogLimit
+from lynxchute.overload import CutAnswer, InboundMemory, MemoryGuard
 from lynxchute.overload.weights import DEFAULT_WEIGHT
 from lynxchute.reachability import Reachability
 from lynxchute.relay.admission import Admission
@@ -215,7 +223,12 @@
         self.registry.listeners.append(self._handle_member_change)
         self.registry.registration_listeners.append(self._handle_registration)
         self.registry.handlers_by_key[MARK_KEY] = self.retry_mark.handle_row
-        self.peer_server = PeerServer(lambda: self.registry.secret, meter)
+        self._dropped_log = LogLimit()
+        self.inbound_memory = inbound = InboundMemory(
+            lambda: request_buffer_bound(self.settings.memory_mb),
+            self._record_dropped_request,
+        )
+        self.peer_server = PeerServer(lambda: self.registry.secret, meter, inbound)
         store.serve(self.peer_server)
         self.registry.serve(self.peer_server)
         link_share = LinkShare(settings.link_mbps)
@@ -450,9 +463,23 @@
             meter=meter,
             guard=self.memory_guard,
             may_accept_connection=self.load.may_accept,
+            inbound=inbound,
+        )
+        internal_guard = MemoryGuard(internal_answer_bounds(settings.memory_mb))
+        self.readiness = HttpServer(
+            self._handle_readiness,
+            limits=internal_limits,
+            guard=internal_guard,
+            inbound=inbound,
+            socket_options=DEFAULT_OPTIONS,
+        )
+        self.exposition = HttpServer(
+            MetricsEndpoint(self, log_lines_dropped).handle,
+            limits=internal_limits,
+            guard=internal_guard,
+            inbound=inbound,
+            socket_options=DEFAULT_OPTIONS,
         )
-        self.readiness = HttpServer(self._handle_readiness)
-        self.exposition = HttpServer(MetricsEndpoint(self, log_lines_dropped).handle)
         self.components = [
             self.configurations,
             self.upstreams,
@@ -751,6 +778,18 @@
             bytes_a_second=round(cut.speed),
         )
 
+    def _record_dropped_request(self, size: int, seconds: float) -> None:
+        """Count and log requests that were dropped to free memory."""
+        self.metrics.requests_dropped.inc()
+        if self._dropped_log.allows():
+            log_event(
+                "request dropped for memory",
+                bytes=size,
+                seconds=round(seconds, 3),
+                held=self.inbound_memory.held,
+                not_logged=self._dropped_log.take_suppressed(),
+            )
+
     def _limits(self) -> ServerLimits:
         return caller_limits(self.configurations.current, self.settings.memory_mb)
 
--- a/lynxchute/edge/limits.py
+++ b/lynxchute/edge/limits.py
@@ -6,17 +6,55 @@
 from lynxchute.http import ServerLimits
 from lynxchute.overload.memory_guard import BufferBounds
 
-# Fraction of the process's memory for buffered request bodies.
-BODY_BUFFER_SHARE = 0.15
+# Fraction of the process's memory for requests that are being received or served, on
+# all of its ports together.
+REQUEST_BUFFER_SHARE = 0.15
 # Fraction of the process's memory for responses that slow callers have not read yet. A
 # request body may be held twice while its upstream reads slowly, so 2 * 0.15 + 0.15 =
 # 0.45 of the memory is buffers, and about half is left to the process.
 ANSWER_BUFFER_SHARE = 0.15
+# Fraction of the process's memory for answers to readiness checks and to requests for
+# metrics that have not been read yet.
+INTERNAL_ANSWER_SHARE = 0.03
+# Bytes of a body that is sent with a readiness check or a request for metrics, though
+# neither has a use for it.
+MAX_UNUSED_BODY_BYTES = 4096
 # Timeouts in seconds until the first configuration is known.
 DEFAULT_HEAD_TIMEOUT = 3.0
 DEFAULT_IDLE_TIMEOUT = 15.0
 
 
+def request_buffer_bound(memory_mb: float) -> int:
+    """Return the most bytes of requests that a process may hold.
+
+    Parameters
+    ----------
+    memory_mb
+        Memory of the process, in MB.
+    """
+    return int(memory_mb * 1e6 * REQUEST_BUFFER_SHARE)
+
+
+def internal_limits() -> ServerLimits:
+    """Return the limits for readiness checks and requests for metrics."""
+    return ServerLimits(
+        max_body_bytes=MAX_UNUSED_BODY_BYTES,
+        head_timeout=DEFAULT_HEAD_TIMEOUT,
+        body_timeout=DEFAULT_HEAD_TIMEOUT,
+    )
+
+
+def internal_answer_bounds(memory_mb: float) -> BufferBounds:
+    """Return the bounds on unread answers to readiness checks and for metrics.
+
+    Parameters
+    ----------
+    memory_mb
+        Memory of the process, in MB.
+    """
+    return BufferBounds.of_total(int(memory_mb * 1e6 * INTERNAL_ANSWER_SHARE))
+
+
 def answer_buffer_bounds(memory_mb: float) -> BufferBounds:
     """Return the bounds on responses buffered for slow callers.
 
@@ -42,13 +80,15 @@
     """
     if configuration is None:
         return ServerLimits(
-            head_timeout=DEFAULT_HEAD_TIMEOUT, idle_timeout=DEFAULT_IDLE_TIMEOUT
+            max_buffered_bytes=request_buffer_bound(memory_mb),
+            head_timeout=DEFAULT_HEAD_TIMEOUT,
+            idle_timeout=DEFAULT_IDLE_TIMEOUT,
         )
     limits = configuration.limits
     return ServerLimits(
         max_head_bytes=limits.max_header_bytes,
         max_body_bytes=limits.max_body_bytes,
-        max_buffered_bytes=int(memory_mb * 1e6 * BODY_BUFFER_SHARE),
+        max_buffered_bytes=request_buffer_bound(memory_mb),
         head_timeout=limits.header_timeout,
         body_timeout=limits.header_timeout,
         idle_timeout=limits.idle_timeout,
--- a/lynxchute/fleet/server.py
+++ b/lynxchute/fleet/server.py
@@ -20,9 +20,11 @@
     HttpServer,
     LinkMeter,
     Request,
+    RequestHead,
     Responder,
     not_found,
 )
+from lynxchute.overload import InboundMemory
 
 Handler = Callable[[Any], Awaitable[Any]]
 RequestHandler = Callable[[Request, Responder], Awaitable[None]]
@@ -38,6 +40,9 @@
         while it is not known.
     meter
         Counts the bytes that pass over the VM's network link.
+    inbound
+        Limits the memory of received messages; by default they have a bound of their
+        own.
 
     Attributes
     ----------
@@ -49,18 +54,27 @@
         The underlying HTTP server.
     """
 
-    def __init__(self, secret: Callable[[], str], meter: LinkMeter) -> None:
+    def __init__(
+        self,
+        secret: Callable[[], str],
+        meter: LinkMeter,
+        inbound: InboundMemory | None = None,
+    ) -> None:
         self.handlers_by_class: dict[type[Message[Any]], Handler] = {}
         self.handlers_by_path: dict[str, RequestHandler] = {}
-        self.server = HttpServer(self._handle, meter=meter)
+        self.server = HttpServer(
+            self._handle, check_head=self._check_head, meter=meter, inbound=inbound
+        )
         self._secret = secret
 
-    async def _handle(self, request: Request, respond: Responder) -> None:
-        given = request.headers.get(SECRET_HEADER.lower(), "")
+    def _check_head(self, head: RequestHead) -> None:
+        """Refuse all but other routers before anything of their bodies is kept."""
+        given = head.headers.get(SECRET_HEADER.lower(), "")
         secret = self._secret()
         if not secret or not hmac.compare_digest(given.encode(), secret.encode()):
-            await respond.json(401, {"error": "the fleet's secret is wrong"})
-            return
+            raise BadRequest(401, "The fleet's secret is wrong.")
+
+    async def _handle(self, request: Request, respond: Responder) -> None:
         handler = self.handlers_by_path.get(request.path)
         if handler is not None:
             await handler(request, respond)
--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -19,7 +19,7 @@
     CallerDisconnected,
     Responder,
 )
-from lynxchute.http.sockets import SocketOptions, apply_options
+from lynxchute.http.sockets import apply_options
 from lynxchute.overload.inbound_memory import InboundBuffer
 
 if TYPE_CHECKING:
@@ -41,10 +41,6 @@
 PARSED_BYTES = 16384
 # High-water mark of the write buffer, above which a slow reader blocks its handler.
 WRITE_BUFFER_BYTES = 65536
-# A slow reader may keep its TCP window closed for long, so the timeout is generous.
-# Callers that read nothing at all are disconnected by the server itself.
-SLOW_READER_OPTIONS = SocketOptions(user_timeout_ms=30_000)
-
 PROBLEM_TYPE = "application/problem+json"
 # Problem types of error responses by status; all other statuses are "malformed".
 PROBLEMS_BY_STATUS = {502: "broken", 503: "overloaded"}
@@ -142,10 +138,8 @@
         if not self._server.may_accept_connection():
             transport.close()
             return
-        if self._server.guard is None:
-            apply_options(transport)
-        else:
-            apply_options(transport, SLOW_READER_OPTIONS)
+        apply_options(transport, self._server.socket_options)
+        if self._server.guard is not None:
             clock = self._loop.time
             self._answer_buffer = TransportBuffer(transport, self._server.guard, clock)
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
--- a/lynxchute/http/server.py
+++ b/lynxchute/http/server.py
@@ -14,6 +14,11 @@
 from lynxchute.http.link_meter import UNLIMITED_LINK, LinkMeter
 from lynxchute.http.messages import Request, RequestHead
 from lynxchute.http.responder import Responder
+from lynxchute.http.sockets import (
+    DEFAULT_OPTIONS,
+    SLOW_READER_OPTIONS,
+    SocketOptions,
+)
 from lynxchute.listening import BACKLOG, listen
 from lynxchute.overload.inbound_memory import InboundMemory
 from lynxchute.overload.memory_guard import MemoryGuard
@@ -80,6 +85,9 @@
     inbound
         Limits the memory of received requests, for all servers that share it. By
         default it is a server's own, with the bound ``max_buffered_bytes``.
+    socket_options
+        Options of the accepted connections; by default those for slow readers if there
+        is a guard.
     """
 
     def __init__(
@@ -92,7 +100,10 @@
         guard: MemoryGuard | None = None,
         may_accept_connection: Callable[[], bool] = accept_all_connections,
         inbound: InboundMemory | None = None,
+        socket_options: SocketOptions | None = None,
     ) -> None:
+        default_options = DEFAULT_OPTIONS if guard is None else SLOW_READER_OPTIONS
+        self.socket_options = socket_options or default_options
         self.inbound = inbound or InboundMemory(lambda: limits().max_buffered_bytes)
         self.guard = guard
         self.may_accept_connection = may_accept_connection
--- a/lynxchute/http/sockets.py
+++ b/lynxchute/http/sockets.py
@@ -35,6 +35,9 @@
 
 
 DEFAULT_OPTIONS = SocketOptions()
+# A slow reader may keep its TCP window closed for long, so the timeout is generous.
+# Callers that read nothing at all are disconnected by the server itself.
+SLOW_READER_OPTIONS = SocketOptions(user_timeout_ms=30_000)
 
 
 def apply_options(
--- a/lynxchute/overload/__init__.py
+++ b/lynxchute/overload/__init__.py
@@ -8,6 +8,7 @@
     Resource,
     ResourceLimits,
 )
+from lynxchute.overload.inbound_memory import InboundMemory
 from lynxchute.overload.load import IDLE_LOAD, Load, LoadSource
 from lynxchute.overload.local_shares import LocalShares
 from lynxchute.overload.memory_guard import (
@@ -34,6 +35,7 @@
     "AnswerBuffer",
     "ResourceLimits",
     "Load",
+    "InboundMemory",
     "LoadSource",
     "LocalShares",
     "CallbackLoadSource",
--- a/lynxchute/telemetry/metrics.py
+++ b/lynxchute/telemetry/metrics.py
@@ -30,6 +30,8 @@
         Requests refused for lack of tokens although the fleet had enough unused ones.
     reservations_kept
         Reservations from tokens that this router retains, without asking other routers.
+    requests_dropped
+        Requests that were not whole, dropped to free memory.
     held_bytes, answers_cut
         Bytes buffered for slow readers, and responses aborted to free that memory.
     sends
@@ -118,6 +120,9 @@
         self.held_bytes = self._gauge(
             "held_bytes", "Bytes of answers that wait for slow readers."
         )
+        self.requests_dropped = self._counter(
+            "requests_dropped", "Incomplete requests dropped for want of memory."
+        )
         self.answers_cut = self._counter(
             "answers_cut", "Answers broken off for want of memory."
         )
--- a/tests/test_inbound_memory.py
+++ b/tests/test_inbound_memory.py
@@ -15,10 +15,14 @@
     InboundBuffer,
     InboundMemory,
 )
+from lynxchute.platform.names import READY_PATH
+from tests.platform_support import PlatformDeployment
 from tests.support import AsyncTestCase, until
 
 BOUND = 1000
 READ_SECONDS = 0.5
+# Less than a body may take to arrive.
+ANSWER_SECONDS = 2.0
 
 
 class FakeBuffer(InboundBuffer):
@@ -190,3 +194,34 @@
             await server.kill()
 
         self.run_async(scenario())
+
+
+class InternalPortsTest(AsyncTestCase):
+    """Guards against bodies that are kept though nobody has a use for them."""
+
+    async def send_head(self, port, path):
+        """Return the status that a request gets before its body is sent."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        try:
+            head = f"POST {path} HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n"
+            writer.write(head.encode())
+            async with asyncio.timeout(ANSWER_SECONDS):
+                line = await reader.readline()
+        finally:
+            writer.transport.abort()
+        return int(line.split()[1])
+
+    def test_bodies_are_refused_by_their_heads(self):
+        async def scenario():
+            deployment = PlatformDeployment(routers=("a-1",))
+            await deployment.start()
+            settings = deployment.settings["a-1"]
+            try:
+                status = await self.send_head(settings.readiness.port, READY_PATH)
+                self.assertEqual(413, status)
+                status = await self.send_head(settings.peers.port, "/x")
+                self.assertEqual(401, status)
+            finally:
+                await deployment.stop()
+
+        self.run_async(scenario())
