--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -19,7 +19,8 @@
     CallerDisconnected,
     Responder,
 )
-from lynxchute.http.sockets import apply_options
+from lynxchute.http.sockets import apply_options, enlarge_receive_buffer
+from lynxchute.listening import RECEIVE_BUFFER_BYTES
 from lynxchute.overload.inbound_memory import InboundBuffer
 
 if TYPE_CHECKING:
@@ -30,15 +31,23 @@
 LINGER_SECONDS = 1.0
 # Seconds after which to send a request again that a stopping server has not read.
 STOPPING_RETRY_AFTER = 0.5
+# Bytes that the kernel receives of a large body before they are read.
+BODY_BUFFER_BYTES = 65536
+# A head is kept as bytes by the parser and as text for the handler.
+HEAD_COPIES = 2
 # Why requests are refused whose bytes find no room, and the seconds after which to
 # send them again.
 TOO_MANY_BODIES = "Too many bodies are being read. Send it again later."
 MEMORY_RETRY_AFTER = 0.5
 # Bytes of pipelined requests above which reading is paused while a request is served.
-MAX_PIPELINED_BYTES = 65536
+MAX_PIPELINED_BYTES = 32768
+# Bytes that are read at a time.
+READ_BYTES = 65536
+# Shared by all connections, since bytes are handled before the next ones are read.
+_READ_BUFFER = memoryview(bytearray(READ_BYTES))
 # Bytes that the parser gets at a time. What it holds after a request can't be released
 # before the response is complete.
-PARSED_BYTES = 16384
+PARSED_BYTES = 8192
 # High-water mark of the write buffer, above which a slow reader blocks its handler.
 WRITE_BUFFER_BYTES = 65536
 PROBLEM_TYPE = "application/problem+json"
@@ -69,7 +78,7 @@
     STOPPED = "the server stopped"
 
 
-class ServerConnection(asyncio.Protocol, InboundBuffer):
+class ServerConnection(asyncio.BufferedProtocol, InboundBuffer):
     """Reads requests one at a time and passes each to the server's handler.
 
     Parameters
@@ -97,6 +106,10 @@
         # One buffer, since a body may arrive in very small chunks.
         self._body = bytearray()
         self._body_bytes = 0
+        # Size of the request's head.
+        self._head_bytes = 0
+        # Length of a body that the kernel's enlarged buffer may hold a part of.
+        self._announced_bytes = 0
         self._received_at = 0.0
         self._responder: Responder | None = None
         self._writable: asyncio.Future[None] | None = None
@@ -146,6 +159,14 @@
         self._server.connections.add(self)
         self._set_timer(self._limits.idle_timeout)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer that the next bytes are read into."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle bytes that were read into the buffer."""
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Handle bytes from the caller."""
         self._server.meter.record_received(len(data))
@@ -174,7 +195,7 @@
         self._cancel_timer()
         self._unparsed = bytearray()
         if self.handler_task is None:
-            self._discard_body()
+            self._discard_request()
         self._update_inbound()
         self._wake_writer()
         if self._answer_buffer is not None:
@@ -292,11 +313,12 @@
 
     def _update_inbound(self) -> None:
         """Report what this connection holds of the requests that it has received."""
-        droppable, served = len(self._unparsed), self._body_bytes
-        if self._phase in (_Phase.HEAD, _Phase.BODY):
-            droppable, served = droppable + served + self._parser_bytes, 0
-        elif self._phase is _Phase.SERVING:
+        body = max(self._body_bytes, self._announced_bytes)
+        droppable, served = len(self._unparsed), HEAD_COPIES * self._head_bytes + body
+        if self._phase in (_Phase.HEAD, _Phase.BODY, _Phase.SERVING):
             served += self._parser_bytes
+        if self._phase in (_Phase.HEAD, _Phase.BODY):
+            droppable, served = droppable + served, 0
         self._server.inbound.update(
             self, droppable=droppable, served=served, now=self._loop.time()
         )
@@ -354,6 +376,7 @@
         size = sum(len(name) + len(value) + 4 for name, value in raw)
         if size + len(event.target) > self._limits.max_head_bytes:
             raise BadRequest(431, "The head of the request is too large.")
+        self._head_bytes = size + len(event.target)
         headers = Headers(raw)
         _check_framing(headers)
         head = RequestHead(
@@ -379,6 +402,9 @@
             raise BadRequest(413, "The body is larger than this router takes.")
         if not self._server.inbound.make_room(int(length), self._loop.time()):
             raise BadRequest(503, TOO_MANY_BODIES, retry_after=MEMORY_RETRY_AFTER)
+        if int(length) > RECEIVE_BUFFER_BYTES and self._transport is not None:
+            self._announced_bytes = int(length)
+            enlarge_receive_buffer(self._transport, BODY_BUFFER_BYTES)
 
     def _handle_data(self, data: bytes) -> None:
         self._body_bytes += len(data)
@@ -388,9 +414,9 @@
             raise BadRequest(413, "The body is larger than this router takes.")
         self._set_timer(self._limits.body_timeout)
 
-    def _discard_body(self) -> None:
+    def _discard_request(self) -> None:
         self._server.buffered_bytes -= self._body_bytes
-        self._body_bytes = 0
+        self._body_bytes = self._announced_bytes = self._head_bytes = 0
         self._body = bytearray()
 
     # Serving.
@@ -443,7 +469,7 @@
             if self._refuse_failed(respond):
                 return
         finally:
-            self._discard_body()
+            self._discard_request()
             self._update_inbound()
             if self._answer_buffer is None or not respond.finished:
                 self.handler_task = None
@@ -529,7 +555,7 @@
 
     def _linger(self) -> None:
         self._phase = _Phase.LINGERING
-        self._discard_body()
+        self._discard_request()
         # Releases what the parser holds.
         self._protocol = self._new_protocol()
         self._unparsed = bytearray()
--- a/lynxchute/http/sockets.py
+++ b/lynxchute/http/sockets.py
@@ -40,6 +40,17 @@
 SLOW_READER_OPTIONS = SocketOptions(user_timeout_ms=30_000)
 
 
+def enlarge_receive_buffer(transport: asyncio.BaseTransport, size: int) -> None:
+    """Let the kernel receive more bytes of a connection before they are read.
+
+    The new size is a hint: a kernel may keep the window that it has announced.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
 def apply_options(
     transport: asyncio.BaseTransport, options: SocketOptions = DEFAULT_OPTIONS
 ) -> None:
