Limit accepted connections by memory and descriptors

900 connections that sent half a line each were all kept: 919 descriptors, where a router with 1,000 may use 800 and its upstreams need some of these. On 4,100 they also hold 40 MB, and what the kernel receives for them. Cause: nothing limited the connections of callers, of the readiness port, the metrics port or of other routers. Change: `ConnectionLimit`, one for all four servers: 25% of the memory at 36 KB a connection, and 70% of the descriptors, 1,041 at 150 MB. A new connection takes the place of one that waits for its caller: the longest idle one is closed, else the oldest incomplete request is refused with 503 and not_run; what is served stays. The setting `max_open_files` is read (4,096 by default). Ruled out: the backlog (it is accepted within an iteration of the event loop).

--- a/lynxchute/edge/application.py
+++ b/lynxchute/edge/application.py
@@ -25,6 +25,7 @@
     caller_limits,
     internal_answer_bounds,
     internal_limits,
+    max_connections,
     request_buffer_bound,
 )
 from lynxchute.edge.listener import Listener
@@ -55,7 +56,13 @@
 )
 from lynxchute.http.sockets import DEFAULT_OPTIONS
 from lynxchute.listeners import LogLimit
-from lynxchute.overload import CutAnswer, InboundMemory, MemoryGuard
+from lynxchute.overload import (
+    ConnectionLimit,
+    CutAnswer,
+    InboundMemory,
+    MemoryGuard,
+)
+from lynxchute.overload.connection_limit import LimitedConnection
 from lynxchute.overload.weights import DEFAULT_WEIGHT
 from lynxchute.reachability import Reachability
 from lynxchute.relay.admission import Admission
@@ -223,12 +230,20 @@
         self.registry.listeners.append(self._handle_member_change)
         self.registry.registration_listeners.append(self._handle_registration)
         self.registry.handlers_by_key[MARK_KEY] = self.retry_mark.handle_row
-        self._dropped_log = LogLimit()
+        self._dropped_log, self._ended_log = LogLimit(), LogLimit()
         self.inbound_memory = inbound = InboundMemory(
             lambda: request_buffer_bound(self.settings.memory_mb),
             self._record_dropped_request,
         )
-        self.peer_server = PeerServer(lambda: self.registry.secret, meter, inbound)
+        connection_limit = ConnectionLimit(
+            lambda: max_connections(
+                self.settings.memory_mb, self.settings.max_open_files
+            ),
+            self._record_ended_connection,
+        )
+        self.peer_server = PeerServer(
+            lambda: self.registry.secret, meter, inbound, connection_limit
+        )
         store.serve(self.peer_server)
         self.registry.serve(self.peer_server)
         link_share = LinkShare(settings.link_mbps)
@@ -464,6 +479,7 @@
             guard=self.memory_guard,
             may_accept_connection=self.load.may_accept,
             inbound=inbound,
+            connection_limit=connection_limit,
         )
         internal_guard = MemoryGuard(internal_answer_bounds(settings.memory_mb))
         self.readiness = HttpServer(
@@ -471,6 +487,7 @@
             limits=internal_limits,
             guard=internal_guard,
             inbound=inbound,
+            connection_limit=connection_limit,
             socket_options=DEFAULT_OPTIONS,
         )
         self.exposition = HttpServer(
@@ -478,6 +495,7 @@
             limits=internal_limits,
             guard=internal_guard,
             inbound=inbound,
+            connection_limit=connection_limit,
             socket_options=DEFAULT_OPTIONS,
         )
         self.components = [
@@ -790,6 +808,18 @@
                 not_logged=self._dropped_log.take_suppressed(),
             )
 
+    def _record_ended_connection(self, connection: LimitedConnection) -> None:
+        """Count and log a connection that ends to make room for another one."""
+        self.metrics.connections_ended.inc()
+        since = connection.waiting_since
+        if since is not None and self._ended_log.allows():
+            log_event(
+                "connection ended for another one",
+                is_idle=connection.is_idle,
+                seconds=round(asyncio.get_running_loop().time() - since, 3),
+                not_logged=self._ended_log.take_suppressed(),
+            )
+
     def _limits(self) -> ServerLimits:
         return caller_limits(self.configurations.current, self.settings.memory_mb)
 
--- a/lynxchute/edge/limits.py
+++ b/lynxchute/edge/limits.py
@@ -19,6 +19,15 @@
 # Bytes of a body that is sent with a readiness check or a request for metrics, though
 # neither has a use for it.
 MAX_UNUSED_BODY_BYTES = 4096
+# Bytes of an accepted connection that has sent nothing: its objects, and what the
+# kernel receives for it.
+CONNECTION_BYTES = 36_000
+# Fraction of the process's memory for accepted connections.
+CONNECTION_MEMORY_SHARE = 0.25
+# Descriptors that the platform keeps for files, and the fraction of the others that
+# accepted connections may take. Connections to upstreams and routers need the rest.
+FILE_DESCRIPTORS = 200
+CONNECTION_DESCRIPTOR_SHARE = 0.7
 # Timeouts in seconds until the first configuration is known.
 DEFAULT_HEAD_TIMEOUT = 3.0
 DEFAULT_IDLE_TIMEOUT = 15.0
@@ -35,6 +44,28 @@
     return int(memory_mb * 1e6 * REQUEST_BUFFER_SHARE)
 
 
+def max_connections(memory_mb: float, max_open_files: float) -> int:
+    """Return the number of accepted connections that a process may have.
+
+    Parameters
+    ----------
+    memory_mb
+        Memory of the process, in MB.
+    max_open_files
+        Descriptors that the process may have open.
+
+    Examples
+    --------
+    >>> max_connections(150.0, 4100)
+    1041
+    >>> max_connections(552.0, 4100)
+    2730
+    """
+    by_memory = memory_mb * 1e6 * CONNECTION_MEMORY_SHARE / CONNECTION_BYTES
+    descriptors = max(max_open_files - FILE_DESCRIPTORS, 0)
+    return max(int(min(by_memory, descriptors * CONNECTION_DESCRIPTOR_SHARE)), 1)
+
+
 def internal_limits() -> ServerLimits:
     """Return the limits for readiness checks and requests for metrics."""
     return ServerLimits(
--- a/lynxchute/edge/settings.py
+++ b/lynxchute/edge/settings.py
@@ -69,6 +69,7 @@
 
 # Default link bandwidth of a VM in Mbit/s: that of a common data centre network card.
 DEFAULT_LINK_MBPS = 1000.0
+DEFAULT_OPEN_FILES = 4096.0
 
 
 @attrs.frozen
@@ -93,6 +94,8 @@
         process.
     memory_mb
         Memory limit of the process in MB; the process is killed above it.
+    max_open_files
+        Descriptors that the process may have open.
     store_spans_parts
         Whether one write to the store may change rows of several parts.
     is_first_start
@@ -118,6 +121,7 @@
     peers: Address
     store: str
     memory_mb: float
+    max_open_files: float = DEFAULT_OPEN_FILES
     link_mbps: float = DEFAULT_LINK_MBPS
     cores: float = 1.0
     metrics: Address | None = None
--- a/lynxchute/fleet/server.py
+++ b/lynxchute/fleet/server.py
@@ -24,7 +24,7 @@
     Responder,
     not_found,
 )
-from lynxchute.overload import InboundMemory
+from lynxchute.overload import ConnectionLimit, InboundMemory
 
 Handler = Callable[[Any], Awaitable[Any]]
 RequestHandler = Callable[[Request, Responder], Awaitable[None]]
@@ -43,6 +43,8 @@
     inbound
         Limits the memory of received messages; by default they have a bound of their
         own.
+    connection_limit
+        Limits the accepted connections; None for no limit.
 
     Attributes
     ----------
@@ -59,11 +61,16 @@
         secret: Callable[[], str],
         meter: LinkMeter,
         inbound: InboundMemory | None = None,
+        connection_limit: ConnectionLimit | None = None,
     ) -> None:
         self.handlers_by_class: dict[type[Message[Any]], Handler] = {}
         self.handlers_by_path: dict[str, RequestHandler] = {}
         self.server = HttpServer(
-            self._handle, check_head=self._check_head, meter=meter, inbound=inbound
+            self._handle,
+            check_head=self._check_head,
+            meter=meter,
+            inbound=inbound,
+            connection_limit=connection_limit,
         )
         self._secret = secret
 
--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -21,6 +21,7 @@
 )
 from lynxchute.http.sockets import apply_options, enlarge_receive_buffer
 from lynxchute.listening import RECEIVE_BUFFER_BYTES
+from lynxchute.overload.connection_limit import LimitedConnection
 from lynxchute.overload.inbound_memory import InboundBuffer
 
 if TYPE_CHECKING:
@@ -38,6 +39,7 @@
 # Why requests are refused whose bytes find no room, and the seconds after which to
 # send them again.
 TOO_MANY_BODIES = "Too many bodies are being read. Send it again later."
+TOO_MANY_CONNECTIONS = "Too many connections are open. Send it again later."
 MEMORY_RETRY_AFTER = 0.5
 # Bytes of pipelined requests above which reading is paused while a request is served.
 MAX_PIPELINED_BYTES = 32768
@@ -78,7 +80,7 @@
     STOPPED = "the server stopped"
 
 
-class ServerConnection(asyncio.BufferedProtocol, InboundBuffer):
+class ServerConnection(asyncio.BufferedProtocol, InboundBuffer, LimitedConnection):
     """Reads requests one at a time and passes each to the server's handler.
 
     Parameters
@@ -111,6 +113,7 @@
         # Length of a body that the kernel's enlarged buffer may hold a part of.
         self._announced_bytes = 0
         self._received_at = 0.0
+        self._idle_since = self._loop.time()
         self._responder: Responder | None = None
         self._writable: asyncio.Future[None] | None = None
         self._answer_buffer: TransportBuffer | None = None
@@ -133,6 +136,18 @@
         """Return whether no part of a request has arrived and none is served."""
         return self._phase is _Phase.IDLE
 
+    @property
+    def waiting_since(self) -> float | None:
+        """Return since when the caller owes the next bytes, on the event loop's clock.
+
+        None while a request is served or bytes are unsent.
+        """
+        if self._phase is _Phase.IDLE and not self.is_unanswered:
+            return self._idle_since
+        if self._phase in (_Phase.HEAD, _Phase.BODY):
+            return self._received_at
+        return None
+
     @property
     def is_unanswered(self) -> bool:
         """Return whether a request is being read or served, or bytes are unsent."""
@@ -148,7 +163,7 @@
         """Handle a new connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        if not self._server.may_accept_connection():
+        if not self._server.may_accept_connection() or not self._is_within_limit():
             transport.close()
             return
         apply_options(transport, self._server.socket_options)
@@ -191,7 +206,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Release buffers; cancel the handler unless it survives a disconnect."""
         self._phase = _Phase.CLOSED
-        self._server.connections.discard(self)
+        self._leave_server()
         self._cancel_timer()
         self._unparsed = bytearray()
         if self.handler_task is None:
@@ -228,6 +243,22 @@
         if self._unsent_at_check:
             self._set_timer(self._limits.idle_timeout)
 
+    def end_waiting(self) -> None:
+        """End the connection, as others need its place."""
+        if self._phase in (_Phase.HEAD, _Phase.BODY):
+            self._refuse(503, TOO_MANY_CONNECTIONS, retry_after=MEMORY_RETRY_AFTER)
+        else:
+            self.close()
+
+    def _leave_server(self) -> None:
+        self._server.connections.discard(self)
+        if self._server.connection_limit is not None:
+            self._server.connection_limit.discard(self)
+
+    def _is_within_limit(self) -> bool:
+        limit = self._server.connection_limit
+        return limit is None or limit.admit(self)
+
     def refuse_incomplete(self) -> None:
         """Refuse a request of which only a part has arrived, as the server stops."""
         if self._phase in (_Phase.HEAD, _Phase.BODY):
@@ -504,6 +535,7 @@
             return
         self._protocol.start_next_cycle()
         self._phase = _Phase.IDLE
+        self._idle_since = self._loop.time()
         self._responder = None
         if has_pipelined:
             self._phase = _Phase.HEAD
@@ -581,7 +613,7 @@
         early_bytes = self._protocol.trailing_data[0] + bytes(self._unparsed)
         self._phase = _Phase.CLOSED
         self._server.inbound.discard(self)
-        self._server.connections.discard(self)
+        self._leave_server()
         self._cancel_timer()
         transport.set_protocol(protocol)
         protocol.connection_made(transport)
--- a/lynxchute/http/server.py
+++ b/lynxchute/http/server.py
@@ -20,6 +20,7 @@
     SocketOptions,
 )
 from lynxchute.listening import BACKLOG, listen
+from lynxchute.overload.connection_limit import ConnectionLimit
 from lynxchute.overload.inbound_memory import InboundMemory
 from lynxchute.overload.memory_guard import MemoryGuard
 
@@ -88,6 +89,8 @@
     socket_options
         Options of the accepted connections; by default those for slow readers if there
         is a guard.
+    connection_limit
+        Limits the connections of all servers that share it; None for no limit.
     """
 
     def __init__(
@@ -101,7 +104,9 @@
         may_accept_connection: Callable[[], bool] = accept_all_connections,
         inbound: InboundMemory | None = None,
         socket_options: SocketOptions | None = None,
+        connection_limit: ConnectionLimit | None = None,
     ) -> None:
+        self.connection_limit = connection_limit
         default_options = DEFAULT_OPTIONS if guard is None else SLOW_READER_OPTIONS
         self.socket_options = socket_options or default_options
         self.inbound = inbound or InboundMemory(lambda: limits().max_buffered_bytes)
--- a/lynxchute/overload/__init__.py
+++ b/lynxchute/overload/__init__.py
@@ -1,5 +1,6 @@
 """Decisions under load, without I/O: overload, queueing and fair shares."""
 
+from lynxchute.overload.connection_limit import ConnectionLimit
 from lynxchute.overload.guard import (
     LINK_LIMITS,
     MEMORY_LIMITS,
@@ -29,6 +30,7 @@
     "MEMORY_LIMITS",
     "PROCESSOR_LIMITS",
     "AccountShares",
+    "ConnectionLimit",
     "CutAnswer",
     "OverloadGuard",
     "BufferBounds",
--- a/lynxchute/platform/settings.py
+++ b/lynxchute/platform/settings.py
@@ -12,6 +12,7 @@
 from lynxchute.address import Address
 from lynxchute.edge.settings import (
     DEFAULT_LINK_MBPS,
+    DEFAULT_OPEN_FILES,
     DeploymentBounds,
     EdgeSettings,
     Features,
@@ -77,6 +78,7 @@
         peers=Address(reader.text("ip"), reader.first_port() + PEER_PORT_OFFSET),
         store=str(reader.address("platform", "address")),
         memory_mb=reader.number("limits", "memory_mb"),
+        max_open_files=reader.limit("max_open_files", DEFAULT_OPEN_FILES),
         link_mbps=reader.limit("link_mbps", DEFAULT_LINK_MBPS),
         # The share of a core, times the core's speed relative to a standard core.
         cores=reader.limit("cpu_share", 1.0) * reader.limit("cores", 1.0),
--- a/lynxchute/settings.py
+++ b/lynxchute/settings.py
@@ -10,7 +10,12 @@
 from lynxchute._structure import Finding, load_document, option
 from lynxchute.address import Address
 from lynxchute.config.document import FleetDocument, check_document
-from lynxchute.edge.settings import DEFAULT_LINK_MBPS, DeploymentBounds, EdgeSettings
+from lynxchute.edge.settings import (
+    DEFAULT_LINK_MBPS,
+    DEFAULT_OPEN_FILES,
+    DeploymentBounds,
+    EdgeSettings,
+)
 
 
 @attrs.frozen
@@ -35,6 +40,11 @@
     """Resources of the VM."""
 
     memory_mb: float = option(default=256.0, low=32.0, doc="Memory, in MB.")
+    max_open_files: float = option(
+        default=DEFAULT_OPEN_FILES,
+        low=256.0,
+        doc="Descriptors that the process may have open.",
+    )
     link_mbps: float = option(
         default=DEFAULT_LINK_MBPS,
         low=0.1,
@@ -99,6 +109,7 @@
             store=str(self.store),
             store_spans_parts=self.store_spans_parts,
             memory_mb=machine.memory_mb,
+            max_open_files=machine.max_open_files,
             link_mbps=machine.link_mbps,
             cores=machine.cores,
             bounds=DeploymentBounds(
--- a/lynxchute/telemetry/metrics.py
+++ b/lynxchute/telemetry/metrics.py
@@ -30,6 +30,8 @@
         Requests refused for lack of tokens although the fleet had enough unused ones.
     reservations_kept
         Reservations from tokens that this router retains, without asking other routers.
+    connections_ended
+        Accepted connections that ended to make room for others.
     requests_dropped
         Requests that were not whole, dropped to free memory.
     held_bytes, answers_cut
@@ -120,6 +122,9 @@
         self.held_bytes = self._gauge(
             "held_bytes", "Bytes of answers that wait for slow readers."
         )
+        self.connections_ended = self._counter(
+            "connections_ended", "Waiting connections ended for new ones."
+        )
         self.requests_dropped = self._counter(
             "requests_dropped", "Incomplete requests dropped for want of memory."
         )
