Let no request make room for itself

Found by reading the fix: a head that had been arriving for over a second counted among those that make room for its own body. It was refused twice, and the second refusal raised an error ("Cannot call write() after write_eof()"). Cause: `make_room` did not know who asked. Change: it leaves out the connection that asks. Result: two new tests failed before and pass: the decision, and a server that refuses such a request once.

--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -431,7 +431,7 @@
             raise BadRequest(400, "Content-Length is no number.")
         if int(length) > self._limits.max_body_bytes:
             raise BadRequest(413, "The body is larger than this router takes.")
-        if not self._server.inbound.make_room(int(length), self._loop.time()):
+        if not self._server.inbound.make_room(self, int(length), self._loop.time()):
             raise BadRequest(503, TOO_MANY_BODIES, retry_after=MEMORY_RETRY_AFTER)
         if int(length) > RECEIVE_BUFFER_BYTES and self._transport is not None:
             self._announced_bytes = int(length)
--- a/lynxchute/overload/inbound_memory.py
+++ b/lynxchute/overload/inbound_memory.py
@@ -123,8 +123,8 @@
         if held is not None:
             self.held -= held.total
 
-    def make_room(self, size: int, now: float) -> bool:
-        """Drop requests so that this many more bytes may be held, if that is possible.
+    def make_room(self, buffer: InboundBuffer, size: int, now: float) -> bool:
+        """Drop requests of others so that a buffer may hold this many more bytes.
 
         Returns
         -------
@@ -135,17 +135,22 @@
         if size > bound:
             return False
         if self.held + size > bound:
-            self._drop_down_to(bound - size, now)
+            self._drop_down_to(bound - size, now, keep=buffer)
         return self.held + size <= bound
 
     def _drop_down_to(
-        self, target: int, now: float, min_seconds: float = SOUND_SECONDS
+        self,
+        target: int,
+        now: float,
+        *,
+        min_seconds: float = SOUND_SECONDS,
+        keep: InboundBuffer | None = None,
     ) -> None:
         """Drop the oldest of the larger incomplete requests until the target is met."""
         candidates = {
             buffer: held
             for buffer, held in self._held_by_buffer.items()
-            if held.droppable and now - held.since >= min_seconds
+            if held.droppable and buffer is not keep and now - held.since >= min_seconds
         }
         while self.held > target and candidates:
             mean = sum(held.droppable for held in candidates.values()) / len(candidates)
--- a/tests/test_inbound_memory.py
+++ b/tests/test_inbound_memory.py
@@ -60,16 +60,23 @@
         small.hold(10, now=0.0)
         old.hold(400, now=1.0)
         young.hold(400, now=2.0)
-        self.assertTrue(self.memory.make_room(500, 3.5))
+        self.assertTrue(self.memory.make_room(newcomer, 500, 3.5))
         self.assertEqual([0, 1, 0], [b.drops for b in (small, old, young)])
         self.assertEqual([(400, 2.5)], self.dropped)
 
     def test_requests_that_have_just_begun_make_no_room(self):
-        first, _ = self.buffers(2)
+        first, second = self.buffers(2)
         first.hold(800, now=10.0)
-        self.assertFalse(self.memory.make_room(500, 10.0 + SOUND_SECONDS / 2))
+        now = 10.0 + SOUND_SECONDS / 2
+        self.assertFalse(self.memory.make_room(second, 500, now))
         self.assertEqual(0, first.drops)
 
+    def test_a_request_makes_no_room_for_itself(self):
+        [buffer] = self.buffers(1)
+        buffer.hold(700, now=0.0)
+        self.assertFalse(self.memory.make_room(buffer, 500, 5.0))
+        self.assertEqual(0, buffer.drops)
+
     def test_what_arrives_last_is_dropped_if_nothing_else_can_be(self):
         first, second = self.buffers(2)
         first.hold(900, now=10.0)
@@ -109,7 +116,7 @@
             buffer = buffers[index]
             if is_served:
                 buffer.hold(0, served=size, now=now)
-            elif self.memory.make_room(size // 2, now):
+            elif self.memory.make_room(buffer, size // 2, now):
                 buffer.hold(size, served=0, now=now)
             held = sum(b.droppable + b.served for b in buffers)
             served = sum(b.served for b in buffers)
@@ -171,6 +178,33 @@
         most = self.run_async(self.most_held(self.AHEAD * 50, wait))
         self.assertLess(most, self.MAX_BYTES)
 
+    def test_a_head_that_took_long_is_refused_once_where_its_body_has_no_room(self):
+        async def scenario():
+            errors = []
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _, context: errors.append(context))
+            limits = ServerLimits(max_body_bytes=200_000, max_buffered_bytes=200_000)
+            server = HttpServer(not_found, limits=lambda: limits)
+            await server.start("127.0.0.1", 0)
+            connect = asyncio.open_connection
+            reader, writer = await connect("127.0.0.1", server.port)
+            writer.write(self.BODY[:51] + b"X-A: " + b"x" * 9000)
+            await until(lambda: server.inbound.held > 9000)
+            await asyncio.sleep(SOUND_SECONDS * 1.1)
+            writer.write(b"\r\n" + self.BODY[51:])
+            async with asyncio.timeout(5.0):
+                answer = await reader.read()
+            self.assertEqual([], errors)
+            self.assertEqual(1, answer.count(b"HTTP/1.1 "))
+            self.assertIn(b" 503 ", answer)
+            await until(lambda: not server.connections)
+            self.assertEqual(0, server.inbound.held)
+            self.assertEqual(0, server.buffered_bytes)
+            writer.close()
+            await server.kill()
+
+        self.run_async(scenario())
+
     def test_a_body_whose_caller_has_left_is_counted_while_it_is_served(self):
         async def scenario():
             may_end = asyncio.Event()
