--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -184,6 +184,12 @@
         for demand_seconds in (25.0, 40.0, 100.0):
             self.assertLess(self.lost_share(demand_seconds), 0.5)
 
+    def test_a_death_at_the_end_of_an_outage_leaves_all_unused_tokens(self):
+        # Guards against a refusal for want of tokens that were paid and never used.
+        for demand_seconds in (25.0, 40.0, 100.0):
+            used_share = min(self.SILENT_MS / 1000 / demand_seconds, 1.0)
+            self.assertLessEqual(self.lost_share(demand_seconds), used_share)
+
 
 class ComparisonTest(testtools.TestCase):
     """The budget schemes of the bench, compared on a shorter trace."""
