Read the clock once in the test of the estimated store time

Cause: the test read the clock for the true time and again for the estimate, so what passed between the two readings counted as an estimate that is ahead. Ruled out: the estimate (with one reading it holds). Change: one reading for both, the same bound: as strict, and of one moment.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -263,8 +263,8 @@
             await store.scan("own")
             loop = asyncio.get_running_loop()
             for _ in range(20):
-                true_ms = loop.time() * 1000
-                self.assertLessEqual(store.clock.earliest_ms(loop.time()), true_ms + 1)
+                now = loop.time()
+                self.assertLessEqual(store.clock.earliest_ms(now), now * 1000 + 1)
                 await asyncio.sleep(0.005)
 
         self.run_with_store(scenario)
