Let a connection that was cut off make room without an error

Cause: refusals are written, and nothing can be written to a connection that is cut. Change: it releases its bytes as it ends, in the same iteration; nothing is written. Result: the new test failed before and passes.

--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -140,8 +140,10 @@
     def waiting_since(self) -> float | None:
         """Return since when the caller owes the next bytes, on the event loop's clock.
 
-        None while a request is served or bytes are unsent.
+        None while a request is served or bytes are unsent, and once it is cut off.
         """
+        if self._is_disconnected:
+            return None
         if self._phase is _Phase.IDLE and not self.is_unanswered:
             return self._idle_since
         if self._phase in (_Phase.HEAD, _Phase.BODY):
@@ -356,6 +358,8 @@
 
     def drop_inbound(self) -> None:
         """Refuse an incomplete request; forget what came after one that is served."""
+        if self._is_disconnected:
+            return
         if self._phase in (_Phase.HEAD, _Phase.BODY):
             self._refuse(503, TOO_MANY_BODIES, retry_after=MEMORY_RETRY_AFTER)
             return
--- a/tests/test_inbound_memory.py
+++ b/tests/test_inbound_memory.py
@@ -4,17 +4,21 @@
 import contextlib
 import socket
 import tracemalloc
+from unittest import mock
 
 import hypothesis
 import hypothesis.strategies as st
 import testtools
 
 from lynxchute.http import HttpServer, ServerLimits, not_found
+from lynxchute.http.connection import ServerConnection
+from lynxchute.overload.connection_limit import ConnectionLimit
 from lynxchute.overload.inbound_memory import (
     SOUND_SECONDS,
     InboundBuffer,
     InboundMemory,
 )
+from lynxchute.overload.memory_guard import BufferBounds, MemoryGuard
 from lynxchute.platform.names import READY_PATH
 from tests.platform_support import PlatformDeployment
 from tests.support import AsyncTestCase, until
@@ -230,6 +234,34 @@
         self.run_async(scenario())
 
 
+class CutConnectionTest(AsyncTestCase):
+    """Guards against an error in one connection as another one makes room for it."""
+
+    HEAD = (
+        b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n"
+        b"Expect: 100-continue\r\n\r\n"
+    )
+
+    def test_a_connection_whose_answer_was_cut_makes_room_and_place(self):
+        async def scenario():
+            guard = MemoryGuard(BufferBounds(total=1, by_account=1, by_connection=1))
+            limit = ConnectionLimit(lambda: 1)
+            server = HttpServer(not_found, guard=guard, connection_limit=limit)
+            transport = mock.create_autospec(asyncio.Transport, instance=True)
+            transport.is_closing.return_value = False
+            transport.get_write_buffer_size.return_value = 100
+            connection = ServerConnection(server)
+            connection.connection_made(transport)
+            connection.data_received(self.HEAD + b"x" * 1000)
+            transport.abort.assert_called()
+            connection.drop_inbound()
+            self.assertFalse(limit.admit(ServerConnection(server)))
+            connection.connection_lost(None)
+            self.assertEqual(0, server.inbound.held)
+
+        self.run_async(scenario())
+
+
 class InternalPortsTest(AsyncTestCase):
     """Guards against bodies that are kept though nobody has a use for them."""
 
