Name the order of waiting connections, and the sizes of a play, as they are

Read as a newcomer: a comment on the order had to be read twice, a constant of the crowds was unused, and a size was an expression of a version's parity.

--- a/lynxchute/http/connection.py
+++ b/lynxchute/http/connection.py
@@ -52,6 +52,7 @@
 PARSED_BYTES = 8192
 # High-water mark of the write buffer, above which a slow reader blocks its handler.
 WRITE_BUFFER_BYTES = 65536
+
 PROBLEM_TYPE = "application/problem+json"
 # Problem types of error responses by status; all other statuses are "malformed".
 PROBLEMS_BY_STATUS = {502: "broken", 503: "overloaded"}
--- a/lynxchute/overload/connection_limit.py
+++ b/lynxchute/overload/connection_limit.py
@@ -52,8 +52,8 @@
         self._on_end = on_end
         self._open: set[LimitedConnection] = set()
         self._ending: set[LimitedConnection] = set()
-        # Waiting connections as of some moment, each with the time since when it waits.
-        # The first one to end is the last one.
+        # Waiting connections as of some moment, each with the time since when it waits,
+        # sorted so that the next one to end comes last.
         self._waiting: list[tuple[float, LimitedConnection]] = []
 
     @property
--- a/tests/crowd_play.py
+++ b/tests/crowd_play.py
@@ -90,7 +90,6 @@
 UNFINISHED_HEAD = _get("/none", size=8000)[:-4]
 NO_ROUTE = _get("/none")
 LARGE_NO_ROUTE = _get("/none", size=4000)
-READY = _get(READY_PATH)
 LARGE_READY = _get(READY_PATH, size=4000)
 
 
@@ -399,7 +398,8 @@
     if beside == "limits":
         for version in range(2, 6):
             await asyncio.sleep(0.3)
-            await fleet.configure(version, MAX_BODY_BYTES // (version % 2 * 9 + 1))
+            size = MAX_BODY_BYTES // 10 if version % 2 else MAX_BODY_BYTES
+            await fleet.configure(version, size)
     elif beside:
         fleet.disturb(beside)
     await task
