--- a/lynxchute/containment/judge.py
+++ b/lynxchute/containment/judge.py
@@ -15,6 +15,7 @@
 from lynxchute.quarantine import (
     CrashAttribution,
     Finding,
+    PartAttribution,
     PartGroup,
     QuarantineEntry,
     QuarantineRecord,
@@ -300,6 +301,7 @@
         parts.record_served_runs(runs_by_scope)
         now_ms = self.now_ms()
         self._publish_parts(parts.quarantine_proven(now_ms))
+        self._log_unproven(parts)
         suspected = parts.suspected(now_ms)
         if suspected:
             for group in suspected:
@@ -313,6 +315,20 @@
             self._broadcast.publish(suspected=tuple(suspected))
         self._loop.wake()
 
+    def _log_unproven(self, parts: PartAttribution) -> None:
+        for unproven in parts.unproven:
+            log_event(
+                "prompt part not blamed",
+                scope=unproven.scope,
+                part=unproven.part,
+                crashes=unproven.crashes,
+                needed=unproven.needed_crashes,
+                chance=float(f"{unproven.chance:.3g}"),
+                max_chance=unproven.max_chance,
+                served_runs=unproven.served_runs,
+                lacks_history=parts.lacks_history,
+            )
+
     def _record_parts_served(self, served: PartsServed) -> None:
         removed, added = self.attribution.parts.record_served(
             served.scope, served.version, served.at_ms, self.now_ms()
--- a/lynxchute/quarantine/part_suspicion.py
+++ b/lynxchute/quarantine/part_suspicion.py
@@ -59,6 +59,30 @@
     since_ms: int
 
 
+@attrs.frozen
+class UnprovenPart:
+    """The likeliest part of a scope that is not quarantined, and why.
+
+    Attributes
+    ----------
+    crashes, needed_crashes
+        Its crashes, and the number that may prove it.
+    chance, max_chance
+        Expected number of sound parts that crash as often, and the largest one with
+        which it is quarantined.
+    served_runs
+        Runs that all routers served in the last `SHARE_WINDOW_MS`.
+    """
+
+    scope: str
+    part: str
+    crashes: int
+    needed_crashes: int
+    chance: float
+    max_chance: float
+    served_runs: int
+
+
 class PartAttribution:
     """Attribute upstream crashes to prompt parts that crash whatever runs them.
 
@@ -80,6 +104,8 @@
     lacks_history
         Whether no router may remember earlier crashes. Fewer crashes then prove a
         part, and one makes it suspected.
+    unproven
+        The likeliest part of each scope that the last judgement did not quarantine.
 
     Examples
     --------
@@ -97,6 +123,7 @@
         self.entries = PartEntries()
         self.crashes = 0
         self.lacks_history = False
+        self.unproven: list[UnprovenPart] = []
         self._crash_by_process: OrderedDict[str, PartCrash] = OrderedDict()
         self._served_ms_by_part: OrderedDict[tuple[str, str, str], int] = OrderedDict()
         self._renewed: list[QuarantineEntry] = []
@@ -198,6 +225,7 @@
         Routers should have been asked before which of them they have served.
         """
         new = []
+        self.unproven = []
         for scope in self._scopes():
             for _ in range(MAX_ENTRIES_AT_ONCE):
                 explained = self._explained(scope, now_ms)
@@ -206,15 +234,31 @@
                     break
                 known = self.entries.known_parts(scope)
                 best = self._likeliest(tallies, known)
-                if best.count < self._needed_crashes(best, known):
-                    break
-                if best.part not in known and self._may_be_chance(
-                    scope, best, explained, now_ms
-                ):
+                needed = self._needed_crashes(best, known)
+                chance = self._chance(scope, best, explained, now_ms)
+                is_chance = best.part not in known and chance >= self._max_chance
+                if best.count < needed or is_chance:
+                    self._record_unproven(scope, best, needed, chance)
                     break
                 new.append(self._quarantine(scope, best, tallies, now_ms))
         return new
 
+    def _record_unproven(
+        self, scope: str, tally: PartTally, needed: int, chance: float
+    ) -> None:
+        served = self._served_runs_by_scope.get(scope, 0)
+        self.unproven.append(
+            UnprovenPart(
+                scope,
+                tally.part,
+                tally.count,
+                needed,
+                chance,
+                self._max_chance,
+                served,
+            )
+        )
+
     def expire(self, now_ms: int) -> list[str]:
         """Remove expired state; return the ids of the entries that are removed."""
         for process, crash in list(self._crash_by_process.items()):
@@ -396,14 +440,18 @@
         )
         return best
 
-    def _may_be_chance(
+    @property
+    def _max_chance(self) -> float:
+        return MAX_CHANCE_WITHOUT_HISTORY if self.lacks_history else MAX_CHANCE
+
+    def _chance(
         self,
         scope: str,
         tally: PartTally,
         explained: set[str],
         now_ms: int,
-    ) -> bool:
-        """Return whether so many crashes of a sound part are likely enough."""
+    ) -> float:
+        """Return the expected number of sound parts that crash as often by chance."""
         other_crashes = sum(
             process not in explained
             and process not in tally.processes
@@ -421,10 +469,7 @@
         runs = served + other_crashes + PRIOR_SERVED
         crash_share = min((other_crashes + PRIOR_CRASHES) / runs, 1.0)
         # The expected number of times that as many runs in a row crash by chance.
-        chance = (served + other_crashes + tally.count) * crash_share**tally.count
-        return chance >= (
-            MAX_CHANCE_WITHOUT_HISTORY if self.lacks_history else MAX_CHANCE
-        )
+        return (served + other_crashes + tally.count) * crash_share**tally.count
 
     def _quarantine(
         self,
--- a/tests/part_play.py
+++ b/tests/part_play.py
@@ -45,8 +45,12 @@
         Seconds between two requests.
     down_seconds
         Seconds for which an engine is down after a crash.
+    vms
+        The routers that requests are sent to in turn.
     vm_of
         Returns the router for the request with a number; None sends to all in turn.
+    vm_by_id
+        The router that each request was sent to.
     crash_interval
         Seconds between crashes of the busiest engine, whatever it runs; 0 for none.
     """
@@ -58,11 +62,13 @@
     sound_interval: float = 0.05
     down_seconds: float = 1.5
     path: str = "/stream/x"
+    vms: tuple = ROUTERS
     vm_of: object = None
     crash_interval: float = 0.0
     crash_times: list = attrs.Factory(list)
     crash_times_by_part: dict = attrs.Factory(lambda: defaultdict(list))
     deadly_parts_by_id: dict = attrs.Factory(dict)
+    vm_by_id: dict = attrs.Factory(dict)
     deadly_answers: list = attrs.Factory(list)
     sound_results: list = attrs.Factory(list)
     _tasks: set = attrs.Factory(set)
@@ -178,9 +184,10 @@
         self.deadly_answers.append((status, body))
 
     async def _request(self, number, parts, kind):
-        vms = [vm for vm in ROUTERS if vm in self.deployment.routers]
+        vms = [vm for vm in self.vms if vm in self.deployment.routers]
         vm = self.vm_of(number) if self.vm_of else vms[number % len(vms)]
         request_id = f"{kind}{next(_numbers)}"
+        self.vm_by_id[request_id] = vm
         if kind == "deadly":
             self.deadly_parts_by_id[request_id] = {part for part, _ in parts}
         caller = PlatformCaller(self.deployment, vm)
--- a/tests/test_part_suspicion.py
+++ b/tests/test_part_suspicion.py
@@ -393,6 +393,16 @@
             self.scenario.crash(*many)
         self.assertEqual(MAX_CRASHES, len(attribution._crash_by_process))
 
+    def test_the_likeliest_part_that_is_not_proven_is_kept_for_the_log(self):
+        for _ in range(CRASHES_TO_QUARANTINE_PART - 1):
+            self.assertEqual([], self.scenario.crash("p"))
+        (unproven,) = self.scenario.attribution.unproven
+        self.assertEqual("p", unproven.part)
+        self.assertEqual(CRASHES_TO_QUARANTINE_PART - 1, unproven.crashes)
+        self.assertEqual(CRASHES_TO_QUARANTINE_PART, unproven.needed_crashes)
+        self.scenario.crash("p")
+        self.assertEqual([], self.scenario.attribution.unproven)
+
     def test_entries_round_trip_through_the_row(self):
         self.quarantine("p", "beside")
         entries = tuple(self.scenario.attribution.entries.by_id.values())
