Let a link reset one end if the other one is reset

A stand-in link closed its connection in order when that of its target was reset, so no test, soak or play through links could see what a reset of an upstream does: an answer without a length that was reset looked like one that had ended. Both ends are reset now. A socket that is closed already is passed over: its `OSError` (bad file descriptor) ended a whole play once (listed under test_soak, test_cold_upstreams_get_what_they_bear).

Both new tests fail on the parent: no ConnectionResetError, and OSError [Errno 9].

--- a/lynxchute/standins/link.py
+++ b/lynxchute/standins/link.py
@@ -148,9 +148,7 @@
     def reset(self) -> None:
         """Reset every open connection at both ends."""
         for writer in self._writers:
-            sock = writer.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            writer.transport.abort()
+            _reset(writer)
         for task in self._tasks:
             task.cancel()
 
@@ -173,6 +171,9 @@
         self._tasks.add(task)
         try:
             await self._relay(reader, writer)
+        except ConnectionError:
+            # One end was reset, so the other one is as well.
+            _reset(writer)
         except (OSError, asyncio.CancelledError):
             pass
         finally:
@@ -193,6 +194,9 @@
                 self._pump(reader, far_writer, Direction.TO_TARGET),
                 self._pump(far_reader, writer, Direction.FROM_TARGET),
             )
+        except ConnectionError:
+            _reset(far_writer)
+            raise
         finally:
             self._writers -= ends
             far_writer.transport.abort()
@@ -212,3 +216,11 @@
             await writer.drain()
         if writer.can_write_eof():
             writer.write_eof()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection unless its socket is closed."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,7 +19,7 @@
 from lynxchute.event_loop import run as run_loop
 from lynxchute.http import ExchangeError
 from lynxchute.standins.budget_rules import Received
-from lynxchute.standins.link import Direction, Link, Partition
+from lynxchute.standins.link import RESET_ON_CLOSE, Direction, Link, Partition
 from lynxchute.standins.platform_store import PlatformStoreStandin
 from tests.platform_support import configuration
 from tests.router_process import RouterProcess
@@ -877,6 +877,41 @@
 
         self.run_with_echo(scenario)
 
+    def test_a_reset_of_the_target_does_not_become_an_orderly_end(self):
+        async def work():
+            async def reset(reader, writer):
+                await reader.readexactly(3)
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                writer.transport.abort()
+
+            server = await asyncio.start_server(reset, "127.0.0.1", 0)
+            link = Link(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+            await link.start()
+            reader, writer = await asyncio.open_connection("127.0.0.1", link.port)
+            writer.write(b"one")
+            try:
+                with self.assertRaises(ConnectionResetError):
+                    await reader.read(1)
+            finally:
+                writer.transport.abort()
+                await link.stop()
+                server.close()
+
+        self.run_async(work())
+
+    def test_a_reset_passes_over_connections_that_are_closed(self):
+        async def scenario(link, reader, writer):
+            for end in link._writers:
+                end.transport.abort()
+            while any(e.get_extra_info("socket").fileno() >= 0 for e in link._writers):
+                await asyncio.sleep(0)
+                if not link._writers:
+                    break
+            link.reset()
+
+        self.run_with_echo(scenario)
+
 
 class LinkedRouterTest(AsyncTestCase):
     def test_a_reload_while_a_router_starts_does_not_end_it(self):
