Count the end of a connection only once its peer has the whole request

What callers saw: a long upload is answered at once with a 200 without a length, a part of the body and the end of the upstream's side; the reset 30 ms later was never looked at, so callers got the part as the whole answer, streams too, and the upstream was not blamed.

Cause: a response that ends with its connection counted as whole at any orderly end, also at one that came while the request was still being sent. The class: an end is taken as that of the answer though nothing shows that the other side had what it answers.

Change: at an end the connection asks the transport and the kernel (TIOCOUTQ) how much of the request the peer has not acknowledged. An end after a whole request acknowledges it all, so nothing changes and nothing waits there. Otherwise the rest is still sent, and the end counts once the peer has acknowledged it and no reset has followed for 0.25 s; a reset, or 0.5 s without progress, breaks the response, and the reason says how many bytes were missing. Only responses that end with their connection are concerned: with a length, chunks, HEAD, 204 and 304 the end proves nothing anyway. A 4xx may come before the request has been read (RFC 9110, 15.5) and still reaches its caller. Where the kernel does not tell, only the process's own buffer counts.

Compared: breaking each early end at once fails sound servers that answer first and read on; waiting a moment after every end delays all sound answers without a length.

--- a/lynxchute/http/client.py
+++ b/lynxchute/http/client.py
@@ -18,6 +18,7 @@
     BrokenConnectionError,
     ClientConnection,
     OutgoingRequest,
+    is_framed,
 )
 from lynxchute.http.headers import HeaderItems, Headers, encode_headers
 from lynxchute.http.json_text import encode_json
@@ -28,8 +29,6 @@
 # Responses to earlier requests that may be skipped before the expected one. A peer
 # that sends more of them is treated as broken.
 MAX_SKIPPED_RESPONSES = 3
-# Their responses never have a body (RFC 9110, 6.4.1).
-STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
 @attrs.frozen
@@ -133,6 +132,9 @@
         The HTTP status.
     headers
         The headers of the response.
+    is_framed
+        Whether the end of the body can be told from that of its connection: it has a
+        length or chunks, or there never is one.
     """
 
     def __init__(
@@ -149,17 +151,7 @@
         self._between_bytes = timeouts.between_bytes
         self._whole_body = timeouts.whole_body
         self._released = False
-        self._method = connection.method
-
-    @property
-    def is_framed(self) -> bool:
-        """Return whether the end of the body can be told from that of its connection.
-
-        The body has a length or chunks, or there never is one.
-        """
-        if "content-length" in self.headers or "transfer-encoding" in self.headers:
-            return True
-        return self.status in STATUSES_WITHOUT_BODY or self._method == "HEAD"
+        self.is_framed = is_framed(head, connection.method)
 
     async def read(self) -> bytes | None:
         """Return the next available part of the body, or None at its end.
--- a/lynxchute/http/client_connection.py
+++ b/lynxchute/http/client_connection.py
@@ -9,9 +9,14 @@
 import attrs
 import h11
 
+from lynxchute.http.early_end import EarlyEndWatch
 from lynxchute.http.link_meter import UNLIMITED_LINK, LinkMeter
 from lynxchute.http.parsing_turns import MAX_EVENTS, PROCESS_TURNS
-from lynxchute.http.sockets import apply_options
+from lynxchute.http.sockets import (
+    apply_options,
+    pending_error,
+    unacknowledged_bytes,
+)
 
 # Unread bytes of a response at which reading from the socket is paused.
 MAX_UNREAD_BYTES = 262_144
@@ -22,6 +27,10 @@
 # Seconds before the end of the Keep-Alive timeout from which an idle connection is not
 # reused: the timeout is given in whole seconds, and a request takes time to arrive.
 KEEP_ALIVE_MARGIN = 0.5
+# Their responses never have a body (RFC 9110, 6.4.1).
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
+# Statuses of requests that the peer need not read to their end (RFC 9110, 15.5).
+REFUSAL_STATUSES = range(400, 500)
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*\"?(\d+)", re.IGNORECASE)
 
 
@@ -42,6 +51,18 @@
         return h11.Request(method=self.method, target=self.target, headers=self.headers)
 
 
+def is_framed(head: h11.Response, method: str) -> bool:
+    """Return whether a response has a length or chunks, or never has a body.
+
+    The body of another one ends with the connection.
+    """
+    if method == "HEAD" or head.status_code in STATUSES_WITHOUT_BODY:
+        return True
+    return any(
+        name in (b"content-length", b"transfer-encoding") for name, _ in head.headers
+    )
+
+
 class ClientConnection(asyncio.Protocol):
     """Sends one request at a time and reads its response.
 
@@ -78,6 +99,9 @@
         self._error: Exception | None = None
         self._deferred_error: BrokenConnectionError | None = None
         self._body_ended = False
+        self._head: h11.Response | None = None
+        self._has_received = False
+        self._early_end: EarlyEndWatch | None = None
         self._unread_bytes = 0
         self._paused = False
         self._consume: Callable[[bytes], bool] | None = None
@@ -88,7 +112,9 @@
     def is_alive(self) -> bool:
         """Return whether the connection is open for writing."""
         transport = self._transport
-        return not self._closed and transport is not None and not transport.is_closing()
+        if self._closed or self._early_end is not None or transport is None:
+            return False
+        return not transport.is_closing()
 
     @property
     def method(self) -> str:
@@ -110,6 +136,7 @@
             # Unsolicited bytes may be the start of a response to an earlier request.
             self.abort()
             return
+        self._has_received = True
         self._protocol.receive_data(data)
         if self._consume is not None and self._deliver(self._consume):
             return
@@ -121,18 +148,85 @@
         self._wake()
 
     def eof_received(self) -> bool:
-        """Handle the end of the stream from the peer."""
-        self._protocol.receive_data(b"")
-        self._closed = True
-        self._wake()
+        """Handle the end of the stream from the peer.
+
+        Returns
+        -------
+        bool
+            Whether the rest of the request is still sent, as the end proves nothing
+            before the peer has it.
+        """
+        if self._early_end is not None:
+            return True
+        if self._is_end_early():
+            self._early_end = EarlyEndWatch(
+                self._unacknowledged_bytes, self._pending_error, self._judge_end
+            )
+            return True
+        self._take_end()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """Handle the loss of the connection; an error means a reset."""
+        if self._early_end is not None:
+            self._judge_end(error or ConnectionAbortedError("lost"))
+            return
         self._closed = True
         self._error = self._error or error
         self._wake()
 
+    def _is_end_early(self) -> bool:
+        """Return whether the connection ends before the peer has the request."""
+        if (
+            not self._in_use
+            or not self._has_received
+            or not self._unacknowledged_bytes()
+        ):
+            return False
+        return self._head is None or self._needs_proof(self._head)
+
+    def _needs_proof(self, head: h11.Response) -> bool:
+        """Return whether the end of a response is only that of its connection.
+
+        A refusal may come before the request has been read.
+        """
+        return head.status_code not in REFUSAL_STATUSES and not is_framed(
+            head, self.method
+        )
+
+    def _take_end(self) -> None:
+        """Pass the end of the stream to the protocol."""
+        self._protocol.receive_data(b"")
+        self._closed = True
+        self._wake()
+
+    def _judge_end(self, error: Exception | None) -> None:
+        """End the response after an early end; it is broken if there is an error."""
+        watch, self._early_end = self._early_end, None
+        if watch is None:
+            return
+        watch.cancel()
+        if error is None:
+            self._take_end()
+        else:
+            self._closed = True
+            self._error = ConnectionAbortedError(
+                f"it ended {watch.missing_bytes} bytes before the end of the request: "
+                f"{error!r}"
+            )
+            self._wake()
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _unacknowledged_bytes(self) -> int:
+        """Return the bytes of requests that the peer has not acknowledged."""
+        transport = self._transport
+        return 0 if transport is None else unacknowledged_bytes(transport)
+
+    def _pending_error(self) -> OSError | None:
+        """Return the error that the kernel has recorded for the connection."""
+        return None if self._transport is None else pending_error(self._transport)
+
     # Called by the client.
 
     def announce(self, label: str) -> None:
@@ -158,6 +252,8 @@
         if not self.is_alive:
             raise BrokenConnectionError("the connection had ended")
         self._in_use = True
+        self._has_received = False
+        self._head = None
         self._request = request
         data = self._encode_request(request, body)
         assert self._transport is not None
@@ -176,6 +272,9 @@
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self._body_ended = False
+                self._head = event
+                if not self._needs_proof(event):
+                    self._judge_end(None)
                 self._record_keep_alive(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
@@ -324,6 +423,7 @@
         trailing, closed = self._protocol.trailing_data
         assert self._request is not None
         self._protocol = h11.Connection(h11.CLIENT)
+        self._head = None
         # The request is not sent again; the new protocol state only has to expect
         # a response to it.
         self._encode_request(self._request, b"", state_only=True)
@@ -351,6 +451,9 @@
 
     def abort(self) -> None:
         """Abort the connection."""
+        if self._early_end is not None:
+            self._early_end.cancel()
+            self._early_end = None
         self._closed = True
         if self._transport is not None:
             self._transport.abort()
@@ -359,15 +462,21 @@
         # A reset is never passed to the protocol as the end of the stream: that end
         # completes a response without a length, which a reset must not do.
         try:
-            return self._protocol.next_event()
+            event = self._protocol.next_event()
         except h11.RemoteProtocolError as error:
             raise BrokenConnectionError(f"this is not HTTP: {error}") from error
+        return event
 
     async def _next_event(self) -> object:
+        """Return the next event of a head."""
         while True:
             event = self._poll_event()
             if event is not h11.NEED_DATA:
                 return event
+            if self._early_end is not None:
+                # Nothing follows an incomplete head.
+                self._judge_end(None)
+                continue
             await self._wait()
 
     async def _wait(self) -> None:
--- a/lynxchute/http/sockets.py
+++ b/lynxchute/http/sockets.py
@@ -3,10 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
+import os
 import socket
+import struct
+import termios
 
 import attrs
 
+# Size of the C integer in which the kernel returns the length of a queue.
+QUEUE_LENGTH = struct.Struct("i")
+
 
 @attrs.frozen
 class SocketOptions:
@@ -64,3 +71,29 @@
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, options.keepalive_interval_s)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, options.keepalive_count)
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, options.user_timeout_ms)
+
+
+def unacknowledged_bytes(transport: asyncio.WriteTransport) -> int:
+    """Return the written bytes that the peer has not acknowledged.
+
+    These are in the buffer of the transport or in the send queue of the kernel. Where
+    the kernel does not tell, only the former are counted.
+    """
+    buffered = transport.get_write_buffer_size()
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return buffered
+    try:
+        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(QUEUE_LENGTH.size))
+    except OSError:
+        return buffered
+    return buffered + int(QUEUE_LENGTH.unpack(queued)[0])
+
+
+def pending_error(transport: asyncio.BaseTransport) -> OSError | None:
+    """Return the error that the kernel has recorded for a connection, or None."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return None
+    number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    return OSError(number, os.strerror(number)) if number else None
--- a/lynxchute/standins/platform_upstream.py
+++ b/lynxchute/standins/platform_upstream.py
@@ -10,10 +10,13 @@
 
 import h11
 
+from lynxchute.address import Address
+from lynxchute.listening import listen
 from lynxchute.platform import names
 from lynxchute.platform.names import UPSTREAM_TABLE
 from lynxchute.standins.arrivals import ArrivalLog
 from lynxchute.standins.budget_rules import Received
+from lynxchute.standins.early_answer import EarlyAnswer
 from lynxchute.standins.places import Places
 from lynxchute.standins.platform_store import PlatformStoreStandin
 from lynxchute.standins.upstream_exchange import UpstreamExchange
@@ -104,6 +107,10 @@
         How many requests it takes at a time; None for any number.
     software_version
         The version of its software that it registers.
+    early_answer
+        What it answers to each request before it has read the body; None for nothing.
+    receive_buffer
+        Bytes that the kernel receives before they are read; 0 for its default.
     falls
         How often it fell over as it rejected too many requests while it was brittle.
     """
@@ -148,6 +155,8 @@
         self.announces_leaving = False
         self.places: Places | None = None
         self.software_version = "v1"
+        self.early_answer: EarlyAnswer | None = None
+        self.receive_buffer = 0
         self.falls = 0
         self.connections = 0
         self.started_ms: int | None = int(time.time() * 1000)
@@ -161,7 +170,12 @@
 
     async def start(self, port: int = 0) -> None:
         """Listen on a port; 0 chooses a free one."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
+        if self.receive_buffer:
+            address = Address("127.0.0.1", port)
+            listener = listen(address, receive_buffer=self.receive_buffer)
+            self._server = await asyncio.start_server(self._accept, sock=listener)
+        else:
+            self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
@@ -288,8 +302,8 @@
             fault = self.faults.pop(0) if self.faults else None
             run = parse_run(head)
             self._record_received(run)
-            if fault is Fault.EARLY:
-                await self._decline_early(writer)
+            if self.early_answer is not None or fault is Fault.EARLY:
+                await self._answer_early(run, protocol, reader, writer)
                 return
             run.body = await read_body(protocol, reader)
             expected = run.headers.get(names.EXPECTED_UPSTREAM.lower(), self.id)
@@ -427,7 +441,17 @@
         await writer.drain()
         protocol.start_next_cycle()
 
-    async def _decline_early(self, writer: asyncio.StreamWriter) -> None:
+    async def _answer_early(
+        self,
+        run: Run,
+        protocol: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Answer a request whose body has not been read; decline it by default."""
+        if self.early_answer is not None:
+            await self.early_answer.send(run, protocol, reader, writer)
+            return
         writer.write(
             b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n"
             b"Content-Length: 0\r\n\r\n"
