Tell the other router how much of a request the upstream has in a tunnel

What callers saw: as with a direct connection, through another router: 16 of 16 parts of a 3 MB upload and of one of 150 KB, answers and events, passed on as whole.

Cause: the frame of an end said only that the upstream had ended its side. What is not sent of a request may be at the router that asks, on its way, or at the one that forwards.

Change: the frame carries how many bytes of the connection the upstream has acknowledged, and is sent again as they become more, as long as the tunnel is open (2 s without progress at most); the router that asks compares that with what it wrote. The router between forwards on after an end, and ends the tunnel if the upstream resets. Older builds ignore the payload, and where they leave it out only what has not reached them counts.

In these tests the router between has no link of its own: a relay acknowledges what an upstream does not read.

--- a/lynxchute/tunnels/connection.py
+++ b/lynxchute/tunnels/connection.py
@@ -12,12 +12,13 @@
 from lynxchute.http.client_connection import ClientConnection
 from lynxchute.http.headers import encode_headers
 from lynxchute.http.link_meter import LinkMeter
-from lynxchute.http.sockets import apply_options
+from lynxchute.http.sockets import apply_options, unacknowledged_bytes
 from lynxchute.tunnels.errors import FrameError, TunnelRefusal, TunnelRefused
 from lynxchute.tunnels.frames import (
     Frame,
     FrameDecoder,
     FrameKind,
+    decode_end,
     encode_data,
 )
 
@@ -54,6 +55,11 @@
         if self.is_alive and isinstance(self._transport, TunnelTransport):
             self._transport.send(Frame(FrameKind.BACKOFF, f"{seconds:.3f}".encode()))
 
+    def _unacknowledged_bytes(self) -> int:
+        if isinstance(self._transport, TunnelTransport):
+            return self._transport.unacknowledged_bytes()
+        return 0
+
 
 class TunnelTransport(asyncio.Transport):
     """Writes bytes of a connection as frames to the router that forwards them.
@@ -62,11 +68,18 @@
     ----------
     transport
         The connection to that router.
+
+    Attributes
+    ----------
+    acknowledged
+        Bytes that the upstream has acknowledged, as of its end; None if not known.
     """
 
     def __init__(self, transport: asyncio.Transport) -> None:
         super().__init__()
         self._transport = transport
+        self._written = 0
+        self.acknowledged: int | None = None
 
     def send(self, frame: Frame) -> None:
         """Write one frame."""
@@ -74,6 +87,7 @@
 
     def write(self, data: Any) -> None:
         """Write bytes of the connection."""
+        self._written += len(data)
         self._transport.write(encode_data(bytes(data)))
 
     def writelines(self, list_of_data: Iterable[Any]) -> None:
@@ -106,6 +120,15 @@
         """Return the number of bytes that are not sent yet."""
         return self._transport.get_write_buffer_size()
 
+    def unacknowledged_bytes(self) -> int:
+        """Return the bytes of the connection that the upstream has not acknowledged.
+
+        If the router that forwards them does not tell, those that have not reached it.
+        """
+        if self.acknowledged is None:
+            return unacknowledged_bytes(self._transport)
+        return max(self._written - self.acknowledged, 0)
+
     def can_write_eof(self) -> bool:
         """Return False: only the whole connection can be closed."""
         return False
@@ -155,6 +178,7 @@
         self._http: h11.Connection | None = h11.Connection(h11.CLIENT)
         self._decoder = FrameDecoder()
         self._transport: asyncio.Transport | None = None
+        self._tunnel_transport: TunnelTransport | None = None
         self._refusal_body = b""
         self._has_ended = False
 
@@ -222,7 +246,8 @@
         self._http = None
         self._is_open = True
         early_bytes, _ = http.trailing_data
-        self._connection.connection_made(TunnelTransport(self._transport))
+        self._tunnel_transport = TunnelTransport(self._transport)
+        self._connection.connection_made(self._tunnel_transport)
         if not self.opened.done():
             self.opened.set_result(None)
         return early_bytes
@@ -239,11 +264,17 @@
         if frame.kind is FrameKind.DATA:
             self._connection.data_received(frame.payload)
         elif frame.kind is FrameKind.END:
-            self._connection.eof_received()
-            self._end(None)
+            self._handle_end(frame)
         elif frame.kind is FrameKind.CLOSING:
             self._connection.retire()
 
+    def _handle_end(self, frame: Frame) -> None:
+        """Pass on the end of the upstream's side, unless it was passed on before."""
+        assert self._tunnel_transport is not None
+        self._tunnel_transport.acknowledged = decode_end(frame)
+        if not self._connection.eof_received():
+            self._end(None)
+
     def _end(self, error: Exception | None) -> None:
         """End the connection; only an END frame has ended its answer in order."""
         if self._has_ended:
--- a/lynxchute/tunnels/frames.py
+++ b/lynxchute/tunnels/frames.py
@@ -15,6 +15,7 @@
 from lynxchute.tunnels.errors import FrameError
 
 HEADER = struct.Struct(">BI")
+BYTE_COUNT = struct.Struct(">Q")
 MAX_PAYLOAD_BYTES = 262_144
 
 
@@ -26,7 +27,9 @@
     DATA
         Bytes of the connection.
     END
-        The upstream has closed its side in order.
+        The upstream has closed its side in order. The payload is the number of bytes of
+        the connection that it had acknowledged; it is sent again as they become more.
+        Routers of older builds leave it out.
     CLOSING
         No further request may be sent on this connection: the forwarding router stops,
         or the upstream has asked it for backoff.
@@ -55,6 +58,18 @@
         return HEADER.pack(self.kind, len(self.payload)) + self.payload
 
 
+def encode_end(acknowledged: int) -> bytes:
+    """Return the frame of an end, with the bytes that the upstream acknowledged."""
+    return Frame(FrameKind.END, BYTE_COUNT.pack(acknowledged)).encode()
+
+
+def decode_end(frame: Frame) -> int | None:
+    """Return the number of bytes that the upstream acknowledged; None if not stated."""
+    if len(frame.payload) != BYTE_COUNT.size:
+        return None
+    return int(BYTE_COUNT.unpack(frame.payload)[0])
+
+
 def encode_data(data: bytes) -> bytes:
     """Return bytes of a connection as frames."""
     if len(data) <= MAX_PAYLOAD_BYTES:
--- a/lynxchute/tunnels/server.py
+++ b/lynxchute/tunnels/server.py
@@ -16,8 +16,13 @@
     Request,
     Responder,
 )
+from lynxchute.http.early_end import POLL_SECONDS
 from lynxchute.http.patience import lag_tolerant_wait
-from lynxchute.http.sockets import apply_options
+from lynxchute.http.sockets import (
+    apply_options,
+    pending_error,
+    unacknowledged_bytes,
+)
 from lynxchute.relay.load import RouterLoad
 from lynxchute.telemetry import Metrics, log_event
 from lynxchute.tunnels.connection import (
@@ -27,7 +32,13 @@
     UPSTREAM_HEADER,
 )
 from lynxchute.tunnels.errors import FrameError, TunnelRefusal
-from lynxchute.tunnels.frames import Frame, FrameDecoder, FrameKind, encode_data
+from lynxchute.tunnels.frames import (
+    Frame,
+    FrameDecoder,
+    FrameKind,
+    encode_data,
+    encode_end,
+)
 from lynxchute.tunnels.pool import UpstreamClients
 from lynxchute.upstreams.directory import Directory
 from lynxchute.upstreams.statement_headers import MAX_BACKOFF
@@ -38,6 +49,9 @@
 CONNECT_SECONDS = 0.12
 # Tunnels that a router serves at a time; its own callers need most of its descriptors.
 MAX_TUNNELS = 400
+# Seconds without progress after which a tunnel closes whose upstream has ended its
+# side. The other router closes it before, once it knows what the end means.
+ENDED_TUNNEL_SECONDS = 2.0
 
 
 class Tunnel:
@@ -214,7 +228,9 @@
 
     def __init__(self, tunnel: Tunnel) -> None:
         super().__init__(tunnel)
-        self._has_ended = False
+        self._forwarded = 0
+        self._acknowledged: int | None = None
+        self._end_timer: asyncio.TimerHandle | None = None
         self._size = tunnel.link_share.answer_size()
         # Small reads, as what was read is written at once.
         self._buffer = bytearray(tunnel.link_share.piece_bytes)
@@ -272,15 +288,50 @@
         if not self._is_held:
             super().resume_reading()
 
+    def write(self, data: bytes) -> None:
+        """Write bytes unless the connection has ended."""
+        if self.transport is not None and not self.transport.is_closing():
+            self._forwarded += len(data)
+        super().write(data)
+
     def eof_received(self) -> bool:
-        """Tell the other router that the upstream has closed in order."""
-        self._has_ended = True
-        self._other.write(Frame(FrameKind.END).encode())
-        return False
+        """Tell the other router that the upstream has closed in order.
+
+        The rest of the request is still forwarded, as the upstream may read it.
+        """
+        self._report_end(asyncio.get_running_loop().time())
+        return True
 
     def connection_lost(self, error: Exception | None) -> None:
         """End the tunnel; without an END frame the answer counts as broken."""
-        self._tunnel.end(in_order=self._has_ended and error is None)
+        if self._end_timer is not None:
+            self._end_timer.cancel()
+        has_ended = self._acknowledged is not None
+        self._tunnel.end(in_order=has_ended and error is None)
+
+    def _report_end(self, progressed_at: float) -> None:
+        """Report how much the upstream has acknowledged, until the tunnel ends.
+
+        Parameters
+        ----------
+        progressed_at
+            When it last acknowledged more, in seconds.
+        """
+        loop = asyncio.get_running_loop()
+        if self.transport is None or self.transport.is_closing():
+            return
+        if pending_error(self.transport) is not None:
+            self._tunnel.end()
+            return
+        acknowledged = self._forwarded - unacknowledged_bytes(self.transport)
+        if acknowledged != self._acknowledged:
+            self._acknowledged = acknowledged
+            progressed_at = loop.time()
+            self._other.write(encode_end(acknowledged))
+        if loop.time() - progressed_at > ENDED_TUNNEL_SECONDS:
+            self._tunnel.end(in_order=True)
+            return
+        self._end_timer = loop.call_later(POLL_SECONDS, self._report_end, progressed_at)
 
 
 class TunnelServer(Component):
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -129,6 +129,15 @@
         for size in KERNEL_UPLOADS:
             self.check(PART, size=size)
 
+    def test_an_end_through_a_tunnel_before_the_upload_was_sent_proves_nothing(self):
+        self.check(PART, is_tunnelled=True)
+
+    def test_events_through_a_tunnel_before_the_upload_was_sent_prove_nothing(self):
+        self.check(EVENTS, is_tunnelled=True)
+
+    def test_a_kernel_upload_through_a_tunnel_proves_nothing(self):
+        self.check(PART, is_tunnelled=True, size=KERNEL_UPLOADS[0])
+
     def test_a_reset_without_an_end_proves_nothing(self):
         for ending in (Ending.RESET, Ending.CLOSE):
             answer = EarlyAnswer(PART, ending)
