Take a response with a status over 599 as broken

What callers saw: statuses 600 and 999, signed and with a length, were passed on as they are on routes without a second try. 000 and 099 never were.

Cause: h11 refuses statuses under 100 as no HTTP and lets those over 599 pass, and nothing else checked them. Outside 100 to 599 a status is invalid (RFC 9110, 15), so it says nothing of whether the request ran.

Change: the client's connection takes such a head as it takes one that is not HTTP, for all peers: upstreams, other routers, the store. The send counts as broken, the run as unknown, and the upstream is judged by it; callers get 502, or the answer of another upstream where the request may be repeated.

Evidence: the two tests of 600, 999 and 799 (direct, and 600 through a tunnel) fail on the parent: the status reaches the caller; those of 000 and 099 pass there too.

--- a/lynxchute/http/client_connection.py
+++ b/lynxchute/http/client_connection.py
@@ -29,6 +29,8 @@
 KEEP_ALIVE_MARGIN = 0.5
 # Their responses never have a body (RFC 9110, 6.4.1).
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
+# Statuses outside this range are invalid (RFC 9110, 15).
+MAX_STATUS = 599
 # Statuses of requests that the peer need not read to their end (RFC 9110, 15.5).
 REFUSAL_STATUSES = range(400, 500)
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*\"?(\d+)", re.IGNORECASE)
@@ -465,6 +467,8 @@
             event = self._protocol.next_event()
         except h11.RemoteProtocolError as error:
             raise BrokenConnectionError(f"this is not HTTP: {error}") from error
+        if isinstance(event, h11.Response) and event.status_code > MAX_STATUS:
+            raise BrokenConnectionError(f"invalid status {event.status_code}")
         return event
 
     async def _next_event(self) -> object:
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -267,6 +267,41 @@
             self.assertLess(now - quiet_since, STALL_SECONDS)
 
 
+class InvalidStatusTest(EarlyAnswerCase):
+    """Guards against statuses that are none and reach callers."""
+
+    def check(self, status, *, is_tunnelled=False):
+        answer = EarlyAnswer(PART, Ending.READ, Framing.LENGTH, status, delay=0.0)
+        answers, _ = self.play(answer, size=10, is_tunnelled=is_tunnelled)
+        self.assertEqual({502}, {status for status, _ in answers})
+
+    def test_statuses_over_599_are_not_passed_on(self):
+        for status in ("600 Odd", "999", "799 Odd"):
+            self.check(status)
+
+    def test_statuses_over_599_are_not_passed_on_from_a_tunnel(self):
+        self.check("600 Odd", is_tunnelled=True)
+
+    def test_statuses_under_100_are_not_passed_on(self):
+        for status in ("000", "099 Odd"):
+            self.check(status)
+
+    def test_an_upstream_with_such_a_status_is_avoided(self):
+        answer = EarlyAnswer(PART, Ending.READ, Framing.LENGTH, "999 Odd", delay=0.0)
+
+        async def scenario(deployment):
+            sound, broken = deployment.apps
+            sound.early_answer = None
+            statuses = []
+            for _ in range(12):
+                statuses.append((await self.ask(deployment, "safe", size=10))[0])
+            return statuses, len(broken.arrivals)
+
+        statuses, arrivals = self.with_upstreams(answer, scenario)
+        self.assertEqual([200] * 12, statuses)
+        self.assertLess(arrivals, 6)
+
+
 def body_limit(router):
     return router.configurations.current.limits.max_body_bytes
 
