--- a/lynxchute/standins/early_answer.py
+++ b/lynxchute/standins/early_answer.py
@@ -4,13 +4,12 @@
 
 import asyncio
 import enum
-import socket
 
 import attrs
 import h11
 
 from lynxchute.platform import names
-from lynxchute.standins.link import RESET_ON_CLOSE
+from lynxchute.standins.link import reset_connection
 from lynxchute.standins.upstream_run import Run, read_body
 
 
@@ -106,13 +105,13 @@
             writer.write_eof()
         await asyncio.sleep(self.delay)
         if self.ending in (Ending.RESET, Ending.END_THEN_RESET):
-            _reset(writer)
+            reset_connection(writer)
             return
         transport.resume_reading()
         await read_body(protocol, reader)
         if self.ending is Ending.READ_THEN_RESET:
             await asyncio.sleep(self.delay)
-            _reset(writer)
+            reset_connection(writer)
             return
         await reader.read(1)
 
@@ -137,9 +136,3 @@
         if self.is_informed:
             head = b"HTTP/1.1 100 Continue\r\n\r\n" + head
         return head + body
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    writer.transport.abort()
--- a/lynxchute/standins/link.py
+++ b/lynxchute/standins/link.py
@@ -148,7 +148,7 @@
     def reset(self) -> None:
         """Reset every open connection at both ends."""
         for writer in self._writers:
-            _reset(writer)
+            reset_connection(writer)
         for task in self._tasks:
             task.cancel()
 
@@ -173,7 +173,7 @@
             await self._relay(reader, writer)
         except ConnectionError:
             # One end was reset, so the other one is as well.
-            _reset(writer)
+            reset_connection(writer)
         except (OSError, asyncio.CancelledError):
             pass
         finally:
@@ -195,7 +195,7 @@
                 self._pump(far_reader, writer, Direction.FROM_TARGET),
             )
         except ConnectionError:
-            _reset(far_writer)
+            reset_connection(far_writer)
             raise
         finally:
             self._writers -= ends
@@ -218,7 +218,7 @@
             writer.write_eof()
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
+def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Reset a connection unless its socket is closed."""
     sock = writer.get_extra_info("socket")
     if sock is not None and sock.fileno() >= 0:
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -1,6 +1,7 @@
 """Answers that end before the upstream has read the whole request."""
 
 import asyncio
+import contextlib
 import itertools
 import time
 
@@ -8,22 +9,24 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lynxchute.http import ExchangeError
+from lynxchute.address import Address
+from lynxchute.http import ExchangeError, HttpClient
 from lynxchute.http.early_end import (
     SETTLE_SECONDS,
     STALL_SECONDS,
     EarlyEnd,
     EndVerdict,
 )
+from lynxchute.listening import listen
 from lynxchute.standins.early_answer import EarlyAnswer, Ending, Framing
-from lynxchute.standins.link import Partition
+from lynxchute.standins.link import Partition, reset_connection
 from tests.platform_support import (
     PlatformCaller,
     PlatformTestCase,
     configuration,
     event_ids,
 )
-from tests.support import until
+from tests.support import AsyncTestCase, until
 
 PART = b"a part of the answer"
 EVENTS = b"id: 1\ndata: x\n\nid: 2\ndata: y\n\n"
@@ -238,6 +241,57 @@
             self.assert_all(int(status[:3]), b"", found)
 
 
+class EndFromAnyPeerTest(AsyncTestCase):
+    """Guards against a part of the answer of a router, the store or an upstream."""
+
+    def post(self, size, ending):
+        """Return the answer of a peer that answers the head of a request at once."""
+
+        ended = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.transport.pause_reading()
+            writer.write(b'HTTP/1.1 200 OK\r\n\r\n{"rows": []}')
+            writer.write_eof()
+            await asyncio.sleep(0.03)
+            if ending is Ending.END_THEN_RESET:
+                reset_connection(writer)
+            else:
+                writer.transport.resume_reading()
+                with contextlib.suppress(ConnectionError):
+                    while await reader.read(65536):
+                        pass
+                writer.transport.abort()
+            ended.set()
+
+        async def work():
+            address = Address("127.0.0.1", 0)
+            listener = listen(address, receive_buffer=RECEIVE_BUFFER_BYTES)
+            server = await asyncio.start_server(serve, sock=listener)
+            client = HttpClient(f"127.0.0.1:{listener.getsockname()[1]}")
+            try:
+                return await client.post_json("/", "x" * size)
+            except ExchangeError as error:
+                return str(error)
+            finally:
+                client.close()
+                server.close()
+                await ended.wait()
+
+        return self.run_async(work())
+
+    def test_an_end_before_the_request_was_sent_is_not_that_of_the_answer(self):
+        self.assertIn(
+            "end of the request", self.post(UPLOAD_BYTES, Ending.END_THEN_RESET)
+        )
+
+    def test_an_end_after_the_request_was_sent_is_that_of_the_answer(self):
+        for size in (10, UPLOAD_BYTES):
+            found = self.post(size, Ending.END_THEN_READ)
+            self.assertEqual((200, {"rows": []}), found)
+
+
 class EarlyEndFuzzTest(testtools.TestCase):
     @given(
         st.lists(
