--- a/tests/crash_play.py
+++ b/tests/crash_play.py
@@ -1,6 +1,7 @@
 """Router processes whose engines crash under prompt parts, beside other trouble.
 
-The deployment has the routers, data centres and engines of one of three platforms.
+The deployment has the routers, data centres and engines of one of three platforms, or
+few engines.
 Routers are killed, suspended and stopped, the store is away and engines are replaced in
 one random series, while requests with crashing parts come beside sound ones. `python -m
 tests.crash_play` plays variants by their names, also with the code of another checkout.
@@ -49,6 +50,7 @@
 SHAPES = {
     "naipes": Shape(("a-1", "a-2", "a-3", "b-1", "b-2", "b-3", "c-1", "c-2"), 2),
     "yukimichi": Shape(("a-1", "a-2", "a-3", "b-1", "b-2", "c-1", "c-2"), 2),
+    "few": Shape(("a-1", "a-2", "b-1", "b-2"), 1),
     "voltbay": Shape(("a-1", "a-2", "a-3", "b-1", "b-2", "c-1", "c-2"), 4),
 }
 
@@ -313,6 +315,9 @@
     return {
         "crashes": crashes,
         "late": late,
+        "late at any router": {
+            part: len(found) for part, found in played.late_by_part.items()
+        },
         "sound": [round(share, 3), counted],
         "trouble": trouble.counts,
         "violations": violations,
