Do not wait for the end of a rejection that cannot be followed by another request

A rejection without a length ends with its connection, so reading it to its end keeps no connection. It is closed at once.

--- a/lynxchute/relay/sender.py
+++ b/lynxchute/relay/sender.py
@@ -784,6 +784,9 @@
 
     async def _read_to_end(self, response: Response) -> None:
         """Read a declined response to its end so that its connection can be reused."""
+        if not response.is_framed:
+            response.close()
+            return
         try:
             async with asyncio.timeout(MAX_REJECTION_SECONDS):
                 await response.body(MAX_REJECTION_BYTES)
--- a/lynxchute/standins/early_answer.py
+++ b/lynxchute/standins/early_answer.py
@@ -73,6 +73,8 @@
         Whether the body consists of events.
     is_informed
         Whether an informational response comes first.
+    is_declined
+        Whether it states that the request did not run.
     """
 
     body: bytes
@@ -83,6 +85,7 @@
     delay: float = 0.03
     is_stream: bool = False
     is_informed: bool = False
+    is_declined: bool = False
 
     async def send(
         self,
@@ -123,6 +126,8 @@
         ]
         if self.is_stream:
             lines.append("Content-Type: text/event-stream")
+        if self.is_declined:
+            lines.append(f"{names.NOT_RUN}: 1")
         size = len(self.body) + self.missing
         body = self.body
         if self.framing is Framing.LENGTH:
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -18,6 +18,7 @@
     EndVerdict,
 )
 from lynxchute.listening import listen
+from lynxchute.relay.sender import MAX_REJECTION_SECONDS
 from lynxchute.standins.early_answer import EarlyAnswer, Ending, Framing
 from lynxchute.standins.link import Partition, reset_connection
 from tests.platform_support import (
@@ -217,6 +218,18 @@
         )
         self.assert_all(413, PART, self.play(answer, kinds=("unsafe",)))
 
+    def test_an_early_rejection_is_not_waited_for(self):
+        answer = EarlyAnswer(
+            PART,
+            Ending.END_THEN_RESET,
+            status="503 Full",
+            delay=6.0,
+            is_declined=True,
+        )
+        answers, slowest = self.play(answer, kinds=("unsafe",))
+        self.assertEqual({503}, {status for status, _ in answers})
+        self.assertLess(slowest, MAX_REJECTION_SECONDS)
+
     def test_an_early_answer_whose_request_is_read_to_its_end_is_whole(self):
         answer = EarlyAnswer(PART, Ending.END_THEN_READ)
         for is_tunnelled in (False, True):
