Report the end of an upstream's side once

A tunnel is kept open after the upstream has ended its side. Reports are the same frames either way, so no test shows it.

--- a/lynxchute/tunnels/server.py
+++ b/lynxchute/tunnels/server.py
@@ -299,7 +299,8 @@
 
         The rest of the request is still forwarded, as the upstream may read it.
         """
-        self._report_end(asyncio.get_running_loop().time())
+        if self._end_timer is None:
+            self._report_end(asyncio.get_running_loop().time())
         return True
 
     def connection_lost(self, error: Exception | None) -> None:
