--- a/tests/crash_play.py
+++ b/tests/crash_play.py
@@ -1,10 +1,10 @@
 """Router processes whose engines crash under prompt parts, beside other trouble.
 
-The deployment has the routers, data centres and engines of one of three platforms, or
-few engines.
-Routers are killed, suspended and stopped, the store is away and engines are replaced in
-one random series, while requests with crashing parts come beside sound ones. `python -m
-tests.crash_play` plays variants by their names, also with the code of another checkout.
+The fleet has as many routers, data centres and engines as one of three deployments, or
+few engines. Routers are killed, suspended and stopped, the store is away and engines
+are replaced in one random series, while requests with crashing parts come beside sound
+ones. `python -m tests.crash_play` plays variants by their names, also with the code of
+another checkout.
 """
 
 import asyncio
@@ -23,6 +23,7 @@
 from lynxchute.event_loop import run as run_loop
 from lynxchute.platform.names import UPSTREAM_TABLE
 from tests.part_play import CONTACT_SECONDS, CRASHES_TO_KNOW, MAX_LATE, PART, PartPlay
+from tests.suspension_play import run_beside
 from tests.swap_play import SwapFleet
 
 OTHER_PART = "beefdead"
@@ -66,7 +67,7 @@
     interval, down_seconds
         Seconds between two such requests, and until a crashed engine is back.
     trouble
-        Name of the series that runs beside it; empty for none.
+        Name of the method of `Trouble` that runs beside it.
     retries
         How often a caller repeats a request that got no answer, under another id.
     """
@@ -75,17 +76,17 @@
     interval: float = 0.3
     path: str = "/stream/x"
     down_seconds: float = 1.5
-    trouble: str = "run"
+    trouble: str = "disturb_at_random"
     retries: int = 0
 
 
 VARIANTS = {
-    "calm": Variant(trouble=""),
+    "calm": Variant(trouble="none"),
     "usual": Variant(),
     "fast": Variant(interval=0.1),
     "slow": Variant(interval=1.5),
     "two": Variant((PART, OTHER_PART), down_seconds=4.0),
-    "two_calm": Variant((PART, OTHER_PART), down_seconds=4.0, trouble=""),
+    "two_calm": Variant((PART, OTHER_PART), down_seconds=4.0, trouble="none"),
     "once": Variant(path="/once/x"),
     "retried": Variant(retries=2),
     "all_killed": Variant(trouble="kill_all_in_series"),
@@ -133,7 +134,7 @@
     async def start_shape(self, shape):
         """Start the routers and engines of a deployment."""
         await self.start(shape.routers)
-        for engine in self._surplus(shape.engines_per_data_centre):
+        for engine in list(self._surplus(shape.engines_per_data_centre)):
             await self.store.drop(UPSTREAM_TABLE, engine.id)
             await engine.stop()
             self.upstreams.remove(engine)
@@ -170,7 +171,10 @@
     rng: random.Random
     counts: dict = attrs.Factory(dict)
 
-    async def run(self):
+    async def none(self):
+        """Disturb nothing."""
+
+    async def disturb_at_random(self):
         """Disturb until cancelled; faults overlap."""
         faults = (
             self.kill_one,
@@ -290,15 +294,8 @@
     try:
         await fleet.start_shape(shape)
         played.prepare(*parts)
-        running = None
-        if variant.trouble:
-            running = asyncio.create_task(getattr(trouble, variant.trouble)())
-        try:
-            await played.run(seconds)
-        finally:
-            if running is not None:
-                running.cancel()
-                await asyncio.gather(running, return_exceptions=True)
+        series = getattr(trouble, variant.trouble)
+        await run_beside(series(), played.run(seconds))
     finally:
         await fleet.stop()
     late = {part: len(found) for part, found in late_in_touch(played, fleet).items()}
--- a/tests/suspension_play.py
+++ b/tests/suspension_play.py
@@ -571,7 +571,7 @@
 }
 
 
-async def _run_beside(series, traffic):
+async def run_beside(series, traffic):
     """Run a series until the traffic has ended."""
     running = asyncio.create_task(series)
     try:
@@ -589,7 +589,7 @@
     fleet = SuspensionFleet(folder, MIXES[mix], has_links=has_links, **options)
     try:
         await fleet.start()
-        await _run_beside(SERIES[name](fleet), fleet.send_all(seconds))
+        await run_beside(SERIES[name](fleet), fleet.send_all(seconds))
     finally:
         await fleet.stop()
     return fleet
