Test that a stream that ended early is billed once, and ends of HTTP/1.0

Streams that go on elsewhere after an early end are billed for one prompt and the events that callers got. An HTTP/1.0 answer ends with its connection as well. The frame of an end is decoded with and without its payload, as routers of older builds send it.

--- a/lynxchute/standins/early_answer.py
+++ b/lynxchute/standins/early_answer.py
@@ -73,6 +73,8 @@
         Whether the body consists of events.
     is_informed
         Whether an informational response comes first.
+    version
+        The protocol version of its status line.
     is_declined
         Whether it states that the request did not run.
     """
@@ -86,6 +88,7 @@
     is_stream: bool = False
     is_informed: bool = False
     is_declined: bool = False
+    version: str = "HTTP/1.1"
 
     async def send(
         self,
@@ -120,7 +123,7 @@
 
     def _encode(self, run: Run) -> bytes:
         lines = [
-            f"HTTP/1.1 {self.status}",
+            f"{self.version} {self.status}",
             f"{names.REQUEST_ID}: {run.request_id}",
             f"{names.SIGNATURE}: x.{run.request_id}",
         ]
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -22,10 +22,12 @@
 from lynxchute.standins.early_answer import EarlyAnswer, Ending, Framing
 from lynxchute.standins.link import Partition, reset_connection
 from tests.platform_support import (
+    ACCOUNT,
     PlatformCaller,
     PlatformTestCase,
     configuration,
     event_ids,
+    settled,
 )
 from tests.support import AsyncTestCase, until
 
@@ -155,6 +157,10 @@
         answer = EarlyAnswer(PART, Ending.READ_THEN_RESET)
         self.assert_none_whole(self.play(answer, kinds=("unsafe",)))
 
+    def test_an_end_of_an_older_protocol_version_proves_nothing(self):
+        answer = EarlyAnswer(PART, Ending.END_THEN_RESET, version="HTTP/1.0")
+        self.assert_none_whole(self.play(answer, kinds=("unsafe",)))
+
     def test_an_end_after_an_informational_response_proves_nothing(self):
         answer = EarlyAnswer(PART, Ending.END_THEN_RESET, is_informed=True)
         self.assert_none_whole(self.play(answer, kinds=("unsafe",)))
@@ -188,9 +194,12 @@
                 status, body = await self.ask(deployment, "stream")
                 self.assertEqual(200, status)
                 bodies.append(event_ids(body))
-            return bodies
+            return bodies, await used_tokens(deployment)
 
-        self.assertEqual([list(range(1, 7))] * 6, self.with_upstreams(answer, scenario))
+        bodies, used = self.with_upstreams(answer, scenario)
+        self.assertEqual([list(range(1, 7))] * 6, bodies)
+        # 100 tokens of prompt, and three tokens in each event.
+        self.assertEqual(6 * (100 + 3 * 6), used)
 
 
 class EndThatCountsTest(EarlyAnswerCase):
@@ -377,6 +386,17 @@
     return status == 200 and body is not None
 
 
+async def used_tokens(deployment):
+    """Return the tokens that the routers have counted once all requests are settled."""
+    shares = []
+    for router in deployment.routers.values():
+        ledger = router.ledger_sync.ledger
+        await settled(ledger)
+        if ACCOUNT in ledger.shares_by_account:
+            shares.append(ledger.shares_by_account[ACCOUNT].own_use)
+    return sum(shares)
+
+
 async def cut_off(deployment, vm):
     """Cut a router off from upstreams, so that another one forwards its requests.
 
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -19,7 +19,9 @@
     Frame,
     FrameDecoder,
     FrameKind,
+    decode_end,
     encode_data,
+    encode_end,
 )
 from lynxchute.tunnels.paths import PathState
 from lynxchute.tunnels.server import TunnelServer
@@ -52,6 +54,15 @@
         for data in (b"HTTP/1.1 200 OK", b"\x09\0\0\0\0", b"\0\xff\xff\xff\xff"):
             self.assertRaises(FrameError, FrameDecoder().decode, data)
 
+    def test_an_end_says_how_much_was_acknowledged_or_nothing(self):
+        for data, acknowledged in (
+            (encode_end(0), 0),
+            (encode_end(3_000_000), 3_000_000),
+            (Frame(FrameKind.END).encode(), None),
+        ):
+            (frame,) = FrameDecoder().decode(data)
+            self.assertEqual(acknowledged, decode_end(frame))
+
     def test_an_end_is_a_frame_of_its_own(self):
         frames = FrameDecoder().decode(
             encode_data(b"x") + Frame(FrameKind.END).encode()
